--- /dev/null
+++ b/backs/view.go
@@ -0,0 +1,274 @@
+package backs
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// returnHold is how long an entry that lapsed while the store was away may
+	// still come back after its return: a live server writes its entry within
+	// about two seconds.
+	returnHold = 2 * time.Second
+	// ghostHold is how long an entry that was removed and stands again must
+	// last before its server gets work. A late heartbeat of a server that left
+	// lapses again after three heartbeats.
+	ghostHold = 4 * time.Second
+	// toldOutweighs is how long what the controller told of adapters outweighs
+	// an entry, which can be a heartbeat old: adapters load in milliseconds.
+	toldOutweighs = 2 * time.Second
+	// forgetAfter bounds the memory of servers that are gone; an ID is never
+	// used again, so it needs to outlive only late entries.
+	forgetAfter = 2 * time.Minute
+)
+
+// record is an entry and what happened to it.
+type record struct {
+	entry Entry
+	// drained stays set: a server never returns from draining under the same
+	// ID, and an old heartbeat may say otherwise.
+	drained bool
+	// gone is when the entry was removed; zero while it stands.
+	gone time.Time
+	// lapsing is when the entry went missing while the store had been away.
+	lapsing time.Time
+	// risen is when it stood again after having been removed.
+	risen time.Time
+	// heldAt is how new entry.Models is, toldAt when the controller told it
+	// last.
+	heldAt, toldAt time.Time
+}
+
+// View is the servers known to a VM. The zero value works. It is safe for use
+// by several goroutines.
+type View struct {
+	mu      sync.Mutex
+	records map[string]*record
+	// away is set while the store can not be reached, back is when it could be
+	// again.
+	away    bool
+	back    time.Time
+	changed chan struct{}
+	caught  bool
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.changed == nil {
+		v.changed = make(chan struct{})
+	}
+	return v.changed
+}
+
+func (v *View) notify() {
+	if v.changed != nil {
+		close(v.changed)
+		v.changed = nil
+	}
+}
+
+// Away notes that the store can not be reached.
+func (v *View) Away() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.away = true
+}
+
+// Back notes that the store answered.
+func (v *View) Back(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.away {
+		v.away, v.back = false, now
+	}
+}
+
+// Caught reports whether a whole list has been taken in.
+func (v *View) Caught() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.caught
+}
+
+// Put takes in an entry that stands in the store.
+func (v *View) Put(now time.Time, e Entry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.put(now, e)
+	v.notify()
+}
+
+func (v *View) put(now time.Time, e Entry) {
+	if v.records == nil {
+		v.records = make(map[string]*record)
+	}
+	r := v.records[e.ID]
+	if r == nil {
+		r = &record{}
+		v.records[e.ID] = r
+	}
+	if !r.gone.IsZero() {
+		r.gone, r.risen = time.Time{}, now
+	}
+	r.lapsing = time.Time{}
+	r.drained = r.drained || e.Draining
+	e.Draining = r.drained
+	if now.Sub(r.toldAt) < toldOutweighs {
+		e.Models = joinAdapters(e.Models, r.entry.Models)
+	}
+	r.entry, r.heldAt = e, now
+}
+
+// Remove takes in that an entry was removed. Right after the store's return it
+// is given time to come back.
+func (v *View) Remove(now time.Time, id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.remove(now, id)
+	v.notify()
+}
+
+func (v *View) remove(now time.Time, id string) {
+	r := v.records[id]
+	if r == nil || !r.gone.IsZero() {
+		return
+	}
+	lapsed := v.away || !v.back.IsZero() && now.Before(v.back.Add(returnHold))
+	if lapsed && !r.drained {
+		if r.lapsing.IsZero() {
+			r.lapsing = now
+		}
+		return
+	}
+	r.gone = now
+}
+
+// Replace takes in a whole list.
+func (v *View) Replace(now time.Time, entries []Entry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		v.put(now, e)
+	}
+	for id := range v.records {
+		if !listed[id] {
+			v.remove(now, id)
+		}
+	}
+	v.caught = true
+	v.settle(now)
+	v.notify()
+}
+
+// settle ends the time given to lapsed entries and forgets old ones.
+func (v *View) settle(now time.Time) {
+	for id, r := range v.records {
+		if !r.lapsing.IsZero() && !v.away && !now.Before(v.back.Add(returnHold)) {
+			r.gone, r.lapsing = now, time.Time{}
+		}
+		if !r.gone.IsZero() && now.Sub(r.gone) > forgetAfter {
+			delete(v.records, id)
+		}
+	}
+}
+
+// Hold replaces what a server holds by a newer observation, as of at.
+func (v *View) Hold(at time.Time, id string, models []Held) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := v.records[id]
+	if r == nil || at.Before(r.heldAt) {
+		return
+	}
+	r.entry.Models, r.heldAt, r.toldAt = models, at, at
+	v.notify()
+}
+
+// Learn adds a model and adapter that the controller says a server holds.
+func (v *View) Learn(now time.Time, id, model, adapter string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := v.records[id]
+	if r == nil || r.entry.Holds(model, adapter) {
+		return
+	}
+	told := []Held{{Model: model}}
+	if adapter != "" {
+		told[0].Adapters = []string{adapter}
+	}
+	known := slices.Clone(r.entry.Models)
+	if !r.entry.Holds(model, "") {
+		known = append(known, Held{Model: model})
+	}
+	r.entry.Models, r.toldAt = joinAdapters(known, told), now
+	v.notify()
+}
+
+// joinAdapters returns the listed models with the adapters of both lists.
+func joinAdapters(listed, told []Held) []Held {
+	joined := make([]Held, 0, len(listed))
+	for _, l := range listed {
+		l.Adapters = slices.Clone(l.Adapters)
+		for _, t := range told {
+			if t.Model != l.Model {
+				continue
+			}
+			for _, a := range t.Adapters {
+				if !slices.Contains(l.Adapters, a) {
+					l.Adapters = append(l.Adapters, a)
+				}
+			}
+		}
+		joined = append(joined, l)
+	}
+	return joined
+}
+
+// Serving returns the servers of a service that may get new work.
+func (v *View) Serving(now time.Time, service string) []Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.settle(now)
+	var list []Entry
+	for _, r := range v.records {
+		if r.entry.Service == service && r.usable(now) {
+			list = append(list, r.entry)
+		}
+	}
+	return list
+}
+
+func (r *record) usable(now time.Time) bool {
+	if r.drained || !r.gone.IsZero() {
+		return false
+	}
+	return r.risen.IsZero() || now.Sub(r.risen) >= ghostHold
+}
+
+// All returns every server whose entry stands, leaving ones too.
+func (v *View) All(now time.Time) []Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.settle(now)
+	var list []Entry
+	for _, r := range v.records {
+		if r.gone.IsZero() {
+			list = append(list, r.entry)
+		}
+	}
+	return list
+}
+
+// Usable reports whether a server may get new work now.
+func (v *View) Usable(now time.Time, id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.settle(now)
+	r := v.records[id]
+	return r != nil && r.usable(now)
+}
--- /dev/null
+++ b/backs/view_test.go
@@ -0,0 +1,100 @@
+package backs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func entry(id string) backs.Entry {
+	return backs.Entry{ID: id, Service: "s", Address: "127.0.0.1:1"}
+}
+
+// A server leaves; then a heartbeat from before arrives late and says that it
+// is ready. Callers sent there would be cut off when it exits. Draining is for
+// good, so the late heartbeat changes nothing.
+func TestDrainingIsForGood(t *testing.T) {
+	var v backs.View
+	v.Replace(at(0), []backs.Entry{entry("a")})
+	require.True(t, v.Usable(at(0), "a"))
+	e := entry("a")
+	e.Draining = true
+	v.Put(at(1), e)
+	require.False(t, v.Usable(at(1), "a"))
+	v.Put(at(2), entry("a"))
+	require.False(t, v.Usable(at(2), "a"))
+	require.False(t, v.Usable(at(20), "a"))
+}
+
+// A server that never says that it drains has its entry removed, and a late
+// heartbeat makes it stand again for some seconds. Work sent there would be cut
+// off. An entry that rose again waits until it has outlived a late heartbeat.
+func TestRemovedServersWaitWhenTheyRise(t *testing.T) {
+	var v backs.View
+	v.Replace(at(0), []backs.Entry{entry("a")})
+	v.Remove(at(1), "a")
+	require.False(t, v.Usable(at(1), "a"))
+	v.Put(at(2), entry("a"))
+	require.False(t, v.Usable(at(3), "a"))
+	require.True(t, v.Usable(at(6.1), "a"), "a server that was cut off and lives gets work again")
+}
+
+// The store is away for longer than an entry lasts; at its return the list is
+// empty for a moment. If the servers were dropped at once, every request would
+// be refused. They are kept for two seconds; what is missing then is gone.
+func TestLapsedEntriesAreHeld(t *testing.T) {
+	var v backs.View
+	v.Replace(at(0), []backs.Entry{entry("a"), entry("b")})
+	v.Away()
+	v.Back(at(10))
+	v.Replace(at(10), nil)
+	require.Len(t, v.Serving(at(10.1), "s"), 2)
+	v.Put(at(11), entry("a"))
+	require.Len(t, v.Serving(at(11.9), "s"), 2)
+	require.Len(t, v.Serving(at(12.1), "s"), 1)
+	require.True(t, v.Usable(at(12.1), "a"))
+	require.False(t, v.Usable(at(12.1), "b"))
+}
+
+// A draining server whose entry lapses with the store away must not be held: it
+// was leaving.
+func TestDrainingEntriesAreNotHeld(t *testing.T) {
+	var v backs.View
+	e := entry("a")
+	e.Draining = true
+	v.Replace(at(0), []backs.Entry{e})
+	v.Away()
+	v.Back(at(5))
+	v.Replace(at(5), nil)
+	require.Empty(t, v.All(at(5)))
+}
+
+func TestHoldTakesOnlyNewerObservations(t *testing.T) {
+	var v backs.View
+	v.Put(at(5), entry("a"))
+	v.Hold(at(4), "a", []backs.Held{{Model: "old"}})
+	require.False(t, v.All(at(5))[0].Holds("old", ""))
+	v.Hold(at(6), "a", []backs.Held{{Model: "m", Adapters: []string{"a1"}}})
+	got := v.All(at(6))[0]
+	require.True(t, got.Holds("m", "a1"))
+	require.False(t, got.Holds("m", "a2"))
+}
+
+func TestChangedIsClosedByAChange(t *testing.T) {
+	var v backs.View
+	changed := v.Changed()
+	select {
+	case <-changed:
+		require.Fail(t, "nothing has changed")
+	default:
+	}
+	v.Put(at(0), entry("a"))
+	<-changed
+}
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,28 @@
+// Package clock reads the present time that deciding functions are handed.
+//
+// A VM can stand still for seconds. Go's monotonic clock does not count a
+// suspension, so a lease holder that was suspended would believe that its lease
+// still runs; the time of day does count it but jumps. CLOCK_BOOTTIME counts
+// every pause and never jumps.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the VM was started, as a time.Time without a
+// monotonic reading. Only differences and comparisons of such times mean
+// anything; they hold within one process.
+func Now() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had this clock since 2.6.39; without it the monotonic
+		// clock of the runtime is the next best.
+		return time.Unix(0, 0).Add(time.Since(started))
+	}
+	return time.Unix(ts.Sec, ts.Nsec)
+}
+
+var started = time.Now()
--- /dev/null
+++ b/cmd/hibiscuscart/node.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/conf"
+	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/node"
+	"github.com/hibiscuscart/hibiscuscart/platform"
+)
+
+var nodeCommand = command{
+	name: "node", args: "-settings FILE",
+	summary:  "run the daemon of a VM that finds the rest of its deployment in the platform's store",
+	examples: []string{"node -settings node.ini"},
+	run:      runNode,
+}
+
+func runNode(ctx context.Context, fs *flag.FlagSet, args []string) error {
+	file := fs.String("settings", "", "settings `FILE`")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	if *file == "" {
+		return misuse("-settings must be given")
+	}
+	if err := noArguments(fs); err != nil {
+		return err
+	}
+	settings, err := conf.LoadNode(*file)
+	if err != nil {
+		return err
+	}
+	out := node.NewLogWriter(os.Stdout)
+	defer out.Close()
+	n := node.New(nodeConfig(settings, out))
+	if err := n.Start(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	<-ctx.Done()
+	return n.Stop()
+}
+
+func nodeConfig(settings *conf.Settings, out *node.LogWriter) node.Config {
+	level, err := zerolog.ParseLevel(settings.Text("log", "level"))
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	store, servers := plainClient(), plainClient()
+	return node.Config{
+		Settings: settings, Names: &platform.Names,
+		Objects:    platform.Store(store, settings.Text("store", "address")),
+		Commands:   platform.Commands(servers),
+		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, ServerKind: platform.KindServers,
+		Table: platform.Table, Entry: platform.Entry,
+		CloseIdle: store.CloseIdleConnections,
+		Now:       clock.Now, Log: zerolog.New(out).Level(level).With().Timestamp().Logger(),
+	}
+}
+
+const (
+	clientDial = time.Second
+	// clientIdle closes idle connections to servers before the servers do.
+	clientIdle = 3 * time.Second
+)
+
+// plainClient returns a client whose connections notice a dead peer.
+func plainClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, clientDial)
+			defer cancel()
+			return conns.Dial(ctx, address)
+		},
+		DisableCompression: true, IdleConnTimeout: clientIdle, MaxIdleConnsPerHost: 4,
+	}}
+}
--- a/conf/schema.go
+++ b/conf/schema.go
@@ -8,8 +8,14 @@
 	"gopkg.in/ini.v1"
 )
 
-//go:embed schema.ini
-var schemaText []byte
+// deploymentSchema describes the settings of a whole deployment, nodeSchema
+// those of one VM.
+var (
+	//go:embed schema.ini
+	deploymentSchema []byte
+	//go:embed node.ini
+	nodeSchema []byte
+)
 
 // anyName stands in the schema for a name that the settings choose.
 const anyName = "NAME"
@@ -29,8 +35,8 @@
 // its keys.
 type schema map[string]map[string]rule
 
-func loadSchema() (schema, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, schemaText)
+func loadSchema(text []byte) (schema, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
 	if err != nil {
 		return nil, fmt.Errorf("read schema: %w", err)
 	}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -21,17 +21,31 @@
 }
 
 // Load reads and checks a settings file. Its faults are a FaultsError.
-func Load(path string) (*Settings, error) {
+func Load(path string) (*Settings, error) { return load(path, Parse) }
+
+// LoadNode reads and checks the settings file of one VM.
+func LoadNode(path string) (*Settings, error) { return load(path, ParseNode) }
+
+func load(path string, parse func([]byte) (*Settings, error)) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", trace.ConvertSystemError(err))
 	}
-	return Parse(data)
+	return parse(data)
 }
 
-// Parse checks the text of a settings file.
+// Parse checks the text of a deployment's settings file.
 func Parse(data []byte) (*Settings, error) {
-	s, err := loadSchema()
+	return parse(data, deploymentSchema, (*checker).checkReferences)
+}
+
+// ParseNode checks the text of one VM's settings file.
+func ParseNode(data []byte) (*Settings, error) {
+	return parse(data, nodeSchema, func(*checker, *Settings) {})
+}
+
+func parse(data, rules []byte, references func(*checker, *Settings)) (*Settings, error) {
+	s, err := loadSchema(rules)
 	if err != nil {
 		return nil, err
 	}
@@ -43,7 +57,7 @@
 	c.check()
 	settings := &Settings{file: file, schema: s}
 	if len(c.faults) == 0 {
-		c.checkReferences(settings)
+		references(c, settings)
 	}
 	if len(c.faults) > 0 {
 		return nil, &FaultsError{Faults: c.faults}
--- /dev/null
+++ b/conns/pool.go
@@ -0,0 +1,231 @@
+// Package conns keeps connections to backend servers and speaks HTTP/1.1 over
+// them one request at a time.
+//
+// It does by hand what net/http's transport hides: it never sends a request
+// twice, it tells whether any byte of one was written, and it can be asked
+// whether a kept connection is still sound before something that may run only
+// once is sent over it.
+package conns
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBuffer holds the head of an answer and some events of a stream.
+	readBuffer = 4 << 10
+	// DefaultIdle is how long an unused connection is kept when the server
+	// names no time: servers commonly close them after five seconds or more.
+	DefaultIdle = 4 * time.Second
+	// idleMargin is taken off the time that a server names, for the way of its
+	// close and of a request that crosses it.
+	idleMargin = 500 * time.Millisecond
+	// silence is how long sent bytes may stay unacknowledged before the kernel
+	// gives the connection up. Without it a request to a VM that lost power
+	// hangs for minutes.
+	silence = 3 * time.Second
+)
+
+// Dial opens a TCP connection that notices a dead peer.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+		})
+		if err != nil {
+			return fmt.Errorf("set user timeout: %w", err)
+		}
+		return failed
+	}}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return conn, nil
+}
+
+// Conn is a connection to one server. One request uses it at a time.
+type Conn struct {
+	net    net.Conn
+	reader *bufio.Reader
+	key    string
+	// kept says that it has carried an answer before.
+	kept bool
+	// until is when it is too old to be used again.
+	until time.Time
+}
+
+// Kept reports whether the connection has been used before.
+func (c *Conn) Kept() bool { return c.kept }
+
+// Close ends the connection. It may be called more than once and while another
+// goroutine reads or writes.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// SetDeadline bounds reads and writes. The time is of the runtime's clock.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+
+// sound reports whether the connection is open and holds no bytes that belong
+// to no request.
+func (c *Conn) sound() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Pool keeps idle connections by key, which names one start of one server. The
+// zero value works.
+type Pool struct {
+	// Open makes a connection; nil takes Dial.
+	Open func(ctx context.Context, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+	open map[string]int
+}
+
+// Take returns the freshest sound idle connection of a key, nil when there is
+// none. The freshest is the least likely to have been closed on the way.
+func (p *Pool) Take(now time.Time, key string) *Conn {
+	for {
+		c := p.pop(key)
+		if c == nil {
+			return nil
+		}
+		if now.Before(c.until) && c.sound() {
+			return c
+		}
+		p.Discard(c)
+	}
+}
+
+func (p *Pool) pop(key string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[key]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[key] = list[:len(list)-1]
+	return c
+}
+
+// Dial opens a new connection.
+func (p *Pool) Dial(ctx context.Context, key, address string) (*Conn, error) {
+	open := p.Open
+	if open == nil {
+		open = Dial
+	}
+	raw, err := open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == nil {
+		p.open = make(map[string]int)
+	}
+	p.open[key]++
+	return &Conn{net: raw, reader: bufio.NewReaderSize(raw, readBuffer), key: key}, nil
+}
+
+// Connections returns how many connections of a key are open.
+func (p *Pool) Connections(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[key]
+}
+
+// Keep takes back a connection that has carried a whole answer, for idle at
+// most; 0 takes DefaultIdle.
+func (p *Pool) Keep(now time.Time, c *Conn, idle time.Duration) {
+	if idle == 0 {
+		idle = DefaultIdle
+	}
+	c.until = now.Add(idle - min(idleMargin, idle/4))
+	c.kept = true
+	if c.reader.Buffered() > 0 {
+		p.Discard(c)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*Conn)
+	}
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
+// Discard closes a connection and forgets it.
+func (p *Pool) Discard(c *Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c.key]--; p.open[c.key] <= 0 {
+		delete(p.open, c.key)
+	}
+}
+
+// Forget closes the idle connections of a key whose server is gone.
+func (p *Pool) Forget(key string) {
+	for c := p.pop(key); c != nil; c = p.pop(key) {
+		p.Discard(c)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.idle, key)
+}
+
+// Sweep closes idle connections that are too old, at most as many as there
+// are.
+func (p *Pool) Sweep(now time.Time) {
+	for _, c := range p.old(now) {
+		p.Discard(c)
+	}
+}
+
+func (p *Pool) old(now time.Time) []*Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var old []*Conn
+	for key, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		if p.idle[key] = kept; len(kept) == 0 {
+			delete(p.idle, key)
+		}
+	}
+	return old
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -123,6 +123,9 @@
 // the lease is observed anew before the next step.
 func (k *Keeper) Lost() { k.seen = false }
 
+// Known reports whether the present version of the record is known.
+func (k *Keeper) Known() bool { return k.seen }
+
 // Held reports whether the lease is surely held now.
 func (k *Keeper) Held(now time.Time) bool {
 	return k.held && now.Sub(k.renewed) < k.Duration-k.drift()
--- a/link/codec.go
+++ b/link/codec.go
@@ -15,7 +15,7 @@
 // Protocol is the version of the protocol spoken here. Frames are arrays without
 // the names of their fields, which would be most of a heartbeat: a change of the
 // schema is a new version.
-const Protocol = 2
+const Protocol = 3
 
 // handle encodes in the canonical order, so that equal frames have equal
 // bytes.
@@ -56,6 +56,7 @@
 		m.Hello != nil, m.Gossip != nil, m.Offer != nil, m.Pull != nil, m.Push != nil,
 		m.FleetQuery != nil, m.FleetReply != nil, m.Refusal != nil,
 		m.ClaimCall != nil, m.ClaimReply != nil,
+		m.VMReport != nil, m.FleetState != nil, m.FindCall != nil, m.FindReply != nil,
 	} {
 		if set {
 			n++
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -42,3 +42,9 @@
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(s.registry, w)
 }
+
+// ServeText serves the metrics as text, one value a line.
+func (s *Set) ServeText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WriteOnce(s.registry, w)
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/store"
+)
+
+const (
+	// storeAgain is the pause before the store is tried again, half to one and
+	// a half of it, so that all VMs do not call in the same moment.
+	storeAgain = 300 * time.Millisecond
+)
+
+// watcher follows one kind of objects.
+type watcher struct {
+	kind    string
+	listed  func(now time.Time, l store.Listing)
+	changed func(now time.Time, c store.Change)
+	away    func()
+	back    func(now time.Time)
+}
+
+// follow lists a kind and watches it until ctx ends.
+func (n *Node) follow(ctx context.Context, w watcher) {
+	known, lost := false, false
+	from := 0
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			from, err = n.watchOnce(ctx, w, from)
+		} else {
+			from, err = n.listOnce(ctx, w)
+		}
+		if err == nil {
+			known = true
+			if lost {
+				lost = false
+				n.log.Info().Str("kind", w.kind).Int("version", from).Msg("store regained")
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if store.IsGone(err) {
+			known = false
+			n.log.Info().Str("kind", w.kind).Int("version", from).Msg("history gone, listing again")
+			continue
+		}
+		if !lost {
+			lost = true
+			n.log.Warn().Str("kind", w.kind).Int("version", from).Err(err).Msg("store lost")
+		}
+		w.away()
+		n.config.CloseIdle()
+		pause.For(ctx, storeAgain/2+rand.N(storeAgain))
+	}
+}
+
+func (n *Node) listOnce(ctx context.Context, w watcher) (int, error) {
+	l, err := n.config.Objects.List(ctx, w.kind)
+	if err != nil {
+		return 0, err
+	}
+	now := n.now()
+	w.back(now)
+	w.listed(now, l)
+	return l.Version, nil
+}
+
+func (n *Node) watchOnce(ctx context.Context, w watcher, from int) (int, error) {
+	list, next, err := n.config.Objects.Watch(ctx, w.kind, from, n.settings.Duration("store", "wait"))
+	if err != nil {
+		return from, err
+	}
+	now := n.now()
+	w.back(now)
+	for _, c := range list {
+		w.changed(now, c)
+	}
+	return next, nil
+}
+
+// configWatcher puts the newest configuration in force. A lower version never
+// replaces a higher one.
+func (n *Node) configWatcher() watcher {
+	take := func(o store.Object) {
+		if o.Name != n.config.ConfigName {
+			return
+		}
+		table, err := n.config.Table(o)
+		if err != nil {
+			n.log.Error().Err(err).Int("version", o.Version).Msg("configuration not readable, the one in force stays")
+			return
+		}
+		n.adopt(table, o.Version)
+	}
+	return watcher{
+		kind: n.config.ConfigKind,
+		listed: func(_ time.Time, l store.Listing) {
+			for _, o := range l.Items {
+				take(o)
+			}
+		},
+		changed: func(_ time.Time, c store.Change) {
+			if !c.Deleted {
+				take(c.Object)
+			}
+		},
+		away: func() {}, back: func(time.Time) {},
+	}
+}
+
+func (n *Node) adopt(table *routes.Table, revision int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if revision <= n.revision {
+		return
+	}
+	n.revision = revision
+	n.table.Store(table)
+	n.log.Info().Int("config_version", table.Version()).Int("revision", revision).Msg("configuration in force")
+}
+
+// serverWatcher keeps the view of the backend servers.
+func (n *Node) serverWatcher() watcher {
+	return watcher{
+		kind: n.config.ServerKind,
+		listed: func(now time.Time, l store.Listing) {
+			entries := make([]backs.Entry, 0, len(l.Items))
+			for _, o := range l.Items {
+				if e, ok := n.entry(o); ok {
+					entries = append(entries, e)
+				}
+			}
+			n.servers.Replace(now, entries)
+		},
+		changed: n.serverChanged,
+		away:    n.servers.Away,
+		back:    n.servers.Back,
+	}
+}
+
+func (n *Node) entry(o store.Object) (backs.Entry, bool) {
+	e, err := n.config.Entry(o)
+	if err != nil {
+		n.log.Error().Err(err).Msg("entry of a server not readable")
+		return backs.Entry{}, false
+	}
+	return e, true
+}
+
+func (n *Node) serverChanged(now time.Time, c store.Change) {
+	if c.Deleted {
+		n.servers.Remove(now, c.Object.Name)
+		n.log.Info().Str("server", c.Object.Name).Int("version", c.Object.Version).Msg("server removed")
+		return
+	}
+	e, ok := n.entry(c.Object)
+	if !ok {
+		return
+	}
+	n.servers.Put(now, e)
+	n.log.Info().Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Bool("draining", e.Draining).
+		Int("models", len(e.Models)).Int("version", c.Object.Version).Msg("server changed")
+}
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// logQueue is how many lines wait to be written, logBatch how many bytes
+	// are gathered into one write and logPause how long.
+	logQueue = 2048
+	logBatch = 16 << 10
+	logPause = 50 * time.Millisecond
+)
+
+// LogWriter hands lines to another writer in the background. A line that finds
+// the queue full is dropped and counted: a reader of the log that has stopped
+// reading must not hold up requests.
+type LogWriter struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// NewLogWriter starts writing to out.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// Write queues a copy of a line.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is queued and ends the writer. Nothing may be written
+// after it.
+func (w *LogWriter) Close() error {
+	close(w.lines)
+	<-w.done
+	return nil
+}
+
+func (w *LogWriter) run(out io.Writer) {
+	defer close(w.done)
+	var batch []byte
+	for line := range w.lines {
+		batch = append(batch[:0], line...)
+		batch = w.gather(batch)
+		// Nothing can be done about a log that can not be written; the next
+		// batch is tried again.
+		_, _ = out.Write(batch)
+	}
+}
+
+// gather adds the lines that come within a pause, up to a batch.
+func (w *LogWriter) gather(batch []byte) []byte {
+	wait := time.NewTimer(logPause)
+	defer wait.Stop()
+	for len(batch) < logBatch {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		case <-wait.C:
+			return batch
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,271 @@
+// Package node is the daemon of a VM that finds everything else in the
+// platform's store: it joins the path of requests (pass), the steering of the
+// backend servers (steer) and the links between VMs (peers), and starts and
+// stops them.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/conf"
+	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pass"
+	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/peers"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/retry"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+	"github.com/hibiscuscart/hibiscuscart/store"
+)
+
+const (
+	// headerTimeout and idleTimeout are for callers. They are longer than the
+	// operators' limits, which callers keep: a connection that is closed
+	// sooner meets requests on their way.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+	// memoryShare is the part of the VM's memory that the collector keeps the
+	// heap under; stacks, buffers of the kernel and the binary have the rest.
+	memoryShare = 0.6
+	// tidyEvery is how often idle connections and forgotten servers are
+	// cleared away, and the settings file is looked at.
+	tidyEvery = time.Second
+	// stopSlack is left of the grace time for the process to end by itself.
+	stopSlack = 400 * time.Millisecond
+	// budgetShare is the part of the retry budget that is used: the VMs' counts
+	// of each other are some seconds old.
+	budgetShare = 0.8
+)
+
+// Config says what a Node runs on. The functions translate between the
+// platform and the product.
+type Config struct {
+	Settings *conf.Settings
+	Objects  store.Objects
+	Commands steer.Commands
+	Names    *pass.Names
+	// ConfigKind and ConfigName are where the configuration lies, ServerKind
+	// where the servers' entries do.
+	ConfigKind, ConfigName, ServerKind string
+	Table                              func(store.Object) (*routes.Table, error)
+	Entry                              func(store.Object) (backs.Entry, error)
+	// CloseIdle closes connections to the store that may have gone silent.
+	CloseIdle func()
+	Now       func() time.Time
+	Log       zerolog.Logger
+}
+
+// Node is the daemon of one VM.
+type Node struct {
+	config   Config
+	settings *conf.Settings
+	log      zerolog.Logger
+	now      func() time.Time
+	meter    *meter.Set
+	servers  *backs.View
+	book     *pick.Book
+	pool     *conns.Pool
+	gateway  *pass.Gateway
+	control  *steer.Controller
+	peers    *peers.Peers
+	lease    *peers.Lease
+	table    atomic.Pointer[routes.Table]
+
+	mu       sync.Mutex
+	revision int
+	budgets  map[string]*retry.Budget
+
+	stopping atomic.Bool
+	listened []*http.Server
+	callers  *http.Server
+	jobs     sync.WaitGroup
+	cancel   context.CancelFunc
+}
+
+// New returns a Node that has not started.
+func New(c Config) *Node {
+	s := c.Settings
+	n := &Node{
+		config: c, settings: s, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
+		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
+		book:    &pick.Book{Domain: s.Text("vm", "failure_domain")},
+		budgets: make(map[string]*retry.Budget),
+	}
+	n.lease = &peers.Lease{
+		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: c.Objects,
+		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
+	}
+	n.control = &steer.Controller{
+		Name: s.Text("vm", "name"), Commands: c.Commands, Servers: n.servers, Table: n.table.Load, Fence: n.lease.Fence,
+		Window: s.Duration("steering", "load_window"), Now: c.Now, Log: n.log, Meter: n.meter,
+	}
+	n.peers = &peers.Peers{
+		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
+		Controller: n.control, Servers: n.servers, Book: n.book, Now: c.Now, Log: n.log, Meter: n.meter,
+	}
+	n.gateway = &pass.Gateway{
+		Names: c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Budget: n.budget,
+		Wanted: n.peers.Want, Find: n.peers.Find, Now: c.Now, Log: n.log, Meter: n.meter,
+	}
+	return n
+}
+
+// budget returns the retry budget of a service.
+func (n *Node) budget(service string) *retry.Budget {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.budgets[service]
+	if b == nil {
+		b = &retry.Budget{}
+		n.limit(b)
+		n.budgets[service] = b
+	}
+	return b
+}
+
+// limit gives a budget this VM's part of what all may retry.
+func (n *Node) limit(b *retry.Budget) {
+	b.Limit(budgetShare*n.settings.Float("retries", "share"), budgetShare*n.settings.Float("retries", "extra")/float64(n.peers.VMs()))
+}
+
+// Start listens and begins to serve.
+func (n *Node) Start(ctx context.Context) error {
+	n.apply()
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.callers = &http.Server{
+		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+	listeners := []struct {
+		key    string
+		server *http.Server
+	}{
+		{"listen", n.callers},
+		{"ready_listen", &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: headerTimeout}},
+		{"peer_listen", &http.Server{Handler: n.peers.Handler(), ReadHeaderTimeout: headerTimeout}},
+		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
+	}
+	for _, l := range listeners {
+		address := n.settings.Text("vm", l.key)
+		if address == "" {
+			continue
+		}
+		if err := n.listen(l.server, address); err != nil {
+			n.Kill()
+			return fmt.Errorf("listen at %s %s: %w", l.key, address, err)
+		}
+	}
+	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.control.Run, n.tidy} {
+		n.jobs.Go(func() { job(ctx) })
+	}
+	n.log.Info().Str("listen", n.settings.Text("vm", "listen")).Str("store", n.settings.Text("store", "address")).Msg("started")
+	return nil
+}
+
+// apply puts the settings of the process in force.
+func (n *Node) apply() {
+	runtime.GOMAXPROCS(n.settings.Int("limits", "threads"))
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Int("limits", "memory_mb")) * (1 << 20)))
+}
+
+func (n *Node) listen(s *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	n.listened = append(n.listened, s)
+	n.jobs.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Err(err).Str("address", address).Msg("listener ended")
+		}
+	})
+	return nil
+}
+
+func (n *Node) followConfig(ctx context.Context)  { n.follow(ctx, n.configWatcher()) }
+func (n *Node) followServers(ctx context.Context) { n.follow(ctx, n.serverWatcher()) }
+
+// serve is the callers' door. While the VM stops, each answer asks its caller
+// to go elsewhere.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	n.gateway.ServeHTTP(w, r)
+}
+
+// Ready reports whether the VM may get requests: it knows the configuration and
+// the servers and is not stopping.
+func (n *Node) Ready() bool {
+	return n.table.Load() != nil && n.servers.Caught() && !n.stopping.Load()
+}
+
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// tidy clears away what is not needed any more and divides the retry budget
+// anew.
+func (n *Node) tidy(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, tidyEvery)
+		now := n.now()
+		n.pool.Sweep(now)
+		n.book.Retain(n.servers.All(now))
+		n.mu.Lock()
+		for _, b := range n.budgets {
+			n.limit(b)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// Stop ends the VM in peace: readiness goes off at once, new requests are taken
+// until callers are sent elsewhere, and those in progress may end within the
+// grace time.
+func (n *Node) Stop() error {
+	begun := n.now()
+	n.stopping.Store(true)
+	n.log.Info().Msg("stopping")
+	background := context.Background()
+	n.lease.Release(background)
+	pause.For(background, n.settings.Duration("drain", "notice"))
+	left := n.settings.Duration("drain", "grace") - stopSlack - n.now().Sub(begun)
+	ctx, cancel := context.WithTimeout(background, left)
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	n.Kill()
+	n.log.Info().Err(err).Msg("stopped")
+	if err != nil {
+		return fmt.Errorf("requests were cut off: %w", err)
+	}
+	return nil
+}
+
+// Kill ends the VM at once.
+func (n *Node) Kill() {
+	n.cancel()
+	for _, s := range n.listened {
+		_ = s.Close()
+	}
+	n.jobs.Wait()
+}
--- /dev/null
+++ b/pass/attempt.go
@@ -0,0 +1,299 @@
+package pass
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+const (
+	// dialTimeout bounds a new connection: servers are milliseconds away, and a
+	// dial that takes longer meets a cut.
+	dialTimeout = 400 * time.Millisecond
+	// straysAllowed is how many answers to other requests are passed over on a
+	// connection before it is given up.
+	straysAllowed = 2
+	// strayLimit bounds the body of an answer that is passed over.
+	strayLimit = 1 << 20
+)
+
+// attempt sends a call to a server and passes its answer on. It reports whether
+// the caller has its final answer; otherwise c says what is known.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, choice pick.Choice) bool {
+	server := choice.Server.ID
+	now := g.Now()
+	conn, err := g.connect(ctx, now, server, choice.Server.Address)
+	if err != nil {
+		g.Book.Judge(now, server, pick.Bad)
+		g.note(c, choice, "not connected: "+err.Error())
+		c.avoid = append(c.avoid, server)
+		return false
+	}
+	// The server may have begun to leave, or the caller's time may have run
+	// out, while the connection was made or this VM stood still.
+	now = g.Now()
+	if !g.Servers.Usable(now, server) || c.left(now) <= 0 {
+		g.Pool.Keep(now, conn, 0)
+		g.note(c, choice, "server left before the send")
+		c.avoid = append(c.avoid, server)
+		return false
+	}
+	ticket := g.Book.Begin(now, choice, c.work, g.tokenMemory(c))
+	t := &try{g: g, c: c, choice: choice, conn: conn, ticket: ticket}
+	stop := context.AfterFunc(ctx, conn.Close)
+	done := t.run(ctx, w, now)
+	if !stop() && t.whole {
+		t.whole = false
+	}
+	t.finish()
+	return done
+}
+
+func (g *Gateway) connect(ctx context.Context, now time.Time, server, address string) (*conns.Conn, error) {
+	if conn := g.Pool.Take(now, server); conn != nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	g.Meter.Count("pass.dials", 1)
+	return g.Pool.Dial(ctx, server, address)
+}
+
+// note logs why a try did not answer.
+func (g *Gateway) note(c *call, choice pick.Choice, reason string) {
+	c.reason = reason
+	g.Log.Info().Str("request", c.id).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
+		Dur("predicted", choice.Predicted).Int("running", choice.Load.Running).
+		Bool("may_have_run", c.uncertain).Str("reason", reason).Msg("try failed")
+}
+
+// try is one send of a call.
+type try struct {
+	g        *Gateway
+	c        *call
+	choice   pick.Choice
+	conn     *conns.Conn
+	ticket   *pick.Ticket
+	exchange *conns.Exchange
+	resp     *http.Response
+	// whole is set when the answer was read to its end.
+	whole   bool
+	verdict pick.Verdict
+}
+
+func (t *try) finish() {
+	now := t.g.Now()
+	t.ticket.End(now, t.verdict)
+	if t.exchange == nil {
+		t.g.Pool.Discard(t.conn)
+		return
+	}
+	t.exchange.Finish(now, t.g.Pool, t.resp, t.whole)
+}
+
+// failed notes a try that may have run.
+func (t *try) failed(ctx context.Context, reason string) bool {
+	t.c.uncertain = true
+	t.verdict = pick.Bad
+	if ctx.Err() != nil {
+		// The caller left or its time ran out; silence until then counts, an
+		// answer on its way does not.
+		t.verdict = pick.Neutral
+		if t.c.request.Context().Err() == nil && t.resp == nil {
+			t.verdict = pick.Bad
+		}
+	}
+	t.c.avoid = append(t.c.avoid, t.choice.Server.ID)
+	t.g.note(t.c, t.choice, reason)
+	return false
+}
+
+// refused notes a try that has provably not run.
+func (t *try) refused(reason string) bool {
+	t.verdict = pick.Refused
+	t.c.avoid = append(t.c.avoid, t.choice.Server.ID)
+	t.g.note(t.c, t.choice, reason)
+	return false
+}
+
+func (t *try) run(ctx context.Context, w http.ResponseWriter, now time.Time) bool {
+	c, g := t.c, t.g
+	server := t.choice.Server.ID
+	c.sends++
+	if !slices.Contains(c.servers, server) {
+		c.servers = append(c.servers, server)
+	}
+	var err error
+	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, server, c.left(now)), c.body)
+	if err != nil {
+		return t.failed(ctx, "send: "+err.Error())
+	}
+	if err := t.answer(); err != nil {
+		return t.failed(ctx, err.Error())
+	}
+	if t.notRun() {
+		return t.refuse()
+	}
+	return t.pass(ctx, w)
+}
+
+// answer reads the head of the answer to this call. Answers to other requests,
+// which a server may send late or twice, are passed over.
+func (t *try) answer() error {
+	for range straysAllowed + 1 {
+		resp, err := t.exchange.Answer()
+		if err != nil {
+			return err
+		}
+		id := resp.Header.Get(t.g.Names.ID)
+		if id == t.c.id || id == "" && t.refusal(resp) {
+			t.resp = resp
+			return nil
+		}
+		t.g.Meter.Count("pass.stray_answers", 1)
+		t.g.Log.Warn().Str("request", t.c.id).Str("server", t.choice.Server.ID).Str("answer_to", id).Msg("answer to another request dropped")
+		if _, err := conns.ReadAll(resp.Body, strayLimit); err != nil {
+			return fmt.Errorf("answer to another request: %w", err)
+		}
+	}
+	return fmt.Errorf("only answers to other requests")
+}
+
+// refusal reports whether an answer proves that the server did not run the
+// request.
+func (t *try) refusal(resp *http.Response) bool {
+	return resp.Header.Get(t.g.Names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+func (t *try) notRun() bool { return t.refusal(t.resp) }
+
+func (t *try) refuse() bool {
+	_, err := conns.ReadAll(t.resp.Body, strayLimit)
+	t.whole = err == nil
+	return t.refused("refused with " + strconv.Itoa(t.resp.StatusCode))
+}
+
+// pass hands the answer to the caller.
+func (t *try) pass(ctx context.Context, w http.ResponseWriter) bool {
+	resp := t.resp
+	if resp.Header.Get(headerEncoding) != "" || resp.Header.Get(t.g.Names.Stamp) == "" {
+		return t.failed(ctx, "answer is not the server's: status "+strconv.Itoa(resp.StatusCode))
+	}
+	if t.c.route.Kind == "stream" && resp.StatusCode < 300 && strings.HasPrefix(resp.Header.Get(headerType), typeEvents) {
+		return t.stream(ctx, w)
+	}
+	if t.c.started {
+		return t.failed(ctx, "resumed with status "+strconv.Itoa(resp.StatusCode))
+	}
+	return t.plain(ctx, w)
+}
+
+// plain passes on an answer that is read whole first: an answer that breaks off
+// can then still be replaced.
+func (t *try) plain(ctx context.Context, w http.ResponseWriter) bool {
+	body, err := conns.ReadAll(t.resp.Body, answerLimit)
+	if err != nil {
+		return t.failed(ctx, err.Error())
+	}
+	t.whole = true
+	t.verdict = pick.Good
+	if t.resp.StatusCode >= http.StatusInternalServerError {
+		t.verdict = pick.Bad
+		if t.c.route.Repeatable() && t.c.sends < t.c.route.Attempts && ctx.Err() == nil {
+			return t.failed(ctx, "server failed with "+strconv.Itoa(t.resp.StatusCode))
+		}
+	}
+	t.copyHeader(w)
+	w.Header().Set(headerLength, strconv.Itoa(len(body)))
+	t.c.status = t.resp.StatusCode
+	w.WriteHeader(t.resp.StatusCode)
+	if _, err := w.Write(body); err != nil {
+		t.c.reason = "caller left"
+	}
+	return true
+}
+
+func (t *try) copyHeader(w http.ResponseWriter) {
+	listed := connectionHeaders(t.resp.Header)
+	for name, values := range t.resp.Header {
+		if ends(name, listed) || name == headerLength {
+			continue
+		}
+		w.Header()[name] = values
+	}
+}
+
+// streamBuffer is one read of a stream: some events at most.
+const streamBuffer = 4 << 10
+
+// stream passes events on as they arrive; those that are ready together go out
+// in one write.
+func (t *try) stream(ctx context.Context, w http.ResponseWriter) bool {
+	events := t.splitter()
+	buffer := make([]byte, streamBuffer)
+	out := http.NewResponseController(w)
+	for {
+		n, err := t.resp.Body.Read(buffer)
+		if whole := events.take(buffer[:n]); len(whole) > 0 {
+			t.ticket.First()
+			if !t.deliver(w, out, whole) {
+				t.c.reason = "caller left"
+				return true
+			}
+			t.c.lastEvent = events.last
+		}
+		if err == io.EOF {
+			return t.streamEnd(w, out, events)
+		}
+		if err != nil {
+			return t.failed(ctx, "stream broke off: "+err.Error())
+		}
+	}
+}
+
+func (t *try) splitter() *splitter {
+	s := &splitter{last: t.c.lastEvent}
+	if t.c.started {
+		s.after, _ = strconv.ParseInt(t.c.lastEvent, 10, 64)
+	}
+	return s
+}
+
+// deliver writes events to the caller, the head of the answer first.
+func (t *try) deliver(w http.ResponseWriter, out *http.ResponseController, data []byte) bool {
+	t.begin(w)
+	if _, err := w.Write(data); err != nil {
+		return false
+	}
+	return out.Flush() == nil
+}
+
+// begin writes the head. A resumed stream keeps that of its first server.
+func (t *try) begin(w http.ResponseWriter) {
+	if t.c.started {
+		return
+	}
+	t.c.started = true
+	t.c.status = t.resp.StatusCode
+	t.copyHeader(w)
+	w.WriteHeader(t.resp.StatusCode)
+	t.g.Meter.Time("pass.first_event", t.g.Now().Sub(t.c.arrived))
+}
+
+func (t *try) streamEnd(w http.ResponseWriter, out *http.ResponseController, events *splitter) bool {
+	t.begin(w)
+	if len(events.rest) > 0 {
+		t.deliver(w, out, events.rest)
+	}
+	t.whole = true
+	t.verdict = pick.Good
+	return true
+}
--- /dev/null
+++ b/pass/call.go
@@ -0,0 +1,163 @@
+package pass
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	id      string
+	request *http.Request
+	body    []byte
+	route   routes.Route
+	service routes.Service
+	version int
+	work    pick.Work
+	// arrived and deadline are of the clock that counts through a freeze.
+	arrived, deadline time.Time
+
+	// sends counts how often it was sent, servers are those it was sent to.
+	sends   int
+	servers []string
+	// avoid are servers not to be asked again for now.
+	avoid []string
+	// uncertain is set once it may have run somewhere. A later refusal proves
+	// nothing about the earlier send, so from then on a caller is not told
+	// that it has not run.
+	uncertain bool
+	// lastEvent is the id of the last event passed to the caller, started says
+	// that the head of the answer was.
+	lastEvent string
+	started   bool
+	// reason is why the last try did not answer.
+	reason string
+	status int
+}
+
+// newCall reads what the path of a request depends on. The body must have been
+// read.
+func newCall(now time.Time, n *Names, r *http.Request, body []byte, t *routes.Table, route routes.Route) *call {
+	c := &call{
+		id: r.Header.Get(n.ID), request: r, body: body, route: route, version: t.Version(),
+		arrived: now, lastEvent: r.Header.Get(headerLastEvent),
+	}
+	c.service, _ = t.Service(route.Service(xxhash.Sum64String(c.id)))
+	c.deadline = now.Add(patience(n, r, route))
+	c.work.Objective = route.Objective
+	if c.service.Engine != nil {
+		c.work.Model, c.work.Adapter = n.ParseModel(r.Header.Get(n.Model))
+		c.work.Prompt, c.work.Output = n.ParseUsage(r.Header.Get(n.Usage))
+		c.work.Parts = n.ParsePrefix(r.Header.Get(n.Prefix))
+	}
+	return c
+}
+
+// patience is how long a request may take: what the caller waits, within the
+// route's timeout.
+func patience(n *Names, r *http.Request, route routes.Route) time.Duration {
+	limit := route.Timeout
+	if ms, err := strconv.ParseInt(r.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
+		if wait := time.Duration(ms) * time.Millisecond; limit == 0 || wait < limit {
+			limit = wait
+		}
+	}
+	if limit == 0 {
+		limit = defaultPatience
+	}
+	return limit
+}
+
+// defaultPatience bounds requests that neither the caller nor the route
+// bounds.
+const defaultPatience = 30 * time.Second
+
+// left returns how much time remains.
+func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
+
+// priorityLimit is the least urgent rank that servers know.
+const priorityLimit = 9
+
+// patientObjective marks work that is done in bulk: a request whose first event
+// may take this long yields to those that are waited for.
+const patientObjective = 2 * time.Second
+
+// rank returns the request's priority at the server: the route's, and behind
+// it those whose objective leaves room.
+func (c *call) rank() int {
+	rank := 1 + 2*c.route.Priority
+	if c.route.Objective >= patientObjective {
+		rank += 3
+	}
+	return min(rank, priorityLimit)
+}
+
+// head returns the head of the request for a server.
+func (c *call) head(n *Names, server string, left time.Duration) []byte {
+	r := c.request
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+	listed := connectionHeaders(r.Header)
+	for name, values := range r.Header {
+		if ends(name, listed) || c.replaced(n, name) {
+			continue
+		}
+		for _, v := range values {
+			fmt.Fprintf(&b, "%s: %s\r\n", name, v)
+		}
+	}
+	fmt.Fprintf(&b, "%s: %d\r\n", n.Deadline, max(left.Milliseconds(), 1))
+	fmt.Fprintf(&b, "%s: %s\r\n", n.ExpectServer, server)
+	if c.work.Model != "" {
+		fmt.Fprintf(&b, "%s: %d\r\n", n.Priority, c.rank())
+	}
+	if c.lastEvent != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", headerLastEvent, c.lastEvent)
+	}
+	if len(c.body) > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		fmt.Fprintf(&b, "%s: %d\r\n", headerLength, len(c.body))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// replaced reports whether a caller's header is dropped because the system
+// writes it.
+func (c *call) replaced(n *Names, name string) bool {
+	switch name {
+	case headerLength, headerLastEvent, n.Deadline, n.ExpectServer, n.Priority:
+		return true
+	}
+	for _, reserved := range n.Reserved {
+		if name == reserved {
+			return true
+		}
+	}
+	return false
+}
+
+func connectionHeaders(h http.Header) []string {
+	var listed []string
+	for _, v := range h.Values("Connection") {
+		for part := range strings.SplitSeq(v, ",") {
+			listed = append(listed, strings.TrimSpace(part))
+		}
+	}
+	return listed
+}
+
+// context bounds the work for a call by its deadline and the caller's
+// connection.
+func (c *call) context(now time.Time) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.request.Context(), c.left(now))
+}
--- /dev/null
+++ b/pass/gateway.go
@@ -0,0 +1,204 @@
+package pass
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/retry"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// Gateway is the path of requests. All fields must be set but for Wanted and
+// Find, which may be nil where no service runs models.
+type Gateway struct {
+	Names *Names
+	// Table returns the configuration in force, nil before one is known.
+	Table   func() *routes.Table
+	Servers *backs.View
+	Book    *pick.Book
+	Pool    *conns.Pool
+	// Budget returns the retry budget of a service.
+	Budget func(service string) *retry.Budget
+	// Wanted notes the demand for a model.
+	Wanted func(service string, w pick.Work)
+	// Find asks for a server that will hold a model and adapter, and waits
+	// until it does. It returns the server's ID.
+	Find func(ctx context.Context, service, model, adapter string) (string, error)
+	Now  func() time.Time
+	Log  zerolog.Logger
+	// Meter takes counters and histograms.
+	Meter *meter.Set
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+const (
+	// answerLimit bounds a plain answer that is kept whole before it is passed
+	// on.
+	answerLimit = 16 << 20
+	// defaultBody bounds a request's body where the configuration does not.
+	defaultBody = 4 << 20
+	// retryFirst and retrySpread say when a caller may come back after a
+	// refusal: soon, but not all in the same moment.
+	retryFirst  = 150 * time.Millisecond
+	retrySpread = 350 * time.Millisecond
+)
+
+// ServeHTTP passes one request on.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := g.Now()
+	table := g.Table()
+	if table == nil {
+		g.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
+		return
+	}
+	route, ok := table.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		g.reject(w, r, http.StatusNotFound, "no route")
+		return
+	}
+	limit := table.Limits().BodyBytes
+	if limit == 0 {
+		limit = defaultBody
+	}
+	body, err := conns.ReadAll(r.Body, limit)
+	if err != nil {
+		g.badBody(w, r, err)
+		return
+	}
+	c := newCall(now, g.Names, r, body, table, route)
+	g.run(w, c)
+	g.Meter.Time("pass.request", g.Now().Sub(c.arrived))
+	g.Meter.Count("pass.status."+strconv.Itoa(c.status), 1)
+	g.logEnd(c)
+}
+
+func (g *Gateway) badBody(w http.ResponseWriter, r *http.Request, err error) {
+	if errors.Is(err, conns.ErrTooLong) {
+		g.reject(w, r, http.StatusRequestEntityTooLarge, "body too long")
+		return
+	}
+	// The caller broke off while it sent; there is nobody to answer.
+	g.Log.Info().Str("request", r.Header.Get(g.Names.ID)).Err(err).Msg("request was not read")
+	panic(http.ErrAbortHandler)
+}
+
+// reject answers a request that has no route or can not be read.
+func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	g.Meter.Count("pass.status."+strconv.Itoa(status), 1)
+	g.Log.Info().Str("request", r.Header.Get(g.Names.ID)).Str("host", r.Host).Str("path", r.URL.Path).
+		Int("status", status).Str("reason", reason).Msg("request rejected")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set(headerRetryAfter, g.retryAfter())
+	}
+	http.Error(w, reason, status)
+}
+
+func (g *Gateway) logEnd(c *call) {
+	g.Log.Info().Str("request", c.id).Str("route", c.route.Name).Int("config_version", c.version).
+		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
+		Strs("servers", c.servers).Int("sends", c.sends).Int("status", c.status).
+		Bool("may_have_run", c.uncertain).Str("reason", c.reason).
+		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
+}
+
+// run tries servers until the request is answered or nothing more may be
+// tried.
+func (g *Gateway) run(w http.ResponseWriter, c *call) {
+	ctx, cancel := c.context(c.arrived)
+	defer cancel()
+	budget := g.Budget(c.service.Name)
+	budget.Request()
+	if g.Wanted != nil && c.work.Model != "" {
+		g.Wanted(c.service.Name, c.work)
+	}
+	for {
+		choice, err := g.choose(ctx, c)
+		if err != nil {
+			c.reason = err.Error()
+			break
+		}
+		if c.sends > 0 && !budget.Allow() {
+			c.reason += ", retry budget spent"
+			break
+		}
+		done := g.attempt(ctx, w, c, choice)
+		if done || !g.again(ctx, c) {
+			if done {
+				return
+			}
+			break
+		}
+	}
+	g.fail(ctx, w, c)
+}
+
+// maxSends bounds the sends of one request, refusals included.
+const maxSends = 4
+
+// again reports whether a request that was not answered may be sent once more.
+func (g *Gateway) again(ctx context.Context, c *call) bool {
+	if ctx.Err() != nil || c.sends >= maxSends {
+		return false
+	}
+	return !c.uncertain || c.route.Repeatable()
+}
+
+// fail gives the final answer of a request that got none from a server. The
+// caller is told that it has not run only when no send can have run.
+func (g *Gateway) fail(ctx context.Context, w http.ResponseWriter, c *call) {
+	if c.started {
+		// The stream's head has been passed on: only a broken connection tells
+		// the caller that it is not complete.
+		c.status = statusBroken
+		g.logEnd(c)
+		panic(http.ErrAbortHandler)
+	}
+	if c.request.Context().Err() != nil {
+		c.status, c.reason = statusLeft, "caller left"
+		return
+	}
+	c.status = http.StatusBadGateway
+	switch {
+	case !c.uncertain:
+		c.status = http.StatusServiceUnavailable
+		w.Header().Set(headerRetryAfter, g.retryAfter())
+	case ctx.Err() != nil:
+		c.status = http.StatusGatewayTimeout
+	}
+	if c.id != "" {
+		w.Header().Set(g.Names.ID, c.id)
+	}
+	http.Error(w, c.reason, c.status)
+}
+
+// Statuses in logs and counters of requests that ended without one.
+const (
+	statusLeft   = 499
+	statusBroken = 599
+)
+
+// retryAfter returns when a refused caller may come back, spread out so that
+// those refused together do not return together.
+func (g *Gateway) retryAfter() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rng == nil {
+		g.rng = rand.New(rand.NewPCG(uint64(g.Now().UnixNano()), 1))
+	}
+	wait := retryFirst + time.Duration(g.rng.Int64N(int64(retrySpread)))
+	return fmt.Sprintf("%.2f", wait.Seconds())
+}
--- /dev/null
+++ b/peers/lease.go
@@ -0,0 +1,216 @@
+// Package peers lets the VMs act as one: it keeps the lease of the VM that
+// steers the servers, and the links of the others to it.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/lease"
+	"github.com/hibiscuscart/hibiscuscart/store"
+	"github.com/hibiscuscart/hibiscuscart/wire"
+)
+
+// Where the lease lies in the store.
+const (
+	leaseKind = "leases"
+	leaseName = "controller"
+)
+
+// leaseCall bounds one call to the store for the lease. It is shorter than the
+// time between renewals.
+const leaseCall = 450 * time.Millisecond
+
+// Lease is the right to give orders to servers. Its record lies in the store
+// and is written only under the version that was read, so that of two VMs that
+// race one loses. The version at which it was taken is the fence of the
+// orders.
+type Lease struct {
+	// Name is the VM's, Address where it takes links.
+	Name, Address string
+	Objects       store.Objects
+	// Duration is how long the lease lasts after a renewal.
+	Duration time.Duration
+	// Handover is the least time between the last order of one VM and the first
+	// of the next.
+	Handover time.Duration
+	Now      func() time.Time
+	Log      zerolog.Logger
+
+	mu     sync.Mutex
+	keeper lease.Keeper
+	record wire.ControllerLease
+	key    string
+	fence  int
+	// orders is from when this VM may give orders.
+	orders time.Time
+	led    bool
+}
+
+// Fence returns the fencing number while orders may be given.
+func (l *Lease) Fence(now time.Time) (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.keeper.Held(now) && !now.Before(l.orders)
+}
+
+// Held reports whether this VM holds the lease.
+func (l *Lease) Held(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Held(now)
+}
+
+// Key returns what links to this VM must present, "" when it takes none.
+func (l *Lease) Key(now time.Time) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.keeper.Held(now) {
+		return ""
+	}
+	return l.key
+}
+
+// Holder returns the address and key of another VM that holds the lease, as
+// read last.
+func (l *Lease) Holder() (address, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.record.Holder == "" || l.record.Address == l.Address {
+		return "", ""
+	}
+	return l.record.Address, l.record.Key
+}
+
+// Step does what is due: it reads the record unless the lease is held, and
+// takes or renews the lease.
+func (l *Lease) Step(ctx context.Context) {
+	l.prepare()
+	if !l.renewing() {
+		if err := l.read(ctx); err != nil {
+			l.Log.Info().Err(err).Msg("lease not read")
+			return
+		}
+	}
+	l.mu.Lock()
+	action := l.keeper.Next(l.Now())
+	l.mu.Unlock()
+	if action == lease.Wait {
+		return
+	}
+	if err := l.write(ctx, action); err != nil {
+		l.Log.Info().Err(err).Msg("lease not written")
+	}
+}
+
+func (l *Lease) prepare() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keeper.Name == "" {
+		// The address tells runs apart: a process that starts again at the same
+		// address knows that the one before it has ended, and may go on at once.
+		l.keeper = lease.Keeper{Name: l.Name, Boot: l.Address, Duration: l.Duration}
+		l.key = uuid.NewString()
+	}
+}
+
+func (l *Lease) renewing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Known() && l.keeper.Held(l.Now())
+}
+
+func (l *Lease) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	obj, err := l.Objects.Get(ctx, leaseKind, leaseName)
+	var record wire.ControllerLease
+	switch {
+	case trace.IsNotFound(err):
+		obj.Version = 0
+	case err != nil:
+		return fmt.Errorf("read lease: %w", err)
+	default:
+		if err := json.Unmarshal(obj.Value, &record); err != nil {
+			return fmt.Errorf("decode lease: %w", err)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.observe(obj.Version, record)
+	return nil
+}
+
+func (l *Lease) observe(version int, record wire.ControllerLease) {
+	l.record = record
+	l.keeper.Observe(l.Now(), version, lease.Record{
+		Holder: record.Holder, Boot: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
+	})
+}
+
+func (l *Lease) write(ctx context.Context, action lease.Action) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	l.mu.Lock()
+	begun := l.Now()
+	next, version := l.keeper.Record()
+	before := l.record
+	l.mu.Unlock()
+	record := wire.ControllerLease{
+		Holder: next.Holder, Boot: next.Boot, DurationMs: next.DurationMs, Renewals: next.Renewals,
+		Address: l.Address, Key: l.key,
+	}
+	got, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.keeper.Lost()
+		return fmt.Errorf("write lease: %w", err)
+	}
+	l.keeper.Won(begun, got, next)
+	l.record = record
+	if action == lease.Take {
+		l.took(begun, got, before)
+	}
+	return nil
+}
+
+// took notes that the lease was taken. Another VM's last order may have been
+// given right before, so the first of this one waits.
+func (l *Lease) took(begun time.Time, version int, before wire.ControllerLease) {
+	l.fence = version
+	if before.Address != "" && before.Address != l.Address {
+		l.orders = l.Now().Add(l.Handover)
+	}
+	l.led = true
+	l.Log.Info().Int("fence", version).Str("before", before.Holder).Time("begun", begun).Msg("lease taken")
+}
+
+// Release gives the lease up, so that the next VM need not wait for its end.
+func (l *Lease) Release(ctx context.Context) {
+	l.mu.Lock()
+	held := l.keeper.Held(l.Now())
+	next, version := l.keeper.Released()
+	l.mu.Unlock()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	record := wire.ControllerLease{DurationMs: next.DurationMs, Renewals: next.Renewals, Address: l.Address}
+	got, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keeper.Lost()
+	if err == nil {
+		l.keeper.Won(l.Now(), got, next)
+	}
+	l.Log.Info().Err(err).Msg("lease released")
+}
--- /dev/null
+++ b/peers/uplink.go
@@ -0,0 +1,174 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+	"github.com/hibiscuscart/hibiscuscart/wire"
+)
+
+// uplink is a VM's link to the controller.
+type uplink struct {
+	conn *link.Conn
+
+	mu      sync.Mutex
+	next    int
+	waiting map[int]chan *wire.FindReply
+	closed  bool
+}
+
+// follow keeps a link to the controller until it breaks.
+func (p *Peers) follow(ctx context.Context, address, key string) {
+	dialer := &link.Dialer{Hello: p.hello, Key: key, Count: p.count, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return conns.Dial(ctx, address)
+	}}
+	dial, cancel := context.WithTimeout(ctx, linkSilence)
+	conn, err := dialer.Dial(dial, address)
+	cancel()
+	if err != nil {
+		p.Log.Info().Str("address", address).Err(err).Msg("controller not reached")
+		return
+	}
+	up := &uplink{conn: conn, waiting: make(map[int]chan *wire.FindReply)}
+	p.setUplink(up)
+	p.Log.Info().Str("address", address).Str("vm", conn.Peer().Node).Msg("linked to the controller")
+	ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
+	go p.report(ctx, up)
+	err = p.listen(ctx, up)
+	p.setUplink(nil)
+	up.close()
+	p.Book.Others(nil)
+	p.Log.Info().Str("address", address).Err(err).Msg("link to the controller lost")
+}
+
+func (p *Peers) setUplink(up *uplink) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.up = up
+}
+
+// report tells the controller this VM's load and demand.
+func (p *Peers) report(ctx context.Context, up *uplink) {
+	quiet := true
+	for ctx.Err() == nil {
+		loads, wants := loadList(p.Book.Own()), wantList(p.takeWants())
+		if len(loads) > 0 || len(wants) > 0 || !quiet {
+			quiet = len(loads) == 0 && len(wants) == 0
+			send, cancel := context.WithTimeout(ctx, linkSilence)
+			err := up.conn.Send(send, &wire.Message{VMReport: &wire.VMReport{Loads: loads, Wants: wants}})
+			cancel()
+			if err != nil {
+				up.conn.Close()
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval(p.VMs())):
+		}
+	}
+}
+
+func wantList(wants []steer.Want) []wire.ModelWant {
+	list := make([]wire.ModelWant, 0, len(wants))
+	for _, w := range wants {
+		list = append(list, wire.ModelWant{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, Tokens: w.Tokens})
+	}
+	return list
+}
+
+// listen takes in the controller's frames.
+func (p *Peers) listen(ctx context.Context, up *uplink) error {
+	for {
+		receive, cancel := context.WithTimeout(ctx, linkSilence+interval(p.VMs()))
+		m, err := up.conn.Receive(receive)
+		cancel()
+		if err != nil {
+			return err
+		}
+		switch {
+		case m.FleetState != nil:
+			p.adopt(m.FleetState)
+		case m.FindReply != nil:
+			up.reply(m.FindReply)
+		}
+	}
+}
+
+func (p *Peers) adopt(s *wire.FleetState) {
+	now := p.Now()
+	p.setVMs(s.Vms)
+	p.Book.Others(loadsOf(s.Others))
+	for _, state := range s.Servers {
+		p.Servers.Hold(now, state.Server, heldOf(state.Models))
+	}
+}
+
+var errLinkLost = errors.New("the link to the controller was lost")
+
+func (u *uplink) find(ctx context.Context, service, model, adapter string) (string, error) {
+	call, answer := u.register()
+	defer u.forget(call)
+	err := u.conn.Send(ctx, &wire.Message{FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}})
+	if err != nil {
+		return "", err
+	}
+	select {
+	case <-ctx.Done():
+		return "", ctx.Err()
+	case reply, ok := <-answer:
+		if !ok {
+			return "", errLinkLost
+		}
+		if reply.Server == "" {
+			return "", errors.New(reply.Reason)
+		}
+		return reply.Server, nil
+	}
+}
+
+func (u *uplink) register() (int, chan *wire.FindReply) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.next++
+	answer := make(chan *wire.FindReply, 1)
+	if u.closed {
+		close(answer)
+		return u.next, answer
+	}
+	u.waiting[u.next] = answer
+	return u.next, answer
+}
+
+func (u *uplink) forget(call int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.waiting, call)
+}
+
+func (u *uplink) reply(r *wire.FindReply) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if answer, ok := u.waiting[r.Call]; ok {
+		answer <- r
+		delete(u.waiting, r.Call)
+	}
+}
+
+func (u *uplink) close() {
+	u.conn.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	for call, answer := range u.waiting {
+		close(answer)
+		delete(u.waiting, call)
+	}
+}
--- /dev/null
+++ b/pick/ticket.go
@@ -0,0 +1,108 @@
+package pick
+
+import "time"
+
+// Ticket is a request that was sent to a server.
+type Ticket struct {
+	book    *Book
+	id      string
+	load    Load
+	started time.Time
+	read    bool
+	ended   bool
+}
+
+// Begin books a request onto the chosen server, whose token memory is kv.
+func (b *Book) Begin(now time.Time, c Choice, w Work, kv int) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(c.Server.ID)
+	t := &Ticket{book: b, id: c.Server.ID, started: now, load: Load{Running: 1, Reading: c.Missing, Tokens: w.Prompt + w.Output/2}}
+	s.own = s.own.plus(t.load)
+	if w.Model != "" {
+		s.cache.read(now, w, w.chain(), int(keptShare*float64(kv)))
+	}
+	return t
+}
+
+// First notes the first event: the prompt has been read.
+func (t *Ticket) First() {
+	t.book.mu.Lock()
+	defer t.book.mu.Unlock()
+	t.first()
+}
+
+func (t *Ticket) first() {
+	if !t.read {
+		t.read = true
+		t.book.state(t.id).own.Reading -= t.load.Reading
+	}
+}
+
+// Verdict is how a request ended, as far as it speaks about the server.
+type Verdict int
+
+// The verdicts.
+const (
+	// Neutral says nothing: the caller left, or the server was leaving.
+	Neutral Verdict = iota
+	// Good is a whole answer.
+	Good
+	// Refused is a refusal without running; the server is full or restarting.
+	Refused
+	// Bad is an error, a broken or forged answer, or silence.
+	Bad
+)
+
+// Weights of a verdict in the moving share of failures: a server that fails a
+// third of its requests is avoided after two or three of them.
+const (
+	badWeight     = 0.35
+	refusedWeight = 0.1
+	goodWeight    = 0.2
+	tookWeight    = 0.2
+)
+
+// End books the request off.
+func (t *Ticket) End(now time.Time, v Verdict) {
+	t.book.mu.Lock()
+	defer t.book.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.first()
+	s := t.book.state(t.id)
+	s.own.Running--
+	s.own.Tokens -= t.load.Tokens
+	s.judge(now, v)
+	if v == Good {
+		took := now.Sub(t.started)
+		if s.took == 0 {
+			s.took = took
+		}
+		s.took += time.Duration(tookWeight * float64(took-s.took))
+	}
+}
+
+func (s *state) judge(now time.Time, v Verdict) {
+	faults := s.faulty(now)
+	switch v {
+	case Good:
+		faults -= goodWeight * faults
+	case Refused:
+		faults += refusedWeight * (1 - faults)
+	case Bad:
+		faults += badWeight * (1 - faults)
+	case Neutral:
+		return
+	}
+	s.faults, s.faultAt = faults, now
+}
+
+// Judge notes a verdict that belongs to no ticket, such as a failed dial.
+func (b *Book) Judge(now time.Time, id string, v Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(id).judge(now, v)
+}
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,58 @@
+package routes_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	table := routes.NewTable(1, []routes.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}, nil, routes.Limits{})
+	tests := map[string]struct{ host, path, want string }{
+		"longest":      {"a.example", "/x/y/z", "long"},
+		"shorter":      {"a.example", "/x/z", "short"},
+		"no slash":     {"a.example", "/xy", ""},
+		"port ignored": {"A.example:80", "/x/", "short"},
+		"root":         {"b.example", "/anything", "other"},
+		"no host":      {"c.example", "/x/", ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, ok := table.Match(tc.host, tc.path)
+			require.Equal(t, tc.want != "", ok)
+			require.Equal(t, tc.want, r.Name)
+		})
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := routes.Route{Targets: []routes.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := map[string]int{}
+	for draw := range uint64(1000) {
+		count[r.Service(draw)]++
+	}
+	require.Equal(t, map[string]int{"a": 900, "b": 100}, count)
+	require.Empty(t, routes.Route{}.Service(3))
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := map[string]struct {
+		route routes.Route
+		want  bool
+	}{
+		"idempotent":       {routes.Route{Kind: routes.Idempotent}, true},
+		"once":             {routes.Route{Kind: routes.Once}, false},
+		"stream":           {routes.Route{Kind: routes.Stream}, false},
+		"resumable stream": {routes.Route{Kind: routes.Stream, Resumable: true}, true},
+		"resumable once":   {routes.Route{Kind: routes.Once, Resumable: true}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.route.Repeatable()) })
+	}
+}
--- /dev/null
+++ b/steer/adapters.go
@@ -0,0 +1,215 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+const (
+	// evictAfter is how long an adapter must not have been asked for before it
+	// makes way for another.
+	evictAfter = time.Second
+	// findPause is the longest wait between two looks for a server.
+	findPause = 50 * time.Millisecond
+	// busyShare is the part of a service's work above which a model counts as
+	// busy: all of its adapters are loaded ahead of requests, as places allow.
+	busyShare = 0.1
+)
+
+var errUnknownModel = errors.New("the service has no such model")
+
+// Find returns a server that holds a model and adapter, after ordering them if
+// there is none. It waits until the server is ready or ctx ends.
+func (c *Controller) Find(ctx context.Context, service, model, adapter string) (string, error) {
+	table := c.Table()
+	if table == nil {
+		return "", errUnknownModel
+	}
+	s, ok := table.Service(service)
+	if !ok || s.Engine == nil {
+		return "", errUnknownModel
+	}
+	if _, known := s.Engine.Models[model]; !known {
+		return "", errUnknownModel
+	}
+	for {
+		changed := c.Changed()
+		now := c.Now()
+		if id := c.holder(now, service, model, adapter); id != "" {
+			return id, nil
+		}
+		if _, leading := c.Fence(now); !leading {
+			return "", errNotLeading
+		}
+		if adapter != "" {
+			c.loadAdapter(ctx, now, s, model, adapter)
+		}
+		select {
+		case <-ctx.Done():
+			return "", fmt.Errorf("no server holds it yet: %w", ctx.Err())
+		case <-changed:
+		case <-time.After(findPause):
+		}
+	}
+}
+
+// holder returns a server that is ready for a model and adapter.
+func (c *Controller) holder(now time.Time, service, model, adapter string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.of(service) {
+		if s.Has(now, model, adapter) && c.Servers.Usable(now, s.entry.ID) {
+			return s.entry.ID
+		}
+	}
+	return ""
+}
+
+// loadAdapter orders an adapter at the server that suits it best, unless it is
+// on its way somewhere.
+func (c *Controller) loadAdapter(ctx context.Context, now time.Time, service routes.Service, model, adapter string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *Server
+	var bestCost uint64
+	for _, s := range c.of(service.Name) {
+		r := s.models[model]
+		if r == nil || r.phase != held || !c.Servers.Usable(now, s.entry.ID) {
+			continue
+		}
+		if _, coming := r.adapters[adapter]; coming {
+			return
+		}
+		if !s.Free(now) || c.busy[s.entry.ID] {
+			continue
+		}
+		if cost := c.adapterCost(s, service, model, adapter); best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	c.orderAdapter(ctx, now, best, service, model, adapter)
+}
+
+// orderAdapter orders an adapter, or first the unloading of another that has
+// not been asked for lately.
+func (c *Controller) orderAdapter(ctx context.Context, now time.Time, s *Server, service routes.Service, model, adapter string) {
+	if s.places() < service.Engine.AdapterSlots && s.weight(service.Engine)+service.Engine.Models[model].AdapterMB <= service.Engine.MemoryMB {
+		c.start(ctx, s, Order{Model: model, Adapter: adapter}, adapterReady)
+		return
+	}
+	if m, a := c.idlest(now, s, service.Name, evictAfter); a != "" {
+		c.start(ctx, s, Order{Unload: true, Model: m, Adapter: a}, 0)
+	}
+}
+
+// adapterCost ranks the servers for an adapter: a free place first, then the
+// fewest requests, then a rank that spreads a model's adapters over its copies.
+func (c *Controller) adapterCost(s *Server, service routes.Service, model, adapter string) uint64 {
+	cost := xxhash.Sum64String(s.entry.ID+"/"+model+"/"+adapter) >> 32
+	if s.places() >= service.Engine.AdapterSlots {
+		cost += 1 << 50
+	}
+	return cost + uint64(c.running(s.entry.ID)/8)<<33
+}
+
+// idlest returns the adapter at a server that was asked for longest ago, if not
+// within the last while.
+func (c *Controller) idlest(now time.Time, s *Server, service string, while time.Duration) (model, adapter string) {
+	var oldest time.Time
+	for m, r := range s.models {
+		for a, ready := range r.adapters {
+			last := c.adapters.Last(adapterName(service, m, a))
+			if ready.After(last) {
+				last = ready
+			}
+			if now.Sub(last) >= while && (adapter == "" || last.Before(oldest)) {
+				model, adapter, oldest = m, a, last
+			}
+		}
+	}
+	return model, adapter
+}
+
+// placeAdapters loads adapters of busy models ahead of requests, one order for
+// each server at a time. Without it the first request for each adapter after a
+// shift of demand waits for an order, and all of those wait in line.
+func (c *Controller) placeAdapters(ctx context.Context, now time.Time, service routes.Service) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	demand := c.demand(service.Name)
+	total := 0.0
+	for name := range service.Engine.Models {
+		total += demand.Work(now, name)
+	}
+	for _, s := range c.of(service.Name) {
+		if !s.Free(now) || c.busy[s.entry.ID] || !c.Servers.Usable(now, s.entry.ID) || s.places() >= service.Engine.AdapterSlots {
+			continue
+		}
+		if model, adapter := c.missing(now, s, service, total); adapter != "" {
+			c.start(ctx, s, Order{Model: model, Adapter: adapter}, adapterReady)
+		}
+	}
+}
+
+// missing returns an adapter of a busy model that no server holds, for which s
+// ranks first among those with a free place.
+func (c *Controller) missing(now time.Time, s *Server, service routes.Service, total float64) (model, adapter string) {
+	for name, r := range s.models {
+		m := service.Engine.Models[name]
+		if r.phase != held || m.Adapters == 0 || c.demand(service.Name).Work(now, name) < busyShare*total || total == 0 {
+			continue
+		}
+		if s.weight(service.Engine)+m.AdapterMB > service.Engine.MemoryMB {
+			continue
+		}
+		for i := range m.Adapters {
+			a := "a" + strconv.Itoa(i+1)
+			if !c.anywhere(service.Name, name, a) && c.first(now, s, service, name, a) {
+				return name, a
+			}
+		}
+	}
+	return "", ""
+}
+
+func (c *Controller) anywhere(service, model, adapter string) bool {
+	return slices.ContainsFunc(c.of(service), func(s *Server) bool {
+		r := s.models[model]
+		if r == nil {
+			return false
+		}
+		_, ok := r.adapters[adapter]
+		return ok
+	})
+}
+
+func (c *Controller) first(now time.Time, s *Server, service routes.Service, model, adapter string) bool {
+	own := c.adapterCost(s, service, model, adapter)
+	return !slices.ContainsFunc(c.of(service.Name), func(o *Server) bool {
+		r := o.models[model]
+		return o != s && r != nil && r.phase == held && o.places() < service.Engine.AdapterSlots &&
+			c.Servers.Usable(now, o.entry.ID) && c.adapterCost(o, service, model, adapter) < own
+	})
+}
+
+// HeldBy returns the models of a server as requests may use them.
+func (c *Controller) HeldBy(now time.Time, id string) []backs.Held {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.servers[id]; s != nil {
+		return s.Shown(now)
+	}
+	return nil
+}
--- /dev/null
+++ b/steer/controller.go
@@ -0,0 +1,360 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+const (
+	// tick is how often the placement is looked at: demand shifts over seconds.
+	tick = 100 * time.Millisecond
+	// callTimeout bounds a call to a server, which answers in milliseconds.
+	callTimeout = 400 * time.Millisecond
+	// reportEvery is how often a settled server is asked for a report. Entries
+	// in the platform tell of models sooner; reports are a check on adapters.
+	reportEvery = 3 * time.Second
+	// reportAgain is the pause between reports while a server's state is not
+	// clear.
+	reportAgain = 200 * time.Millisecond
+	// defaultWindow is the window of the weight store's bound on loads.
+	defaultWindow = 5 * time.Second
+	// outputWeight is the work of an output token in prompt tokens: a step of
+	// some 5 ms serves tens of requests, a prompt token takes 1/38 ms.
+	outputWeight = 10
+)
+
+// Controller drives the servers while it holds the lease. All fields but
+// Window must be set.
+type Controller struct {
+	// Name is the VM's.
+	Name     string
+	Commands Commands
+	Servers  *backs.View
+	Table    func() *routes.Table
+	// Fence returns the lease's fencing number while orders may be given.
+	Fence func(now time.Time) (int, bool)
+	// Window is that of the weight store's bound; 0 takes five seconds.
+	Window time.Duration
+	Now    func() time.Time
+	Log    zerolog.Logger
+	Meter  *meter.Set
+
+	mu       sync.Mutex
+	servers  map[string]*Server
+	busy     map[string]bool
+	asked    map[string]time.Time
+	work     map[string]*Demand
+	adapters Demand
+	ceilings map[string]*Ceiling
+	loads    map[string]map[string]pick.Load
+	changed  chan struct{}
+}
+
+// Want is demand for a model that a VM met.
+type Want struct {
+	Service, Model, Adapter string
+	Requests, Tokens        int
+}
+
+// WantOf returns the demand of one request.
+func WantOf(service string, w pick.Work) Want {
+	return Want{Service: service, Model: w.Model, Adapter: w.Adapter, Requests: 1, Tokens: w.Prompt + outputWeight*w.Output}
+}
+
+// Report takes in what a VM has at the servers and what its callers asked for.
+func (c *Controller) Report(now time.Time, vm string, loads map[string]pick.Load, wants []Want) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loads == nil {
+		c.loads = make(map[string]map[string]pick.Load)
+	}
+	c.loads[vm] = loads
+	for _, w := range wants {
+		c.demand(w.Service).Add(now, w.Model, float64(w.Tokens))
+		if w.Adapter != "" {
+			c.adapters.Add(now, adapterName(w.Service, w.Model, w.Adapter), float64(w.Requests))
+		}
+	}
+}
+
+// Left forgets the load of a VM whose link ended.
+func (c *Controller) Left(vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.loads, vm)
+}
+
+func adapterName(service, model, adapter string) string { return service + "/" + model + "/" + adapter }
+
+func (c *Controller) demand(service string) *Demand {
+	if c.work == nil {
+		c.work = make(map[string]*Demand)
+	}
+	d := c.work[service]
+	if d == nil {
+		d = &Demand{}
+		c.work[service] = d
+	}
+	return d
+}
+
+// Others returns what all VMs but one have at the servers.
+func (c *Controller) Others(vm string) map[string]pick.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := make(map[string]pick.Load)
+	for name, loads := range c.loads {
+		if name == vm {
+			continue
+		}
+		for id, l := range loads {
+			s := sum[id]
+			sum[id] = pick.Load{Running: s.Running + l.Running, Reading: s.Reading + l.Reading, Tokens: s.Tokens + l.Tokens}
+		}
+	}
+	return sum
+}
+
+// Shown is what requests may be sent to a server for, as of a change.
+type Shown struct {
+	Server  string
+	Models  []backs.Held
+	Changed time.Time
+}
+
+// ShownSince returns the servers that changed after a time. An adapter that
+// becomes ready counts as a change.
+func (c *Controller) ShownSince(now, since time.Time) []Shown {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Shown
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		s := c.servers[id]
+		if s.changed.Add(adapterReady).After(since) {
+			list = append(list, Shown{Server: id, Models: s.Shown(now), Changed: s.changed})
+		}
+	}
+	return list
+}
+
+// Changed returns a channel that is closed when what servers hold changes.
+func (c *Controller) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
+}
+
+func (c *Controller) notify() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// Run steers until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.Servers.Changed():
+		}
+		c.step(ctx, c.Now())
+	}
+}
+
+// step looks at every service that runs models once.
+func (c *Controller) step(ctx context.Context, now time.Time) {
+	table := c.Table()
+	if table == nil {
+		return
+	}
+	_, leading := c.Fence(now)
+	for _, service := range table.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		c.sync(now, service.Name)
+		if !leading {
+			continue
+		}
+		c.askReports(ctx, now, service.Name)
+		c.placeModels(ctx, now, service)
+		c.placeAdapters(ctx, now, service)
+	}
+}
+
+// sync takes in the entries of a service's servers and drops those that are
+// gone.
+func (c *Controller) sync(now time.Time, service string) {
+	entries := c.Servers.All(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers == nil {
+		c.servers, c.busy, c.asked = make(map[string]*Server), make(map[string]bool), make(map[string]time.Time)
+		c.ceilings = make(map[string]*Ceiling)
+	}
+	listed := make(map[string]bool)
+	for _, e := range entries {
+		if e.Service != service {
+			continue
+		}
+		listed[e.ID] = true
+		if s := c.servers[e.ID]; s == nil {
+			c.servers[e.ID] = NewServer(now, e)
+		} else {
+			s.Listed(now, e)
+		}
+	}
+	for id, s := range c.servers {
+		if s.entry.Service == service && !listed[id] {
+			delete(c.servers, id)
+			delete(c.asked, id)
+		}
+	}
+	c.notify()
+}
+
+// of returns the servers of a service in the order of their IDs.
+func (c *Controller) of(service string) []*Server {
+	var list []*Server
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		if s := c.servers[id]; s.entry.Service == service {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (c *Controller) askReports(ctx context.Context, now time.Time, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.of(service) {
+		pause := reportEvery
+		if s.NeedsReport() {
+			pause = reportAgain
+		}
+		id := s.entry.ID
+		if c.busy[id] || !c.asked[id].IsZero() && now.Sub(c.asked[id]) < pause {
+			continue
+		}
+		c.asked[id] = now
+		go c.askReport(ctx, s.entry)
+	}
+}
+
+func (c *Controller) askReport(ctx context.Context, e backs.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := c.Now()
+	r, err := c.Commands.Report(ctx, e)
+	if err != nil {
+		c.Log.Info().Str("server", e.ID).Err(err).Msg("no report")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.servers[e.ID]; s != nil {
+		s.Reported(c.Now(), asked, r)
+		c.notify()
+	}
+}
+
+func (c *Controller) ceiling(service routes.Service) *Ceiling {
+	ceiling := c.ceilings[service.Name]
+	if ceiling == nil {
+		window := c.Window
+		if window == 0 {
+			window = defaultWindow
+		}
+		ceiling = &Ceiling{Window: window}
+		c.ceilings[service.Name] = ceiling
+	}
+	ceiling.PerSecond = service.Engine.LoadsPerSecond
+	return ceiling
+}
+
+func (c *Controller) placeModels(ctx context.Context, now time.Time, service routes.Service) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	demand, ceiling := c.demand(service.Name), c.ceiling(service)
+	planner := &Planner{
+		Engine: service.Engine, Servers: c.of(service.Name), Now: now,
+		Work:  func(model string) float64 { return demand.Work(now, model) },
+		Load:  c.running,
+		Store: func() bool { return ceiling.Allow(now) },
+	}
+	for _, step := range planner.Steps() {
+		if c.busy[step.Server.entry.ID] {
+			continue
+		}
+		if step.Store && !step.Unload {
+			ceiling.Begin(now)
+		}
+		c.start(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time)
+	}
+}
+
+// running returns how many requests all VMs have at a server.
+func (c *Controller) running(id string) int {
+	n := 0
+	for _, loads := range c.loads {
+		n += loads[id].Running
+	}
+	return n
+}
+
+// start sends an order in the background. c.mu is held.
+func (c *Controller) start(ctx context.Context, s *Server, o Order, within time.Duration) {
+	c.busy[s.entry.ID] = true
+	go func() {
+		_ = c.order(ctx, s, o, within)
+		c.mu.Lock()
+		delete(c.busy, s.entry.ID)
+		c.mu.Unlock()
+	}()
+}
+
+var errNotLeading = errors.New("this VM does not hold the controllers' lease")
+
+// order sends one order and takes in its outcome. The caller has marked the
+// server as busy.
+func (c *Controller) order(ctx context.Context, s *Server, o Order, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	now := c.Now()
+	fence, leading := c.Fence(now)
+	if !leading {
+		return errNotLeading
+	}
+	c.mu.Lock()
+	o.Expect, o.Holder, o.Fence = s.sequence, c.Name, fence
+	e := s.entry
+	c.mu.Unlock()
+	verdict, err := c.Commands.Send(ctx, e, o)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.Answered(c.Now(), now, o, verdict, within)
+	c.notify()
+	c.Meter.Count("steer.orders", 1)
+	c.Log.Info().Str("server", e.ID).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
+		Int("expect", o.Expect).Int("fence", fence).Int("verdict", int(verdict)).Err(err).Msg("order")
+	return err
+}
--- /dev/null
+++ b/steer/server.go
@@ -0,0 +1,302 @@
+package steer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// phase is where a model is on its way into or out of a server.
+type phase int
+
+const (
+	held phase = iota
+	loading
+	leaving
+)
+
+// resident is a model at a server, with the adapters that are loaded or on
+// their way and when each is usable.
+type resident struct {
+	phase    phase
+	since    time.Time
+	adapters map[string]time.Time
+}
+
+// Server is what the controller knows of one server: what it reported, and
+// what has been ordered since.
+type Server struct {
+	entry  backs.Entry
+	models map[string]*resident
+	// sequence is the number of orders that it has accepted; known once a
+	// report gave it.
+	sequence int
+	known    bool
+	// unclear is when an order got no answer; zero otherwise. Until a later
+	// report shows whether it was accepted, nothing more is ordered: with the
+	// next accepted order the lost one is dead, whether it is late or not.
+	unclear time.Time
+	// busy is until when a model order is taken to be under way at most.
+	busy      time.Time
+	changed   time.Time
+	ordered   time.Time
+	available map[string]bool
+	onDisk    map[string]bool
+}
+
+// NewServer returns the state of a server by its entry.
+func NewServer(now time.Time, e backs.Entry) *Server {
+	s := &Server{entry: e, models: make(map[string]*resident), available: make(map[string]bool), onDisk: make(map[string]bool)}
+	s.Listed(now, e)
+	return s
+}
+
+// Entry returns the server's entry.
+func (s *Server) Entry() backs.Entry { return s.entry }
+
+// settleTime is how long an own order outweighs entries and reports that do
+// not show it yet: an entry can be a heartbeat old, a report reportLag.
+const settleTime = 1500 * time.Millisecond
+
+// Listed takes in the server's entry in the platform.
+func (s *Server) Listed(now time.Time, e backs.Entry) {
+	s.entry = e
+	for _, h := range e.Models {
+		s.add(now, h)
+	}
+	for name, r := range s.models {
+		listed := slices.ContainsFunc(e.Models, func(h backs.Held) bool { return h.Model == name })
+		if !listed && r.phase != loading && now.Sub(r.since) > settleTime {
+			s.drop(now, name)
+		}
+	}
+}
+
+// add takes in a model that the server shows.
+func (s *Server) add(now time.Time, h backs.Held) {
+	r := s.models[h.Model]
+	if r == nil {
+		r = &resident{since: now, adapters: make(map[string]time.Time)}
+		s.models[h.Model] = r
+		s.changed = now
+	}
+	if r.phase == loading {
+		r.phase, r.since, s.changed, s.busy = held, now, now, time.Time{}
+	}
+	s.available[h.Model] = true
+	for _, a := range h.Adapters {
+		if _, ok := r.adapters[a]; !ok {
+			r.adapters[a] = now
+			s.changed = now
+		}
+	}
+}
+
+func (s *Server) drop(now time.Time, model string) {
+	if r := s.models[model]; r != nil && r.phase == leaving {
+		s.busy = time.Time{}
+	}
+	delete(s.models, model)
+	s.changed = now
+}
+
+// Reported takes in a report that was asked for at a time.
+func (s *Server) Reported(now, asked time.Time, r Report) {
+	if !s.unclear.IsZero() {
+		if asked.Sub(s.unclear) < reportLag {
+			return
+		}
+		s.unclear = time.Time{}
+		s.sequence = r.Sequence
+	}
+	if s.known && r.Sequence < s.sequence && asked.Sub(s.ordered) < settleTime {
+		return
+	}
+	s.sequence, s.known = r.Sequence, true
+	s.copies(r)
+	for _, h := range append(slices.Clone(r.Models), r.Pending...) {
+		s.add(now, h)
+	}
+	for name, m := range s.models {
+		i := slices.IndexFunc(r.Models, func(h backs.Held) bool { return h.Model == name })
+		if i < 0 {
+			if !r.Busy && now.Sub(m.since) > settleTime {
+				s.drop(now, name)
+			}
+			continue
+		}
+		s.dropAdapters(now, m, append(slices.Clone(r.Models[i].Adapters), pendingOf(r, name)...))
+	}
+	if !r.Busy && asked.Sub(s.ordered) > reportLag {
+		s.busy = time.Time{}
+	}
+}
+
+func pendingOf(r Report, model string) []string {
+	for _, h := range r.Pending {
+		if h.Model == model {
+			return h.Adapters
+		}
+	}
+	return nil
+}
+
+// dropAdapters forgets the adapters that a report does not show and that were
+// not just ordered.
+func (s *Server) dropAdapters(now time.Time, m *resident, shown []string) {
+	for a, ready := range m.adapters {
+		if !slices.Contains(shown, a) && now.Sub(ready) > settleTime {
+			delete(m.adapters, a)
+			s.changed = now
+		}
+	}
+}
+
+func (s *Server) copies(r Report) {
+	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
+	for _, m := range r.InMemory {
+		s.available[m] = true
+	}
+	for _, m := range r.OnDisk {
+		s.onDisk[m] = true
+	}
+}
+
+// Free reports whether an order may be sent: the sequence is known, no order is
+// unclear, and no model is on its way.
+func (s *Server) Free(now time.Time) bool {
+	return s.known && s.unclear.IsZero() && !now.Before(s.busy)
+}
+
+// NeedsReport reports whether the server's state must be asked for before it
+// can be given orders.
+func (s *Server) NeedsReport() bool { return !s.known || !s.unclear.IsZero() }
+
+// Sequence returns the number of orders it is taken to have accepted.
+func (s *Server) Sequence() int { return s.sequence }
+
+// Answered takes in the verdict on an order that was sent at a time. within is
+// how long the order takes to be carried out.
+func (s *Server) Answered(now, sent time.Time, o Order, v Verdict, within time.Duration) {
+	switch v {
+	case Unknown:
+		s.unclear = now
+		return
+	case Conflict:
+		// The sequence was not what was expected, or a model is on its way that
+		// this VM does not know of.
+		s.unclear = sent
+		return
+	case Refused:
+		return
+	case Accepted, Done:
+	}
+	s.ordered, s.changed = now, now
+	if v == Accepted || o.Adapter != "" {
+		s.sequence++
+	}
+	s.apply(now, o, v, within)
+}
+
+// loadSlack is how far beyond its time a load may go before the server's
+// report is believed over the order: loads slow each other down.
+const loadSlack = 4
+
+func (s *Server) apply(now time.Time, o Order, v Verdict, within time.Duration) {
+	if o.Adapter != "" {
+		r := s.models[o.Model]
+		if r == nil {
+			return
+		}
+		if o.Unload {
+			delete(r.adapters, o.Adapter)
+		} else {
+			r.adapters[o.Adapter] = now.Add(within)
+		}
+		return
+	}
+	if v == Done {
+		if o.Unload {
+			delete(s.models, o.Model)
+		} else {
+			s.add(now, backs.Held{Model: o.Model})
+		}
+		return
+	}
+	s.busy = now.Add(loadSlack * max(within, time.Second))
+	if !o.Unload {
+		s.models[o.Model] = &resident{phase: loading, since: now, adapters: make(map[string]time.Time)}
+		return
+	}
+	if r := s.models[o.Model]; r != nil {
+		r.phase, r.since = leaving, now
+	}
+}
+
+// Has reports whether the server holds a model, and the adapter when one is
+// named, ready for requests.
+func (s *Server) Has(now time.Time, model, adapter string) bool {
+	r := s.models[model]
+	if r == nil || r.phase != held {
+		return false
+	}
+	if adapter == "" {
+		return true
+	}
+	ready, ok := r.adapters[adapter]
+	return ok && !now.Before(ready)
+}
+
+// Shown returns the models and adapters that requests may be sent for.
+func (s *Server) Shown(now time.Time) []backs.Held {
+	var list []backs.Held
+	for _, name := range slices.Sorted(maps.Keys(s.models)) {
+		r := s.models[name]
+		if r.phase != held {
+			continue
+		}
+		h := backs.Held{Model: name}
+		for _, a := range slices.Sorted(maps.Keys(r.adapters)) {
+			if !now.Before(r.adapters[a]) {
+				h.Adapters = append(h.Adapters, a)
+			}
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// places returns how many adapter places are taken.
+func (s *Server) places() int {
+	n := 0
+	for _, r := range s.models {
+		n += len(r.adapters)
+	}
+	return n
+}
+
+// weight returns the megabytes taken, by models on their way in and out too:
+// memory is free only when the server shows the model gone.
+func (s *Server) weight(e *routes.Engine) float64 {
+	mb := 0.0
+	for name, r := range s.models {
+		m := e.Models[name]
+		mb += m.MB + m.AdapterMB*float64(len(r.adapters))
+	}
+	return mb
+}
+
+// loadTime returns how long the server takes to load a model, and whether it
+// comes from the weight store.
+func (s *Server) loadTime(m routes.Model) (time.Duration, bool) {
+	switch {
+	case s.available[m.Name] && m.Warm > 0:
+		return m.Warm, false
+	case (s.onDisk[m.Name] || s.available[m.Name]) && m.Disk > 0:
+		return m.Disk, false
+	}
+	return m.Load, true
+}
--- /dev/null
+++ b/store/objects.go
@@ -0,0 +1,28 @@
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// Change is one event of a long-poll watch.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// Objects is the object API as the daemon uses it, whatever protocol carries
+// it. Each field makes one call and does not repeat it. The errors are those of
+// this package and trace.NotFound.
+type Objects struct {
+	// List returns all objects of a kind.
+	List func(ctx context.Context, kind string) (Listing, error)
+	// Get returns one object.
+	Get func(ctx context.Context, kind, name string) (Object, error)
+	// Put writes value when the object has version ifVersion, 0 for an object
+	// that does not exist, and returns the new version.
+	Put func(ctx context.Context, kind, name string, ifVersion int, value any) (int, error)
+	// Watch waits up to wait for changes after a version. It returns them with
+	// the version to go on from.
+	Watch func(ctx context.Context, kind string, from int, wait time.Duration) ([]Change, int, error)
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -147,6 +147,27 @@
 const ClaimStateReleased ClaimState = "released"
 const ClaimStateUnknown ClaimState = "unknown"
 
+// Object in the platform: the lease of the VM that gives orders to the servers.
+type ControllerLease struct {
+	// Where the holder takes links.
+	Address string `json:"address"`
+
+	// Run of the holder's process.
+	Boot string `json:"boot"`
+
+	// How long it lasts after each renewal.
+	DurationMs int `json:"duration_ms"`
+
+	// Name of the VM; empty when it was given up.
+	Holder string `json:"holder"`
+
+	// What other VMs present to it; new with each holder.
+	Key string `json:"key"`
+
+	// Number of renewals, so that each changes the object.
+	Renewals int `json:"renewals"`
+}
+
 // The controller that speaks for a failure domain.
 type Epoch struct {
 	// Controller corresponds to the JSON schema field "controller".
@@ -156,6 +177,33 @@
 	FailureDomain string `json:"failure_domain"`
 }
 
+// Asks the controller for a server that holds a model and adapter, now or soon.
+type FindCall struct {
+	// Adapter corresponds to the JSON schema field "adapter".
+	Adapter string `json:"adapter"`
+
+	// Number that the reply repeats.
+	Call int `json:"call"`
+
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
+// Answers a find_call once a server holds what was asked for.
+type FindReply struct {
+	// Call corresponds to the JSON schema field "call".
+	Call int `json:"call"`
+
+	// Why there is none.
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// ID of the server's start; empty when there is none.
+	Server string `json:"server"`
+}
+
 // An operator asks what the VM sees.
 type FleetQuery struct {
 	// Whether the reply lists the backend servers.
@@ -173,6 +221,18 @@
 	Servers []ServerStatus `json:"servers"`
 }
 
+// The controller's view, for the VMs linked to it.
+type FleetState struct {
+	// What the other VMs have at the servers.
+	Others []ServerLoad `json:"others"`
+
+	// Servers whose models changed since the last such frame.
+	Servers []ServerState `json:"servers"`
+
+	// VMs linked to the controller, its own too.
+	Vms int `json:"vms"`
+}
+
 // Heartbeats that the sender passes on, its own first.
 type Gossip struct {
 	// Heartbeats corresponds to the JSON schema field "heartbeats".
@@ -216,6 +276,15 @@
 const HeartbeatStateDead HeartbeatState = "dead"
 const HeartbeatStateLeaving HeartbeatState = "leaving"
 
+// A model that a server holds.
+type HeldModel struct {
+	// Adapters corresponds to the JSON schema field "adapters".
+	Adapters []string `json:"adapters"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+}
+
 // The greeting: the first frame each side sends on a link.
 type Hello struct {
 	// Identifier that changes at each start of the process.
@@ -329,12 +398,21 @@
 	// ClaimReply corresponds to the JSON schema field "claim_reply".
 	ClaimReply *ClaimReply `json:"claim_reply,omitempty,omitzero"`
 
+	// FindCall corresponds to the JSON schema field "find_call".
+	FindCall *FindCall `json:"find_call,omitempty,omitzero"`
+
+	// FindReply corresponds to the JSON schema field "find_reply".
+	FindReply *FindReply `json:"find_reply,omitempty,omitzero"`
+
 	// FleetQuery corresponds to the JSON schema field "fleet_query".
 	FleetQuery *FleetQuery `json:"fleet_query,omitempty,omitzero"`
 
 	// FleetReply corresponds to the JSON schema field "fleet_reply".
 	FleetReply *FleetReply `json:"fleet_reply,omitempty,omitzero"`
 
+	// FleetState corresponds to the JSON schema field "fleet_state".
+	FleetState *FleetState `json:"fleet_state,omitempty,omitzero"`
+
 	// Gossip corresponds to the JSON schema field "gossip".
 	Gossip *Gossip `json:"gossip,omitempty,omitzero"`
 
@@ -355,6 +433,9 @@
 
 	// W3C trace context of the span that sent the frame.
 	Traceparent string `json:"traceparent,omitempty,omitzero"`
+
+	// VMReport corresponds to the JSON schema field "vm_report".
+	VMReport *VMReport `json:"vm_report,omitempty,omitzero"`
 }
 
 type Model struct {
@@ -380,6 +461,24 @@
 	Model string `json:"model"`
 }
 
+// Requests for a model since the last such frame.
+type ModelWant struct {
+	// Empty for the model alone.
+	Adapter string `json:"adapter"`
+
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Prompt tokens, and output tokens at their cost in prompt tokens.
+	Tokens int `json:"tokens"`
+}
+
 type NodeStatus struct {
 	// FailureDomain corresponds to the JSON schema field "failure_domain".
 	FailureDomain string `json:"failure_domain"`
@@ -603,6 +702,33 @@
 const ServerBackendEngine ServerBackend = "engine"
 const ServerBackendService ServerBackend = "service"
 
+// What some callers have at a backend server.
+type ServerLoad struct {
+	// Prompt tokens of those without a first event.
+	Reading int `json:"reading"`
+
+	// Requests sent and not ended.
+	Running int `json:"running"`
+
+	// ID of the server's start.
+	Server string `json:"server"`
+
+	// Token memory that they need.
+	Tokens int `json:"tokens"`
+}
+
+// What the controller knows of a server.
+type ServerState struct {
+	// Time since it was observed.
+	AgeMs int `json:"age_ms"`
+
+	// Models corresponds to the JSON schema field "models".
+	Models []HeldModel `json:"models"`
+
+	// ID of the server's start.
+	Server string `json:"server"`
+}
+
 type ServerStatus struct {
 	// FailureDomain corresponds to the JSON schema field "failure_domain".
 	FailureDomain string `json:"failure_domain"`
@@ -672,3 +798,12 @@
 	// PeerAddress corresponds to the JSON schema field "peer_address".
 	PeerAddress string `json:"peer_address"`
 }
+
+// Tells the controller what a VM has at the servers and what its callers ask for.
+type VMReport struct {
+	// Loads corresponds to the JSON schema field "loads".
+	Loads []ServerLoad `json:"loads"`
+
+	// Wants corresponds to the JSON schema field "wants".
+	Wants []ModelWant `json:"wants"`
+}
