Memory is free only when a report shows it; loads, orders and the lease over a change of controller

(2) CEILING: a VM that took the lease began as many loads as allowed at once, beside those of the VM before; copies on a server's disk were believed in after a load had pushed them out. (4) SIGHUP ended the process. Change: only reports take models away; the store's entries are kept apart from what the controller says; the bound on loads counts as used at the start of a term; copies are unknown after a load until the next report; connections are closed with a reset; the first order of a term waits half a second more; settings are reloaded on SIGHUP or a changed file.

--- a/backs/view.go
+++ b/backs/view.go
@@ -25,7 +25,12 @@
 
 // record is an entry and what happened to it.
 type record struct {
+	// entry is what requests go by; its models may be newer than what the store
+	// lists.
 	entry Entry
+	// listed is the entry as it stands in the store since listedAt.
+	listed   Entry
+	listedAt time.Time
 	// drained stays set: a server never returns from draining under the same
 	// ID, and an old heartbeat may say otherwise.
 	drained bool
@@ -116,6 +121,7 @@
 	r.lapsing = time.Time{}
 	r.drained = r.drained || e.Draining
 	e.Draining = r.drained
+	r.listed, r.listedAt = e, now
 	if now.Sub(r.toldAt) < toldOutweighs {
 		e.Models = joinAdapters(e.Models, r.entry.Models)
 	}
@@ -250,7 +256,29 @@
 	return r.risen.IsZero() || now.Sub(r.risen) >= ghostHold
 }
 
-// All returns every server whose entry stands, leaving ones too.
+// Listed is an entry as it stands in the store, and since when this VM knows it.
+type Listed struct {
+	Entry
+	At time.Time
+}
+
+// Listed returns every server whose entry stands, leaving ones too, as the
+// store lists them.
+func (v *View) Listed(now time.Time) []Listed {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.settle(now)
+	var list []Listed
+	for _, r := range v.records {
+		if r.gone.IsZero() {
+			list = append(list, Listed{Entry: r.listed, At: r.listedAt})
+		}
+	}
+	return list
+}
+
+// All returns every server whose entry stands, with what it holds by the newest
+// word.
 func (v *View) All(now time.Time) []Entry {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,16 +42,60 @@
 	if err != nil {
 		return err
 	}
+	// From here on, a SIGHUP that comes while the VM starts does not end it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	out := node.NewLogWriter(os.Stdout)
 	defer out.Close()
 	n := node.New(nodeConfig(settings, out))
 	if err := n.Start(context.WithoutCancel(ctx)); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	<-ctx.Done()
+	watchSettings(ctx, *file, hangup, n)
 	return n.Stop()
 }
 
+// settingsEvery is how often the settings file is looked at for a change that
+// no signal told of.
+const settingsEvery = time.Second
+
+// watchSettings reloads the settings on SIGHUP or when the file has changed,
+// until ctx ends. Settings that are wrong are logged and the old ones stay.
+func watchSettings(ctx context.Context, file string, hangup <-chan os.Signal, n *node.Node) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	last := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if m := modified(file); m.Equal(last) {
+				continue
+			}
+		}
+		last = modified(file)
+		settings, err := conf.LoadNode(file)
+		if err != nil {
+			n.ReloadFailed(err)
+			continue
+		}
+		n.Reload(settings)
+	}
+}
+
+// modified returns when the file was changed last; the zero time when it can
+// not be looked at, as while it is being replaced.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func nodeConfig(settings *conf.Settings, out *node.LogWriter) node.Config {
 	level, err := zerolog.ParseLevel(settings.Text("log", "level"))
 	if err != nil {
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -34,7 +34,10 @@
 	silence = 3 * time.Second
 )
 
-// Dial opens a TCP connection that notices a dead peer.
+// Dial opens a TCP connection that notices a dead peer. Closing it drops what
+// has not been delivered: bytes held up in a cut would reach the other side
+// when it heals, and a request or an order that was given up long ago would
+// run then.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 		var failed error
@@ -50,6 +53,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("set linger: %w", err)
+		}
+	}
 	return conn, nil
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -75,7 +75,7 @@
 }
 
 func (n *Node) watchOnce(ctx context.Context, w watcher, from int) (int, error) {
-	list, next, err := n.config.Objects.Watch(ctx, w.kind, from, n.settings.Duration("store", "wait"))
+	list, next, err := n.config.Objects.Watch(ctx, w.kind, from, n.settings().Duration("store", "wait"))
 	if err != nil {
 		return from, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -73,19 +73,19 @@
 
 // Node is the daemon of one VM.
 type Node struct {
-	config   Config
-	settings *conf.Settings
-	log      zerolog.Logger
-	now      func() time.Time
-	meter    *meter.Set
-	servers  *backs.View
-	book     *pick.Book
-	pool     *conns.Pool
-	gateway  *pass.Gateway
-	control  *steer.Controller
-	peers    *peers.Peers
-	lease    *peers.Lease
-	table    atomic.Pointer[routes.Table]
+	config  Config
+	current atomic.Pointer[conf.Settings]
+	log     zerolog.Logger
+	now     func() time.Time
+	meter   *meter.Set
+	servers *backs.View
+	book    *pick.Book
+	pool    *conns.Pool
+	gateway *pass.Gateway
+	control *steer.Controller
+	peers   *peers.Peers
+	lease   *peers.Lease
+	table   atomic.Pointer[routes.Table]
 
 	mu       sync.Mutex
 	revision int
@@ -102,11 +102,12 @@
 func New(c Config) *Node {
 	s := c.Settings
 	n := &Node{
-		config: c, settings: s, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
+		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		book:    &pick.Book{Domain: s.Text("vm", "failure_domain")},
 		budgets: make(map[string]*retry.Budget),
 	}
+	n.current.Store(s)
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: c.Objects,
 		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
@@ -141,7 +142,7 @@
 
 // limit gives a budget this VM's part of what all may retry.
 func (n *Node) limit(b *retry.Budget) {
-	b.Limit(budgetShare*n.settings.Float("retries", "share"), budgetShare*n.settings.Float("retries", "extra")/float64(n.peers.VMs()))
+	b.Limit(budgetShare*n.settings().Float("retries", "share"), budgetShare*n.settings().Float("retries", "extra")/float64(n.peers.VMs()))
 }
 
 // Start listens and begins to serve.
@@ -161,7 +162,7 @@
 		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, l := range listeners {
-		address := n.settings.Text("vm", l.key)
+		address := n.settings().Text("vm", l.key)
 		if address == "" {
 			continue
 		}
@@ -173,14 +174,14 @@
 	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.control.Run, n.tidy} {
 		n.jobs.Go(func() { job(ctx) })
 	}
-	n.log.Info().Str("listen", n.settings.Text("vm", "listen")).Str("store", n.settings.Text("store", "address")).Msg("started")
+	n.log.Info().Str("listen", n.settings().Text("vm", "listen")).Str("store", n.settings().Text("store", "address")).Msg("started")
 	return nil
 }
 
 // apply puts the settings of the process in force.
 func (n *Node) apply() {
-	runtime.GOMAXPROCS(n.settings.Int("limits", "threads"))
-	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Int("limits", "memory_mb")) * (1 << 20)))
+	runtime.GOMAXPROCS(n.settings().Int("limits", "threads"))
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings().Int("limits", "memory_mb")) * (1 << 20)))
 }
 
 func (n *Node) listen(s *http.Server, address string) error {
@@ -223,6 +224,26 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Reload puts changed settings in force: the memory limit, the retry budget and
+// the times of draining and steering. Addresses stay until the next start.
+func (n *Node) Reload(s *conf.Settings) {
+	for _, key := range []string{"listen", "ready_listen", "peer_listen", "metrics_listen"} {
+		if old := n.settings().Text("vm", key); old != s.Text("vm", key) {
+			n.log.Warn().Str("key", key).Str("old", old).Str("new", s.Text("vm", key)).Msg("address changes with the next start only")
+		}
+	}
+	n.current.Store(s)
+	n.apply()
+	n.log.Info().Msg("settings reloaded")
+}
+
+// ReloadFailed notes that changed settings were wrong.
+func (n *Node) ReloadFailed(err error) {
+	n.log.Error().Err(err).Msg("settings not reloaded, the old ones stay")
+}
+
+func (n *Node) settings() *conf.Settings { return n.current.Load() }
+
 // tidy clears away what is not needed any more and divides the retry budget
 // anew.
 func (n *Node) tidy(ctx context.Context) {
@@ -248,8 +269,8 @@
 	n.log.Info().Msg("stopping")
 	background := context.Background()
 	n.lease.Release(background)
-	pause.For(background, n.settings.Duration("drain", "notice"))
-	left := n.settings.Duration("drain", "grace") - stopSlack - n.now().Sub(begun)
+	pause.For(background, n.settings().Duration("drain", "notice"))
+	left := n.settings().Duration("drain", "grace") - stopSlack - n.now().Sub(begun)
 	ctx, cancel := context.WithTimeout(background, left)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -28,6 +28,10 @@
 // time between renewals.
 const leaseCall = 450 * time.Millisecond
 
+// orderSlack is for an order that the VM before sent right before its lease
+// ended: it is on its way until its call times out.
+const orderSlack = 500 * time.Millisecond
+
 // Lease is the right to give orders to servers. Its record lies in the store
 // and is written only under the version that was read, so that of two VMs that
 // race one loses. The version at which it was taken is the fence of the
@@ -187,7 +191,7 @@
 func (l *Lease) took(begun time.Time, version int, before wire.ControllerLease) {
 	l.fence = version
 	if before.Address != "" && before.Address != l.Address {
-		l.orders = l.Now().Add(l.Handover)
+		l.orders = l.Now().Add(l.Handover + orderSlack)
 	}
 	l.led = true
 	l.Log.Info().Int("fence", version).Str("before", before.Holder).Time("begun", begun).Msg("lease taken")
--- a/steer/ceiling.go
+++ b/steer/ceiling.go
@@ -9,10 +9,17 @@
 	Window    time.Duration
 	PerSecond float64
 	begun     []time.Time
+	blocked   time.Time
 }
 
+// Fill takes the whole bound as used now.
+func (c *Ceiling) Fill(now time.Time) { c.blocked = now.Add(c.Window) }
+
 // Allow reports whether one more load may begin now.
 func (c *Ceiling) Allow(now time.Time) bool {
+	if now.Before(c.blocked) {
+		return false
+	}
 	kept := c.begun[:0]
 	for _, t := range c.begun {
 		if now.Sub(t) < c.Window {
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -50,7 +50,9 @@
 	Log    zerolog.Logger
 	Meter  *meter.Set
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// fence is that of the present term.
+	fence    int
 	servers  map[string]*Server
 	busy     map[string]bool
 	asked    map[string]time.Time
@@ -186,7 +188,10 @@
 	if table == nil {
 		return
 	}
-	_, leading := c.Fence(now)
+	fence, leading := c.Fence(now)
+	if leading && fence != c.fence {
+		c.succeed(now, fence, table)
+	}
 	for _, service := range table.Services() {
 		if service.Engine == nil {
 			continue
@@ -201,15 +206,30 @@
 	}
 }
 
+// succeed begins a term. What the VM before ordered is not known: its loads
+// count against the weight store's bound as if it had used all of it.
+func (c *Controller) succeed(now time.Time, fence int, table *routes.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fence = fence
+	for _, s := range table.Services() {
+		if s.Engine != nil {
+			c.ceiling(s).Fill(now)
+		}
+	}
+	for _, s := range c.servers {
+		s.Forget()
+	}
+}
+
 // sync takes in the entries of a service's servers and drops those that are
 // gone.
 func (c *Controller) sync(now time.Time, service string) {
-	entries := c.Servers.All(now)
+	entries := c.Servers.Listed(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.servers == nil {
 		c.servers, c.busy, c.asked = make(map[string]*Server), make(map[string]bool), make(map[string]time.Time)
-		c.ceilings = make(map[string]*Ceiling)
 	}
 	listed := make(map[string]bool)
 	for _, e := range entries {
@@ -218,9 +238,9 @@
 		}
 		listed[e.ID] = true
 		if s := c.servers[e.ID]; s == nil {
-			c.servers[e.ID] = NewServer(now, e)
+			c.servers[e.ID] = NewServer(e.At, e.Entry)
 		} else {
-			s.Listed(now, e)
+			s.Listed(e.At, e.Entry)
 		}
 	}
 	for id, s := range c.servers {
@@ -248,7 +268,7 @@
 	defer c.mu.Unlock()
 	for _, s := range c.of(service) {
 		pause := reportEvery
-		if s.NeedsReport() {
+		if s.NeedsReport() || s.Finishing(now) {
 			pause = reportAgain
 		}
 		id := s.entry.ID
@@ -278,6 +298,9 @@
 }
 
 func (c *Controller) ceiling(service routes.Service) *Ceiling {
+	if c.ceilings == nil {
+		c.ceilings = make(map[string]*Ceiling)
+	}
 	ceiling := c.ceilings[service.Name]
 	if ceiling == nil {
 		window := c.Window
--- /dev/null
+++ b/steer/plan_test.go
@@ -0,0 +1,99 @@
+package steer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+)
+
+func engine(memory float64, models ...string) *routes.Engine {
+	e := &routes.Engine{MemoryMB: memory, Models: make(map[string]routes.Model)}
+	for _, m := range models {
+		e.Models[m] = routes.Model{Name: m, MB: 10, Load: time.Second}
+	}
+	return e
+}
+
+func planner(now time.Time, e *routes.Engine, work map[string]float64, servers ...*steer.Server) *steer.Planner {
+	return &steer.Planner{
+		Engine: e, Servers: servers, Now: now,
+		Work:  func(m string) float64 { return work[m] },
+		Load:  func(string) int { return 0 },
+		Store: func() bool { return true },
+	}
+}
+
+func steps(p *steer.Planner) []string {
+	var list []string
+	for _, s := range p.Steps() {
+		verb := "load"
+		if s.Unload {
+			verb = "unload"
+		}
+		list = append(list, fmt.Sprintf("%s %s at %s", verb, s.Model.Name, s.Server.Entry().ID))
+	}
+	return list
+}
+
+func TestPlan(t *testing.T) {
+	tests := map[string]struct {
+		memory  float64
+		work    map[string]float64
+		servers []*steer.Server
+		want    []string
+	}{
+		"nothing to do": {20, nil, []*steer.Server{reported(at(0), "a", 0, "m1", "m2")}, nil},
+		"a model without a copy gets free memory": {
+			20, nil, []*steer.Server{reported(at(0), "a", 0, "m1")}, []string{"load m2 at a"},
+		},
+		"a model without a copy takes a spare one's place": {
+			10, nil, []*steer.Server{reported(at(0), "a", 0, "m1"), reported(at(0), "b", 0, "m1")}, []string{"unload m1 at a"},
+		},
+		"the last copy is never taken": {
+			10, map[string]float64{"m2": 100}, []*steer.Server{reported(at(0), "a", 0, "m1")}, nil,
+		},
+		"demand moves a copy": {
+			20, map[string]float64{"m2": 100, "m1": 1},
+			[]*steer.Server{reported(at(0), "a", 0, "m1"), reported(at(0), "b", 0, "m1", "m2")}, []string{"load m2 at a"},
+		},
+		"a small difference moves nothing": {
+			10, map[string]float64{"m1": 50, "m2": 52},
+			[]*steer.Server{
+				reported(at(0), "a", 0, "m1"), reported(at(0), "b", 0, "m1"), reported(at(0), "c", 0, "m2"),
+			}, nil,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := planner(at(1), engine(tc.memory, "m1", "m2"), tc.work, tc.servers...)
+			require.Equal(t, tc.want, steps(p))
+		})
+	}
+}
+
+// A server that drains takes its copies along. If they counted, its models
+// would be unreachable from its end until a new copy is loaded.
+func TestCopiesOfLeavingServersDoNotCount(t *testing.T) {
+	e := entry("a", "m1", "m2")
+	e.Draining = true
+	leaving := steer.NewServer(at(0), e)
+	p := planner(at(1), engine(20, "m1", "m2"), nil, leaving, reported(at(0), "b", 0, "m1"))
+	require.Equal(t, []string{"load m2 at b"}, steps(p))
+}
+
+func TestCopiesAreSpreadOverDomains(t *testing.T) {
+	far := entry("z", "m1")
+	far.Domain = "other"
+	other := steer.NewServer(at(0), far)
+	other.Reported(at(0), at(0), steer.Report{Models: []backs.Held{{Model: "m1"}}})
+	near := reported(at(0), "b", 0, "m1")
+	holds := reported(at(0), "a", 0, "m2")
+	p := planner(at(1), engine(20, "m1", "m2"), map[string]float64{"m2": 10}, holds, near, other)
+	require.Equal(t, []string{"load m2 at z"}, steps(p))
+}
--- a/steer/server.go
+++ b/steer/server.go
@@ -40,9 +40,16 @@
 	// next accepted order the lost one is dead, whether it is late or not.
 	unclear time.Time
 	// busy is until when a model order is taken to be under way at most.
-	busy      time.Time
-	changed   time.Time
-	ordered   time.Time
+	busy time.Time
+	// done is when that order should be done.
+	done     time.Time
+	changed  time.Time
+	ordered  time.Time
+	listedAt time.Time
+	// loaded is when a model load was ordered last.
+	loaded time.Time
+	// available and onDisk are the models with copies in the server's memory
+	// and on its disk; empty when not known for sure.
 	available map[string]bool
 	onDisk    map[string]bool
 }
@@ -57,21 +64,26 @@
 // Entry returns the server's entry.
 func (s *Server) Entry() backs.Entry { return s.entry }
 
-// settleTime is how long an own order outweighs entries and reports that do
-// not show it yet: an entry can be a heartbeat old, a report reportLag.
+// settleTime is how long after an own order the server's entry is not believed
+// where it differs: it can be a heartbeat and the store's delay old.
 const settleTime = 1500 * time.Millisecond
 
-// Listed takes in the server's entry in the platform.
-func (s *Server) Listed(now time.Time, e backs.Entry) {
+// Listed takes in the server's entry in the platform, known since at. An entry
+// adds models and never takes one away: it can be old, above all after the
+// store was away, and memory that is taken for free too early is overcommitted.
+// Only a report, which the server gives itself, shows that a model is gone.
+func (s *Server) Listed(at time.Time, e backs.Entry) {
 	s.entry = e
-	for _, h := range e.Models {
-		s.add(now, h)
+	if !at.After(s.listedAt) {
+		return
 	}
-	for name, r := range s.models {
-		listed := slices.ContainsFunc(e.Models, func(h backs.Held) bool { return h.Model == name })
-		if !listed && r.phase != loading && now.Sub(r.since) > settleTime {
-			s.drop(now, name)
+	s.listedAt = at
+	for _, h := range e.Models {
+		r := s.models[h.Model]
+		if r == nil && at.Sub(s.ordered) < settleTime {
+			continue
 		}
+		s.add(at, h)
 	}
 }
 
@@ -86,7 +98,6 @@
 	if r.phase == loading {
 		r.phase, r.since, s.changed, s.busy = held, now, now, time.Time{}
 	}
-	s.available[h.Model] = true
 	for _, a := range h.Adapters {
 		if _, ok := r.adapters[a]; !ok {
 			r.adapters[a] = now
@@ -113,25 +124,37 @@
 		s.sequence = r.Sequence
 	}
 	if s.known && r.Sequence < s.sequence && asked.Sub(s.ordered) < settleTime {
+		// It is from before the last order.
 		return
 	}
 	s.sequence, s.known = r.Sequence, true
-	s.copies(r)
+	s.copies(asked, r)
 	for _, h := range append(slices.Clone(r.Models), r.Pending...) {
 		s.add(now, h)
 	}
 	for name, m := range s.models {
 		i := slices.IndexFunc(r.Models, func(h backs.Held) bool { return h.Model == name })
 		if i < 0 {
-			if !r.Busy && now.Sub(m.since) > settleTime {
+			if !r.Busy {
 				s.drop(now, name)
 			}
 			continue
 		}
 		s.dropAdapters(now, m, append(slices.Clone(r.Models[i].Adapters), pendingOf(r, name)...))
 	}
-	if !r.Busy && asked.Sub(s.ordered) > reportLag {
-		s.busy = time.Time{}
+	if !r.Busy {
+		s.settled()
+	}
+}
+
+// settled notes that no model order is under way: one that is still listed as
+// leaving was not carried out.
+func (s *Server) settled() {
+	s.busy = time.Time{}
+	for _, m := range s.models {
+		if m.phase == leaving {
+			m.phase = held
+		}
 	}
 }
 
@@ -155,7 +178,12 @@
 	}
 }
 
-func (s *Server) copies(r Report) {
+// copies takes in which copies of weights the server has. A load may push out
+// others, so a report from before the last load says nothing.
+func (s *Server) copies(asked time.Time, r Report) {
+	if asked.Sub(s.loaded) < reportLag {
+		return
+	}
 	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
 	for _, m := range r.InMemory {
 		s.available[m] = true
@@ -175,6 +203,19 @@
 // can be given orders.
 func (s *Server) NeedsReport() bool { return !s.known || !s.unclear.IsZero() }
 
+// Finishing reports whether a model order should be done about now, so that a
+// report would show it.
+func (s *Server) Finishing(now time.Time) bool {
+	return !s.done.IsZero() && !now.Before(s.done) && !s.busy.IsZero()
+}
+
+// Forget makes the state unknown until the next report: another VM gave orders
+// meanwhile.
+func (s *Server) Forget() {
+	s.known, s.busy, s.unclear = false, time.Time{}, time.Time{}
+	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
+}
+
 // Sequence returns the number of orders it is taken to have accepted.
 func (s *Server) Sequence() int { return s.sequence }
 
@@ -226,8 +267,10 @@
 		}
 		return
 	}
-	s.busy = now.Add(loadSlack * max(within, time.Second))
+	s.busy, s.done = now.Add(loadSlack*max(within, time.Second)), now.Add(within+reportLag/2)
 	if !o.Unload {
+		s.loaded = now
+		s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
 		s.models[o.Model] = &resident{phase: loading, since: now, adapters: make(map[string]time.Time)}
 		return
 	}
--- /dev/null
+++ b/steer/server_test.go
@@ -0,0 +1,132 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func entry(id string, models ...string) backs.Entry {
+	e := backs.Entry{ID: id, Service: "s", Domain: "d"}
+	for _, m := range models {
+		e.Models = append(e.Models, backs.Held{Model: m})
+	}
+	return e
+}
+
+// reported returns a server that holds models and has accepted orders.
+func reported(now time.Time, id string, sequence int, models ...string) *steer.Server {
+	e := entry(id, models...)
+	s := steer.NewServer(now, e)
+	s.Reported(now, now, steer.Report{Models: e.Models, Sequence: sequence})
+	return s
+}
+
+// The store is away while a model is loaded, so the server's entry keeps
+// listing the models from before. If the model were taken for gone, its memory
+// would be given to another one and the server ordered beyond its memory: it
+// crashes with all that runs on it. Only a report frees memory.
+func TestOldEntryFreesNoMemory(t *testing.T) {
+	s := reported(at(0), "a", 0, "m1")
+	load := steer.Order{Model: "m2"}
+	s.Answered(at(1), at(1), load, steer.Accepted, time.Second)
+	s.Reported(at(3), at(3), steer.Report{Models: entry("", "m1", "m2").Models, Sequence: 1})
+	require.True(t, s.Has(at(3), "m2", ""))
+	s.Listed(at(9), entry("a", "m1"))
+	require.True(t, s.Has(at(9), "m2", ""), "an entry took away what a report had shown")
+	s.Reported(at(10), at(10), steer.Report{Models: entry("", "m1").Models, Sequence: 1})
+	require.False(t, s.Has(at(10), "m2", ""))
+}
+
+// An order gets no answer and is carried out seconds later. If the next order
+// were given with the old sequence and a guess of what the server holds, both
+// could load and exceed its memory. Until a report from after the lost answer
+// shows the sequence, nothing is ordered; with the next accepted order the late
+// one is dead.
+func TestLostAnswerStopsOrders(t *testing.T) {
+	s := reported(at(0), "a", 3, "m1")
+	require.True(t, s.Free(at(0)))
+	s.Answered(at(1), at(0.6), steer.Order{Model: "m2"}, steer.Unknown, time.Second)
+	require.False(t, s.Free(at(1)))
+	s.Reported(at(1.2), at(1.1), steer.Report{Models: entry("", "m1").Models, Sequence: 3})
+	require.False(t, s.Free(at(1.2)), "a report can be from before the order")
+	s.Reported(at(1.8), at(1.7), steer.Report{Models: entry("", "m1").Models, Sequence: 4, Busy: true})
+	require.True(t, s.Free(at(1.8)))
+	require.Equal(t, 4, s.Sequence())
+}
+
+// A report that was made before the last order would take the order's model
+// away again, and its memory would be given out twice.
+func TestReportFromBeforeAnOrder(t *testing.T) {
+	s := reported(at(0), "a", 0, "m1")
+	s.Answered(at(1), at(1), steer.Order{Model: "m1", Adapter: "a1"}, steer.Accepted, 10*time.Millisecond)
+	s.Reported(at(1.1), at(1.05), steer.Report{Models: entry("", "m1").Models, Sequence: 0})
+	require.True(t, s.Has(at(1.1), "m1", "a1"))
+	require.Equal(t, 1, s.Sequence())
+}
+
+func TestUnloadedModelIsShownNoMore(t *testing.T) {
+	s := reported(at(0), "a", 0, "m1", "m2")
+	s.Answered(at(1), at(1), steer.Order{Unload: true, Model: "m1"}, steer.Accepted, 0)
+	require.Equal(t, []backs.Held{{Model: "m2"}}, s.Shown(at(1)))
+	require.False(t, s.Free(at(1)))
+	s.Reported(at(2), at(2), steer.Report{Models: entry("", "m2").Models, Sequence: 1})
+	require.True(t, s.Free(at(2)))
+}
+
+func TestVerdicts(t *testing.T) {
+	tests := map[string]struct {
+		order    steer.Order
+		verdict  steer.Verdict
+		sequence int
+		free     bool
+	}{
+		"adapter accepted":   {steer.Order{Model: "m1", Adapter: "a1"}, steer.Accepted, 1, true},
+		"adapter dropped":    {steer.Order{Unload: true, Model: "m1", Adapter: "a1"}, steer.Done, 1, true},
+		"model accepted":     {steer.Order{Model: "m2"}, steer.Accepted, 1, false},
+		"model held already": {steer.Order{Model: "m1"}, steer.Done, 0, true},
+		"conflict":           {steer.Order{Model: "m2"}, steer.Conflict, 0, false},
+		"refused":            {steer.Order{Model: "m2"}, steer.Refused, 0, true},
+		"no answer":          {steer.Order{Model: "m2"}, steer.Unknown, 0, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := reported(at(0), "a", 0, "m1")
+			s.Answered(at(1), at(1), tc.order, tc.verdict, time.Second)
+			require.Equal(t, tc.sequence, s.Sequence())
+			require.Equal(t, tc.free, s.Free(at(1)))
+		})
+	}
+}
+
+func TestCeilingBoundsEveryWindow(t *testing.T) {
+	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 1.1}
+	begun := 0
+	for ms := range 20_000 {
+		now := at(float64(ms) / 1000)
+		if c.Allow(now) {
+			c.Begin(now)
+			begun++
+		}
+	}
+	require.LessOrEqual(t, begun, 20)
+	require.GreaterOrEqual(t, begun, 15)
+}
+
+// A VM takes the lease from another that began as many loads as allowed right
+// before it died. If it began its own at once, the window that spans both would
+// hold twice the bound. It begins none until a window has passed.
+func TestCeilingAfterAChangeOfController(t *testing.T) {
+	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 1}
+	c.Fill(at(0))
+	require.False(t, c.Allow(at(4.9)))
+	require.True(t, c.Allow(at(5)))
+}
