The controller watches the store for all VMs and tells them what changes

Change: the VM with the lease watches; the others hold a link to it that brings servers, configuration and load, and ask the store when its word is older than 1.3 s. A stopping controller keeps its lease over the restart instead of giving it up.

--- /dev/null
+++ b/backs/share.go
@@ -0,0 +1,74 @@
+package backs
+
+import "time"
+
+// State is a server as one VM tells another.
+type State struct {
+	Entry
+	// Gone says that the entry was removed.
+	Gone bool
+	// Hold is how long a server whose entry rose again must still wait for work.
+	Hold time.Duration
+}
+
+// Since returns the servers that changed after a revision of the view, 0 for
+// all, and the revision that they are of.
+func (v *View) Since(now time.Time, revision int) ([]State, int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.settle(now)
+	var list []State
+	for _, r := range v.records {
+		if r.revision <= revision || revision == 0 && !r.gone.IsZero() {
+			continue
+		}
+		s := State{Entry: r.entry, Gone: !r.gone.IsZero()}
+		if !r.risen.IsZero() {
+			s.Hold = max(0, ghostHold-now.Sub(r.risen))
+		}
+		list = append(list, s)
+	}
+	return list, v.revision
+}
+
+// Adopt takes in what another VM tells, which watches the store. A full list
+// names all servers there are.
+func (v *View) Adopt(now time.Time, states []State, full bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.away = false
+	named := make(map[string]bool, len(states))
+	for _, s := range states {
+		named[s.ID] = true
+		v.adopt(now, s)
+	}
+	if full {
+		for id, r := range v.records {
+			if !named[id] && r.gone.IsZero() {
+				r.gone = now
+				v.touch(r)
+			}
+		}
+		v.caught = true
+	}
+	if len(states) > 0 || full {
+		v.notify()
+	}
+}
+
+func (v *View) adopt(now time.Time, s State) {
+	if s.Gone {
+		if r := v.records[s.ID]; r != nil && r.gone.IsZero() {
+			r.gone, r.lapsing = now, time.Time{}
+			v.touch(r)
+		}
+		return
+	}
+	v.put(now, s.Entry)
+	r := v.records[s.ID]
+	// The other VM's word on what is held is newer than the store's.
+	r.entry.Models, r.toldAt = s.Models, now
+	if s.Hold > 0 {
+		r.risen = now.Add(s.Hold - ghostHold)
+	}
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -43,6 +43,8 @@
 	// heldAt is how new entry.Models is, toldAt when the controller told it
 	// last.
 	heldAt, toldAt time.Time
+	// revision is the view's when the record changed last.
+	revision int
 }
 
 // View is the servers known to a VM. The zero value works. It is safe for use
@@ -56,6 +58,8 @@
 	back    time.Time
 	changed chan struct{}
 	caught  bool
+	// revision counts changes.
+	revision int
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -126,6 +130,12 @@
 		e.Models = joinAdapters(e.Models, r.entry.Models)
 	}
 	r.entry, r.heldAt = e, now
+	v.touch(r)
+}
+
+func (v *View) touch(r *record) {
+	v.revision++
+	r.revision = v.revision
 }
 
 // Remove takes in that an entry was removed. Right after the store's return it
@@ -150,6 +160,7 @@
 		return
 	}
 	r.gone = now
+	v.touch(r)
 }
 
 // Replace takes in a whole list.
@@ -176,6 +187,8 @@
 	for id, r := range v.records {
 		if !r.lapsing.IsZero() && !v.away && !now.Before(v.back.Add(returnHold)) {
 			r.gone, r.lapsing = now, time.Time{}
+			v.touch(r)
+			v.notify()
 		}
 		if !r.gone.IsZero() && now.Sub(r.gone) > forgetAfter {
 			delete(v.records, id)
@@ -192,6 +205,7 @@
 		return
 	}
 	r.entry.Models, r.heldAt, r.toldAt = models, at, at
+	v.touch(r)
 	v.notify()
 }
 
@@ -212,6 +226,7 @@
 		known = append(known, Held{Model: model})
 	}
 	r.entry.Models, r.toldAt = joinAdapters(known, told), now
+	v.touch(r)
 	v.notify()
 }
 
--- a/link/codec.go
+++ b/link/codec.go
@@ -56,7 +56,7 @@
 		m.Hello != nil, m.Gossip != nil, m.Offer != nil, m.Pull != nil, m.Push != nil,
 		m.FleetQuery != nil, m.FleetReply != nil, m.Refusal != nil,
 		m.ClaimCall != nil, m.ClaimReply != nil,
-		m.VMReport != nil, m.FleetState != nil, m.FindCall != nil, m.FindReply != nil,
+		m.VMReport != nil, m.FleetState != nil, m.FindCall != nil, m.FindReply != nil, m.ConfigState != nil,
 	} {
 		if set {
 			n++
--- a/link/conn.go
+++ b/link/conn.go
@@ -53,6 +53,12 @@
 	if err != nil {
 		return err
 	}
+	return c.SendEncoded(ctx, data)
+}
+
+// SendEncoded writes a frame that Encode returned, so that one that goes to
+// many VMs is encoded once.
+func (c *Conn) SendEncoded(ctx context.Context, data []byte) error {
 	if err := c.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return fmt.Errorf("send frame: %w", err)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -15,6 +15,19 @@
 	// storeAgain is the pause before the store is tried again, half to one and
 	// a half of it, so that all VMs do not call in the same moment.
 	storeAgain = 300 * time.Millisecond
+	// startAlone is how long a VM that starts waits for the controller to tell
+	// it everything before it asks the store: with many VMs that start at once,
+	// each asking for all servers would use the store's rate up.
+	startAlone = 700 * time.Millisecond
+	// coverEvery is how often a VM that is told everything looks whether it
+	// still is.
+	coverEvery = 50 * time.Millisecond
+	// gatherChanges is the pause after a watch that brought changes, so that
+	// those which follow at once come with one call.
+	gatherChanges = 40 * time.Millisecond
+	// aloneFactor stretches the wait of a watch on a VM that watches for itself
+	// only.
+	aloneFactor = 2
 )
 
 // watcher follows one kind of objects.
@@ -26,11 +39,18 @@
 	back    func(now time.Time)
 }
 
-// follow lists a kind and watches it until ctx ends.
+// follow lists a kind and watches it until ctx ends, except while the
+// controller tells this VM what changes.
 func (n *Node) follow(ctx context.Context, w watcher) {
 	known, lost := false, false
 	from := 0
+	begun := n.now()
 	for ctx.Err() == nil {
+		if now := n.now(); n.covered(now) || !n.peers.Leading() && now.Sub(begun) < startAlone {
+			known = false
+			pause.For(ctx, coverEvery)
+			continue
+		}
 		var err error
 		if known {
 			from, err = n.watchOnce(ctx, w, from)
@@ -63,71 +83,124 @@
 	}
 }
 
+// covered reports whether the controller, another VM, tells this one what
+// changes.
+func (n *Node) covered(now time.Time) bool { return !n.peers.Leading() && n.peers.Covered(now) }
+
+// heard notes that the store told what is current of a kind.
+func (n *Node) heard(now time.Time, kind string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contact[kind] = now
+}
+
+// current returns when the store told last that all that this VM knows is
+// current.
+func (n *Node) current() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	config, servers := n.contact[n.config.ConfigKind], n.contact[n.config.ServerKind]
+	if config.Before(servers) {
+		return config
+	}
+	return servers
+}
+
 func (n *Node) listOnce(ctx context.Context, w watcher) (int, error) {
 	l, err := n.config.Objects.List(ctx, w.kind)
 	if err != nil {
 		return 0, err
 	}
 	now := n.now()
+	n.heard(now, w.kind)
 	w.back(now)
 	w.listed(now, l)
 	return l.Version, nil
 }
 
 func (n *Node) watchOnce(ctx context.Context, w watcher, from int) (int, error) {
-	list, next, err := n.config.Objects.Watch(ctx, w.kind, from, n.settings().Duration("store", "wait"))
+	wait := n.settings().Duration("store", "wait")
+	if !n.peers.Leading() {
+		wait *= aloneFactor
+	}
+	list, next, err := n.config.Objects.Watch(ctx, w.kind, from, wait)
 	if err != nil {
 		return from, err
 	}
 	now := n.now()
+	n.heard(now, w.kind)
 	w.back(now)
 	for _, c := range list {
 		w.changed(now, c)
 	}
+	if len(list) > 0 {
+		pause.For(ctx, gatherChanges)
+	}
 	return next, nil
 }
 
 // configWatcher puts the newest configuration in force. A lower version never
 // replaces a higher one.
 func (n *Node) configWatcher() watcher {
-	take := func(o store.Object) {
-		if o.Name != n.config.ConfigName {
-			return
-		}
-		table, err := n.config.Table(o)
-		if err != nil {
-			n.log.Error().Err(err).Int("version", o.Version).Msg("configuration not readable, the one in force stays")
-			return
-		}
-		n.adopt(table, o.Version)
-	}
 	return watcher{
 		kind: n.config.ConfigKind,
 		listed: func(_ time.Time, l store.Listing) {
 			for _, o := range l.Items {
-				take(o)
+				n.takeConfig(o)
 			}
 		},
 		changed: func(_ time.Time, c store.Change) {
 			if !c.Deleted {
-				take(c.Object)
+				n.takeConfig(c.Object)
 			}
 		},
 		away: func() {}, back: func(time.Time) {},
 	}
 }
 
-func (n *Node) adopt(table *routes.Table, revision int) {
+func (n *Node) adopt(table *routes.Table, revision int, value []byte) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if revision <= n.revision {
 		return
 	}
-	n.revision = revision
+	n.revision, n.value = revision, value
 	n.table.Store(table)
+	close(n.configured)
+	n.configured = make(chan struct{})
 	n.log.Info().Int("config_version", table.Version()).Int("revision", revision).Msg("configuration in force")
 }
 
+// configValue returns the configuration in force as the store holds it.
+func (n *Node) configValue() (int, []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.revision, n.value
+}
+
+func (n *Node) configChanged() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.configured
+}
+
+// configure puts a configuration in force that the controller told.
+func (n *Node) configure(revision int, value []byte) {
+	n.takeConfig(store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Version: revision, Value: value})
+}
+
+func (n *Node) takeConfig(o store.Object) {
+	if o.Name != n.config.ConfigName {
+		return
+	}
+	table, err := n.config.Table(o)
+	if err != nil {
+		n.log.Error().Err(err).Int("version", o.Version).Msg("configuration not readable, the one in force stays")
+		return
+	}
+	n.adopt(table, o.Version, o.Value)
+}
+
 // serverWatcher keeps the view of the backend servers.
 func (n *Node) serverWatcher() watcher {
 	return watcher{
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,9 @@
 	tidyEvery = time.Second
 	// stopSlack is left of the grace time for the process to end by itself.
 	stopSlack = 400 * time.Millisecond
+	// restartLease is how long the lease of a VM that stops lasts: a process
+	// starts again within a second or two.
+	restartLease = 2500 * time.Millisecond
 	// budgetShare is the part of the retry budget that is used: the VMs' counts
 	// of each other are some seconds old.
 	budgetShare = 0.8
@@ -74,7 +77,7 @@
 // Node is the daemon of one VM.
 type Node struct {
 	config  Config
-	current atomic.Pointer[conf.Settings]
+	active  atomic.Pointer[conf.Settings]
 	log     zerolog.Logger
 	now     func() time.Time
 	meter   *meter.Set
@@ -87,9 +90,16 @@
 	lease   *peers.Lease
 	table   atomic.Pointer[routes.Table]
 
-	mu       sync.Mutex
-	revision int
-	budgets  map[string]*retry.Budget
+	mu sync.Mutex
+	// revision and value are the configuration in force as the store holds it;
+	// configured is closed when it changes.
+	revision   int
+	value      []byte
+	configured chan struct{}
+	// contact is when the store told last that what is known of a kind is
+	// current.
+	contact map[string]time.Time
+	budgets map[string]*retry.Budget
 
 	stopping atomic.Bool
 	listened []*http.Server
@@ -105,11 +115,12 @@
 		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		book:    &pick.Book{Domain: s.Text("vm", "failure_domain")},
-		budgets: make(map[string]*retry.Budget),
+		budgets: make(map[string]*retry.Budget), configured: make(chan struct{}), contact: make(map[string]time.Time),
 	}
-	n.current.Store(s)
+	n.active.Store(s)
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: c.Objects,
+		Weakness: weakness(s.Float("limits", "cpu")),
 		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
 	}
 	n.control = &steer.Controller{
@@ -118,6 +129,7 @@
 	}
 	n.peers = &peers.Peers{
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
+		Config: n.configValue, ConfigChanged: n.configChanged, Configure: n.configure, Current: n.current,
 		Controller: n.control, Servers: n.servers, Book: n.book, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.gateway = &pass.Gateway{
@@ -127,6 +139,15 @@
 	return n
 }
 
+// weakness is how long a VM leaves a free lease to stronger ones: none with a
+// core or more, a second with an eighth of one.
+func weakness(cores float64) time.Duration {
+	return max(0, time.Duration(weakest/8*(1/cores-1)*float64(time.Second)))
+}
+
+// weakest is the wait in seconds, nearly, of a VM with an eighth of a core.
+const weakest = 1.14
+
 // budget returns the retry budget of a service.
 func (n *Node) budget(service string) *retry.Budget {
 	n.mu.Lock()
@@ -232,7 +253,7 @@
 			n.log.Warn().Str("key", key).Str("old", old).Str("new", s.Text("vm", key)).Msg("address changes with the next start only")
 		}
 	}
-	n.current.Store(s)
+	n.active.Store(s)
 	n.apply()
 	n.log.Info().Msg("settings reloaded")
 }
@@ -242,7 +263,7 @@
 	n.log.Error().Err(err).Msg("settings not reloaded, the old ones stay")
 }
 
-func (n *Node) settings() *conf.Settings { return n.current.Load() }
+func (n *Node) settings() *conf.Settings { return n.active.Load() }
 
 // tidy clears away what is not needed any more and divides the retry budget
 // anew.
@@ -268,12 +289,14 @@
 	n.stopping.Store(true)
 	n.log.Info().Msg("stopping")
 	background := context.Background()
-	n.lease.Release(background)
 	pause.For(background, n.settings().Duration("drain", "notice"))
 	left := n.settings().Duration("drain", "grace") - stopSlack - n.now().Sub(begun)
 	ctx, cancel := context.WithTimeout(background, left)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
+	// From here on this VM must not renew by itself.
+	n.cancel()
+	n.lease.Extend(background, restartLease)
 	n.Kill()
 	n.log.Info().Err(err).Msg("stopped")
 	if err != nil {
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -1,7 +1,11 @@
 package peers
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
@@ -11,64 +15,144 @@
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
-// serveLink is the controller's side of a link.
+const (
+	// frameQueue is how many frames wait for a link. A VM that is so far behind
+	// is better off with a new link, which begins with the whole view.
+	frameQueue = 32
+	// findLimit bounds the controller's work for one question; the VM that asks
+	// has given up by then.
+	findLimit = 10 * time.Second
+	// gather is how long a change waits for others that follow at once, so that
+	// they go out in one frame.
+	gather = 10 * time.Millisecond
+)
+
+// downlink is the controller's side of a link.
+type downlink struct {
+	conn   *link.Conn
+	vm     string
+	frames chan []byte
+}
+
+// offer queues a frame. A link whose queue is full is closed.
+func (d *downlink) offer(frame []byte) {
+	select {
+	case d.frames <- frame:
+	default:
+		d.conn.Close()
+	}
+}
+
+// write sends the queued frames until ctx ends or the link breaks.
+func (d *downlink) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case frame := <-d.frames:
+			send, cancel := context.WithTimeout(ctx, linkSilence)
+			err := d.conn.SendEncoded(send, frame)
+			cancel()
+			if err != nil {
+				d.conn.Close()
+				return
+			}
+		}
+	}
+}
+
+// serveLink is the controller's side of a link, from its opening to its end.
 func (p *Peers) serveLink(ctx context.Context, c *link.Conn) {
-	vm := c.Peer().Node
-	if !p.addLink(c, vm) {
+	d := &downlink{conn: c, vm: c.Peer().Node, frames: make(chan []byte, frameQueue)}
+	if err := p.addLink(d); err != nil {
+		p.Log.Info().Str("vm", d.vm).Err(err).Msg("link not taken")
 		return
 	}
-	p.Log.Info().Str("vm", vm).Msg("link opened")
+	p.Log.Info().Str("vm", d.vm).Msg("link opened")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go p.tell(ctx, c, vm)
+	go d.write(ctx)
 	for {
 		m, err := c.Receive(ctx)
 		if err != nil {
-			p.dropLink(c, vm)
-			p.Log.Info().Str("vm", vm).Err(err).Msg("link closed")
+			p.dropLink(d)
+			p.Log.Info().Str("vm", d.vm).Err(err).Msg("link closed")
 			return
 		}
-		p.take(ctx, c, vm, m)
+		p.take(ctx, d, m)
 	}
 }
 
-func (p *Peers) addLink(c *link.Conn, vm string) bool {
+// addLink begins a link with the whole view; what changes follows.
+func (p *Peers) addLink(d *downlink) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.Lease.Held(p.Now()) {
-		return false
+		return errNoController
+	}
+	first, err := p.wholeView()
+	if err != nil {
+		return err
+	}
+	for _, frame := range first {
+		d.offer(frame)
 	}
 	if p.links == nil {
-		p.links = make(map[*link.Conn]string)
+		p.links = make(map[*downlink]bool)
 	}
-	p.links[c] = vm
-	return true
+	p.links[d] = true
+	return nil
 }
 
-func (p *Peers) dropLink(c *link.Conn, vm string) {
+// wholeView returns the frames that a new link begins with.
+func (p *Peers) wholeView() ([][]byte, error) {
+	var frames [][]byte
+	if revision, value := p.Config(); revision > 0 {
+		frame, err := configFrame(revision, value)
+		if err != nil {
+			return nil, err
+		}
+		frames = append(frames, frame)
+	}
+	now := p.Now()
+	states, _ := p.Servers.Since(now, 0)
+	frame, err := link.Encode(&wire.Message{FleetState: &wire.FleetState{
+		Vms: len(p.links) + 2, Full: true, AgeMs: p.age(now), Servers: statesOf(states), Loads: loadList(p.Controller.Loads()),
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return append(frames, frame), nil
+}
+
+// age returns the time in milliseconds since the store told that what this VM
+// knows is current.
+func (p *Peers) age(now time.Time) int { return int(now.Sub(p.Current()).Milliseconds()) }
+
+func (p *Peers) dropLink(d *downlink) {
 	p.mu.Lock()
-	delete(p.links, c)
+	delete(p.links, d)
 	again := false
-	for _, name := range p.links {
-		again = again || name == vm
+	for other := range p.links {
+		again = again || other.vm == d.vm
 	}
 	p.mu.Unlock()
 	if !again {
-		p.Controller.Left(vm)
+		p.Controller.Left(d.vm)
 	}
 }
 
 // take handles one frame of another VM.
-func (p *Peers) take(ctx context.Context, c *link.Conn, vm string, m *wire.Message) {
+func (p *Peers) take(ctx context.Context, d *downlink, m *wire.Message) {
 	switch {
 	case m.VMReport != nil:
-		p.Controller.Report(p.Now(), vm, loadsOf(m.VMReport.Loads), wantsOf(m.VMReport.Wants))
+		p.Controller.Report(p.Now(), d.vm, loadsOf(m.VMReport.Loads), wantsOf(m.VMReport.Wants))
 	case m.FindCall != nil:
-		go p.answerFind(ctx, c, m.FindCall)
+		go p.answerFind(ctx, d, m.FindCall)
 	}
 }
 
-func (p *Peers) answerFind(ctx context.Context, c *link.Conn, call *wire.FindCall) {
+func (p *Peers) answerFind(ctx context.Context, d *downlink, call *wire.FindCall) {
 	ctx, cancel := context.WithTimeout(ctx, findLimit)
 	defer cancel()
 	reply := &wire.FindReply{Call: call.Call}
@@ -77,56 +161,119 @@
 		reply.Reason = err.Error()
 	}
 	reply.Server = id
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), linkSilence)
-	defer stop()
-	if err := c.Send(ctx, &wire.Message{FindReply: reply}); err != nil {
-		p.Log.Info().Err(err).Msg("reply to a VM not sent")
+	frame, err := link.Encode(&wire.Message{FindReply: reply})
+	if err != nil {
+		p.Log.Error().Err(err).Msg("reply to a VM not sent")
+		return
 	}
+	d.offer(frame)
 }
 
-// findLimit bounds the controller's work for one question; the VM that asks has
-// given up by then.
-const findLimit = 10 * time.Second
-
-// tell sends the controller's view on a link: what servers hold as soon as it
-// changes, the load of others at intervals.
-func (p *Peers) tell(ctx context.Context, c *link.Conn, vm string) {
-	var since, last time.Time
+// broadcast tells all links what changes, and at intervals the load, until ctx
+// ends. Each frame is encoded once.
+func (p *Peers) broadcast(ctx context.Context) {
+	_, revision := p.Servers.Since(p.Now(), 0)
+	config, _ := p.Config()
+	last := p.Now()
 	for ctx.Err() == nil {
-		changed := p.Controller.Changed()
-		now := p.Now()
-		shown := p.Controller.ShownSince(now, since)
-		if len(shown) > 0 || now.Sub(last) >= interval(p.VMs()) {
-			state := &wire.FleetState{Vms: p.VMs(), Servers: statesOf(now, shown), Others: loadList(p.Controller.Others(vm))}
-			send, cancel := context.WithTimeout(ctx, linkSilence)
-			err := c.Send(send, &wire.Message{FleetState: state})
-			cancel()
-			if err != nil {
-				c.Close()
-				return
-			}
-			since, last = now, now
-		}
+		changed := p.Servers.Changed()
+		configured := p.ConfigChanged()
+		wait := time.NewTimer(interval(p.VMs()))
 		select {
 		case <-ctx.Done():
+		case <-configured:
 		case <-changed:
-			// What changes together is told together.
-			select {
-			case <-ctx.Done():
-			case <-time.After(gather):
-			}
-		case <-time.After(interval(p.VMs())):
+			pauseShort(ctx, gather)
+		case <-wait.C:
+		}
+		wait.Stop()
+		now := p.Now()
+		if at, value := p.Config(); at > config {
+			config = at
+			p.tellConfig(at, value)
+		}
+		states, next := p.Servers.Since(now, revision)
+		if len(states) > 0 || now.Sub(last) >= interval(p.VMs()) {
+			revision, last = next, now
+			p.tellFleet(now, states)
 		}
 	}
 }
 
-// gather is how long a change waits for others that follow at once.
-const gather = 5 * time.Millisecond
+func pauseShort(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (p *Peers) tellFleet(now time.Time, states []backs.State) {
+	frame, err := link.Encode(&wire.Message{FleetState: &wire.FleetState{
+		Vms: p.VMs(), AgeMs: p.age(now), Servers: statesOf(states), Loads: loadList(p.Controller.Loads()),
+	}})
+	if err != nil {
+		p.Log.Error().Err(err).Msg("view not told")
+		return
+	}
+	p.offerAll(frame)
+}
+
+func (p *Peers) tellConfig(revision int, value []byte) {
+	frame, err := configFrame(revision, value)
+	if err != nil {
+		p.Log.Error().Err(err).Msg("configuration not told")
+		return
+	}
+	p.offerAll(frame)
+}
 
-func statesOf(now time.Time, shown []steer.Shown) []wire.ServerState {
-	list := make([]wire.ServerState, 0, len(shown))
-	for _, s := range shown {
-		state := wire.ServerState{Server: s.Server, AgeMs: int(now.Sub(s.Changed).Milliseconds()), Models: []wire.HeldModel{}}
+func (p *Peers) offerAll(frame []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for d := range p.links {
+		d.offer(frame)
+	}
+}
+
+// configFrame compresses a configuration: its names repeat, and it goes to
+// every VM over links of the smallest of them.
+func configFrame(revision int, value []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress configuration: %w", err)
+	}
+	if _, err := w.Write(value); err != nil {
+		return nil, fmt.Errorf("compress configuration: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress configuration: %w", err)
+	}
+	return link.Encode(&wire.Message{ConfigState: &wire.ConfigState{Revision: revision, Value: packed.String()}})
+}
+
+// configLimit bounds what a compressed configuration may grow to; the store
+// holds a megabyte.
+const configLimit = 4 << 20
+
+func unpackConfig(s *wire.ConfigState) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader([]byte(s.Value)))
+	value, err := io.ReadAll(io.LimitReader(r, configLimit))
+	if err != nil {
+		return nil, fmt.Errorf("decompress configuration: %w", err)
+	}
+	return value, nil
+}
+
+func statesOf(states []backs.State) []wire.ServerState {
+	list := make([]wire.ServerState, 0, len(states))
+	for _, s := range states {
+		state := wire.ServerState{
+			Server: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
+			Gone: s.Gone, HoldMs: int(s.Hold.Milliseconds()), ColdMs: int(s.Cold.Milliseconds()), Models: []wire.HeldModel{},
+		}
 		for _, h := range s.Models {
 			state.Models = append(state.Models, wire.HeldModel{Name: h.Model, Adapters: append([]string{}, h.Adapters...)})
 		}
@@ -135,12 +282,15 @@
 	return list
 }
 
-func heldOf(models []wire.HeldModel) []backs.Held {
-	list := make([]backs.Held, 0, len(models))
-	for _, m := range models {
-		list = append(list, backs.Held{Model: m.Name, Adapters: m.Adapters})
+func stateOf(s wire.ServerState) backs.State {
+	state := backs.State{Gone: s.Gone, Hold: time.Duration(s.HoldMs) * time.Millisecond, Entry: backs.Entry{
+		ID: s.Server, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
+		Cold: time.Duration(s.ColdMs) * time.Millisecond,
+	}}
+	for _, m := range s.Models {
+		state.Models = append(state.Models, backs.Held{Model: m.Name, Adapters: m.Adapters})
 	}
-	return list
+	return state
 }
 
 func loadList(loads map[string]pick.Load) []wire.ServerLoad {
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -45,17 +45,20 @@
 	// Handover is the least time between the last order of one VM and the first
 	// of the next.
 	Handover time.Duration
+	// Weakness is how long this VM leaves a free lease to stronger ones.
+	Weakness time.Duration
 	Now      func() time.Time
 	Log      zerolog.Logger
 
-	mu     sync.Mutex
-	keeper lease.Keeper
-	record wire.ControllerLease
-	key    string
-	fence  int
+	mu sync.Mutex
+	// freeSince is when the lease was first seen to be free.
+	freeSince time.Time
+	keeper    lease.Keeper
+	record    wire.ControllerLease
+	key       string
+	fence     int
 	// orders is from when this VM may give orders.
 	orders time.Time
-	led    bool
 }
 
 // Fence returns the fencing number while orders may be given.
@@ -106,7 +109,7 @@
 	l.mu.Lock()
 	action := l.keeper.Next(l.Now())
 	l.mu.Unlock()
-	if action == lease.Wait {
+	if action == lease.Wait || action == lease.Take && l.yields() {
 		return
 	}
 	if err := l.write(ctx, action); err != nil {
@@ -114,6 +117,20 @@
 	}
 }
 
+// yields reports whether a free lease is left to stronger VMs for now.
+func (l *Lease) yields() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	if l.record.Address == l.Address {
+		return false
+	}
+	if l.freeSince.IsZero() {
+		l.freeSince = now
+	}
+	return now.Sub(l.freeSince) < l.Weakness
+}
+
 func (l *Lease) prepare() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,6 +170,9 @@
 }
 
 func (l *Lease) observe(version int, record wire.ControllerLease) {
+	if version != 0 && record.Renewals != l.record.Renewals {
+		l.freeSince = time.Time{}
+	}
 	l.record = record
 	l.keeper.Observe(l.Now(), version, lease.Record{
 		Holder: record.Holder, Boot: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
@@ -193,28 +213,23 @@
 	if before.Address != "" && before.Address != l.Address {
 		l.orders = l.Now().Add(l.Handover + orderSlack)
 	}
-	l.led = true
 	l.Log.Info().Int("fence", version).Str("before", before.Holder).Time("begun", begun).Msg("lease taken")
 }
 
-// Release gives the lease up, so that the next VM need not wait for its end.
-func (l *Lease) Release(ctx context.Context) {
+// Extend renews the lease a last time, for long enough that the process can
+// start again and go on with it. A change of controller costs the time of the
+// lease and the pause between orders of two VMs, during which no model moves;
+// a restart takes a second. It reports whether the lease was held.
+func (l *Lease) Extend(ctx context.Context, duration time.Duration) bool {
 	l.mu.Lock()
 	held := l.keeper.Held(l.Now())
-	next, version := l.keeper.Released()
+	l.keeper.Duration = duration
 	l.mu.Unlock()
 	if !held {
-		return
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaseCall)
-	defer cancel()
-	record := wire.ControllerLease{DurationMs: next.DurationMs, Renewals: next.Renewals, Address: l.Address}
-	got, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.keeper.Lost()
-	if err == nil {
-		l.keeper.Won(l.Now(), got, next)
+	if err := l.write(ctx, lease.Renew); err != nil {
+		l.Log.Info().Err(err).Msg("lease not extended")
 	}
-	l.Log.Info().Err(err).Msg("lease released")
+	return true
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -19,16 +19,19 @@
 )
 
 const (
-	// shareEvery is the pause between two frames that tell load. Reports of
-	// servers are older; with more VMs the pause grows, so that the frames that
-	// the controller handles a second stay the same.
+	// shareEvery and shareMost bound the pause between two frames that tell
+	// load, which grows with the VMs by sharePerVM: the controller handles some
+	// hundred frames a second at most. Reports of servers are 200 ms old and
+	// more, so more often would tell little.
 	shareEvery = 100 * time.Millisecond
-	// sharesPerSecond is how many such frames the controller takes and sends.
-	sharesPerSecond = 100
-	// linkSilence is how long a link may be silent before it counts as dead;
-	// the controller sends at least every linkPulse.
+	shareMost  = 300 * time.Millisecond
+	sharePerVM = 5 * time.Millisecond
+	// linkSilence is how long a link may be silent before it counts as dead.
 	linkSilence = 1500 * time.Millisecond
-	linkPulse   = 500 * time.Millisecond
+	// freshFor is how old the controller's word may be, its own age at the
+	// store included, before a VM asks the store itself. It leaves time for
+	// that within the second or two in which a change must be in force.
+	freshFor = 1300 * time.Millisecond
 	// leaseEvery is how often the lease is looked at. A third of its duration
 	// lies between renewals.
 	leaseEvery = 150 * time.Millisecond
@@ -48,15 +51,26 @@
 	Controller   *steer.Controller
 	Servers      *backs.View
 	Book         *pick.Book
-	Now          func() time.Time
-	Log          zerolog.Logger
-	Meter        *meter.Set
+	// Config returns the configuration in force as the store holds it, and its
+	// revision; ConfigChanged is closed when it changes, and Configure puts one
+	// in force that the controller told.
+	Config        func() (revision int, value []byte)
+	ConfigChanged func() <-chan struct{}
+	Configure     func(revision int, value []byte)
+	// Current returns when the store told last that what this VM knows is
+	// current.
+	Current func() time.Time
+	Now     func() time.Time
+	Log     zerolog.Logger
+	Meter   *meter.Set
 
 	mu    sync.Mutex
 	wants map[wantKey]*steer.Want
 	vms   int
-	links map[*link.Conn]string
+	links map[*downlink]bool
 	up    *uplink
+	// fresh is as of when the controller's word is current.
+	fresh time.Time
 }
 
 type wantKey struct{ service, model, adapter string }
@@ -150,6 +164,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.shareOwn(ctx)
+	go p.broadcast(ctx)
 	for ctx.Err() == nil && p.Lease.Held(p.Now()) {
 		pause.For(ctx, leaseEvery)
 		p.Lease.Step(ctx)
@@ -162,9 +177,11 @@
 func (p *Peers) shareOwn(ctx context.Context) {
 	since := time.Time{}
 	for ctx.Err() == nil {
+		changed := p.Controller.Changed()
 		now := p.Now()
-		p.Controller.Report(now, p.Name, p.Book.Own(), p.takeWants())
-		p.Book.Others(p.Controller.Others(p.Name))
+		own := p.Book.Own()
+		p.Controller.Report(now, p.Name, own, p.takeWants())
+		p.Book.Others(pick.Minus(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ShownSince(now, since) {
 			p.Servers.Hold(now, s.Server, s.Models)
 		}
@@ -172,7 +189,7 @@
 		p.setVMs(p.linkCount() + 1)
 		select {
 		case <-ctx.Done():
-		case <-p.Controller.Changed():
+		case <-changed:
 		case <-time.After(shareEvery):
 		}
 	}
@@ -189,11 +206,23 @@
 	links := p.links
 	p.links = nil
 	p.mu.Unlock()
-	for c := range links {
-		c.Close()
+	for d := range links {
+		d.conn.Close()
 	}
 }
 
+// Leading reports whether this VM holds the lease: it then watches the store
+// for all others.
+func (p *Peers) Leading() bool { return p.Lease.Held(p.Now()) }
+
+// Covered reports whether a controller that watches the store tells this VM
+// what changes, so that it need not watch by itself.
+func (p *Peers) Covered(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.up != nil && now.Sub(p.fresh) < freshFor
+}
+
 // Handler takes links from other VMs while this one holds the lease.
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -220,5 +249,5 @@
 
 // interval returns the pause between frames that tell load.
 func interval(vms int) time.Duration {
-	return max(shareEvery, time.Duration(vms)*time.Second/sharesPerSecond)
+	return min(max(shareEvery, time.Duration(vms)*sharePerVM), shareMost)
 }
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -17,7 +19,10 @@
 type uplink struct {
 	conn *link.Conn
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// told is the load that this VM reported last: it is part of the
+	// controller's sums.
+	told    map[string]pick.Load
 	next    int
 	waiting map[int]chan *wire.FindReply
 	closed  bool
@@ -58,7 +63,9 @@
 func (p *Peers) report(ctx context.Context, up *uplink) {
 	quiet := true
 	for ctx.Err() == nil {
-		loads, wants := loadList(p.Book.Own()), wantList(p.takeWants())
+		own := p.Book.Own()
+		loads, wants := loadList(own), wantList(p.takeWants())
+		up.tell(own)
 		if len(loads) > 0 || len(wants) > 0 || !quiet {
 			quiet = len(loads) == 0 && len(wants) == 0
 			send, cancel := context.WithTimeout(ctx, linkSilence)
@@ -95,20 +102,48 @@
 		}
 		switch {
 		case m.FleetState != nil:
-			p.adopt(m.FleetState)
+			p.adopt(up, m.FleetState)
+		case m.ConfigState != nil:
+			p.adoptConfig(m.ConfigState)
 		case m.FindReply != nil:
 			up.reply(m.FindReply)
 		}
 	}
 }
 
-func (p *Peers) adopt(s *wire.FleetState) {
+func (u *uplink) tell(own map[string]pick.Load) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.told = own
+}
+
+func (u *uplink) lastTold() map[string]pick.Load {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.told
+}
+
+func (p *Peers) adopt(up *uplink, s *wire.FleetState) {
 	now := p.Now()
-	p.setVMs(s.Vms)
-	p.Book.Others(loadsOf(s.Others))
+	p.mu.Lock()
+	p.vms = s.Vms
+	p.fresh = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
+	p.mu.Unlock()
+	p.Book.Others(pick.Minus(loadsOf(s.Loads), up.lastTold()))
+	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
-		p.Servers.Hold(now, state.Server, heldOf(state.Models))
+		states = append(states, stateOf(state))
+	}
+	p.Servers.Adopt(now, states, s.Full)
+}
+
+func (p *Peers) adoptConfig(s *wire.ConfigState) {
+	value, err := unpackConfig(s)
+	if err != nil {
+		p.Log.Error().Err(err).Int("revision", s.Revision).Msg("configuration from the controller not readable")
+		return
 	}
+	p.Configure(s.Revision, value)
 }
 
 var errLinkLost = errors.New("the link to the controller was lost")
--- a/pick/book.go
+++ b/pick/book.go
@@ -49,10 +49,22 @@
 	Running, Reading, Tokens int
 }
 
-func (l Load) plus(o Load) Load {
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
 	return Load{l.Running + o.Running, l.Reading + o.Reading, l.Tokens + o.Tokens}
 }
 
+// Minus returns sums without one VM's part, which is a little older or newer
+// than the one in the sums.
+func Minus(sums, part map[string]Load) map[string]Load {
+	rest := make(map[string]Load, len(sums))
+	for id, s := range sums {
+		p := part[id]
+		rest[id] = Load{max(s.Running-p.Running, 0), max(s.Reading-p.Reading, 0), max(s.Tokens-p.Tokens, 0)}
+	}
+	return rest
+}
+
 // state is the books of one server.
 type state struct {
 	own, others Load
@@ -133,7 +145,7 @@
 
 func (b *Book) predict(e backs.Entry, w Work, chain []uint64, owner bool) Choice {
 	s := b.state(e.ID)
-	load := s.own.plus(s.others)
+	load := s.own.Plus(s.others)
 	if w.Model == "" {
 		return Choice{Server: e, Predicted: s.plainTime(load, e.Slots), Load: load}
 	}
--- a/pick/ticket.go
+++ b/pick/ticket.go
@@ -18,7 +18,7 @@
 	defer b.mu.Unlock()
 	s := b.state(c.Server.ID)
 	t := &Ticket{book: b, id: c.Server.ID, started: now, load: Load{Running: 1, Reading: c.Missing, Tokens: w.Prompt + w.Output/2}}
-	s.own = s.own.plus(t.load)
+	s.own = s.own.Plus(t.load)
 	if w.Model != "" {
 		s.cache.read(now, w, w.chain(), int(keptShare*float64(kv)))
 	}
--- a/steer/ceiling.go
+++ b/steer/ceiling.go
@@ -9,17 +9,24 @@
 	Window    time.Duration
 	PerSecond float64
 	begun     []time.Time
-	blocked   time.Time
 }
 
-// Fill takes the whole bound as used now.
-func (c *Ceiling) Fill(now time.Time) { c.blocked = now.Add(c.Window) }
+// firstLoads is how many loads may begin in the first window of a term. The VM
+// before may have begun as many as are allowed right before; what servers are
+// asked to bear leaves three loads above that, and a term can be short.
+const firstLoads = 2
+
+// Succeed begins a term: the loads of the VM before are not known, and all but
+// a few of those allowed count as begun now.
+func (c *Ceiling) Succeed(now time.Time) {
+	c.begun = c.begun[:0]
+	for range int(c.PerSecond*c.Window.Seconds()) - firstLoads {
+		c.begun = append(c.begun, now)
+	}
+}
 
 // Allow reports whether one more load may begin now.
 func (c *Ceiling) Allow(now time.Time) bool {
-	if now.Before(c.blocked) {
-		return false
-	}
 	kept := c.begun[:0]
 	for _, t := range c.begun {
 		if now.Sub(t) < c.Window {
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -111,18 +111,14 @@
 	return d
 }
 
-// Others returns what all VMs but one have at the servers.
-func (c *Controller) Others(vm string) map[string]pick.Load {
+// Loads returns what all VMs together have at the servers.
+func (c *Controller) Loads() map[string]pick.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sum := make(map[string]pick.Load)
-	for name, loads := range c.loads {
-		if name == vm {
-			continue
-		}
+	for _, loads := range c.loads {
 		for id, l := range loads {
-			s := sum[id]
-			sum[id] = pick.Load{Running: s.Running + l.Running, Reading: s.Reading + l.Reading, Tokens: s.Tokens + l.Tokens}
+			sum[id] = sum[id].Plus(l)
 		}
 	}
 	return sum
@@ -207,14 +203,14 @@
 }
 
 // succeed begins a term. What the VM before ordered is not known: its loads
-// count against the weight store's bound as if it had used all of it.
+// count against the weight store's bound as if it had used nearly all of it.
 func (c *Controller) succeed(now time.Time, fence int, table *routes.Table) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fence = fence
 	for _, s := range table.Services() {
 		if s.Engine != nil {
-			c.ceiling(s).Fill(now)
+			c.ceiling(s).Succeed(now)
 		}
 	}
 	for _, s := range c.servers {
--- a/wire/types.go
+++ b/wire/types.go
@@ -147,6 +147,15 @@
 const ClaimStateReleased ClaimState = "released"
 const ClaimStateUnknown ClaimState = "unknown"
 
+// The configuration in force, for the VMs linked to the controller.
+type ConfigState struct {
+	// The store's revision of it.
+	Revision int `json:"revision"`
+
+	// The object's value, compressed with DEFLATE.
+	Value string `json:"value"`
+}
+
 // Object in the platform: the lease of the VM that gives orders to the servers.
 type ControllerLease struct {
 	// Where the holder takes links.
@@ -223,10 +232,16 @@
 
 // The controller's view, for the VMs linked to it.
 type FleetState struct {
-	// What the other VMs have at the servers.
-	Others []ServerLoad `json:"others"`
+	// Time since the platform's store last told the controller that it is current.
+	AgeMs int `json:"age_ms"`
+
+	// All servers are listed, not only those that changed.
+	Full bool `json:"full"`
 
-	// Servers whose models changed since the last such frame.
+	// What all VMs have at the servers.
+	Loads []ServerLoad `json:"loads"`
+
+	// Servers corresponds to the JSON schema field "servers".
 	Servers []ServerState `json:"servers"`
 
 	// VMs linked to the controller, its own too.
@@ -398,6 +413,9 @@
 	// ClaimReply corresponds to the JSON schema field "claim_reply".
 	ClaimReply *ClaimReply `json:"claim_reply,omitempty,omitzero"`
 
+	// ConfigState corresponds to the JSON schema field "config_state".
+	ConfigState *ConfigState `json:"config_state,omitempty,omitzero"`
+
 	// FindCall corresponds to the JSON schema field "find_call".
 	FindCall *FindCall `json:"find_call,omitempty,omitzero"`
 
@@ -717,16 +735,37 @@
 	Tokens int `json:"tokens"`
 }
 
-// What the controller knows of a server.
+// A backend server as the controller knows it.
 type ServerState struct {
-	// Time since it was observed.
-	AgeMs int `json:"age_ms"`
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// How much longer it is slow after its start.
+	ColdMs int `json:"cold_ms"`
+
+	// Failure domain.
+	Domain string `json:"domain"`
+
+	// Draining corresponds to the JSON schema field "draining".
+	Draining bool `json:"draining"`
+
+	// Its entry was removed.
+	Gone bool `json:"gone"`
+
+	// Time until it may get work, when its entry rose again.
+	HoldMs int `json:"hold_ms"`
 
 	// Models corresponds to the JSON schema field "models".
 	Models []HeldModel `json:"models"`
 
 	// ID of the server's start.
 	Server string `json:"server"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots"`
 }
 
 type ServerStatus struct {
