An adapter in use keeps its place while it is unloaded; planning counts once

On the grown sites the planner counted copies anew for each choice. Ruled out: a stale report at the start of a term (its sequence would not match). Change: a leaving adapter keeps its place until a report shows it gone; the planner counts once a plan; waiting callers are woken by changes only.

--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,10 +20,12 @@
 	// makes way for another.
 	evictAfter = time.Second
 	// findPause is the longest wait between two looks for a server.
-	findPause = 50 * time.Millisecond
+	findPause = 20 * time.Millisecond
 	// busyShare is the part of a service's work above which a model counts as
 	// busy: all of its adapters are loaded ahead of requests, as places allow.
-	busyShare = 0.1
+	// With more than busyModels models the part shrinks in proportion.
+	busyShare  = 0.1
+	busyModels = 10
 )
 
 var errUnknownModel = errors.New("the service has no such model")
@@ -86,7 +89,7 @@
 		if r == nil || r.phase != held || !c.Servers.Usable(now, s.entry.ID) {
 			continue
 		}
-		if _, coming := r.adapters[adapter]; coming {
+		if at, coming := r.adapters[adapter]; coming && !at.leaving {
 			return
 		}
 		if !s.Free(now) || c.busy[s.entry.ID] {
@@ -105,7 +108,7 @@
 // orderAdapter orders an adapter, or first the unloading of another that has
 // not been asked for lately.
 func (c *Controller) orderAdapter(ctx context.Context, now time.Time, s *Server, service routes.Service, model, adapter string) {
-	if s.places() < service.Engine.AdapterSlots && s.weight(service.Engine)+service.Engine.Models[model].AdapterMB <= service.Engine.MemoryMB {
+	if s.Places() < service.Engine.AdapterSlots && s.weight(service.Engine)+service.Engine.Models[model].AdapterMB <= service.Engine.MemoryMB {
 		c.start(ctx, s, Order{Model: model, Adapter: adapter}, adapterReady)
 		return
 	}
@@ -118,7 +121,7 @@
 // fewest requests, then a rank that spreads a model's adapters over its copies.
 func (c *Controller) adapterCost(s *Server, service routes.Service, model, adapter string) uint64 {
 	cost := xxhash.Sum64String(s.entry.ID+"/"+model+"/"+adapter) >> 32
-	if s.places() >= service.Engine.AdapterSlots {
+	if s.Places() >= service.Engine.AdapterSlots {
 		cost += 1 << 50
 	}
 	return cost + uint64(c.running(s.entry.ID)/8)<<33
@@ -129,12 +132,12 @@
 func (c *Controller) idlest(now time.Time, s *Server, service string, while time.Duration) (model, adapter string) {
 	var oldest time.Time
 	for m, r := range s.models {
-		for a, ready := range r.adapters {
+		for a, at := range r.adapters {
 			last := c.adapters.Last(adapterName(service, m, a))
-			if ready.After(last) {
-				last = ready
+			if at.ready.After(last) {
+				last = at.ready
 			}
-			if now.Sub(last) >= while && (adapter == "" || last.Before(oldest)) {
+			if !at.leaving && now.Sub(last) >= while && (adapter == "" || last.Before(oldest)) {
 				model, adapter, oldest = m, a, last
 			}
 		}
@@ -148,60 +151,77 @@
 func (c *Controller) placeAdapters(ctx context.Context, now time.Time, service routes.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	demand := c.demand(service.Name)
-	total := 0.0
-	for name := range service.Engine.Models {
-		total += demand.Work(now, name)
+	present, room := c.adapterStock(now, service)
+	if len(room) == 0 {
+		return
 	}
-	for _, s := range c.of(service.Name) {
-		if !s.Free(now) || c.busy[s.entry.ID] || !c.Servers.Usable(now, s.entry.ID) || s.places() >= service.Engine.AdapterSlots {
-			continue
-		}
-		if model, adapter := c.missing(now, s, service, total); adapter != "" {
-			c.start(ctx, s, Order{Model: model, Adapter: adapter}, adapterReady)
+	for _, model := range c.busyModels(now, service) {
+		for i := range model.Adapters {
+			adapter := "a" + strconv.Itoa(i+1)
+			if present[model.Name+"/"+adapter] {
+				continue
+			}
+			s := c.roomFor(room[model.Name], service, model, adapter)
+			if s == nil {
+				continue
+			}
+			c.start(ctx, s, Order{Model: model.Name, Adapter: adapter}, adapterReady)
 		}
 	}
 }
 
-// missing returns an adapter of a busy model that no server holds, for which s
-// ranks first among those with a free place.
-func (c *Controller) missing(now time.Time, s *Server, service routes.Service, total float64) (model, adapter string) {
-	for name, r := range s.models {
-		m := service.Engine.Models[name]
-		if r.phase != held || m.Adapters == 0 || c.demand(service.Name).Work(now, name) < busyShare*total || total == 0 {
-			continue
-		}
-		if s.weight(service.Engine)+m.AdapterMB > service.Engine.MemoryMB {
-			continue
-		}
-		for i := range m.Adapters {
-			a := "a" + strconv.Itoa(i+1)
-			if !c.anywhere(service.Name, name, a) && c.first(now, s, service, name, a) {
-				return name, a
+// adapterStock returns which adapters have a place somewhere, and by model the
+// servers that could take one more.
+func (c *Controller) adapterStock(now time.Time, service routes.Service) (map[string]bool, map[string][]*Server) {
+	present, room := make(map[string]bool), make(map[string][]*Server)
+	for _, s := range c.of(service.Name) {
+		takes := s.Free(now) && s.Places() < service.Engine.AdapterSlots && c.Servers.Usable(now, s.entry.ID)
+		for name, r := range s.models {
+			for a := range r.adapters {
+				present[name+"/"+a] = true
+			}
+			if takes && r.phase == held {
+				room[name] = append(room[name], s)
 			}
 		}
 	}
-	return "", ""
+	return present, room
 }
 
-func (c *Controller) anywhere(service, model, adapter string) bool {
-	return slices.ContainsFunc(c.of(service), func(s *Server) bool {
-		r := s.models[model]
-		if r == nil {
-			return false
+// busyModels returns the models with adapters that have a good part of the
+// demand, the busiest first.
+func (c *Controller) busyModels(now time.Time, service routes.Service) []routes.Model {
+	demand := c.demand(service.Name)
+	total := 0.0
+	for name := range service.Engine.Models {
+		total += demand.Work(now, name)
+	}
+	var list []routes.Model
+	for name, m := range service.Engine.Models {
+		if m.Adapters > 0 && total > 0 && demand.Work(now, name) >= busyShare*total/float64(max(1, len(service.Engine.Models)/busyModels)) {
+			list = append(list, m)
 		}
-		_, ok := r.adapters[adapter]
-		return ok
+	}
+	slices.SortFunc(list, func(a, b routes.Model) int {
+		return cmp.Or(cmp.Compare(demand.Work(now, b.Name), demand.Work(now, a.Name)), cmp.Compare(a.Name, b.Name))
 	})
+	return list
 }
 
-func (c *Controller) first(now time.Time, s *Server, service routes.Service, model, adapter string) bool {
-	own := c.adapterCost(s, service, model, adapter)
-	return !slices.ContainsFunc(c.of(service.Name), func(o *Server) bool {
-		r := o.models[model]
-		return o != s && r != nil && r.phase == held && o.places() < service.Engine.AdapterSlots &&
-			c.Servers.Usable(now, o.entry.ID) && c.adapterCost(o, service, model, adapter) < own
-	})
+// roomFor returns the best of the servers that are not busy and have the
+// memory.
+func (c *Controller) roomFor(servers []*Server, service routes.Service, m routes.Model, adapter string) *Server {
+	var best *Server
+	var bestCost uint64
+	for _, s := range servers {
+		if c.busy[s.entry.ID] || s.weight(service.Engine)+m.AdapterMB > service.Engine.MemoryMB {
+			continue
+		}
+		if cost := c.adapterCost(s, service, m.Name, adapter); best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
 }
 
 // HeldBy returns the models of a server as requests may use them.
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -61,6 +61,8 @@
 	ceilings map[string]*Ceiling
 	loads    map[string]map[string]pick.Load
 	changed  chan struct{}
+	// notified is the newest change that was told.
+	notified time.Time
 }
 
 // Want is demand for a model that a VM met.
@@ -156,7 +158,18 @@
 	return c.changed
 }
 
+// notify wakes those who wait for a change, if there was one.
 func (c *Controller) notify() {
+	last := c.notified
+	for _, s := range c.servers {
+		if s.changed.After(last) {
+			last = s.changed
+		}
+	}
+	if !last.After(c.notified) {
+		return
+	}
+	c.notified = last
 	if c.changed != nil {
 		close(c.changed)
 		c.changed = nil
@@ -172,7 +185,6 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-c.Servers.Changed():
 		}
 		c.step(ctx, c.Now())
 	}
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -36,20 +36,30 @@
 	// Store reports whether one more load from the weight store may begin.
 	Store func() bool
 	Now   time.Time
+
+	// These are counted once for each plan: with a thousand models and as many
+	// servers, counting again for each choice would take seconds.
+	work     map[string]float64
+	have     map[string]int
+	target   map[string]int
+	inDomain map[domainModel]int
+	staying  []*Server
 }
 
+type domainModel struct{ domain, model string }
+
 // moveMargin is how much more work a copy must carry at the model that gets it
 // than at the one that loses it.
 const moveMargin = 1.5
 
 // Steps returns the next orders, at most one for each server.
 func (p *Planner) Steps() []Step {
-	have := p.copies()
-	target := p.targets()
+	p.count()
+	p.target = p.targets()
 	used := make(map[*Server]bool)
 	var steps []Step
-	for _, m := range p.lacking(have, target) {
-		if step, ok := p.place(m, have, target, used); ok {
+	for _, m := range p.lacking() {
+		if step, ok := p.place(m, used); ok {
 			used[step.Server] = true
 			steps = append(steps, step)
 		}
@@ -57,27 +67,31 @@
 	return steps
 }
 
-// copies counts the copies that stay: at servers that are leaving they do not.
-func (p *Planner) copies() map[string]int {
-	have := make(map[string]int)
+// count takes stock: the work for each model, and the copies that stay. Those
+// at servers that are leaving do not.
+func (p *Planner) count() {
+	p.work = make(map[string]float64, len(p.Engine.Models))
+	for name := range p.Engine.Models {
+		p.work[name] = p.Work(name)
+	}
+	p.have, p.inDomain, p.staying = make(map[string]int), make(map[domainModel]int), nil
 	for _, s := range p.Servers {
+		if s.entry.Draining {
+			continue
+		}
+		p.staying = append(p.staying, s)
 		for name, r := range s.models {
-			if r.phase != leaving && !s.entry.Draining {
-				have[name]++
+			if r.phase != leaving {
+				p.have[name]++
+				p.inDomain[domainModel{s.entry.Domain, name}]++
 			}
 		}
 	}
-	return have
-}
-
-// staying returns the servers that models can be placed on.
-func (p *Planner) staying() []*Server {
-	return slices.DeleteFunc(slices.Clone(p.Servers), func(s *Server) bool { return s.entry.Draining })
 }
 
 // targets divides the memory of the staying servers among the models.
 func (p *Planner) targets() map[string]int {
-	servers := len(p.staying())
+	servers := len(p.staying)
 	room := float64(servers) * p.Engine.MemoryMB
 	target := make(map[string]int)
 	for name, m := range p.Engine.Models {
@@ -90,7 +104,7 @@
 			if target[name] >= servers || m.MB > room {
 				continue
 			}
-			s := p.Work(name) / float64(target[name])
+			s := p.work[name] / float64(target[name])
 			if s > score || s == score && s > 0 && name < best {
 				best, score = name, s
 			}
@@ -105,7 +119,8 @@
 
 // lacking returns the models with fewer copies than wanted, those without any
 // first, then by the work that the next copy would take.
-func (p *Planner) lacking(have, target map[string]int) []routes.Model {
+func (p *Planner) lacking() []routes.Model {
+	have, target := p.have, p.target
 	var list []routes.Model
 	for name, m := range p.Engine.Models {
 		if have[name] < target[name] {
@@ -125,7 +140,7 @@
 }
 
 func (p *Planner) perCopy(model string, copies int) float64 {
-	return p.Work(model) / float64(max(copies, 1))
+	return p.work[model] / float64(max(copies, 1))
 }
 
 // option is a server that could take a model.
@@ -133,18 +148,20 @@
 	step Step
 	// victim is the model to unload first, "" for none.
 	victim string
-	far    int
-	load   int
+	// far is how many copies its failure domain has: copies are spread, so that
+	// a domain that is cut off or lost takes few of them along.
+	far  int
+	load int
 }
 
 // place returns the next order towards one more copy of a model.
-func (p *Planner) place(m routes.Model, have, target map[string]int, used map[*Server]bool) (Step, bool) {
+func (p *Planner) place(m routes.Model, used map[*Server]bool) (Step, bool) {
 	var options []option
-	for _, s := range p.staying() {
+	for _, s := range p.staying {
 		if used[s] || !s.Free(p.Now) || s.models[m.Name] != nil {
 			continue
 		}
-		if o, ok := p.option(s, m, have, target); ok {
+		if o, ok := p.option(s, m); ok {
 			options = append(options, o)
 		}
 	}
@@ -153,13 +170,13 @@
 	}
 	o := slices.MinFunc(options, compareOptions)
 	if o.victim != "" {
-		have[o.victim]--
+		p.have[o.victim]--
 		return Step{Server: o.step.Server, Unload: true, Model: p.Engine.Models[o.victim]}, true
 	}
 	if o.step.Store && !p.Store() {
 		return Step{}, false
 	}
-	have[m.Name]++
+	p.have[m.Name]++
 	return o.step, true
 }
 
@@ -173,31 +190,20 @@
 	)
 }
 
-func (p *Planner) option(s *Server, m routes.Model, have, target map[string]int) (option, bool) {
+func (p *Planner) option(s *Server, m routes.Model) (option, bool) {
 	took, store := s.loadTime(m)
-	o := option{step: Step{Server: s, Model: m, Store: store, Time: took}, far: p.copiesIn(s.entry.Domain, m.Name), load: p.Load(s.entry.ID)}
+	o := option{step: Step{Server: s, Model: m, Store: store, Time: took}, far: p.inDomain[domainModel{s.entry.Domain, m.Name}], load: p.Load(s.entry.ID)}
 	if s.weight(p.Engine)+m.MB <= p.Engine.MemoryMB {
 		return o, true
 	}
-	o.victim = p.victim(s, m, have, target)
+	o.victim = p.victim(s, m)
 	return o, o.victim != ""
 }
 
-// copiesIn counts the copies of a model in a failure domain: copies are spread,
-// so that a domain that is cut off or lost takes few of them along.
-func (p *Planner) copiesIn(domain, model string) int {
-	n := 0
-	for _, s := range p.Servers {
-		if r := s.models[model]; r != nil && r.phase != leaving && s.entry.Domain == domain {
-			n++
-		}
-	}
-	return n
-}
-
 // victim returns the model at a server that can best spare its copy for m. The
 // last copy of a model is never taken.
-func (p *Planner) victim(s *Server, m routes.Model, have, target map[string]int) string {
+func (p *Planner) victim(s *Server, m routes.Model) string {
+	have, target := p.have, p.target
 	best, least := "", 0.0
 	gain := p.perCopy(m.Name, have[m.Name]+1)
 	for name, r := range s.models {
--- a/steer/server.go
+++ b/steer/server.go
@@ -18,14 +18,23 @@
 	leaving
 )
 
-// resident is a model at a server, with the adapters that are loaded or on
-// their way and when each is usable.
+// resident is a model at a server, with the adapters that take places: those
+// loaded, on their way, and leaving.
 type resident struct {
 	phase    phase
 	since    time.Time
-	adapters map[string]time.Time
+	adapters map[string]place
 }
 
+// place is an adapter's place: when it is usable, and whether it is being
+// unloaded. A leaving adapter keeps its place until its runs have ended.
+type place struct {
+	ready   time.Time
+	leaving bool
+}
+
+func (p place) usable(now time.Time) bool { return !p.leaving && !now.Before(p.ready) }
+
 // Server is what the controller knows of one server: what it reported, and
 // what has been ordered since.
 type Server struct {
@@ -91,7 +100,7 @@
 func (s *Server) add(now time.Time, h backs.Held) {
 	r := s.models[h.Model]
 	if r == nil {
-		r = &resident{since: now, adapters: make(map[string]time.Time)}
+		r = &resident{since: now, adapters: make(map[string]place)}
 		s.models[h.Model] = r
 		s.changed = now
 	}
@@ -100,7 +109,7 @@
 	}
 	for _, a := range h.Adapters {
 		if _, ok := r.adapters[a]; !ok {
-			r.adapters[a] = now
+			r.adapters[a] = place{ready: now}
 			s.changed = now
 		}
 	}
@@ -170,8 +179,8 @@
 // dropAdapters forgets the adapters that a report does not show and that were
 // not just ordered.
 func (s *Server) dropAdapters(now time.Time, m *resident, shown []string) {
-	for a, ready := range m.adapters {
-		if !slices.Contains(shown, a) && now.Sub(ready) > settleTime {
+	for a, at := range m.adapters {
+		if !slices.Contains(shown, a) && (at.leaving || now.Sub(at.ready) > settleTime) {
 			delete(m.adapters, a)
 			s.changed = now
 		}
@@ -252,10 +261,16 @@
 		if r == nil {
 			return
 		}
-		if o.Unload {
+		switch {
+		case !o.Unload:
+			r.adapters[o.Adapter] = place{ready: now.Add(within)}
+		case v == Done:
 			delete(r.adapters, o.Adapter)
-		} else {
-			r.adapters[o.Adapter] = now.Add(within)
+		default:
+			// Requests still use it: its place is free only when a report shows
+			// it gone. A place given out before that is one too many, and the
+			// server crashes.
+			r.adapters[o.Adapter] = place{ready: now, leaving: true}
 		}
 		return
 	}
@@ -271,7 +286,7 @@
 	if !o.Unload {
 		s.loaded = now
 		s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
-		s.models[o.Model] = &resident{phase: loading, since: now, adapters: make(map[string]time.Time)}
+		s.models[o.Model] = &resident{phase: loading, since: now, adapters: make(map[string]place)}
 		return
 	}
 	if r := s.models[o.Model]; r != nil {
@@ -289,8 +304,8 @@
 	if adapter == "" {
 		return true
 	}
-	ready, ok := r.adapters[adapter]
-	return ok && !now.Before(ready)
+	at, ok := r.adapters[adapter]
+	return ok && at.usable(now)
 }
 
 // Shown returns the models and adapters that requests may be sent for.
@@ -303,7 +318,7 @@
 		}
 		h := backs.Held{Model: name}
 		for _, a := range slices.Sorted(maps.Keys(r.adapters)) {
-			if !now.Before(r.adapters[a]) {
+			if r.adapters[a].usable(now) {
 				h.Adapters = append(h.Adapters, a)
 			}
 		}
@@ -312,8 +327,8 @@
 	return list
 }
 
-// places returns how many adapter places are taken.
-func (s *Server) places() int {
+// Places returns how many adapter places are taken.
+func (s *Server) Places() int {
 	n := 0
 	for _, r := range s.models {
 		n += len(r.adapters)
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -73,6 +73,21 @@
 	require.Equal(t, 1, s.Sequence())
 }
 
+// An adapter is unloaded while a stream still uses it, so the server takes the
+// order and goes on. If its place were given out at once, the server would be
+// ordered beyond its places and crash with all its streams. The place is free
+// when a report shows the adapter gone.
+func TestUnloadOfAnAdapterInUseKeepsItsPlace(t *testing.T) {
+	s := reported(at(0), "a", 0, "m1")
+	s.Answered(at(1), at(1), steer.Order{Model: "m1", Adapter: "a1"}, steer.Accepted, time.Millisecond)
+	require.Equal(t, 1, s.Places())
+	s.Answered(at(4), at(4), steer.Order{Unload: true, Model: "m1", Adapter: "a1"}, steer.Accepted, 0)
+	require.Equal(t, 1, s.Places())
+	require.False(t, s.Has(at(4), "m1", "a1"))
+	s.Reported(at(5), at(5), steer.Report{Models: entry("", "m1").Models, Sequence: 2})
+	require.Zero(t, s.Places())
+}
+
 func TestUnloadedModelIsShownNoMore(t *testing.T) {
 	s := reported(at(0), "a", 0, "m1", "m2")
 	s.Answered(at(1), at(1), steer.Order{Unload: true, Model: "m1"}, steer.Accepted, 0)
