A dead server is not dialled in a loop; doubts reach the controller; dead paths noticed in a second

A server that had dropped a model refused the same request three times in a row. Without a controller a request was refused at once. In a cut domain requests waited for seconds on connections that were gone. Ruled out: the links' own timeouts. Change: rounds over the candidates are bounded and pause; what a server refuses as not held is unlearned, and the controller asks such a server, and one that could not be reached, for a report at once; two missed reports make its models count as missing; a question without an answer is asked again; connections end after 1.2 s without an acknowledgement; a domain that can not be dialled is avoided; a repeatable request moves on after three objectives, a stream after four gaps.

--- a/backs/view.go
+++ b/backs/view.go
@@ -230,6 +230,30 @@
 	v.notify()
 }
 
+// Unlearn takes away an adapter, or a model when none is named, that a server
+// refused as not held. It comes back with the next word of the store or the
+// controller.
+func (v *View) Unlearn(id, model, adapter string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := v.records[id]
+	if r == nil {
+		return
+	}
+	var kept []Held
+	for _, h := range r.entry.Models {
+		if h.Model == model {
+			if adapter == "" {
+				continue
+			}
+			h.Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool { return a == adapter })
+		}
+		kept = append(kept, h)
+	}
+	r.entry.Models = kept
+	v.notify()
+}
+
 // joinAdapters returns the listed models with the adapters of both lists.
 func joinAdapters(listed, told []Held) []Held {
 	joined := make([]Held, 0, len(listed))
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -29,9 +29,13 @@
 	// close and of a request that crosses it.
 	idleMargin = 500 * time.Millisecond
 	// silence is how long sent bytes may stay unacknowledged before the kernel
-	// gives the connection up. Without it a request to a VM that lost power
-	// hangs for minutes.
-	silence = 3 * time.Second
+	// gives the connection up: some retransmissions over paths of milliseconds.
+	// Without it a request to a server that lost power or is cut off hangs for
+	// minutes.
+	silence = 1200 * time.Millisecond
+	// probeEvery is when and how often the kernel probes a connection that
+	// waits for the other side; unanswered probes end it after silence.
+	probeEvery = time.Second
 )
 
 // Dial opens a TCP connection that notices a dead peer. Closing it drops what
@@ -39,7 +43,8 @@
 // when it heals, and a request or an order that was given up long ago would
 // run then.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+	probes := net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: 2}
+	d := net.Dialer{KeepAliveConfig: probes, Control: func(_, _ string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
 			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
@@ -80,8 +85,14 @@
 // goroutine reads or writes.
 func (c *Conn) Close() { _ = c.net.Close() }
 
-// SetDeadline bounds reads and writes. The time is of the runtime's clock.
-func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+// Within bounds the next reads; 0 lifts the bound.
+func (c *Conn) Within(d time.Duration) {
+	if d == 0 {
+		_ = c.net.SetReadDeadline(time.Time{})
+		return
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(d))
+}
 
 // sound reports whether the connection is open and holds no bytes that belong
 // to no request.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -17,7 +17,7 @@
 const (
 	// dialTimeout bounds a new connection: servers are milliseconds away, and a
 	// dial that takes longer meets a cut.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// straysAllowed is how many answers to other requests are passed over on a
 	// connection before it is given up.
 	straysAllowed = 2
@@ -29,10 +29,12 @@
 // the caller has its final answer; otherwise c says what is known.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, choice pick.Choice) bool {
 	server := choice.Server.ID
+	c.tries++
 	now := g.Now()
 	conn, err := g.connect(ctx, now, server, choice.Server.Address)
 	if err != nil {
-		g.Book.Judge(now, server, pick.Bad)
+		g.Book.Unreached(g.Now(), choice.Server)
+		g.doubt(server)
 		g.note(c, choice, "not connected: "+err.Error())
 		c.avoid = append(c.avoid, server)
 		return false
@@ -67,6 +69,12 @@
 	return g.Pool.Dial(ctx, server, address)
 }
 
+func (g *Gateway) doubt(server string) {
+	if g.Doubt != nil {
+		g.Doubt(server)
+	}
+}
+
 // note logs why a try did not answer.
 func (g *Gateway) note(c *call, choice pick.Choice, reason string) {
 	c.reason = reason
@@ -136,15 +144,47 @@
 	if err != nil {
 		return t.failed(ctx, "send: "+err.Error())
 	}
+	t.conn.Within(t.patience())
 	if err := t.answer(); err != nil {
 		return t.failed(ctx, err.Error())
 	}
+	t.conn.Within(0)
 	if t.notRun() {
 		return t.refuse()
 	}
 	return t.pass(ctx, w)
 }
 
+const (
+	// patientObjectives is how many objectives a server has for the first event
+	// of a request that may be repeated, before another server is asked. One
+	// that is slow but alive is nearly always faster.
+	patientObjectives = 3
+	// stallGaps is how many of a route's longest pauses a stream that may be
+	// resumed waits for its next event, and stallLeast the least: a preempted
+	// stream is read anew in some hundred milliseconds.
+	stallGaps  = 4
+	stallLeast = 900 * time.Millisecond
+)
+
+// patience returns how long to wait for the head of the answer, 0 for as long
+// as the caller does.
+func (t *try) patience() time.Duration {
+	if !t.c.route.Repeatable() || t.c.sends >= t.c.route.Attempts || t.c.route.Objective == 0 {
+		return 0
+	}
+	return max(patientObjectives*t.c.route.Objective, 2*t.choice.Predicted+t.c.route.Objective)
+}
+
+// stall returns how long to wait for the next event, 0 for as long as the
+// caller does.
+func (t *try) stall() time.Duration {
+	if !t.c.route.Repeatable() || t.c.sends >= t.c.route.Attempts {
+		return 0
+	}
+	return max(stallGaps*t.c.route.Gap, stallLeast)
+}
+
 // answer reads the head of the answer to this call. Answers to other requests,
 // which a server may send late or twice, are passed over.
 func (t *try) answer() error {
@@ -178,6 +218,12 @@
 func (t *try) refuse() bool {
 	_, err := conns.ReadAll(t.resp.Body, strayLimit)
 	t.whole = err == nil
+	if t.resp.StatusCode == http.StatusMisdirectedRequest {
+		// It does not hold the model or adapter, or another server has its
+		// address: what was believed of it is wrong.
+		t.g.Servers.Unlearn(t.choice.Server.ID, t.c.work.Model, t.c.work.Adapter)
+		t.g.doubt(t.choice.Server.ID)
+	}
 	return t.refused("refused with " + strconv.Itoa(t.resp.StatusCode))
 }
 
@@ -240,7 +286,11 @@
 	events := t.splitter()
 	buffer := make([]byte, streamBuffer)
 	out := http.NewResponseController(w)
+	stall := t.stall()
 	for {
+		if stall > 0 && events.last != t.c.request.Header.Get(headerLastEvent) {
+			t.conn.Within(stall)
+		}
 		n, err := t.resp.Body.Read(buffer)
 		if whole := events.take(buffer[:n]); len(whole) > 0 {
 			t.ticket.First()
@@ -293,6 +343,7 @@
 	if len(events.rest) > 0 {
 		t.deliver(w, out, events.rest)
 	}
+	t.conn.Within(0)
 	t.whole = true
 	t.verdict = pick.Good
 	return true
--- a/pass/call.go
+++ b/pass/call.go
@@ -27,9 +27,10 @@
 	// arrived and deadline are of the clock that counts through a freeze.
 	arrived, deadline time.Time
 
-	// sends counts how often it was sent, servers are those it was sent to.
-	sends   int
-	servers []string
+	// tries counts the servers picked, sends how often it was sent, servers are
+	// those it was sent to; rounds is how often all of them were tried.
+	tries, sends, rounds int
+	servers              []string
 	// avoid are servers not to be asked again for now.
 	avoid []string
 	// uncertain is set once it may have run somewhere. A later refusal proves
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -14,8 +14,29 @@
 var (
 	errNoServer = errors.New("no server of the service")
 	errNoTime   = errors.New("no time left")
+	errAllTried = errors.New("all servers were tried")
 )
 
+const (
+	// maxRounds bounds how often all candidates are tried: one that refuses for
+	// an order under way takes requests again within some tens of milliseconds.
+	maxRounds = 4
+	// roundPause lies between two rounds.
+	roundPause = 40 * time.Millisecond
+	// findAgain is the pause after a controller could not be asked.
+	findAgain = 150 * time.Millisecond
+)
+
+// rest waits for a time or until ctx ends.
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // holdShare is the part of its time that a request waits for a server at most:
 // one that is still without a server then is refused while its caller has time
 // to come back.
@@ -36,9 +57,13 @@
 		if choice, ok := g.pick(now, c, serving); ok {
 			return choice, nil
 		}
-		if len(c.avoid) > 0 && !c.uncertain && c.route.Attempts > 1 {
-			// Every candidate refused once; they are asked again.
+		if len(c.avoid) > 0 {
+			if c.rounds++; c.rounds > maxRounds {
+				return pick.Choice{}, errAllTried
+			}
+			// Every candidate was tried; after a pause they are tried again.
 			c.avoid = nil
+			rest(hold, roundPause)
 			continue
 		}
 		if err := g.await(hold, c, changed); err != nil {
@@ -87,7 +112,14 @@
 	case <-changed:
 		return nil
 	case err := <-found:
-		if err != nil {
+		if err == nil {
+			return nil
+		}
+		// Without a controller another one takes over within seconds, or the
+		// entry of a server tells of the model.
+		c.reason = fmt.Sprintf("find a server for %s: %v", c.work.Model, err)
+		rest(ctx, findAgain)
+		if ctx.Err() != nil {
 			return fmt.Errorf("find a server for %s: %w", c.work.Model, err)
 		}
 		return nil
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -36,8 +36,11 @@
 	// Find asks for a server that will hold a model and adapter, and waits
 	// until it does. It returns the server's ID.
 	Find func(ctx context.Context, service, model, adapter string) (string, error)
-	Now  func() time.Time
-	Log  zerolog.Logger
+	// Doubt notes that a server can not be reached or does not hold what it was
+	// thought to.
+	Doubt func(server string)
+	Now   func() time.Time
+	Log   zerolog.Logger
 	// Meter takes counters and histograms.
 	Meter *meter.Set
 
@@ -146,12 +149,16 @@
 	g.fail(ctx, w, c)
 }
 
-// maxSends bounds the sends of one request, refusals included.
-const maxSends = 4
+// maxSends bounds the sends of one request, refusals included, and maxTries
+// also the servers that could not be connected to.
+const (
+	maxSends = 4
+	maxTries = 10
+)
 
 // again reports whether a request that was not answered may be sent once more.
 func (g *Gateway) again(ctx context.Context, c *call) bool {
-	if ctx.Err() != nil || c.sends >= maxSends {
+	if ctx.Err() != nil || c.sends >= maxSends || c.tries >= maxTries {
 		return false
 	}
 	return !c.uncertain || c.route.Repeatable()
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -147,6 +147,7 @@
 	switch {
 	case m.VMReport != nil:
 		p.Controller.Report(p.Now(), d.vm, loadsOf(m.VMReport.Loads), wantsOf(m.VMReport.Wants))
+		p.Controller.Doubt(m.VMReport.Doubts)
 	case m.FindCall != nil:
 		go p.answerFind(ctx, d, m.FindCall)
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,11 +66,12 @@
 	Log     zerolog.Logger
 	Meter   *meter.Set
 
-	mu    sync.Mutex
-	wants map[wantKey]*steer.Want
-	vms   int
-	links map[*downlink]bool
-	up    *uplink
+	mu     sync.Mutex
+	wants  map[wantKey]*steer.Want
+	doubts map[string]bool
+	vms    int
+	links  map[*downlink]bool
+	up     *uplink
 	// fresh is as of when the controller's word is current.
 	fresh time.Time
 }
@@ -92,6 +95,25 @@
 	p.wants[key] = &one
 }
 
+// Doubt notes a server that could not be reached or did not hold what it was
+// thought to, for the controller.
+func (p *Peers) Doubt(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.doubts == nil {
+		p.doubts = make(map[string]bool)
+	}
+	p.doubts[server] = true
+}
+
+func (p *Peers) takeDoubts() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := slices.Collect(maps.Keys(p.doubts))
+	p.doubts = nil
+	return list
+}
+
 func (p *Peers) takeWants() []steer.Want {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -181,6 +203,7 @@
 		now := p.Now()
 		own := p.Book.Own()
 		p.Controller.Report(now, p.Name, own, p.takeWants())
+		p.Controller.Doubt(p.takeDoubts())
 		p.Book.Others(pick.Minus(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ShownSince(now, since) {
 			p.Servers.Hold(now, s.Server, s.Models)
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -64,12 +64,12 @@
 	quiet := true
 	for ctx.Err() == nil {
 		own := p.Book.Own()
-		loads, wants := loadList(own), wantList(p.takeWants())
+		loads, wants, doubts := loadList(own), wantList(p.takeWants()), append([]string{}, p.takeDoubts()...)
 		up.tell(own)
-		if len(loads) > 0 || len(wants) > 0 || !quiet {
+		if len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet {
 			quiet = len(loads) == 0 && len(wants) == 0
 			send, cancel := context.WithTimeout(ctx, linkSilence)
-			err := up.conn.Send(send, &wire.Message{VMReport: &wire.VMReport{Loads: loads, Wants: wants}})
+			err := up.conn.Send(send, &wire.Message{VMReport: &wire.VMReport{Loads: loads, Wants: wants, Doubts: doubts}})
 			cancel()
 			if err != nil {
 				up.conn.Close()
--- a/pick/book.go
+++ b/pick/book.go
@@ -69,11 +69,39 @@
 type state struct {
 	own, others Load
 	cache       cache
-	faults      float64
-	faultAt     time.Time
+	faults      faults
 	took        time.Duration
 }
 
+// faults is a moving share of failures, forgiven by time.
+type faults struct {
+	share float64
+	at    time.Time
+}
+
+// now returns the share that is not forgiven yet.
+func (f *faults) now(now time.Time) float64 {
+	if f == nil || f.share == 0 {
+		return 0
+	}
+	return f.share * math.Exp2(-now.Sub(f.at).Seconds()/faultHalfLife.Seconds())
+}
+
+func (f *faults) judge(now time.Time, v Verdict) {
+	share := f.now(now)
+	switch v {
+	case Good:
+		share -= goodWeight * share
+	case Refused:
+		share += refusedWeight * (1 - share)
+	case Bad:
+		share += badWeight * (1 - share)
+	case Neutral:
+		return
+	}
+	f.share, f.at = share, now
+}
+
 // Book keeps the books of all servers. Domain is the VM's failure domain; the
 // rest of the zero value works. It is safe for use by several goroutines.
 type Book struct {
@@ -81,6 +109,7 @@
 
 	mu      sync.Mutex
 	servers map[string]*state
+	domains map[string]*faults
 }
 
 func (b *Book) state(id string) *state {
@@ -185,9 +214,9 @@
 // failures and a token memory that is nearly full.
 func (b *Book) penalty(now time.Time, e backs.Entry, w Work, kv int) time.Duration {
 	s := b.state(e.ID)
-	cost := time.Duration(s.faulty(now) * float64(faultCost))
+	cost := time.Duration(s.faults.now(now) * float64(faultCost))
 	if e.Domain != b.Domain {
-		cost += farCost
+		cost += farCost + time.Duration(b.domains[e.Domain].now(now)*float64(faultCost))
 	}
 	if need := s.own.Tokens + s.others.Tokens + w.Prompt + w.Output; w.Model != "" && kv > 0 && float64(need) > kvLimit*float64(kv) {
 		cost += kvPenalty
@@ -198,12 +227,25 @@
 	return cost
 }
 
-// faulty returns the share of recent requests that failed, forgiven by time.
-func (s *state) faulty(now time.Time) float64 {
-	if s.faults == 0 {
-		return 0
+// Unreached notes that no connection to a server could be made. When that
+// happens to servers of a domain, the domain is likely cut off, and its other
+// servers are avoided too.
+func (b *Book) Unreached(now time.Time, e backs.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(e.ID).faults.judge(now, Bad)
+	if e.Domain == b.Domain {
+		return
+	}
+	if b.domains == nil {
+		b.domains = make(map[string]*faults)
+	}
+	f := b.domains[e.Domain]
+	if f == nil {
+		f = &faults{}
+		b.domains[e.Domain] = f
 	}
-	return s.faults * math.Exp2(-now.Sub(s.faultAt).Seconds()/faultHalfLife.Seconds())
+	f.judge(now, Bad)
 }
 
 // Others replaces what the other VMs have at each server.
--- a/pick/ticket.go
+++ b/pick/ticket.go
@@ -6,6 +6,7 @@
 type Ticket struct {
 	book    *Book
 	id      string
+	domain  string
 	load    Load
 	started time.Time
 	read    bool
@@ -17,7 +18,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(c.Server.ID)
-	t := &Ticket{book: b, id: c.Server.ID, started: now, load: Load{Running: 1, Reading: c.Missing, Tokens: w.Prompt + w.Output/2}}
+	t := &Ticket{book: b, id: c.Server.ID, domain: c.Server.Domain, started: now, load: Load{Running: 1, Reading: c.Missing, Tokens: w.Prompt + w.Output/2}}
 	s.own = s.own.Plus(t.load)
 	if w.Model != "" {
 		s.cache.read(now, w, w.chain(), int(keptShare*float64(kv)))
@@ -75,7 +76,10 @@
 	s := t.book.state(t.id)
 	s.own.Running--
 	s.own.Tokens -= t.load.Tokens
-	s.judge(now, v)
+	s.faults.judge(now, v)
+	if f := t.book.domains[t.domain]; f != nil {
+		f.judge(now, v)
+	}
 	if v == Good {
 		took := now.Sub(t.started)
 		if s.took == 0 {
@@ -84,25 +88,3 @@
 		s.took += time.Duration(tookWeight * float64(took-s.took))
 	}
 }
-
-func (s *state) judge(now time.Time, v Verdict) {
-	faults := s.faulty(now)
-	switch v {
-	case Good:
-		faults -= goodWeight * faults
-	case Refused:
-		faults += refusedWeight * (1 - faults)
-	case Bad:
-		faults += badWeight * (1 - faults)
-	case Neutral:
-		return
-	}
-	s.faults, s.faultAt = faults, now
-}
-
-// Judge notes a verdict that belongs to no ticket, such as a failed dial.
-func (b *Book) Judge(now time.Time, id string, v Verdict) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state(id).judge(now, v)
-}
--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -70,7 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.of(service) {
-		if s.Has(now, model, adapter) && c.Servers.Usable(now, s.entry.ID) {
+		if s.Has(now, model, adapter) && !s.doubted && !s.Down() && c.Servers.Usable(now, s.entry.ID) {
 			return s.entry.ID
 		}
 	}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -294,7 +294,7 @@
 	asked := c.Now()
 	r, err := c.Commands.Report(ctx, e)
 	if err != nil {
-		c.Log.Info().Str("server", e.ID).Err(err).Msg("no report")
+		c.missed(e.ID, err)
 		return
 	}
 	c.mu.Lock()
@@ -305,6 +305,30 @@
 	}
 }
 
+// missed notes a server that gave no report.
+func (c *Controller) missed(id string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	if s == nil {
+		return
+	}
+	s.Missed()
+	c.Log.Info().Str("server", id).Bool("down", s.Down()).Err(err).Msg("no report")
+}
+
+// Doubt makes servers be asked for their state at once: a VM could not reach
+// them or was refused what they are thought to hold.
+func (c *Controller) Doubt(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		if s := c.servers[id]; s != nil {
+			s.Doubt()
+		}
+	}
+}
+
 func (c *Controller) ceiling(service routes.Service) *Ceiling {
 	if c.ceilings == nil {
 		c.ceilings = make(map[string]*Ceiling)
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -76,7 +76,7 @@
 	}
 	p.have, p.inDomain, p.staying = make(map[string]int), make(map[domainModel]int), nil
 	for _, s := range p.Servers {
-		if s.entry.Draining {
+		if s.entry.Draining || s.Down() {
 			continue
 		}
 		p.staying = append(p.staying, s)
--- a/steer/server.go
+++ b/steer/server.go
@@ -55,6 +55,10 @@
 	changed  time.Time
 	ordered  time.Time
 	listedAt time.Time
+	// doubted is set when a VM found that the server is not what it is thought
+	// to be, until a report; missed counts the reports that failed in a row.
+	doubted bool
+	missed  int
 	// loaded is when a model load was ordered last.
 	loaded time.Time
 	// available and onDisk are the models with copies in the server's memory
@@ -137,6 +141,7 @@
 		return
 	}
 	s.sequence, s.known = r.Sequence, true
+	s.doubted, s.missed = false, 0
 	s.copies(asked, r)
 	for _, h := range append(slices.Clone(r.Models), r.Pending...) {
 		s.add(now, h)
@@ -205,12 +210,29 @@
 // Free reports whether an order may be sent: the sequence is known, no order is
 // unclear, and no model is on its way.
 func (s *Server) Free(now time.Time) bool {
-	return s.known && s.unclear.IsZero() && !now.Before(s.busy)
+	return s.known && s.missed == 0 && s.unclear.IsZero() && !now.Before(s.busy)
 }
 
 // NeedsReport reports whether the server's state must be asked for before it
 // can be given orders.
-func (s *Server) NeedsReport() bool { return !s.known || !s.unclear.IsZero() }
+func (s *Server) NeedsReport() bool {
+	return !s.known || s.doubted || s.missed > 0 || !s.unclear.IsZero()
+}
+
+// Doubt makes the server's state be asked for at once.
+func (s *Server) Doubt() { s.doubted = true }
+
+// downAfter is how many reports in a row must fail for a server to count as
+// down; one is lost now and then.
+const downAfter = 2
+
+// Missed notes that a report could not be had.
+func (s *Server) Missed() { s.missed++ }
+
+// Down reports whether the server can not be reached. It gets no orders, and
+// its models count as missing until it answers again; its entry lapses only
+// after three heartbeats.
+func (s *Server) Down() bool { return s.missed >= downAfter }
 
 // Finishing reports whether a model order should be done about now, so that a
 // report would show it.
--- a/wire/types.go
+++ b/wire/types.go
@@ -840,6 +840,10 @@
 
 // Tells the controller what a VM has at the servers and what its callers ask for.
 type VMReport struct {
+	// IDs of servers that can not be reached or do not hold what they were thought
+	// to.
+	Doubts []string `json:"doubts"`
+
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []ServerLoad `json:"loads"`
 
