--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -48,6 +48,15 @@
 		c.avoid = append(c.avoid, server)
 		return false
 	}
+	// Only what reaches a server feeds an overload, so only sends draw on the
+	// budget and failed connections do not.
+	if c.sends > 0 && !c.budget.Allow() {
+		c.broke = true
+		g.Pool.Keep(now, conn, 0)
+		g.note(c, choice, c.reason+", retry budget spent")
+		return false
+	}
+	c.predicted, c.missing = choice.Predicted, choice.Missing
 	ticket := g.Book.Begin(now, choice, c.work, g.tokenMemory(c))
 	t := &try{g: g, c: c, choice: choice, conn: conn, ticket: ticket}
 	stop := context.AfterFunc(ctx, conn.Close)
@@ -293,7 +302,7 @@
 		}
 		n, err := t.resp.Body.Read(buffer)
 		if whole := events.take(buffer[:n]); len(whole) > 0 {
-			t.ticket.First()
+			t.ticket.First(t.g.Now())
 			if !t.deliver(w, out, whole) {
 				t.c.reason = "caller left"
 				return true
@@ -335,7 +344,8 @@
 	t.c.status = t.resp.StatusCode
 	t.copyHeader(w)
 	w.WriteHeader(t.resp.StatusCode)
-	t.g.Meter.Time("pass.first_event", t.g.Now().Sub(t.c.arrived))
+	t.c.firstEvent = t.g.Now().Sub(t.c.arrived)
+	t.g.Meter.Time("pass.first_event", t.c.firstEvent)
 }
 
 func (t *try) streamEnd(w http.ResponseWriter, out *http.ResponseController, events *splitter) bool {
--- a/pass/call.go
+++ b/pass/call.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
@@ -37,6 +38,14 @@
 	// nothing about the earlier send, so from then on a caller is not told
 	// that it has not run.
 	uncertain bool
+	// budget is what retries draw on; broke is set when it had nothing left.
+	budget *retry.Budget
+	broke  bool
+	// predicted is when the server picked last was to give its first event, and
+	// missing how many prompt tokens it was to read; firstEvent is when the
+	// event came.
+	predicted, firstEvent time.Duration
+	missing               int
 	// lastEvent is the id of the last event passed to the caller, started says
 	// that the head of the answer was.
 	lastEvent string
@@ -58,6 +67,7 @@
 	c.work.Objective = route.Objective
 	if c.service.Engine != nil {
 		c.work.Model, c.work.Adapter = n.ParseModel(r.Header.Get(n.Model))
+		c.work.Size = c.service.Engine.Size(c.work.Model)
 		c.work.Prompt, c.work.Output = n.ParseUsage(r.Header.Get(n.Usage))
 		c.work.Parts = n.ParsePrefix(r.Header.Get(n.Prefix))
 	}
@@ -89,19 +99,10 @@
 // priorityLimit is the least urgent rank that servers know.
 const priorityLimit = 9
 
-// patientObjective marks work that is done in bulk: a request whose first event
-// may take this long yields to those that are waited for.
-const patientObjective = 2 * time.Second
-
-// rank returns the request's priority at the server: the route's, and behind
-// it those whose objective leaves room.
-func (c *call) rank() int {
-	rank := 1 + 2*c.route.Priority
-	if c.route.Objective >= patientObjective {
-		rank += 3
-	}
-	return min(rank, priorityLimit)
-}
+// rank returns the request's priority at the server, by the route's. Work with
+// a long objective is not put behind the rest: where its model has one copy
+// beside busy ones, it would wait until it is too late for its caller.
+func (c *call) rank() int { return min(1+2*c.route.Priority, priorityLimit) }
 
 // head returns the head of the request for a server.
 func (c *call) head(n *Names, server string, left time.Duration) []byte {
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -115,6 +115,7 @@
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.servers).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.uncertain).Str("reason", c.reason).
+		Dur("predicted", c.predicted).Dur("first_event", c.firstEvent).Int("missing", c.missing).
 		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
 }
 
@@ -123,8 +124,8 @@
 func (g *Gateway) run(w http.ResponseWriter, c *call) {
 	ctx, cancel := c.context(c.arrived)
 	defer cancel()
-	budget := g.Budget(c.service.Name)
-	budget.Request()
+	c.budget = g.Budget(c.service.Name)
+	c.budget.Request()
 	if g.Wanted != nil && c.work.Model != "" {
 		g.Wanted(c.service.Name, c.work)
 	}
@@ -134,10 +135,6 @@
 			c.reason = err.Error()
 			break
 		}
-		if c.sends > 0 && !budget.Allow() {
-			c.reason += ", retry budget spent"
-			break
-		}
 		done := g.attempt(ctx, w, c, choice)
 		if done || !g.again(ctx, c) {
 			if done {
@@ -161,7 +158,7 @@
 	if ctx.Err() != nil || c.sends >= maxSends || c.tries >= maxTries {
 		return false
 	}
-	return !c.uncertain || c.route.Repeatable()
+	return !c.broke && (!c.uncertain || c.route.Repeatable())
 }
 
 // fail gives the final answer of a request that got none from a server. The
--- a/pick/book.go
+++ b/pick/book.go
@@ -10,10 +10,17 @@
 )
 
 const (
-	// readRate is how many prompt tokens a server reads in a millisecond, by
-	// the deployments' data sheets (38.4), less the steps of running requests
-	// between the pieces.
+	// readRate is how many prompt tokens of the largest model a server reads in
+	// a millisecond until answers have shown it: by the deployments' data sheets
+	// 38.4, less the steps of running requests between the pieces.
 	readRate = 32.0
+	// rateWeight is the weight of one answer in a model's learned rate, rateLeast
+	// and rateMost its bounds, and rateTokens the prompt from which an answer
+	// tells: below it the way and the first step outweigh the reading.
+	rateWeight = 0.1
+	rateLeast  = 8.0
+	rateMost   = 400.0
+	rateTokens = 800
 	// runCost is what each running request adds to the time of a first token:
 	// a step grows by microseconds a request, some tens of steps lie between.
 	runCost = 300 * time.Microsecond
@@ -44,14 +51,17 @@
 
 // Load is what a server carries from some callers.
 type Load struct {
-	// Running is the requests sent and not ended, Reading the prompt tokens of
-	// those without a first event, Tokens the token memory of all.
-	Running, Reading, Tokens int
+	// Running is the requests sent and not ended, Tokens the token memory that
+	// they need.
+	Running, Tokens int
+	// Reading is how long the server needs to read the prompts of those without
+	// a first event.
+	Reading time.Duration
 }
 
 // Plus returns the sum of two loads.
 func (l Load) Plus(o Load) Load {
-	return Load{l.Running + o.Running, l.Reading + o.Reading, l.Tokens + o.Tokens}
+	return Load{Running: l.Running + o.Running, Reading: l.Reading + o.Reading, Tokens: l.Tokens + o.Tokens}
 }
 
 // Minus returns sums without one VM's part, which is a little older or newer
@@ -60,7 +70,7 @@
 	rest := make(map[string]Load, len(sums))
 	for id, s := range sums {
 		p := part[id]
-		rest[id] = Load{max(s.Running-p.Running, 0), max(s.Reading-p.Reading, 0), max(s.Tokens-p.Tokens, 0)}
+		rest[id] = Load{Running: max(s.Running-p.Running, 0), Reading: max(s.Reading-p.Reading, 0), Tokens: max(s.Tokens-p.Tokens, 0)}
 	}
 	return rest
 }
@@ -110,6 +120,9 @@
 	mu      sync.Mutex
 	servers map[string]*state
 	domains map[string]*faults
+	// rates is how many prompt tokens of a model are read in a millisecond, as
+	// answers of idle servers have shown.
+	rates map[string]float64
 }
 
 func (b *Book) state(id string) *state {
@@ -128,8 +141,10 @@
 type Choice struct {
 	Server    backs.Entry
 	Predicted time.Duration
-	// Missing is how many prompt tokens it is predicted to read.
+	// Missing is how many prompt tokens it is predicted to read, and Reading how
+	// long that takes.
 	Missing int
+	Reading time.Duration
 	// Load is what the prediction took the server to carry.
 	Load Load
 }
@@ -183,12 +198,37 @@
 		hit = max(hit, int(ownerShare*float64(sharedTokens(w))))
 	}
 	missing := max(w.Prompt-hit, 1)
-	return Choice{Server: e, Predicted: ReadTime(load.Reading+missing) + time.Duration(load.Running)*runCost, Missing: missing, Load: load}
+	reading := time.Duration(float64(missing) / b.rate(w) * float64(time.Millisecond))
+	return Choice{
+		Server: e, Missing: missing, Reading: reading, Load: load,
+		Predicted: load.Reading + reading + time.Duration(load.Running)*runCost,
+	}
+}
+
+// rate returns how many prompt tokens of the work's model are read in a
+// millisecond. Before answers have shown it, larger models are taken to be
+// slower in proportion.
+func (b *Book) rate(w Work) float64 {
+	if r, ok := b.rates[w.Model]; ok {
+		return r
+	}
+	if w.Size > 0 {
+		return min(readRate/w.Size, rateMost)
+	}
+	return readRate
 }
 
-// ReadTime returns how long a server takes to read prompt tokens.
-func ReadTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
+// learn takes in that an idle server read prompt tokens of a model in a time.
+func (b *Book) learn(w Work, tokens int, took time.Duration) {
+	if tokens < rateTokens || took <= 0 {
+		return
+	}
+	if b.rates == nil {
+		b.rates = make(map[string]float64)
+	}
+	shown := min(max(float64(tokens)/(took.Seconds()*1000), rateLeast), rateMost)
+	rate := b.rate(w)
+	b.rates[w.Model] = rate + rateWeight*(shown-rate)
 }
 
 func sharedTokens(w Work) int {
--- a/pick/ticket.go
+++ b/pick/ticket.go
@@ -8,17 +8,29 @@
 	id      string
 	domain  string
 	load    Load
+	work    Work
 	started time.Time
-	read    bool
-	ended   bool
+	// missing is the tokens that the server had to read, alone that it had
+	// hardly anything else to do.
+	missing     int
+	alone       bool
+	read, ended bool
 }
 
+// aloneRunning is how many running requests leave the reading of a prompt
+// nearly undisturbed.
+const aloneRunning = 3
+
 // Begin books a request onto the chosen server, whose token memory is kv.
 func (b *Book) Begin(now time.Time, c Choice, w Work, kv int) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(c.Server.ID)
-	t := &Ticket{book: b, id: c.Server.ID, domain: c.Server.Domain, started: now, load: Load{Running: 1, Reading: c.Missing, Tokens: w.Prompt + w.Output/2}}
+	t := &Ticket{
+		book: b, id: c.Server.ID, domain: c.Server.Domain, work: w, started: now, missing: c.Missing,
+		alone: c.Load.Reading == 0 && c.Load.Running <= aloneRunning,
+		load:  Load{Running: 1, Reading: c.Reading, Tokens: w.Prompt + w.Output/2},
+	}
 	s.own = s.own.Plus(t.load)
 	if w.Model != "" {
 		s.cache.read(now, w, w.chain(), int(keptShare*float64(kv)))
@@ -27,9 +39,12 @@
 }
 
 // First notes the first event: the prompt has been read.
-func (t *Ticket) First() {
+func (t *Ticket) First(now time.Time) {
 	t.book.mu.Lock()
 	defer t.book.mu.Unlock()
+	if t.alone && !t.read && !t.ended {
+		t.book.learn(t.work, t.missing, now.Sub(t.started))
+	}
 	t.first()
 }
 
--- a/pick/work.go
+++ b/pick/work.go
@@ -20,6 +20,9 @@
 type Work struct {
 	// Model is empty for services that run no models.
 	Model, Adapter string
+	// Size is the model's size against the largest of the service, 0 when
+	// unknown.
+	Size float64
 	// Parts are the pieces of the prompt in order; the last is the request's or
 	// its session's own.
 	Parts []Part
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -113,6 +113,16 @@
 	// EventWatchers is how many waiting cache-event calls a server keeps.
 	EventWatchers int
 	Models        map[string]Model
+	// LargestMB is the size of the largest model.
+	LargestMB float64
+}
+
+// Size returns a model's size against the largest, 0 for one that is unknown.
+func (e *Engine) Size(model string) float64 {
+	if e.LargestMB <= 0 {
+		return 0
+	}
+	return e.Models[model].MB / e.LargestMB
 }
 
 // Service is a group of interchangeable servers.
--- a/wire/types.go
+++ b/wire/types.go
@@ -722,8 +722,8 @@
 
 // What some callers have at a backend server.
 type ServerLoad struct {
-	// Prompt tokens of those without a first event.
-	Reading int `json:"reading"`
+	// Time that the server needs to read the prompts of those without a first event.
+	ReadingUs int `json:"reading_us"`
 
 	// Requests sent and not ended.
 	Running int `json:"running"`
