Orders carry the sequence of their decision; adapters in use do not make way

Ruled out: entries (they take nothing away any more). Change: the sequence is taken with the decision; VMs tell which adapters are in use, and those do not make way. Two tests that fail without.

--- a/pick/book.go
+++ b/pick/book.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -57,6 +58,8 @@
 	// Reading is how long the server needs to read the prompts of those without
 	// a first event.
 	Reading time.Duration
+	// Adapters are those in use, as MODEL/ADAPTER. Sums leave them out.
+	Adapters []string
 }
 
 // Plus returns the sum of two loads.
@@ -81,6 +84,21 @@
 	cache       cache
 	faults      faults
 	took        time.Duration
+	// adapters counts the requests that use each adapter.
+	adapters map[string]int
+}
+
+func (s *state) use(w Work, n int) {
+	if w.Adapter == "" {
+		return
+	}
+	if s.adapters == nil {
+		s.adapters = make(map[string]int)
+	}
+	name := w.Model + "/" + w.Adapter
+	if s.adapters[name] += n; s.adapters[name] <= 0 {
+		delete(s.adapters, name)
+	}
 }
 
 // faults is a moving share of failures, forgiven by time.
@@ -307,7 +325,9 @@
 	own := make(map[string]Load)
 	for id, s := range b.servers {
 		if s.own.Running > 0 {
-			own[id] = s.own
+			l := s.own
+			l.Adapters = slices.Collect(maps.Keys(s.adapters))
+			own[id] = l
 		}
 	}
 	return own
--- a/pick/ticket.go
+++ b/pick/ticket.go
@@ -32,6 +32,7 @@
 		load:  Load{Running: 1, Reading: c.Reading, Tokens: w.Prompt + w.Output/2},
 	}
 	s.own = s.own.Plus(t.load)
+	s.use(w, 1)
 	if w.Model != "" {
 		s.cache.read(now, w, w.chain(), int(keptShare*float64(kv)))
 	}
@@ -89,6 +90,7 @@
 	t.ended = true
 	t.first()
 	s := t.book.state(t.id)
+	s.use(t.work, -1)
 	s.own.Running--
 	s.own.Tokens -= t.load.Tokens
 	s.faults.judge(now, v)
--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -127,17 +127,30 @@
 	return cost + uint64(c.running(s.entry.ID)/8)<<33
 }
 
+// used returns the adapters at a server that requests use now. To unload one
+// would keep the server busy until they end.
+func (c *Controller) used(server string) map[string]bool {
+	used := make(map[string]bool)
+	for _, loads := range c.loads {
+		for _, name := range loads[server].Adapters {
+			used[name] = true
+		}
+	}
+	return used
+}
+
 // idlest returns the adapter at a server that was asked for longest ago, if not
 // within the last while.
 func (c *Controller) idlest(now time.Time, s *Server, service string, while time.Duration) (model, adapter string) {
 	var oldest time.Time
+	used := c.used(s.entry.ID)
 	for m, r := range s.models {
 		for a, at := range r.adapters {
 			last := c.adapters.Last(adapterName(service, m, a))
 			if at.ready.After(last) {
 				last = at.ready
 			}
-			if !at.leaving && now.Sub(last) >= while && (adapter == "" || last.Before(oldest)) {
+			if !at.leaving && !used[m+"/"+a] && now.Sub(last) >= while && (adapter == "" || last.Before(oldest)) {
 				model, adapter, oldest = m, a, last
 			}
 		}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -376,9 +376,14 @@
 	return n
 }
 
-// start sends an order in the background. c.mu is held.
+// start sends an order in the background. c.mu is held. The sequence is that
+// of the decision: a report that comes in before the order is sent may show an
+// order that was carried out late and took the memory which the decision
+// counted on. With the new sequence the server would take the order and exceed
+// its memory; with the old one it refuses.
 func (c *Controller) start(ctx context.Context, s *Server, o Order, within time.Duration) {
 	c.busy[s.entry.ID] = true
+	o.Expect = s.sequence
 	go func() {
 		_ = c.order(ctx, s, o, within)
 		c.mu.Lock()
@@ -400,7 +405,7 @@
 		return errNotLeading
 	}
 	c.mu.Lock()
-	o.Expect, o.Holder, o.Fence = s.sequence, c.Name, fence
+	o.Holder, o.Fence = c.Name, fence
 	e := s.entry
 	c.mu.Unlock()
 	verdict, err := c.Commands.Send(ctx, e, o)
--- /dev/null
+++ b/steer/controller_test.go
@@ -0,0 +1,86 @@
+package steer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// testController returns a controller of one service "s" with a model "m1" at
+// server "a", which sends its orders to the channel.
+func testController(fence func(time.Time) (int, bool)) (*Controller, chan Order) {
+	now := time.Unix(1000, 0)
+	view := &backs.View{}
+	view.Replace(now, []backs.Entry{{ID: "a", Service: "s", Models: []backs.Held{{Model: "m1"}}}})
+	engine := &routes.Engine{MemoryMB: 20, AdapterSlots: 2, LoadsPerSecond: 1, Models: map[string]routes.Model{
+		"m1": {Name: "m1", MB: 10, Adapters: 3}, "m2": {Name: "m2", MB: 10},
+	}}
+	table := routes.NewTable(1, nil, []routes.Service{{Name: "s", Engine: engine}}, routes.Limits{})
+	orders := make(chan Order, 16)
+	return &Controller{
+		Name: "vm", Servers: view, Table: func() *routes.Table { return table }, Fence: fence,
+		Now: func() time.Time { return now }, Log: zerolog.Nop(), Meter: meter.New(),
+		Commands: Commands{
+			Send: func(_ context.Context, _ backs.Entry, o Order) (Verdict, error) {
+				orders <- o
+				return Accepted, nil
+			},
+			Report: func(context.Context, backs.Entry) (Report, error) {
+				return Report{Models: []backs.Held{{Model: "m1"}}, Sequence: 7}, nil
+			},
+		},
+	}, orders
+}
+
+// The controller decides to load a model, as there is room. Before the order
+// goes out, a report comes in: an older order was carried out late, the room is
+// taken, the sequence is one higher. An order with the new sequence would be
+// taken and crash the server. It must carry the sequence that the decision was
+// made on, which the server refuses.
+func TestOrderCarriesTheSequenceOfItsDecision(t *testing.T) {
+	var c *Controller
+	begun := make(chan struct{})
+	c, orders := testController(func(time.Time) (int, bool) {
+		<-begun
+		return 5, true
+	})
+	now := c.Now()
+	c.sync(now, "s")
+	s := c.servers["a"]
+	s.Reported(now, now, Report{Models: []backs.Held{{Model: "m1"}}, Sequence: 7})
+	c.mu.Lock()
+	c.start(context.Background(), s, Order{Model: "m2"}, time.Second)
+	s.Reported(now, now, Report{Models: []backs.Held{{Model: "m1"}, {Model: "m3"}}, Sequence: 8})
+	c.mu.Unlock()
+	close(begun)
+	require.Equal(t, 7, (<-orders).Expect)
+}
+
+// An adapter that requests use is chosen to make way: the server takes no
+// further order until they end, and every adapter asked for meanwhile waits.
+func TestAdaptersInUseDoNotMakeWay(t *testing.T) {
+	c, _ := testController(func(time.Time) (int, bool) { return 5, true })
+	now := c.Now()
+	c.sync(now, "s")
+	s := c.servers["a"]
+	s.Reported(now, now, Report{Models: []backs.Held{{Model: "m1", Adapters: []string{"a1", "a2"}}}, Sequence: 0})
+	c.Report(now, "vm", loadUsing("a", "m1/a1"), nil)
+	later := now.Add(time.Minute)
+	model, adapter := c.idlest(later, s, "s", time.Second)
+	require.Equal(t, "m1/a2", model+"/"+adapter)
+	c.Report(now, "vm", loadUsing("a", "m1/a1", "m1/a2"), nil)
+	_, adapter = c.idlest(later, s, "s", time.Second)
+	require.Empty(t, adapter)
+}
+
+func loadUsing(server string, adapters ...string) map[string]pick.Load {
+	return map[string]pick.Load{server: {Running: len(adapters), Adapters: adapters}}
+}
--- a/steer/server.go
+++ b/steer/server.go
@@ -290,9 +290,10 @@
 			delete(r.adapters, o.Adapter)
 		default:
 			// Requests still use it: its place is free only when a report shows
-			// it gone. A place given out before that is one too many, and the
-			// server crashes.
+			// it gone, and the server takes no orders until then. A place given
+			// out before that is one too many, and the server crashes.
 			r.adapters[o.Adapter] = place{ready: now, leaving: true}
+			s.busy, s.done = now.Add(loadSlack*time.Second), now.Add(reportLag/2)
 		}
 		return
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -722,6 +722,9 @@
 
 // What some callers have at a backend server.
 type ServerLoad struct {
+	// Adapters in use, as MODEL/ADAPTER; only towards the controller.
+	Adapters []string `json:"adapters,omitempty,omitzero"`
+
 	// Time that the server needs to read the prompts of those without a first event.
 	ReadingUs int `json:"reading_us"`
 
