Quicker change of controller; a VM cut off from most servers is not ready

A VM counted the lease from its own first read of it, and the pause between orders from when the lease was taken. In a cut domain callers were kept by VMs that reached two of nine servers.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -123,6 +123,12 @@
 // the lease is observed anew before the next step.
 func (k *Keeper) Lost() { k.seen = false }
 
+// Version returns the version of the record that is known, and its renewals.
+func (k *Keeper) Version() (version, renewals int) { return k.version, k.record.Renewals }
+
+// Changed returns when this VM saw the present version first.
+func (k *Keeper) Changed() time.Time { return k.changed }
+
 // Known reports whether the present version of the record is known.
 func (k *Keeper) Known() bool { return k.seen }
 
--- a/node/node.go
+++ b/node/node.go
@@ -232,9 +232,32 @@
 }
 
 // Ready reports whether the VM may get requests: it knows the configuration and
-// the servers and is not stopping.
+// the servers, is not stopping, and is not cut off from most servers.
 func (n *Node) Ready() bool {
-	return n.table.Load() != nil && n.servers.Caught() && !n.stopping.Load()
+	return n.table.Load() != nil && n.servers.Caught() && !n.stopping.Load() && !n.cutOff(n.now())
+}
+
+// cutOff reports whether the VM reaches neither the controller nor the servers
+// of any other failure domain, while those are most of all servers. It goes on
+// serving what it can for the callers it has; new ones are better off with the
+// VMs of another domain, to which the balancer sends them.
+func (n *Node) cutOff(now time.Time) bool {
+	if n.peers.Covered(now) || n.peers.Leading() {
+		return false
+	}
+	own := n.settings().Text("vm", "failure_domain")
+	near, far := 0, 0
+	for _, e := range n.servers.All(now) {
+		if e.Domain == own {
+			near++
+			continue
+		}
+		far++
+		if !n.book.Cut(now, e.Domain) {
+			return false
+		}
+	}
+	return far > near
 }
 
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -116,15 +116,23 @@
 	}
 	now := p.Now()
 	states, _ := p.Servers.Since(now, 0)
-	frame, err := link.Encode(&wire.Message{FleetState: &wire.FleetState{
-		Vms: len(p.links) + 2, Full: true, AgeMs: p.age(now), Servers: statesOf(states), Loads: loadList(p.Controller.Loads()),
-	}})
+	state := p.fleetState(now, states)
+	state.Vms, state.Full = len(p.links)+2, true
+	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
 		return nil, err
 	}
 	return append(frames, frame), nil
 }
 
+func (p *Peers) fleetState(now time.Time, states []backs.State) *wire.FleetState {
+	version, renewals := p.Lease.Renewed()
+	return &wire.FleetState{
+		AgeMs: p.age(now), LeaseVersion: version, LeaseRenewals: renewals,
+		Servers: statesOf(states), Loads: loadList(p.Controller.Loads()),
+	}
+}
+
 // age returns the time in milliseconds since the store told that what this VM
 // knows is current.
 func (p *Peers) age(now time.Time) int { return int(now.Sub(p.Current()).Milliseconds()) }
@@ -211,9 +219,9 @@
 }
 
 func (p *Peers) tellFleet(now time.Time, states []backs.State) {
-	frame, err := link.Encode(&wire.Message{FleetState: &wire.FleetState{
-		Vms: p.VMs(), AgeMs: p.age(now), Servers: statesOf(states), Loads: loadList(p.Controller.Loads()),
-	}})
+	state := p.fleetState(now, states)
+	state.Vms = p.VMs()
+	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
 		p.Log.Error().Err(err).Msg("view not told")
 		return
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -26,11 +26,11 @@
 
 // leaseCall bounds one call to the store for the lease. It is shorter than the
 // time between renewals.
-const leaseCall = 450 * time.Millisecond
+const leaseCall = 400 * time.Millisecond
 
 // orderSlack is for an order that the VM before sent right before its lease
 // ended: it is on its way until its call times out.
-const orderSlack = 500 * time.Millisecond
+const orderSlack = 400 * time.Millisecond
 
 // Lease is the right to give orders to servers. Its record lies in the store
 // and is written only under the version that was read, so that of two VMs that
@@ -179,13 +179,35 @@
 	})
 }
 
+// Told takes in the holder's own word on its last renewal, so that a VM which
+// loses the link knows from when the lease runs and need not wait its whole
+// length from then.
+func (l *Lease) Told(version, renewals int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, _ := l.keeper.Version()
+	if version <= known || l.keeper.Held(l.Now()) {
+		return
+	}
+	record := l.record
+	record.Renewals = renewals
+	l.observe(version, record)
+}
+
+// Renewed returns the version and renewals of the record this VM wrote last.
+func (l *Lease) Renewed() (version, renewals int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Version()
+}
+
 func (l *Lease) write(ctx context.Context, action lease.Action) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	l.mu.Lock()
 	begun := l.Now()
 	next, version := l.keeper.Record()
-	before := l.record
+	before, seen := l.record, l.keeper.Changed()
 	l.mu.Unlock()
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.Boot, DurationMs: next.DurationMs, Renewals: next.Renewals,
@@ -201,17 +223,19 @@
 	l.keeper.Won(begun, got, next)
 	l.record = record
 	if action == lease.Take {
-		l.took(begun, got, before)
+		l.took(begun, got, before, seen)
 	}
 	return nil
 }
 
-// took notes that the lease was taken. Another VM's last order may have been
-// given right before, so the first of this one waits.
-func (l *Lease) took(begun time.Time, version int, before wire.ControllerLease) {
+// took notes that the lease was taken. The VM before gave its last order when
+// its lease ended at the latest, which was a lease's length after this VM saw
+// its last renewal; the first order of this one comes a handover later.
+func (l *Lease) took(begun time.Time, version int, before wire.ControllerLease, seen time.Time) {
 	l.fence = version
 	if before.Address != "" && before.Address != l.Address {
-		l.orders = l.Now().Add(l.Handover + orderSlack)
+		length := time.Duration(before.DurationMs) * time.Millisecond
+		l.orders = seen.Add(length + orderSlack + l.Handover)
 	}
 	l.Log.Info().Int("fence", version).Str("before", before.Holder).Time("begun", begun).Msg("lease taken")
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -28,18 +28,19 @@
 	shareEvery = 100 * time.Millisecond
 	shareMost  = 300 * time.Millisecond
 	sharePerVM = 5 * time.Millisecond
-	// linkSilence is how long a link may be silent before it counts as dead.
-	linkSilence = 1500 * time.Millisecond
+	// linkSilence is how long a link may be silent before it counts as dead:
+	// some of the longest pauses between frames.
+	linkSilence = 1200 * time.Millisecond
 	// freshFor is how old the controller's word may be, its own age at the
 	// store included, before a VM asks the store itself. It leaves time for
 	// that within the second or two in which a change must be in force.
 	freshFor = 1300 * time.Millisecond
 	// leaseEvery is how often the lease is looked at. A third of its duration
 	// lies between renewals.
-	leaseEvery = 150 * time.Millisecond
+	leaseEvery = 100 * time.Millisecond
 	// searchEvery is the pause between reads of the lease while there is no
 	// link to a controller.
-	searchEvery = 400 * time.Millisecond
+	searchEvery = 300 * time.Millisecond
 	// vmsUnknown is how many VMs are assumed before a controller has told.
 	vmsUnknown = 8
 )
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -94,7 +94,7 @@
 // listen takes in the controller's frames.
 func (p *Peers) listen(ctx context.Context, up *uplink) error {
 	for {
-		receive, cancel := context.WithTimeout(ctx, linkSilence+interval(p.VMs()))
+		receive, cancel := context.WithTimeout(ctx, linkSilence)
 		m, err := up.conn.Receive(receive)
 		cancel()
 		if err != nil {
@@ -129,6 +129,7 @@
 	p.vms = s.Vms
 	p.fresh = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
 	p.mu.Unlock()
+	p.Lease.Told(s.LeaseVersion, s.LeaseRenewals)
 	p.Book.Others(pick.Minus(loadsOf(s.Loads), up.lastTold()))
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
--- a/pick/book.go
+++ b/pick/book.go
@@ -306,6 +306,17 @@
 	f.judge(now, Bad)
 }
 
+// cutShare is the share of failed connections to a domain's servers above which
+// the domain counts as cut off.
+const cutShare = 0.5
+
+// Cut reports whether a domain's servers can not be reached.
+func (b *Book) Cut(now time.Time, domain string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.domains[domain].now(now) >= cutShare
+}
+
 // Others replaces what the other VMs have at each server.
 func (b *Book) Others(loads map[string]Load) {
 	b.mu.Lock()
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -20,7 +20,7 @@
 	// tick is how often the placement is looked at: demand shifts over seconds.
 	tick = 100 * time.Millisecond
 	// callTimeout bounds a call to a server, which answers in milliseconds.
-	callTimeout = 400 * time.Millisecond
+	callTimeout = 300 * time.Millisecond
 	// reportEvery is how often a settled server is asked for a report. Entries
 	// in the platform tell of models sooner; reports are a check on adapters.
 	reportEvery = 3 * time.Second
--- a/wire/types.go
+++ b/wire/types.go
@@ -238,6 +238,13 @@
 	// All servers are listed, not only those that changed.
 	Full bool `json:"full"`
 
+	// Renewals in that record.
+	LeaseRenewals int `json:"lease_renewals"`
+
+	// Version of the lease's record in the platform when the controller renewed it
+	// last.
+	LeaseVersion int `json:"lease_version"`
+
 	// What all VMs have at the servers.
 	Loads []ServerLoad `json:"loads"`
 
