A caller that has closed its connection is noticed before a send

Ruled out: requests passed on late by waiting for a server (they ended with the context). Change: the kernel is asked right before each send whether the caller has closed.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -96,26 +96,48 @@
 
 // sound reports whether the connection is open and holds no bytes that belong
 // to no request.
-func (c *Conn) sound() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.net.(syscall.Conn)
+func (c *Conn) sound() bool { return c.reader.Buffered() == 0 && peek(c.net) == quiet }
+
+// state is what the kernel knows of a connection without waiting.
+type state int
+
+const (
+	quiet state = iota
+	pending
+	closed
+)
+
+// Closed reports whether the other side has closed a connection, as far as this
+// VM has heard.
+func Closed(c net.Conn) bool { return peek(c) == closed }
+
+// peek looks at a connection without taking bytes from it. One that can not be
+// looked at counts as quiet.
+func peek(c net.Conn) state {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return quiet
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return closed
 	}
-	quiet := false
+	found := closed
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN || err == unix.EINTR:
+			found = quiet
+		case err == nil && n > 0:
+			found = pending
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return closed
+	}
+	return found
 }
 
 // Pool keeps idle connections by key, which names one start of one server. The
--- a/node/node.go
+++ b/node/node.go
@@ -172,6 +172,7 @@
 	ctx, n.cancel = context.WithCancel(ctx)
 	n.callers = &http.Server{
 		Handler: http.HandlerFunc(n.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ConnContext: pass.WithConn,
 	}
 	listeners := []struct {
 		key    string
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -42,7 +42,12 @@
 	// The server may have begun to leave, or the caller's time may have run
 	// out, while the connection was made or this VM stood still.
 	now = g.Now()
-	if !g.Servers.Usable(now, server) || c.left(now) <= 0 {
+	if left(c.request) {
+		c.left = true
+		g.Pool.Keep(now, conn, 0)
+		return false
+	}
+	if !g.Servers.Usable(now, server) || c.remaining(now) <= 0 {
 		g.Pool.Keep(now, conn, 0)
 		g.note(c, choice, "server left before the send")
 		c.avoid = append(c.avoid, server)
@@ -149,7 +154,7 @@
 		c.servers = append(c.servers, server)
 	}
 	var err error
-	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, server, c.left(now)), c.body)
+	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, server, c.remaining(now)), c.body)
 	if err != nil {
 		return t.failed(ctx, "send: "+err.Error())
 	}
--- a/pass/call.go
+++ b/pass/call.go
@@ -50,6 +50,8 @@
 	// that the head of the answer was.
 	lastEvent string
 	started   bool
+	// left is set once the caller has closed its connection.
+	left bool
 	// reason is why the last try did not answer.
 	reason string
 	status int
@@ -93,8 +95,8 @@
 // bounds.
 const defaultPatience = 30 * time.Second
 
-// left returns how much time remains.
-func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
+// remaining returns how much time is left.
+func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
 // priorityLimit is the least urgent rank that servers know.
 const priorityLimit = 9
@@ -161,5 +163,5 @@
 // context bounds the work for a call by its deadline and the caller's
 // connection.
 func (c *call) context(now time.Time) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.request.Context(), c.left(now))
+	return context.WithTimeout(c.request.Context(), c.remaining(now))
 }
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -45,11 +45,11 @@
 // choose returns the server to send a call to. A call whose model or adapter no
 // server holds waits for one to be loaded.
 func (g *Gateway) choose(ctx context.Context, c *call) (pick.Choice, error) {
-	hold, cancel := context.WithTimeout(ctx, time.Duration(holdShare*float64(c.left(g.Now()))))
+	hold, cancel := context.WithTimeout(ctx, time.Duration(holdShare*float64(c.remaining(g.Now()))))
 	defer cancel()
 	for {
 		now := g.Now()
-		if c.left(now) <= 0 || ctx.Err() != nil {
+		if c.remaining(now) <= 0 || ctx.Err() != nil {
 			return pick.Choice{}, errNoTime
 		}
 		changed := g.Servers.Changed()
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +21,26 @@
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
+type callerConn struct{}
+
+// WithConn returns a context that knows a caller's connection. It is the
+// ConnContext of the server that calls the Gateway.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConn{}, c)
+}
+
+// left reports whether the caller has closed its connection. The server tells
+// that through the request's context, but only some time after the request was
+// read: one that waited in the kernel while this VM stood still would be sent
+// on for a caller that left long ago.
+func left(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return true
+	}
+	c, ok := r.Context().Value(callerConn{}).(net.Conn)
+	return ok && conns.Closed(c)
+}
+
 // Gateway is the path of requests. All fields must be set but for Wanted and
 // Find, which may be nil where no service runs models.
 type Gateway struct {
@@ -158,12 +179,13 @@
 	if ctx.Err() != nil || c.sends >= maxSends || c.tries >= maxTries {
 		return false
 	}
-	return !c.broke && (!c.uncertain || c.route.Repeatable())
+	return !c.broke && !c.left && (!c.uncertain || c.route.Repeatable())
 }
 
 // fail gives the final answer of a request that got none from a server. The
 // caller is told that it has not run only when no send can have run.
 func (g *Gateway) fail(ctx context.Context, w http.ResponseWriter, c *call) {
+	c.left = c.left || c.request.Context().Err() != nil
 	if c.started {
 		// The stream's head has been passed on: only a broken connection tells
 		// the caller that it is not complete.
@@ -171,7 +193,7 @@
 		g.logEnd(c)
 		panic(http.ErrAbortHandler)
 	}
-	if c.request.Context().Err() != nil {
+	if c.left {
 		c.status, c.reason = statusLeft, "caller left"
 		return
 	}
