--- a/conns/pool.go
+++ b/conns/pool.go
@@ -123,7 +123,8 @@
 		return closed
 	}
 	found := closed
-	err = raw.Read(func(fd uintptr) bool {
+	// Control and not Read, which waits for a reader that is at work.
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
@@ -132,7 +133,6 @@
 		case err == nil && n > 0:
 			found = pending
 		}
-		return true
 	})
 	if err != nil {
 		return closed
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -165,3 +165,24 @@
 	_, err := conns.ReadAll(strings.NewReader("abc"), 2)
 	require.ErrorIs(t, err, conns.ErrTooLong)
 }
+
+// The server of callers reads a connection in the background while a request is
+// worked on. Asking whether the caller has left must not wait for that reader:
+// every request would hang until its caller gives up.
+func TestClosedBesideAReader(t *testing.T) {
+	address, accepted := listen(t)
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	server := <-accepted
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = server.Read(make([]byte, 1))
+	}()
+	for range 100 {
+		require.False(t, conns.Closed(server))
+	}
+	require.NoError(t, c.Close())
+	<-read
+	require.Eventually(t, func() bool { return conns.Closed(server) }, 10*time.Second, time.Millisecond)
+}
