Stand-ins of the platform's store and servers; the whole path in go test

Change: stand.Objects and stand.Backend decide in our words, platform/ puts them on the wire, demo.Site runs them with VMs on loopback; tests of each kind of request under faults of servers, of the store, of orders, of the controller and of stopping.

--- /dev/null
+++ b/demo/site.go
@@ -0,0 +1,350 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/conf"
+	"github.com/hibiscuscart/hibiscuscart/node"
+	"github.com/hibiscuscart/hibiscuscart/platform"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+)
+
+// Names of the services and the host of a Site.
+const (
+	SiteHost  = "site.example"
+	SiteModel = "model-servers"
+	SitePlain = "ledger"
+)
+
+// SiteOptions say what a Site runs.
+type SiteOptions struct {
+	// VMs and Backends are how many of each there are; Backends of each of the
+	// two services. 0 takes three.
+	VMs, Backends int
+	// Routes replaces the routes of SiteRoutes.
+	Routes []routes.Route
+	Log    zerolog.Logger
+}
+
+// Site is a deployment that keeps everything in the platform's store: stand-ins
+// of the store and of backend servers on the platform's wire, and VMs of the
+// system, in one process on loopback.
+type Site struct {
+	Objects *stand.Objects
+	Runs    *stand.Ledger
+
+	options  SiteOptions
+	storeAt  string
+	mu       sync.Mutex
+	backends []*stand.Backend
+	address  map[string]string
+	servers  []*http.Server
+	nodes    []*siteNode
+}
+
+// siteNode is a VM and its settings, so that it can be started again.
+type siteNode struct {
+	node     *node.Node
+	settings *conf.Settings
+	idle     func()
+}
+
+// SiteRoutes are the routes of a Site: one of each kind.
+func SiteRoutes() []routes.Route {
+	plain, models := []routes.Target{{Service: SitePlain, Weight: 1}}, []routes.Target{{Service: SiteModel, Weight: 1}}
+	return []routes.Route{
+		{Name: "look", Host: SiteHost, Prefix: "/look/", Kind: routes.Idempotent, Timeout: 3 * time.Second, Objective: 300 * time.Millisecond, Attempts: 3, Targets: plain},
+		{Name: "book", Host: SiteHost, Prefix: "/book/", Kind: routes.Once, Timeout: 3 * time.Second, Objective: 300 * time.Millisecond, Attempts: 3, Targets: plain},
+		{Name: "draft", Host: SiteHost, Prefix: "/draft/", Kind: routes.Stream, Resumable: true, Timeout: 8 * time.Second, Objective: time.Second, Gap: time.Second, Attempts: 3, Targets: models},
+		{Name: "batch", Host: SiteHost, Prefix: "/batch/", Kind: routes.Stream, Timeout: 8 * time.Second, Objective: 4 * time.Second, Gap: time.Second, Attempts: 1, Targets: models},
+	}
+}
+
+const (
+	siteMemory = 30
+	siteModel  = 10
+	siteEvents = 8
+	siteWork   = 2 * time.Millisecond
+	siteLoad   = 60 * time.Millisecond
+	siteCount  = 3
+)
+
+// SiteModels are the models of a Site's model servers.
+var SiteModels = []string{"m1", "m2", "m3", "m4"}
+
+func siteServices() []routes.Service {
+	models := make(map[string]routes.Model)
+	for _, m := range SiteModels {
+		models[m] = routes.Model{Name: m, MB: siteModel, Load: siteLoad, Warm: siteLoad, Disk: siteLoad, Adapters: 4}
+	}
+	return []routes.Service{
+		{Name: SitePlain, MaxConns: 100},
+		{Name: SiteModel, MaxConns: 100, Engine: &routes.Engine{
+			Slots: 8, KVTokens: 100_000, MemoryMB: siteMemory, AdapterSlots: 4, LoadsPerSecond: 20, Models: models,
+		}},
+	}
+}
+
+// StartSite starts a deployment.
+func StartSite(ctx context.Context, o SiteOptions) (*Site, error) {
+	if o.VMs == 0 {
+		o.VMs = siteCount
+	}
+	if o.Backends == 0 {
+		o.Backends = siteCount
+	}
+	if o.Routes == nil {
+		o.Routes = SiteRoutes()
+	}
+	s := &Site{Objects: &stand.Objects{}, Runs: &stand.Ledger{}, options: o, address: make(map[string]string)}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	var err error
+	if s.storeAt, err = s.listen(platform.ServeStore(s.Objects)); err != nil {
+		return fmt.Errorf("start store: %w", err)
+	}
+	if err := s.Configure(1, s.options.Routes); err != nil {
+		return err
+	}
+	for i := range s.options.Backends {
+		if _, err := s.AddBackend(SitePlain, i); err != nil {
+			return err
+		}
+		if _, err := s.AddBackend(SiteModel, i); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.VMs {
+		if err := s.addNode(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Configure writes the operators' configuration.
+func (s *Site) Configure(version int, all []routes.Route) error {
+	value, err := platform.TableValue(version, all, siteServices(), routes.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20})
+	if err != nil {
+		return fmt.Errorf("configure: %w", err)
+	}
+	if _, err := s.Objects.Put(platform.KindConfig, platform.NameConfig, -1, value); err != nil {
+		return fmt.Errorf("configure: %w", err)
+	}
+	return nil
+}
+
+// AddBackend starts the n-th backend server of a service.
+func (s *Site) AddBackend(service string, n int) (*stand.Backend, error) {
+	b := &stand.Backend{
+		ID: fmt.Sprintf("%s-%d", service, n), Service: service, Domain: fmt.Sprintf("domain-%d", n%siteCount), Slots: 8, Work: siteWork, Runs: s.Runs,
+	}
+	if service == SiteModel {
+		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.Events = siteMemory, 4, siteLoad, siteEvents
+		b.SizeMB = make(map[string]float64)
+		for _, m := range SiteModels {
+			b.SizeMB[m] = siteModel
+		}
+		b.Hold(SiteModels[n%len(SiteModels)])
+	}
+	address, err := s.listen(platform.ServeBackend(b))
+	if err != nil {
+		return nil, fmt.Errorf("start backend server: %w", err)
+	}
+	b.Changed = func() { s.enter(b, address) }
+	s.mu.Lock()
+	s.backends = append(s.backends, b)
+	s.address[b.ID] = address
+	s.mu.Unlock()
+	s.enter(b, address)
+	return b, nil
+}
+
+// enter writes a backend server's entry.
+func (s *Site) enter(b *stand.Backend, address string) {
+	e := b.Entry()
+	e.Address = address
+	value, err := platform.EntryValue(e)
+	if err != nil {
+		s.options.Log.Error().Err(err).Msg("entry not written")
+		return
+	}
+	if _, err := s.Objects.Put(platform.KindServers, b.ID, -1, value); err != nil {
+		s.options.Log.Error().Err(err).Msg("entry not written")
+	}
+}
+
+// Backends returns the backend servers of a service.
+func (s *Site) Backends(service string) []*stand.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*stand.Backend
+	for _, b := range s.backends {
+		if b.Service == service {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+func (s *Site) listen(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// siteSettings is the settings file of a VM of a Site.
+const siteSettings = `
+[vm]
+name = vm-%d
+failure_domain = domain-%d
+listen = %s
+ready_listen = %s
+peer_listen = %s
+[store]
+address = %s
+wait = 200ms
+[limits]
+threads = 8
+[steering]
+handover = 300ms
+lease = 600ms
+[retries]
+share = 1
+extra = 1000
+[drain]
+grace = 5s
+notice = 50ms
+`
+
+func (s *Site) addNode(ctx context.Context, i int) error {
+	var ports [3]string
+	for k := range ports {
+		l, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return fmt.Errorf("find a port: %w", err)
+		}
+		ports[k] = l.Addr().String()
+		_ = l.Close()
+	}
+	settings, err := conf.ParseNode(fmt.Appendf(nil, siteSettings, i, i%siteCount, ports[0], ports[1], ports[2], s.storeAt))
+	if err != nil {
+		return fmt.Errorf("settings of a VM: %w", err)
+	}
+	n := &siteNode{settings: settings}
+	s.mu.Lock()
+	s.nodes = append(s.nodes, n)
+	s.mu.Unlock()
+	return s.StartNode(ctx, i)
+}
+
+// StartNode starts the i-th VM, again after StopNode or KillNode.
+func (s *Site) StartNode(ctx context.Context, i int) error {
+	n := s.nodes[i]
+	client := &http.Client{Transport: &http.Transport{}}
+	n.idle = client.CloseIdleConnections
+	n.node = node.New(node.Config{
+		Settings: n.settings, Names: &platform.Names,
+		Objects: platform.Store(client, s.storeAt), Commands: platform.Commands(client),
+		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, ServerKind: platform.KindServers,
+		Table: platform.Table, Entry: platform.Entry, CloseIdle: client.CloseIdleConnections, Now: clock.Now, Log: s.options.Log,
+	})
+	if err := n.node.Start(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("start VM %d: %w", i, err)
+	}
+	return nil
+}
+
+// StopNode stops the i-th VM in peace.
+func (s *Site) StopNode(i int) error { return s.nodes[i].node.Stop() }
+
+// KillNode ends the i-th VM at once.
+func (s *Site) KillNode(i int) { s.nodes[i].node.Kill() }
+
+// Addresses returns where the VMs take callers.
+func (s *Site) Addresses() []string {
+	var list []string
+	for _, n := range s.nodes {
+		list = append(list, n.settings.Text("vm", "listen"))
+	}
+	return list
+}
+
+// Node returns the i-th VM.
+func (s *Site) Node(i int) *node.Node { return s.nodes[i].node }
+
+// WaitReady waits until all VMs are ready and one of them steers.
+func (s *Site) WaitReady(ctx context.Context) error {
+	for ctx.Err() == nil {
+		ready, leading := 0, 0
+		for _, n := range s.nodes {
+			if n.node.Ready() {
+				ready++
+			}
+			if n.node.Leading() {
+				leading++
+			}
+		}
+		if ready == len(s.nodes) && leading == 1 {
+			return nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return fmt.Errorf("not all VMs became ready: %w", ctx.Err())
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for _, n := range s.nodes {
+		if n.node != nil {
+			n.node.Kill()
+			n.idle()
+		}
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// Call sends one request to a VM as a caller would.
+func (s *Site) Call(ctx context.Context, client *http.Client, address, id, method, path, model, body string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Host = SiteHost
+	req.Header.Set(platform.Names.ID, id)
+	req.Header.Set(platform.Names.Deadline, "6000")
+	if model != "" {
+		req.Header.Set(platform.Names.Model, model)
+		req.Header.Set(platform.Names.Usage, "100,32")
+		req.Header.Set(platform.Names.Prefix, "aa:60,"+id+":40")
+	}
+	return client.Do(req)
+}
+
+// StampOf returns the proof that an answer is a server's own, "" for none.
+func StampOf(resp *http.Response) string { return resp.Header.Get(platform.Names.Stamp) }
--- /dev/null
+++ b/demo/site_test.go
@@ -0,0 +1,262 @@
+package demo_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/demo"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+)
+
+// testLimit bounds what a test waits for; none passes by being fast.
+const testLimit = 60 * time.Second
+
+func startSite(t *testing.T, o demo.SiteOptions) (*demo.Site, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	o.Log = zerolog.Nop()
+	s, err := demo.StartSite(ctx, o)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.NoError(t, s.WaitReady(ctx))
+	return s, ctx
+}
+
+type answer struct {
+	status int
+	stamp  string
+	body   string
+	err    error
+}
+
+func call(ctx context.Context, s *demo.Site, address, id, method, path, model string) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := s.Call(ctx, client, address, id, method, path, model, "body")
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, stamp: demo.StampOf(resp), body: string(body), err: err}
+}
+
+// wholeStream is what a stream of the stand-in says when nothing is missing.
+func wholeStream(id string) string {
+	var b strings.Builder
+	for n := 1; n <= 8; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", n, id, n)
+	}
+	return b.String()
+}
+
+func TestWholePath(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	for i, address := range s.Addresses() {
+		id := fmt.Sprintf("%02d", i)
+		got := call(ctx, s, address, "a"+id, "GET", "/look/x?y=1", "")
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		require.Equal(t, "answer to a"+id, got.body)
+		require.NotEmpty(t, got.stamp)
+		got = call(ctx, s, address, "b"+id, "POST", "/book/x", "")
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		got = call(ctx, s, address, "c"+id, "POST", "/draft/x", "m2")
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		require.Equal(t, wholeStream("c"+id), got.body)
+		got = call(ctx, s, address, "d"+id, "POST", "/draft/x", "m4/a3")
+		require.Equal(t, http.StatusOK, got.status, "a model that no server held, and an adapter of it: "+got.body)
+		got = call(ctx, s, address, "e"+id, "GET", "/nowhere/", "")
+		require.Equal(t, http.StatusNotFound, got.status)
+	}
+	for _, b := range s.Backends(demo.SiteModel) {
+		require.False(t, b.Crashed())
+	}
+}
+
+// Each fault strikes one send. What the caller sees depends on what may be
+// repeated: an idempotent request and a resumable stream are answered whole by
+// another server; one that runs at most once is told that it may have run, and
+// only a refusal by the server lets it be sent again.
+func TestFaultsOfBackends(t *testing.T) {
+	tests := map[string]struct {
+		faults stand.BackendFaults
+		path   string
+		status int
+		runs   int
+	}{
+		"refused, idempotent":       {stand.BackendFaults{Refuse: 1}, "/look/", 200, 1},
+		"refused, once":             {stand.BackendFaults{Refuse: 1}, "/book/", 200, 1},
+		"answer lost, idempotent":   {stand.BackendFaults{Lose: 1}, "/look/", 200, 2},
+		"answer lost, once":         {stand.BackendFaults{Lose: 1}, "/book/", 502, 1},
+		"failed, idempotent":        {stand.BackendFaults{Fail: 1}, "/look/", 200, 2},
+		"failed, once":              {stand.BackendFaults{Fail: 1}, "/book/", 500, 1},
+		"forged, idempotent":        {stand.BackendFaults{Forge: 1}, "/look/", 200, 2},
+		"forged, once":              {stand.BackendFaults{Forge: 1}, "/book/", 502, 1},
+		"answered twice":            {stand.BackendFaults{Stray: 1}, "/look/", 200, 1},
+		"stream lost, resumable":    {stand.BackendFaults{Lose: 1}, "/draft/", 200, 2},
+		"stream cut, resumable":     {stand.BackendFaults{Cut: 1}, "/draft/", 200, 2},
+		"stream cut, not resumable": {stand.BackendFaults{Cut: 1}, "/batch/", 200, 1},
+	}
+	s, ctx := startSite(t, demo.SiteOptions{Backends: 2})
+	n := 0
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			n++
+			id := fmt.Sprintf("f%03d", n)
+			method, model, service := "GET", "", demo.SitePlain
+			if tc.path == "/draft/" || tc.path == "/batch/" {
+				method, model, service = "POST", "m1", demo.SiteModel
+				require.Eventually(t, func() bool { return spread(ctx, s, n) }, testLimit, 10*time.Millisecond)
+			}
+			strikes := stand.NewStrikes(tc.faults)
+			for _, b := range s.Backends(service) {
+				b.SetStrikes(strikes)
+			}
+			got := call(ctx, s, s.Addresses()[0], id, method, tc.path, model)
+			require.Equal(t, tc.status, got.status, got.body)
+			require.Len(t, s.Runs.Of(id), tc.runs)
+			switch {
+			case name == "stream cut, not resumable":
+				require.Error(t, got.err, "a stream that broke off must not look complete")
+			case model != "":
+				require.NoError(t, got.err)
+				require.Equal(t, wholeStream(id), got.body)
+			case got.status == 200:
+				require.Equal(t, "answer to "+id, got.body)
+			}
+		})
+	}
+}
+
+// holders counts the servers that hold a model.
+func holders(s *demo.Site, model string) int {
+	n := 0
+	for _, b := range s.Backends(demo.SiteModel) {
+		if b.Entry().Holds(model, "") {
+			n++
+		}
+	}
+	return n
+}
+
+// spread makes demand for a model and reports whether two servers hold it.
+func spread(ctx context.Context, s *demo.Site, n int) bool {
+	call(ctx, s, s.Addresses()[0], fmt.Sprintf("w%03d", n), "POST", "/draft/", "m1")
+	return holders(s, "m1") == 2
+}
+
+// A configuration is changed while the VMs run: the new route is served by all
+// of them, and the old one no more, without a restart.
+func TestConfigurationChanges(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	moved := demo.SiteRoutes()
+	moved[0].Prefix = "/seen/"
+	require.NoError(t, s.Configure(5, moved))
+	for i, address := range s.Addresses() {
+		require.Eventually(t, func() bool {
+			return call(ctx, s, address, fmt.Sprintf("n%d", i), "GET", "/seen/", "").status == 200
+		}, testLimit, 10*time.Millisecond)
+		require.Equal(t, 404, call(ctx, s, address, fmt.Sprintf("o%d", i), "GET", "/look/", "").status)
+	}
+	require.NoError(t, s.Configure(4, demo.SiteRoutes()), "written later, so it is in force, whatever its number")
+}
+
+// The store forgets its history and then goes away. Requests are served all the
+// while; a change made after its return is in force everywhere.
+func TestStoreAwayAndCompacted(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	s.Objects.Compact()
+	s.Objects.SetFaults(stand.ObjectFaults{Away: []string{"*"}})
+	for i := range 20 {
+		got := call(ctx, s, s.Addresses()[i%3], fmt.Sprintf("s%d", i), "GET", "/look/", "")
+		require.Equal(t, 200, got.status, got.body)
+	}
+	s.Objects.SetFaults(stand.ObjectFaults{})
+	moved := demo.SiteRoutes()
+	moved[0].Prefix = "/seen/"
+	require.NoError(t, s.Configure(9, moved))
+	for i, address := range s.Addresses() {
+		require.Eventually(t, func() bool {
+			return call(ctx, s, address, fmt.Sprintf("t%d", i), "GET", "/seen/", "").status == 200
+		}, testLimit, 10*time.Millisecond)
+	}
+}
+
+// The VM that steers is killed; another takes over and loads a model that no
+// server holds, for a request that waits for it.
+func TestControllerIsKilled(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	for i := range 3 {
+		if s.Node(i).Leading() {
+			s.KillNode(i)
+			require.Eventually(t, func() bool { return s.Node((i+1)%3).Leading() || s.Node((i+2)%3).Leading() }, testLimit, 5*time.Millisecond)
+			require.Eventually(t, func() bool {
+				return call(ctx, s, s.Addresses()[(i+1)%3], fmt.Sprintf("k%d", time.Now().UnixNano()), "POST", "/draft/", "m4/a1").status == 200
+			}, testLimit, 20*time.Millisecond)
+			break
+		}
+	}
+	for _, b := range s.Backends(demo.SiteModel) {
+		require.False(t, b.Crashed())
+	}
+}
+
+// A VM is stopped under load: callers that it took get their whole answers.
+func TestStopInPeace(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{VMs: 2})
+	var wait sync.WaitGroup
+	answers := make([]answer, 40)
+	for i := range answers {
+		wait.Go(func() {
+			answers[i] = call(ctx, s, s.Addresses()[0], fmt.Sprintf("p%d", i), "POST", "/draft/", "m1")
+		})
+	}
+	require.Eventually(t, func() bool { return len(s.Runs.Of("p0")) > 0 }, testLimit, time.Millisecond)
+	require.NoError(t, s.StopNode(0))
+	wait.Wait()
+	for i, got := range answers {
+		if got.err != nil && got.status == 0 {
+			continue // It was not taken any more.
+		}
+		require.NoError(t, got.err)
+		if got.status == 200 {
+			require.Equal(t, wholeStream(fmt.Sprintf("p%d", i)), got.body)
+		}
+	}
+}
+
+// Orders are carried out and their answers lost. No server is ordered beyond its
+// memory or places, and every model stays reachable.
+func TestOrdersWithoutAnswers(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	strikes := stand.NewStrikes(stand.BackendFaults{LoseOrders: 6})
+	for _, b := range s.Backends(demo.SiteModel) {
+		b.SetStrikes(strikes)
+	}
+	for i, model := range []string{"m1/a1", "m2/a2", "m3/a3", "m4/a4", "m4/a1", "m2"} {
+		require.Eventually(t, func() bool {
+			return call(ctx, s, s.Addresses()[i%3], fmt.Sprintf("l%d-%d", i, time.Now().UnixNano()), "POST", "/draft/", model).status == 200
+		}, testLimit, 20*time.Millisecond)
+	}
+	for _, b := range s.Backends(demo.SiteModel) {
+		require.False(t, b.Crashed())
+	}
+}
+
+func TestSiteRoutesAreOfAllKinds(t *testing.T) {
+	kinds := map[routes.Kind]bool{}
+	for _, r := range demo.SiteRoutes() {
+		kinds[r.Kind] = true
+	}
+	require.Len(t, kinds, 3)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -337,3 +337,6 @@
 	}
 	n.jobs.Wait()
 }
+
+// Leading reports whether this VM steers the servers.
+func (n *Node) Leading() bool { return n.peers.Leading() }
