Searches shared, targets by a heap, reports believed only when old enough

A report can show a new sequence with models from before it. Change: one search for each model and adapter; a look at the placement takes a twentieth of the time; targets by a heap, copies that are there count half as much again; reports within half a second of an order are left out, at the start of a term too, and a sequence that is higher than known asks for one more report.

--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -44,10 +44,60 @@
 	if _, known := s.Engine.Models[model]; !known {
 		return "", errUnknownModel
 	}
+	return c.share(ctx, s, model, adapter)
+}
+
+// finding is a search that several callers wait for.
+type finding struct {
+	done chan struct{}
+	id   string
+	err  error
+}
+
+// findLimit bounds one search; callers that still wait begin another.
+const findLimit = 5 * time.Second
+
+// share joins the searches for the same model and adapter: after a shift of
+// demand hundreds of requests wait for one model, and each would look at all
+// servers whenever one of them changes.
+func (c *Controller) share(ctx context.Context, s routes.Service, model, adapter string) (string, error) {
+	key := adapterName(s.Name, model, adapter)
+	c.mu.Lock()
+	if c.finding == nil {
+		c.finding = make(map[string]*finding)
+	}
+	f := c.finding[key]
+	if f == nil {
+		f = &finding{done: make(chan struct{})}
+		c.finding[key] = f
+		go c.search(s, model, adapter, key, f)
+	}
+	c.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return "", fmt.Errorf("no server holds it yet: %w", ctx.Err())
+	case <-f.done:
+		return f.id, f.err
+	}
+}
+
+func (c *Controller) search(s routes.Service, model, adapter, key string, f *finding) {
+	ctx, cancel := context.WithTimeout(context.Background(), findLimit)
+	defer cancel()
+	f.id, f.err = c.seek(ctx, s, model, adapter)
+	c.mu.Lock()
+	delete(c.finding, key)
+	c.mu.Unlock()
+	close(f.done)
+}
+
+// seek orders an adapter where that is all that is missing, and waits until a
+// server is ready.
+func (c *Controller) seek(ctx context.Context, s routes.Service, model, adapter string) (string, error) {
 	for {
 		changed := c.Changed()
 		now := c.Now()
-		if id := c.holder(now, service, model, adapter); id != "" {
+		if id := c.holder(now, s.Name, model, adapter); id != "" {
 			return id, nil
 		}
 		if _, leading := c.Fence(now); !leading {
@@ -109,11 +159,11 @@
 // not been asked for lately.
 func (c *Controller) orderAdapter(ctx context.Context, now time.Time, s *Server, service routes.Service, model, adapter string) {
 	if s.Places() < service.Engine.AdapterSlots && s.weight(service.Engine)+service.Engine.Models[model].AdapterMB <= service.Engine.MemoryMB {
-		c.start(ctx, s, Order{Model: model, Adapter: adapter}, adapterReady)
+		c.start(context.WithoutCancel(ctx), s, Order{Model: model, Adapter: adapter}, adapterReady)
 		return
 	}
 	if m, a := c.idlest(now, s, service.Name, evictAfter); a != "" {
-		c.start(ctx, s, Order{Unload: true, Model: m, Adapter: a}, 0)
+		c.start(context.WithoutCancel(ctx), s, Order{Unload: true, Model: m, Adapter: a}, 0)
 	}
 }
 
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -12,6 +13,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
@@ -19,6 +21,9 @@
 const (
 	// tick is how often the placement is looked at: demand shifts over seconds.
 	tick = 100 * time.Millisecond
+	// stepShare keeps the looks to a twentieth of the VM's time, however many
+	// servers and models there are.
+	stepShare = 20
 	// callTimeout bounds a call to a server, which answers in milliseconds.
 	callTimeout = 300 * time.Millisecond
 	// reportEvery is how often a settled server is asked for a report. Entries
@@ -54,13 +59,16 @@
 	// fence is that of the present term.
 	fence    int
 	servers  map[string]*Server
+	sorted   map[string][]*Server
 	busy     map[string]bool
 	asked    map[string]time.Time
 	work     map[string]*Demand
 	adapters Demand
 	ceilings map[string]*Ceiling
 	loads    map[string]map[string]pick.Load
+	sums     map[string]pick.Load
 	changed  chan struct{}
+	finding  map[string]*finding
 	// notified is the newest change that was told.
 	notified time.Time
 }
@@ -83,6 +91,7 @@
 	if c.loads == nil {
 		c.loads = make(map[string]map[string]pick.Load)
 	}
+	c.total(c.loads[vm], loads)
 	c.loads[vm] = loads
 	for _, w := range wants {
 		c.demand(w.Service).Add(now, w.Model, float64(w.Tokens))
@@ -92,10 +101,28 @@
 	}
 }
 
+// total replaces a VM's part in the sums. c.mu is held.
+func (c *Controller) total(old, next map[string]pick.Load) {
+	if c.sums == nil {
+		c.sums = make(map[string]pick.Load)
+	}
+	for id, l := range old {
+		s := c.sums[id]
+		c.sums[id] = pick.Load{Running: s.Running - l.Running, Reading: s.Reading - l.Reading, Tokens: s.Tokens - l.Tokens}
+		if c.sums[id].Running == 0 {
+			delete(c.sums, id)
+		}
+	}
+	for id, l := range next {
+		c.sums[id] = c.sums[id].Plus(l)
+	}
+}
+
 // Left forgets the load of a VM whose link ended.
 func (c *Controller) Left(vm string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.total(c.loads[vm], nil)
 	delete(c.loads, vm)
 }
 
@@ -117,13 +144,7 @@
 func (c *Controller) Loads() map[string]pick.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sum := make(map[string]pick.Load)
-	for _, loads := range c.loads {
-		for id, l := range loads {
-			sum[id] = sum[id].Plus(l)
-		}
-	}
-	return sum
+	return maps.Clone(c.sums)
 }
 
 // Shown is what requests may be sent to a server for, as of a change.
@@ -178,15 +199,12 @@
 
 // Run steers until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		c.step(ctx, c.Now())
+	for ctx.Err() == nil {
+		begun := c.Now()
+		c.step(ctx, begun)
+		took := c.Now().Sub(begun)
+		c.Meter.Time("steer.step", took)
+		pause.For(ctx, max(tick, stepShare*took))
 	}
 }
 
@@ -226,7 +244,7 @@
 		}
 	}
 	for _, s := range c.servers {
-		s.Forget()
+		s.Forget(now)
 	}
 }
 
@@ -237,9 +255,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.servers == nil {
+		c.sorted = make(map[string][]*Server)
 		c.servers, c.busy, c.asked = make(map[string]*Server), make(map[string]bool), make(map[string]time.Time)
 	}
-	listed := make(map[string]bool)
+	listed, before := make(map[string]bool), len(c.sorted[service])
+	added := 0
 	for _, e := range entries {
 		if e.Service != service {
 			continue
@@ -247,6 +267,7 @@
 		listed[e.ID] = true
 		if s := c.servers[e.ID]; s == nil {
 			c.servers[e.ID] = NewServer(e.At, e.Entry)
+			added++
 		} else {
 			s.Listed(e.At, e.Entry)
 		}
@@ -257,18 +278,27 @@
 			delete(c.asked, id)
 		}
 	}
+	if added > 0 || len(listed) != before {
+		c.sort(service)
+	}
 	c.notify()
 }
 
-// of returns the servers of a service in the order of their IDs.
-func (c *Controller) of(service string) []*Server {
+// of returns the servers of a service in the order of their IDs. Callers must
+// not change the list.
+func (c *Controller) of(service string) []*Server { return c.sorted[service] }
+
+// sort puts the servers of a service in the order of their IDs, so that the same
+// state gives the same choices.
+func (c *Controller) sort(service string) {
 	var list []*Server
-	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		if s := c.servers[id]; s.entry.Service == service {
+	for _, s := range c.servers {
+		if s.entry.Service == service {
 			list = append(list, s)
 		}
 	}
-	return list
+	slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+	c.sorted[service] = list
 }
 
 func (c *Controller) askReports(ctx context.Context, now time.Time, service string) {
@@ -368,13 +398,7 @@
 }
 
 // running returns how many requests all VMs have at a server.
-func (c *Controller) running(id string) int {
-	n := 0
-	for _, loads := range c.loads {
-		n += loads[id].Running
-	}
-	return n
-}
+func (c *Controller) running(id string) int { return c.sums[id].Running }
 
 // start sends an order in the background. c.mu is held. The sequence is that
 // of the decision: a report that comes in before the order is sent may show an
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -43,7 +44,16 @@
 	have     map[string]int
 	target   map[string]int
 	inDomain map[domainModel]int
-	staying  []*Server
+	staying  []stayer
+}
+
+// stayer is a server that models can be placed on.
+type stayer struct {
+	*Server
+	// mb is what it holds, free whether it takes orders now.
+	mb   float64
+	free bool
+	load int
 }
 
 type domainModel struct{ domain, model string }
@@ -79,7 +89,7 @@
 		if s.entry.Draining || s.Down() {
 			continue
 		}
-		p.staying = append(p.staying, s)
+		p.staying = append(p.staying, stayer{Server: s, mb: s.weight(p.Engine), free: s.Free(p.Now), load: p.Load(s.entry.ID)})
 		for name, r := range s.models {
 			if r.phase != leaving {
 				p.have[name]++
@@ -89,32 +99,71 @@
 	}
 }
 
-// targets divides the memory of the staying servers among the models.
+// targets divides the memory of the staying servers among the models. A copy
+// that is there already counts for more than one that would have to be loaded.
 func (p *Planner) targets() map[string]int {
-	servers := len(p.staying)
-	room := float64(servers) * p.Engine.MemoryMB
-	target := make(map[string]int)
+	room := float64(len(p.staying)) * p.Engine.MemoryMB
+	target := make(map[string]int, len(p.Engine.Models))
+	var claims claimHeap
 	for name, m := range p.Engine.Models {
 		target[name] = 1
 		room -= m.MB
-	}
-	for {
-		best, score := "", 0.0
-		for name, m := range p.Engine.Models {
-			if target[name] >= servers || m.MB > room {
-				continue
-			}
-			s := p.work[name] / float64(target[name])
-			if s > score || s == score && s > 0 && name < best {
-				best, score = name, s
-			}
+		if p.work[name] > 0 {
+			claims = append(claims, p.claim(m, 1))
 		}
-		if best == "" {
-			return target
+	}
+	heap.Init(&claims)
+	for len(claims) > 0 {
+		best := &claims[0]
+		name := best.model.Name
+		if target[name] >= len(p.staying) || best.model.MB > room {
+			heap.Pop(&claims)
+			continue
 		}
-		target[best]++
-		room -= p.Engine.Models[best].MB
+		target[name]++
+		room -= best.model.MB
+		*best = p.claim(best.model, target[name])
+		heap.Fix(&claims, 0)
+	}
+	return target
+}
+
+// claim is what a model's next copy is worth.
+type claim struct {
+	model routes.Model
+	score float64
+}
+
+func (p *Planner) claim(m routes.Model, copies int) claim {
+	score := p.work[m.Name] / float64(copies)
+	if copies < p.have[m.Name] {
+		score *= moveMargin
 	}
+	return claim{model: m, score: score}
+}
+
+// claimHeap has the best claim first.
+type claimHeap []claim
+
+func (h claimHeap) Len() int { return len(h) }
+
+func (h claimHeap) Less(i, j int) bool {
+	if h[i].score != h[j].score {
+		return h[i].score > h[j].score
+	}
+	return h[i].model.Name < h[j].model.Name
+}
+
+func (h claimHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *claimHeap) Push(x any) { *h = append(*h, x.(claim)) }
+
+// Pop implements heap.Interface.
+func (h *claimHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
 // lacking returns the models with fewer copies than wanted, those without any
@@ -156,33 +205,34 @@
 
 // place returns the next order towards one more copy of a model.
 func (p *Planner) place(m routes.Model, used map[*Server]bool) (Step, bool) {
-	var options []option
+	var best option
+	found := false
 	for _, s := range p.staying {
-		if used[s] || !s.Free(p.Now) || s.models[m.Name] != nil {
+		if !s.free || used[s.Server] || s.models[m.Name] != nil {
 			continue
 		}
-		if o, ok := p.option(s, m); ok {
-			options = append(options, o)
+		o, ok := p.option(s, m)
+		if ok && (!found || compareOptions(o, best) < 0) {
+			best, found = o, true
 		}
 	}
-	if len(options) == 0 {
+	if !found {
 		return Step{}, false
 	}
-	o := slices.MinFunc(options, compareOptions)
-	if o.victim != "" {
-		p.have[o.victim]--
-		return Step{Server: o.step.Server, Unload: true, Model: p.Engine.Models[o.victim]}, true
+	if best.victim != "" {
+		p.have[best.victim]--
+		return Step{Server: best.step.Server, Unload: true, Model: p.Engine.Models[best.victim]}, true
 	}
-	if o.step.Store && !p.Store() {
+	if best.step.Store && !p.Store() {
 		return Step{}, false
 	}
 	p.have[m.Name]++
-	return o.step, true
+	return best.step, true
 }
 
 func compareOptions(a, b option) int {
 	return cmp.Or(
-		cmp.Compare(len(a.victim), 0)-cmp.Compare(len(b.victim), 0),
+		cmp.Compare(min(len(a.victim), 1), min(len(b.victim), 1)),
 		cmp.Compare(a.step.Time, b.step.Time),
 		cmp.Compare(a.far, b.far),
 		cmp.Compare(a.load, b.load),
@@ -190,13 +240,13 @@
 	)
 }
 
-func (p *Planner) option(s *Server, m routes.Model) (option, bool) {
+func (p *Planner) option(s stayer, m routes.Model) (option, bool) {
 	took, store := s.loadTime(m)
-	o := option{step: Step{Server: s, Model: m, Store: store, Time: took}, far: p.inDomain[domainModel{s.entry.Domain, m.Name}], load: p.Load(s.entry.ID)}
-	if s.weight(p.Engine)+m.MB <= p.Engine.MemoryMB {
+	o := option{step: Step{Server: s.Server, Model: m, Store: store, Time: took}, far: p.inDomain[domainModel{s.entry.Domain, m.Name}], load: s.load}
+	if s.mb+m.MB <= p.Engine.MemoryMB {
 		return o, true
 	}
-	o.victim = p.victim(s, m)
+	o.victim = p.victim(s.Server, m)
 	return o, o.victim != ""
 }
 
--- /dev/null
+++ b/steer/scale_test.go
@@ -0,0 +1,66 @@
+package steer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// BenchmarkStep measures one look at the placement while demand is spread over
+// all models, with settled servers and nothing to order.
+func BenchmarkStep(b *testing.B) {
+	for _, size := range []struct{ servers, models int }{{12, 20}, {144, 171}, {1500, 1000}} {
+		b.Run(fmt.Sprintf("%d_servers_%d_models", size.servers, size.models), func(b *testing.B) {
+			c := scaled(size.servers, size.models)
+			now := c.Now()
+			for b.Loop() {
+				c.step(context.Background(), now)
+			}
+		})
+	}
+}
+
+func scaled(servers, models int) *Controller {
+	now := time.Unix(1000, 0)
+	engine := &routes.Engine{MemoryMB: 83, AdapterSlots: 5, LoadsPerSecond: 20, Models: make(map[string]routes.Model)}
+	for m := range models {
+		name := fmt.Sprintf("m%04d", m)
+		engine.Models[name] = routes.Model{Name: name, MB: 20, Load: time.Second, Adapters: 4}
+	}
+	var entries []backs.Entry
+	for s := range servers {
+		e := backs.Entry{ID: fmt.Sprintf("i%04d", s), Service: "s", Domain: fmt.Sprintf("d%d", s%4)}
+		for k := range 4 {
+			e.Models = append(e.Models, backs.Held{Model: fmt.Sprintf("m%04d", (4*s+k)%models)})
+		}
+		entries = append(entries, e)
+	}
+	view := &backs.View{}
+	view.Replace(now, entries)
+	table := routes.NewTable(1, nil, []routes.Service{{Name: "s", Engine: engine}}, routes.Limits{})
+	c := &Controller{
+		Name: "vm", Servers: view, Table: func() *routes.Table { return table },
+		Fence: func(time.Time) (int, bool) { return 1, true }, Now: func() time.Time { return now },
+		Log: zerolog.Nop(), Meter: meter.New(),
+		Commands: Commands{
+			Send:   func(context.Context, backs.Entry, Order) (Verdict, error) { return Refused, nil },
+			Report: func(context.Context, backs.Entry) (Report, error) { return Report{}, fmt.Errorf("away") },
+		},
+	}
+	for m := range models {
+		c.demand("s").Add(now, fmt.Sprintf("m%04d", m), float64(1000/(m+1)))
+	}
+	c.step(context.Background(), now)
+	for _, s := range c.servers {
+		s.Reported(now.Add(time.Minute), now.Add(time.Minute), Report{Models: s.entry.Models})
+		c.busy[s.entry.ID] = true
+	}
+	return c
+}
--- a/steer/server.go
+++ b/steer/server.go
@@ -127,8 +127,15 @@
 	s.changed = now
 }
 
-// Reported takes in a report that was asked for at a time.
+// Reported takes in a report that was asked for at a time. What it shows of
+// models can be older than its sequence, so one that was asked for within
+// reportLag of a change says nothing yet: taken at its word, it frees the memory
+// of a model that is on its way.
 func (s *Server) Reported(now, asked time.Time, r Report) {
+	s.missed = 0
+	if asked.Sub(s.ordered) < reportLag {
+		return
+	}
 	if !s.unclear.IsZero() {
 		if asked.Sub(s.unclear) < reportLag {
 			return
@@ -140,8 +147,13 @@
 		// It is from before the last order.
 		return
 	}
+	if s.known && r.Sequence > s.sequence {
+		// An order was carried out late; a later report shows what it did.
+		s.sequence, s.unclear = r.Sequence, asked
+		return
+	}
 	s.sequence, s.known = r.Sequence, true
-	s.doubted, s.missed = false, 0
+	s.doubted = false
 	s.copies(asked, r)
 	for _, h := range append(slices.Clone(r.Models), r.Pending...) {
 		s.add(now, h)
@@ -240,9 +252,10 @@
 	return !s.done.IsZero() && !now.Before(s.done) && !s.busy.IsZero()
 }
 
-// Forget makes the state unknown until the next report: another VM gave orders
-// meanwhile.
-func (s *Server) Forget() {
+// Forget makes the state unknown until a report: another VM, or a process on
+// this one that has ended, gave orders up to now.
+func (s *Server) Forget(now time.Time) {
+	s.ordered = now
 	s.known, s.busy, s.unclear = false, time.Time{}, time.Time{}
 	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
 }
@@ -293,7 +306,7 @@
 			// it gone, and the server takes no orders until then. A place given
 			// out before that is one too many, and the server crashes.
 			r.adapters[o.Adapter] = place{ready: now, leaving: true}
-			s.busy, s.done = now.Add(loadSlack*time.Second), now.Add(reportLag/2)
+			s.busy, s.done = now.Add(loadSlack*time.Second), now.Add(reportLag)
 		}
 		return
 	}
@@ -305,7 +318,7 @@
 		}
 		return
 	}
-	s.busy, s.done = now.Add(loadSlack*max(within, time.Second)), now.Add(within+reportLag/2)
+	s.busy, s.done = now.Add(loadSlack*max(within, time.Second)), now.Add(max(within+reportLag/2, reportLag))
 	if !o.Unload {
 		s.loaded = now
 		s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -63,6 +63,23 @@
 	require.Equal(t, 4, s.Sequence())
 }
 
+// A report shows the sequence of now and the models of some time ago: the order
+// is counted, its model is not there and the server seems idle. Taken at its
+// word, the memory of a model that is being loaded would be given out again.
+func TestReportWithNewSequenceAndOldModels(t *testing.T) {
+	s := reported(at(0), "a", 0, "m1")
+	s.Answered(at(1), at(1), steer.Order{Model: "m2"}, steer.Accepted, 300*time.Millisecond)
+	s.Reported(at(1.2), at(1.15), steer.Report{Models: entry("", "m1").Models, Sequence: 1})
+	require.False(t, s.Free(at(1.2)))
+	// An order of another VM that came late: one more report is needed.
+	s = reported(at(0), "a", 0, "m1")
+	s.Reported(at(2), at(2), steer.Report{Models: entry("", "m1").Models, Sequence: 1})
+	require.False(t, s.Free(at(2)))
+	s.Reported(at(2.6), at(2.6), steer.Report{Models: entry("", "m1", "m2").Models, Sequence: 1})
+	require.True(t, s.Free(at(2.6)))
+	require.True(t, s.Has(at(2.6), "m2", ""))
+}
+
 // A report that was made before the last order would take the order's model
 // away again, and its memory would be given out twice.
 func TestReportFromBeforeAnOrder(t *testing.T) {
