A server whose report says that an order is under way gets none

Change: a busy report keeps the server from orders until one says otherwise; adapters of a model on its way out do not make way; reports that change what is believed are logged.

--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -195,6 +195,9 @@
 	var oldest time.Time
 	used := c.used(s.entry.ID)
 	for m, r := range s.models {
+		if r.phase != held {
+			continue
+		}
 		for a, at := range r.adapters {
 			last := c.adapters.Last(adapterName(service, m, a))
 			if at.ready.After(last) {
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -329,10 +329,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.servers[e.ID]; s != nil {
-		s.Reported(c.Now(), asked, r)
-		c.notify()
+	s := c.servers[e.ID]
+	if s == nil {
+		return
 	}
+	known, sequence, changed := s.Free(asked), s.sequence, s.changed
+	s.Reported(c.Now(), asked, r)
+	if known != s.Free(asked) || sequence != s.sequence || changed != s.changed {
+		c.Log.Info().Str("server", e.ID).Int("sequence", r.Sequence).Int("before", sequence).Bool("busy", r.Busy).
+			Interface("models", r.Models).Interface("pending", r.Pending).Dur("age", c.Now().Sub(asked)).Msg("report")
+	}
+	c.notify()
 }
 
 // missed notes a server that gave no report.
--- a/steer/server.go
+++ b/steer/server.go
@@ -168,9 +168,12 @@
 		}
 		s.dropAdapters(now, m, append(slices.Clone(r.Models[i].Adapters), pendingOf(r, name)...))
 	}
-	if !r.Busy {
-		s.settled()
+	if r.Busy {
+		// Whatever the order's own time was: it goes on.
+		s.busy = now.Add(loadSlack * time.Second)
+		return
 	}
+	s.settled()
 }
 
 // settled notes that no model order is under way: one that is still listed as
