--- /dev/null
+++ b/pass/call_test.go
@@ -0,0 +1,114 @@
+package pass
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+var testNames = &Names{
+	ID: "Attempt", Deadline: "Deadline", ExpectServer: "Expect-Server", Stamp: "Stamp", NotRun: "Not-Run",
+	Model: "Model", Usage: "Usage", Prefix: "Prefix", Priority: "Priority", Reserved: []string{"Pin"},
+	ParseModel:  func(s string) (string, string) { m, a, _ := strings.Cut(s, "/"); return m, a },
+	ParseUsage:  func(string) (int, int) { return 10, 20 },
+	ParsePrefix: func(string) []pick.Part { return nil },
+}
+
+var now = time.Unix(1000, 0)
+
+func testCall(t *testing.T, raw string, route routes.Route) *call {
+	t.Helper()
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+	require.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	table := routes.NewTable(1, nil, []routes.Service{{Name: "s", Engine: &routes.Engine{}}}, routes.Limits{})
+	route.Targets = []routes.Target{{Service: "s", Weight: 1}}
+	return newCall(now, testNames, r, body, table, route)
+}
+
+// A caller hides a second request behind the first, by two lengths. The server
+// must see one request with the bytes that were read, framed anew.
+func TestHeadFramesTheBodyAnew(t *testing.T) {
+	c := testCall(t, "POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h.example\r\nAttempt: 7\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		"3\r\nabc\r\n0\r\n\r\nGET /evil HTTP/1.1\r\nHost: h\r\n\r\n", routes.Route{})
+	sent := append(c.head(testNames, "srv", time.Second), c.body...)
+	reader := bufio.NewReader(bytes.NewReader(sent))
+	r, err := http.ReadRequest(reader)
+	require.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	require.Equal(t, "abc", string(body))
+	require.Equal(t, "/a%2Fb?x=1", r.RequestURI)
+	require.Equal(t, "h.example", r.Host)
+	require.Zero(t, reader.Buffered(), "bytes behind the request")
+}
+
+func TestHeadKeepsAndReplacesHeaders(t *testing.T) {
+	c := testCall(t, "POST /x HTTP/1.1\r\nHost: h\r\nAttempt: 7\r\nModel: m/a1\r\nDeadline: 6000\r\nPin: 5\r\nPriority: 0\r\n"+
+		"Expect-Server: other\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Own: a\r\nX-Own: b\r\nContent-Length: 1\r\n\r\nz", routes.Route{Priority: 2})
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(c.head(testNames, "srv", 1500*time.Millisecond), 'z'))))
+	require.NoError(t, err)
+	require.Equal(t, []string{"a", "b"}, r.Header["X-Own"])
+	tests := map[string]string{
+		"Attempt": "7", "Model": "m/a1", "Deadline": "1500", "Expect-Server": "srv", "Priority": "5", "Pin": "", "X-Hop": "", "Connection": "",
+	}
+	for name, want := range tests {
+		require.Equal(t, want, r.Header.Get(name), name)
+	}
+}
+
+func TestPatience(t *testing.T) {
+	tests := map[string]struct {
+		header  string
+		timeout time.Duration
+		want    time.Duration
+	}{
+		"the caller's": {"2000", 5 * time.Second, 2 * time.Second},
+		"the route's":  {"9000", 5 * time.Second, 5 * time.Second},
+		"no header":    {"", 5 * time.Second, 5 * time.Second},
+		"not a number": {"soon", 5 * time.Second, 5 * time.Second},
+		"neither":      {"", 0, defaultPatience},
+		"negative":     {"-1", 5 * time.Second, 5 * time.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCall(t, "GET /x HTTP/1.1\r\nHost: h\r\nDeadline: "+tc.header+"\r\n\r\n", routes.Route{Timeout: tc.timeout})
+			require.Equal(t, tc.want, c.remaining(now))
+		})
+	}
+}
+
+// A request may have run at one server and was refused by the next. The refusal
+// proves nothing about the first: a caller that were told "not run" would send
+// it again, and it would run twice.
+func TestAnUncertainSendIsNotForgotten(t *testing.T) {
+	tests := map[string]struct {
+		kind      routes.Kind
+		uncertain bool
+		again     bool
+	}{
+		"once, refused":                {routes.Once, false, true},
+		"once, may have run":           {routes.Once, true, false},
+		"idempotent, may have run":     {routes.Idempotent, true, true},
+		"stream, may have run":         {routes.Stream, true, false},
+		"stream, refused":              {routes.Stream, false, true},
+		"idempotent, certainly no run": {routes.Idempotent, false, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := testCall(t, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", routes.Route{Kind: tc.kind, Timeout: time.Second})
+			c.uncertain = tc.uncertain
+			require.Equal(t, tc.again, (&Gateway{}).again(t.Context(), c))
+		})
+	}
+}
--- /dev/null
+++ b/peers/lease_test.go
@@ -0,0 +1,152 @@
+package peers_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/peers"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+	"github.com/hibiscuscart/hibiscuscart/store"
+)
+
+// testClock is moved by the test.
+type testClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *testClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *testClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func objectsOf(o *stand.Objects) store.Objects {
+	return store.Objects{
+		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
+		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
+			data, err := json.Marshal(value)
+			if err != nil {
+				return 0, err
+			}
+			got, err := o.Put(kind, name, ifVersion, data)
+			if err == nil && o.LoseAnswer() {
+				return 0, &store.LostError{}
+			}
+			return got.Version, err
+		},
+	}
+}
+
+func newLease(clock *testClock, o *stand.Objects, name string) *peers.Lease {
+	return &peers.Lease{
+		Name: name, Address: "127.0.0.1:" + name, Objects: objectsOf(o), Duration: time.Second, Handover: 3 * time.Second,
+		Now: clock.Now, Log: zerolog.Nop(),
+	}
+}
+
+func mayOrder(l *peers.Lease, now time.Time) bool {
+	_, ok := l.Fence(now)
+	return ok
+}
+
+// The controller dies. Servers that do not check fencing numbers must not get
+// orders of two VMs within three seconds: the next VM takes the lease when it
+// has run out, and gives its first order a handover later.
+func TestHandover(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+	a, b := newLease(clock, o, "1"), newLease(clock, o, "2")
+	ctx := t.Context()
+	a.Step(ctx)
+	require.True(t, mayOrder(a, clock.Now()), "the first VM need not wait")
+	b.Step(ctx)
+	var ended, began time.Time
+	for range 100 {
+		clock.advance(100 * time.Millisecond)
+		b.Step(ctx)
+		if ended.IsZero() && !mayOrder(a, clock.Now()) {
+			ended = clock.Now()
+		}
+		if began.IsZero() && mayOrder(b, clock.Now()) {
+			began = clock.Now()
+		}
+	}
+	require.False(t, began.IsZero())
+	require.GreaterOrEqual(t, began.Sub(ended), 3*time.Second)
+	require.LessOrEqual(t, began.Sub(ended), 5*time.Second)
+	fenceB, _ := b.Fence(clock.Now())
+	fenceA, _ := a.Fence(clock.Now())
+	require.Greater(t, fenceB, fenceA)
+}
+
+// The holder stands still for longer than its lease and believes, when it wakes,
+// that no time has passed but for the clock that counts the pause. It must not
+// give orders.
+func TestPausedHolderStops(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+	a := newLease(clock, o, "1")
+	a.Step(t.Context())
+	require.True(t, mayOrder(a, clock.Now()))
+	clock.advance(5 * time.Second)
+	require.False(t, mayOrder(a, clock.Now()))
+	require.Empty(t, a.Key(clock.Now()))
+}
+
+// The answer to a renewal is lost although it took effect. The holder reads the
+// record back and goes on; nobody else takes the lease.
+func TestLostRenewal(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+	a, b := newLease(clock, o, "1"), newLease(clock, o, "2")
+	a.Step(t.Context())
+	clock.advance(400 * time.Millisecond)
+	o.SetFaults(stand.ObjectFaults{LoseAnswers: 1})
+	a.Step(t.Context())
+	for range 20 {
+		clock.advance(100 * time.Millisecond)
+		a.Step(t.Context())
+		b.Step(t.Context())
+		require.False(t, b.Held(clock.Now()))
+	}
+	require.True(t, mayOrder(a, clock.Now()))
+}
+
+// A process that ends and starts again at the same address goes on at once: the
+// one before it has ended, so no handover is needed.
+func TestRestartAtTheSameAddress(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+	newLease(clock, o, "1").Step(t.Context())
+	clock.advance(100 * time.Millisecond)
+	again := newLease(clock, o, "1")
+	again.Step(t.Context())
+	require.True(t, mayOrder(again, clock.Now()))
+}
+
+// The holder tells its renewals over the links. A VM that loses the link counts
+// the lease from the last one told, and takes over sooner than one that begins
+// to look at the record only then.
+func TestToldRenewalsShortenTheWait(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+	a, told, untold := newLease(clock, o, "1"), newLease(clock, o, "2"), newLease(clock, o, "3")
+	a.Step(t.Context())
+	told.Step(t.Context())
+	told.Told(a.Renewed())
+	clock.advance(900 * time.Millisecond)
+	untold.Step(t.Context())
+	clock.advance(300 * time.Millisecond)
+	untold.Step(t.Context())
+	require.False(t, untold.Held(clock.Now()))
+	told.Step(t.Context())
+	require.True(t, told.Held(clock.Now()))
+}
--- a/pick/book.go
+++ b/pick/book.go
@@ -141,6 +141,8 @@
 	// rates is how many prompt tokens of a model are read in a millisecond, as
 	// answers of idle servers have shown.
 	rates map[string]float64
+	// took is the usual time of an answer of each service.
+	took map[string]time.Duration
 }
 
 func (b *Book) state(id string) *state {
@@ -209,7 +211,7 @@
 	s := b.state(e.ID)
 	load := s.own.Plus(s.others)
 	if w.Model == "" {
-		return Choice{Server: e, Predicted: s.plainTime(load, e.Slots), Load: load}
+		return Choice{Server: e, Predicted: s.plainTime(b.took[e.Service], load, e.Slots), Load: load}
 	}
 	hit := s.cache.hit(w, chain)
 	if owner {
@@ -258,9 +260,13 @@
 }
 
 // plainTime predicts the answer of a service without models: the rounds of
-// requests ahead of this one, each of the usual time.
-func (s *state) plainTime(load Load, slots int) time.Duration {
+// requests ahead of this one, each of the usual time. A server that has not
+// answered yet is taken to be like the others, so that it is tried.
+func (s *state) plainTime(usual time.Duration, load Load, slots int) time.Duration {
 	took := s.took
+	if took == 0 {
+		took = usual
+	}
 	if took == 0 {
 		took = plainTime
 	}
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,172 @@
+package pick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func servers(n int) []backs.Entry {
+	var list []backs.Entry
+	for i := range n {
+		list = append(list, backs.Entry{ID: fmt.Sprintf("s%d", i), Domain: "d", Slots: 64})
+	}
+	return list
+}
+
+func draft(subject string, own int) pick.Work {
+	return pick.Work{
+		Model: "m", Prompt: 9190, Output: 52, Objective: 600 * time.Millisecond,
+		Parts: []pick.Part{{ID: "style", Tokens: 2520}, {ID: subject, Tokens: 3780}, {ID: fmt.Sprint(own), Tokens: 2890}},
+	}
+}
+
+const kv = 269_258
+
+// Load pattern: drafts of forty subjects at a steady rate. The shared part of a
+// draft takes 200 ms to read. If drafts went to any server, each would read each
+// subject; together the servers should read a subject little more than once.
+func TestSharedPrefixesAreDividedAmongServers(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	list := servers(6)
+	rng := rand.New(rand.NewPCG(1, 1))
+	read := 0
+	for i := range 400 {
+		now := at(float64(i) * 0.1)
+		w := draft(fmt.Sprintf("subject-%d", rng.IntN(40)), i)
+		c, ok := book.Choose(now, list, w, kv, nil)
+		require.True(t, ok)
+		ticket := book.Begin(now, c, w, kv)
+		read += c.Missing
+		ticket.First(now.Add(c.Reading))
+		ticket.End(now.Add(c.Reading), pick.Good)
+	}
+	alone := 400 * 9190
+	require.Less(t, read, alone/2)
+}
+
+// Load pattern: a burst for one subject. Its server has a queue of prompts; the
+// time to read the shared part again elsewhere is less than the queue.
+func TestABurstLeavesTheServerOfItsPrefix(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	list := servers(4)
+	used := map[string]int{}
+	for i := range 24 {
+		w := draft("one", i)
+		c, ok := book.Choose(at(0), list, w, kv, nil)
+		require.True(t, ok)
+		book.Begin(at(0), c, w, kv)
+		used[c.Server.ID]++
+	}
+	require.Len(t, used, 4)
+	for id, n := range used {
+		require.LessOrEqual(t, n, 12, id)
+	}
+}
+
+// A server answers health checks and fails its requests. After a few failures
+// nearly all requests go elsewhere; when it is sound again it gets some.
+func TestGreyServersAreAvoidedAndTriedAgain(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	list := servers(3)
+	w := pick.Work{Objective: 100 * time.Millisecond}
+	failed := 0
+	for i := range 200 {
+		now := at(float64(i) * 0.02)
+		c, _ := book.Choose(now, list, w, 0, nil)
+		ticket := book.Begin(now, c, w, 0)
+		verdict := pick.Good
+		if c.Server.ID == "s0" {
+			verdict = pick.Bad
+			failed++
+		}
+		ticket.End(now.Add(15*time.Millisecond), verdict)
+	}
+	require.Less(t, failed, 10)
+	later := at(120)
+	served := map[string]bool{}
+	for range 3 {
+		c, _ := book.Choose(later, list, w, 0, nil)
+		served[c.Server.ID] = true
+		book.Begin(later, c, w, 0)
+	}
+	require.True(t, served["s0"])
+}
+
+// A failure domain is cut off: after the first connections fail, its other
+// servers are not tried one after the other.
+func TestACutDomainIsAvoidedAsAWhole(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	list := servers(2)
+	far := []backs.Entry{{ID: "f0", Domain: "far", Slots: 64}, {ID: "f1", Domain: "far", Slots: 64}}
+	for range 4 {
+		book.Unreached(at(0), far[0])
+	}
+	require.True(t, book.Cut(at(0), "far"))
+	c, ok := book.Choose(at(0), append([]backs.Entry{far[1]}, list...), pick.Work{}, 0, nil)
+	require.True(t, ok)
+	require.Equal(t, "d", c.Server.Domain)
+	require.False(t, book.Cut(at(60), "far"))
+}
+
+// A server whose token memory is nearly full would preempt running streams.
+func TestNearlyFullMemoryIsAvoided(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	list := servers(2)
+	book.Others(map[string]pick.Load{"s0": {Running: 1, Tokens: 240_000}, "s1": {Running: 30, Tokens: 100_000}})
+	c, ok := book.Choose(at(0), list, draft("x", 1), kv, nil)
+	require.True(t, ok)
+	require.Equal(t, "s1", c.Server.ID)
+}
+
+func TestTriedServersAreLeftOut(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	_, ok := book.Choose(at(0), servers(1), pick.Work{}, 0, []string{"s0"})
+	require.False(t, ok)
+}
+
+// The rate of reading is learned from answers of idle servers, so that a model
+// that is ten times as fast as its size tells is not avoided.
+func TestReadingRateIsLearned(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	list := servers(1)
+	w := pick.Work{Model: "fast", Size: 1, Prompt: 3200, Parts: []pick.Part{{ID: "p", Tokens: 3200}}}
+	first, _ := book.Choose(at(0), list, w, kv, nil)
+	for i := range 60 {
+		w.Parts = []pick.Part{{ID: fmt.Sprint(i), Tokens: 3200}}
+		now := at(float64(i))
+		c, _ := book.Choose(now, list, w, kv, nil)
+		ticket := book.Begin(now, c, w, kv)
+		ticket.First(now.Add(10 * time.Millisecond))
+		ticket.End(now.Add(20*time.Millisecond), pick.Good)
+	}
+	w.Parts = []pick.Part{{ID: "new", Tokens: 3200}}
+	last, _ := book.Choose(at(100), list, w, kv, nil)
+	require.Greater(t, first.Predicted, 80*time.Millisecond)
+	require.Less(t, last.Predicted, 15*time.Millisecond)
+}
+
+func TestMinusNeverGoesBelowZero(t *testing.T) {
+	rest := pick.Minus(map[string]pick.Load{"a": {Running: 1}}, map[string]pick.Load{"a": {Running: 3}, "b": {Running: 1}})
+	require.Equal(t, map[string]pick.Load{"a": {}}, rest)
+}
+
+func TestOwnTellsAdaptersInUse(t *testing.T) {
+	book := &pick.Book{}
+	w := pick.Work{Model: "m", Adapter: "a1"}
+	c, _ := book.Choose(at(0), servers(1), w, kv, nil)
+	ticket := book.Begin(at(0), c, w, kv)
+	require.Equal(t, []string{"m/a1"}, book.Own()["s0"].Adapters)
+	ticket.End(at(1), pick.Good)
+	require.Empty(t, book.Own())
+}
--- a/pick/ticket.go
+++ b/pick/ticket.go
@@ -7,6 +7,7 @@
 	book    *Book
 	id      string
 	domain  string
+	service string
 	load    Load
 	work    Work
 	started time.Time
@@ -27,7 +28,7 @@
 	defer b.mu.Unlock()
 	s := b.state(c.Server.ID)
 	t := &Ticket{
-		book: b, id: c.Server.ID, domain: c.Server.Domain, work: w, started: now, missing: c.Missing,
+		book: b, id: c.Server.ID, domain: c.Server.Domain, service: c.Server.Service, work: w, started: now, missing: c.Missing,
 		alone: c.Load.Reading == 0 && c.Load.Running <= aloneRunning,
 		load:  Load{Running: 1, Reading: c.Reading, Tokens: w.Prompt + w.Output/2},
 	}
@@ -99,9 +100,18 @@
 	}
 	if v == Good {
 		took := now.Sub(t.started)
-		if s.took == 0 {
-			s.took = took
+		if t.book.took == nil {
+			t.book.took = make(map[string]time.Duration)
 		}
-		s.took += time.Duration(tookWeight * float64(took-s.took))
+		s.took = blend(s.took, took)
+		t.book.took[t.service] = blend(t.book.took[t.service], took)
 	}
 }
+
+// blend moves a mean towards a new value; the first one counts whole.
+func blend(mean, value time.Duration) time.Duration {
+	if mean == 0 {
+		return value
+	}
+	return mean + time.Duration(tookWeight*float64(value-mean))
+}
