--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -47,13 +48,12 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
 	out := node.NewLogWriter(os.Stdout)
-	defer out.Close()
 	n := node.New(nodeConfig(settings, out))
 	if err := n.Start(context.WithoutCancel(ctx)); err != nil {
-		return fmt.Errorf("start: %w", err)
+		return errors.Join(fmt.Errorf("start: %w", err), out.Close())
 	}
 	watchSettings(ctx, *file, hangup, n)
-	return n.Stop()
+	return errors.Join(n.Stop(), out.Close())
 }
 
 // settingsEvery is how often the settings file is looked at for a change that
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -214,7 +215,8 @@
 		}
 		t.g.Meter.Count("pass.stray_answers", 1)
 		t.g.Log.Warn().Str("request", t.c.id).Str("server", t.choice.Server.ID).Str("answer_to", id).Msg("answer to another request dropped")
-		if _, err := conns.ReadAll(resp.Body, strayLimit); err != nil {
+		_, err = conns.ReadAll(resp.Body, strayLimit)
+		if err := errors.Join(err, resp.Body.Close()); err != nil {
 			return fmt.Errorf("answer to another request: %w", err)
 		}
 	}
