Links outlive the lease while the store is away; unreachable servers are left to the controller

A request for an adapter in a cut domain dialled its only holder five times in a second. Change: the links stay until another VM has the lease; VMs whose controller is out of date look at the lease themselves; a server that can not be reached is not dialled again before the controller was asked for another.

--- a/pass/call.go
+++ b/pass/call.go
@@ -32,8 +32,9 @@
 	// those it was sent to; rounds is how often all of them were tried.
 	tries, sends, rounds int
 	servers              []string
-	// avoid are servers not to be asked again for now.
-	avoid []string
+	// avoid are servers not to be asked again for now, unreached those that
+	// could not be connected to.
+	avoid, unreached []string
 	// uncertain is set once it may have run somewhere. A later refusal proves
 	// nothing about the earlier send, so from then on a caller is not told
 	// that it has not run.
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -61,10 +61,17 @@
 			if c.rounds++; c.rounds > maxRounds {
 				return pick.Choice{}, errAllTried
 			}
-			// Every candidate was tried; after a pause they are tried again.
-			c.avoid = nil
+			// Every candidate was tried. One that refused may take the request
+			// after a pause; one that can not be reached is left to the
+			// controller to replace, until the last round.
 			rest(hold, roundPause)
-			continue
+			c.avoid = nil
+			if c.rounds < maxRounds {
+				c.avoid = c.unreached
+			}
+			if _, ok := g.pick(g.Now(), c, serving); ok || len(c.avoid) == 0 {
+				continue
+			}
 		}
 		if err := g.await(hold, c, changed); err != nil {
 			return pick.Choice{}, err
@@ -72,15 +79,21 @@
 	}
 }
 
-// pick chooses among the serving servers that hold what the call needs.
+// pick chooses among the serving servers that hold what the call needs and that
+// it may still be sent to.
 func (g *Gateway) pick(now time.Time, c *call, serving []backs.Entry) (pick.Choice, bool) {
-	if c.work.Model != "" {
-		serving = slices.DeleteFunc(serving, func(e backs.Entry) bool { return !e.Holds(c.work.Model, c.work.Adapter) })
-	}
-	if len(c.servers) >= max(c.route.Attempts, 1) {
-		serving = slices.DeleteFunc(serving, func(e backs.Entry) bool { return !slices.Contains(c.servers, e.ID) })
+	spent := len(c.servers) >= max(c.route.Attempts, 1)
+	candidates := make([]backs.Entry, 0, len(serving))
+	for _, e := range serving {
+		if c.work.Model != "" && !e.Holds(c.work.Model, c.work.Adapter) {
+			continue
+		}
+		if spent && !slices.Contains(c.servers, e.ID) {
+			continue
+		}
+		candidates = append(candidates, e)
 	}
-	return g.Book.Choose(now, serving, c.work, g.tokenMemory(c), c.avoid)
+	return g.Book.Choose(now, candidates, c.work, g.tokenMemory(c), c.avoid)
 }
 
 func (g *Gateway) tokenMemory(c *call) int {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -181,14 +181,16 @@
 	}
 }
 
-// lead is the controller's own loop while the lease is held.
+// lead is the controller's side until another VM holds the lease. While the
+// store is away the lease runs out and no orders are given, but nobody else can
+// take it either: the links stay, and load and servers are told as before.
 func (p *Peers) lead(ctx context.Context) {
 	p.Log.Info().Msg("steering begins")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.shareOwn(ctx)
 	go p.broadcast(ctx)
-	for ctx.Err() == nil && p.Lease.Held(p.Now()) {
+	for ctx.Err() == nil && !p.succeeded() {
 		pause.For(ctx, leaseEvery)
 		p.Lease.Step(ctx)
 	}
@@ -196,6 +198,15 @@
 	p.Log.Info().Msg("steering ends")
 }
 
+// succeeded reports whether another VM is known to hold the lease.
+func (p *Peers) succeeded() bool {
+	if p.Lease.Held(p.Now()) {
+		return false
+	}
+	address, _ := p.Lease.Holder()
+	return address != ""
+}
+
 // shareOwn joins this VM's load and demand with those that the links bring.
 func (p *Peers) shareOwn(ctx context.Context) {
 	since := time.Time{}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -46,6 +47,7 @@
 	ctx, cancel = context.WithCancel(ctx)
 	defer cancel()
 	go p.report(ctx, up)
+	go p.lookForOther(ctx, up, address)
 	err = p.listen(ctx, up)
 	p.setUplink(nil)
 	up.close()
@@ -53,6 +55,24 @@
 	p.Log.Info().Str("address", address).Err(err).Msg("link to the controller lost")
 }
 
+// lookForOther looks at the lease while the controller's word is old: it may be
+// cut off from the store and still speak to this VM. The link ends when another
+// VM, or this one, has the lease.
+func (p *Peers) lookForOther(ctx context.Context, up *uplink, address string) {
+	for ctx.Err() == nil {
+		pause.For(ctx, searchEvery)
+		if p.Covered(p.Now()) {
+			continue
+		}
+		p.Lease.Step(ctx)
+		holder, _ := p.Lease.Holder()
+		if p.Lease.Held(p.Now()) || holder != "" && holder != address {
+			up.conn.Close()
+			return
+		}
+	}
+}
+
 func (p *Peers) setUplink(up *uplink) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
