Refused orders are not repeated and give their load back; a free lease is not dialled for

When a domain was cut off, each VM dialled the old controller for 1.2 s before it looked at the lease again. Change: a refused order makes the server's report be asked for first, its load is given back; a lease that has run out is taken without a dial, dials end after 0.4 s.

--- a/peers/lease.go
+++ b/peers/lease.go
@@ -85,6 +85,13 @@
 	return l.key
 }
 
+// Free reports whether the lease has run out, as far as this VM knows.
+func (l *Lease) Free(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Known() && l.keeper.Next(now) == lease.Take
+}
+
 // Holder returns the address and key of another VM that holds the lease, as
 // read last.
 func (l *Lease) Holder() (address, key string) {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -41,6 +41,9 @@
 	// searchEvery is the pause between reads of the lease while there is no
 	// link to a controller.
 	searchEvery = 300 * time.Millisecond
+	// linkDial bounds the opening of a link. The paths take milliseconds, and
+	// while a dial waits the lease is not looked at.
+	linkDial = 400 * time.Millisecond
 	// vmsUnknown is how many VMs are assumed before a controller has told.
 	vmsUnknown = 8
 )
@@ -174,6 +177,12 @@
 			p.lead(ctx)
 			continue
 		}
+		if p.Lease.Free(p.Now()) {
+			// Its holder need not be looked for; this VM takes it soon, unless a
+			// stronger one does.
+			pause.For(ctx, leaseEvery)
+			continue
+		}
 		if address, key := p.Lease.Holder(); address != "" {
 			p.follow(ctx, address, key)
 		}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -34,7 +34,7 @@
 	dialer := &link.Dialer{Hello: p.hello, Key: key, Count: p.count, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return conns.Dial(ctx, address)
 	}}
-	dial, cancel := context.WithTimeout(ctx, linkSilence)
+	dial, cancel := context.WithTimeout(ctx, linkDial)
 	conn, err := dialer.Dial(dial, address)
 	cancel()
 	if err != nil {
--- a/steer/ceiling.go
+++ b/steer/ceiling.go
@@ -39,3 +39,10 @@
 
 // Begin notes a load that was ordered, also one whose order got no answer.
 func (c *Ceiling) Begin(now time.Time) { c.begun = append(c.begun, now) }
+
+// Return gives back the load noted last, which the server refused.
+func (c *Ceiling) Return() {
+	if len(c.begun) > 0 {
+		c.begun = c.begun[:len(c.begun)-1]
+	}
+}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -397,10 +397,12 @@
 		if c.busy[step.Server.entry.ID] {
 			continue
 		}
+		var refused func()
 		if step.Store && !step.Unload {
 			ceiling.Begin(now)
+			refused = ceiling.Return
 		}
-		c.start(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time)
+		c.startModel(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time, refused)
 	}
 }
 
@@ -413,13 +415,22 @@
 // counted on. With the new sequence the server would take the order and exceed
 // its memory; with the old one it refuses.
 func (c *Controller) start(ctx context.Context, s *Server, o Order, within time.Duration) {
+	c.startModel(ctx, s, o, within, nil)
+}
+
+// startModel is start with a function that is called, with c.mu held, when the
+// order was surely not taken.
+func (c *Controller) startModel(ctx context.Context, s *Server, o Order, within time.Duration, refused func()) {
 	c.busy[s.entry.ID] = true
 	o.Expect = s.sequence
 	go func() {
-		_ = c.order(ctx, s, o, within)
+		verdict := c.order(ctx, s, o, within)
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		delete(c.busy, s.entry.ID)
-		c.mu.Unlock()
+		if refused != nil && (verdict == Refused || verdict == Conflict) {
+			refused()
+		}
 	}()
 }
 
@@ -427,13 +438,13 @@
 
 // order sends one order and takes in its outcome. The caller has marked the
 // server as busy.
-func (c *Controller) order(ctx context.Context, s *Server, o Order, within time.Duration) error {
+func (c *Controller) order(ctx context.Context, s *Server, o Order, within time.Duration) Verdict {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := c.Now()
 	fence, leading := c.Fence(now)
 	if !leading {
-		return errNotLeading
+		return Refused
 	}
 	c.mu.Lock()
 	o.Holder, o.Fence = c.Name, fence
@@ -447,5 +458,5 @@
 	c.Meter.Count("steer.orders", 1)
 	c.Log.Info().Str("server", e.ID).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
 		Int("expect", o.Expect).Int("fence", fence).Int("verdict", int(verdict)).Err(err).Msg("order")
-	return err
+	return verdict
 }
--- a/steer/server.go
+++ b/steer/server.go
@@ -225,7 +225,7 @@
 // Free reports whether an order may be sent: the sequence is known, no order is
 // unclear, and no model is on its way.
 func (s *Server) Free(now time.Time) bool {
-	return s.known && s.missed == 0 && s.unclear.IsZero() && !now.Before(s.busy)
+	return s.known && s.missed == 0 && !s.doubted && s.unclear.IsZero() && !now.Before(s.busy)
 }
 
 // NeedsReport reports whether the server's state must be asked for before it
@@ -279,6 +279,8 @@
 		s.unclear = sent
 		return
 	case Refused:
+		// It is not the server that is meant, or not what it was thought to be.
+		s.doubted = true
 		return
 	case Accepted, Done:
 	}
