--- a/demo/site.go
+++ b/demo/site.go
@@ -31,6 +31,11 @@
 	// VMs and Backends are how many of each there are; Backends of each of the
 	// two services. 0 takes three.
 	VMs, Backends int
+	// NoVMs starts only what is outside the system; the caller runs VMs.
+	NoVMs bool
+	// Front returns the address under which a backend server is listed, for a
+	// proxy before it; nil lists its own.
+	Front func(address string) (string, error)
 	// Routes replaces the routes of SiteRoutes.
 	Routes []routes.Route
 	Log    zerolog.Logger
@@ -130,6 +135,9 @@
 			return err
 		}
 	}
+	if s.options.NoVMs {
+		return nil
+	}
 	for i := range s.options.VMs {
 		if err := s.addNode(ctx, i); err != nil {
 			return err
@@ -138,6 +146,9 @@
 	return nil
 }
 
+// StoreAddress returns where the store answers.
+func (s *Site) StoreAddress() string { return s.storeAt }
+
 // Configure writes the operators' configuration.
 func (s *Site) Configure(version int, all []routes.Route) error {
 	value, err := platform.TableValue(version, all, siteServices(), routes.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20})
@@ -167,6 +178,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("start backend server: %w", err)
 	}
+	if s.options.Front != nil {
+		if address, err = s.options.Front(address); err != nil {
+			return nil, fmt.Errorf("front of backend server: %w", err)
+		}
+	}
 	b.Changed = func() { s.enter(b, address) }
 	s.mu.Lock()
 	s.backends = append(s.backends, b)
@@ -240,17 +256,36 @@
 notice = 50ms
 `
 
-func (s *Site) addNode(ctx context.Context, i int) error {
+// VMSettings returns the settings file of the i-th VM of a site, whose store is
+// at an address, on ports that are free now.
+func VMSettings(i int, storeAddress string) ([]byte, error) {
 	var ports [3]string
 	for k := range ports {
 		l, err := net.Listen("tcp", anyPort)
 		if err != nil {
-			return fmt.Errorf("find a port: %w", err)
+			return nil, fmt.Errorf("find a port: %w", err)
 		}
 		ports[k] = l.Addr().String()
 		_ = l.Close()
 	}
-	settings, err := conf.ParseNode(fmt.Appendf(nil, siteSettings, i, i%siteCount, ports[0], ports[1], ports[2], s.storeAt))
+	return fmt.Appendf(nil, siteSettings, i, i%siteCount, ports[0], ports[1], ports[2], storeAddress), nil
+}
+
+// ListenAddress returns where a VM with these settings takes callers.
+func ListenAddress(text []byte) (string, error) {
+	settings, err := conf.ParseNode(text)
+	if err != nil {
+		return "", fmt.Errorf("settings of a VM: %w", err)
+	}
+	return settings.Text("vm", "listen"), nil
+}
+
+func (s *Site) addNode(ctx context.Context, i int) error {
+	text, err := VMSettings(i, s.storeAt)
+	if err != nil {
+		return err
+	}
+	settings, err := conf.ParseNode(text)
 	if err != nil {
 		return fmt.Errorf("settings of a VM: %w", err)
 	}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,57 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/soak"
+)
+
+// shortRun is how long a seed runs in the tests.
+const shortRun = 4 * time.Second
+
+// TestSoak runs one seed, and every seed that ever failed, on the real program.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "hibiscuscart")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/hibiscuscart").CombinedOutput()
+	require.NoError(t, err, string(out))
+	for _, seed := range append([]uint64{7}, failedSeeds(t)...) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: t.TempDir(), Seed: seed, For: shortRun})
+			require.NoError(t, err)
+			require.Empty(t, res.Broken)
+			require.NotZero(t, res.Served)
+			require.NotEmpty(t, res.Faults)
+		})
+	}
+}
+
+// failedSeeds reads the seeds that once failed: one a line, its cause behind it.
+func failedSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	f, err := os.Open("testdata/seeds.txt")
+	require.NoError(t, err)
+	defer f.Close()
+	var seeds []uint64
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		text, _, _ := strings.Cut(lines.Text(), " ")
+		if text == "" || text == "#" {
+			continue
+		}
+		seed, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		seeds = append(seeds, seed)
+	}
+	require.NoError(t, lines.Err())
+	return seeds
+}
