The demo runs the platform path too; one set of promise checks for demo and soak

Cause: the demo knew only the deployment with profiles; the checks of answers stood in the soak alone. Change: demo -for runs both deployments, -store the platform's alone; kinds of requests, outcomes and checks live in demo.

--- a/cmd/hibiscuscart/demo.go
+++ b/cmd/hibiscuscart/demo.go
@@ -14,12 +14,13 @@
 )
 
 var demoCommand = command{
-	name: "demo", args: "[-deployment NAME] [-for DURATION] [-rate N] [-seed N]",
+	name: "demo", args: "[-deployment NAME] [-for DURATION] [-rate N] [-seed N] [-store]",
 	summary: "run a whole deployment with stand-ins in this process, on loopback",
 	examples: []string{
 		"demo",
 		"demo -for 10s",
 		"demo -deployment vidzeme -for 30s -rate 500",
+		"demo -store -for 10s",
 	},
 	run: runDemo,
 }
@@ -30,6 +31,7 @@
 	fs.DurationVar(&o.For, "for", 0, "send a mixed load for this `DURATION`, print a summary and exit")
 	fs.Float64Var(&o.Rate, "rate", 400, "requests a second of the load")
 	fs.Uint64Var(&o.Seed, "seed", 1, "`SEED` of the load and of the stand-ins")
+	inStore := fs.Bool("store", false, "run the deployment that keeps everything in the platform's store; with -for it runs after the other in any case")
 	level := fs.String("log", "error", "least `LEVEL` that is logged")
 	if err := parse(fs, args); err != nil {
 		return err
@@ -45,7 +47,7 @@
 		return misuse("-deployment: %v", err)
 	}
 	o.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, TimeFormat: time.TimeOnly}).Level(l).With().Timestamp().Logger()
-	broken, err := demo.Run(ctx, o)
+	broken, err := runDemos(ctx, o, *inStore)
 	if err != nil {
 		return err
 	}
@@ -54,3 +56,18 @@
 	}
 	return nil
 }
+
+// runDemos runs the example deployment, the one of the platform's store, or
+// both.
+func runDemos(ctx context.Context, o demo.RunOptions, inStore bool) (int, error) {
+	broken := 0
+	if !inStore {
+		n, err := demo.Run(ctx, o)
+		if err != nil || o.For == 0 {
+			return n, err
+		}
+		broken = n
+	}
+	n, err := demo.RunSite(ctx, o)
+	return broken + n, err
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -59,23 +58,16 @@
 	callLimit   = 7 * time.Second
 )
 
-var kinds = []kind{
-	{name: "look", method: http.MethodGet, path: "/look/x"},
-	{name: "book", method: http.MethodPost, path: "/book/x", once: true},
-	{name: "draft", method: http.MethodPost, path: "/draft/x", stream: true, models: []string{"m1", "m2/a1", "m3", "m4/a2", "m1/a3"}},
-	{name: "batch", method: http.MethodPost, path: "/batch/x", stream: true, once: true, models: []string{"m2", "m4"}},
-}
-
 // run is one soak.
 type run struct {
 	options Options
 	site    *demo.Site
 	vms     []*vm
 	fronts  []*Proxy
-	broken  broken
+	checks  demo.Checks
 
 	mu       sync.Mutex
-	outcomes []outcome
+	outcomes []demo.Outcome
 	faults   map[string]int
 }
 
@@ -129,19 +121,19 @@
 	r.strike(load)
 	wait.Wait()
 	r.settle(ctx)
-	r.broken.runs(r.outcomes, r.site.Runs)
+	r.checks.Runs(r.outcomes, r.site.Runs)
 	for _, b := range r.site.Backends(demo.SiteModel) {
 		if b.Crashed() {
-			r.broken.add("server %s was ordered beyond its memory or places", b.ID)
+			r.checks.Add("server %s was ordered beyond its memory or places", b.ID)
 		}
 	}
 	return r.result(), nil
 }
 
 func (r *run) result() Result {
-	res := Result{Seed: r.options.Seed, Faults: r.faults, Requests: len(r.outcomes), Broken: r.broken.all()}
+	res := Result{Seed: r.options.Seed, Faults: r.faults, Requests: len(r.outcomes), Broken: r.checks.Broken()}
 	for _, o := range r.outcomes {
-		if o.status == http.StatusOK && !o.broken {
+		if o.Good() {
 			res.Served++
 		}
 	}
@@ -238,9 +230,9 @@
 	client := &http.Client{Timeout: callLimit}
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		k := kinds[rng.IntN(len(kinds))]
-		o := r.call(client, r.vms[rng.IntN(len(r.vms))].listen, fmt.Sprintf("%d-%d-%d", r.options.Seed, n, i), k, rng)
-		r.broken.answer(o)
+		k := demo.SiteKinds[rng.IntN(len(demo.SiteKinds))]
+		o := r.site.Ask(context.Background(), client, r.vms[rng.IntN(len(r.vms))].listen, fmt.Sprintf("%d-%d-%d", r.options.Seed, n, i), k, rng)
+		r.checks.Answer(o)
 		r.mu.Lock()
 		r.outcomes = append(r.outcomes, o)
 		r.mu.Unlock()
@@ -248,23 +240,6 @@
 	}
 }
 
-func (r *run) call(client *http.Client, address, id string, k kind, rng *rand.Rand) outcome {
-	model := ""
-	if len(k.models) > 0 {
-		model = k.models[rng.IntN(len(k.models))]
-	}
-	o := outcome{id: id, kind: k}
-	resp, err := r.site.Call(context.Background(), client, address, id, k.method, k.path, model, "body")
-	if err != nil {
-		o.broken = true
-		return o
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	o.status, o.stamp, o.body, o.broken = resp.StatusCode, demo.StampOf(resp), string(body), err != nil
-	return o
-}
-
 // await waits until every VM serves.
 func (r *run) await(ctx context.Context, limit time.Duration) error {
 	client := &http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -272,12 +247,12 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for i, v := range r.vms {
 		for n := 0; ; n++ {
-			o := r.call(client, v.listen, fmt.Sprintf("await-%d-%d-%d", i, time.Now().UnixNano(), n), kinds[0], rng)
-			if o.status == http.StatusOK {
+			o := r.site.Ask(context.Background(), client, v.listen, fmt.Sprintf("await-%d-%d-%d", i, time.Now().UnixNano(), n), demo.SiteKinds[0], rng)
+			if o.Good() {
 				break
 			}
 			if time.Now().After(deadline) || ctx.Err() != nil {
-				return fmt.Errorf("VM %d does not serve: status %d", i, o.status)
+				return fmt.Errorf("VM %d does not serve: status %d", i, o.Status)
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -290,21 +265,21 @@
 func (r *run) settle(ctx context.Context) {
 	r.lift()
 	if err := r.await(ctx, settleLimit); err != nil {
-		r.broken.add("after the last fault: %v", err)
+		r.checks.Add("after the last fault: %v", err)
 		return
 	}
 	client := &http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}
 	deadline := time.Now().Add(settleLimit)
 	for _, model := range demo.SiteModels {
-		k := kind{name: "draft", method: http.MethodPost, path: "/draft/x", stream: true, models: []string{model}}
+		k := demo.Kind{Name: "draft", Method: http.MethodPost, Path: "/draft/x", Stream: true, Models: []string{model}}
 		for n := 0; ; n++ {
-			o := r.call(client, r.vms[0].listen, fmt.Sprintf("reach-%s-%d-%d", model, r.options.Seed, n), k, rand.New(rand.NewPCG(1, 1)))
-			r.broken.answer(o)
-			if o.status == http.StatusOK && !o.broken {
+			o := r.site.Ask(context.Background(), client, r.vms[0].listen, fmt.Sprintf("reach-%s-%d-%d", model, r.options.Seed, n), k, rand.New(rand.NewPCG(1, 1)))
+			r.checks.Answer(o)
+			if o.Good() {
 				break
 			}
 			if time.Now().After(deadline) {
-				r.broken.add("model %s is not reachable", model)
+				r.checks.Add("model %s is not reachable", model)
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -313,7 +288,7 @@
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
 		if !v.wait(endLimit) {
-			r.broken.add("VM %d does not end after SIGTERM", i)
+			r.checks.Add("VM %d does not end after SIGTERM", i)
 		}
 	}
 }
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -87,7 +87,7 @@
 	}
 	return func(context.Context, time.Duration) {
 		if err := r.site.Configure(version, demo.SiteRoutes()); err != nil {
-			r.broken.add("configuration not written: %v", err)
+			r.checks.Add("configuration not written: %v", err)
 		}
 	}, "configuration"
 }
@@ -120,13 +120,13 @@
 		// A process that is paused takes SIGTERM when it goes on.
 		v.signal(syscall.SIGCONT)
 		if !v.wait(endLimit) {
-			r.broken.add("a VM did not end after signal %v", s)
+			r.checks.Add("a VM did not end after signal %v", s)
 			v.signal(syscall.SIGKILL)
 			v.wait(endLimit)
 		}
 		time.Sleep(min(d, restartPause))
 		if err := v.start(r.options.Program); err != nil {
-			r.broken.add("a VM did not start again: %v", err)
+			r.checks.Add("a VM did not start again: %v", err)
 		}
 	}
 }
