--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -109,8 +109,8 @@
 		Commands:   platform.Commands(servers),
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, ServerKind: platform.KindServers,
 		Table: platform.Table, Entry: platform.Entry,
-		CloseIdle: store.CloseIdleConnections,
-		Now:       clock.Now, Log: zerolog.New(out).Level(level).With().Timestamp().Logger(),
+		CloseIdle: store.CloseIdleConnections, Dropped: out.Dropped,
+		Now: clock.Now, Log: zerolog.New(out).Level(level).With().Timestamp().Logger(),
 	}
 }
 
--- a/node/log.go
+++ b/node/log.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 // the queue full is dropped and counted: a reader of the log that has stopped
 // reading must not hold up requests.
 type LogWriter struct {
+	out     io.Writer
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
@@ -25,8 +27,8 @@
 
 // NewLogWriter starts writing to out.
 func NewLogWriter(out io.Writer) *LogWriter {
-	w := &LogWriter{lines: make(chan []byte, logQueue), done: make(chan struct{})}
-	go w.run(out)
+	w := &LogWriter{out: out, lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	go w.run()
 	return w
 }
 
@@ -48,10 +50,15 @@
 func (w *LogWriter) Close() error {
 	close(w.lines)
 	<-w.done
+	if n := w.Dropped(); n > 0 {
+		if _, err := fmt.Fprintf(w.out, "{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", n); err != nil {
+			return fmt.Errorf("write log: %w", err)
+		}
+	}
 	return nil
 }
 
-func (w *LogWriter) run(out io.Writer) {
+func (w *LogWriter) run() {
 	defer close(w.done)
 	var batch []byte
 	for line := range w.lines {
@@ -59,7 +66,7 @@
 		batch = w.gather(batch)
 		// Nothing can be done about a log that can not be written; the next
 		// batch is tried again.
-		_, _ = out.Write(batch)
+		_, _ = w.out.Write(batch)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -70,8 +70,10 @@
 	Entry                              func(store.Object) (backs.Entry, error)
 	// CloseIdle closes connections to the store that may have gone silent.
 	CloseIdle func()
-	Now       func() time.Time
-	Log       zerolog.Logger
+	// Dropped returns how many lines of the log were dropped; nil for none.
+	Dropped func() int64
+	Now     func() time.Time
+	Log     zerolog.Logger
 }
 
 // Node is the daemon of one VM.
@@ -297,6 +299,9 @@
 		now := n.now()
 		n.pool.Sweep(now)
 		n.book.Retain(n.servers.All(now))
+		if n.config.Dropped != nil {
+			n.meter.Gauge("log.dropped", n.config.Dropped())
+		}
 		n.mu.Lock()
 		for _, b := range n.budgets {
 			n.limit(b)
