An uncovered VM probes the other domains to know a cut

Cause: in a cut domain connections are given up one by one after a second and more, so a VM said for some three seconds of a cut of six that it was ready. Ruled out: shorter timeouts for all connections (a loss of packets would end them).

--- a/node/follow.go
+++ b/node/follow.go
@@ -18,7 +18,7 @@
 	// startAlone is how long a VM that starts waits for the controller to tell
 	// it everything before it asks the store: with many VMs that start at once,
 	// each asking for all servers would use the store's rate up.
-	startAlone = 700 * time.Millisecond
+	startAlone = 500 * time.Millisecond
 	// coverEvery is how often a VM that is told everything looks whether it
 	// still is.
 	coverEvery = 50 * time.Millisecond
--- a/node/node.go
+++ b/node/node.go
@@ -195,7 +195,7 @@
 			return fmt.Errorf("listen at %s %s: %w", l.key, address, err)
 		}
 	}
-	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.control.Run, n.tidy} {
+	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.control.Run, n.tidy, n.probe} {
 		n.jobs.Go(func() { job(ctx) })
 	}
 	n.log.Info().Str("listen", n.settings().Text("vm", "listen")).Str("store", n.settings().Text("store", "address")).Msg("started")
--- a/pick/book.go
+++ b/pick/book.go
@@ -312,6 +312,15 @@
 	f.judge(now, Bad)
 }
 
+// Reached notes that a connection to a server could be made.
+func (b *Book) Reached(now time.Time, e backs.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if f := b.domains[e.Domain]; f != nil {
+		f.judge(now, Good)
+	}
+}
+
 // cutShare is the share of failed connections to a domain's servers above which
 // the domain counts as cut off.
 const cutShare = 0.5
