Retries bounded in every span of time; demand fades sooner; ports of stand-ins below the kernel's

Ruled out: retries that reached no server (they are not charged). Change: a window of retries that saves nothing up, for the path of requests; demand fades with a half life of 0.9 s; stand-ins use ports that outgoing connections do not.

--- a/demo/site.go
+++ b/demo/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -256,19 +257,40 @@
 notice = 50ms
 `
 
+const (
+	// firstPort and ports are where VMs listen: below the ports that the kernel
+	// gives to outgoing connections, one of which may otherwise take a port
+	// between the look at it and its use.
+	firstPort = 12_000
+	ports     = 18_000
+	portTries = 50
+)
+
+// freePort returns a loopback address that nothing listens at now.
+func freePort() (string, error) {
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address, nil
+	}
+	return "", fmt.Errorf("no port from %d on is free", firstPort)
+}
+
 // VMSettings returns the settings file of the i-th VM of a site, whose store is
 // at an address, on ports that are free now.
 func VMSettings(i int, storeAddress string) ([]byte, error) {
-	var ports [3]string
-	for k := range ports {
-		l, err := net.Listen("tcp", anyPort)
-		if err != nil {
-			return nil, fmt.Errorf("find a port: %w", err)
+	var addresses [3]string
+	for k := range addresses {
+		var err error
+		if addresses[k], err = freePort(); err != nil {
+			return nil, err
 		}
-		ports[k] = l.Addr().String()
-		_ = l.Close()
 	}
-	return fmt.Appendf(nil, siteSettings, i, i%siteCount, ports[0], ports[1], ports[2], storeAddress), nil
+	return fmt.Appendf(nil, siteSettings, i, i%siteCount, addresses[0], addresses[1], addresses[2], storeAddress), nil
 }
 
 // ListenAddress returns where a VM with these settings takes callers.
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 	// contact is when the store told last that what is known of a kind is
 	// current.
 	contact map[string]time.Time
-	budgets map[string]*retry.Budget
+	budgets map[string]*retry.Window
 
 	stopping atomic.Bool
 	listened []*http.Server
@@ -117,7 +117,7 @@
 		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		book:    &pick.Book{Domain: s.Text("vm", "failure_domain")},
-		budgets: make(map[string]*retry.Budget), configured: make(chan struct{}), contact: make(map[string]time.Time),
+		budgets: make(map[string]*retry.Window), configured: make(chan struct{}), contact: make(map[string]time.Time),
 	}
 	n.active.Store(s)
 	n.lease = &peers.Lease{
@@ -151,12 +151,12 @@
 const weakest = 1.14
 
 // budget returns the retry budget of a service.
-func (n *Node) budget(service string) *retry.Budget {
+func (n *Node) budget(service string) *retry.Window {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.budgets[service]
 	if b == nil {
-		b = &retry.Budget{}
+		b = &retry.Window{}
 		n.limit(b)
 		n.budgets[service] = b
 	}
@@ -164,8 +164,9 @@
 }
 
 // limit gives a budget this VM's part of what all may retry.
-func (n *Node) limit(b *retry.Budget) {
-	b.Limit(budgetShare*n.settings().Float("retries", "share"), budgetShare*n.settings().Float("retries", "extra")/float64(n.peers.VMs()))
+func (n *Node) limit(b *retry.Window) {
+	s := n.settings()
+	b.Limit(budgetShare*s.Float("retries", "share"), budgetShare*s.Float("retries", "extra")/float64(n.peers.VMs()), s.Duration("retries", "window"))
 }
 
 // Start listens and begins to serve.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -57,7 +57,7 @@
 	}
 	// Only what reaches a server feeds an overload, so only sends draw on the
 	// budget and failed connections do not.
-	if c.sends > 0 && !c.budget.Allow() {
+	if c.sends > 0 && !c.budget.Allow(now) {
 		c.broke = true
 		g.Pool.Keep(now, conn, 0)
 		g.note(c, choice, c.reason+", retry budget spent")
--- a/pass/call.go
+++ b/pass/call.go
@@ -40,7 +40,7 @@
 	// that it has not run.
 	uncertain bool
 	// budget is what retries draw on; broke is set when it had nothing left.
-	budget *retry.Budget
+	budget *retry.Window
 	broke  bool
 	// predicted is when the server picked last was to give its first event, and
 	// missing how many prompt tokens it was to read; firstEvent is when the
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -51,7 +51,7 @@
 	Book    *pick.Book
 	Pool    *conns.Pool
 	// Budget returns the retry budget of a service.
-	Budget func(service string) *retry.Budget
+	Budget func(service string) *retry.Window
 	// Wanted notes the demand for a model.
 	Wanted func(service string, w pick.Work)
 	// Find asks for a server that will hold a model and adapter, and waits
@@ -146,7 +146,7 @@
 	ctx, cancel := c.context(c.arrived)
 	defer cancel()
 	c.budget = g.Budget(c.service.Name)
-	c.budget.Request()
+	c.budget.Request(c.arrived)
 	if g.Wanted != nil && c.work.Model != "" {
 		g.Wanted(c.service.Name, c.work)
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,13 +33,6 @@
 	return defaultReserve
 }
 
-// Limit replaces the share and the reserve.
-func (b *Budget) Limit(share, reserve float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.Share, b.Reserve = share, reserve
-}
-
 // Request earns the share of one request.
 func (b *Budget) Request() {
 	b.mu.Lock()
--- a/steer/demand.go
+++ b/steer/demand.go
@@ -7,7 +7,7 @@
 
 // demandHalfLife is how fast past demand fades: a shift of demand to other
 // models takes some seconds, and the placement is to follow within it.
-const demandHalfLife = 1500 * time.Millisecond
+const demandHalfLife = 900 * time.Millisecond
 
 // Demand is a moving sum of work asked for, by name. The zero value works.
 type Demand struct {
