Weak VMs of a large fleet call the store less often

Cause: without a controller 90 VMs each read the lease and list the servers several times a second; calls are dear there. Change: pauses grow with the number of VMs and their weakness, threefold at most; changes of servers are gathered longer before many VMs.

--- a/node/follow.go
+++ b/node/follow.go
@@ -25,6 +25,9 @@
 	// gatherChanges is the pause after a watch that brought changes, so that
 	// those which follow at once come with one call.
 	gatherChanges = 40 * time.Millisecond
+	// gatherPerVM lengthens it: with more VMs there are more servers, each of
+	// whose changes would else be a call.
+	gatherPerVM = 1500 * time.Microsecond
 	// aloneFactor stretches the wait of a watch on a VM that watches for itself
 	// only.
 	aloneFactor = 2
@@ -79,7 +82,7 @@
 		}
 		w.away()
 		n.config.CloseIdle()
-		pause.For(ctx, storeAgain/2+rand.N(storeAgain))
+		pause.For(ctx, time.Duration(n.peers.Slow()*float64(storeAgain/2+rand.N(storeAgain))))
 	}
 }
 
@@ -134,7 +137,7 @@
 		w.changed(now, c)
 	}
 	if len(list) > 0 {
-		pause.For(ctx, gatherChanges)
+		pause.For(ctx, gatherChanges+time.Duration(n.peers.VMs())*gatherPerVM)
 	}
 	return next, nil
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -169,6 +169,26 @@
 	return id, err
 }
 
+const (
+	// easyVMs is how many VMs may call the store at the full pace when none of
+	// them has a controller, easyWeakness the weakness from which a VM calls less
+	// often, and slowest by how much at most: a change must still be in force
+	// within two seconds of the store's return.
+	easyVMs      = 16
+	easyWeakness = 500 * time.Millisecond
+	slowest      = 3.0
+)
+
+// Slow returns by how much this VM stretches its pauses between calls to the
+// store while it has no controller. With many VMs the weak ones leave the search
+// to the strong ones: all of them together would use the store's rate up.
+func (p *Peers) Slow() float64 {
+	vms, weakness := float64(p.VMs())/easyVMs, float64(p.Lease.Weakness)/float64(easyWeakness)
+	return min(max(vms*weakness, 1), slowest)
+}
+
+func (p *Peers) searchPause() time.Duration { return time.Duration(p.Slow() * float64(searchEvery)) }
+
 // Run keeps the lease and the link until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -180,13 +200,13 @@
 		if p.Lease.Free(p.Now()) {
 			// Its holder need not be looked for; this VM takes it soon, unless a
 			// stronger one does.
-			pause.For(ctx, leaseEvery)
+			pause.For(ctx, time.Duration(p.Slow()*float64(leaseEvery)))
 			continue
 		}
 		if address, key := p.Lease.Holder(); address != "" {
 			p.follow(ctx, address, key)
 		}
-		pause.For(ctx, searchEvery)
+		pause.For(ctx, p.searchPause())
 	}
 }
 
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -60,7 +60,7 @@
 // VM, or this one, has the lease.
 func (p *Peers) lookForOther(ctx context.Context, up *uplink, address string) {
 	for ctx.Err() == nil {
-		pause.For(ctx, searchEvery)
+		pause.For(ctx, p.searchPause())
 		if p.Covered(p.Now()) {
 			continue
 		}
