Older connections serve requests that may be repeated; servers with a kept one are preferred

Ruled out: longer keeping for all (a request that runs once is lost when it crosses the server's close). Change: connections are kept for 12 s for repeatable requests and 4 s for the others, the choice of a server prefers one with a kept connection by 6 ms.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -25,6 +25,10 @@
 	// DefaultIdle is how long an unused connection is kept when the server
 	// names no time: servers commonly close them after five seconds or more.
 	DefaultIdle = 4 * time.Second
+	// LongIdle is how long one is kept for requests that may be repeated, when
+	// the server names no time: the kernel tells of a close before the send, and
+	// what crosses a close is sent again.
+	LongIdle = 12 * time.Second
 	// idleMargin is taken off the time that a server names, for the way of its
 	// close and of a request that crosses it.
 	idleMargin = 500 * time.Millisecond
@@ -74,8 +78,9 @@
 	key    string
 	// kept says that it has carried an answer before.
 	kept bool
-	// until is when it is too old to be used again.
-	until time.Time
+	// until is when it is too old to be used again, careful when it is too old
+	// for a request that must not be lost.
+	until, careful time.Time
 }
 
 // Kept reports whether the connection has been used before.
@@ -152,13 +157,19 @@
 }
 
 // Take returns the freshest sound idle connection of a key, nil when there is
-// none. The freshest is the least likely to have been closed on the way.
-func (p *Pool) Take(now time.Time, key string) *Conn {
+// none. The freshest is the least likely to have been closed on the way. With
+// care one that the server may be about to close is left alone.
+func (p *Pool) Take(now time.Time, key string, care bool) *Conn {
 	for {
 		c := p.pop(key)
 		if c == nil {
 			return nil
 		}
+		if care && now.Before(c.until) && !now.Before(c.careful) {
+			// It is the freshest, so no other will do.
+			p.push(c)
+			return nil
+		}
 		if now.Before(c.until) && c.sound() {
 			return c
 		}
@@ -166,6 +177,22 @@
 	}
 }
 
+// Idle reports whether a connection of a key is kept.
+func (p *Pool) Idle(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[key]) > 0
+}
+
+func (p *Pool) push(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*Conn)
+	}
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
 func (p *Pool) pop(key string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,23 +232,20 @@
 }
 
 // Keep takes back a connection that has carried a whole answer, for idle at
-// most; 0 takes DefaultIdle.
+// most; 0 takes DefaultIdle, and LongIdle for requests that may be repeated.
 func (p *Pool) Keep(now time.Time, c *Conn, idle time.Duration) {
+	long := idle
 	if idle == 0 {
-		idle = DefaultIdle
+		idle, long = DefaultIdle, LongIdle
 	}
-	c.until = now.Add(idle - min(idleMargin, idle/4))
+	c.careful = now.Add(idle - min(idleMargin, idle/4))
+	c.until = now.Add(long - min(idleMargin, long/4))
 	c.kept = true
 	if c.reader.Buffered() > 0 {
 		p.Discard(c)
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.idle = make(map[string][]*Conn)
-	}
-	p.idle[c.key] = append(p.idle[c.key], c)
+	p.push(c)
 }
 
 // Discard closes a connection and forgets it.
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -57,7 +57,7 @@
 			server := <-accepted
 			tc.harm(t, server)
 			require.Eventually(t, func() bool {
-				got := p.Take(now, "k")
+				got := p.Take(now, "k", true)
 				if got != nil {
 					p.Keep(now, got, time.Second)
 				}
@@ -73,7 +73,7 @@
 	c, err := p.Dial(context.Background(), "k", address)
 	require.NoError(t, err)
 	p.Keep(now, c, time.Second)
-	require.Nil(t, p.Take(now.Add(time.Second), "k"))
+	require.Nil(t, p.Take(now.Add(time.Second), "k", true))
 	require.Zero(t, p.Connections("k"))
 }
 
@@ -89,9 +89,9 @@
 	for _, c := range all {
 		p.Keep(now, c, time.Second)
 	}
-	require.Same(t, all[2], p.Take(now, "k"))
+	require.Same(t, all[2], p.Take(now, "k", true))
 	p.Forget("k")
-	require.Nil(t, p.Take(now, "k"))
+	require.Nil(t, p.Take(now, "k", true))
 }
 
 // An order or a request is given up while a cut holds its bytes up. When the
@@ -156,7 +156,7 @@
 			require.Equal(t, tc.status, resp.StatusCode)
 			require.Equal(t, tc.body, string(body))
 			x.Finish(now, &p, resp, true)
-			require.Equal(t, tc.kept, p.Take(now, "k") != nil)
+			require.Equal(t, tc.kept, p.Take(now, "k", true) != nil)
 		})
 	}
 }
@@ -186,3 +186,18 @@
 	<-read
 	require.Eventually(t, func() bool { return conns.Closed(server) }, 10*time.Second, time.Millisecond)
 }
+
+// A server closes idle connections after some seconds that it does not name. A
+// request that may be lost for good does not go over an old one; one that may be
+// repeated does, as a new connection costs the server more.
+func TestOldConnectionsAreForRepeatableRequests(t *testing.T) {
+	address, _ := listen(t)
+	var p conns.Pool
+	c, err := p.Dial(context.Background(), "k", address)
+	require.NoError(t, err)
+	p.Keep(now, c, 0)
+	later := now.Add(conns.DefaultIdle + time.Second)
+	require.True(t, p.Idle("k"))
+	require.Nil(t, p.Take(later, "k", true))
+	require.Same(t, c, p.Take(later, "k", false))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -120,6 +120,7 @@
 		budgets: make(map[string]*retry.Window), configured: make(chan struct{}), contact: make(map[string]time.Time),
 	}
 	n.active.Store(s)
+	n.book.Idle = n.pool.Idle
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: c.Objects,
 		Weakness: weakness(s.Float("limits", "cpu")),
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -32,7 +32,7 @@
 	server := choice.Server.ID
 	c.tries++
 	now := g.Now()
-	conn, err := g.connect(ctx, now, server, choice.Server.Address)
+	conn, err := g.connect(ctx, now, server, choice.Server.Address, !c.route.Repeatable())
 	if err != nil {
 		g.Book.Unreached(g.Now(), choice.Server)
 		g.doubt(server)
@@ -75,8 +75,8 @@
 	return done
 }
 
-func (g *Gateway) connect(ctx context.Context, now time.Time, server, address string) (*conns.Conn, error) {
-	if conn := g.Pool.Take(now, server); conn != nil {
+func (g *Gateway) connect(ctx context.Context, now time.Time, server, address string, care bool) (*conns.Conn, error) {
+	if conn := g.Pool.Take(now, server, care); conn != nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/pick/book.go
+++ b/pick/book.go
@@ -28,6 +28,9 @@
 	// farCost is the price of another failure domain in time: one way and back,
 	// and the bytes that cross.
 	farCost = 4 * time.Millisecond
+	// openCost is the price of a new connection in time: it holds a slot of the
+	// server and takes a way and back and a millisecond of its work.
+	openCost = 6 * time.Millisecond
 	// plainTime is the time of a request to a service without models until
 	// answers have shown it; the data sheets say 15 to 30 ms.
 	plainTime = 20 * time.Millisecond
@@ -134,6 +137,8 @@
 // rest of the zero value works. It is safe for use by several goroutines.
 type Book struct {
 	Domain string
+	// Idle reports whether a connection to a server is kept; nil for always.
+	Idle func(id string) bool
 
 	mu      sync.Mutex
 	servers map[string]*state
@@ -288,6 +293,9 @@
 	if e.Cold > 0 {
 		cost += plainTime
 	}
+	if b.Idle != nil && !b.Idle(e.ID) {
+		cost += openCost
+	}
 	return cost
 }
 
