--- a/pass/choose.go
+++ b/pass/choose.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 )
 
@@ -27,16 +28,6 @@
 	findAgain = 150 * time.Millisecond
 )
 
-// rest waits for a time or until ctx ends.
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // holdShare is the part of its time that a request waits for a server at most:
 // one that is still without a server then is refused while its caller has time
 // to come back.
@@ -64,7 +55,7 @@
 			// Every candidate was tried. One that refused may take the request
 			// after a pause; one that can not be reached is left to the
 			// controller to replace, until the last round.
-			rest(hold, roundPause)
+			pause.For(hold, roundPause)
 			c.avoid = nil
 			if c.rounds < maxRounds {
 				c.avoid = c.unreached
@@ -131,7 +122,7 @@
 		// Without a controller another one takes over within seconds, or the
 		// entry of a server tells of the model.
 		c.reason = fmt.Sprintf("find a server for %s: %v", c.work.Model, err)
-		rest(ctx, findAgain)
+		pause.For(ctx, findAgain)
 		if ctx.Err() != nil {
 			return fmt.Errorf("find a server for %s: %w", c.work.Model, err)
 		}
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -192,7 +193,7 @@
 		case <-ctx.Done():
 		case <-configured:
 		case <-changed:
-			pauseShort(ctx, gather)
+			pause.For(ctx, gather)
 		case <-wait.C:
 		}
 		wait.Stop()
@@ -209,15 +210,6 @@
 	}
 }
 
-func pauseShort(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (p *Peers) tellFleet(now time.Time, states []backs.State) {
 	state := p.fleetState(now, states)
 	state.Vms = p.VMs()
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
+	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
@@ -27,7 +28,7 @@
 	var wait sync.WaitGroup
 	version := 1
 	for ctx.Err() == nil {
-		rest(ctx, time.Duration(rng.Int64N(int64(faultGap))))
+		pause.For(ctx, time.Duration(rng.Int64N(int64(faultGap))))
 		length := faultLength/9 + time.Duration(rng.Int64N(int64(faultLength)))
 		v, front := r.vms[rng.IntN(len(r.vms))], r.fronts[rng.IntN(len(r.fronts))]
 		n := 1 + rng.IntN(strikeMost)
@@ -57,7 +58,7 @@
 	case 2:
 		return func(ctx context.Context, d time.Duration) {
 			v.signal(syscall.SIGSTOP)
-			rest(ctx, d)
+			pause.For(ctx, d)
 			v.signal(syscall.SIGCONT)
 		}, "pause"
 	case 3:
@@ -75,7 +76,7 @@
 	case 9:
 		return func(ctx context.Context, d time.Duration) {
 			r.site.Objects.SetFaults(stand.ObjectFaults{Away: []string{"*"}, LoseAnswers: n})
-			rest(ctx, d)
+			pause.For(ctx, d)
 			r.site.Objects.SetFaults(stand.ObjectFaults{})
 		}, "store_away"
 	case 10:
@@ -95,7 +96,7 @@
 func proxied(p *Proxy, m Mode) fault {
 	return func(ctx context.Context, d time.Duration) {
 		p.Set(m)
-		rest(ctx, d)
+		pause.For(ctx, d)
 		p.Set(Pass)
 	}
 }
@@ -130,12 +131,3 @@
 		}
 	}
 }
-
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -301,71 +300,6 @@
 	c.sorted[service] = list
 }
 
-func (c *Controller) askReports(ctx context.Context, now time.Time, service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.of(service) {
-		pause := reportEvery
-		if s.NeedsReport() || s.Finishing(now) {
-			pause = reportAgain
-		}
-		id := s.entry.ID
-		if c.busy[id] || !c.asked[id].IsZero() && now.Sub(c.asked[id]) < pause {
-			continue
-		}
-		c.asked[id] = now
-		go c.askReport(ctx, s.entry)
-	}
-}
-
-func (c *Controller) askReport(ctx context.Context, e backs.Entry) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	asked := c.Now()
-	r, err := c.Commands.Report(ctx, e)
-	if err != nil {
-		c.missed(e.ID, err)
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.servers[e.ID]
-	if s == nil {
-		return
-	}
-	known, sequence, changed := s.Free(asked), s.sequence, s.changed
-	s.Reported(c.Now(), asked, r)
-	if known != s.Free(asked) || sequence != s.sequence || changed != s.changed {
-		c.Log.Info().Str("server", e.ID).Int("sequence", r.Sequence).Int("before", sequence).Bool("busy", r.Busy).
-			Interface("models", r.Models).Interface("pending", r.Pending).Dur("age", c.Now().Sub(asked)).Msg("report")
-	}
-	c.notify()
-}
-
-// missed notes a server that gave no report.
-func (c *Controller) missed(id string, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.servers[id]
-	if s == nil {
-		return
-	}
-	s.Missed()
-	c.Log.Info().Str("server", id).Bool("down", s.Down()).Err(err).Msg("no report")
-}
-
-// Doubt makes servers be asked for their state at once: a VM could not reach
-// them or was refused what they are thought to hold.
-func (c *Controller) Doubt(ids []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, id := range ids {
-		if s := c.servers[id]; s != nil {
-			s.Doubt()
-		}
-	}
-}
-
 func (c *Controller) ceiling(service routes.Service) *Ceiling {
 	if c.ceilings == nil {
 		c.ceilings = make(map[string]*Ceiling)
@@ -408,55 +342,3 @@
 
 // running returns how many requests all VMs have at a server.
 func (c *Controller) running(id string) int { return c.sums[id].Running }
-
-// start sends an order in the background. c.mu is held. The sequence is that
-// of the decision: a report that comes in before the order is sent may show an
-// order that was carried out late and took the memory which the decision
-// counted on. With the new sequence the server would take the order and exceed
-// its memory; with the old one it refuses.
-func (c *Controller) start(ctx context.Context, s *Server, o Order, within time.Duration) {
-	c.startModel(ctx, s, o, within, nil)
-}
-
-// startModel is start with a function that is called, with c.mu held, when the
-// order was surely not taken.
-func (c *Controller) startModel(ctx context.Context, s *Server, o Order, within time.Duration, refused func()) {
-	c.busy[s.entry.ID] = true
-	o.Expect = s.sequence
-	go func() {
-		verdict := c.order(ctx, s, o, within)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.busy, s.entry.ID)
-		if refused != nil && (verdict == Refused || verdict == Conflict) {
-			refused()
-		}
-	}()
-}
-
-var errNotLeading = errors.New("this VM does not hold the controllers' lease")
-
-// order sends one order and takes in its outcome. The caller has marked the
-// server as busy.
-func (c *Controller) order(ctx context.Context, s *Server, o Order, within time.Duration) Verdict {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	now := c.Now()
-	fence, leading := c.Fence(now)
-	if !leading {
-		return Refused
-	}
-	c.mu.Lock()
-	o.Holder, o.Fence = c.Name, fence
-	e := s.entry
-	c.mu.Unlock()
-	verdict, err := c.Commands.Send(ctx, e, o)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s.Answered(c.Now(), now, o, verdict, within)
-	c.notify()
-	c.Meter.Count("steer.orders", 1)
-	c.Log.Info().Str("server", e.ID).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
-		Int("expect", o.Expect).Int("fence", fence).Int("verdict", int(verdict)).Err(err).Msg("order")
-	return verdict
-}
--- /dev/null
+++ b/steer/dispatch.go
@@ -0,0 +1,59 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// start sends an order in the background. c.mu is held. The sequence is that
+// of the decision: a report that comes in before the order is sent may show an
+// order that was carried out late and took the memory which the decision
+// counted on. With the new sequence the server would take the order and exceed
+// its memory; with the old one it refuses.
+func (c *Controller) start(ctx context.Context, s *Server, o Order, within time.Duration) {
+	c.startModel(ctx, s, o, within, nil)
+}
+
+// startModel is start with a function that is called, with c.mu held, when the
+// order was surely not taken.
+func (c *Controller) startModel(ctx context.Context, s *Server, o Order, within time.Duration, refused func()) {
+	c.busy[s.entry.ID] = true
+	o.Expect = s.sequence
+	go func() {
+		verdict := c.order(ctx, s, o, within)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.busy, s.entry.ID)
+		if refused != nil && (verdict == Refused || verdict == Conflict) {
+			refused()
+		}
+	}()
+}
+
+var errNotLeading = errors.New("this VM does not hold the controllers' lease")
+
+// order sends one order and takes in its outcome. The caller has marked the
+// server as busy.
+func (c *Controller) order(ctx context.Context, s *Server, o Order, within time.Duration) Verdict {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	now := c.Now()
+	fence, leading := c.Fence(now)
+	if !leading {
+		return Refused
+	}
+	c.mu.Lock()
+	o.Holder, o.Fence = c.Name, fence
+	e := s.entry
+	c.mu.Unlock()
+	verdict, err := c.Commands.Send(ctx, e, o)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.Answered(c.Now(), now, o, verdict, within)
+	c.notify()
+	c.Meter.Count("steer.orders", 1)
+	c.Log.Info().Str("server", e.ID).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
+		Int("expect", o.Expect).Int("fence", fence).Int("verdict", int(verdict)).Err(err).Msg("order")
+	return verdict
+}
