Links and retry budgets no longer wait for each other

A link that opens asks the node for the configuration under the peers' lock; the division of the retry budget asked the peers for the number of VMs under the node's lock. Ruled out: ports (all were listened at), the log (its queue was short). Change: the number is asked before the lock; a soak process that does not end writes its goroutines; what is logged after the end is dropped and does not panic.

--- /dev/null
+++ b/node/lock_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/conf"
+	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+	"github.com/hibiscuscart/hibiscuscart/store"
+	"github.com/hibiscuscart/hibiscuscart/wire"
+)
+
+const lockSettings = `
+[vm]
+name = a
+failure_domain = d
+listen = 127.0.0.1:1
+ready_listen = 127.0.0.1:2
+peer_listen = 127.0.0.1:3
+[store]
+address = 127.0.0.1:4
+`
+
+// leading returns a node that holds the lease and has not started.
+func leading(t *testing.T) (*Node, string) {
+	t.Helper()
+	settings, err := conf.ParseNode([]byte(lockSettings))
+	require.NoError(t, err)
+	o := &stand.Objects{}
+	objects := store.Objects{
+		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
+		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
+			data, err := json.Marshal(value)
+			if err != nil {
+				return 0, err
+			}
+			got, err := o.Put(kind, name, ifVersion, data)
+			return got.Version, err
+		},
+	}
+	n := New(Config{Settings: settings, Objects: objects, Now: clock.Now, Log: zerolog.Nop()})
+	require.Eventually(t, func() bool {
+		n.lease.Step(t.Context())
+		return n.lease.Held(n.now())
+	}, time.Minute, time.Millisecond)
+	s := httptest.NewServer(n.peers.Handler())
+	t.Cleanup(s.Close)
+	return n, strings.TrimPrefix(s.URL, "http://")
+}
+
+// Links open at the controller while requests and its clean-up divide the retry
+// budget. Each side asked the other under its own lock: both waited for ever, and
+// the VM that held the lease served nobody while it kept all others linked.
+func TestLinksOpenWhileBudgetsAreDivided(t *testing.T) {
+	n, address := leading(t)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+				n.budget(fmt.Sprint(i % 5000))
+			}
+		}
+	}()
+	opened := make(chan error, 1)
+	go func() { opened <- openLinks(t.Context(), n, address) }()
+	select {
+	case err := <-opened:
+		require.NoError(t, err)
+	case <-time.After(time.Minute):
+		require.Fail(t, "links do not open")
+	}
+	close(stop)
+	<-stopped
+}
+
+// openLinks opens links one after the other, as VMs that start do.
+func openLinks(ctx context.Context, n *Node, address string) error {
+	for i := range 200 {
+		n.lease.Step(ctx)
+		d := &link.Dialer{
+			Key:   n.lease.Key(n.now()),
+			Hello: func() wire.Hello { return wire.Hello{Protocol: link.Protocol, Node: fmt.Sprint("vm", i)} },
+		}
+		c, err := d.Dial(ctx, address)
+		if err != nil {
+			return err
+		}
+		if _, err := c.Receive(ctx); err != nil {
+			return err
+		}
+		c.Close()
+	}
+	return nil
+}
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -36,6 +36,8 @@
 	require.NotZero(t, w.Dropped())
 	s.mu.Unlock()
 	require.NoError(t, w.Close())
+	_, err := w.Write([]byte("after the end\n"))
+	require.NoError(t, err, "a goroutine that outlives the daemon must not panic")
 	lines := strings.Split(strings.TrimSpace(s.out.String()), "\n")
 	require.Contains(t, lines[len(lines)-1], "log lines dropped")
 	require.Equal(t, 10_000, int(w.Dropped())+len(lines)-1)
--- a/node/node.go
+++ b/node/node.go
@@ -153,21 +153,24 @@
 
 // budget returns the retry budget of a service.
 func (n *Node) budget(service string) *retry.Window {
+	vms := n.peers.VMs()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.budgets[service]
 	if b == nil {
 		b = &retry.Window{}
-		n.limit(b)
+		n.limit(b, vms)
 		n.budgets[service] = b
 	}
 	return b
 }
 
-// limit gives a budget this VM's part of what all may retry.
-func (n *Node) limit(b *retry.Window) {
+// limit gives a budget this VM's part of what all may retry. The number of VMs
+// is asked of the peers before n.mu is taken: the peers ask this node for its
+// configuration under their own lock.
+func (n *Node) limit(b *retry.Window, vms int) {
 	s := n.settings()
-	b.Limit(budgetShare*s.Float("retries", "share"), budgetShare*s.Float("retries", "extra")/float64(n.peers.VMs()), s.Duration("retries", "window"))
+	b.Limit(budgetShare*s.Float("retries", "share"), budgetShare*s.Float("retries", "extra")/float64(vms), s.Duration("retries", "window"))
 }
 
 // Start listens and begins to serve.
@@ -304,9 +307,10 @@
 		if n.config.Dropped != nil {
 			n.meter.Gauge("log.dropped", n.config.Dropped())
 		}
+		vms := n.peers.VMs()
 		n.mu.Lock()
 		for _, b := range n.budgets {
-			n.limit(b)
+			n.limit(b, vms)
 		}
 		n.mu.Unlock()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -55,6 +55,7 @@
 	// fault, and endLimit how long a process has to end after SIGTERM.
 	settleLimit = 30 * time.Second
 	endLimit    = 20 * time.Second
+	dumpLimit   = 2 * time.Second
 	callLimit   = 7 * time.Second
 )
 
@@ -211,6 +212,20 @@
 	_ = v.command.Process.Signal(s)
 }
 
+// mustEnd waits for a process that was told to end. One that does not writes its
+// goroutines to its log before it is killed; it reports whether it ended.
+func (v *vm) mustEnd() bool {
+	if v.wait(endLimit) {
+		return true
+	}
+	v.signal(syscall.SIGQUIT)
+	if !v.wait(dumpLimit) {
+		v.signal(syscall.SIGKILL)
+		v.wait(endLimit)
+	}
+	return false
+}
+
 func (v *vm) wait(limit time.Duration) bool {
 	v.mu.Lock()
 	ended := v.ended
@@ -287,7 +302,7 @@
 	}
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
-		if !v.wait(endLimit) {
+		if !v.mustEnd() {
 			r.checks.Add("VM %d does not end after SIGTERM", i)
 		}
 	}
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -120,10 +120,8 @@
 		v.signal(s)
 		// A process that is paused takes SIGTERM when it goes on.
 		v.signal(syscall.SIGCONT)
-		if !v.wait(endLimit) {
+		if !v.mustEnd() {
 			r.checks.Add("a VM did not end after signal %v", s)
-			v.signal(syscall.SIGKILL)
-			v.wait(endLimit)
 		}
 		time.Sleep(min(d, restartPause))
 		if err := v.start(r.options.Program); err != nil {
