--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"bufio"
 	"context"
 	"os"
 	"os/exec"
@@ -38,13 +37,11 @@
 // failedSeeds reads the seeds that once failed: one a line, its cause behind it.
 func failedSeeds(t *testing.T) []uint64 {
 	t.Helper()
-	f, err := os.Open("testdata/seeds.txt")
+	data, err := os.ReadFile("testdata/seeds.txt")
 	require.NoError(t, err)
-	defer f.Close()
 	var seeds []uint64
-	lines := bufio.NewScanner(f)
-	for lines.Scan() {
-		text, _, _ := strings.Cut(lines.Text(), " ")
+	for line := range strings.Lines(string(data)) {
+		text, _, _ := strings.Cut(strings.TrimSpace(line), " ")
 		if text == "" || text == "#" {
 			continue
 		}
@@ -52,6 +49,5 @@
 		require.NoError(t, err)
 		seeds = append(seeds, seed)
 	}
-	require.NoError(t, lines.Err())
 	return seeds
 }
