--- a/steer/ceiling.go
+++ b/steer/ceiling.go
@@ -8,7 +8,9 @@
 	// second.
 	Window    time.Duration
 	PerSecond float64
-	begun     []time.Time
+	// Late is how many loads without an answer may still begin at any moment.
+	Late  int
+	begun []time.Time
 }
 
 // firstLoads is how many loads may begin in the first window of a term. The VM
@@ -34,9 +36,15 @@
 		}
 	}
 	c.begun = kept
-	return float64(len(c.begun)+1) <= max(c.PerSecond*c.Window.Seconds(), 1)
+	late := max(c.Late-lateSpared, 0)
+	return float64(len(c.begun)+late+1) <= max(c.PerSecond*c.Window.Seconds(), 1)
 }
 
+// lateSpared is how many late loads fit above the allowed rate: what the weight
+// store is asked to bear leaves three. More than those are counted as if they
+// began now, or several that come late together would exceed it.
+const lateSpared = 2
+
 // Begin notes a load that was ordered, also one whose order got no answer.
 func (c *Ceiling) Begin(now time.Time) { c.begun = append(c.begun, now) }
 
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -321,6 +321,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	demand, ceiling := c.demand(service.Name), c.ceiling(service)
+	ceiling.Late = 0
+	for _, s := range c.of(service.Name) {
+		if s.Late(now) {
+			ceiling.Late++
+		}
+	}
 	planner := &Planner{
 		Engine: service.Engine, Servers: c.of(service.Name), Now: now,
 		Work:  func(model string) float64 { return demand.Work(now, model) },
--- a/steer/server.go
+++ b/steer/server.go
@@ -61,6 +61,8 @@
 	missed  int
 	// loaded is when a model load was ordered last.
 	loaded time.Time
+	// late is when a model load got no answer that no later order has made dead.
+	late time.Time
 	// available and onDisk are the models with copies in the server's memory
 	// and on its disk; empty when not known for sure.
 	available map[string]bool
@@ -237,6 +239,15 @@
 // Doubt makes the server's state be asked for at once.
 func (s *Server) Doubt() { s.doubted = true }
 
+// lateFor is how long an order without an answer can still be carried out: up to
+// twelve seconds later by the deployments' word.
+const lateFor = 15 * time.Second
+
+// Late reports whether a model load that got no answer may still be carried out.
+func (s *Server) Late(now time.Time) bool {
+	return !s.late.IsZero() && now.Sub(s.late) < lateFor
+}
+
 // downAfter is how many reports in a row must fail for a server to count as
 // down; one is lost now and then.
 const downAfter = 2
@@ -272,6 +283,9 @@
 	switch v {
 	case Unknown:
 		s.unclear = now
+		if !o.Unload && o.Adapter == "" {
+			s.late = now
+		}
 		return
 	case Conflict:
 		// The sequence was not what was expected, or a model is on its way that
@@ -284,7 +298,7 @@
 		return
 	case Accepted, Done:
 	}
-	s.ordered, s.changed = now, now
+	s.ordered, s.changed, s.late = now, now, time.Time{}
 	if v == Accepted || o.Adapter != "" {
 		s.sequence++
 	}
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -202,3 +202,24 @@
 	c.Return()
 	require.True(t, c.Allow(at(1)))
 }
+
+// Loads get no answer for some seconds and are carried out up to twelve seconds
+// later, several of them together and beside those ordered by then. Unless they
+// count, more loads begin in a window than the weight store bears. An order that
+// a server accepts later makes its late one dead.
+func TestLateLoadsCountAgainstTheBound(t *testing.T) {
+	s := reported(at(0), "a", 0, "m1")
+	s.Answered(at(1), at(0.7), steer.Order{Model: "m2"}, steer.Unknown, time.Second)
+	require.True(t, s.Late(at(12)))
+	require.False(t, s.Late(at(20)))
+	s.Reported(at(2), at(2), steer.Report{Models: entry("", "m1").Models})
+	s.Answered(at(3), at(3), steer.Order{Model: "m3"}, steer.Accepted, time.Second)
+	require.False(t, s.Late(at(4)))
+	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 1.4, Late: 6}
+	begun := 0
+	for c.Allow(at(1)) {
+		c.Begin(at(1))
+		begun++
+	}
+	require.Equal(t, 3, begun)
+}
