One plan keeps the bound on loads

Ruled out: late loads, copies on disk that were not there. Change: each load that a plan decides on counts at once; a server that refused an order gets none for 2 s. Counting late loads stays, as they can come together.

--- a/steer/controller.go
+++ b/steer/controller.go
@@ -329,19 +329,29 @@
 	}
 	planner := &Planner{
 		Engine: service.Engine, Servers: c.of(service.Name), Now: now,
-		Work:  func(model string) float64 { return demand.Work(now, model) },
-		Load:  c.running,
-		Store: func() bool { return ceiling.Allow(now) },
+		Work: func(model string) float64 { return demand.Work(now, model) },
+		Load: c.running,
+		// Each load that the plan decides on counts at once: one plan may hold
+		// many, and each must see those before it.
+		Store: func() bool {
+			if !ceiling.Allow(now) {
+				return false
+			}
+			ceiling.Begin(now)
+			return true
+		},
 	}
 	for _, step := range planner.Steps() {
-		if c.busy[step.Server.entry.ID] {
-			continue
-		}
 		var refused func()
 		if step.Store && !step.Unload {
-			ceiling.Begin(now)
 			refused = ceiling.Return
 		}
+		if c.busy[step.Server.entry.ID] {
+			if refused != nil {
+				refused()
+			}
+			continue
+		}
 		c.startModel(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time, refused)
 	}
 }
--- a/steer/controller_test.go
+++ b/steer/controller_test.go
@@ -84,3 +84,30 @@
 func loadUsing(server string, adapters ...string) map[string]pick.Load {
 	return map[string]pick.Load{server: {Running: len(adapters), Adapters: adapters}}
 }
+
+// After a change of demand one look at the placement decides on several loads
+// for as many servers. Each of them must count against the weight store's bound
+// before the next is decided: if the bound is only looked at, all of them begin
+// at once, as many as there are servers.
+func TestOnePlanKeepsTheBoundOnLoads(t *testing.T) {
+	c, orders := testController(func(time.Time) (int, bool) { return 5, true })
+	now := c.Now()
+	engine := &routes.Engine{MemoryMB: 10, AdapterSlots: 2, LoadsPerSecond: 0.4, Models: make(map[string]routes.Model)}
+	var entries []backs.Entry
+	for _, name := range []string{"m1", "m2", "m3", "m4", "m5", "m6"} {
+		engine.Models[name] = routes.Model{Name: name, MB: 10, Load: time.Second}
+		entries = append(entries, backs.Entry{ID: "at-" + name, Service: "s"})
+	}
+	c.Servers.Replace(now, entries)
+	c.sync(now, "s")
+	for _, s := range c.servers {
+		s.Reported(now, now, Report{})
+	}
+	c.placeModels(context.Background(), now, routes.Service{Name: "s", Engine: engine})
+	for range 2 {
+		<-orders
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Len(t, c.ceilings["s"].begun, 2)
+}
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -34,7 +34,8 @@
 	Work func(model string) float64
 	// Load returns how much a server has to do, for the choice among equals.
 	Load func(id string) int
-	// Store reports whether one more load from the weight store may begin.
+	// Store reports whether one more load from the weight store may begin, and
+	// counts it as begun when it says so.
 	Store func() bool
 	Now   time.Time
 
--- a/steer/server.go
+++ b/steer/server.go
@@ -61,6 +61,8 @@
 	missed  int
 	// loaded is when a model load was ordered last.
 	loaded time.Time
+	// refused is when it refused an order last.
+	refused time.Time
 	// late is when a model load got no answer that no later order has made dead.
 	late time.Time
 	// available and onDisk are the models with copies in the server's memory
@@ -227,6 +229,9 @@
 // Free reports whether an order may be sent: the sequence is known, no order is
 // unclear, and no model is on its way.
 func (s *Server) Free(now time.Time) bool {
+	if !s.refused.IsZero() && now.Sub(s.refused) < refusalRest {
+		return false
+	}
 	return s.known && s.missed == 0 && !s.doubted && s.unclear.IsZero() && !now.Before(s.busy)
 }
 
@@ -239,6 +244,11 @@
 // Doubt makes the server's state be asked for at once.
 func (s *Server) Doubt() { s.doubted = true }
 
+// refusalRest is how long a server that refused an order gets none. Another one
+// may have its address and give reports as if it were meant; its entry lapses
+// after three heartbeats.
+const refusalRest = 2 * time.Second
+
 // lateFor is how long an order without an answer can still be carried out: up to
 // twelve seconds later by the deployments' word.
 const lateFor = 15 * time.Second
@@ -294,7 +304,7 @@
 		return
 	case Refused:
 		// It is not the server that is meant, or not what it was thought to be.
-		s.doubted = true
+		s.doubted, s.refused = true, now
 		return
 	case Accepted, Done:
 	}
