--- a/store/client_test.go
+++ b/store/client_test.go
@@ -90,13 +90,17 @@
 	require.True(t, store.IsLimited(err), "%v", err)
 }
 
+// The caller has the wrong key, then sends a value beyond the platform's limit:
+// each is told as what it is. The time for the calls is ample, as the two
+// megabytes take over a second to encode and send on a busy machine.
 func TestErrorsOfTheCaller(t *testing.T) {
 	p, c := platform(t)
 	p.Key = "right"
-	_, err := c.Get(brief(t, time.Second), "things", "a")
+	c.Timeout = time.Minute
+	_, err := c.Get(brief(t, time.Minute), "things", "a")
 	require.True(t, trace.IsAccessDenied(err), "%v", err)
 	c.Key = "right"
-	_, err = c.Put(brief(t, time.Second), "things", "a", 0, make([]int, 1<<20))
+	_, err = c.Put(brief(t, time.Minute), "things", "a", 0, make([]int, 1<<20))
 	require.True(t, trace.IsBadParameter(err), "%v", err)
 }
 
