--- a/backs/share.go
+++ b/backs/share.go
@@ -32,21 +32,24 @@
 }
 
 // Adopt takes in what another VM tells, which watches the store. A full list
-// names all servers there are.
+// names all servers there are. Right after the store's return as this VM saw it,
+// servers that the list leaves out are given time to come back: the other VM may
+// have started meanwhile, and lists only those whose entries stand again.
 func (v *View) Adopt(now time.Time, states []State, full bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.away = false
+	if v.away {
+		v.away, v.back = false, now
+	}
 	named := make(map[string]bool, len(states))
 	for _, s := range states {
 		named[s.ID] = true
 		v.adopt(now, s)
 	}
 	if full {
-		for id, r := range v.records {
-			if !named[id] && r.gone.IsZero() {
-				r.gone = now
-				v.touch(r)
+		for id := range v.records {
+			if !named[id] {
+				v.remove(now, id)
 			}
 		}
 		v.caught = true
--- a/backs/view_test.go
+++ b/backs/view_test.go
@@ -46,6 +46,24 @@
 	require.True(t, v.Usable(at(6.1), "a"), "a server that was cut off and lives gets work again")
 }
 
+// The store is away, and the controller's process is started anew in that time. At
+// the store's return it lists the few servers whose entries stand again, and tells
+// a VM that these are all. That VM knew the others and must not take them for
+// gone: they rise again within two seconds, and one that rose gets no work for
+// four more.
+func TestListOfAControllerThatStartedInAnOutage(t *testing.T) {
+	var v backs.View
+	v.Replace(at(0), []backs.Entry{entry("a"), entry("b"), entry("c")})
+	v.Away()
+	v.Adopt(at(10), []backs.State{{Entry: entry("a")}}, true)
+	require.Len(t, v.Serving(at(10), "s"), 3)
+	v.Adopt(at(11), []backs.State{{Entry: entry("b")}}, false)
+	require.Len(t, v.Serving(at(11.9), "s"), 3)
+	require.Len(t, v.Serving(at(12.1), "s"), 2, "what is missing then is gone")
+	v.Adopt(at(20), []backs.State{{Entry: entry("a")}}, true)
+	require.Len(t, v.Serving(at(20), "s"), 1, "without an outage the list holds at once")
+}
+
 // The store is away for longer than an entry lasts; at its return the list is
 // empty for a moment. If the servers were dropped at once, every request would
 // be refused. They are kept for two seconds; what is missing then is gone.
--- a/node/lock_test.go
+++ b/node/lock_test.go
@@ -63,6 +63,7 @@
 // the VM that held the lease served nobody while it kept all others linked.
 func TestLinksOpenWhileBudgetsAreDivided(t *testing.T) {
 	n, address := leading(t)
+	n.servers.Replace(n.now(), nil)
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -87,6 +88,17 @@
 	<-stopped
 }
 
+// The controller's process is started anew and goes on with its lease at once,
+// before it has listed the servers. A VM that linked to it was told that there are
+// none: it refused all requests, and gave the servers no work for four seconds
+// after they had risen again. Links wait until the servers are known.
+func TestNoLinksBeforeTheServersAreKnown(t *testing.T) {
+	n, address := leading(t)
+	require.Error(t, openLinks(t.Context(), n, address))
+	n.servers.Replace(n.now(), nil)
+	require.NoError(t, openLinks(t.Context(), n, address))
+}
+
 // openLinks opens links one after the other, as VMs that start do.
 func openLinks(ctx context.Context, n *Node, address string) error {
 	for i := range 200 {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -287,13 +287,16 @@
 	return p.up != nil && now.Sub(p.fresh) < freshFor
 }
 
-// Handler takes links from other VMs while this one holds the lease.
+// Handler takes links from other VMs while this one holds the lease and knows
+// the servers. A link begins with all servers there are: told by a process that
+// has just started and has none yet, the others took all of them for gone, and
+// gave those that rose again no work for seconds.
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.Path, func(w http.ResponseWriter, r *http.Request) {
 		key := p.Lease.Key(p.Now())
-		if key == "" {
-			http.Error(w, "this VM does not hold the controllers' lease", http.StatusServiceUnavailable)
+		if key == "" || !p.Servers.Caught() {
+			http.Error(w, "this VM does not hold the controllers' lease, or has just taken it", http.StatusServiceUnavailable)
 			return
 		}
 		a := &link.Acceptor{Hello: p.hello, Keys: link.Keys{Peer: key}, Count: p.count, Serve: p.serveLink}
