--- a/peers/hub.go
+++ b/peers/hub.go
@@ -119,6 +119,7 @@
 	states, _ := p.Servers.Since(now, 0)
 	state := p.fleetState(now, states)
 	state.Vms, state.Full = len(p.links)+2, true
+	state.Loads, state.HasLoads = loadList(p.Controller.Loads()), true
 	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
 		return nil, err
@@ -130,7 +131,7 @@
 	version, renewals := p.Lease.Renewed()
 	return &wire.FleetState{
 		AgeMs: p.age(now), LeaseVersion: version, LeaseRenewals: renewals,
-		Servers: statesOf(states), Loads: loadList(p.Controller.Loads()),
+		Servers: statesOf(states), Loads: []wire.ServerLoad{},
 	}
 }
 
@@ -179,9 +180,9 @@
 	d.offer(frame)
 }
 
-// broadcast tells all links what changes, and at intervals the load, until ctx
-// ends. Each frame is encoded once.
-func (p *Peers) broadcast(ctx context.Context) {
+// broadcast tells all links what changes, each renewal of the lease, and at
+// intervals the load, until ctx ends. Each frame is encoded once.
+func (p *Peers) broadcast(ctx context.Context, renewed <-chan struct{}) {
 	_, revision := p.Servers.Since(p.Now(), 0)
 	config, _ := p.Config()
 	last := p.Now()
@@ -189,9 +190,12 @@
 		changed := p.Servers.Changed()
 		configured := p.ConfigChanged()
 		wait := time.NewTimer(interval(p.VMs()))
+		renewal := false
 		select {
 		case <-ctx.Done():
 		case <-configured:
+		case <-renewed:
+			renewal = true
 		case <-changed:
 			pause.For(ctx, gather)
 		case <-wait.C:
@@ -203,15 +207,24 @@
 			p.tellConfig(at, value)
 		}
 		states, next := p.Servers.Since(now, revision)
-		if len(states) > 0 || now.Sub(last) >= interval(p.VMs()) {
-			revision, last = next, now
-			p.tellFleet(now, states)
+		due := now.Sub(last) >= interval(p.VMs())
+		if due {
+			last = now
+		}
+		if len(states) > 0 || renewal || due {
+			revision = next
+			p.tellFleet(now, states, due)
 		}
 	}
 }
 
-func (p *Peers) tellFleet(now time.Time, states []backs.State) {
+// tellFleet tells of servers, and of their load when it is due: it is the larger
+// part of a frame, and changes of servers can come a hundred times a second.
+func (p *Peers) tellFleet(now time.Time, states []backs.State, load bool) {
 	state := p.fleetState(now, states)
+	if load {
+		state.Loads, state.HasLoads = loadList(p.Controller.Loads()), true
+	}
 	state.Vms = p.VMs()
 	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -57,8 +57,9 @@
 	record    wire.ControllerLease
 	key       string
 	fence     int
-	// orders is from when this VM may give orders.
-	orders time.Time
+	// ended is when the VM before gave its last order at the latest, orders from
+	// when this one may give any.
+	ended, orders time.Time
 }
 
 // Fence returns the fencing number while orders may be given.
@@ -68,6 +69,22 @@
 	return l.fence, l.keeper.Held(now) && !now.Before(l.orders)
 }
 
+// Term returns the fencing number while this VM holds the lease, also before it
+// may give orders.
+func (l *Lease) Term(now time.Time) (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.keeper.Held(now)
+}
+
+// Ended returns when the VM that held the lease before gave its last order at the
+// latest.
+func (l *Lease) Ended() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
 // Held reports whether this VM holds the lease.
 func (l *Lease) Held(now time.Time) bool {
 	l.mu.Lock()
@@ -239,10 +256,11 @@
 // its lease ended at the latest, which was a lease's length after this VM saw
 // its last renewal; the first order of this one comes a handover later.
 func (l *Lease) took(begun time.Time, version int, before wire.ControllerLease, seen time.Time) {
-	l.fence = version
+	l.fence, l.ended = version, begun
 	if before.Address != "" && before.Address != l.Address {
 		length := time.Duration(before.DurationMs) * time.Millisecond
-		l.orders = seen.Add(length + orderSlack + l.Handover)
+		l.ended = seen.Add(length + orderSlack)
+		l.orders = l.ended.Add(l.Handover)
 	}
 	l.Log.Info().Int("fence", version).Str("before", before.Holder).Time("begun", begun).Msg("lease taken")
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -205,6 +205,9 @@
 		}
 		if address, key := p.Lease.Holder(); address != "" {
 			p.follow(ctx, address, key)
+			// Its lease may have run out by now.
+			pause.For(ctx, time.Duration(p.Slow()*float64(leaseEvery)))
+			continue
 		}
 		pause.For(ctx, p.searchPause())
 	}
@@ -217,16 +220,33 @@
 	p.Log.Info().Msg("steering begins")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	renewed := make(chan struct{}, 1)
 	go p.shareOwn(ctx)
-	go p.broadcast(ctx)
+	go p.broadcast(ctx, renewed)
 	for ctx.Err() == nil && !p.succeeded() {
 		pause.For(ctx, leaseEvery)
-		p.Lease.Step(ctx)
+		p.renew(ctx, renewed)
 	}
 	p.closeLinks()
 	p.Log.Info().Msg("steering ends")
 }
 
+// renew does what is due for the lease, and signals when it was renewed. The
+// other VMs are told at once: one that finds a renewal in the store that it was
+// not told of must count the whole lease from when it reads it, and takes over
+// a second later.
+func (p *Peers) renew(ctx context.Context, renewed chan<- struct{}) {
+	before, _ := p.Lease.Renewed()
+	p.Lease.Step(ctx)
+	if after, _ := p.Lease.Renewed(); after == before {
+		return
+	}
+	select {
+	case renewed <- struct{}{}:
+	default:
+	}
+}
+
 // succeeded reports whether another VM is known to hold the lease.
 func (p *Peers) succeeded() bool {
 	if p.Lease.Held(p.Now()) {
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -150,7 +150,9 @@
 	p.fresh = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
 	p.mu.Unlock()
 	p.Lease.Told(s.LeaseVersion, s.LeaseRenewals)
-	p.Book.Others(pick.Minus(loadsOf(s.Loads), up.lastTold()))
+	if s.HasLoads {
+		p.Book.Others(pick.Minus(loadsOf(s.Loads), up.lastTold()))
+	}
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
 		states = append(states, stateOf(state))
--- a/steer/ceiling.go
+++ b/steer/ceiling.go
@@ -9,22 +9,29 @@
 	Window    time.Duration
 	PerSecond float64
 	// Late is how many loads without an answer may still begin at any moment.
-	Late  int
-	begun []time.Time
+	Late int
+	// Inherited is how many loads the VM before may have begun in its last
+	// window, which ended at Ended at the latest.
+	Inherited int
+	Ended     time.Time
+	begun     []time.Time
 }
 
-// firstLoads is how many loads may begin in the first window of a term. The VM
-// before may have begun as many as are allowed right before; what servers are
-// asked to bear leaves three loads above that, and a term can be short.
+// firstLoads is how many loads may begin in the first window of a term, however
+// many the VM before may have begun: what the weight store is asked to bear
+// leaves three above the bound.
 const firstLoads = 2
 
-// Succeed begins a term: the loads of the VM before are not known, and all but
-// a few of those allowed count as begun now.
-func (c *Ceiling) Succeed(now time.Time) {
-	c.begun = c.begun[:0]
-	for range int(c.PerSecond*c.Window.Seconds()) - firstLoads {
-		c.begun = append(c.begun, now)
+// Succeed begins a term after the VM before gave its last order at a time.
+// Loads that this VM began in an earlier term go on counting.
+func (c *Ceiling) Succeed(ended time.Time) { c.Ended = ended }
+
+// inherited returns how many loads of the VM before count still.
+func (c *Ceiling) inherited(now time.Time) int {
+	if now.Sub(c.Ended) >= c.Window {
+		return 0
 	}
+	return max(min(c.Inherited, int(c.PerSecond*c.Window.Seconds())-firstLoads), 0)
 }
 
 // Allow reports whether one more load may begin now.
@@ -37,7 +44,7 @@
 	}
 	c.begun = kept
 	late := max(c.Late-lateSpared, 0)
-	return float64(len(c.begun)+late+1) <= max(c.PerSecond*c.Window.Seconds(), 1)
+	return float64(len(c.begun)+late+c.inherited(now)+1) <= max(c.PerSecond*c.Window.Seconds(), 1)
 }
 
 // lateSpared is how many late loads fit above the allowed rate: what the weight
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -39,7 +39,7 @@
 )
 
 // Controller drives the servers while it holds the lease. All fields but
-// Window must be set.
+// Term, Ended and Window must be set.
 type Controller struct {
 	// Name is the VM's.
 	Name     string
@@ -48,6 +48,13 @@
 	Table    func() *routes.Table
 	// Fence returns the lease's fencing number while orders may be given.
 	Fence func(now time.Time) (int, bool)
+	// Term returns the lease's fencing number while it is held, orders or not;
+	// nil for Fence. A term that has begun learns what the servers hold before
+	// orders may be given.
+	Term func(now time.Time) (int, bool)
+	// Ended returns when the VM that steered before gave its last order at the
+	// latest; nil for when this one began.
+	Ended func() time.Time
 	// Window is that of the weight store's bound; 0 takes five seconds.
 	Window time.Duration
 	Now    func() time.Time
@@ -55,8 +62,10 @@
 	Meter  *meter.Set
 
 	mu sync.Mutex
-	// fence is that of the present term.
+	// fence is that of the present term, ended when the VM before gave its last
+	// order at the latest.
 	fence    int
+	ended    time.Time
 	servers  map[string]*Server
 	sorted   map[string][]*Server
 	busy     map[string]bool
@@ -213,8 +222,9 @@
 	if table == nil {
 		return
 	}
-	fence, leading := c.Fence(now)
-	if leading && fence != c.fence {
+	_, leading := c.Fence(now)
+	fence, held := c.term(now)
+	if held && fence != c.fence {
 		c.succeed(now, fence, table)
 	}
 	for _, service := range table.Services() {
@@ -222,29 +232,42 @@
 			continue
 		}
 		c.sync(now, service.Name)
+		if held && now.Sub(c.ended) >= reportLag {
+			c.askReports(ctx, now, service.Name)
+		}
 		if !leading {
 			continue
 		}
-		c.askReports(ctx, now, service.Name)
 		c.placeModels(ctx, now, service)
 		c.placeAdapters(ctx, now, service)
 	}
 }
 
-// succeed begins a term. What the VM before ordered is not known: its loads
-// count against the weight store's bound as if it had used nearly all of it.
+func (c *Controller) term(now time.Time) (int, bool) {
+	if c.Term == nil {
+		return c.Fence(now)
+	}
+	return c.Term(now)
+}
+
+// succeed begins a term. What the VM before ordered last is not known: each
+// server tells in its first report.
 func (c *Controller) succeed(now time.Time, fence int, table *routes.Table) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fence = fence
+	c.fence, c.ended = fence, now
+	if c.Ended != nil {
+		c.ended = c.Ended()
+	}
 	for _, s := range table.Services() {
 		if s.Engine != nil {
-			c.ceiling(s).Succeed(now)
+			c.ceiling(s).Succeed(c.ended)
 		}
 	}
 	for _, s := range c.servers {
-		s.Forget(now)
+		s.Forget(c.ended)
 	}
+	c.Log.Info().Dur("since_last_order", now.Sub(c.ended)).Int("fence", fence).Msg("term begins")
 }
 
 // sync takes in the entries of a service's servers and drops those that are
@@ -321,11 +344,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	demand, ceiling := c.demand(service.Name), c.ceiling(service)
-	ceiling.Late = 0
+	ceiling.Late, ceiling.Inherited = 0, 0
 	for _, s := range c.of(service.Name) {
 		if s.Late(now) {
 			ceiling.Late++
 		}
+		ceiling.Inherited += s.Inherited(ceiling.Ended.Add(-ceiling.Window))
 	}
 	planner := &Planner{
 		Engine: service.Engine, Servers: c.of(service.Name), Now: now,
--- a/steer/server.go
+++ b/steer/server.go
@@ -65,6 +65,9 @@
 	refused time.Time
 	// late is when a model load got no answer that no later order has made dead.
 	late time.Time
+	// inherited is set while the VM before may have begun a load here that this
+	// one has not seen.
+	inherited bool
 	// available and onDisk are the models with copies in the server's memory
 	// and on its disk; empty when not known for sure.
 	available map[string]bool
@@ -156,6 +159,10 @@
 		s.sequence, s.unclear = r.Sequence, asked
 		return
 	}
+	if !s.known {
+		// A load that goes on was begun by the VM before.
+		s.inherited = r.Busy
+	}
 	s.sequence, s.known = r.Sequence, true
 	s.doubted = false
 	s.copies(asked, r)
@@ -277,13 +284,30 @@
 }
 
 // Forget makes the state unknown until a report: another VM, or a process on
-// this one that has ended, gave orders up to now.
-func (s *Server) Forget(now time.Time) {
-	s.ordered = now
+// this one that has ended, gave orders up to a time. It may lie ahead.
+func (s *Server) Forget(ended time.Time) {
+	s.ordered = ended
 	s.known, s.busy, s.unclear = false, time.Time{}, time.Time{}
+	s.inherited = true
 	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
 }
 
+// Inherited returns how many loads the VM before may have begun here after a
+// time: one if no report has told yet or one goes on, and one for each model
+// that was not there before that time as far as this VM has heard.
+func (s *Server) Inherited(after time.Time) int {
+	n := 0
+	if s.inherited {
+		n++
+	}
+	for _, r := range s.models {
+		if r.since.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
 // Sequence returns the number of orders it is taken to have accepted.
 func (s *Server) Sequence() int { return s.sequence }
 
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -173,7 +173,7 @@
 // in a row may do and stay within the three that the bound leaves above the
 // allowed rate.
 func TestCeilingAfterAChangeOfController(t *testing.T) {
-	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 1.4}
+	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 1.4, Inherited: 9}
 	c.Succeed(at(0))
 	begun := 0
 	for ms := range 5000 {
@@ -186,6 +186,61 @@
 	require.True(t, c.Allow(at(5)))
 }
 
+// A VM takes the lease and gives its first order a handover later. The loads of
+// the VM before began before that: three of the window's five seconds have
+// passed. Counted from the first order, a model that comes into demand right
+// after a change of controller waited five seconds more for its copies.
+func TestWindowRunsFromTheLastOrderBefore(t *testing.T) {
+	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 1.4, Inherited: 9}
+	c.Succeed(at(0))
+	for range 2 {
+		require.True(t, c.Allow(at(3)))
+		c.Begin(at(3))
+	}
+	require.False(t, c.Allow(at(3)))
+	require.True(t, c.Allow(at(5)))
+}
+
+// Which loads the VM before began is seen at the servers: one that has given no
+// report yet, one with a load under way, and each model that has come lately
+// count; the rest do not, or nothing may be loaded for seconds after each change
+// of controller though the weight store is idle.
+func TestInheritedLoads(t *testing.T) {
+	tests := map[string]struct {
+		report *steer.Report
+		want   int
+	}{
+		"no report":  {nil, 1},
+		"unchanged":  {&steer.Report{Models: entry("", "m1").Models}, 0},
+		"under way":  {&steer.Report{Models: entry("", "m1").Models, Busy: true}, 1},
+		"new model":  {&steer.Report{Models: entry("", "m1", "m2").Models}, 1},
+		"both":       {&steer.Report{Models: entry("", "m1", "m2").Models, Busy: true}, 2},
+		"model gone": {&steer.Report{}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := steer.NewServer(at(0), entry("a", "m1"))
+			s.Forget(at(20))
+			if tc.report != nil {
+				s.Reported(at(21), at(21), *tc.report)
+			}
+			require.Equal(t, tc.want, s.Inherited(at(15)))
+		})
+	}
+}
+
+// A report from right after the last order of the VM before can be older than
+// that order: taken at its word, it frees the memory of a model that is being
+// loaded.
+func TestReportsFromBeforeTheEndOfATerm(t *testing.T) {
+	s := steer.NewServer(at(0), entry("a", "m1"))
+	s.Forget(at(20))
+	s.Reported(at(20.2), at(20.2), steer.Report{Models: entry("", "m1").Models})
+	require.True(t, s.NeedsReport())
+	s.Reported(at(20.6), at(20.6), steer.Report{Models: entry("", "m1").Models})
+	require.False(t, s.NeedsReport())
+}
+
 // A server crashes and another start of it answers at its address; its old entry
 // stands for some seconds. Each order there is refused. If it were given again
 // at once, the refusals would use up the loads that the weight store allows, and
--- a/wire/types.go
+++ b/wire/types.go
@@ -238,6 +238,9 @@
 	// All servers are listed, not only those that changed.
 	Full bool `json:"full"`
 
+	// The loads are told; without it those told before stand.
+	HasLoads bool `json:"has_loads"`
+
 	// Renewals in that record.
 	LeaseRenewals int `json:"lease_renewals"`
 
