--- a/node/node.go
+++ b/node/node.go
@@ -133,9 +133,11 @@
 	}
 	n.peers = &peers.Peers{
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
+		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.configValue, ConfigChanged: n.configChanged, Configure: n.configure, Current: n.current,
 		Controller: n.control, Servers: n.servers, Book: n.book, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
+	n.lease.Count = n.peers.VMs
 	n.gateway = &pass.Gateway{
 		Names: c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Budget: n.budget,
 		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, Now: c.Now, Log: n.log, Meter: n.meter,
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -86,12 +86,13 @@
 
 // addLink begins a link with the whole view; what changes follows.
 func (p *Peers) addLink(d *downlink) error {
+	loads := loadList(p.totals())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.Lease.Held(p.Now()) {
+	if !p.Lease.Held(p.Now()) && !p.relaying {
 		return errNoController
 	}
-	first, err := p.wholeView()
+	first, err := p.wholeView(loads)
 	if err != nil {
 		return err
 	}
@@ -105,8 +106,8 @@
 	return nil
 }
 
-// wholeView returns the frames that a new link begins with.
-func (p *Peers) wholeView() ([][]byte, error) {
+// wholeView returns the frames that a new link begins with. p.mu is held.
+func (p *Peers) wholeView(loads []wire.ServerLoad) ([][]byte, error) {
 	var frames [][]byte
 	if revision, value := p.Config(); revision > 0 {
 		frame, err := configFrame(revision, value)
@@ -118,8 +119,8 @@
 	now := p.Now()
 	states, _ := p.Servers.Since(now, 0)
 	state := p.fleetState(now, states)
-	state.Vms, state.Full = len(p.links)+2, true
-	state.Loads, state.HasLoads = loadList(p.Controller.Loads()), true
+	state.AgeMs, state.Vms, state.Full, state.Relayed = p.age(now), max(p.vms, 1), true, p.relaying
+	p.addLoad(state, loads)
 	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
 		return nil, err
@@ -128,16 +129,32 @@
 }
 
 func (p *Peers) fleetState(now time.Time, states []backs.State) *wire.FleetState {
-	version, renewals := p.Lease.Renewed()
+	version, record := p.Lease.Renewed()
 	return &wire.FleetState{
-		AgeMs: p.age(now), LeaseVersion: version, LeaseRenewals: renewals,
-		Servers: statesOf(states), Loads: []wire.ServerLoad{},
+		LeaseVersion: version, Lease: record,
+		Servers: statesOf(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{},
 	}
 }
 
-// age returns the time in milliseconds since the store told that what this VM
-// knows is current.
-func (p *Peers) age(now time.Time) int { return int(now.Sub(p.Current()).Milliseconds()) }
+// addLoad adds to a frame what is told with the load. p.mu is held.
+func (p *Peers) addLoad(state *wire.FleetState, loads []wire.ServerLoad) {
+	state.Loads, state.HasLoads = loads, true
+	state.PauseMs = int(interval(len(p.links)).Milliseconds())
+	state.Relays = p.relays
+	if !p.relaying {
+		state.Relays = p.chooseRelays()
+	}
+}
+
+// age returns the time in milliseconds since the store told, this VM or the one
+// whose word it passes on, that what it knows is current. p.mu is held.
+func (p *Peers) age(now time.Time) int {
+	fresh := p.fresh
+	if own := p.Current(); own.After(fresh) {
+		fresh = own
+	}
+	return int(now.Sub(fresh).Milliseconds())
+}
 
 func (p *Peers) dropLink(d *downlink) {
 	p.mu.Lock()
@@ -146,6 +163,9 @@
 	for other := range p.links {
 		again = again || other.vm == d.vm
 	}
+	if !again {
+		delete(p.branches, d.vm)
+	}
 	p.mu.Unlock()
 	if !again {
 		p.Controller.Left(d.vm)
@@ -155,7 +175,12 @@
 // take handles one frame of another VM.
 func (p *Peers) take(ctx context.Context, d *downlink, m *wire.Message) {
 	switch {
+	case m.VMReport != nil && p.isRelaying():
+		p.branchReport(d.vm, m.VMReport)
 	case m.VMReport != nil:
+		p.mu.Lock()
+		p.noteBranch(d.vm, branch{vms: m.VMReport.Vms, relaying: m.VMReport.Relaying})
+		p.mu.Unlock()
 		p.Controller.Report(p.Now(), d.vm, loadsOf(m.VMReport.Loads), wantsOf(m.VMReport.Wants))
 		p.Controller.Doubt(m.VMReport.Doubts)
 	case m.FindCall != nil:
@@ -167,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(ctx, findLimit)
 	defer cancel()
 	reply := &wire.FindReply{Call: call.Call}
-	id, err := p.Controller.Find(ctx, call.Service, call.Model, call.Adapter)
+	id, err := p.Find(ctx, call.Service, call.Model, call.Adapter)
 	if err != nil {
 		reply.Reason = err.Error()
 	}
@@ -189,7 +214,8 @@
 	for ctx.Err() == nil {
 		changed := p.Servers.Changed()
 		configured := p.ConfigChanged()
-		wait := time.NewTimer(interval(p.VMs()))
+		every := p.loadInterval()
+		wait := time.NewTimer(every)
 		renewal := false
 		select {
 		case <-ctx.Done():
@@ -207,9 +233,12 @@
 			p.tellConfig(at, value)
 		}
 		states, next := p.Servers.Since(now, revision)
-		due := now.Sub(last) >= interval(p.VMs())
+		due := now.Sub(last) >= every
 		if due {
 			last = now
+			if p.isRelaying() {
+				p.shareInside()
+			}
 		}
 		if len(states) > 0 || renewal || due {
 			revision = next
@@ -222,10 +251,17 @@
 // part of a frame, and changes of servers can come a hundred times a second.
 func (p *Peers) tellFleet(now time.Time, states []backs.State, load bool) {
 	state := p.fleetState(now, states)
+	var loads []wire.ServerLoad
 	if load {
-		state.Loads, state.HasLoads = loadList(p.Controller.Loads()), true
+		loads = loadList(p.totals())
 	}
-	state.Vms = p.VMs()
+	vms := p.VMs()
+	p.mu.Lock()
+	state.AgeMs, state.Vms, state.Relayed = p.age(now), vms, p.relaying
+	if load {
+		p.addLoad(state, loads)
+	}
+	p.mu.Unlock()
 	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
 		p.Log.Error().Err(err).Msg("view not told")
@@ -234,6 +270,12 @@
 	p.offerAll(frame)
 }
 
+func (p *Peers) loadInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return interval(len(p.links))
+}
+
 func (p *Peers) tellConfig(revision int, value []byte) {
 	frame, err := configFrame(revision, value)
 	if err != nil {
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -47,8 +47,10 @@
 	Handover time.Duration
 	// Weakness is how long this VM leaves a free lease to stronger ones.
 	Weakness time.Duration
-	Now      func() time.Time
-	Log      zerolog.Logger
+	// Count returns how many VMs there are, for the record; nil for not known.
+	Count func() int
+	Now   func() time.Time
+	Log   zerolog.Logger
 
 	mu sync.Mutex
 	// freeSince is when the lease was first seen to be free.
@@ -120,6 +122,13 @@
 	return l.record.Address, l.record.Key
 }
 
+// VMs returns how many VMs there were by the record as read last, 0 when not known.
+func (l *Lease) VMs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.record.Vms
+}
+
 // Step does what is due: it reads the record unless the lease is held, and
 // takes or renews the lease.
 func (l *Lease) Step(ctx context.Context) {
@@ -203,31 +212,34 @@
 	})
 }
 
-// Told takes in the holder's own word on its last renewal, so that a VM which
-// loses the link knows from when the lease runs and need not wait its whole
-// length from then.
-func (l *Lease) Told(version, renewals int) {
+// Told takes in the record as the holder wrote it last, so that a VM which loses
+// the link knows from when the lease runs and need not wait its whole length from
+// then.
+func (l *Lease) Told(version int, record wire.ControllerLease) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, _ := l.keeper.Version()
 	if version <= known || l.keeper.Held(l.Now()) {
 		return
 	}
-	record := l.record
-	record.Renewals = renewals
 	l.observe(version, record)
 }
 
-// Renewed returns the version and renewals of the record this VM wrote last.
-func (l *Lease) Renewed() (version, renewals int) {
+// Renewed returns the record as it is known, and its version.
+func (l *Lease) Renewed() (version int, record wire.ControllerLease) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.keeper.Version()
+	version, _ = l.keeper.Version()
+	return version, l.record
 }
 
 func (l *Lease) write(ctx context.Context, action lease.Action) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
+	vms := 0
+	if l.Count != nil {
+		vms = l.Count()
+	}
 	l.mu.Lock()
 	begun := l.Now()
 	next, version := l.keeper.Record()
@@ -235,7 +247,7 @@
 	l.mu.Unlock()
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.Boot, DurationMs: next.DurationMs, Renewals: next.Renewals,
-		Address: l.Address, Key: l.key,
+		Address: l.Address, Key: l.key, Vms: vms,
 	}
 	got, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -22,12 +22,12 @@
 
 const (
 	// shareEvery and shareMost bound the pause between two frames that tell
-	// load, which grows with the VMs by sharePerVM: the controller handles some
-	// hundred frames a second at most. Reports of servers are 200 ms old and
+	// load, which grows with the links by sharePerLink: a VM handles some hundred
+	// frames a second at most. Reports of servers are 200 ms old and
 	// more, so more often would tell little.
-	shareEvery = 100 * time.Millisecond
-	shareMost  = 300 * time.Millisecond
-	sharePerVM = 5 * time.Millisecond
+	shareEvery   = 100 * time.Millisecond
+	shareMost    = 300 * time.Millisecond
+	sharePerLink = 5 * time.Millisecond
 	// linkSilence is how long a link may be silent before it counts as dead:
 	// some of the longest pauses between frames.
 	linkSilence = 1200 * time.Millisecond
@@ -53,10 +53,13 @@
 type Peers struct {
 	Name, Domain string
 	Boot         string
-	Lease        *Lease
-	Controller   *steer.Controller
-	Servers      *backs.View
-	Book         *pick.Book
+	// Address is where this VM takes links, Cores its share of a processor.
+	Address    string
+	Cores      float64
+	Lease      *Lease
+	Controller *steer.Controller
+	Servers    *backs.View
+	Book       *pick.Book
 	// Config returns the configuration in force as the store holds it, and its
 	// revision; ConfigChanged is closed when it changes, and Configure puts one
 	// in force that the controller told.
@@ -76,8 +79,29 @@
 	vms    int
 	links  map[*downlink]bool
 	up     *uplink
-	// fresh is as of when the controller's word is current.
+	// fresh is as of when the word of the controller or relay is current, lent
+	// how much older than usual it may get.
 	fresh time.Time
+	lent  time.Duration
+	// pause lies between two frames that tell load to the hub.
+	pause time.Duration
+	// branches is what the VMs linked to this one have told, by VM, and outside
+	// what those beyond the hub have at the servers.
+	branches map[string]branch
+	outside  map[string]pick.Load
+	// relays are those told last, chosen those that this VM as the controller
+	// named; shunned is when a relay was lost.
+	relays  []wire.Relay
+	chosen  map[string]string
+	shunned map[string]time.Time
+	// began is when this VM's term did, inherited how many VMs there were then.
+	began     time.Time
+	inherited int
+	// relaying is set while VMs of the domain link to this one; renewed is then
+	// signalled when the controller told that it renewed its lease.
+	relaying     bool
+	stopRelaying context.CancelFunc
+	renewed      chan struct{}
 }
 
 type wantKey struct{ service, model, adapter string }
@@ -86,17 +110,7 @@
 func (p *Peers) Want(service string, w pick.Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.wants == nil {
-		p.wants = make(map[wantKey]*steer.Want)
-	}
-	one := steer.WantOf(service, w)
-	key := wantKey{service, w.Model, w.Adapter}
-	if sum := p.wants[key]; sum != nil {
-		sum.Requests += one.Requests
-		sum.Tokens += one.Tokens
-		return
-	}
-	p.wants[key] = &one
+	p.addWant(steer.WantOf(service, w))
 }
 
 // Doubt notes a server that could not be reached or did not hold what it was
@@ -104,10 +118,7 @@
 func (p *Peers) Doubt(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.doubts == nil {
-		p.doubts = make(map[string]bool)
-	}
-	p.doubts[server] = true
+	p.addDoubt(server)
 }
 
 func (p *Peers) takeDoubts() []string {
@@ -129,20 +140,19 @@
 	return list
 }
 
-// VMs returns how many VMs there are, as far as known.
+// VMs returns how many VMs there are, as far as known: by the hub's word, or else
+// by the lease's record.
 func (p *Peers) VMs() int {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.vms == 0 {
+	vms := p.vms
+	p.mu.Unlock()
+	if vms == 0 {
+		vms = p.Lease.VMs()
+	}
+	if vms == 0 {
 		return vmsUnknown
 	}
-	return p.vms
-}
-
-func (p *Peers) setVMs(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.vms = n
+	return vms
 }
 
 var errNoController = errors.New("no controller can be asked")
@@ -203,8 +213,8 @@
 			pause.For(ctx, time.Duration(p.Slow()*float64(leaseEvery)))
 			continue
 		}
-		if address, key := p.Lease.Holder(); address != "" {
-			p.follow(ctx, address, key)
+		if address, controller, key := p.hub(p.Now()); address != "" {
+			p.follow(ctx, address, controller, key)
 			// Its lease may have run out by now.
 			pause.For(ctx, time.Duration(p.Slow()*float64(leaseEvery)))
 			continue
@@ -218,6 +228,8 @@
 // take it either: the links stay, and load and servers are told as before.
 func (p *Peers) lead(ctx context.Context) {
 	p.Log.Info().Msg("steering begins")
+	p.endRelaying()
+	p.beginTerm(p.Now())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	renewed := make(chan struct{}, 1)
@@ -231,6 +243,13 @@
 	p.Log.Info().Msg("steering ends")
 }
 
+func (p *Peers) beginTerm(now time.Time) {
+	vms := p.VMs()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.began, p.inherited = now, vms
+}
+
 // renew does what is due for the lease, and signals when it was renewed. The
 // other VMs are told at once: one that finds a renewal in the store that it was
 // not told of must count the whole lease from when it reads it, and takes over
@@ -270,7 +289,7 @@
 			p.Servers.Hold(now, s.Server, s.Models)
 		}
 		since = now
-		p.setVMs(p.linkCount() + 1)
+		p.countVMs(now)
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -279,12 +298,6 @@
 	}
 }
 
-func (p *Peers) linkCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.links)
-}
-
 func (p *Peers) closeLinks() {
 	p.mu.Lock()
 	links := p.links
@@ -299,24 +312,24 @@
 // for all others.
 func (p *Peers) Leading() bool { return p.Lease.Held(p.Now()) }
 
-// Covered reports whether a controller that watches the store tells this VM
-// what changes, so that it need not watch by itself.
+// Covered reports whether another VM that watches the store has told this one
+// lately what changes, so that it need not watch by itself.
 func (p *Peers) Covered(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.up != nil && now.Sub(p.fresh) < freshFor
+	return !p.fresh.IsZero() && now.Sub(p.fresh) < freshFor+p.lent
 }
 
-// Handler takes links from other VMs while this one holds the lease and knows
-// the servers. A link begins with all servers there are: told by a process that
+// Handler takes links from other VMs while this one holds the lease or relays,
+// and knows the servers. A link begins with all servers there are: told by a process that
 // has just started and has none yet, the others took all of them for gone, and
 // gave those that rose again no work for seconds.
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(link.Path, func(w http.ResponseWriter, r *http.Request) {
-		key := p.Lease.Key(p.Now())
+		key := p.linkKey(p.Now())
 		if key == "" || !p.Servers.Caught() {
-			http.Error(w, "this VM does not hold the controllers' lease, or has just taken it", http.StatusServiceUnavailable)
+			http.Error(w, "this VM neither holds the controllers' lease nor relays, or has just begun to", http.StatusServiceUnavailable)
 			return
 		}
 		a := &link.Acceptor{Hello: p.hello, Keys: link.Keys{Peer: key}, Count: p.count, Serve: p.serveLink}
@@ -325,8 +338,27 @@
 	return mux
 }
 
+// linkKey returns what VMs that link to this one must present, "" when it takes
+// no links.
+func (p *Peers) linkKey(now time.Time) string {
+	if key := p.Lease.Key(now); key != "" || !p.isRelaying() {
+		return key
+	}
+	_, key := p.Lease.Holder()
+	return key
+}
+
+func (p *Peers) isRelaying() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relaying
+}
+
 func (p *Peers) hello() wire.Hello {
-	return wire.Hello{Protocol: link.Protocol, Node: p.Name, FailureDomain: p.Domain, Boot: p.Boot}
+	return wire.Hello{
+		Protocol: link.Protocol, Node: p.Name, FailureDomain: p.Domain, Boot: p.Boot,
+		Address: p.Address, Millicores: int(1000 * p.Cores), Relaying: p.isRelaying(),
+	}
 }
 
 func (p *Peers) count(sent, received int) {
@@ -334,7 +366,8 @@
 	p.Meter.Count("peers.bytes_received", int64(received))
 }
 
-// interval returns the pause between frames that tell load.
-func interval(vms int) time.Duration {
-	return min(max(shareEvery, time.Duration(vms)*sharePerVM), shareMost)
+// interval returns the pause between frames that tell load, by the number of
+// links.
+func interval(links int) time.Duration {
+	return min(max(shareEvery, time.Duration(links)*sharePerLink), shareMost)
 }
--- /dev/null
+++ b/peers/tree_test.go
@@ -0,0 +1,206 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+	"github.com/hibiscuscart/hibiscuscart/store"
+	"github.com/hibiscuscart/hibiscuscart/wire"
+)
+
+// testWait is ample for what takes a second or two.
+const testWait = 60 * time.Second
+
+// vm is one VM of a test's fleet, which knows one server and runs nothing.
+type vm struct {
+	*Peers
+	stop   context.CancelFunc
+	server *httptest.Server
+}
+
+func newVM(o *stand.Objects, name, domain string, cores float64) *vm {
+	v := &vm{}
+	view := &backs.View{}
+	view.Replace(clock.Now(), []backs.Entry{{ID: "s1", Service: "s", Domain: domain}})
+	objects := store.Objects{
+		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
+		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
+			data, err := json.Marshal(value)
+			if err != nil {
+				return 0, err
+			}
+			got, err := o.Put(kind, name, ifVersion, data)
+			return got.Version, err
+		},
+	}
+	lease := &Lease{Name: name, Objects: objects, Duration: 1200 * time.Millisecond, Now: clock.Now, Log: zerolog.Nop()}
+	v.Peers = &Peers{
+		Name: name, Domain: domain, Boot: name, Cores: cores, Lease: lease, Servers: view, Book: &pick.Book{Domain: domain},
+		Controller: &steer.Controller{
+			Name: name, Servers: view, Table: func() *routes.Table { return nil }, Fence: lease.Fence,
+			Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
+		},
+		Config: func() (int, []byte) { return 0, nil }, ConfigChanged: func() <-chan struct{} { return nil },
+		Configure: func(int, []byte) {}, Current: clock.Now, Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
+	}
+	v.server = httptest.NewServer(v.Handler())
+	v.Address = strings.TrimPrefix(v.server.URL, "http://")
+	lease.Address = v.Address
+	return v
+}
+
+func (v *vm) start(ctx context.Context) {
+	ctx, v.stop = context.WithCancel(ctx)
+	go v.Run(ctx)
+}
+
+func (v *vm) kill() {
+	v.stop()
+	v.closeLinks()
+	v.mu.Lock()
+	if v.up != nil {
+		v.up.conn.Close()
+	}
+	v.mu.Unlock()
+	v.server.Close()
+}
+
+// fleet starts VMs in two failure domains, two strong ones in each.
+func fleet(t *testing.T, count int) []*vm {
+	t.Helper()
+	o := &stand.Objects{}
+	var vms []*vm
+	for i := range count {
+		cores := 0.2
+		if i < 4 {
+			cores = 0.8
+		}
+		v := newVM(o, fmt.Sprintf("vm-%02d", i), fmt.Sprintf("d%d", i%2), cores)
+		v.start(t.Context())
+		t.Cleanup(v.kill)
+		vms = append(vms, v)
+	}
+	return vms
+}
+
+// hubs returns the leader's and the relays' indices, and whether every other VM
+// is linked to the relay of its domain.
+func hubs(vms []*vm) (leader int, relays []int, settled bool) {
+	leader, settled = -1, true
+	for i, v := range vms {
+		if v.Leading() {
+			leader = i
+		}
+		if v.isRelaying() {
+			relays = append(relays, i)
+		}
+	}
+	for i, v := range vms {
+		v.mu.Lock()
+		linked := v.up != nil && v.up.direct == slices.Contains(relays, i)
+		v.mu.Unlock()
+		settled = settled && (i == leader || linked)
+	}
+	return leader, relays, settled && leader >= 0 && len(relays) == 2
+}
+
+// Dozens of VMs start. Linked to the controller each, its frames would grow with
+// the VMs times the servers, and all of them would ask the store when it goes.
+// They form a tree, over the strongest VM of each domain; the controller is told
+// the load of all through two links, and each VM that of all others. Then the
+// controller is killed and the tree stands again, over one of those left.
+func TestLinksFormATree(t *testing.T) {
+	vms := fleet(t, treeFrom+4)
+	require.Eventually(t, func() bool { _, _, settled := hubs(vms); return settled }, testWait, 10*time.Millisecond)
+	leader, _, _ := hubs(vms)
+	require.Eventually(t, func() bool {
+		_, relays, settled := hubs(vms)
+		return settled && !slices.ContainsFunc(relays, func(i int) bool { return i >= 4 })
+	}, testWait, 10*time.Millisecond, "weak VMs relay")
+	loadOf := func(v *vm) int {
+		return v.totals()["s1"].Running
+	}
+	for _, v := range vms {
+		v.Book.Begin(clock.Now(), pick.Choice{Server: backs.Entry{ID: "s1"}}, pick.Work{}, 0)
+	}
+	agree := func() bool {
+		for i, v := range vms {
+			if i != leader && loadOf(v) != len(vms) {
+				return false
+			}
+		}
+		return loadOf(vms[leader]) == len(vms)
+	}
+	require.Eventually(t, agree, testWait, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return vms[leader].VMs() == len(vms) }, testWait, 10*time.Millisecond)
+
+	vms[leader].kill()
+	vms = slices.Delete(vms, leader, leader+1)
+	require.Eventually(t, func() bool {
+		var settled bool
+		leader, _, settled = hubs(vms)
+		return settled && agree()
+	}, testWait, 10*time.Millisecond)
+}
+
+// A relay is killed: the others of its domain find another one over the
+// controller.
+func TestRelayIsKilled(t *testing.T) {
+	vms := fleet(t, treeFrom+4)
+	require.Eventually(t, func() bool { _, _, settled := hubs(vms); return settled }, testWait, 10*time.Millisecond)
+	_, relays, _ := hubs(vms)
+	vms[relays[0]].kill()
+	vms = slices.Delete(vms, relays[0], relays[0]+1)
+	require.Eventually(t, func() bool { _, _, settled := hubs(vms); return settled }, testWait, 10*time.Millisecond)
+}
+
+// A relay reports for its domain: the load of all, with the adapters in use, the
+// demand added up, and how many VMs it speaks for.
+func TestRelayReportsForItsDomain(t *testing.T) {
+	p := &Peers{Book: &pick.Book{}, links: map[*downlink]bool{{vm: "a"}: true, {vm: "b"}: true}}
+	p.branchReport("a", &wire.VMReport{
+		Vms: 1, Doubts: []string{"s2"},
+		Loads: []wire.ServerLoad{{Server: "s1", Running: 2, Adapters: []string{"m/a1"}}},
+		Wants: []wire.ModelWant{{Service: "s", Model: "m", Requests: 1, Tokens: 10}},
+	})
+	p.branchReport("b", &wire.VMReport{
+		Vms: 3, Doubts: []string{"s2"},
+		Loads: []wire.ServerLoad{{Server: "s1", Running: 1, Adapters: []string{"m/a2", "m/a1"}}},
+		Wants: []wire.ModelWant{{Service: "s", Model: "m", Requests: 2, Tokens: 20}},
+	})
+	require.Equal(t, pick.Load{Running: 3, Adapters: []string{"m/a1", "m/a2"}}, p.inside()["s1"])
+	require.Equal(t, []steer.Want{{Service: "s", Model: "m", Requests: 3, Tokens: 30}}, p.takeWants())
+	require.Equal(t, []string{"s2"}, p.takeDoubts())
+	require.Equal(t, 5, p.vmCount())
+	p.branchReport("a", &wire.VMReport{Vms: 1})
+	require.Equal(t, 1, p.inside()["s1"].Running, "a report replaces the one before")
+}
+
+// A VM takes the lease; the others link to it one after the other. Each VM's part
+// of the retry budget is by the number of VMs: told the few that are linked so
+// far, all of them together would retry many times what they may.
+func TestTermCountsTheVMsBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := &Peers{Lease: &Lease{}, vms: 80}
+	p.beginTerm(now)
+	p.countVMs(now.Add(time.Second))
+	require.Equal(t, 80, p.VMs())
+	p.countVMs(now.Add(recountFor))
+	require.Equal(t, 1, p.VMs())
+}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -16,9 +16,12 @@
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
-// uplink is a VM's link to the controller.
+// uplink is a VM's link to its hub: the controller, or a relay.
 type uplink struct {
-	conn *link.Conn
+	conn    *link.Conn
+	address string
+	// direct says that the hub is the controller. A relay may become it.
+	direct bool
 
 	mu sync.Mutex
 	// told is the load that this VM reported last: it is part of the
@@ -29,8 +32,8 @@
 	closed  bool
 }
 
-// follow keeps a link to the controller until it breaks.
-func (p *Peers) follow(ctx context.Context, address, key string) {
+// follow keeps a link to a hub until it breaks.
+func (p *Peers) follow(ctx context.Context, address, controller, key string) {
 	dialer := &link.Dialer{Hello: p.hello, Key: key, Count: p.count, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return conns.Dial(ctx, address)
 	}}
@@ -39,26 +42,47 @@
 	cancel()
 	if err != nil {
 		p.Log.Info().Str("address", address).Err(err).Msg("controller not reached")
+		if address != controller {
+			p.shun(p.Now(), address)
+		}
 		return
 	}
-	up := &uplink{conn: conn, waiting: make(map[int]chan *wire.FindReply)}
+	up := &uplink{conn: conn, address: address, direct: address == controller, waiting: make(map[int]chan *wire.FindReply)}
 	p.setUplink(up)
-	p.Log.Info().Str("address", address).Str("vm", conn.Peer().Node).Msg("linked to the controller")
+	p.Log.Info().Str("address", address).Str("vm", conn.Peer().Node).Bool("direct", up.direct).Msg("linked to the controller")
+	root := ctx
 	ctx, cancel = context.WithCancel(ctx)
 	defer cancel()
 	go p.report(ctx, up)
-	go p.lookForOther(ctx, up, address)
-	err = p.listen(ctx, up)
+	go p.lookForOther(ctx, up)
+	err = p.listen(ctx, root, up)
 	p.setUplink(nil)
 	up.close()
-	p.Book.Others(nil)
+	p.forgetOutside()
+	if address != controller {
+		p.shun(p.Now(), address)
+	}
 	p.Log.Info().Str("address", address).Err(err).Msg("link to the controller lost")
 }
 
+func (p *Peers) direct(up *uplink) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return up.direct
+}
+
+// forgetOutside drops the load of VMs that no hub tells of any more.
+func (p *Peers) forgetOutside() {
+	p.mu.Lock()
+	p.outside = nil
+	p.mu.Unlock()
+	p.shareInside()
+}
+
 // lookForOther looks at the lease while the controller's word is old: it may be
 // cut off from the store and still speak to this VM. The link ends when another
-// VM, or this one, has the lease.
-func (p *Peers) lookForOther(ctx context.Context, up *uplink, address string) {
+// VM, or this one, has the lease. A relay finds the other VM by itself.
+func (p *Peers) lookForOther(ctx context.Context, up *uplink) {
 	for ctx.Err() == nil {
 		pause.For(ctx, p.searchPause())
 		if p.Covered(p.Now()) {
@@ -66,7 +90,7 @@
 		}
 		p.Lease.Step(ctx)
 		holder, _ := p.Lease.Holder()
-		if p.Lease.Held(p.Now()) || holder != "" && holder != address {
+		if p.Lease.Held(p.Now()) || p.direct(up) && holder != "" && holder != up.address {
 			up.conn.Close()
 			return
 		}
@@ -79,17 +103,18 @@
 	p.up = up
 }
 
-// report tells the controller this VM's load and demand.
+// report tells the hub the load and demand of this VM and of those linked to it.
 func (p *Peers) report(ctx context.Context, up *uplink) {
-	quiet := true
+	quiet, told := true, branch{vms: 1}
 	for ctx.Err() == nil {
-		own := p.Book.Own()
+		own := p.inside()
+		self, every := p.reporting()
 		loads, wants, doubts := loadList(own), wantList(p.takeWants()), append([]string{}, p.takeDoubts()...)
 		up.tell(own)
-		if len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet {
-			quiet = len(loads) == 0 && len(wants) == 0
+		if len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet || self.vms != told.vms || self.relaying != told.relaying {
+			quiet, told = len(loads) == 0 && len(wants) == 0, self
 			send, cancel := context.WithTimeout(ctx, linkSilence)
-			err := up.conn.Send(send, &wire.Message{VMReport: &wire.VMReport{Loads: loads, Wants: wants, Doubts: doubts}})
+			err := up.conn.Send(send, &wire.Message{VMReport: &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts}})
 			cancel()
 			if err != nil {
 				up.conn.Close()
@@ -98,11 +123,18 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(interval(p.VMs())):
+		case <-time.After(every):
 		}
 	}
 }
 
+// reporting returns what this VM is to its hub, and how often it reports.
+func (p *Peers) reporting() (self branch, every time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return branch{vms: p.vmCount(), relaying: p.relaying}, max(p.pause, shareEvery)
+}
+
 func wantList(wants []steer.Want) []wire.ModelWant {
 	list := make([]wire.ModelWant, 0, len(wants))
 	for _, w := range wants {
@@ -111,8 +143,8 @@
 	return list
 }
 
-// listen takes in the controller's frames.
-func (p *Peers) listen(ctx context.Context, up *uplink) error {
+// listen takes in the hub's frames. root outlives the link.
+func (p *Peers) listen(ctx, root context.Context, up *uplink) error {
 	for {
 		receive, cancel := context.WithTimeout(ctx, linkSilence)
 		m, err := up.conn.Receive(receive)
@@ -122,7 +154,7 @@
 		}
 		switch {
 		case m.FleetState != nil:
-			p.adopt(up, m.FleetState)
+			p.adopt(root, up, m.FleetState)
 		case m.ConfigState != nil:
 			p.adoptConfig(m.ConfigState)
 		case m.FindReply != nil:
@@ -143,21 +175,47 @@
 	return u.told
 }
 
-func (p *Peers) adopt(up *uplink, s *wire.FleetState) {
+// adopt takes in the hub's view.
+func (p *Peers) adopt(root context.Context, up *uplink, s *wire.FleetState) {
 	now := p.Now()
 	p.mu.Lock()
 	p.vms = s.Vms
-	p.fresh = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-	p.mu.Unlock()
-	p.Lease.Told(s.LeaseVersion, s.LeaseRenewals)
-	if s.HasLoads {
-		p.Book.Others(pick.Minus(loadsOf(s.Loads), up.lastTold()))
+	p.fresh, p.lent = now.Add(-time.Duration(s.AgeMs)*time.Millisecond), 0
+	if up.direct = !s.Relayed; s.Relayed {
+		p.lent = relaySlack
 	}
+	p.mu.Unlock()
+	p.told(s.LeaseVersion, s.Lease)
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
 		states = append(states, stateOf(state))
 	}
 	p.Servers.Adopt(now, states, s.Full)
+	if !s.HasLoads {
+		return
+	}
+	p.mu.Lock()
+	p.outside = pick.Minus(loadsOf(s.Loads), up.lastTold())
+	p.pause = time.Duration(s.PauseMs) * time.Millisecond
+	p.mu.Unlock()
+	p.shareInside()
+	p.takePlace(root, now, up, s.Relays)
+}
+
+// told takes in a renewal of the controller's lease; a relay passes it on at
+// once.
+func (p *Peers) told(version int, record wire.ControllerLease) {
+	before, _ := p.Lease.Renewed()
+	p.Lease.Told(version, record)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version == before || p.renewed == nil {
+		return
+	}
+	select {
+	case p.renewed <- struct{}{}:
+	default:
+	}
 }
 
 func (p *Peers) adoptConfig(s *wire.ConfigState) {
--- a/wire/types.go
+++ b/wire/types.go
@@ -175,6 +175,9 @@
 
 	// Number of renewals, so that each changes the object.
 	Renewals int `json:"renewals"`
+
+	// VMs that there are, the holder too; 0 when not known.
+	Vms int `json:"vms"`
 }
 
 // The controller that speaks for a failure domain.
@@ -241,8 +244,8 @@
 	// The loads are told; without it those told before stand.
 	HasLoads bool `json:"has_loads"`
 
-	// Renewals in that record.
-	LeaseRenewals int `json:"lease_renewals"`
+	// Lease corresponds to the JSON schema field "lease".
+	Lease ControllerLease `json:"lease"`
 
 	// Version of the lease's record in the platform when the controller renewed it
 	// last.
@@ -251,6 +254,16 @@
 	// What all VMs have at the servers.
 	Loads []ServerLoad `json:"loads"`
 
+	// Pause between frames that tell load, either way; told with the loads.
+	PauseMs int `json:"pause_ms"`
+
+	// The sender passes the controller's word on.
+	Relayed bool `json:"relayed"`
+
+	// VMs that pass the controller's word on in their failure domain; told with the
+	// loads.
+	Relays []Relay `json:"relays"`
+
 	// Servers corresponds to the JSON schema field "servers".
 	Servers []ServerState `json:"servers"`
 
@@ -312,17 +325,26 @@
 
 // The greeting: the first frame each side sends on a link.
 type Hello struct {
+	// Where the VM takes links; empty when it takes none.
+	Address string `json:"address"`
+
 	// Identifier that changes at each start of the process.
 	Boot string `json:"boot"`
 
 	// FailureDomain corresponds to the JSON schema field "failure_domain".
 	FailureDomain string `json:"failure_domain"`
 
+	// Processor share of the VM in thousandths of a core.
+	Millicores int `json:"millicores"`
+
 	// Name of the sending VM, or of the operator's tool.
 	Node string `json:"node"`
 
 	// Version of the protocol the sender speaks.
 	Protocol int `json:"protocol"`
+
+	// Other VMs of its failure domain are linked to it.
+	Relaying bool `json:"relaying"`
 }
 
 // Memory of a backend server that a controller has set aside: recorded before the
@@ -673,6 +695,18 @@
 	Reason string `json:"reason"`
 }
 
+// A VM that other VMs of its failure domain link to in place of the controller.
+type Relay struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// FailureDomain corresponds to the JSON schema field "failure_domain".
+	FailureDomain string `json:"failure_domain"`
+
+	// It takes links; until then it is told to begin.
+	Ready bool `json:"ready"`
+}
+
 type Resident struct {
 	// Adapter corresponds to the JSON schema field "adapter".
 	Adapter string `json:"adapter,omitempty,omitzero"`
@@ -860,6 +894,12 @@
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []ServerLoad `json:"loads"`
 
+	// The sender takes links of its failure domain.
+	Relaying bool `json:"relaying"`
+
+	// VMs that the report speaks for, the sender and those linked to it.
+	Vms int `json:"vms"`
+
 	// Wants corresponds to the JSON schema field "wants".
 	Wants []ModelWant `json:"wants"`
 }
