--- a/link/conn.go
+++ b/link/conn.go
@@ -21,6 +21,9 @@
 	greetTimeout     = 3 * time.Second
 	defaultMaxFrame  = 1 << 20
 	maxRefusalReason = 100
+	// sendLimit bounds the write of one frame. Links carry some hundred kilobytes
+	// a second at most; a peer that takes no bytes for so long is stuck.
+	sendLimit = 2 * time.Second
 )
 
 // Conn is one link after its greeting. Send may be called from one goroutine
@@ -57,8 +60,15 @@
 }
 
 // SendEncoded writes a frame that Encode returned, so that one that goes to
-// many VMs is encoded once.
+// many VMs is encoded once. ctx counts until the write begins. Half a frame can
+// not be taken back, so ending it with ctx would end the link: one request whose
+// caller left, or that waited no longer, cut its VM off from all others.
 func (c *Conn) SendEncoded(ctx context.Context, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("send frame: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendLimit)
+	defer cancel()
 	if err := c.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return fmt.Errorf("send frame: %w", err)
 	}
--- a/link/conn_test.go
+++ b/link/conn_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"flag"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -180,3 +182,54 @@
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = link.Decode(data) })
 }
+
+// held is a connection whose writes wait while it is locked.
+type held struct {
+	net.Conn
+	mu      sync.Mutex
+	writing chan struct{}
+}
+
+func (h *held) Write(p []byte) (int, error) {
+	select {
+	case h.writing <- struct{}{}:
+	default:
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Conn.Write(p)
+}
+
+// A request asks another VM over a link, and its caller leaves while the question
+// is being written. The link must stay: all requests of the VM use it.
+func TestCancelledSendKeepsTheLink(t *testing.T) {
+	address, _, _ := accept(t)
+	var h *held
+	d := &link.Dialer{Hello: hello(link.Protocol), Key: peerKey, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		h = &held{Conn: c, writing: make(chan struct{}, 1)}
+		return h, err
+	}}
+	c, err := d.Dial(limit(t), address)
+	require.NoError(t, err)
+	defer c.Close()
+	select {
+	case <-h.writing:
+	default:
+	}
+	h.mu.Lock()
+	ctx, leave := context.WithCancel(limit(t))
+	sent := make(chan error, 1)
+	go func() { sent <- c.Send(ctx, &wire.Message{Pull: &wire.Pull{Names: []string{"first"}}}) }()
+	<-h.writing
+	leave()
+	h.mu.Unlock()
+	require.NoError(t, <-sent)
+	require.Error(t, c.Send(ctx, &wire.Message{Pull: &wire.Pull{Names: []string{"never"}}}))
+	require.NoError(t, c.Send(limit(t), &wire.Message{Pull: &wire.Pull{Names: []string{"second"}}}))
+	for _, name := range []string{"first", "second"} {
+		got, err := c.Receive(limit(t))
+		require.NoError(t, err)
+		require.Equal(t, []string{name}, got.Pull.Names)
+	}
+}
