--- a/peers/hub.go
+++ b/peers/hub.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
@@ -17,73 +18,136 @@
 )
 
 const (
-	// frameQueue is how many frames wait for a link. A VM that is so far behind
-	// is better off with a new link, which begins with the whole view.
+	// frameQueue is how many frames wait for a link. A VM that is further behind
+	// is told everything anew instead.
 	frameQueue = 32
+	// replyQueue is how many answers to questions wait for a link: more than a VM
+	// has requests that wait for a model or adapter.
+	replyQueue = 512
 	// findLimit bounds the controller's work for one question; the VM that asks
 	// has given up by then.
 	findLimit = 10 * time.Second
-	// gather is how long a change waits for others that follow at once, so that
-	// they go out in one frame.
-	gather = 10 * time.Millisecond
+	// gatherLeast and gatherMost bound how long a change waits for others that
+	// follow, so that they go out in one frame; gatherPerLink is by how much it
+	// grows with the links. While dozens of servers restart there is a change every
+	// few milliseconds, and a frame for each to every VM fills the links of the
+	// weak ones.
+	gatherLeast   = 10 * time.Millisecond
+	gatherMost    = 60 * time.Millisecond
+	gatherPerLink = 2 * time.Millisecond
 )
 
-// downlink is the controller's side of a link.
+// gather returns how long a change waits for others, by the number of links.
+func gather(links int) time.Duration {
+	return min(max(gatherLeast, time.Duration(links)*gatherPerLink), gatherMost)
+}
+
+// downlink is the hub's side of a link.
 type downlink struct {
-	conn   *link.Conn
-	vm     string
-	frames chan []byte
+	conn    *link.Conn
+	vm      string
+	frames  chan []byte
+	replies chan []byte
+	// behind is set when frames were left out, so that all must be told anew.
+	behind atomic.Bool
+}
+
+func newDownlink(c *link.Conn) *downlink {
+	return &downlink{conn: c, vm: c.Peer().Node, frames: make(chan []byte, frameQueue), replies: make(chan []byte, replyQueue)}
 }
 
-// offer queues a frame. A link whose queue is full is closed.
+// offer queues a frame, or notes that the link is behind. To end such a link
+// instead would make the VM open another, which begins with the whole view: with
+// many of them the hub's own link fills up.
 func (d *downlink) offer(frame []byte) {
 	select {
 	case d.frames <- frame:
+	default:
+		d.behind.Store(true)
+	}
+}
+
+// reply queues an answer to a question. A VM that takes none is given up.
+func (d *downlink) reply(frame []byte) {
+	select {
+	case d.replies <- frame:
 	default:
 		d.conn.Close()
 	}
 }
 
-// write sends the queued frames until ctx ends or the link breaks.
-func (d *downlink) write(ctx context.Context) {
+// write sends what is queued until ctx ends or the link breaks. whole returns the
+// frames that tell everything.
+func (d *downlink) write(ctx context.Context, whole func() ([][]byte, error)) error {
 	for {
+		var next [][]byte
 		select {
 		case <-ctx.Done():
-			return
+			return nil
+		case frame := <-d.replies:
+			next = [][]byte{frame}
 		case frame := <-d.frames:
-			send, cancel := context.WithTimeout(ctx, linkSilence)
-			err := d.conn.SendEncoded(send, frame)
-			cancel()
-			if err != nil {
-				d.conn.Close()
-				return
+			next = [][]byte{frame}
+			if d.behind.Load() {
+				all, err := d.catchUp(whole)
+				if err != nil {
+					return err
+				}
+				next = all
+			}
+		}
+		for _, frame := range next {
+			if err := d.conn.SendEncoded(ctx, frame); err != nil {
+				return err
 			}
 		}
 	}
 }
 
-// serveLink is the controller's side of a link, from its opening to its end.
+// catchUp drops what is queued, all of it older than the whole view.
+func (d *downlink) catchUp(whole func() ([][]byte, error)) ([][]byte, error) {
+	d.behind.Store(false)
+	for len(d.frames) > 0 {
+		<-d.frames
+	}
+	return whole()
+}
+
+// serveLink is the hub's side of a link, from its opening to its end.
 func (p *Peers) serveLink(ctx context.Context, c *link.Conn) {
-	d := &downlink{conn: c, vm: c.Peer().Node, frames: make(chan []byte, frameQueue)}
+	d := newDownlink(c)
 	if err := p.addLink(d); err != nil {
-		p.Log.Info().Str("vm", d.vm).Err(err).Msg("link not taken")
+		p.Log.Info().Str("peer", d.vm).Err(err).Msg("link not taken")
 		return
 	}
-	p.Log.Info().Str("vm", d.vm).Msg("link opened")
+	p.Log.Info().Str("peer", d.vm).Msg("link opened")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go d.write(ctx)
+	go func() {
+		if err := d.write(ctx, p.catchUp); err != nil {
+			p.Log.Info().Str("peer", d.vm).Err(err).Msg("link not written")
+			d.conn.Close()
+		}
+	}()
 	for {
 		m, err := c.Receive(ctx)
 		if err != nil {
 			p.dropLink(d)
-			p.Log.Info().Str("vm", d.vm).Err(err).Msg("link closed")
+			p.Log.Info().Str("peer", d.vm).Err(err).Msg("link closed")
 			return
 		}
 		p.take(ctx, d, m)
 	}
 }
 
+// catchUp returns the frames that tell everything.
+func (p *Peers) catchUp() ([][]byte, error) {
+	loads := loadList(p.totals())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wholeView(loads)
+}
+
 // addLink begins a link with the whole view; what changes follows.
 func (p *Peers) addLink(d *downlink) error {
 	loads := loadList(p.totals())
@@ -202,7 +266,7 @@
 		p.Log.Error().Err(err).Msg("reply to a VM not sent")
 		return
 	}
-	d.offer(frame)
+	d.reply(frame)
 }
 
 // broadcast tells all links what changes, each renewal of the lease, and at
@@ -214,7 +278,8 @@
 	for ctx.Err() == nil {
 		changed := p.Servers.Changed()
 		configured := p.ConfigChanged()
-		every := p.loadInterval()
+		links := p.linkCount()
+		every := interval(links)
 		wait := time.NewTimer(every)
 		renewal := false
 		select {
@@ -223,7 +288,7 @@
 		case <-renewed:
 			renewal = true
 		case <-changed:
-			pause.For(ctx, gather)
+			pause.For(ctx, gather(links))
 		case <-wait.C:
 		}
 		wait.Stop()
@@ -270,10 +335,10 @@
 	p.offerAll(frame)
 }
 
-func (p *Peers) loadInterval() time.Duration {
+func (p *Peers) linkCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return interval(len(p.links))
+	return len(p.links)
 }
 
 func (p *Peers) tellConfig(revision int, value []byte) {
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -28,6 +29,16 @@
 // time between renewals.
 const leaseCall = 400 * time.Millisecond
 
+const (
+	// recallFrom is the weakness from which a VM that starts reads the record
+	// without the promise that it is current, recallMost how often: with the pause
+	// between reads a second, after which it wants to know for sure.
+	recallFrom = 300 * time.Millisecond
+	recallMost = 3
+)
+
+var errNotYet = errors.New("there was no record some seconds ago")
+
 // orderSlack is for an order that the VM before sent right before its lease
 // ended: it is on its way until its call times out.
 const orderSlack = 400 * time.Millisecond
@@ -59,6 +70,8 @@
 	record    wire.ControllerLease
 	key       string
 	fence     int
+	// recalls counts the reads that may have been old.
+	recalls int
 	// ended is when the VM before gave its last order at the latest, orders from
 	// when this one may give any.
 	ended, orders time.Time
@@ -184,9 +197,12 @@
 func (l *Lease) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
-	obj, err := l.Objects.Get(ctx, leaseKind, leaseName)
+	get, recalled := l.reader()
+	obj, err := get(ctx, leaseKind, leaseName)
 	var record wire.ControllerLease
 	switch {
+	case trace.IsNotFound(err) && recalled:
+		return errNotYet
 	case trace.IsNotFound(err):
 		obj.Version = 0
 	case err != nil:
@@ -202,6 +218,20 @@
 	return nil
 }
 
+// reader returns the call to read the record with. A weak VM that starts wants to
+// know where the controller is, and leaves the lease to others at first: a read
+// that may be some seconds old tells it mostly, and costs the platform little.
+// Dozens of VMs start together.
+func (l *Lease) reader() (get func(ctx context.Context, kind, name string) (store.Object, error), recalled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Objects.Recall == nil || l.Weakness < recallFrom || l.recalls >= recallMost || l.keeper.Known() {
+		return l.Objects.Get, false
+	}
+	l.recalls++
+	return l.Objects.Recall, true
+}
+
 func (l *Lease) observe(version int, record wire.ControllerLease) {
 	if version != 0 && record.Renewals != l.record.Renewals {
 		l.freeSince = time.Time{}
--- a/peers/lease_test.go
+++ b/peers/lease_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -150,3 +151,42 @@
 	told.Step(t.Context())
 	require.True(t, told.Held(clock.Now()))
 }
+
+// Dozens of weak VMs start together and want to know where the controller is. They
+// read the record without the promise that it is current, and only when that does
+// not tell for a second the true one; strong VMs, which are to take the lease, read
+// that at once.
+func TestWeakVMsRecallTheRecord(t *testing.T) {
+	tests := map[string]struct {
+		weakness       time.Duration
+		recalls, reads int
+	}{
+		"weak":   {600 * time.Millisecond, 3, 2},
+		"strong": {36 * time.Millisecond, 0, 5},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+			holder, l := newLease(clock, o, "1"), newLease(clock, o, "2")
+			l.Weakness = tc.weakness
+			recalls, reads := 0, 0
+			get := l.Objects.Get
+			l.Objects.Get = func(ctx context.Context, kind, name string) (store.Object, error) {
+				reads++
+				return get(ctx, kind, name)
+			}
+			l.Objects.Recall = func(context.Context, string, string) (store.Object, error) {
+				recalls++
+				return store.Object{}, trace.NotFound("not yet")
+			}
+			holder.Step(t.Context())
+			for range 5 {
+				l.Step(t.Context())
+			}
+			require.Equal(t, tc.recalls, recalls)
+			require.Equal(t, tc.reads, reads)
+			address, _ := l.Holder()
+			require.Equal(t, holder.Address, address)
+		})
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -201,8 +201,14 @@
 
 // Run keeps the lease and the link until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
+	look := true
 	for ctx.Err() == nil {
-		p.Lease.Step(ctx)
+		if look {
+			p.Lease.Step(ctx)
+		}
+		// The hub has told the record while the link lasted: unless it has run
+		// out by that, the store need not be asked again.
+		look = true
 		if p.Lease.Held(p.Now()) {
 			p.lead(ctx)
 			continue
@@ -214,7 +220,7 @@
 			continue
 		}
 		if address, controller, key := p.hub(p.Now()); address != "" {
-			p.follow(ctx, address, controller, key)
+			look = !p.follow(ctx, address, controller, key) || p.Lease.Free(p.Now())
 			// Its lease may have run out by now.
 			pause.For(ctx, time.Duration(p.Slow()*float64(leaseEvery)))
 			continue
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -204,3 +204,19 @@
 	p.countVMs(now.Add(recountFor))
 	require.Equal(t, 1, p.VMs())
 }
+
+// While many servers change, frames come faster than a weak VM takes them. It is
+// not cut off, which would make it open another link and take the whole view all
+// the same: what is queued is dropped, and it is told everything anew.
+func TestLinksThatAreBehindAreToldAnew(t *testing.T) {
+	d := &downlink{frames: make(chan []byte, 2), replies: make(chan []byte, 1)}
+	for _, frame := range []string{"1", "2", "3"} {
+		d.offer([]byte(frame))
+	}
+	require.True(t, d.behind.Load())
+	frames, err := d.catchUp(func() ([][]byte, error) { return [][]byte{[]byte("all")}, nil })
+	require.NoError(t, err)
+	require.Equal(t, [][]byte{[]byte("all")}, frames)
+	require.Empty(t, d.frames)
+	require.False(t, d.behind.Load())
+}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -32,8 +32,8 @@
 	closed  bool
 }
 
-// follow keeps a link to a hub until it breaks.
-func (p *Peers) follow(ctx context.Context, address, controller, key string) {
+// follow keeps a link to a hub until it breaks. It reports whether there was one.
+func (p *Peers) follow(ctx context.Context, address, controller, key string) bool {
 	dialer := &link.Dialer{Hello: p.hello, Key: key, Count: p.count, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return conns.Dial(ctx, address)
 	}}
@@ -45,11 +45,11 @@
 		if address != controller {
 			p.shun(p.Now(), address)
 		}
-		return
+		return false
 	}
 	up := &uplink{conn: conn, address: address, direct: address == controller, waiting: make(map[int]chan *wire.FindReply)}
 	p.setUplink(up)
-	p.Log.Info().Str("address", address).Str("vm", conn.Peer().Node).Bool("direct", up.direct).Msg("linked to the controller")
+	p.Log.Info().Str("address", address).Str("peer", conn.Peer().Node).Bool("direct", up.direct).Msg("linked to the controller")
 	root := ctx
 	ctx, cancel = context.WithCancel(ctx)
 	defer cancel()
@@ -63,6 +63,7 @@
 		p.shun(p.Now(), address)
 	}
 	p.Log.Info().Str("address", address).Err(err).Msg("link to the controller lost")
+	return true
 }
 
 func (p *Peers) direct(up *uplink) bool {
@@ -113,9 +114,7 @@
 		up.tell(own)
 		if len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet || self.vms != told.vms || self.relaying != told.relaying {
 			quiet, told = len(loads) == 0 && len(wants) == 0, self
-			send, cancel := context.WithTimeout(ctx, linkSilence)
-			err := up.conn.Send(send, &wire.Message{VMReport: &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts}})
-			cancel()
+			err := up.conn.Send(ctx, &wire.Message{VMReport: &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts}})
 			if err != nil {
 				up.conn.Close()
 				return
--- a/store/objects.go
+++ b/store/objects.go
@@ -19,6 +19,9 @@
 	List func(ctx context.Context, kind string) (Listing, error)
 	// Get returns one object.
 	Get func(ctx context.Context, kind, name string) (Object, error)
+	// Recall returns one object as it was some seconds ago at most. It costs the
+	// platform little; nil where there is no such call.
+	Recall func(ctx context.Context, kind, name string) (Object, error)
 	// Put writes value when the object has version ifVersion, 0 for an object
 	// that does not exist, and returns the new version.
 	Put func(ctx context.Context, kind, name string, ifVersion int, value any) (int, error)
