--- a/steer/controller.go
+++ b/steer/controller.go
@@ -102,9 +102,9 @@
 	c.total(c.loads[vm], loads)
 	c.loads[vm] = loads
 	for _, w := range wants {
-		c.demand(w.Service).Add(now, w.Model, float64(w.Tokens))
+		c.demand(w.Service).Add(now, w.Model, float64(w.Tokens), w.Requests)
 		if w.Adapter != "" {
-			c.adapters.Add(now, adapterName(w.Service, w.Model, w.Adapter), float64(w.Requests))
+			c.adapters.Add(now, adapterName(w.Service, w.Model, w.Adapter), float64(w.Requests), w.Requests)
 		}
 	}
 }
@@ -353,8 +353,9 @@
 	}
 	planner := &Planner{
 		Engine: service.Engine, Servers: c.of(service.Name), Now: now,
-		Work: func(model string) float64 { return demand.Work(now, model) },
-		Load: c.running,
+		Work:   func(model string) float64 { return demand.Work(now, model) },
+		Spread: func(model string) float64 { return demand.Spread(now, model) },
+		Load:   c.running,
 		// Each load that the plan decides on counts at once: one plan may hold
 		// many, and each must see those before it.
 		Store: func() bool {
--- a/steer/demand.go
+++ b/steer/demand.go
@@ -12,16 +12,23 @@
 // Demand is a moving sum of work asked for, by name. The zero value works.
 type Demand struct {
 	entries map[string]*demandEntry
+	all     demandEntry
 }
 
+// demandEntry holds faded sums: of work, of requests, and of the squares of the
+// work of each request, which fade twice as fast.
 type demandEntry struct {
-	work float64
+	work, requests, squares float64
+
 	at   time.Time
 	last time.Time
 }
 
-// Add notes work that was asked for.
-func (d *Demand) Add(now time.Time, name string, work float64) {
+// Add notes work that some requests asked for together.
+func (d *Demand) Add(now time.Time, name string, work float64, requests int) {
+	if requests <= 0 {
+		return
+	}
 	if d.entries == nil {
 		d.entries = make(map[string]*demandEntry)
 	}
@@ -30,25 +37,48 @@
 		e = &demandEntry{}
 		d.entries[name] = e
 	}
-	e.work = e.faded(now) + work
+	e.add(now, work, float64(requests))
+	d.all.add(now, work, float64(requests))
+}
+
+func (e *demandEntry) add(now time.Time, work, requests float64) {
+	f := e.fading(now)
+	e.work = e.work*f + work
+	e.requests = e.requests*f + requests
+	e.squares = e.squares*f*f + work*work/requests
 	e.at, e.last = now, now
 }
 
-func (e *demandEntry) faded(now time.Time) float64 {
-	if e.work == 0 {
-		return 0
-	}
-	return e.work * math.Exp2(-now.Sub(e.at).Seconds()/demandHalfLife.Seconds())
+// fading returns what is left of each unit of a sum.
+func (e *demandEntry) fading(now time.Time) float64 {
+	return math.Exp2(-now.Sub(e.at).Seconds() / demandHalfLife.Seconds())
 }
 
 // Work returns the faded sum of what was asked for.
 func (d *Demand) Work(now time.Time, name string) float64 {
 	if e := d.entries[name]; e != nil {
-		return e.faded(now)
+		return e.work * e.fading(now)
 	}
 	return 0
 }
 
+// Spread returns the standard error of Work as a measure of what is asked for on
+// the average: requests come at random, and of few of them little can be told. It
+// is at least the work of one request, so that a name which was not asked for yet
+// is not taken to be never asked for.
+func (d *Demand) Spread(now time.Time, name string) float64 {
+	one := 0.0
+	if d.all.requests > 0 {
+		one = d.all.work / d.all.requests
+	}
+	e := d.entries[name]
+	if e == nil {
+		return one
+	}
+	f := e.fading(now)
+	return math.Sqrt(e.squares*f*f + one*one)
+}
+
 // Last returns when it was asked for last; the zero time for never.
 func (d *Demand) Last(name string) time.Time {
 	if e := d.entries[name]; e != nil {
--- /dev/null
+++ b/steer/demand_test.go
@@ -0,0 +1,89 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/steer"
+)
+
+func TestDemandSpread(t *testing.T) {
+	var d steer.Demand
+	require.Zero(t, d.Spread(at(0), "m"))
+	for range 100 {
+		d.Add(at(0), "many", 10, 1)
+	}
+	d.Add(at(0), "together", 1000, 100)
+	d.Add(at(0), "few", 10, 1)
+	require.InDelta(t, 1000, d.Work(at(0), "many"), 1e-9)
+	require.InDelta(t, d.Spread(at(0), "many"), d.Spread(at(0), "together"), 1e-9, "told one by one or together")
+	require.InDelta(t, 100.5, d.Spread(at(0), "many"), 0.01)
+	require.Greater(t, d.Spread(at(0), "few"), d.Work(at(0), "few"))
+	require.InDelta(t, 10, d.Spread(at(0), "never"), 1e-9, "what was not asked for yet may be soon")
+	require.InDelta(t, 500, d.Work(at(0.9), "many"), 1e-9)
+}
+
+// Traffic begins, spread evenly over ten models with two copies each. In its first
+// tenths of a second a model was asked for a few times by chance and another one
+// not yet. To move copies by that costs loads, and moves them back a second later.
+// When a model is truly asked for ten times as often, it gets its copies.
+func TestChanceMovesNothing(t *testing.T) {
+	tests := map[string]struct {
+		requests map[string]int
+		moves    bool
+	}{
+		"some asked for by chance": {map[string]int{"m1": 3, "m2": 1}, false},
+		"most of them not yet":     {map[string]int{"m1": 2}, false},
+		"truly more":               {map[string]int{"m1": 40, "m2": 4, "m3": 4, "m4": 4}, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var d steer.Demand
+			names := []string{"m1", "m2", "m3", "m4"}
+			for m, n := range tc.requests {
+				d.Add(at(1), m, 9000*float64(n), n)
+			}
+			var servers []*steer.Server
+			for _, id := range []string{"a", "b"} {
+				servers = append(servers, reported(at(0), id+"1", 0, "m1", "m2"), reported(at(0), id+"2", 0, "m3", "m4"))
+			}
+			p := planner(at(1), engine(20, names...), nil, servers...)
+			p.Work = func(m string) float64 { return d.Work(at(1), m) }
+			p.Spread = func(m string) float64 { return d.Spread(at(1), m) }
+			require.Equal(t, tc.moves, len(p.Steps()) > 0)
+		})
+	}
+}
+
+// After a shift of demand the copies follow while the new demand is still
+// growing: within a second of its full strength a model has taken copies from
+// those that lost theirs.
+func TestShiftIsFollowed(t *testing.T) {
+	var d steer.Demand
+	add := func(now time.Time, m string, perSecond float64) { d.Add(now, m, 900*perSecond, int(perSecond/10)) }
+	for tick := range 30 {
+		add(at(float64(tick)/10), "m1", 40)
+	}
+	var servers []*steer.Server
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		servers = append(servers, reported(at(0), id, 0, "m1"))
+	}
+	servers = append(servers, reported(at(0), "f", 0, "m2"))
+	moved := 0.0
+	for tick := 30; tick < 80 && moved == 0; tick++ {
+		now := at(float64(tick) / 10)
+		grown := min(float64(tick-30)/20, 1)
+		add(now, "m1", 40*(1-grown))
+		add(now, "m2", 40*grown)
+		p := planner(now, engine(10, "m1", "m2"), nil, servers...)
+		p.Work = func(m string) float64 { return d.Work(now, m) }
+		p.Spread = func(m string) float64 { return d.Spread(now, m) }
+		if len(p.Steps()) > 0 {
+			moved = float64(tick-30) / 10
+		}
+	}
+	require.NotZero(t, moved)
+	require.Less(t, moved, 3.0)
+}
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -26,12 +26,16 @@
 // to the model with the most work for each copy it has (the divisor method of
 // D'Hondt, which divides seats in proportion to votes). A copy is taken from
 // another model only when that one then still has less work a copy, by a
-// margin, so that noise in the demand moves nothing.
+// margin, and by more than chance explains: a model that gets a copy counts with
+// the least work it may have, one that loses it with the most. Otherwise dozens of
+// models move in the first second of a demand, when each was asked for a few
+// times.
 type Planner struct {
 	Engine  *routes.Engine
 	Servers []*Server
-	// Work returns the work asked for of a model lately.
-	Work func(model string) float64
+	// Work returns the work asked for of a model lately, Spread its standard error;
+	// nil for none.
+	Work, Spread func(model string) float64
 	// Load returns how much a server has to do, for the choice among equals.
 	Load func(id string) int
 	// Store reports whether one more load from the weight store may begin, and
@@ -41,7 +45,7 @@
 
 	// These are counted once for each plan: with a thousand models and as many
 	// servers, counting again for each choice would take seconds.
-	work     map[string]float64
+	work     map[string]estimate
 	have     map[string]int
 	target   map[string]int
 	inDomain map[domainModel]int
@@ -57,6 +61,9 @@
 	load int
 }
 
+// estimate is the least and the most work that is likely asked for of a model.
+type estimate struct{ low, high float64 }
+
 type domainModel struct{ domain, model string }
 
 // moveMargin is how much more work a copy must carry at the model that gets it
@@ -81,9 +88,13 @@
 // count takes stock: the work for each model, and the copies that stay. Those
 // at servers that are leaving do not.
 func (p *Planner) count() {
-	p.work = make(map[string]float64, len(p.Engine.Models))
+	p.work = make(map[string]estimate, len(p.Engine.Models))
 	for name := range p.Engine.Models {
-		p.work[name] = p.Work(name)
+		work, spread := p.Work(name), 0.0
+		if p.Spread != nil {
+			spread = p.Spread(name)
+		}
+		p.work[name] = estimate{low: max(work-spread, 0), high: work + spread}
 	}
 	p.have, p.inDomain, p.staying = make(map[string]int), make(map[domainModel]int), nil
 	for _, s := range p.Servers {
@@ -109,7 +120,7 @@
 	for name, m := range p.Engine.Models {
 		target[name] = 1
 		room -= m.MB
-		if p.work[name] > 0 {
+		if p.work[name].high > 0 {
 			claims = append(claims, p.claim(m, 1))
 		}
 	}
@@ -117,7 +128,7 @@
 	for len(claims) > 0 {
 		best := &claims[0]
 		name := best.model.Name
-		if target[name] >= len(p.staying) || best.model.MB > room {
+		if best.score == 0 || target[name] >= len(p.staying) || best.model.MB > room {
 			heap.Pop(&claims)
 			continue
 		}
@@ -136,11 +147,11 @@
 }
 
 func (p *Planner) claim(m routes.Model, copies int) claim {
-	score := p.work[m.Name] / float64(copies)
+	w := p.work[m.Name]
 	if copies < p.have[m.Name] {
-		score *= moveMargin
+		return claim{model: m, score: moveMargin * w.high / float64(copies)}
 	}
-	return claim{model: m, score: score}
+	return claim{model: m, score: w.low / float64(copies)}
 }
 
 // claimHeap has the best claim first.
@@ -181,7 +192,7 @@
 		if none := cmp.Compare(min(have[a.Name], 1), min(have[b.Name], 1)); none != 0 {
 			return none
 		}
-		if byWork := cmp.Compare(p.perCopy(b.Name, have[b.Name]+1), p.perCopy(a.Name, have[a.Name]+1)); byWork != 0 {
+		if byWork := cmp.Compare(p.gain(b.Name), p.gain(a.Name)); byWork != 0 {
 			return byWork
 		}
 		return cmp.Compare(a.Name, b.Name)
@@ -189,8 +200,14 @@
 	return list
 }
 
-func (p *Planner) perCopy(model string, copies int) float64 {
-	return p.work[model] / float64(max(copies, 1))
+// gain is the least work that one more copy of a model would carry, loss the most
+// that each of the others would if it had one less.
+func (p *Planner) gain(model string) float64 {
+	return p.work[model].low / float64(p.have[model]+1)
+}
+
+func (p *Planner) loss(model string) float64 {
+	return p.work[model].high / float64(max(p.have[model]-1, 1))
 }
 
 // option is a server that could take a model.
@@ -256,12 +273,12 @@
 func (p *Planner) victim(s *Server, m routes.Model) string {
 	have, target := p.have, p.target
 	best, least := "", 0.0
-	gain := p.perCopy(m.Name, have[m.Name]+1)
+	gain := p.gain(m.Name)
 	for name, r := range s.models {
 		if r.phase != held || have[name] <= max(target[name], 1) {
 			continue
 		}
-		loss := p.perCopy(name, have[name]-1)
+		loss := p.loss(name)
 		if have[m.Name] > 0 && gain < moveMargin*loss {
 			continue
 		}
--- a/steer/scale_test.go
+++ b/steer/scale_test.go
@@ -55,7 +55,7 @@
 		},
 	}
 	for m := range models {
-		c.demand("s").Add(now, fmt.Sprintf("m%04d", m), float64(1000/(m+1)))
+		c.demand("s").Add(now, fmt.Sprintf("m%04d", m), float64(1000/(m+1)), 1)
 	}
 	c.step(context.Background(), now)
 	for _, s := range c.servers {
