--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
@@ -116,7 +117,7 @@
 	n := &Node{
 		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
-		book:    &pick.Book{Domain: s.Text("vm", "failure_domain")},
+		book:    &pick.Book{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
 		budgets: make(map[string]*retry.Window), configured: make(chan struct{}), contact: make(map[string]time.Time),
 	}
 	n.active.Store(s)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -290,7 +290,7 @@
 		own := p.Book.Own()
 		p.Controller.Report(now, p.Name, own, p.takeWants())
 		p.Controller.Doubt(p.takeDoubts())
-		p.Book.Others(pick.Minus(p.Controller.Loads(), own))
+		p.Book.Others(now, pick.Minus(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ShownSince(now, since) {
 			p.Servers.Hold(now, s.Server, s.Models)
 		}
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -242,7 +242,7 @@
 
 // shareInside gives the choice of servers the load of all other VMs.
 func (p *Peers) shareInside() {
-	p.Book.Others(pick.Minus(p.totals(), p.Book.Own()))
+	p.Book.Others(p.Now(), pick.Minus(p.totals(), p.Book.Own()))
 }
 
 // branchReport takes in what a VM that is linked to this relay told. It goes on
--- a/pick/book.go
+++ b/pick/book.go
@@ -137,11 +137,17 @@
 // rest of the zero value works. It is safe for use by several goroutines.
 type Book struct {
 	Domain string
+	// Seed sets the VM's chance apart from that of the others.
+	Seed uint64
 	// Idle reports whether a connection to a server is kept; nil for always.
 	Idle func(id string) bool
 
 	mu      sync.Mutex
 	servers map[string]*state
+	// told is when the load of the others was told, turn counts the requests
+	// that chance decided on.
+	told    time.Time
+	turn    uint64
 	domains map[string]*faults
 	// rates is how many prompt tokens of a model are read in a millisecond, as
 	// answers of idle servers have shown.
@@ -179,8 +185,9 @@
 func (b *Book) Choose(now time.Time, candidates []backs.Entry, w Work, kv int, tried []string) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	chain := w.chain()
-	owner := ownerOf(candidates, w.shared(chain))
+	if w.Model != "" {
+		return b.chooseModel(now, candidates, w, kv, tried)
+	}
 	var best Choice
 	var bestCost time.Duration
 	found := false
@@ -188,7 +195,7 @@
 		if slices.Contains(tried, e.ID) {
 			continue
 		}
-		c := b.predict(e, w, chain, e.ID == owner)
+		c := b.predict(now, e, w, nil, false)
 		cost := c.Predicted + b.penalty(now, e, w, kv)
 		if !found || cost < bestCost || cost == bestCost && e.ID < best.Server.ID {
 			best, bestCost, found = c, cost, true
@@ -197,22 +204,31 @@
 	return best, found
 }
 
-// ownerOf returns the server that a prefix belongs to.
-func ownerOf(candidates []backs.Entry, prefix uint64) string {
-	if prefix == 0 {
-		return ""
-	}
-	var owner string
-	var best uint64
+// chooseModel spreads the requests for a model over the servers that hold it.
+func (b *Book) chooseModel(now time.Time, candidates []backs.Entry, w Work, kv int, tried []string) (Choice, bool) {
+	options := make([]option, 0, len(candidates))
 	for _, e := range candidates {
-		if rank := rendezvous(e.ID, prefix); owner == "" || rank > best {
-			owner, best = e.ID, rank
+		if !slices.Contains(tried, e.ID) {
+			options = append(options, option{entry: e, queue: b.queue(now, e) + b.penalty(now, e, w, kv)})
 		}
 	}
-	return owner
+	if len(options) == 0 {
+		return Choice{}, false
+	}
+	chain := w.chain()
+	chosen := options[spread(options, b.key(w, chain))]
+	return b.predict(now, chosen.entry, w, chain, true), true
+}
+
+// queue is the time that a server needs for what it has to read already. What the
+// other VMs told of has been worked on since.
+func (b *Book) queue(now time.Time, e backs.Entry) time.Duration {
+	s := b.state(e.ID)
+	others := max(s.others.Reading-now.Sub(b.told), 0)
+	return s.own.Reading + others + time.Duration(s.own.Running+s.others.Running)*runCost
 }
 
-func (b *Book) predict(e backs.Entry, w Work, chain []uint64, owner bool) Choice {
+func (b *Book) predict(now time.Time, e backs.Entry, w Work, chain []uint64, owner bool) Choice {
 	s := b.state(e.ID)
 	load := s.own.Plus(s.others)
 	if w.Model == "" {
@@ -226,7 +242,7 @@
 	reading := time.Duration(float64(missing) / b.rate(w) * float64(time.Millisecond))
 	return Choice{
 		Server: e, Missing: missing, Reading: reading, Load: load,
-		Predicted: load.Reading + reading + time.Duration(load.Running)*runCost,
+		Predicted: b.queue(now, e) + reading,
 	}
 }
 
@@ -340,10 +356,11 @@
 	return b.domains[domain].now(now) >= cutShare
 }
 
-// Others replaces what the other VMs have at each server.
-func (b *Book) Others(loads map[string]Load) {
+// Others replaces what the other VMs have at each server, as of now.
+func (b *Book) Others(now time.Time, loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.told = now
 	for id, s := range b.servers {
 		s.others = loads[id]
 	}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -123,7 +123,7 @@
 func TestNearlyFullMemoryIsAvoided(t *testing.T) {
 	book := &pick.Book{Domain: "d"}
 	list := servers(2)
-	book.Others(map[string]pick.Load{"s0": {Running: 1, Tokens: 240_000}, "s1": {Running: 30, Tokens: 100_000}})
+	book.Others(at(0), map[string]pick.Load{"s0": {Running: 1, Tokens: 240_000}, "s1": {Running: 30, Tokens: 100_000}})
 	c, ok := book.Choose(at(0), list, draft("x", 1), kv, nil)
 	require.True(t, ok)
 	require.Equal(t, "s1", c.Server.ID)
@@ -170,3 +170,74 @@
 	ticket.End(at(1), pick.Good)
 	require.Empty(t, book.Own())
 }
+
+// Load pattern: eighty VMs send drafts for one model with six copies and learn of
+// each other every 300 ms. One copy is new and has no queue. If each VM sent to the
+// shortest queue it knows, all of them would send to the new copy until they are
+// told, and it had the longest. Its part must grow with what its queue lacks, and
+// the subjects must stay divided among the copies.
+func TestVMsThatKnowLittleOfEachOtherDoNotCrowd(t *testing.T) {
+	list := servers(6)
+	told := map[string]pick.Load{}
+	for _, e := range list[1:] {
+		told[e.ID] = pick.Load{Running: 8, Reading: 300 * time.Millisecond}
+	}
+	sent := map[string]time.Duration{}
+	homes := map[string]map[string]bool{}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for vm := range 80 {
+		book := &pick.Book{Domain: "d", Seed: uint64(vm)}
+		book.Others(at(0), told)
+		w := draft(fmt.Sprintf("subject-%d", rng.IntN(40)), vm)
+		c, ok := book.Choose(at(0.1), list, w, kv, nil)
+		require.True(t, ok)
+		sent[c.Server.ID] += c.Reading
+		subject := w.Parts[1].ID
+		if homes[subject] == nil {
+			homes[subject] = map[string]bool{}
+		}
+		homes[subject][c.Server.ID] = true
+	}
+	total := time.Duration(0)
+	for _, reading := range sent {
+		total += reading
+	}
+	for _, e := range list[1:] {
+		require.NotZero(t, sent[e.ID], e.ID)
+		require.Greater(t, sent["s0"], sent[e.ID], "the new copy gets the most")
+	}
+	require.Less(t, sent["s0"], total/2, "but not all")
+	for subject, at := range homes {
+		require.Len(t, at, 1, subject)
+	}
+}
+
+// Load pattern: short prompts whose shared part is not worth keeping together. Each
+// VM sends them by chance, in proportion to what the queues lack, and not all VMs
+// the same way.
+func TestShortPromptsGoByChance(t *testing.T) {
+	used := map[string]int{}
+	for vm := range 300 {
+		book := &pick.Book{Domain: "d", Seed: uint64(vm)}
+		book.Others(at(0), map[string]pick.Load{"s0": {Reading: 150 * time.Millisecond}, "s1": {Reading: time.Minute}})
+		w := pick.Work{Model: "m", Prompt: 826, Parts: []pick.Part{{ID: "style", Tokens: 198}, {ID: "own", Tokens: 628}}}
+		c, ok := book.Choose(at(0), servers(4), w, kv, nil)
+		require.True(t, ok)
+		used[c.Server.ID]++
+	}
+	require.Zero(t, used["s1"])
+	require.Greater(t, used["s0"], 10)
+	require.Less(t, used["s0"], used["s2"])
+	require.Less(t, used["s0"], used["s3"])
+}
+
+// What the other VMs had to read some time ago has been worked on since: taken as
+// it was told, a server is avoided for as long as nobody tells anew.
+func TestToldQueuesDrain(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	book.Others(at(0), map[string]pick.Load{"s0": {Running: 1, Reading: time.Second}})
+	w := draft("x", 1)
+	c, _ := book.Choose(at(0), servers(1), w, kv, nil)
+	later, _ := book.Choose(at(0.8), servers(1), w, kv, nil)
+	require.Equal(t, 800*time.Millisecond, c.Predicted-later.Predicted)
+}
