--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -47,15 +47,26 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
+	flush, err := setUpTraces(ctx, settings, settings.Text("vm", "name"))
+	if err != nil {
+		return err
+	}
 	out := node.NewLogWriter(os.Stdout)
 	n := node.New(nodeConfig(settings, out))
 	if err := n.Start(context.WithoutCancel(ctx)); err != nil {
 		return errors.Join(fmt.Errorf("start: %w", err), out.Close())
 	}
 	watchSettings(ctx, *file, hangup, n)
-	return errors.Join(n.Stop(), out.Close())
+	err = errors.Join(n.Stop(), out.Close())
+	flushing, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
+	defer cancel()
+	return errors.Join(err, flush(flushing))
 }
 
+// flushLimit bounds the sending of spans at the end of the process, whose grace
+// time is over by then.
+const flushLimit = 500 * time.Millisecond
+
 // settingsEvery is how often the settings file is looked at for a change that
 // no signal told of.
 const settingsEvery = time.Second
--- a/cmd/hibiscuscart/serve.go
+++ b/cmd/hibiscuscart/serve.go
@@ -47,12 +47,9 @@
 
 func serveVM(ctx context.Context, settings *conf.Settings, vm conf.VM) error {
 	log := newLog(settings)
-	flush, err := spans.Setup(ctx, spans.Config{
-		Exporter: settings.Text("traces", "exporter"), Endpoint: settings.Text("traces", "endpoint"),
-		Sample: settings.Float("traces", "sample"), Node: vm.Name(), Output: os.Stderr,
-	})
+	flush, err := setUpTraces(ctx, settings, vm.Name())
 	if err != nil {
-		return fmt.Errorf("set up traces: %w", err)
+		return err
 	}
 	config, err := entry.ConfigFrom(settings, vm, log)
 	if err != nil {
@@ -72,6 +69,19 @@
 	return flush(ctx)
 }
 
+// setUpTraces installs the tracer that the settings describe, and returns what
+// sends the spans that are left.
+func setUpTraces(ctx context.Context, settings *conf.Settings, vm string) (func(context.Context) error, error) {
+	flush, err := spans.Setup(ctx, spans.Config{
+		Exporter: settings.Text("traces", "exporter"), Endpoint: settings.Text("traces", "endpoint"),
+		Sample: settings.Float("traces", "sample"), Node: vm, Output: os.Stderr,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("set up traces: %w", err)
+	}
+	return flush, nil
+}
+
 // newLog returns the log that the settings describe, on standard error.
 func newLog(s *conf.Settings) zerolog.Logger {
 	level, err := zerolog.ParseLevel(s.Text("log", "level"))
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -12,6 +12,10 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/routes"
@@ -275,3 +279,23 @@
 	}
 	require.Len(t, kinds, 3)
 }
+
+// Each hop of a request has a span: the VM that takes it, the choice of a server,
+// the question to the controller for a model that no server holds, and each send.
+func TestSpansOfTheWholePath(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	otel.SetTracerProvider(trace.NewTracerProvider(trace.WithSpanProcessor(recorder)))
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	t.Cleanup(func() { otel.SetTracerProvider(trace.NewTracerProvider()) })
+	s, ctx := startSite(t, demo.SiteOptions{})
+	for i, address := range s.Addresses() {
+		comeBack(ctx, t, s, address, fmt.Sprint("traced", i), "POST", "/draft/x", fmt.Sprint("m4/a", i+1))
+	}
+	require.Eventually(t, func() bool {
+		names := make(map[string]int)
+		for _, span := range recorder.Ended() {
+			names[span.Name()]++
+		}
+		return names["request"] >= 3 && names["route"] >= 3 && names["attempt"] >= 3 && names["find"] >= 1
+	}, testLimit, 10*time.Millisecond)
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -11,8 +11,11 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/spans"
 )
 
 const (
@@ -66,6 +69,8 @@
 	c.predicted, c.missing = choice.Predicted, choice.Missing
 	ticket := g.Book.Begin(now, choice, c.work, g.tokenMemory(c))
 	t := &try{g: g, c: c, choice: choice, conn: conn, ticket: ticket}
+	ctx, span := spans.Start(ctx, "attempt", attribute.String("server", server), attribute.Int64("predicted_ms", choice.Predicted.Milliseconds()))
+	defer func() { spans.End(span, t.failure) }()
 	stop := context.AfterFunc(ctx, conn.Close)
 	done := t.run(ctx, w, now)
 	if !stop() && t.whole {
@@ -111,6 +116,8 @@
 	// whole is set when the answer was read to its end.
 	whole   bool
 	verdict pick.Verdict
+	// failure is why the try did not answer.
+	failure error
 }
 
 func (t *try) finish() {
@@ -135,6 +142,12 @@
 			t.verdict = pick.Bad
 		}
 	}
+	return t.gaveUp(reason)
+}
+
+// gaveUp notes why a try did not answer; the call avoids its server for now.
+func (t *try) gaveUp(reason string) bool {
+	t.failure = errors.New(reason)
 	t.c.avoid = append(t.c.avoid, t.choice.Server.ID)
 	t.g.note(t.c, t.choice, reason)
 	return false
@@ -143,9 +156,7 @@
 // refused notes a try that has provably not run.
 func (t *try) refused(reason string) bool {
 	t.verdict = pick.Refused
-	t.c.avoid = append(t.c.avoid, t.choice.Server.ID)
-	t.g.note(t.c, t.choice, reason)
-	return false
+	return t.gaveUp(reason)
 }
 
 func (t *try) run(ctx context.Context, w http.ResponseWriter, now time.Time) bool {
--- a/pass/call.go
+++ b/pass/call.go
@@ -77,6 +77,14 @@
 	return c
 }
 
+// failure returns why the call was not answered by a server, nil when it was.
+func (c *call) failure() error {
+	if c.status < http.StatusInternalServerError {
+		return nil
+	}
+	return fmt.Errorf("status %d: %s", c.status, c.reason)
+}
+
 // patience is how long a request may take: what the caller waits, within the
 // route's timeout.
 func patience(n *Names, r *http.Request, route routes.Route) time.Duration {
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
@@ -19,6 +20,7 @@
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/spans"
 )
 
 type callerConn struct{}
@@ -145,13 +147,19 @@
 func (g *Gateway) run(w http.ResponseWriter, c *call) {
 	ctx, cancel := c.context(c.arrived)
 	defer cancel()
+	ctx, span := spans.Start(spans.Extract(ctx, c.request.Header.Get(headerTrace)), "request",
+		attribute.String("request", c.id), attribute.String("route", c.route.Name), attribute.String("service", c.service.Name))
+	defer func() {
+		span.SetAttributes(attribute.Int("status", c.status), attribute.Int("sends", c.sends))
+		spans.End(span, c.failure())
+	}()
 	c.budget = g.Budget(c.service.Name)
 	c.budget.Request(c.arrived)
 	if g.Wanted != nil && c.work.Model != "" {
 		g.Wanted(c.service.Name, c.work)
 	}
 	for {
-		choice, err := g.choose(ctx, c)
+		choice, err := g.route(ctx, c)
 		if err != nil {
 			c.reason = err.Error()
 			break
@@ -167,6 +175,15 @@
 	g.fail(ctx, w, c)
 }
 
+// route is choose with a span.
+func (g *Gateway) route(ctx context.Context, c *call) (pick.Choice, error) {
+	ctx, span := spans.Start(ctx, "route", attribute.String("model", c.work.Model), attribute.String("adapter", c.work.Adapter))
+	choice, err := g.choose(ctx, c)
+	span.SetAttributes(attribute.String("server", choice.Server.ID))
+	spans.End(span, err)
+	return choice, err
+}
+
 // maxSends bounds the sends of one request, refusals included, and maxTries
 // also the servers that could not be connected to.
 const (
--- a/pass/names.go
+++ b/pass/names.go
@@ -47,6 +47,7 @@
 
 // Headers of HTTP that this package sets or reads.
 const (
+	headerTrace      = "Traceparent"
 	headerLastEvent  = "Last-Event-Id"
 	headerRetryAfter = "Retry-After"
 	headerLength     = "Content-Length"
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -9,10 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -248,15 +251,17 @@
 		p.Controller.Report(p.Now(), d.vm, loadsOf(m.VMReport.Loads), wantsOf(m.VMReport.Wants))
 		p.Controller.Doubt(m.VMReport.Doubts)
 	case m.FindCall != nil:
-		go p.answerFind(ctx, d, m.FindCall)
+		go p.answerFind(spans.Extract(ctx, m.Traceparent), d, m.FindCall)
 	}
 }
 
 func (p *Peers) answerFind(ctx context.Context, d *downlink, call *wire.FindCall) {
 	ctx, cancel := context.WithTimeout(ctx, findLimit)
 	defer cancel()
+	ctx, span := spans.Start(ctx, "find", attribute.String("model", call.Model), attribute.String("adapter", call.Adapter))
 	reply := &wire.FindReply{Call: call.Call}
 	id, err := p.Find(ctx, call.Service, call.Model, call.Adapter)
+	spans.End(span, err)
 	if err != nil {
 		reply.Reason = err.Error()
 	}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -231,7 +232,7 @@
 func (u *uplink) find(ctx context.Context, service, model, adapter string) (string, error) {
 	call, answer := u.register()
 	defer u.forget(call)
-	err := u.conn.Send(ctx, &wire.Message{FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}})
+	err := u.conn.Send(ctx, &wire.Message{Traceparent: spans.Inject(ctx), FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}})
 	if err != nil {
 		return "", err
 	}
