--- a/node/node.go
+++ b/node/node.go
@@ -141,7 +141,7 @@
 	n.lease.Count = n.peers.VMs
 	n.gateway = &pass.Gateway{
 		Names: c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Budget: n.budget,
-		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, Now: c.Now, Log: n.log, Meter: n.meter,
+		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, VMs: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
 }
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -59,6 +59,8 @@
 	// Find asks for a server that will hold a model and adapter, and waits
 	// until it does. It returns the server's ID.
 	Find func(ctx context.Context, service, model, adapter string) (string, error)
+	// VMs returns how many VMs send to the same servers; nil for this one alone.
+	VMs func() int
 	// Doubt notes that a server can not be reached or does not hold what it was
 	// thought to.
 	Doubt func(server string)
@@ -69,6 +71,8 @@
 
 	mu  sync.Mutex
 	rng *rand.Rand
+	// held counts the requests that wait for room, by service and model.
+	held map[string]int
 }
 
 const (
@@ -128,7 +132,7 @@
 	g.Log.Info().Str("request", r.Header.Get(g.Names.ID)).Str("host", r.Host).Str("path", r.URL.Path).
 		Int("status", status).Str("reason", reason).Msg("request rejected")
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set(headerRetryAfter, g.retryAfter())
+		w.Header().Set(headerRetryAfter, g.retryAfter(0))
 	}
 	http.Error(w, reason, status)
 }
@@ -158,6 +162,11 @@
 	if g.Wanted != nil && c.work.Model != "" {
 		g.Wanted(c.service.Name, c.work)
 	}
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.release(c)
+	}()
 	for {
 		choice, err := g.route(ctx, c)
 		if err != nil {
@@ -225,7 +234,7 @@
 	switch {
 	case !c.uncertain:
 		c.status = http.StatusServiceUnavailable
-		w.Header().Set(headerRetryAfter, g.retryAfter())
+		w.Header().Set(headerRetryAfter, g.retryAfter(c.comeBack))
 	case ctx.Err() != nil:
 		c.status = http.StatusGatewayTimeout
 	}
@@ -251,12 +260,19 @@
 
 // retryAfter returns when a refused caller may come back, spread out so that
 // those refused together do not return together.
-func (g *Gateway) retryAfter() string {
+func (g *Gateway) retryAfter(least time.Duration) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	spread := max(retrySpread, least)
+	wait := max(retryFirst, least) + time.Duration(g.random(g.Now()).Int64N(int64(spread)))
+	return fmt.Sprintf("%.2f", wait.Seconds())
+}
+
+// random returns the source of chance, seeded by the time of its first use. g.mu
+// is held.
+func (g *Gateway) random(now time.Time) *rand.Rand {
 	if g.rng == nil {
-		g.rng = rand.New(rand.NewPCG(uint64(g.Now().UnixNano()), 1))
+		g.rng = rand.New(rand.NewPCG(uint64(now.UnixNano()), 1))
 	}
-	wait := retryFirst + time.Duration(g.rng.Int64N(int64(retrySpread)))
-	return fmt.Sprintf("%.2f", wait.Seconds())
+	return g.rng
 }
--- a/pick/book.go
+++ b/pick/book.go
@@ -172,6 +172,8 @@
 type Choice struct {
 	Server    backs.Entry
 	Predicted time.Duration
+	// Queue is the part of it before the server reads this request.
+	Queue time.Duration
 	// Missing is how many prompt tokens it is predicted to read, and Reading how
 	// long that takes.
 	Missing int
@@ -240,10 +242,8 @@
 	}
 	missing := max(w.Prompt-hit, 1)
 	reading := time.Duration(float64(missing) / b.rate(w) * float64(time.Millisecond))
-	return Choice{
-		Server: e, Missing: missing, Reading: reading, Load: load,
-		Predicted: b.queue(now, e) + reading,
-	}
+	queue := b.queue(now, e)
+	return Choice{Server: e, Missing: missing, Queue: queue, Reading: reading, Load: load, Predicted: queue + reading}
 }
 
 // rate returns how many prompt tokens of the work's model are read in a
