--- a/pick/book.go
+++ b/pick/book.go
@@ -146,8 +146,10 @@
 	servers map[string]*state
 	// told is when the load of the others was told, turn counts the requests
 	// that chance decided on.
-	told    time.Time
-	turn    uint64
+	told time.Time
+	turn uint64
+	// many says that there are many VMs.
+	many    bool
 	domains map[string]*faults
 	// rates is how many prompt tokens of a model are read in a millisecond, as
 	// answers of idle servers have shown.
@@ -208,17 +210,26 @@
 
 // chooseModel spreads the requests for a model over the servers that hold it.
 func (b *Book) chooseModel(now time.Time, candidates []backs.Entry, w Work, kv int, tried []string) (Choice, bool) {
+	chain := w.chain()
+	key, open := w.shared(chain), time.Duration(0)
+	if sharedTokens(w) < prefixFrom {
+		key, open = b.chance(), openCost
+	}
 	options := make([]option, 0, len(candidates))
 	for _, e := range candidates {
-		if !slices.Contains(tried, e.ID) {
-			options = append(options, option{entry: e, queue: b.queue(now, e) + b.penalty(now, e, w, kv)})
+		if slices.Contains(tried, e.ID) {
+			continue
 		}
+		o := option{entry: e, queue: b.queue(now, e) + b.penalty(now, e, w, kv)}
+		if !b.kept(e) {
+			o.queue += open
+		}
+		options = append(options, o)
 	}
 	if len(options) == 0 {
 		return Choice{}, false
 	}
-	chain := w.chain()
-	chosen := options[spread(options, b.key(w, chain))]
+	chosen := options[spread(options, key)]
 	return b.predict(now, chosen.entry, w, chain, true), true
 }
 
@@ -309,12 +320,15 @@
 	if e.Cold > 0 {
 		cost += plainTime
 	}
-	if b.Idle != nil && !b.Idle(e.ID) {
+	if w.Model == "" && !b.kept(e) {
 		cost += openCost
 	}
 	return cost
 }
 
+// kept reports whether a connection to a server is kept.
+func (b *Book) kept(e backs.Entry) bool { return b.Idle == nil || b.Idle(e.ID) }
+
 // Unreached notes that no connection to a server could be made. When that
 // happens to servers of a domain, the domain is likely cut off, and its other
 // servers are avoided too.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -241,3 +241,17 @@
 	later, _ := book.Choose(at(0.8), servers(1), w, kv, nil)
 	require.Equal(t, 800*time.Millisecond, c.Predicted-later.Predicted)
 }
+
+// Requests with a shared prefix go where all VMs send it, whatever connections a VM
+// has: else the prefix is read at several servers.
+func TestVMsAgreeOnPrefixes(t *testing.T) {
+	kept := func(id string) *pick.Book {
+		return &pick.Book{Domain: "d", Idle: func(server string) bool { return server == id }}
+	}
+	for i := range 50 {
+		w := draft(fmt.Sprint("subject", i), i)
+		one, _ := kept("s1").Choose(at(0), servers(4), w, kv, nil)
+		other, _ := kept("s2").Choose(at(0), servers(4), w, kv, nil)
+		require.Equal(t, one.Server.ID, other.Server.ID)
+	}
+}
--- a/pick/spread.go
+++ b/pick/spread.go
@@ -80,12 +80,9 @@
 	return 0
 }
 
-// key returns what decides where a request goes: its shared prefix, or chance
-// where it has none that is worth keeping together. b.mu is held.
-func (b *Book) key(w Work, chain []uint64) uint64 {
-	if sharedTokens(w) >= prefixFrom {
-		return w.shared(chain)
-	}
+// chance returns a key for a request that has no prefix worth keeping together.
+// b.mu is held.
+func (b *Book) chance() uint64 {
 	b.turn++
 	return mix(b.Seed + b.turn*0x9e3779b97f4a7c15)
 }
