--- a/peers/hub.go
+++ b/peers/hub.go
@@ -185,7 +185,7 @@
 	}
 	now := p.Now()
 	states, _ := p.Servers.Since(now, 0)
-	state := p.fleetState(now, states)
+	state := p.fleetState(states)
 	state.AgeMs, state.Vms, state.Full, state.Relayed = p.age(now), max(p.vms, 1), true, p.relaying
 	p.addLoad(state, loads)
 	frame, err := link.Encode(&wire.Message{FleetState: state})
@@ -195,7 +195,7 @@
 	return append(frames, frame), nil
 }
 
-func (p *Peers) fleetState(now time.Time, states []backs.State) *wire.FleetState {
+func (p *Peers) fleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.Renewed()
 	return &wire.FleetState{
 		LeaseVersion: version, Lease: record,
@@ -320,7 +320,7 @@
 // tellFleet tells of servers, and of their load when it is due: it is the larger
 // part of a frame, and changes of servers can come a hundred times a second.
 func (p *Peers) tellFleet(now time.Time, states []backs.State, load bool) {
-	state := p.fleetState(now, states)
+	state := p.fleetState(states)
 	var loads []wire.ServerLoad
 	if load {
 		loads = loadList(p.totals())
--- a/pick/book.go
+++ b/pick/book.go
@@ -146,10 +146,8 @@
 	servers map[string]*state
 	// told is when the load of the others was told, turn counts the requests
 	// that chance decided on.
-	told time.Time
-	turn uint64
-	// many says that there are many VMs.
-	many    bool
+	told    time.Time
+	turn    uint64
 	domains map[string]*faults
 	// rates is how many prompt tokens of a model are read in a millisecond, as
 	// answers of idle servers have shown.
