--- a/pass/call.go
+++ b/pass/call.go
@@ -54,10 +54,11 @@
 	started   bool
 	// left is set once the caller has closed its connection.
 	left bool
-	// heldSince is from when it waits for room at the servers; zero when it does
-	// not. comeBack is when its caller should try again, 0 for soon.
-	heldSince time.Time
-	comeBack  time.Duration
+	// heldSince is from when it waits for room at the servers, zero when it does
+	// not; waited is how long it did before. comeBack is when its caller should try
+	// again, 0 for soon.
+	heldSince        time.Time
+	waited, comeBack time.Duration
 	// failed is a failure that a server answered with and that no later try has
 	// bettered.
 	failed *answer
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -80,63 +80,6 @@
 	}
 }
 
-// admit reports whether a call may be sent to the server chosen for it.
-func (g *Gateway) admit(now time.Time, c *call, choice pick.Choice) bool {
-	if c.work.Model == "" {
-		return true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	room := pick.Room{VMs: 1}
-	if g.VMs != nil {
-		room.VMs = g.VMs()
-	}
-	if c.heldSince.IsZero() {
-		return room.Admit(choice, 0)
-	}
-	room.Held = g.held[heldKey(c)]
-	if !room.Admit(choice, g.random(now).Float64()) {
-		return false
-	}
-	g.release(c)
-	return true
-}
-
-// holdBack makes a call wait a little for room. It reports false when it has waited
-// for as long as its answer should have taken.
-func (g *Gateway) holdBack(ctx context.Context, now time.Time, c *call, choice pick.Choice) bool {
-	g.mu.Lock()
-	if c.heldSince.IsZero() {
-		c.heldSince = now
-		if g.held == nil {
-			g.held = make(map[string]int)
-		}
-		g.held[heldKey(c)]++
-		g.Meter.Count("pass.held", 1)
-	}
-	c.comeBack = pick.ComeBack(choice.Queue)
-	spread := time.Duration(g.random(now).Int64N(int64(pick.RoomPause)))
-	g.mu.Unlock()
-	if ctx.Err() != nil || now.Sub(c.heldSince) >= pick.RoomWait(c.work.Objective) {
-		return false
-	}
-	pause.For(ctx, pick.RoomPause/2+spread)
-	return true
-}
-
-// release notes that a call is not held any more. g.mu is held.
-func (g *Gateway) release(c *call) {
-	if c.heldSince.IsZero() {
-		return
-	}
-	c.heldSince = time.Time{}
-	if g.held[heldKey(c)]--; g.held[heldKey(c)] <= 0 {
-		delete(g.held, heldKey(c))
-	}
-}
-
-func heldKey(c *call) string { return c.service.Name + "/" + c.work.Model }
-
 // replaced reports whether a call's model can be expected to be loaded elsewhere,
 // as the servers that hold it can not be reached. Where a whole failure domain can
 // not be, this VM is the one that is cut off: its caller is better off elsewhere,
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -142,7 +142,7 @@
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.servers).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.uncertain).Str("reason", c.reason).
-		Dur("predicted", c.predicted).Dur("first_event", c.firstEvent).Int("missing", c.missing).
+		Dur("predicted", c.predicted).Dur("first_event", c.firstEvent).Int("missing", c.missing).Dur("held", c.waited).
 		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
 }
 
@@ -162,11 +162,7 @@
 	if g.Wanted != nil && c.work.Model != "" {
 		g.Wanted(c.service.Name, c.work)
 	}
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.release(c)
-	}()
+	defer g.forget(c)
 	for {
 		choice, err := g.route(ctx, c)
 		if err != nil {
@@ -208,9 +204,8 @@
 	return !c.broke && !c.left && (!c.uncertain || c.route.Repeatable())
 }
 
-// fail gives the final answer of a request that got none from a server, or only
-// a failure. The
-// caller is told that it has not run only when no send can have run.
+// fail gives the final answer of a request that got none from a server, or only a
+// failure. The caller is told that it has not run only when no send can have run.
 func (g *Gateway) fail(ctx context.Context, w http.ResponseWriter, c *call) {
 	c.left = c.left || c.request.Context().Err() != nil
 	if c.started {
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -1,12 +1,7 @@
 package peers
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"fmt"
-	"io"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -14,19 +9,11 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pause"
-	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/spans"
-	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
 const (
-	// frameQueue is how many frames wait for a link. A VM that is further behind
-	// is told everything anew instead.
-	frameQueue = 32
-	// replyQueue is how many answers to questions wait for a link: more than a VM
-	// has requests that wait for a model or adapter.
-	replyQueue = 512
 	// findLimit bounds the controller's work for one question; the VM that asks
 	// has given up by then.
 	findLimit = 10 * time.Second
@@ -45,77 +32,6 @@
 	return min(max(gatherLeast, time.Duration(links)*gatherPerLink), gatherMost)
 }
 
-// downlink is the hub's side of a link.
-type downlink struct {
-	conn    *link.Conn
-	vm      string
-	frames  chan []byte
-	replies chan []byte
-	// behind is set when frames were left out, so that all must be told anew.
-	behind atomic.Bool
-}
-
-func newDownlink(c *link.Conn) *downlink {
-	return &downlink{conn: c, vm: c.Peer().Node, frames: make(chan []byte, frameQueue), replies: make(chan []byte, replyQueue)}
-}
-
-// offer queues a frame, or notes that the link is behind. To end such a link
-// instead would make the VM open another, which begins with the whole view: with
-// many of them the hub's own link fills up.
-func (d *downlink) offer(frame []byte) {
-	select {
-	case d.frames <- frame:
-	default:
-		d.behind.Store(true)
-	}
-}
-
-// reply queues an answer to a question. A VM that takes none is given up.
-func (d *downlink) reply(frame []byte) {
-	select {
-	case d.replies <- frame:
-	default:
-		d.conn.Close()
-	}
-}
-
-// write sends what is queued until ctx ends or the link breaks. whole returns the
-// frames that tell everything.
-func (d *downlink) write(ctx context.Context, whole func() ([][]byte, error)) error {
-	for {
-		var next [][]byte
-		select {
-		case <-ctx.Done():
-			return nil
-		case frame := <-d.replies:
-			next = [][]byte{frame}
-		case frame := <-d.frames:
-			next = [][]byte{frame}
-			if d.behind.Load() {
-				all, err := d.catchUp(whole)
-				if err != nil {
-					return err
-				}
-				next = all
-			}
-		}
-		for _, frame := range next {
-			if err := d.conn.SendEncoded(ctx, frame); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// catchUp drops what is queued, all of it older than the whole view.
-func (d *downlink) catchUp(whole func() ([][]byte, error)) ([][]byte, error) {
-	d.behind.Store(false)
-	for len(d.frames) > 0 {
-		<-d.frames
-	}
-	return whole()
-}
-
 // serveLink is the hub's side of a link, from its opening to its end.
 func (p *Peers) serveLink(ctx context.Context, c *link.Conn) {
 	d := newDownlink(c)
@@ -362,85 +278,3 @@
 		d.offer(frame)
 	}
 }
-
-// configFrame compresses a configuration: its names repeat, and it goes to
-// every VM over links of the smallest of them.
-func configFrame(revision int, value []byte) ([]byte, error) {
-	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	if _, err := w.Write(value); err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	return link.Encode(&wire.Message{ConfigState: &wire.ConfigState{Revision: revision, Value: packed.String()}})
-}
-
-// configLimit bounds what a compressed configuration may grow to; the store
-// holds a megabyte.
-const configLimit = 4 << 20
-
-func unpackConfig(s *wire.ConfigState) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader([]byte(s.Value)))
-	value, err := io.ReadAll(io.LimitReader(r, configLimit))
-	if err != nil {
-		return nil, fmt.Errorf("decompress configuration: %w", err)
-	}
-	return value, nil
-}
-
-func statesOf(states []backs.State) []wire.ServerState {
-	list := make([]wire.ServerState, 0, len(states))
-	for _, s := range states {
-		state := wire.ServerState{
-			Server: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
-			Gone: s.Gone, HoldMs: int(s.Hold.Milliseconds()), ColdMs: int(s.Cold.Milliseconds()), Models: []wire.HeldModel{},
-		}
-		for _, h := range s.Models {
-			state.Models = append(state.Models, wire.HeldModel{Name: h.Model, Adapters: append([]string{}, h.Adapters...)})
-		}
-		list = append(list, state)
-	}
-	return list
-}
-
-func stateOf(s wire.ServerState) backs.State {
-	state := backs.State{Gone: s.Gone, Hold: time.Duration(s.HoldMs) * time.Millisecond, Entry: backs.Entry{
-		ID: s.Server, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
-		Cold: time.Duration(s.ColdMs) * time.Millisecond,
-	}}
-	for _, m := range s.Models {
-		state.Models = append(state.Models, backs.Held{Model: m.Name, Adapters: m.Adapters})
-	}
-	return state
-}
-
-func loadList(loads map[string]pick.Load) []wire.ServerLoad {
-	list := make([]wire.ServerLoad, 0, len(loads))
-	for id, l := range loads {
-		if l.Running != 0 {
-			list = append(list, wire.ServerLoad{Server: id, Running: l.Running, ReadingUs: int(l.Reading.Microseconds()), Tokens: l.Tokens, Adapters: l.Adapters})
-		}
-	}
-	return list
-}
-
-func loadsOf(list []wire.ServerLoad) map[string]pick.Load {
-	loads := make(map[string]pick.Load, len(list))
-	for _, l := range list {
-		loads[l.Server] = pick.Load{Running: l.Running, Reading: time.Duration(l.ReadingUs) * time.Microsecond, Tokens: l.Tokens, Adapters: l.Adapters}
-	}
-	return loads
-}
-
-func wantsOf(list []wire.ModelWant) []steer.Want {
-	wants := make([]steer.Want, 0, len(list))
-	for _, w := range list {
-		wants = append(wants, steer.Want{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, Tokens: w.Tokens})
-	}
-	return wants
-}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -13,7 +13,6 @@
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/spans"
-	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -135,14 +134,6 @@
 	return branch{vms: p.vmCount(), relaying: p.relaying}, max(p.pause, shareEvery)
 }
 
-func wantList(wants []steer.Want) []wire.ModelWant {
-	list := make([]wire.ModelWant, 0, len(wants))
-	for _, w := range wants {
-		list = append(list, wire.ModelWant{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, Tokens: w.Tokens})
-	}
-	return list
-}
-
 // listen takes in the hub's frames. root outlives the link.
 func (p *Peers) listen(ctx, root context.Context, up *uplink) error {
 	for {
