--- a/node/lock_test.go
+++ b/node/lock_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -16,7 +15,6 @@
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/stand"
-	"github.com/hibiscuscart/hibiscuscart/store"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -37,18 +35,7 @@
 	settings, err := conf.ParseNode([]byte(lockSettings))
 	require.NoError(t, err)
 	o := &stand.Objects{}
-	objects := store.Objects{
-		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
-		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
-			data, err := json.Marshal(value)
-			if err != nil {
-				return 0, err
-			}
-			got, err := o.Put(kind, name, ifVersion, data)
-			return got.Version, err
-		},
-	}
-	n := New(Config{Settings: settings, Objects: objects, Now: clock.Now, Log: zerolog.Nop()})
+	n := New(Config{Settings: settings, Objects: o.Client(), Now: clock.Now, Log: zerolog.Nop()})
 	require.Eventually(t, func() bool {
 		n.lease.Step(t.Context())
 		return n.lease.Held(n.now())
--- a/peers/lease_test.go
+++ b/peers/lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"testing"
 	"time"
@@ -34,26 +33,9 @@
 	c.now = c.now.Add(d)
 }
 
-func objectsOf(o *stand.Objects) store.Objects {
-	return store.Objects{
-		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
-		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
-			data, err := json.Marshal(value)
-			if err != nil {
-				return 0, err
-			}
-			got, err := o.Put(kind, name, ifVersion, data)
-			if err == nil && o.LoseAnswer() {
-				return 0, &store.LostError{}
-			}
-			return got.Version, err
-		},
-	}
-}
-
 func newLease(clock *testClock, o *stand.Objects, name string) *peers.Lease {
 	return &peers.Lease{
-		Name: name, Address: "127.0.0.1:" + name, Objects: objectsOf(o), Duration: time.Second, Handover: 3 * time.Second,
+		Name: name, Address: "127.0.0.1:" + name, Objects: o.Client(), Duration: time.Second, Handover: 3 * time.Second,
 		Now: clock.Now, Log: zerolog.Nop(),
 	}
 }
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"slices"
@@ -20,7 +19,6 @@
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/steer"
-	"github.com/hibiscuscart/hibiscuscart/store"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -38,18 +36,7 @@
 	v := &vm{}
 	view := &backs.View{}
 	view.Replace(clock.Now(), []backs.Entry{{ID: "s1", Service: "s", Domain: domain}})
-	objects := store.Objects{
-		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
-		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
-			data, err := json.Marshal(value)
-			if err != nil {
-				return 0, err
-			}
-			got, err := o.Put(kind, name, ifVersion, data)
-			return got.Version, err
-		},
-	}
-	lease := &Lease{Name: name, Objects: objects, Duration: 1200 * time.Millisecond, Now: clock.Now, Log: zerolog.Nop()}
+	lease := &Lease{Name: name, Objects: o.Client(), Duration: 1200 * time.Millisecond, Now: clock.Now, Log: zerolog.Nop()}
 	v.Peers = &Peers{
 		Name: name, Domain: domain, Boot: name, Cores: cores, Lease: lease, Servers: view, Book: &pick.Book{Domain: domain},
 		Controller: &steer.Controller{
--- a/stand/objects.go
+++ b/stand/objects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -80,6 +81,24 @@
 	return true
 }
 
+// Client returns the calls of a caller in the same process, without a protocol.
+func (o *Objects) Client() store.Objects {
+	return store.Objects{
+		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
+		Put: func(_ context.Context, kind, name string, ifVersion int, value any) (int, error) {
+			data, err := json.Marshal(value)
+			if err != nil {
+				return 0, fmt.Errorf("encode %s/%s: %w", kind, name, err)
+			}
+			got, err := o.Put(kind, name, ifVersion, data)
+			if err == nil && o.LoseAnswer() {
+				return 0, &store.LostError{}
+			}
+			return got.Version, err
+		},
+	}
+}
+
 // Compact drops the history: watches from before get a GoneError.
 func (o *Objects) Compact() {
 	o.mu.Lock()
