--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,9 @@
 	budgets map[string]*retry.Window
 
 	stopping atomic.Bool
+	// closing is done when requests that wait for a server are given up.
+	closing  context.Context
+	endWaits context.CancelFunc
 	listened []*http.Server
 	callers  *http.Server
 	jobs     sync.WaitGroup
@@ -139,8 +142,10 @@
 		Controller: n.control, Servers: n.servers, Book: n.book, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.lease.Count = n.peers.VMs
+	n.closing, n.endWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
-		Names: c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Budget: n.budget,
+		Closing: n.closing,
+		Names:   c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Budget: n.budget,
 		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, VMs: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
@@ -329,6 +334,7 @@
 	n.log.Info().Msg("stopping")
 	background := context.Background()
 	pause.For(background, n.settings().Duration("drain", "notice"))
+	n.endWaits()
 	left := n.settings().Duration("drain", "grace") - stopSlack - n.now().Sub(begun)
 	ctx, cancel := context.WithTimeout(background, left)
 	defer cancel()
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -16,6 +16,7 @@
 	errNoServer = errors.New("no server of the service")
 	errNoTime   = errors.New("no time left")
 	errAllTried = errors.New("all servers were tried")
+	errStopping = errors.New("this VM stops and has no server for the request")
 	errNoRoom   = errors.New("the servers' queues are too long")
 )
 
@@ -41,6 +42,11 @@
 func (g *Gateway) choose(ctx context.Context, c *call) (pick.Choice, error) {
 	hold, cancel := context.WithTimeout(ctx, time.Duration(holdShare*float64(c.remaining(g.Now()))))
 	defer cancel()
+	if g.Closing != nil {
+		// A VM that stops has less time than the request: what still waits for a
+		// server then would be cut off without a word.
+		defer context.AfterFunc(g.Closing, cancel)()
+	}
 	for {
 		now := g.Now()
 		if c.remaining(now) <= 0 || ctx.Err() != nil {
@@ -75,6 +81,9 @@
 			}
 		}
 		if err := g.await(hold, c, changed); err != nil {
+			if g.Closing != nil && g.Closing.Err() != nil {
+				err = errStopping
+			}
 			return pick.Choice{}, err
 		}
 	}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -59,6 +59,9 @@
 	// Find asks for a server that will hold a model and adapter, and waits
 	// until it does. It returns the server's ID.
 	Find func(ctx context.Context, service, model, adapter string) (string, error)
+	// Closing is done when the VM stops: requests without a server are refused
+	// from then on. It may be nil.
+	Closing context.Context
 	// VMs returns how many VMs send to the same servers; nil for this one alone.
 	VMs func() int
 	// Doubt notes that a server can not be reached or does not hold what it was
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -126,3 +126,27 @@
 	require.Equal(t, "server", w.Header().Get("Stamp"))
 	require.Equal(t, "body", w.Body.String())
 }
+
+// A VM gets SIGTERM while a request waits for an adapter that no server holds. Its
+// caller has a minute, the VM eight seconds: the connection was closed without a word
+// when they were over, and the caller could not know whether the request had run.
+// It is refused when the VM stops taking requests, and its caller goes elsewhere.
+func TestWaitingRequestsAreRefusedWhenTheVMStops(t *testing.T) {
+	g := testGateway()
+	closing, stop := context.WithCancel(t.Context())
+	g.Closing = closing
+	g.Find = func(ctx context.Context, _, _, _ string) (string, error) {
+		stop()
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	done := make(chan *httptest.ResponseRecorder, 1)
+	go func() { done <- ask(g) }()
+	select {
+	case w := <-done:
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the request waits on")
+	}
+}
