A silent server is left only for a place where the stream can go on

Cause: a stream that may be resumed pauses while its server preempts it and reads its prompt anew. Ruled out: the server's own end (its log says that it was cut), the caller's time. Change: a wait that is over asks whether there is another server with room, time and a retry, and takes the retry at once; without these the VM waits on, behind the head and before it. The readers of net/http can not go on behind a read that timed out, so the watch lies below them. Test: TestASilentServerIsLeftOnlyForABetterPlace fails before (the answer is aborted).

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -10,8 +10,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -81,6 +83,10 @@
 	// until is when it is too old to be used again, careful when it is too old
 	// for a request that must not be lost.
 	until, careful time.Time
+	// silence is how long a read waits before giveUp is asked, 0 for as long as
+	// the connection lasts.
+	silence time.Duration
+	giveUp  func() bool
 }
 
 // Kept reports whether the connection has been used before.
@@ -90,13 +96,32 @@
 // goroutine reads or writes.
 func (c *Conn) Close() { _ = c.net.Close() }
 
-// Within bounds the next reads; 0 lifts the bound.
-func (c *Conn) Within(d time.Duration) {
+// Watch makes each read that waits for longer than d ask giveUp, and again after
+// every further d. The read fails only when giveUp says so: a silent server may
+// well go on, and whoever decides to leave it must know where to go instead. The
+// readers of net/http can not go on behind a read that failed, so the wait must not
+// end by a deadline that they see. 0 ends the watch.
+func (c *Conn) Watch(d time.Duration, giveUp func() bool) {
+	c.silence, c.giveUp = d, giveUp
 	if d == 0 {
 		_ = c.net.SetReadDeadline(time.Time{})
-		return
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(d))
+}
+
+// watched reads from the connection under its watch.
+type watched struct{ *Conn }
+
+// Read implements io.Reader.
+func (w watched) Read(p []byte) (int, error) {
+	for {
+		if w.silence > 0 {
+			_ = w.net.SetReadDeadline(time.Now().Add(w.silence))
+		}
+		n, err := w.net.Read(p)
+		if n > 0 || w.silence == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || w.giveUp() {
+			return n, err
+		}
+	}
 }
 
 // sound reports whether the connection is open and holds no bytes that belong
@@ -231,7 +256,9 @@
 		p.open = make(map[string]int)
 	}
 	p.open[key]++
-	return &Conn{net: raw, reader: bufio.NewReaderSize(raw, readBuffer), key: key}, nil
+	c := &Conn{net: raw, key: key}
+	c.reader = bufio.NewReaderSize(watched{c}, readBuffer)
+	return c, nil
 }
 
 // Connections returns how many connections of a key are open.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -61,7 +61,7 @@
 	}
 	// Only what reaches a server feeds an overload, so only sends draw on the
 	// budget and failed connections do not.
-	if c.sends > 0 && !c.budget.Allow(now) {
+	if c.sends > 0 && !c.takeRetry(now) {
 		c.broke = true
 		g.Pool.Return(now, conn)
 		g.note(c, choice, c.reason+", retry budget spent")
@@ -172,11 +172,11 @@
 	if err != nil {
 		return t.failed(ctx, "send: "+err.Error())
 	}
-	t.conn.Within(t.patience())
+	t.conn.Watch(t.patience(), t.elsewhere)
 	if err := t.answer(); err != nil {
 		return t.failed(ctx, err.Error())
 	}
-	t.conn.Within(0)
+	t.conn.Watch(0, nil)
 	if t.notRun() {
 		return t.refuse()
 	}
@@ -213,6 +213,30 @@
 	return max(stallGaps*t.c.route.Gap, stallLeast)
 }
 
+// elsewhere reports whether a call whose server is silent is better sent to another
+// one, and takes what that needs: a retry of the budget, a server with room and time
+// for it. Without all three the answer would be cut off, and the caller lose what
+// the silent server may still go on with: mostly it has preempted the request and
+// reads its prompt anew.
+func (t *try) elsewhere() bool {
+	c, g := t.c, t.g
+	now := g.Now()
+	if c.remaining(now) <= c.route.Objective || c.request.Context().Err() != nil {
+		return false
+	}
+	c.avoid = append(c.avoid, t.choice.Server.ID)
+	choice, ok := g.pick(now, c, g.Servers.Serving(now, c.service.Name))
+	if ok = ok && choice.HasRoom() && c.takeRetry(now); ok {
+		c.reserved = true
+	} else {
+		c.avoid = c.avoid[:len(c.avoid)-1]
+	}
+	g.Meter.Count("pass.silent", 1)
+	g.Log.Info().Str("request", c.id).Str("server", t.choice.Server.ID).Bool("started", c.started).Bool("given_up", ok).
+		Str("instead", choice.Server.ID).Dur("predicted", choice.Predicted).Int("running", choice.Load.Running).Msg("server silent")
+	return ok
+}
+
 // answer reads the head of the answer to this call. Answers to other requests,
 // which a server may send late or twice, are passed over.
 func (t *try) answer() error {
@@ -327,8 +351,8 @@
 	out := http.NewResponseController(w)
 	stall := t.stall()
 	for {
-		if stall > 0 && events.last != t.c.request.Header.Get(headerLastEvent) {
-			t.conn.Within(stall)
+		if events.last != t.c.request.Header.Get(headerLastEvent) {
+			t.conn.Watch(stall, t.elsewhere)
 		}
 		n, err := t.resp.Body.Read(buffer)
 		if whole := events.take(buffer[:n]); len(whole) > 0 {
@@ -385,7 +409,7 @@
 	if len(events.rest) > 0 {
 		t.deliver(w, out, events.rest)
 	}
-	t.conn.Within(0)
+	t.conn.Watch(0, nil)
 	t.whole = true
 	t.verdict = pick.Good
 	return true
--- a/pass/call.go
+++ b/pass/call.go
@@ -40,9 +40,11 @@
 	// nothing about the earlier send, so from then on a caller is not told
 	// that it has not run.
 	uncertain bool
-	// budget is what retries draw on; broke is set when it had nothing left.
-	budget *retry.Window
-	broke  bool
+	// budget is what retries draw on; broke is set when it had nothing left, and
+	// reserved when the next send has been taken from it already.
+	budget   *retry.Window
+	broke    bool
+	reserved bool
 	// predicted is when the server picked last was to give its first event, and
 	// missing how many prompt tokens it was to read; firstEvent is when the
 	// event came.
@@ -120,6 +122,16 @@
 // bounds.
 const defaultPatience = 30 * time.Second
 
+// takeRetry takes one more send from the retry budget, unless one is reserved, and
+// reports whether there was one.
+func (c *call) takeRetry(now time.Time) bool {
+	if c.reserved {
+		c.reserved = false
+		return true
+	}
+	return c.budget.Allow(now)
+}
+
 // remaining returns how much time is left.
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
--- a/pick/room.go
+++ b/pick/room.go
@@ -46,6 +46,12 @@
 	return chance < room.Seconds()/waiting.Seconds()
 }
 
+// HasRoom reports whether the server takes the request without a wait for a slot or
+// a long queue, as far as known.
+func (c Choice) HasRoom() bool {
+	return c.Queue < roomLimit && (c.Server.Slots == 0 || c.Load.Running < c.Server.Slots)
+}
+
 // RoomWait returns how long a request with an objective waits for room.
 func RoomWait(objective time.Duration) time.Duration { return max(objective, roomWaitLeast) }
 
