A model order that a report shows ends by a report only

The store was away, a server's entry lapsed and stood again as it had been before a load. The next term's first report said that an order was under way; four seconds later, without another report since the lease had run out meanwhile, it was taken as over, and the memory of the model that was still being loaded was given to another one. The server was ordered beyond its memory and crashed, with what ran on it. Ruled out: a late order (the sequence had not moved), stale models in a report (no report was asked for between). Test: TestALoadThatIsNotKnownEndsByAReport fails without.

--- a/steer/server.go
+++ b/steer/server.go
@@ -48,8 +48,10 @@
 	// report shows whether it was accepted, nothing more is ordered: with the
 	// next accepted order the lost one is dead, whether it is late or not.
 	unclear time.Time
-	// busy is until when a model order is taken to be under way at most.
-	busy time.Time
+	// busy is until when a model order that was accepted is taken to be under way at
+	// most; underway is set while a report says that one is.
+	busy     time.Time
+	underway bool
 	// done is when that order should be done.
 	done     time.Time
 	changed  time.Time
@@ -116,7 +118,8 @@
 		s.changed = now
 	}
 	if r.phase == loading {
-		r.phase, r.since, s.changed, s.busy = held, now, now, time.Time{}
+		r.phase, r.since, s.changed = held, now, now
+		s.endOrder()
 	}
 	for _, a := range h.Adapters {
 		if _, ok := r.adapters[a]; !ok {
@@ -128,7 +131,7 @@
 
 func (s *Server) drop(now time.Time, model string) {
 	if r := s.models[model]; r != nil && r.phase == leaving {
-		s.busy = time.Time{}
+		s.endOrder()
 	}
 	delete(s.models, model)
 	s.changed = now
@@ -179,18 +182,15 @@
 		}
 		s.dropAdapters(now, m, append(slices.Clone(r.Models[i].Adapters), pendingOf(r, name)...))
 	}
-	if r.Busy {
-		// Whatever the order's own time was: it goes on.
-		s.busy = now.Add(loadSlack * time.Second)
-		return
+	if s.underway = r.Busy; !s.underway {
+		s.settled()
 	}
-	s.settled()
 }
 
 // settled notes that no model order is under way: one that is still listed as
 // leaving was not carried out.
 func (s *Server) settled() {
-	s.busy = time.Time{}
+	s.endOrder()
 	for _, m := range s.models {
 		if m.phase == leaving {
 			m.phase = held
@@ -198,6 +198,8 @@
 	}
 }
 
+func (s *Server) endOrder() { s.busy, s.underway = time.Time{}, false }
+
 func pendingOf(r Report, model string) []string {
 	for _, h := range r.Pending {
 		if h.Model == model {
@@ -234,12 +236,15 @@
 }
 
 // Free reports whether an order may be sent: the sequence is known, no order is
-// unclear, and no model is on its way.
+// unclear, and no model is on its way. What a report said to be under way may be a
+// load that the VM before ordered and this one does not know of: its memory shows in
+// no list until it is done, however long that takes. Only a report ends that, or the
+// server is ordered beyond its memory and crashes.
 func (s *Server) Free(now time.Time) bool {
 	if !s.refused.IsZero() && now.Sub(s.refused) < refusalRest {
 		return false
 	}
-	return s.known && s.missed == 0 && !s.doubted && s.unclear.IsZero() && !now.Before(s.busy)
+	return s.known && s.missed == 0 && !s.doubted && s.unclear.IsZero() && !s.underway && !now.Before(s.busy)
 }
 
 // NeedsReport reports whether the server's state must be asked for before it
@@ -277,17 +282,18 @@
 // after three heartbeats.
 func (s *Server) Down() bool { return s.missed >= downAfter }
 
-// Finishing reports whether a model order should be done about now, so that a
-// report would show it.
+// Finishing reports whether a model order should be done about now, or is of
+// unknown length, so that a report would show its end.
 func (s *Server) Finishing(now time.Time) bool {
-	return !s.done.IsZero() && !now.Before(s.done) && !s.busy.IsZero()
+	return (s.underway || !s.busy.IsZero()) && !now.Before(s.done)
 }
 
 // Forget makes the state unknown until a report: another VM, or a process on
 // this one that has ended, gave orders up to a time. It may lie ahead.
 func (s *Server) Forget(ended time.Time) {
 	s.ordered = ended
-	s.known, s.busy, s.unclear = false, time.Time{}, time.Time{}
+	s.known, s.unclear = false, time.Time{}
+	s.endOrder()
 	s.inherited = true
 	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
 }
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -278,3 +278,20 @@
 	}
 	require.Equal(t, 3, begun)
 }
+
+// While the store is away the server's entry lapses, and the one that stands again is
+// from before a load; the next term's first report says that a load goes on. Then the
+// lease runs out and no report is asked for some seconds. Taken as over by time, the
+// load's memory was given to another model when the lease came back, and the server
+// was ordered beyond its memory. Until a report shows the load's end, the server gets
+// no order.
+func TestALoadThatIsNotKnownEndsByAReport(t *testing.T) {
+	s := steer.NewServer(at(0), entry("a", "m1", "m2"))
+	s.Forget(at(0))
+	s.Reported(at(1), at(1), steer.Report{Models: entry("", "m1", "m2").Models, Busy: true, Sequence: 3})
+	require.False(t, s.Free(at(60)))
+	require.True(t, s.Finishing(at(1.2)), "asked again soon: how long it takes is not known")
+	s.Reported(at(61), at(61), steer.Report{Models: entry("", "m1", "m2", "m3").Models, Sequence: 3})
+	require.True(t, s.Free(at(61)))
+	require.True(t, s.Has(at(61), "m3", ""))
+}
