Servers start again under their ID; entries of other writers name no server

All that is known of a server (books, prompts, models, orders, connections) hangs on the ID, so a new start begins without it; a late heartbeat of the start before is dropped, and a report of another start ends this one. - An order that got no answer may fit the count of the next start too: it gets no orders until the lost one must be dead. - An entry that can not be read, lacks a field that every server writes or has a state that none has names no server; its server gets no new work until its next heartbeat and is neither gone nor held back then; the others hold.

--- a/backs/entry.go
+++ b/backs/entry.go
@@ -4,7 +4,9 @@
 package backs
 
 import (
+	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -15,10 +17,16 @@
 	Adapters []string
 }
 
-// Entry is a server as the platform lists it. ID names one start of it; a
-// restarted server, or another one at the same address, has a new ID.
+// Entry is a server as the platform lists it.
 type Entry struct {
-	ID      string
+	// ID names one start of the server: what was known of an earlier start says
+	// nothing about this one.
+	ID string
+	// Name is what the platform calls it, empty where that is the ID.
+	Name string
+	// Born is when it started, the zero time where the platform does not tell. A
+	// server may start again under its name.
+	Born    time.Time
 	Service string
 	Address string
 	Domain  string
@@ -32,6 +40,19 @@
 	Models []Held
 }
 
+// Called returns what the platform and the server itself call it; requests and
+// orders are addressed to that.
+func (e Entry) Called() string { return cmp.Or(e.Name, e.ID) }
+
+// StartID returns the ID of one start of a server: its name, where the platform
+// names each start anew, and the name with the time of the start otherwise.
+func StartID(name string, born time.Time) string {
+	if born.IsZero() {
+		return name
+	}
+	return name + "@" + strconv.FormatInt(born.UnixMilli(), 10)
+}
+
 // Holds reports whether the entry has a model, and the adapter when one is
 // named.
 func (e Entry) Holds(model, adapter string) bool {
--- a/backs/share.go
+++ b/backs/share.go
@@ -9,6 +9,8 @@
 	Gone bool
 	// Hold is how long a server whose entry rose again must still wait for work.
 	Hold time.Duration
+	// Unreadable says that what stands in the store names no server now.
+	Unreadable bool
 }
 
 // Since returns the servers that changed after a revision of the view, 0 for
@@ -22,7 +24,7 @@
 		if r.revision <= revision || revision == 0 && !r.gone.IsZero() {
 			continue
 		}
-		s := State{Entry: r.entry, Gone: !r.gone.IsZero()}
+		s := State{Entry: r.entry, Gone: !r.gone.IsZero(), Unreadable: r.unreadable}
 		if !r.risen.IsZero() {
 			s.Hold = max(0, ghostHold-now.Sub(r.risen))
 		}
@@ -69,6 +71,11 @@
 	}
 	v.put(now, s.Entry)
 	r := v.records[s.ID]
+	if r == nil {
+		// It is of an earlier start than the one known here.
+		return
+	}
+	r.unreadable = s.Unreadable
 	// The other VM's word on what is held is newer than the store's.
 	r.entry.Models, r.toldAt = s.Models, now
 	if s.Hold > 0 {
--- a/backs/view.go
+++ b/backs/view.go
@@ -18,8 +18,8 @@
 	// toldOutweighs is how long what the controller told of adapters outweighs
 	// an entry, which can be a heartbeat old: adapters load in milliseconds.
 	toldOutweighs = 2 * time.Second
-	// forgetAfter bounds the memory of servers that are gone; an ID is never
-	// used again, so it needs to outlive only late entries.
+	// forgetAfter bounds the memory of servers that are gone; the ID of a start is
+	// never used again, so it needs to outlive only late entries.
 	forgetAfter = 2 * time.Minute
 )
 
@@ -31,8 +31,8 @@
 	// listed is the entry as it stands in the store since listedAt.
 	listed   Entry
 	listedAt time.Time
-	// drained stays set: a server never returns from draining under the same
-	// ID, and an old heartbeat may say otherwise.
+	// drained stays set: a server returns from draining only by a new start, and an
+	// old heartbeat may say otherwise.
 	drained bool
 	// gone is when the entry was removed; zero while it stands.
 	gone time.Time
@@ -40,6 +40,8 @@
 	lapsing time.Time
 	// risen is when it stood again after having been removed.
 	risen time.Time
+	// unreadable is set while what stands in the store names no server.
+	unreadable bool
 	// heldAt is how new entry.Models is, toldAt when the controller told it
 	// last.
 	heldAt, toldAt time.Time
@@ -52,6 +54,8 @@
 type View struct {
 	mu      sync.Mutex
 	records map[string]*record
+	// starts has the ID of the newest start of each server by what it is called.
+	starts map[string]string
 	// away is set while the store can not be reached, back is when it could be
 	// again.
 	away    bool
@@ -112,7 +116,10 @@
 
 func (v *View) put(now time.Time, e Entry) {
 	if v.records == nil {
-		v.records = make(map[string]*record)
+		v.records, v.starts = make(map[string]*record), make(map[string]string)
+	}
+	if !v.begin(now, e) {
+		return
 	}
 	r := v.records[e.ID]
 	if r == nil {
@@ -122,7 +129,7 @@
 	if !r.gone.IsZero() {
 		r.gone, r.risen = time.Time{}, now
 	}
-	r.lapsing = time.Time{}
+	r.lapsing, r.unreadable = time.Time{}, false
 	r.drained = r.drained || e.Draining
 	e.Draining = r.drained
 	r.listed, r.listedAt = e, now
@@ -133,17 +140,56 @@
 	v.touch(r)
 }
 
+// begin takes in which start of a server an entry is of. It reports false for one of
+// an earlier start: a heartbeat that comes late, of a process that has ended. A new
+// start ends the one before, whose connections, prompts, models and orders are gone;
+// it need not wait as an entry does that rose again.
+func (v *View) begin(now time.Time, e Entry) bool {
+	before, ok := v.starts[e.Called()]
+	if !ok || before == e.ID {
+		v.starts[e.Called()] = e.ID
+		return true
+	}
+	r := v.records[before]
+	if r != nil && e.Born.Before(r.entry.Born) {
+		return false
+	}
+	v.starts[e.Called()] = e.ID
+	if r != nil && r.gone.IsZero() {
+		r.gone, r.lapsing = now, time.Time{}
+		v.touch(r)
+	}
+	return true
+}
+
+// Unreadable takes in that a server's entry can not be read, or names no server. It
+// gets no new work until its entry can be read again; the server's next heartbeat
+// writes that, so it is neither gone nor has it to wait then.
+func (v *View) Unreadable(name string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unreadable(name)
+	v.notify()
+}
+
+func (v *View) unreadable(name string) {
+	if r := v.records[v.starts[name]]; r != nil && r.gone.IsZero() && !r.unreadable {
+		r.unreadable, r.lapsing = true, time.Time{}
+		v.touch(r)
+	}
+}
+
 func (v *View) touch(r *record) {
 	v.revision++
 	r.revision = v.revision
 }
 
-// Remove takes in that an entry was removed. Right after the store's return it
-// is given time to come back.
-func (v *View) Remove(now time.Time, id string) {
+// Remove takes in that the entry of a server's name was removed. Right after the
+// store's return it is given time to come back.
+func (v *View) Remove(now time.Time, name string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.remove(now, id)
+	v.remove(now, v.starts[name])
 	v.notify()
 }
 
@@ -163,15 +209,20 @@
 	v.touch(r)
 }
 
-// Replace takes in a whole list.
-func (v *View) Replace(now time.Time, entries []Entry) {
+// Replace takes in a whole list, and the names of the entries in it that can not be
+// read.
+func (v *View) Replace(now time.Time, entries []Entry, unreadable ...string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listed := make(map[string]bool, len(entries))
+	listed := make(map[string]bool, len(entries)+len(unreadable))
 	for _, e := range entries {
 		listed[e.ID] = true
 		v.put(now, e)
 	}
+	for _, name := range unreadable {
+		listed[v.starts[name]] = true
+		v.unreadable(name)
+	}
 	for id := range v.records {
 		if !listed[id] {
 			v.remove(now, id)
@@ -192,6 +243,9 @@
 		}
 		if !r.gone.IsZero() && now.Sub(r.gone) > forgetAfter {
 			delete(v.records, id)
+			if v.starts[r.entry.Called()] == id {
+				delete(v.starts, r.entry.Called())
+			}
 		}
 	}
 }
@@ -289,16 +343,18 @@
 }
 
 func (r *record) usable(now time.Time) bool {
-	if r.drained || !r.gone.IsZero() {
+	if r.drained || r.unreadable || !r.gone.IsZero() {
 		return false
 	}
 	return r.risen.IsZero() || now.Sub(r.risen) >= ghostHold
 }
 
 // Listed is an entry as it stands in the store, and since when this VM knows it.
+// Unreadable says that it can not be read now; Entry is what could be read last.
 type Listed struct {
 	Entry
-	At time.Time
+	At         time.Time
+	Unreadable bool
 }
 
 // Listed returns every server whose entry stands, leaving ones too, as the
@@ -310,7 +366,7 @@
 	var list []Listed
 	for _, r := range v.records {
 		if r.gone.IsZero() {
-			list = append(list, Listed{Entry: r.listed, At: r.listedAt})
+			list = append(list, Listed{Entry: r.listed, At: r.listedAt, Unreadable: r.unreadable})
 		}
 	}
 	return list
@@ -331,6 +387,18 @@
 	return list
 }
 
+// Ended takes in that a start of a server is over, as another one answers under its
+// name.
+func (v *View) Ended(now time.Time, id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r := v.records[id]; r != nil && r.gone.IsZero() {
+		r.gone, r.lapsing = now, time.Time{}
+		v.touch(r)
+		v.notify()
+	}
+}
+
 // Usable reports whether a server may get new work now.
 func (v *View) Usable(now time.Time, id string) bool {
 	v.mu.Lock()
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +19,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
+	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
@@ -299,3 +301,51 @@
 		return names["request"] >= 3 && names["route"] >= 3 && names["attempt"] >= 3 && names["find"] >= 1
 	}, testLimit, 10*time.Millisecond)
 }
+
+// Backend servers start again under their IDs, empty, and say when they were born. What
+// the VMs knew of the starts before, down to the number of the next order, is wrong:
+// requests for their models would be refused, and orders be taken for known. Every
+// model is loaded again and reached, and no server is ordered beyond its memory.
+func TestServersStartAgainUnderTheirIDs(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	served := func(name, model string) {
+		t.Helper()
+		for i, address := range s.Addresses() {
+			got := comeBack(ctx, t, s, address, fmt.Sprint(name, i, model), "POST", "/draft/x", model)
+			require.Equal(t, http.StatusOK, got.status, got.body)
+		}
+	}
+	for round := range 3 {
+		for _, b := range s.Backends(demo.SiteModel) {
+			b.Restart(time.UnixMilli(int64(1_000_000 + round)))
+		}
+		for _, model := range demo.SiteModels {
+			served(fmt.Sprint("restart", round), model)
+		}
+		served(fmt.Sprint("adapter", round), "m2/a1")
+	}
+	for _, b := range s.Backends(demo.SiteModel) {
+		require.False(t, b.Crashed())
+	}
+}
+
+// Another writer leaves entries that name no server, and overwrites those of servers
+// with such. Read as servers they would draw requests to nowhere; taken for the end of
+// the list they would hide the others. Requests go to the servers whose entries hold,
+// and to the others again after their next heartbeat.
+func TestEntriesOfOtherWriters(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	bad := []string{`{}`, `{"Service":5}`, `"ready"`, `{"Service":"` + demo.SitePlain + `","Address":"127.0.0.1:1","Zone":"d","Version":"v","Slots":8,"State":"resting","Sequence":1}`}
+	backends := s.Backends(demo.SitePlain)
+	for i, value := range bad {
+		for _, name := range []string{fmt.Sprint("stranger", i), backends[i%len(backends)].ID} {
+			_, err := s.Objects.Put(platform.KindServers, name, -1, json.RawMessage(value))
+			require.NoError(t, err)
+		}
+		for k, address := range s.Addresses() {
+			got := call(ctx, s, address, fmt.Sprint("bad", i, k), "GET", "/look/", "")
+			require.Equal(t, 200, got.status, got.body)
+		}
+		backends[i%len(backends)].Changed()
+	}
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -210,12 +210,15 @@
 		kind: n.config.ServerKind,
 		listed: func(now time.Time, l store.Listing) {
 			entries := make([]backs.Entry, 0, len(l.Items))
+			var unreadable []string
 			for _, o := range l.Items {
 				if e, ok := n.entry(o); ok {
 					entries = append(entries, e)
+				} else {
+					unreadable = append(unreadable, o.Name)
 				}
 			}
-			n.servers.Replace(now, entries)
+			n.servers.Replace(now, entries, unreadable...)
 		},
 		changed: n.serverChanged,
 		away:    n.servers.Away,
@@ -226,7 +229,7 @@
 func (n *Node) entry(o store.Object) (backs.Entry, bool) {
 	e, err := n.config.Entry(o)
 	if err != nil {
-		n.log.Error().Err(err).Msg("entry of a server not readable")
+		n.log.Error().Err(err).Int("version", o.Version).Msg("entry names no server to use")
 		return backs.Entry{}, false
 	}
 	return e, true
@@ -240,6 +243,7 @@
 	}
 	e, ok := n.entry(c.Object)
 	if !ok {
+		n.servers.Unreadable(c.Object.Name)
 		return
 	}
 	n.servers.Put(now, e)
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -168,7 +168,7 @@
 		c.servers = append(c.servers, server)
 	}
 	var err error
-	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, server, c.remaining(now)), c.body)
+	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, t.choice.Server.Called(), c.remaining(now)), c.body)
 	if err != nil {
 		return t.failed(ctx, "send: "+err.Error())
 	}
--- a/peers/frames.go
+++ b/peers/frames.go
@@ -48,7 +48,7 @@
 	list := make([]wire.ServerState, 0, len(states))
 	for _, s := range states {
 		state := wire.ServerState{
-			Server: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
+			Server: s.ID, Name: s.Name, BornMs: inMillis(s.Born), Unreadable: s.Unreadable, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
 			Gone: s.Gone, HoldMs: int(s.Hold.Milliseconds()), ColdMs: int(s.Cold.Milliseconds()), Models: []wire.HeldModel{},
 		}
 		for _, h := range s.Models {
@@ -60,8 +60,8 @@
 }
 
 func stateOf(s wire.ServerState) backs.State {
-	state := backs.State{Gone: s.Gone, Hold: time.Duration(s.HoldMs) * time.Millisecond, Entry: backs.Entry{
-		ID: s.Server, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
+	state := backs.State{Gone: s.Gone, Unreadable: s.Unreadable, Hold: time.Duration(s.HoldMs) * time.Millisecond, Entry: backs.Entry{
+		ID: s.Server, Name: s.Name, Born: timeOf(s.BornMs), Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
 		Cold: time.Duration(s.ColdMs) * time.Millisecond,
 	}}
 	for _, m := range s.Models {
@@ -70,6 +70,21 @@
 	return state
 }
 
+// inMillis returns Unix milliseconds, 0 for the zero time; timeOf is its reverse.
+func inMillis(t time.Time) int {
+	if t.IsZero() {
+		return 0
+	}
+	return int(t.UnixMilli())
+}
+
+func timeOf(ms int) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(ms))
+}
+
 func loadList(loads map[string]pick.Load) []wire.ServerLoad {
 	list := make([]wire.ServerLoad, 0, len(loads))
 	for id, l := range loads {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -78,6 +78,18 @@
 	draining bool
 	crashed  bool
 	strikes  *Strikes
+	// born is when it started again under its ID, the zero time before.
+	born time.Time
+}
+
+// Restart ends the process and starts the next one under the same ID: it holds and
+// knows nothing of before, and counts its orders from none. What a model order was
+// about to do is not done.
+func (b *Backend) Restart(now time.Time) {
+	b.mu.Lock()
+	b.born, b.models, b.sequence, b.busy, b.draining = now, nil, 0, false, false
+	b.mu.Unlock()
+	b.changed()
 }
 
 // Hold makes the backend hold models from its start.
@@ -130,7 +142,7 @@
 func (b *Backend) Entry() backs.Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return backs.Entry{ID: b.ID, Service: b.Service, Domain: b.Domain, Slots: b.Slots, Draining: b.draining, Models: b.held()}
+	return backs.Entry{ID: b.ID, Born: b.born, Service: b.Service, Domain: b.Domain, Slots: b.Slots, Draining: b.draining, Models: b.held()}
 }
 
 func (b *Backend) held() []backs.Held {
@@ -156,7 +168,7 @@
 func (b *Backend) Report() steer.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return steer.Report{Models: b.held(), Busy: b.busy, Sequence: b.sequence}
+	return steer.Report{Born: b.born, Models: b.held(), Busy: b.busy, Sequence: b.sequence}
 }
 
 // Order takes an order. It reports whether the answer is to be lost.
@@ -179,7 +191,7 @@
 	if !o.Unload {
 		b.charge(b.SizeMB[o.Model])
 	}
-	go b.carryOut(o)
+	go b.carryOut(b.born, o)
 	return steer.Accepted, lose
 }
 
@@ -194,9 +206,13 @@
 	}
 }
 
-func (b *Backend) carryOut(o steer.Order) {
+func (b *Backend) carryOut(born time.Time, o steer.Order) {
 	time.Sleep(b.LoadTime)
 	b.mu.Lock()
+	if !b.born.Equal(born) {
+		b.mu.Unlock()
+		return
+	}
 	b.busy = false
 	if o.Unload {
 		delete(b.models, o.Model)
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -287,15 +287,20 @@
 			continue
 		}
 		listed[e.ID] = true
-		if s := c.servers[e.ID]; s == nil {
-			c.servers[e.ID] = NewServer(e.At, e.Entry)
+		s := c.servers[e.ID]
+		if s == nil {
+			s = NewServer(e.At, e.Entry)
+			c.servers[e.ID] = s
 			added++
-		} else {
-			s.Listed(e.At, e.Entry)
+		}
+		s.Listed(e.At, e.Entry)
+		if e.Unreadable {
+			s.Doubt()
 		}
 	}
 	for id, s := range c.servers {
 		if s.entry.Service == service && !listed[id] {
+			c.restarted(now, s)
 			delete(c.servers, id)
 			delete(c.asked, id)
 		}
@@ -306,6 +311,16 @@
 	c.notify()
 }
 
+// restarted makes the next start of a server that is gone wait while an order to this
+// one may still be carried out. c.mu is held.
+func (c *Controller) restarted(now time.Time, gone *Server) {
+	for _, s := range c.servers {
+		if s != gone && s.entry.Called() == gone.entry.Called() {
+			s.Succeeds(now, gone)
+		}
+	}
+}
+
 // of returns the servers of a service in the order of their IDs. Callers must
 // not change the list.
 func (c *Controller) of(service string) []*Server { return c.sorted[service] }
--- a/steer/order.go
+++ b/steer/order.go
@@ -47,6 +47,8 @@
 
 // Report is what a server says of itself. It is some hundred milliseconds old.
 type Report struct {
+	// Born is when the server started, the zero time when it does not tell.
+	Born   time.Time
 	Models []backs.Held
 	// Pending are adapters on their way, as model and adapter.
 	Pending []backs.Held
--- a/steer/reports.go
+++ b/steer/reports.go
@@ -39,6 +39,13 @@
 	if s == nil {
 		return
 	}
+	if !r.Born.IsZero() && !r.Born.Equal(e.Born) {
+		c.Log.Info().Str("server", e.ID).Time("born", r.Born).Msg("report of another start of the server")
+		if r.Born.After(e.Born) {
+			c.Servers.Ended(c.Now(), e.ID)
+		}
+		return
+	}
 	known, sequence, changed := s.Free(asked), s.sequence, s.changed
 	s.Reported(c.Now(), asked, r)
 	if known != s.Free(asked) || sequence != s.sequence || changed != s.changed {
--- a/steer/server.go
+++ b/steer/server.go
@@ -65,8 +65,12 @@
 	loaded time.Time
 	// refused is when it refused an order last.
 	refused time.Time
-	// late is when a model load got no answer that no later order has made dead.
-	late time.Time
+	// late is when a model load got no answer that no later order has made dead,
+	// lost when any order did.
+	late, lost time.Time
+	// rests is until when it gets no orders, as one to an earlier start of the
+	// server may still be carried out.
+	rests time.Time
 	// inherited is set while the VM before may have begun a load here that this
 	// one has not seen.
 	inherited bool
@@ -241,7 +245,7 @@
 // no list until it is done, however long that takes. Only a report ends that, or the
 // server is ordered beyond its memory and crashes.
 func (s *Server) Free(now time.Time) bool {
-	if !s.refused.IsZero() && now.Sub(s.refused) < refusalRest {
+	if !s.refused.IsZero() && now.Sub(s.refused) < refusalRest || now.Before(s.rests) {
 		return false
 	}
 	return s.known && s.missed == 0 && !s.doubted && s.unclear.IsZero() && !s.underway && !now.Before(s.busy)
@@ -270,6 +274,17 @@
 	return !s.late.IsZero() && now.Sub(s.late) < lateFor
 }
 
+// Succeeds takes in that this is the next start of a server under its name. It counts
+// orders from none again, and an order to the start before that got no answer has a
+// number which may fit here once more: carried out then, on top of one that was
+// decided on without it, it exceeds the server's memory. Until it must be dead, no
+// order is given.
+func (s *Server) Succeeds(now time.Time, before *Server) {
+	if lost := before.lost; !lost.IsZero() && now.Sub(lost) < lateFor {
+		s.rests = lost.Add(lateFor)
+	}
+}
+
 // downAfter is how many reports in a row must fail for a server to count as
 // down; one is lost now and then.
 const downAfter = 2
@@ -322,7 +337,7 @@
 func (s *Server) Answered(now, sent time.Time, o Order, v Verdict, within time.Duration) {
 	switch v {
 	case Unknown:
-		s.unclear = now
+		s.unclear, s.lost = now, now
 		if !o.Unload && o.Adapter == "" {
 			s.late = now
 		}
@@ -338,7 +353,7 @@
 		return
 	case Accepted, Done:
 	}
-	s.ordered, s.changed, s.late = now, now, time.Time{}
+	s.ordered, s.changed, s.late, s.lost = now, now, time.Time{}, time.Time{}
 	if v == Accepted || o.Adapter != "" {
 		s.sequence++
 	}
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -279,6 +279,28 @@
 	require.Equal(t, 3, begun)
 }
 
+// An order gets no answer; the server crashes and starts again under its name. The
+// order may still be on its way, and the server counts orders from none again: when
+// its count has come to the order's number the lost one is carried out too, on top of
+// what was decided without it, and the memory is exceeded. The new start waits until
+// the order must be dead.
+func TestTheNextStartWaitsForALostOrder(t *testing.T) {
+	before, now := reported(at(0), "a", 0, "m1"), at(4)
+	before.Answered(at(1), at(0.7), steer.Order{Model: "m2"}, steer.Unknown, time.Second)
+	after := reported(now, "b", 0)
+	require.True(t, after.Free(now))
+	after.Succeeds(now, before)
+	require.False(t, after.Free(now))
+	require.False(t, after.Free(at(15.9)))
+	require.True(t, after.Free(at(16)))
+
+	settled := reported(at(0), "c", 0)
+	settled.Answered(at(1), at(0.7), steer.Order{Model: "m2"}, steer.Accepted, time.Second)
+	after = reported(now, "d", 0)
+	after.Succeeds(now, settled)
+	require.True(t, after.Free(now), "no order of the start before is lost")
+}
+
 // While the store is away the server's entry lapses, and the one that stands again is
 // from before a load; the next term's first report says that a load goes on. Then the
 // lease runs out and no report is asked for some seconds. Taken as over by time, the
--- a/wire/types.go
+++ b/wire/types.go
@@ -787,6 +787,9 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// Unix time of its start, 0 when not known.
+	BornMs int `json:"born_ms"`
+
 	// How much longer it is slow after its start.
 	ColdMs int `json:"cold_ms"`
 
@@ -805,6 +808,9 @@
 	// Models corresponds to the JSON schema field "models".
 	Models []HeldModel `json:"models"`
 
+	// What the platform calls it.
+	Name string `json:"name"`
+
 	// ID of the server's start.
 	Server string `json:"server"`
 
@@ -813,6 +819,9 @@
 
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots"`
+
+	// What stands in the store names no server now.
+	Unreadable bool `json:"unreadable"`
 }
 
 type ServerStatus struct {
