--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -67,7 +67,7 @@
 		g.note(c, choice, c.reason+", retry budget spent")
 		return false
 	}
-	c.predicted, c.missing = choice.Predicted, choice.Missing
+	c.choice = choice
 	ticket := g.Book.Begin(now, choice, c.work, g.tokenMemory(c))
 	t := &try{g: g, c: c, choice: choice, conn: conn, ticket: ticket}
 	ctx, span := spans.Start(ctx, "attempt", attribute.String("server", server), attribute.Int64("predicted_ms", choice.Predicted.Milliseconds()))
@@ -350,13 +350,17 @@
 	buffer := make([]byte, streamBuffer)
 	out := http.NewResponseController(w)
 	stall := t.stall()
+	var last time.Time
 	for {
 		if events.last != t.c.request.Header.Get(headerLastEvent) {
 			t.conn.Watch(stall, t.elsewhere)
 		}
 		n, err := t.resp.Body.Read(buffer)
 		if whole := events.take(buffer[:n]); len(whole) > 0 {
-			t.ticket.First(t.g.Now())
+			now := t.g.Now()
+			t.ticket.First(now)
+			t.c.sawEvents(now, last, whole)
+			last = now
 			if !t.deliver(w, out, whole) {
 				t.c.reason = "caller left"
 				return true
--- a/pass/call.go
+++ b/pass/call.go
@@ -45,11 +45,12 @@
 	budget   *retry.Window
 	broke    bool
 	reserved bool
-	// predicted is when the server picked last was to give its first event, and
-	// missing how many prompt tokens it was to read; firstEvent is when the
-	// event came.
-	predicted, firstEvent time.Duration
-	missing               int
+	// choice is what the last send was decided on; firstEvent is when the first event
+	// came, longestPause the longest time between two reads of events, events how many
+	// were passed on.
+	choice                   pick.Choice
+	firstEvent, longestPause time.Duration
+	events                   int
 	// lastEvent is the id of the last event passed to the caller, started says
 	// that the head of the answer was.
 	lastEvent string
@@ -122,6 +123,15 @@
 // bounds.
 const defaultPatience = 30 * time.Second
 
+// sawEvents notes events that came together at a time, and when the ones before did,
+// the zero time for none.
+func (c *call) sawEvents(now, last time.Time, events []byte) {
+	if !last.IsZero() {
+		c.longestPause = max(c.longestPause, now.Sub(last))
+	}
+	c.events += bytes.Count(events, eventEnd)
+}
+
 // takeRetry takes one more send from the retry budget, unless one is reserved, and
 // reports whether there was one.
 func (c *call) takeRetry(now time.Time) bool {
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -145,7 +145,10 @@
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.servers).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.uncertain).Str("reason", c.reason).
-		Dur("predicted", c.predicted).Dur("first_event", c.firstEvent).Int("missing", c.missing).Dur("held", c.waited).
+		Dur("objective", c.route.Objective).Dur("pause_limit", c.route.Gap).Int("prompt", c.work.Prompt).Int("output", c.work.Output).
+		Dur("predicted", c.choice.Predicted).Dur("queue", c.choice.Queue).Int("missing", c.choice.Missing).
+		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.Tokens).
+		Dur("first_event", c.firstEvent).Dur("longest_pause", c.longestPause).Int("events", c.events).Dur("held", c.waited).
 		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
 }
 
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -31,6 +31,12 @@
 	// reportAgain is the pause between reports while a server's state is not
 	// clear.
 	reportAgain = 200 * time.Millisecond
+	// listFills is how long after the first server of a service was listed the others
+	// are waited for: servers that start together write their entries within two
+	// heartbeats, some 2.5 s. Models of those not listed yet look as if they had no
+	// copy; loaded at once they took the places of half the copies of the busiest
+	// model, moments before its requests began.
+	listFills = 4 * time.Second
 	// defaultWindow is the window of the weight store's bound on loads.
 	defaultWindow = 5 * time.Second
 	// outputWeight is the work of an output token in prompt tokens: a step of
@@ -64,12 +70,14 @@
 	mu sync.Mutex
 	// fence is that of the present term, ended when the VM before gave its last
 	// order at the latest.
-	fence    int
-	ended    time.Time
-	servers  map[string]*Server
-	sorted   map[string][]*Server
-	busy     map[string]bool
-	asked    map[string]time.Time
+	fence   int
+	ended   time.Time
+	servers map[string]*Server
+	sorted  map[string][]*Server
+	busy    map[string]bool
+	asked   map[string]time.Time
+	// first is when the first server of a service was listed.
+	first    map[string]time.Time
 	work     map[string]*Demand
 	adapters Demand
 	ceilings map[string]*Ceiling
@@ -279,6 +287,7 @@
 	if c.servers == nil {
 		c.sorted = make(map[string][]*Server)
 		c.servers, c.busy, c.asked = make(map[string]*Server), make(map[string]bool), make(map[string]time.Time)
+		c.first = make(map[string]time.Time)
 	}
 	listed, before := make(map[string]bool), len(c.sorted[service])
 	added := 0
@@ -308,6 +317,9 @@
 	if added > 0 || len(listed) != before {
 		c.sort(service)
 	}
+	if c.first[service].IsZero() && len(listed) > 0 {
+		c.first[service] = now
+	}
 	c.notify()
 }
 
@@ -371,6 +383,9 @@
 		Work:   func(model string) float64 { return demand.Work(now, model) },
 		Spread: func(model string) float64 { return demand.Spread(now, model) },
 		Load:   c.running,
+		Awaited: func(model string) bool {
+			return now.Sub(c.first[service.Name]) < listFills && demand.Last(model).IsZero()
+		},
 		// Each load that the plan decides on counts at once: one plan may hold
 		// many, and each must see those before it.
 		Store: func() bool {
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -41,7 +41,10 @@
 	// Store reports whether one more load from the weight store may begin, and
 	// counts it as begun when it says so.
 	Store func() bool
-	Now   time.Time
+	// Awaited reports whether a model without a copy is likely at a server that is not
+	// listed yet; nil for never.
+	Awaited func(model string) bool
+	Now     time.Time
 
 	// These are counted once for each plan: with a thousand models and as many
 	// servers, counting again for each choice would take seconds.
@@ -184,9 +187,10 @@
 	have, target := p.have, p.target
 	var list []routes.Model
 	for name, m := range p.Engine.Models {
-		if have[name] < target[name] {
-			list = append(list, m)
+		if have[name] >= target[name] || have[name] == 0 && p.Awaited != nil && p.Awaited(name) {
+			continue
 		}
+		list = append(list, m)
 	}
 	slices.SortFunc(list, func(a, b routes.Model) int {
 		if none := cmp.Compare(min(have[a.Name], 1), min(have[b.Name], 1)); none != 0 {
