Copies are loaded where they even out the servers' work, ahead of a trend

Copies went to the model with the most work for each copy it has, by the demand of the last second: it had to have overtaken the others first; by then all places were filled with copies of the busiest model, and one that is in use takes two to four seconds to make way before a load of 5.8 s. Ruled out: the weight store's bound (never reached), the change of controller.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -350,7 +350,7 @@
 	buffer := make([]byte, streamBuffer)
 	out := http.NewResponseController(w)
 	stall := t.stall()
-	var last time.Time
+	var first, last time.Time
 	for {
 		if events.last != t.c.request.Header.Get(headerLastEvent) {
 			t.conn.Watch(stall, t.elsewhere)
@@ -360,7 +360,9 @@
 			now := t.g.Now()
 			t.ticket.First(now)
 			t.c.sawEvents(now, last, whole)
-			last = now
+			if last = now; first.IsZero() {
+				first = now
+			}
 			if !t.deliver(w, out, whole) {
 				t.c.reason = "caller left"
 				return true
@@ -368,6 +370,9 @@
 			t.c.lastEvent = events.last
 		}
 		if err == io.EOF {
+			if t.c.sends == 1 {
+				t.ticket.Streamed(t.c.events, last.Sub(first))
+			}
 			return t.streamEnd(w, out, events)
 		}
 		if err != nil {
--- a/pass/call.go
+++ b/pass/call.go
@@ -89,7 +89,8 @@
 	c.work.Objective = route.Objective
 	if c.service.Engine != nil {
 		c.work.Model, c.work.Adapter = n.ParseModel(r.Header.Get(n.Model))
-		c.work.Size = c.service.Engine.Size(c.work.Model)
+		c.work.Route, c.work.Size = route.Name, c.service.Engine.Size(c.work.Model)
+		c.work.Slots, c.work.Stride = c.service.Engine.Slots, c.service.Engine.StrideTokens
 		c.work.Prompt, c.work.Output = n.ParseUsage(r.Header.Get(n.Usage))
 		c.work.Parts = n.ParsePrefix(r.Header.Get(n.Prefix))
 	}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -54,8 +54,9 @@
 	Pool    *conns.Pool
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retry.Window
-	// Wanted notes the demand for a model.
-	Wanted func(service string, w pick.Work)
+	// Wanted notes the demand for a model: a request that takes some of a server's
+	// time.
+	Wanted func(service string, w pick.Work, cost time.Duration)
 	// Find asks for a server that will hold a model and adapter, and waits
 	// until it does. It returns the server's ID.
 	Find func(ctx context.Context, service, model, adapter string) (string, error)
@@ -166,7 +167,7 @@
 	c.budget = g.Budget(c.service.Name)
 	c.budget.Request(c.arrived)
 	if g.Wanted != nil && c.work.Model != "" {
-		g.Wanted(c.service.Name, c.work)
+		g.Wanted(c.service.Name, c.work, g.Book.Cost(c.work))
 	}
 	defer g.forget(c)
 	for {
--- a/peers/frames.go
+++ b/peers/frames.go
@@ -106,7 +106,7 @@
 func wantsOf(list []wire.ModelWant) []steer.Want {
 	wants := make([]steer.Want, 0, len(list))
 	for _, w := range list {
-		wants = append(wants, steer.Want{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, Tokens: w.Tokens})
+		wants = append(wants, steer.Want{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, Time: time.Duration(w.TimeUs) * time.Microsecond})
 	}
 	return wants
 }
@@ -114,7 +114,7 @@
 func wantList(wants []steer.Want) []wire.ModelWant {
 	list := make([]wire.ModelWant, 0, len(wants))
 	for _, w := range wants {
-		list = append(list, wire.ModelWant{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, Tokens: w.Tokens})
+		list = append(list, wire.ModelWant{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Requests: w.Requests, TimeUs: int(w.Time.Microseconds())})
 	}
 	return list
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -107,10 +107,10 @@
 type wantKey struct{ service, model, adapter string }
 
 // Want notes demand, for the controller.
-func (p *Peers) Want(service string, w pick.Work) {
+func (p *Peers) Want(service string, w pick.Work, cost time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addWant(steer.WantOf(service, w))
+	p.addWant(steer.Want{Service: service, Model: w.Model, Adapter: w.Adapter, Requests: 1, Time: cost})
 }
 
 // Doubt notes a server that could not be reached or did not hold what it was
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -275,7 +275,7 @@
 	key := wantKey{w.Service, w.Model, w.Adapter}
 	if sum := p.wants[key]; sum != nil {
 		sum.Requests += w.Requests
-		sum.Tokens += w.Tokens
+		sum.Time += w.Time
 		return
 	}
 	p.wants[key] = &w
--- a/pick/book.go
+++ b/pick/book.go
@@ -21,7 +21,7 @@
 	rateWeight = 0.1
 	rateLeast  = 8.0
 	rateMost   = 400.0
-	rateTokens = 800
+	rateTokens = 200
 	// runCost is what each running request adds to the time of a first token:
 	// a step grows by microseconds a request, some tens of steps lie between.
 	runCost = 300 * time.Microsecond
@@ -154,6 +154,10 @@
 	rates map[string]float64
 	// took is the usual time of an answer of each service.
 	took map[string]time.Duration
+	// lengths is how much of the most output the answers of a route have, steps the
+	// time of a token of a model.
+	lengths map[string]float64
+	steps   map[string]time.Duration
 }
 
 func (b *Book) state(id string) *state {
@@ -270,7 +274,7 @@
 
 // learn takes in that an idle server read prompt tokens of a model in a time.
 func (b *Book) learn(w Work, tokens int, took time.Duration) {
-	if tokens < rateTokens || took <= 0 {
+	if took -= firstStep; tokens < rateTokens || took <= 0 {
 		return
 	}
 	if b.rates == nil {
--- /dev/null
+++ b/pick/cost_test.go
@@ -0,0 +1,47 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+// Two models of nearly the same size run at very different paces, and their answers
+// have a third of the tokens that callers allow. Counted by tokens, the quick one got as
+// many servers as the slow one. What requests take is learned from their answers, and
+// from the quickest more than from those that waited behind prompts.
+func TestCostIsLearnedFromAnswers(t *testing.T) {
+	book := &pick.Book{Domain: "d"}
+	entry := backs.Entry{ID: "a", Service: "s", Domain: "d", Slots: 48}
+	work := func(model string) pick.Work {
+		return pick.Work{Route: "r", Model: model, Size: 1, Prompt: 600, Output: 900, Slots: 48, Stride: 6}
+	}
+	require.Equal(t, book.Cost(work("slow")), book.Cost(work("quick")))
+	now := at(0)
+	answer := func(model string, reading, step time.Duration, events int) {
+		c, ok := book.Choose(now, []backs.Entry{entry}, work(model), 0, nil)
+		require.True(t, ok)
+		ticket := book.Begin(now, c, work(model), 0)
+		now = now.Add(reading)
+		ticket.First(now)
+		took := time.Duration(events-1) * 6 * step
+		now = now.Add(took)
+		ticket.Streamed(events, took)
+		ticket.End(now, pick.Good)
+	}
+	for i := range 300 {
+		step := 5 * time.Millisecond
+		if i%2 == 0 {
+			step *= 3 // Prompts were read between.
+		}
+		answer("slow", 23*time.Millisecond, step, 50)
+		answer("quick", 11*time.Millisecond, 1500*time.Microsecond, 50)
+	}
+	// 600 tokens at 37.5 a ms, and 300 tokens of 5 ms beside 47 others.
+	require.InDelta(t, 16+31, book.Cost(work("slow")).Seconds()*1000, 8)
+	require.InDelta(t, 4+9.4, book.Cost(work("quick")).Seconds()*1000, 4)
+}
--- a/pick/work.go
+++ b/pick/work.go
@@ -18,8 +18,13 @@
 
 // Work describes a request as far as a server's time for it depends on it.
 type Work struct {
+	// Route names the kind of request: its answers are of like length.
+	Route string
 	// Model is empty for services that run no models.
 	Model, Adapter string
+	// Slots is how many requests a server works on at once, Stride how many tokens an
+	// event of a stream holds.
+	Slots, Stride int
 	// Size is the model's size against the largest of the service, 0 when
 	// unknown.
 	Size float64
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -108,6 +108,9 @@
 	// MemoryMB is for weights and adapters together.
 	MemoryMB     float64
 	AdapterSlots int
+	// HostMB and DiskMB are a server's room for copies of weights that load without the
+	// weight store, in its memory and on its disk; 0 when not known.
+	HostMB, DiskMB float64
 	// LoadsPerSecond bounds loads from the weight store over all servers.
 	LoadsPerSecond float64
 	// EventWatchers is how many waiting cache-event calls a server keeps.
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -39,9 +39,6 @@
 	listFills = 4 * time.Second
 	// defaultWindow is the window of the weight store's bound on loads.
 	defaultWindow = 5 * time.Second
-	// outputWeight is the work of an output token in prompt tokens: a step of
-	// some 5 ms serves tens of requests, a prompt token takes 1/38 ms.
-	outputWeight = 10
 )
 
 // Controller drives the servers while it holds the lease. All fields but
@@ -77,7 +74,9 @@
 	busy    map[string]bool
 	asked   map[string]time.Time
 	// first is when the first server of a service was listed.
-	first    map[string]time.Time
+	first map[string]time.Time
+	// held is when a model of a service was last seen at a server that stays.
+	held     map[string]time.Time
 	work     map[string]*Demand
 	adapters Demand
 	ceilings map[string]*Ceiling
@@ -89,15 +88,12 @@
 	notified time.Time
 }
 
-// Want is demand for a model that a VM met.
+// Want is demand for a model that a VM met: some requests, and the time of a whole
+// server that they take together.
 type Want struct {
 	Service, Model, Adapter string
-	Requests, Tokens        int
-}
-
-// WantOf returns the demand of one request.
-func WantOf(service string, w pick.Work) Want {
-	return Want{Service: service, Model: w.Model, Adapter: w.Adapter, Requests: 1, Tokens: w.Prompt + outputWeight*w.Output}
+	Requests                int
+	Time                    time.Duration
 }
 
 // Report takes in what a VM has at the servers and what its callers asked for.
@@ -110,7 +106,7 @@
 	c.total(c.loads[vm], loads)
 	c.loads[vm] = loads
 	for _, w := range wants {
-		c.demand(w.Service).Add(now, w.Model, float64(w.Tokens), w.Requests)
+		c.demand(w.Service).Add(now, w.Model, w.Time.Seconds(), w.Requests)
 		if w.Adapter != "" {
 			c.adapters.Add(now, adapterName(w.Service, w.Model, w.Adapter), float64(w.Requests), w.Requests)
 		}
@@ -287,7 +283,7 @@
 	if c.servers == nil {
 		c.sorted = make(map[string][]*Server)
 		c.servers, c.busy, c.asked = make(map[string]*Server), make(map[string]bool), make(map[string]time.Time)
-		c.first = make(map[string]time.Time)
+		c.first, c.held = make(map[string]time.Time), make(map[string]time.Time)
 	}
 	listed, before := make(map[string]bool), len(c.sorted[service])
 	added := 0
@@ -367,11 +363,35 @@
 	return ceiling
 }
 
+// noteHeld notes which models have a copy now. c.mu is held.
+func (c *Controller) noteHeld(now time.Time, service string) {
+	for _, s := range c.of(service) {
+		if s.entry.Draining || s.Down() {
+			continue
+		}
+		for name, r := range s.models {
+			if r.phase != leaving {
+				c.held[service+"/"+name] = now
+			}
+		}
+	}
+}
+
+// missing returns for how long a model has been without a copy. c.mu is held.
+func (c *Controller) missing(now time.Time, service, model string) time.Duration {
+	last, ok := c.held[service+"/"+model]
+	if !ok {
+		last = c.first[service]
+	}
+	return now.Sub(last)
+}
+
 func (c *Controller) placeModels(ctx context.Context, now time.Time, service routes.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	demand, ceiling := c.demand(service.Name), c.ceiling(service)
 	ceiling.Late, ceiling.Inherited = 0, 0
+	c.noteHeld(now, service.Name)
 	for _, s := range c.of(service.Name) {
 		if s.Late(now) {
 			ceiling.Late++
@@ -380,9 +400,13 @@
 	}
 	planner := &Planner{
 		Engine: service.Engine, Servers: c.of(service.Name), Now: now,
-		Work:   func(model string) float64 { return demand.Work(now, model) },
-		Spread: func(model string) float64 { return demand.Spread(now, model) },
-		Load:   c.running,
+		Work:   func(model string) float64 { return demand.Work(now, model) / memory(demandHalfLife) },
+		Spread: func(model string) float64 { return demand.Spread(now, model) / memory(demandHalfLife) },
+		Ahead: func(model string, while time.Duration) (then, mean float64) {
+			then, mean = demand.Ahead(now, model, while)
+			return then / memory(demandHalfLife), mean / memory(demandHalfLife)
+		},
+		Missing: func(model string) time.Duration { return c.missing(now, service.Name, model) },
 		Awaited: func(model string) bool {
 			return now.Sub(c.first[service.Name]) < listFills && demand.Last(model).IsZero()
 		},
@@ -407,6 +431,9 @@
 			}
 			continue
 		}
+		if step.For != "" {
+			step.Server.Intend(now, step.For)
+		}
 		c.startModel(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time, refused)
 	}
 }
--- a/steer/dispatch.go
+++ b/steer/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // start sends an order in the background. c.mu is held. The sequence is that
@@ -31,6 +33,16 @@
 	}()
 }
 
+// engine returns what the servers of a service can hold.
+func (c *Controller) engine(service string) *routes.Engine {
+	if t := c.Table(); t != nil {
+		if s, ok := t.Service(service); ok && s.Engine != nil {
+			return s.Engine
+		}
+	}
+	return &routes.Engine{}
+}
+
 var errNotLeading = errors.New("this VM does not hold the controllers' lease")
 
 // order sends one order and takes in its outcome. The caller has marked the
@@ -50,7 +62,7 @@
 	verdict, err := c.Commands.Send(ctx, e, o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.Answered(c.Now(), now, o, verdict, within)
+	s.Answered(c.Now(), now, c.engine(e.Service), o, verdict, within)
 	c.notify()
 	c.Meter.Count("steer.orders", 1)
 	c.Log.Info().Str("server", e.ID).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +14,8 @@
 	Server *Server
 	Unload bool
 	Model  routes.Model
+	// For is the model that an unloaded one makes way for.
+	For string
 	// Store says that the load comes from the weight store.
 	Store bool
 	Time  time.Duration
@@ -22,25 +24,27 @@
 // Planner turns demand into the next model orders of a service. It keeps
 // nothing between calls.
 //
-// Each model has at least one copy. The memory that remains goes, copy by copy,
-// to the model with the most work for each copy it has (the divisor method of
-// D'Hondt, which divides seats in proportion to votes). A copy is taken from
-// another model only when that one then still has less work a copy, by a
-// margin, and by more than chance explains: a model that gets a copy counts with
-// the least work it may have, one that loses it with the most. Otherwise dozens of
-// models move in the first second of a demand, when each was asked for a few
-// times.
+// Each model keeps at least one copy. Beyond that a copy is loaded where it evens out
+// the work of the servers by more than it costs (see balance), and a copy makes way for
+// it only when that is worth more by a margin, and by more than chance explains: a model
+// that gets a copy counts with the least work it may have, one that loses it with the
+// most. Otherwise dozens of models move in the first second of a demand, when each was
+// asked for a few times. Memory that nothing needs stays free: a model whose demand rises
+// is loaded there at once, while a copy that has to make way first waits for its runs.
 type Planner struct {
 	Engine  *routes.Engine
 	Servers []*Server
-	// Work returns the work asked for of a model lately, Spread its standard error;
-	// nil for none.
+	// Work returns the work asked for of a model lately, in servers that it keeps busy,
+	// Spread its standard error; nil for none.
 	Work, Spread func(model string) float64
-	// Load returns how much a server has to do, for the choice among equals.
-	Load func(id string) int
+	// Ahead returns the work that will be asked for after a while by the trend, and the
+	// mean until then; nil for as much as lately.
+	Ahead func(model string, while time.Duration) (then, mean float64)
 	// Store reports whether one more load from the weight store may begin, and
 	// counts it as begun when it says so.
 	Store func() bool
+	// Missing returns for how long a model has been without a copy; nil for not known.
+	Missing func(model string) time.Duration
 	// Awaited reports whether a model without a copy is likely at a server that is not
 	// listed yet; nil for never.
 	Awaited func(model string) bool
@@ -49,10 +53,10 @@
 	// These are counted once for each plan: with a thousand models and as many
 	// servers, counting again for each choice would take seconds.
 	work     map[string]estimate
-	have     map[string]int
-	target   map[string]int
 	inDomain map[domainModel]int
+	domains  int
 	staying  []stayer
+	balance  *balance
 }
 
 // stayer is a server that models can be placed on.
@@ -61,29 +65,81 @@
 	// mb is what it holds, free whether it takes orders now.
 	mb   float64
 	free bool
-	load int
 }
 
-// estimate is the least and the most work that is likely asked for of a model.
-type estimate struct{ low, high float64 }
+// estimate is the least, the expected and the most work that is asked for of a model
+// until a copy loaded now would be there.
+type estimate struct{ low, mean, high float64 }
 
 type domainModel struct{ domain, model string }
 
-// moveMargin is how much more work a copy must carry at the model that gets it
-// than at the one that loses it.
-const moveMargin = 1.5
+const (
+	// moveMargin is how much more a copy must be worth to the model that gets it than
+	// to the one that loses it.
+	moveMargin = 1.5
+	// gainLeast is what a copy must be worth to be loaded, in squares of servers: that
+	// of levelling two servers of which one has 0.3 of its time more to do.
+	gainLeast = 0.05
+	// trustTrend is how far ahead a trend is trusted: about as long as it is seen.
+	trustTrend = 6 * time.Second
+	// gainFades is the time to load over which a copy's worth falls by a third of it:
+	// most surges and shifts of demand need it within some seconds.
+	gainFades = 4 * time.Second
+	// drainTime is how long a copy that is in use takes to make way, idleTime one that
+	// is not, and idleWork the work below which it counts as not in use.
+	drainTime = 2 * time.Second
+	idleTime  = 300 * time.Millisecond
+	idleWork  = 0.02
+	// domainShare weighs a model's first copy in a failure domain, against the work of
+	// that domain's part of its callers: when the domain is cut off, they have no other.
+	domainShare = 0.5
+	// reachWorth is what the only copy of a model is worth beyond its work, for each
+	// second that it has been missing: its requests wait or are refused. At first it
+	// takes no place from a busy model: a server that crashed is mostly back, with its
+	// copies on its disk, within two or three seconds.
+	reachWorth = 0.04
+	// reachWork weighs its work.
+	reachWork = 4.0
+)
 
 // Steps returns the next orders, at most one for each server.
 func (p *Planner) Steps() []Step {
 	p.count()
-	p.target = p.targets()
 	used := make(map[*Server]bool)
+	steps := p.intents(used)
+	for again := true; again; {
+		again = false
+		for _, o := range p.options(used) {
+			// What was decided on since may have made it worth less.
+			o, ok := p.best(o.step.Model, used)
+			if !ok {
+				continue
+			}
+			if step, ok := p.take(o); ok {
+				used[step.Server] = true
+				steps = append(steps, step)
+				again = true
+			}
+		}
+	}
+	return steps
+}
+
+// intents returns the loads that places have been freed for.
+func (p *Planner) intents(used map[*Server]bool) []Step {
 	var steps []Step
-	for _, m := range p.lacking() {
-		if step, ok := p.place(m, used); ok {
-			used[step.Server] = true
-			steps = append(steps, step)
+	for i, s := range p.staying {
+		m, ok := p.Engine.Models[s.Intent(p.Now)]
+		if !ok || !s.free || s.mb+m.MB > p.Engine.MemoryMB {
+			continue
 		}
+		took, store := s.loadTime(m)
+		if store && !p.Store() {
+			continue
+		}
+		used[s.Server] = true
+		p.inDomain[domainModel{s.entry.Domain, m.Name}]++
+		steps = append(steps, Step{Server: p.staying[i].Server, Model: m, Store: store, Time: took})
 	}
 	return steps
 }
@@ -92,203 +148,197 @@
 // at servers that are leaving do not.
 func (p *Planner) count() {
 	p.work = make(map[string]estimate, len(p.Engine.Models))
-	for name := range p.Engine.Models {
-		work, spread := p.Work(name), 0.0
-		if p.Spread != nil {
-			spread = p.Spread(name)
-		}
-		p.work[name] = estimate{low: max(work-spread, 0), high: work + spread}
+	work := make(map[string]float64, len(p.Engine.Models))
+	for name, m := range p.Engine.Models {
+		p.work[name] = p.estimate(m)
+		work[name] = p.work[name].mean
 	}
-	p.have, p.inDomain, p.staying = make(map[string]int), make(map[domainModel]int), nil
+	p.inDomain, p.staying = make(map[domainModel]int), nil
+	domains := make(map[string]bool)
 	for _, s := range p.Servers {
 		if s.entry.Draining || s.Down() {
 			continue
 		}
-		p.staying = append(p.staying, stayer{Server: s, mb: s.weight(p.Engine), free: s.Free(p.Now), load: p.Load(s.entry.ID)})
+		domains[s.entry.Domain] = true
+		p.staying = append(p.staying, stayer{Server: s, mb: s.weight(p.Engine), free: s.Free(p.Now)})
 		for name, r := range s.models {
 			if r.phase != leaving {
-				p.have[name]++
 				p.inDomain[domainModel{s.entry.Domain, name}]++
 			}
 		}
 	}
+	p.domains = max(len(domains), 1)
+	p.balance = newBalance(len(p.staying), copiesOf(p.Engine, p.staying, p.Now), work)
 }
 
-// targets divides the memory of the staying servers among the models. A copy
-// that is there already counts for more than one that would have to be loaded.
-func (p *Planner) targets() map[string]int {
-	room := float64(len(p.staying)) * p.Engine.MemoryMB
-	target := make(map[string]int, len(p.Engine.Models))
-	var claims claimHeap
-	for name, m := range p.Engine.Models {
-		target[name] = 1
-		room -= m.MB
-		if p.work[name].high > 0 {
-			claims = append(claims, p.claim(m, 1))
-		}
+// estimate returns the work that is likely asked for of a model, lately or when a copy
+// loaded now would be there.
+func (p *Planner) estimate(m routes.Model) estimate {
+	work, spread := p.Work(m.Name), 0.0
+	if p.Spread != nil {
+		spread = p.Spread(m.Name)
 	}
-	heap.Init(&claims)
-	for len(claims) > 0 {
-		best := &claims[0]
-		name := best.model.Name
-		if best.score == 0 || target[name] >= len(p.staying) || best.model.MB > room {
-			heap.Pop(&claims)
-			continue
-		}
-		target[name]++
-		room -= best.model.MB
-		*best = p.claim(best.model, target[name])
-		heap.Fix(&claims, 0)
-	}
-	return target
-}
-
-// claim is what a model's next copy is worth.
-type claim struct {
-	model routes.Model
-	score float64
-}
-
-func (p *Planner) claim(m routes.Model, copies int) claim {
-	w := p.work[m.Name]
-	if copies < p.have[m.Name] {
-		return claim{model: m, score: moveMargin * w.high / float64(copies)}
+	e := estimate{low: max(work-spread, 0), mean: work, high: work + spread}
+	if p.Ahead == nil {
+		return e
 	}
-	return claim{model: m, score: w.low / float64(copies)}
-}
-
-// claimHeap has the best claim first.
-type claimHeap []claim
-
-func (h claimHeap) Len() int { return len(h) }
-
-func (h claimHeap) Less(i, j int) bool {
-	if h[i].score != h[j].score {
-		return h[i].score > h[j].score
+	then, mean := p.Ahead(m.Name, min(m.Load, trustTrend))
+	if then < work {
+		return estimate{low: min(e.low, then), mean: mean, high: mean + spread}
 	}
-	return h[i].model.Name < h[j].model.Name
+	e.low = max(e.low, then-trendSpread*spread)
+	e.mean = max(e.mean, (e.low+then)/2)
+	e.high = max(e.high, then)
+	return e
 }
 
-func (h claimHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *claimHeap) Push(x any) { *h = append(*h, x.(claim)) }
-
-// Pop implements heap.Interface.
-func (h *claimHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+// option is a way towards one more copy of a model.
+type option struct {
+	step Step
+	// server is the place of its server among those that stay.
+	server int
+	// victim is the model to unload first, "" for none.
+	victim string
+	// worth is what the copy is worth less what the victim's was, urgency the same by
+	// how soon it would be there.
+	worth, urgency float64
 }
 
-// lacking returns the models with fewer copies than wanted, those without any
-// first, then by the work that the next copy would take.
-func (p *Planner) lacking() []routes.Model {
-	have, target := p.have, p.target
-	var list []routes.Model
-	for name, m := range p.Engine.Models {
-		if have[name] >= target[name] || have[name] == 0 && p.Awaited != nil && p.Awaited(name) {
-			continue
+// options returns the best option of each model that one more copy is worth it for, the
+// worthiest first.
+func (p *Planner) options(used map[*Server]bool) []option {
+	var list []option
+	for _, m := range p.Engine.Models {
+		if o, ok := p.best(m, used); ok {
+			list = append(list, o)
 		}
-		list = append(list, m)
 	}
-	slices.SortFunc(list, func(a, b routes.Model) int {
-		if none := cmp.Compare(min(have[a.Name], 1), min(have[b.Name], 1)); none != 0 {
-			return none
-		}
-		if byWork := cmp.Compare(p.gain(b.Name), p.gain(a.Name)); byWork != 0 {
-			return byWork
-		}
-		return cmp.Compare(a.Name, b.Name)
+	slices.SortFunc(list, func(a, b option) int {
+		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.step.Model.Name, b.step.Model.Name))
 	})
 	return list
 }
 
-// gain is the least work that one more copy of a model would carry, loss the most
-// that each of the others would if it had one less.
-func (p *Planner) gain(model string) float64 {
-	return p.work[model].low / float64(p.have[model]+1)
-}
-
-func (p *Planner) loss(model string) float64 {
-	return p.work[model].high / float64(max(p.have[model]-1, 1))
-}
-
-// option is a server that could take a model.
-type option struct {
-	step Step
-	// victim is the model to unload first, "" for none.
-	victim string
-	// far is how many copies its failure domain has: copies are spread, so that
-	// a domain that is cut off or lost takes few of them along.
-	far  int
-	load int
-}
-
-// place returns the next order towards one more copy of a model.
-func (p *Planner) place(m routes.Model, used map[*Server]bool) (Step, bool) {
+// best returns the best way to one more copy of a model.
+func (p *Planner) best(m routes.Model, used map[*Server]bool) (option, bool) {
+	w, copies := p.work[m.Name], len(p.balance.copies[m.Name])
+	if copies == 0 && p.Awaited != nil && p.Awaited(m.Name) || copies > 0 && w.low*w.low < gainLeast {
+		return option{}, false
+	}
 	var best option
 	found := false
-	for _, s := range p.staying {
-		if !s.free || used[s.Server] || s.models[m.Name] != nil {
+	for i, s := range p.staying {
+		if !s.free || used[s.Server] || s.models[m.Name] != nil || s.Intent(p.Now) != "" {
 			continue
 		}
-		o, ok := p.option(s, m)
+		o, ok := p.option(i, m)
 		if ok && (!found || compareOptions(o, best) < 0) {
 			best, found = o, true
 		}
 	}
-	if !found {
-		return Step{}, false
-	}
-	if best.victim != "" {
-		p.have[best.victim]--
-		return Step{Server: best.step.Server, Unload: true, Model: p.Engine.Models[best.victim]}, true
-	}
-	if best.step.Store && !p.Store() {
-		return Step{}, false
-	}
-	p.have[m.Name]++
-	return best.step, true
+	return best, found
 }
 
 func compareOptions(a, b option) int {
 	return cmp.Or(
-		cmp.Compare(min(len(a.victim), 1), min(len(b.victim), 1)),
-		cmp.Compare(a.step.Time, b.step.Time),
-		cmp.Compare(a.far, b.far),
-		cmp.Compare(a.load, b.load),
+		cmp.Compare(b.urgency, a.urgency),
 		cmp.Compare(a.step.Server.entry.ID, b.step.Server.entry.ID),
 	)
 }
 
-func (p *Planner) option(s stayer, m routes.Model) (option, bool) {
+// option returns the way to one more copy at a server, without a victim if there is
+// room.
+func (p *Planner) option(i int, m routes.Model) (option, bool) {
+	s := p.staying[i]
 	took, store := s.loadTime(m)
-	o := option{step: Step{Server: s.Server, Model: m, Store: store, Time: took}, far: p.inDomain[domainModel{s.entry.Domain, m.Name}], load: s.load}
+	o := option{step: Step{Server: s.Server, Model: m, Store: store, Time: took}, server: i}
 	if s.mb+m.MB <= p.Engine.MemoryMB {
-		return o, true
+		return p.weigh(o, p.balance.util[i], 0, took)
 	}
-	o.victim = p.victim(s.Server, m)
-	return o, o.victim != ""
-}
-
-// victim returns the model at a server that can best spare its copy for m. The
-// last copy of a model is never taken.
-func (p *Planner) victim(s *Server, m routes.Model) string {
-	have, target := p.have, p.target
-	best, least := "", 0.0
-	gain := p.gain(m.Name)
+	var best option
+	found := false
 	for name, r := range s.models {
-		if r.phase != held || have[name] <= max(target[name], 1) {
+		if r.phase != held || len(p.balance.copies[name]) < 2 || s.mb-p.Engine.Models[name].MB+m.MB > p.Engine.MemoryMB {
 			continue
 		}
-		loss := p.loss(name)
-		if have[m.Name] > 0 && gain < moveMargin*loss {
-			continue
+		loss, util := p.balance.loss(name, i)
+		w, drain := p.work[name], drainTime
+		if w.high < idleWork {
+			drain = idleTime
 		}
-		if best == "" || loss < least || loss == least && name < best {
-			best, least = name, loss
+		if w.mean > 0 {
+			loss *= square(w.high / w.mean)
 		}
+		if p.inDomain[domainModel{s.entry.Domain, name}] < 2 {
+			loss += p.domainWorth(w.high)
+		}
+		with := o
+		with.victim = name
+		with, ok := p.weigh(with, util, loss, took+drain)
+		if ok && (!found || with.urgency > best.urgency || with.urgency == best.urgency && name < best.victim) {
+			best, found = with, true
+		}
+	}
+	return best, found
+}
+
+// weigh sets what an option is worth at a server that is filled to util without it. It
+// reports false if that is not enough.
+func (p *Planner) weigh(o option, util, loss float64, ready time.Duration) (option, bool) {
+	name := o.step.Model.Name
+	w := p.work[name]
+	gain, needed := 0.0, gainLeast
+	if len(p.balance.copies[name]) == 0 {
+		gain, needed = p.reach(name), 0
+	} else if w.mean > 0 {
+		gain = p.balance.gain(name, util) * square(w.low/w.mean)
+	}
+	if p.inDomain[domainModel{o.step.Server.entry.Domain, name}] == 0 {
+		gain += p.domainWorth(w.low)
+	}
+	margin := 1.0
+	if o.victim != "" && needed > 0 {
+		margin = moveMargin
+	}
+	o.worth = gain - margin*loss
+	o.urgency = o.worth * math.Exp(-ready.Seconds()/gainFades.Seconds())
+	return o, o.worth > 0 && o.worth >= needed
+}
+
+// reach is what the only copy of a model is worth.
+func (p *Planner) reach(model string) float64 {
+	worth := reachWorth + reachWork*p.work[model].mean
+	if p.Missing != nil {
+		worth *= 1 + p.Missing(model).Seconds()
+	}
+	return worth
+}
+
+// domainWorth is what a model's first copy in a failure domain is worth.
+func (p *Planner) domainWorth(work float64) float64 {
+	if p.domains < 2 {
+		return 0
+	}
+	return domainShare * square(work/float64(p.domains))
+}
+
+func square(x float64) float64 { return x * x }
+
+// take turns an option into the next order, and counts with its outcome from then on.
+// It reports false if the weight store bears no more loads now.
+func (p *Planner) take(o option) (Step, bool) {
+	domain := o.step.Server.entry.Domain
+	if o.victim != "" {
+		p.balance.remove(o.victim, o.server)
+		p.inDomain[domainModel{domain, o.victim}]--
+		p.balance.add(o.step.Model.Name, o.server)
+		p.inDomain[domainModel{domain, o.step.Model.Name}]++
+		return Step{Server: o.step.Server, Unload: true, Model: p.Engine.Models[o.victim], For: o.step.Model.Name}, true
+	}
+	if o.step.Store && !p.Store() {
+		return Step{}, false
 	}
-	return best
+	p.balance.add(o.step.Model.Name, o.server)
+	p.inDomain[domainModel{domain, o.step.Model.Name}]++
+	return o.step, true
 }
--- a/steer/server.go
+++ b/steer/server.go
@@ -65,6 +65,9 @@
 	loaded time.Time
 	// refused is when it refused an order last.
 	refused time.Time
+	// intent is the model that another one makes way for here, until intended.
+	intent   string
+	intended time.Time
 	// late is when a model load got no answer that no later order has made dead,
 	// lost when any order did.
 	late, lost time.Time
@@ -74,15 +77,13 @@
 	// inherited is set while the VM before may have begun a load here that this
 	// one has not seen.
 	inherited bool
-	// available and onDisk are the models with copies in the server's memory
-	// and on its disk; empty when not known for sure.
-	available map[string]bool
-	onDisk    map[string]bool
+	// stock is the copies of weights that it has; empty when not known for sure.
+	stock stock
 }
 
 // NewServer returns the state of a server by its entry.
 func NewServer(now time.Time, e backs.Entry) *Server {
-	s := &Server{entry: e, models: make(map[string]*resident), available: make(map[string]bool), onDisk: make(map[string]bool)}
+	s := &Server{entry: e, models: make(map[string]*resident)}
 	s.Listed(now, e)
 	return s
 }
@@ -230,13 +231,7 @@
 	if asked.Sub(s.loaded) < reportLag {
 		return
 	}
-	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
-	for _, m := range r.InMemory {
-		s.available[m] = true
-	}
-	for _, m := range r.OnDisk {
-		s.onDisk[m] = true
-	}
+	s.stock = stock{memory: r.InMemory, disk: r.OnDisk}
 }
 
 // Free reports whether an order may be sent: the sequence is known, no order is
@@ -310,7 +305,7 @@
 	s.known, s.unclear = false, time.Time{}
 	s.endOrder()
 	s.inherited = true
-	s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
+	s.stock = stock{}
 }
 
 // Inherited returns how many loads the VM before may have begun here after a
@@ -333,8 +328,8 @@
 func (s *Server) Sequence() int { return s.sequence }
 
 // Answered takes in the verdict on an order that was sent at a time. within is
-// how long the order takes to be carried out.
-func (s *Server) Answered(now, sent time.Time, o Order, v Verdict, within time.Duration) {
+// how long the order takes to be carried out, e what the server can hold.
+func (s *Server) Answered(now, sent time.Time, e *routes.Engine, o Order, v Verdict, within time.Duration) {
 	switch v {
 	case Unknown:
 		s.unclear, s.lost = now, now
@@ -357,14 +352,14 @@
 	if v == Accepted || o.Adapter != "" {
 		s.sequence++
 	}
-	s.apply(now, o, v, within)
+	s.apply(now, e, o, v, within)
 }
 
 // loadSlack is how far beyond its time a load may go before the server's
 // report is believed over the order: loads slow each other down.
 const loadSlack = 4
 
-func (s *Server) apply(now time.Time, o Order, v Verdict, within time.Duration) {
+func (s *Server) apply(now time.Time, e *routes.Engine, o Order, v Verdict, within time.Duration) {
 	if o.Adapter != "" {
 		r := s.models[o.Model]
 		if r == nil {
@@ -395,7 +390,7 @@
 	s.busy, s.done = now.Add(loadSlack*max(within, time.Second)), now.Add(max(within+reportLag/2, reportLag))
 	if !o.Unload {
 		s.loaded = now
-		s.available, s.onDisk = make(map[string]bool), make(map[string]bool)
+		s.stock.loaded(e, o.Model)
 		s.models[o.Model] = &resident{phase: loading, since: now, adapters: make(map[string]place)}
 		return
 	}
@@ -404,6 +399,25 @@
 	}
 }
 
+// intentFor is how long a place is kept for the model that another one makes way for:
+// until its runs have ended, and the load has been ordered.
+const intentFor = 8 * time.Second
+
+// Intend keeps a place for a model while another one makes way for it. Without that,
+// each look at the placement until it is there finds the model as short of copies as
+// before, and takes one more place for it.
+func (s *Server) Intend(now time.Time, model string) {
+	s.intent, s.intended = model, now.Add(intentFor)
+}
+
+// Intent returns the model that a place is kept for, "" for none.
+func (s *Server) Intent(now time.Time) string {
+	if s.intent == "" || !now.Before(s.intended) || s.models[s.intent] != nil {
+		return ""
+	}
+	return s.intent
+}
+
 // Has reports whether the server holds a model, and the adapter when one is
 // named, ready for requests.
 func (s *Server) Has(now time.Time, model, adapter string) bool {
@@ -461,9 +475,9 @@
 // comes from the weight store.
 func (s *Server) loadTime(m routes.Model) (time.Duration, bool) {
 	switch {
-	case s.available[m.Name] && m.Warm > 0:
+	case slices.Contains(s.stock.memory, m.Name) && m.Warm > 0:
 		return m.Warm, false
-	case (s.onDisk[m.Name] || s.available[m.Name]) && m.Disk > 0:
+	case s.stock.has(m.Name) && m.Disk > 0:
 		return m.Disk, false
 	}
 	return m.Load, true
--- a/wire/types.go
+++ b/wire/types.go
@@ -525,8 +525,8 @@
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
-	// Prompt tokens, and output tokens at their cost in prompt tokens.
-	Tokens int `json:"tokens"`
+	// Time of a whole server that they take together.
+	TimeUs int `json:"time_us"`
 }
 
 type NodeStatus struct {
