Servers whose entries are missing are logged when they are kept and when they are given up

Which of the three hypotheses held could not be read from a VM's log: a server that a list of all servers left out went without a line, and that a removed one stayed in use for two seconds was logged nowhere. No logic changes.

--- a/backs/share.go
+++ b/backs/share.go
@@ -64,8 +64,7 @@
 func (v *View) adopt(now time.Time, s State) {
 	if s.Gone {
 		if r := v.records[s.ID]; r != nil && r.gone.IsZero() {
-			r.gone, r.lapsing = now, time.Time{}
-			v.touch(r)
+			v.end(now, r)
 		}
 		return
 	}
--- a/backs/view.go
+++ b/backs/view.go
@@ -53,9 +53,21 @@
 	revision int
 }
 
+// Missing is a server whose entry is not in the store any more.
+type Missing struct {
+	// ID is that of the server's start.
+	ID string
+	// Kept says that it stays in use for now, as its entry may have lapsed.
+	Kept bool
+}
+
 // View is the servers known to a VM. The zero value works. It is safe for use
 // by several goroutines.
 type View struct {
+	// Noted is told of each server that goes missing, and again when one that was kept is
+	// given up; nil for nobody. It is called under the View's lock.
+	Noted func(Missing)
+
 	mu      sync.Mutex
 	records map[string]*record
 	// starts has the ID of the newest start of each server by what it is called.
@@ -163,8 +175,7 @@
 	}
 	v.starts[e.Called()] = e.ID
 	if r != nil && r.gone.IsZero() {
-		r.gone, r.lapsing = now, time.Time{}
-		v.touch(r)
+		v.end(now, r)
 	}
 	return true
 }
@@ -209,11 +220,24 @@
 	if lapsed && !r.drained {
 		if r.lapsing.IsZero() {
 			r.lapsing, v.settled = now, time.Time{}
+			v.note(Missing{ID: id, Kept: true})
 		}
 		return
 	}
-	r.gone = now
+	v.end(now, r)
+}
+
+// end takes a server for gone.
+func (v *View) end(now time.Time, r *record) {
+	r.gone, r.lapsing = now, time.Time{}
 	v.touch(r)
+	v.note(Missing{ID: r.entry.ID})
+}
+
+func (v *View) note(m Missing) {
+	if v.Noted != nil {
+		v.Noted(m)
+	}
 }
 
 // Replace takes in a whole list, and the names of the entries in it that can not be
@@ -248,8 +272,7 @@
 	v.settled = now
 	for id, r := range v.records {
 		if !r.lapsing.IsZero() && !v.away && !now.Before(v.back.Add(returnHold)) {
-			r.gone, r.lapsing = now, time.Time{}
-			v.touch(r)
+			v.end(now, r)
 			v.notify()
 		}
 		if !r.gone.IsZero() && now.Sub(r.gone) > forgetAfter {
@@ -326,8 +349,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if r := v.records[id]; r != nil && r.gone.IsZero() {
-		r.gone, r.lapsing = now, time.Time{}
-		v.touch(r)
+		v.end(now, r)
 		v.notify()
 	}
 }
--- a/backs/view_test.go
+++ b/backs/view_test.go
@@ -81,6 +81,23 @@
 	require.False(t, v.Usable(at(12.1), "b"))
 }
 
+// Requests reach a server that has left, and the log must tell why: whether its entry was
+// taken for one that may come back, and until when.
+func TestMissingServersAreNoted(t *testing.T) {
+	var noted []backs.Missing
+	v := backs.View{Noted: func(m backs.Missing) { noted = append(noted, m) }}
+	v.Replace(at(0), []backs.Entry{entry("a"), entry("b")})
+	v.Remove(at(1), "a")
+	require.Equal(t, []backs.Missing{{ID: "a"}}, noted)
+	v.Away()
+	v.Back(at(10))
+	v.Replace(at(10), nil)
+	v.Replace(at(11), nil)
+	require.Equal(t, []backs.Missing{{ID: "a"}, {ID: "b", Kept: true}}, noted)
+	require.Empty(t, v.All(at(12.1)))
+	require.Equal(t, []backs.Missing{{ID: "a"}, {ID: "b", Kept: true}, {ID: "b"}}, noted)
+}
+
 // A draining server whose entry lapses with the store away must not be held: it
 // was leaving.
 func TestDrainingEntriesAreNotHeld(t *testing.T) {
--- a/node/follow.go
+++ b/node/follow.go
@@ -274,6 +274,16 @@
 	return e, true
 }
 
+// noteMissing logs what becomes of a server whose entry went missing, also where another
+// VM told of it or left it out of its list.
+func (n *Node) noteMissing(m backs.Missing) {
+	text := "server gone"
+	if m.Kept {
+		text = "entry missing, server kept in use"
+	}
+	n.log.Info().Str("server", m.ID).Msg(text)
+}
+
 func (n *Node) serverChanged(now time.Time, c store.Change) {
 	if c.Deleted {
 		n.servers.Remove(now, c.Object.Name)
--- a/node/node.go
+++ b/node/node.go
@@ -127,6 +127,7 @@
 		lost: make(map[string]bool),
 	}
 	n.active.Store(s)
+	n.servers.Noted = n.noteMissing
 	n.book.Idle = n.pool.Idle
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: c.Objects,
