--- a/backs/view_test.go
+++ b/backs/view_test.go
@@ -98,6 +98,20 @@
 	require.Equal(t, []backs.Missing{{ID: "a"}, {ID: "b", Kept: true}, {ID: "b"}}, noted)
 }
 
+// A VM loses the store again right after it came back; a server that left was used for two
+// seconds from each return.
+func TestServerThatLeftIsUsedLongerByEachLossOfContact(t *testing.T) {
+	var v backs.View
+	v.Replace(at(0), []backs.Entry{entry("a"), entry("b")})
+	v.Away()
+	v.Back(at(10))
+	v.Remove(at(10.5), "a")
+	v.Away()
+	v.Back(at(11.9))
+	require.True(t, v.Usable(at(11.9), "a"))
+	require.False(t, v.Usable(at(12.1), "a"))
+}
+
 // A draining server whose entry lapses with the store away must not be held: it
 // was leaving.
 func TestDrainingEntriesAreNotHeld(t *testing.T) {
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/store"
@@ -125,3 +126,50 @@
 		cancel()
 	})
 }
+
+// A VM's connection to the store falls silent, and a server leaves meanwhile; the VM took one
+// call without an answer for an outage, in which entries lapse, and sent to that server for
+// two seconds more.
+func TestServerThatLeftIsUsedAfterOneLostCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings, err := conf.ParseNode([]byte(lockSettings))
+		require.NoError(t, err)
+		var silent, left atomic.Bool
+		n := New(Config{
+			Settings: settings, ConfigKind: "config", ServerKind: "servers", CloseIdle: func() { silent.Store(false) }, Now: time.Now, Log: zerolog.Nop(),
+			Entry: func(o store.Object) (backs.Entry, error) { return backs.Entry{ID: o.Name, Service: "s"}, nil },
+			Objects: store.Objects{
+				List: func(_ context.Context, kind string) (store.Listing, error) {
+					if kind == "config" {
+						return store.Listing{}, nil
+					}
+					return store.Listing{Items: []store.Object{{Name: "a"}, {Name: "b"}}}, nil
+				},
+				Watch: func(ctx context.Context, kind string, from int, wait time.Duration) ([]store.Change, int, error) {
+					if kind == "servers" && !silent.Load() && left.Swap(false) {
+						return []store.Change{{Object: store.Object{Name: "b"}, Deleted: true}}, from + 1, nil
+					}
+					if silent.Load() {
+						pause.For(ctx, wait+400*time.Millisecond)
+						return nil, from, &store.AwayError{Err: errors.New("no answer")}
+					}
+					pause.For(ctx, wait)
+					return nil, from, nil
+				},
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go n.followConfig(ctx)
+		go n.followServers(ctx)
+		time.Sleep(10 * time.Second)
+		require.True(t, n.servers.Usable(n.now(), "b"))
+
+		silent.Store(true)
+		left.Store(true)
+		time.Sleep(2 * time.Second)
+		require.False(t, n.servers.Usable(n.now(), "b"))
+		require.True(t, n.servers.Usable(n.now(), "a"))
+		cancel()
+	})
+}
