A list told by a VM that knew the servers all the while is the last word on those it leaves out

What callers saw: nothing yet; a server that had left got requests up to 3.2 s after the store had confirmed it, where 2 s are allowed, and could have ended in the middle of their answers.

Cause: a VM that had lost the store and its link took the next controller's list of all servers for one of a controller that had started in an outage of the store, and kept what the list left out for two seconds. Here only the VM was out of touch, and the server had left.

Change: a frame says for how long its sender has known all servers. Where that is longer than the receiver's loss of contact, a server left out is gone at once: what may have lapsed its sender keeps by itself, and lists. Otherwise all is as before. This is enough because entries are missing at both ends for one reason only, and the sender saw it.

--- a/backs/share.go
+++ b/backs/share.go
@@ -33,34 +33,54 @@
 	return list, v.revision
 }
 
-// Adopt takes in what another VM tells, which watches the store. A full list
-// names all servers there are. Right after the store's return as this VM saw it,
-// servers that the list leaves out are given time to come back: the other VM may
-// have started meanwhile, and lists only those whose entries stand again.
-func (v *View) Adopt(now time.Time, states []State, full bool) {
+// Word is what another VM tells, which watches the store.
+type Word struct {
+	States []State
+	// Full says that the states are all servers there are.
+	Full bool
+	// Age is how long ago the store told that VM last that what it knows is current.
+	Age time.Duration
+	// Known is for how long that VM has known all servers.
+	Known time.Duration
+}
+
+// Adopt takes in what another VM tells. Of the servers that a full list leaves out, those
+// stay in use for a while whose entries may have lapsed with the store away, as both this VM
+// heard nothing for long and the other one has started meanwhile: it lists only those that
+// stand again. One that knew the servers all the while keeps what may have lapsed by itself.
+func (v *View) Adopt(now time.Time, w Word) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.away {
-		v.away, v.back = false, now
-	}
-	named := make(map[string]bool, len(states))
-	for _, s := range states {
+	knew := !now.Add(-w.Known).After(v.heard)
+	v.hear(now, now.Add(-w.Age))
+	named := make(map[string]bool, len(w.States))
+	for _, s := range w.States {
 		named[s.ID] = true
 		v.adopt(now, s)
 	}
-	if full {
-		for id := range v.records {
-			if !named[id] {
-				v.remove(now, id)
-			}
-		}
-		v.caught = true
+	if w.Full {
+		v.leaveOut(now, named, knew)
+		v.catch(now)
 	}
-	if len(states) > 0 || full {
+	if len(w.States) > 0 || w.Full {
 		v.notify()
 	}
 }
 
+// leaveOut takes in that a list names only some of the servers. surely says that the others
+// have left.
+func (v *View) leaveOut(now time.Time, named map[string]bool, surely bool) {
+	for id, r := range v.records {
+		switch {
+		case named[id] || !r.gone.IsZero():
+		case surely:
+			v.end(now, r)
+		default:
+			v.remove(now, id)
+		}
+	}
+}
+
 func (v *View) adopt(now time.Time, s State) {
 	if s.Gone {
 		if r := v.records[s.ID]; r != nil && r.gone.IsZero() {
--- a/backs/view.go
+++ b/backs/view.go
@@ -76,6 +76,8 @@
 	// again.
 	away bool
 	back time.Time
+	// heard is as of when what is known was current last, known since when all servers are.
+	heard, known time.Time
 	// settled is when lapsed and forgotten entries were searched for last, zero when a
 	// search is due.
 	settled time.Time
@@ -113,11 +115,29 @@
 func (v *View) Back(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.hear(now, now)
+}
+
+// hear notes at now that what is known was current as of a time.
+func (v *View) hear(now, asOf time.Time) {
+	if asOf.After(v.heard) {
+		v.heard = asOf
+	}
 	if v.away {
 		v.away, v.back, v.settled = false, now, time.Time{}
 	}
 }
 
+// Known returns for how long all servers are known, 0 before they are.
+func (v *View) Known(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.caught {
+		return 0
+	}
+	return now.Sub(v.known)
+}
+
 // Caught reports whether a whole list has been taken in.
 func (v *View) Caught() bool {
 	v.mu.Lock()
@@ -259,11 +279,19 @@
 			v.remove(now, id)
 		}
 	}
-	v.caught = true
+	v.hear(now, now)
+	v.catch(now)
 	v.settle(now)
 	v.notify()
 }
 
+// catch notes that a whole list has been taken in.
+func (v *View) catch(now time.Time) {
+	if !v.caught {
+		v.caught, v.known = true, now
+	}
+}
+
 // settle ends the time given to lapsed entries and forgets old ones.
 func (v *View) settle(now time.Time) {
 	if since := now.Sub(v.settled); since >= 0 && since < settleEvery {
--- a/backs/view_test.go
+++ b/backs/view_test.go
@@ -55,12 +55,12 @@
 	var v backs.View
 	v.Replace(at(0), []backs.Entry{entry("a"), entry("b"), entry("c")})
 	v.Away()
-	v.Adopt(at(10), []backs.State{{Entry: entry("a")}}, true)
+	v.Adopt(at(10), backs.Word{States: []backs.State{{Entry: entry("a")}}, Full: true})
 	require.Len(t, v.Serving(at(10), "s"), 3)
-	v.Adopt(at(11), []backs.State{{Entry: entry("b")}}, false)
+	v.Adopt(at(11), backs.Word{States: []backs.State{{Entry: entry("b")}}, Full: false})
 	require.Len(t, v.Serving(at(11.9), "s"), 3)
 	require.Len(t, v.Serving(at(12.1), "s"), 2, "what is missing then is gone")
-	v.Adopt(at(20), []backs.State{{Entry: entry("a")}}, true)
+	v.Adopt(at(20), backs.Word{States: []backs.State{{Entry: entry("a")}}, Full: true})
 	require.Len(t, v.Serving(at(20), "s"), 1, "without an outage the list holds at once")
 }
 
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -121,7 +121,7 @@
 func (p *Peers) fleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.Renewed()
 	return &wire.FleetState{
-		LeaseVersion: version, Lease: record,
+		LeaseVersion: version, Lease: record, KnownMs: int(p.Servers.Known(p.Now()).Milliseconds()),
 		Servers: statesOf(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{},
 	}
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -244,6 +244,9 @@
 	// The loads are told; without it those told before stand.
 	HasLoads bool `json:"has_loads"`
 
+	// For how long the sender has known all servers.
+	KnownMs int `json:"known_ms"`
+
 	// Lease corresponds to the JSON schema field "lease".
 	Lease ControllerLease `json:"lease"`
 
