Entries are held as lapsed only after a loss of contact of two heartbeats or longer

Cause: any call to the store without an answer opened the two seconds, and the next one opened them anew for what was being held. The store takes an entry away after three heartbeats without a word of its server, so a shorter loss can not have made any lapse; what is missing then has left.

Change: the view knows as of when it was current last, and holds missing entries only where that is two heartbeats ago or longer: the last heartbeat may have been due right before the outage. The heartbeat comes from the platform's settings (new: [servers] heartbeat). In an outage of 2.4 to 3.6 s all is as it was; an entry that lapses in a shorter one, as its server was silent before, is taken for gone and waits as one that rose again.

--- a/backs/view.go
+++ b/backs/view.go
@@ -1,6 +1,7 @@
 package backs
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -10,6 +11,12 @@
 	// still come back after its return: a live server writes its entry within
 	// about two seconds.
 	returnHold = 2 * time.Second
+	// lapseBeats is how many heartbeats long an outage of the store is in which entries can
+	// have lapsed. The store takes one away after three without a word of its server, the
+	// last of which may have been due right before the outage.
+	lapseBeats = 2
+	// defaultHeartbeat is the time between two heartbeats of a server where it is not set.
+	defaultHeartbeat = 1200 * time.Millisecond
 	// ghostHold is how long an entry that was removed and stands again must
 	// last before its server gets work. A late heartbeat of a server that left
 	// lapses again after three heartbeats.
@@ -67,13 +74,15 @@
 	// Noted is told of each server that goes missing, and again when one that was kept is
 	// given up; nil for nobody. It is called under the View's lock.
 	Noted func(Missing)
+	// Heartbeat is the time between two heartbeats of a server, 0 for the default.
+	Heartbeat time.Duration
 
 	mu      sync.Mutex
 	records map[string]*record
 	// starts has the ID of the newest start of each server by what it is called.
 	starts map[string]string
 	// away is set while the store can not be reached, back is when it could be
-	// again.
+	// again after an outage in which entries can have lapsed.
 	away bool
 	back time.Time
 	// heard is as of when what is known was current last, known since when all servers are.
@@ -120,11 +129,16 @@
 
 // hear notes at now that what is known was current as of a time.
 func (v *View) hear(now, asOf time.Time) {
+	lost := now.Sub(v.heard)
 	if asOf.After(v.heard) {
 		v.heard = asOf
 	}
-	if v.away {
-		v.away, v.back, v.settled = false, now, time.Time{}
+	if !v.away {
+		return
+	}
+	v.away = false
+	if lost >= lapseBeats*cmp.Or(v.Heartbeat, defaultHeartbeat) {
+		v.back, v.settled = now, time.Time{}
 	}
 }
 
@@ -222,8 +236,8 @@
 	r.revision = v.revision
 }
 
-// Remove takes in that the entry of a server's name was removed. Right after the
-// store's return it is given time to come back.
+// Remove takes in that the entry of a server's name was removed. Right after the return of a
+// store that was away for long it is given time to come back.
 func (v *View) Remove(now time.Time, name string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -120,7 +120,7 @@
 func New(c Config) *Node {
 	s := c.Settings
 	n := &Node{
-		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{}, pool: &conns.Pool{},
+		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, pool: &conns.Pool{},
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		book:    &pick.Book{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
 		budgets: make(map[string]*retry.Window), configured: make(chan struct{}), contact: make(map[string]time.Time),
