The store counts as away when two calls in a row get no answer

Cause: each follower took its first failed call for an outage of the store. On a kept connection that says nothing of the store; and a VM that stands still finds its own time-out past and the answer unread.

Change: the first failure closes idle connections and asks again at once over a new one, within 50 ms; only the second one in a row makes the store away, with the longer pauses and the servers held as before. In an outage this is one call more for each VM and kind. The log has 'store did not answer' for a single one.

--- a/node/follow.go
+++ b/node/follow.go
@@ -15,6 +15,11 @@
 	// storeAgain is the pause before the store is tried again, half to one and
 	// a half of it, so that all VMs do not call in the same moment.
 	storeAgain = 300 * time.Millisecond
+	// onceMore is the longest pause before the second try, over another connection: the first
+	// may have failed since a connection was silent or this VM stood still.
+	onceMore = 50 * time.Millisecond
+	// awayTries is how many calls in a row must fail for the store to count as away.
+	awayTries = 2
 	// startAlone is how long a VM that starts waits for the controller to tell
 	// it everything before it asks the store: with many VMs that start at once,
 	// each asking for all servers would use the store's rate up.
@@ -58,6 +63,7 @@
 	for ctx.Err() == nil {
 		if now := n.now(); n.covered(now) || !n.peers.Leading() && now.Sub(begun) < startAlone {
 			known = false
+			n.forgetOne(w.kind)
 			pause.For(ctx, coverEvery)
 			continue
 		}
@@ -74,7 +80,7 @@
 		}
 		if err == nil {
 			known = true
-			if n.setLost(w.kind, false) {
+			if n.answered(w.kind) >= awayTries {
 				n.log.Info().Str("kind", w.kind).Int("version", from).Msg("store regained")
 			}
 			continue
@@ -87,11 +93,17 @@
 			n.log.Info().Str("kind", w.kind).Int("version", from).Msg("history gone, listing again")
 			continue
 		}
-		if !n.setLost(w.kind, true) {
+		n.config.CloseIdle()
+		failures := n.unanswered(w.kind)
+		if failures < awayTries {
+			n.log.Info().Str("kind", w.kind).Int("version", from).Err(err).Msg("store did not answer")
+			pause.For(ctx, rand.N(onceMore))
+			continue
+		}
+		if failures == awayTries {
 			n.log.Warn().Str("kind", w.kind).Int("version", from).Err(err).Msg("store lost")
 		}
 		w.away()
-		n.config.CloseIdle()
 		pause.For(ctx, time.Duration(n.peers.Slow()*float64(storeAgain/2+rand.N(storeAgain))))
 	}
 }
@@ -106,18 +118,40 @@
 // configuration's follower goes on asking.
 func (n *Node) storeAway() bool { return !n.peers.Leading() && n.isLost(n.config.ConfigKind) }
 
-func (n *Node) isLost(kind string) bool {
+// isLost reports whether the store counts as away for a kind.
+func (n *Node) isLost(kind string) bool { return n.failures(kind) >= awayTries }
+
+// failures returns how many calls for a kind failed since the last answer.
+func (n *Node) failures(kind string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failed[kind]
+}
+
+// unanswered counts a call for a kind that failed, and returns how many did in a row.
+func (n *Node) unanswered(kind string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lost[kind]
+	n.failed[kind]++
+	return n.failed[kind]
+}
+
+// forgetOne drops a single failure of long ago.
+func (n *Node) forgetOne(kind string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed[kind] < awayTries {
+		n.failed[kind] = 0
+	}
 }
 
-// setLost notes whether the store told of a kind, and returns what was noted before.
-func (n *Node) setLost(kind string, lost bool) (before bool) {
+// answered notes that the store answered for a kind, and returns how many calls had failed
+// before.
+func (n *Node) answered(kind string) (before int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	before = n.lost[kind]
-	n.lost[kind] = lost
+	before = n.failed[kind]
+	n.failed[kind] = 0
 	return before
 }
 
@@ -161,8 +195,8 @@
 	if !n.peers.Leading() {
 		wait *= aloneFactor
 	}
-	if n.isLost(w.kind) {
-		// The first answer tells that the store is back; others wait for it.
+	if n.failures(w.kind) > 0 {
+		// The first answer tells that the store is there; others wait for it.
 		wait = lostWait
 	}
 	list, next, err := n.config.Objects.Watch(ctx, w.kind, from, wait)
--- a/node/node.go
+++ b/node/node.go
@@ -102,8 +102,8 @@
 	// contact is when the store told last that what is known of a kind is
 	// current.
 	contact map[string]time.Time
-	// lost are the kinds that the store did not tell of when it was asked last.
-	lost    map[string]bool
+	// failed counts the calls in a row that the store did not answer, by kind.
+	failed  map[string]int
 	budgets map[string]*retry.Window
 
 	stopping atomic.Bool
@@ -124,7 +124,7 @@
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		book:    &pick.Book{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
 		budgets: make(map[string]*retry.Window), configured: make(chan struct{}), contact: make(map[string]time.Time),
-		lost: make(map[string]bool),
+		failed: make(map[string]int),
 	}
 	n.active.Store(s)
 	n.servers.Noted = n.noteMissing
