--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -173,3 +173,50 @@
 		cancel()
 	})
 }
+
+// The VM that steers is slow, and its calls for the servers get no answer in time for four
+// seconds while others do, so the store was there; servers that left meanwhile were used by
+// all VMs for two seconds more.
+func TestServerThatLeftIsUsedThoughTheStoreWasThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings, err := conf.ParseNode([]byte(lockSettings))
+		require.NoError(t, err)
+		var slow, left atomic.Bool
+		n := New(Config{
+			Settings: settings, ConfigKind: "config", ServerKind: "servers", CloseIdle: func() {}, Now: time.Now, Log: zerolog.Nop(),
+			Entry: func(o store.Object) (backs.Entry, error) { return backs.Entry{ID: o.Name, Service: "s"}, nil },
+			Objects: store.Objects{
+				List: func(_ context.Context, kind string) (store.Listing, error) {
+					if kind == "config" {
+						return store.Listing{}, nil
+					}
+					return store.Listing{Items: []store.Object{{Name: "a"}, {Name: "b"}}}, nil
+				},
+				Watch: func(ctx context.Context, kind string, from int, wait time.Duration) ([]store.Change, int, error) {
+					pause.For(ctx, wait)
+					switch {
+					case kind == "servers" && slow.Load():
+						return nil, from, &store.AwayError{Err: errors.New("no answer")}
+					case kind == "servers" && left.Swap(false):
+						return []store.Change{{Object: store.Object{Name: "b"}, Deleted: true}}, from + 1, nil
+					}
+					return nil, from, nil
+				},
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go n.followConfig(ctx)
+		go n.followServers(ctx)
+		time.Sleep(10 * time.Second)
+		slow.Store(true)
+		time.Sleep(4 * time.Second)
+		left.Store(true)
+		slow.Store(false)
+		time.Sleep(time.Second)
+		require.False(t, left.Load())
+		require.False(t, n.servers.Usable(n.now(), "b"))
+		require.True(t, n.servers.Usable(n.now(), "a"))
+		cancel()
+	})
+}
--- a/steer/controller_test.go
+++ b/steer/controller_test.go
@@ -112,6 +112,46 @@
 	require.Len(t, c.ceilings["s"].begun, 2)
 }
 
+// The VM that steers is slow, and its orders reach the servers half a second after it
+// decided on them; counted from the decision, more loads begin in a window than the weight
+// store bears.
+func TestOrdersOfASlowVMExceedTheBoundOnLoads(t *testing.T) {
+	c, orders := testController(func(time.Time) (int, bool) { return 5, true })
+	now := c.Now()
+	c.Now = func() time.Time { return now }
+	var calls []func()
+	c.Spawn = func(call func()) { calls = append(calls, call) }
+	send := c.Commands.Send
+	c.Commands.Send = func(ctx context.Context, e backs.Entry, o Order) (Verdict, error) {
+		now = now.Add(500 * time.Millisecond)
+		return send(ctx, e, o)
+	}
+	engine := &routes.Engine{MemoryMB: 10, AdapterSlots: 2, LoadsPerSecond: 0.2, Models: make(map[string]routes.Model)}
+	var entries []backs.Entry
+	for _, name := range []string{"m1", "m2", "m3"} {
+		engine.Models[name] = routes.Model{Name: name, MB: 10, Load: time.Second}
+		entries = append(entries, backs.Entry{ID: "at-" + name, Service: "s"})
+	}
+	c.Servers.Replace(now, entries)
+	c.sync(now, "s")
+	for _, s := range c.servers {
+		s.Reported(now, now, Report{})
+	}
+	look := func(at time.Time) int {
+		now = at
+		c.placeModels(t.Context(), at, routes.Service{Name: "s", Engine: engine})
+		for _, call := range calls {
+			call()
+		}
+		calls = nil
+		return len(orders)
+	}
+	first := now.Add(listFills)
+	require.Equal(t, 1, look(first))
+	require.Equal(t, 1, look(first.Add(defaultWindow)), "the first began half a second later")
+	require.Equal(t, 2, look(first.Add(defaultWindow+500*time.Millisecond)))
+}
+
 // A deployment starts: the VM that steers sees one server's entry, with two copies'
 // worth of a busy model, and the others follow within two seconds. Taken for the whole
 // fleet, it had its busy model unloaded to make room for the models of the servers
