Any answer of the store, or a current word of another VM, shows that it was there

What callers saw: two seconds of requests to servers that had left, from all VMs, as the VM that steers told them so.

Cause: the controller was slow for two seconds; two of its calls for the servers got no answer in time, and it held what was missing then as lapsed. Its renewals of the lease were answered all the while.

Change: every call to the store notes its answer, for whatever kind, and the word of another VM counts as of the time that it is current for. The two seconds begin only after calls have failed and nothing has told of the store for two heartbeats. In an outage of the store no VM has such a sign, so that entries that lapsed are held as before.

--- a/backs/view.go
+++ b/backs/view.go
@@ -87,6 +87,9 @@
 	back time.Time
 	// heard is as of when what is known was current last, known since when all servers are.
 	heard, known time.Time
+	// contact is when the store was last there, by an answer to any call of this VM or by
+	// the word of another one.
+	contact time.Time
 	// settled is when lapsed and forgotten entries were searched for last, zero when a
 	// search is due.
 	settled time.Time
@@ -113,15 +116,22 @@
 	}
 }
 
-// Away notes that the store can not be reached.
+// Away notes that the store does not answer calls of this VM.
 func (v *View) Away() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.away, v.settled = true, time.Time{}
 }
 
-// Back notes that the store answered.
-func (v *View) Back(now time.Time) {
+// Answered notes that the store answered a call of this VM, whatever it was for.
+func (v *View) Answered(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.met(now, now)
+}
+
+// Current notes that what is known of the servers is current.
+func (v *View) Current(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.hear(now, now)
@@ -129,10 +139,21 @@
 
 // hear notes at now that what is known was current as of a time.
 func (v *View) hear(now, asOf time.Time) {
-	lost := now.Sub(v.heard)
 	if asOf.After(v.heard) {
 		v.heard = asOf
 	}
+	v.met(now, asOf)
+}
+
+// met notes at now that the store was there at a time. Calls of this VM may have failed since
+// the VM was slow, or cut off alone: entries have lapsed only where nobody told of the store
+// for long.
+func (v *View) met(now, at time.Time) {
+	if !at.After(v.contact) {
+		return
+	}
+	lost := now.Sub(v.contact)
+	v.contact = at
 	if !v.away {
 		return
 	}
--- a/backs/view_test.go
+++ b/backs/view_test.go
@@ -71,7 +71,7 @@
 	var v backs.View
 	v.Replace(at(0), []backs.Entry{entry("a"), entry("b")})
 	v.Away()
-	v.Back(at(10))
+	v.Current(at(10))
 	v.Replace(at(10), nil)
 	require.Len(t, v.Serving(at(10.1), "s"), 2)
 	v.Put(at(11), entry("a"))
@@ -90,7 +90,7 @@
 	v.Remove(at(1), "a")
 	require.Equal(t, []backs.Missing{{ID: "a"}}, noted)
 	v.Away()
-	v.Back(at(10))
+	v.Current(at(10))
 	v.Replace(at(10), nil)
 	v.Replace(at(11), nil)
 	require.Equal(t, []backs.Missing{{ID: "a"}, {ID: "b", Kept: true}}, noted)
@@ -104,10 +104,10 @@
 	var v backs.View
 	v.Replace(at(0), []backs.Entry{entry("a"), entry("b")})
 	v.Away()
-	v.Back(at(10))
+	v.Current(at(10))
 	v.Remove(at(10.5), "a")
 	v.Away()
-	v.Back(at(11.9))
+	v.Current(at(11.9))
 	require.True(t, v.Usable(at(11.9), "a"))
 	require.False(t, v.Usable(at(12.1), "a"))
 }
@@ -120,7 +120,7 @@
 	e.Draining = true
 	v.Replace(at(0), []backs.Entry{e})
 	v.Away()
-	v.Back(at(5))
+	v.Current(at(5))
 	v.Replace(at(5), nil)
 	require.Empty(t, v.All(at(5)))
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -49,8 +49,8 @@
 	kind    string
 	listed  func(now time.Time, l store.Listing)
 	changed func(now time.Time, c store.Change)
-	away    func()
-	back    func(now time.Time)
+	// current is told that all changes up to now are known.
+	current func(now time.Time)
 }
 
 // follow lists a kind and watches it until ctx ends, except while the
@@ -103,7 +103,7 @@
 		if failures == awayTries {
 			n.log.Warn().Str("kind", w.kind).Int("version", from).Err(err).Msg("store lost")
 		}
-		w.away()
+		n.servers.Away()
 		pause.For(ctx, time.Duration(n.peers.Slow()*float64(storeAgain/2+rand.N(storeAgain))))
 	}
 }
@@ -185,7 +185,7 @@
 	}
 	now := n.now()
 	n.heard(now, w.kind)
-	w.back(now)
+	w.current(now)
 	w.listed(now, l)
 	return l.Version, nil
 }
@@ -205,7 +205,7 @@
 	}
 	now := n.now()
 	n.heard(now, w.kind)
-	w.back(now)
+	w.current(now)
 	for _, c := range list {
 		w.changed(now, c)
 	}
@@ -230,7 +230,7 @@
 				n.takeConfig(c.Object)
 			}
 		},
-		away: func() {}, back: func(time.Time) {},
+		current: func(time.Time) {},
 	}
 }
 
@@ -294,8 +294,7 @@
 			n.servers.Replace(now, entries, unreadable...)
 		},
 		changed: n.serverChanged,
-		away:    n.servers.Away,
-		back:    n.servers.Back,
+		current: n.servers.Current,
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -127,10 +127,11 @@
 		failed: make(map[string]int),
 	}
 	n.active.Store(s)
+	n.config.Objects = c.Objects.Noting(func() { n.servers.Answered(n.now()) })
 	n.servers.Noted = n.noteMissing
 	n.book.Idle = n.pool.Idle
 	n.lease = &peers.Lease{
-		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: c.Objects,
+		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: n.config.Objects,
 		Weakness: weakness(s.Float("limits", "cpu")),
 		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
 	}
--- a/peers/left_test.go
+++ b/peers/left_test.go
@@ -65,8 +65,8 @@
 			now := start
 			controller, vm := silent(&now, "a", "b"), silent(&now, "a", "b")
 			now = start.Add(10 * time.Second)
-			controller.Servers.Back(now)
-			vm.Servers.Back(now)
+			controller.Servers.Current(now)
+			vm.Servers.Current(now)
 			vm.Servers.Away()
 			now = start.Add(16 * time.Second)
 			if tc.restarted {
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -279,3 +280,44 @@
 	cancel()
 	<-done
 }
+
+// What counts as an answer decides whether the store was away: a refusal for the state of the
+// objects is one, a call that failed is none.
+func TestAnswersAreNoted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err   error
+		noted int
+	}{
+		"done":        {nil, 4},
+		"not found":   {trace.NotFound("no object"), 4},
+		"conflict":    {&store.ConflictError{}, 4},
+		"gone":        {&store.GoneError{}, 4},
+		"away":        {&store.AwayError{Err: errors.New("no answer")}, 0},
+		"answer lost": {&store.LostError{Err: errors.New("no answer")}, 0},
+		"limited":     {&store.LimitedError{}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			noted := 0
+			o := store.Objects{
+				List: func(context.Context, string) (store.Listing, error) { return store.Listing{}, tc.err },
+				Get:  func(context.Context, string, string) (store.Object, error) { return store.Object{}, tc.err },
+				Put:  func(context.Context, string, string, int, any) (int, error) { return 3, tc.err },
+				Watch: func(context.Context, string, int, time.Duration) ([]store.Change, int, error) {
+					return nil, 7, tc.err
+				},
+			}.Noting(func() { noted++ })
+			_, err := o.List(t.Context(), "k")
+			require.Equal(t, tc.err, err)
+			_, err = o.Get(t.Context(), "k", "n")
+			require.Equal(t, tc.err, err)
+			version, err := o.Put(t.Context(), "k", "n", 1, nil)
+			require.Equal(t, tc.err, err)
+			require.Equal(t, 3, version)
+			_, next, err := o.Watch(t.Context(), "k", 1, time.Second)
+			require.Equal(t, tc.err, err)
+			require.Equal(t, 7, next)
+			require.Nil(t, o.Recall)
+			require.Equal(t, tc.noted, noted)
+		})
+	}
+}
--- a/store/objects.go
+++ b/store/objects.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // Change is one event of a long-poll watch.
@@ -29,3 +31,35 @@
 	// the version to go on from.
 	Watch func(ctx context.Context, kind string, from int, wait time.Duration) ([]Change, int, error)
 }
+
+// Noting returns the same API with a function that is called at each answer of the store,
+// refusals for the state of the objects among them.
+func (o Objects) Noting(answered func()) Objects {
+	note := func(err error) {
+		if err == nil || trace.IsNotFound(err) || IsConflict(err) || IsGone(err) {
+			answered()
+		}
+	}
+	noting := o
+	noting.List = func(ctx context.Context, kind string) (Listing, error) {
+		l, err := o.List(ctx, kind)
+		note(err)
+		return l, err
+	}
+	noting.Get = func(ctx context.Context, kind, name string) (Object, error) {
+		object, err := o.Get(ctx, kind, name)
+		note(err)
+		return object, err
+	}
+	noting.Put = func(ctx context.Context, kind, name string, ifVersion int, value any) (int, error) {
+		version, err := o.Put(ctx, kind, name, ifVersion, value)
+		note(err)
+		return version, err
+	}
+	noting.Watch = func(ctx context.Context, kind string, from int, wait time.Duration) ([]Change, int, error) {
+		list, next, err := o.Watch(ctx, kind, from, wait)
+		note(err)
+		return list, next, err
+	}
+	return noting
+}
