Loads count against the weight store's bound from the answer to their order

Cause: a load counted from the moment of its decision. A VM whose processor is short sends the order tens or hundreds of milliseconds later, so that five seconds after the decision of a bulk of loads the next ones began within the window of the first.

Ruled out: loads of the VM before (one term), late orders (all answered).

Change: the time of a load moves to that of its order's answer, which comes after the load has begun; one without an answer counts from its time-out. A refused one gives back itself and not whatever was counted last.

Tests that hand the planner its count of loads return it now in place of true; what they require is unchanged.

--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -143,7 +143,12 @@
 		}
 		under = kept
 		p := &Planner{
-			Engine: engine, Servers: servers, Now: now, Store: func() bool { return len(under) < 9 },
+			Engine: engine, Servers: servers, Now: now, Store: func() *Begun {
+				if len(under) < 9 {
+					return &Begun{}
+				}
+				return nil
+			},
 			Work:   func(m string) float64 { return demand.Work(now, m) / memory(demandHalfLife) },
 			Spread: func(m string) float64 { return demand.Spread(now, m) / memory(demandHalfLife) },
 		}
@@ -222,7 +227,7 @@
 	}
 	plan := func(missing time.Duration) []Step {
 		p := &Planner{
-			Engine: engine, Servers: servers, Now: now, Store: func() bool { return true },
+			Engine: engine, Servers: servers, Now: now, Store: func() *Begun { return &Begun{} },
 			Work:    func(m string) float64 { return map[string]float64{"busy": 0.9}[m] },
 			Missing: func(string) time.Duration { return missing },
 		}
--- a/steer/ceiling.go
+++ b/steer/ceiling.go
@@ -1,6 +1,9 @@
 package steer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ceiling bounds the loads that begin at the weight store in any window.
 type Ceiling struct {
@@ -14,7 +17,13 @@
 	// window, which ended at Ended at the latest.
 	Inherited int
 	Ended     time.Time
-	begun     []time.Time
+	begun     []*Begun
+}
+
+// Begun is a load that counts.
+type Begun struct {
+	// at is when it began at the latest, as far as is known.
+	at time.Time
 }
 
 // firstLoads is how many loads may begin in the first window of a term, however
@@ -37,9 +46,9 @@
 // Allow reports whether one more load may begin now.
 func (c *Ceiling) Allow(now time.Time) bool {
 	kept := c.begun[:0]
-	for _, t := range c.begun {
-		if now.Sub(t) < c.Window {
-			kept = append(kept, t)
+	for _, b := range c.begun {
+		if now.Sub(b.at) < c.Window {
+			kept = append(kept, b)
 		}
 	}
 	c.begun = kept
@@ -52,12 +61,27 @@
 // began now, or several that come late together would exceed it.
 const lateSpared = 2
 
-// Begin notes a load that was ordered, also one whose order got no answer.
-func (c *Ceiling) Begin(now time.Time) { c.begun = append(c.begun, now) }
+// Begin counts a load that is ordered now.
+func (c *Ceiling) Begin(now time.Time) *Begun {
+	b := &Begun{at: now}
+	c.begun = append(c.begun, b)
+	return b
+}
 
-// Return gives back the load noted last, which the server refused.
-func (c *Ceiling) Return() {
-	if len(c.begun) > 0 {
-		c.begun = c.begun[:len(c.begun)-1]
+// Answered takes in the verdict on a load's order, nil for one that does not count. The load
+// counts from here on: a slow VM sends orders long after it decided on them, and counted from
+// the decision the next loads would begin within the window of these.
+func (c *Ceiling) Answered(now time.Time, b *Begun, v Verdict) {
+	switch {
+	case b == nil:
+	case v == Refused || v == Conflict:
+		c.Return(b)
+	default:
+		b.at = now
 	}
 }
+
+// Return gives back a load that was not begun.
+func (c *Ceiling) Return(b *Begun) {
+	c.begun = slices.DeleteFunc(c.begun, func(other *Begun) bool { return other == b })
+}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -330,29 +330,24 @@
 		},
 		// Each load that the plan decides on counts at once: one plan may hold
 		// many, and each must see those before it.
-		Store: func() bool {
+		Store: func() *Begun {
 			if !ceiling.Allow(now) {
-				return false
+				return nil
 			}
-			ceiling.Begin(now)
-			return true
+			return ceiling.Begin(now)
 		},
 	}
 	for _, step := range planner.Steps() {
-		var refused func()
-		if step.Store && !step.Unload {
-			refused = ceiling.Return
-		}
 		if c.busy[step.Server.entry.ID] {
-			if refused != nil {
-				refused()
-			}
+			ceiling.Return(step.Begun)
 			continue
 		}
 		if step.For != "" {
 			step.Server.Intend(now, step.For)
 		}
-		c.startModel(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time, refused)
+		c.startModel(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.Time, func(v Verdict) {
+			ceiling.Answered(c.Now(), step.Begun, v)
+		})
 	}
 }
 
--- a/steer/dispatch.go
+++ b/steer/dispatch.go
@@ -17,9 +17,8 @@
 	c.startModel(ctx, s, o, within, nil)
 }
 
-// startModel is start with a function that is called, with c.mu held, when the
-// order was surely not taken.
-func (c *Controller) startModel(ctx context.Context, s *Server, o Order, within time.Duration, refused func()) {
+// startModel is start with a function that is told the server's verdict, with c.mu held.
+func (c *Controller) startModel(ctx context.Context, s *Server, o Order, within time.Duration, answered func(Verdict)) {
 	c.busy[s.entry.ID] = true
 	o.Expect = s.sequence
 	c.spawn(func() {
@@ -27,8 +26,8 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.busy, s.entry.ID)
-		if refused != nil && (verdict == Refused || verdict == Conflict) {
-			refused()
+		if answered != nil {
+			answered(verdict)
 		}
 	})
 }
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -16,8 +16,9 @@
 	Model  routes.Model
 	// For is the model that an unloaded one makes way for.
 	For string
-	// Store says that the load comes from the weight store.
+	// Store says that the load comes from the weight store, Begun counts it there.
 	Store bool
+	Begun *Begun
 	Time  time.Duration
 }
 
@@ -40,9 +41,8 @@
 	// Ahead returns the work that will be asked for after a while by the trend, and the
 	// mean until then; nil for as much as lately.
 	Ahead func(model string, while time.Duration) (then, mean float64)
-	// Store reports whether one more load from the weight store may begin, and
-	// counts it as begun when it says so.
-	Store func() bool
+	// Store counts one more load from the weight store as begun; nil when none may begin.
+	Store func() *Begun
 	// Missing returns for how long a model has been without a copy; nil for not known.
 	Missing func(model string) time.Duration
 	// Awaited reports whether a model without a copy is likely at a server that is not
@@ -134,16 +134,26 @@
 			continue
 		}
 		took, store := s.loadTime(m)
-		if store && !p.Store() {
+		step := Step{Server: p.staying[i].Server, Model: m, Store: store, Time: took}
+		if !p.begin(&step) {
 			continue
 		}
 		used[s.Server] = true
 		p.inDomain[domainModel{s.entry.Domain, m.Name}]++
-		steps = append(steps, Step{Server: p.staying[i].Server, Model: m, Store: store, Time: took})
+		steps = append(steps, step)
 	}
 	return steps
 }
 
+// begin counts a load with the weight store. It reports false if that bears no more now.
+func (p *Planner) begin(s *Step) bool {
+	if !s.Store {
+		return true
+	}
+	s.Begun = p.Store()
+	return s.Begun != nil
+}
+
 // count takes stock: the work for each model, and the copies that stay. Those
 // at servers that are leaving do not.
 func (p *Planner) count() {
@@ -345,7 +355,7 @@
 		p.inDomain[domainModel{domain, o.step.Model.Name}]++
 		return Step{Server: o.step.Server, Unload: true, Model: p.Engine.Models[o.victim], For: o.step.Model.Name}, true
 	}
-	if o.step.Store && !p.Store() {
+	if !p.begin(&o.step) {
 		return Step{}, false
 	}
 	p.balance.add(o.step.Model.Name, o.server)
--- a/steer/plan_test.go
+++ b/steer/plan_test.go
@@ -24,7 +24,7 @@
 	return &steer.Planner{
 		Engine: e, Servers: servers, Now: now,
 		Work:  func(m string) float64 { return work[m] },
-		Store: func() bool { return true },
+		Store: func() *steer.Begun { return &steer.Begun{} },
 	}
 }
 
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -253,9 +253,9 @@
 	require.True(t, s.NeedsReport())
 	c := steer.Ceiling{Window: 5 * time.Second, PerSecond: 0.2}
 	require.True(t, c.Allow(at(0)))
-	c.Begin(at(0))
+	b := c.Begin(at(0))
 	require.False(t, c.Allow(at(1)))
-	c.Return()
+	c.Return(b)
 	require.True(t, c.Allow(at(1)))
 }
 
