Changes are told from the revision that all links have been shown

Cause: the broadcast began with the revisions that it found. Links are taken from the moment at which the lease is won, and those of a relay that becomes the controller stay: what changed between a link's first view and the first look of the new broadcast was told to nobody.

Change: the revisions that all links have been shown are kept with the links, set by the first one, and every broadcast goes on from them. A change may be told twice, which does no harm.

Test: TestChangeAsATermBeginsIsNotTold failed before, for the server and for the configuration.

--- a/peers/hub.go
+++ b/peers/hub.go
@@ -65,7 +65,8 @@
 	loads := loadList(p.totals())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.wholeView(loads)
+	frames, _, err := p.wholeView(loads)
+	return frames, err
 }
 
 var errWeaker = errors.New("the VM is far stronger than this relay, and is to link to the controller")
@@ -82,13 +83,16 @@
 	if p.relaying && p.yields(now, d.conn.Peer()) {
 		return errWeaker
 	}
-	first, err := p.wholeView(loads)
+	first, at, err := p.wholeView(loads)
 	if err != nil {
 		return err
 	}
 	for _, frame := range first {
 		d.offer(frame)
 	}
+	if len(p.links) == 0 {
+		p.shown = at
+	}
 	if p.links == nil {
 		p.links = make(map[*downlink]bool)
 	}
@@ -96,26 +100,30 @@
 	return nil
 }
 
-// wholeView returns the frames that a new link begins with. p.mu is held.
-func (p *Peers) wholeView(loads []wire.ServerLoad) ([][]byte, error) {
-	var frames [][]byte
-	if revision, value := p.Config(); revision > 0 {
+// shown are the revisions that all links have been told: of the view of servers, and of the
+// configuration.
+type shown struct{ servers, config int }
+
+// wholeView returns the frames that a new link begins with, and what they tell. p.mu is held.
+func (p *Peers) wholeView(loads []wire.ServerLoad) (frames [][]byte, at shown, err error) {
+	revision, value := p.Config()
+	if revision > 0 {
 		frame, err := configFrame(revision, value)
 		if err != nil {
-			return nil, err
+			return nil, shown{}, err
 		}
 		frames = append(frames, frame)
 	}
 	now := p.Now()
-	states, _ := p.Servers.Since(now, 0)
+	states, servers := p.Servers.Since(now, 0)
 	state := p.fleetState(states)
 	state.AgeMs, state.Vms, state.Full, state.Relayed = p.age(now), max(p.vms, 1), true, p.relaying
 	p.addLoad(state, loads)
 	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
-		return nil, err
+		return nil, shown{}, err
 	}
-	return append(frames, frame), nil
+	return append(frames, frame), shown{servers: servers, config: revision}, nil
 }
 
 func (p *Peers) fleetState(states []backs.State) *wire.FleetState {
@@ -199,9 +207,11 @@
 
 // broadcast tells all links what changes, each renewal of the lease, and at
 // intervals the load, until ctx ends. Each frame is encoded once.
+//
+// Changes are told from what all links have been shown, whenever this begins: VMs link before
+// it does, and keep their links when a relay becomes the controller. A change in between would
+// never be told.
 func (p *Peers) broadcast(ctx context.Context, renewed <-chan struct{}) {
-	_, revision := p.Servers.Since(p.Now(), 0)
-	config, _ := p.Config()
 	last := p.Now()
 	for ctx.Err() == nil {
 		changed := p.Servers.Changed()
@@ -221,11 +231,13 @@
 		}
 		wait.Stop()
 		now := p.Now()
-		if at, value := p.Config(); at > config {
-			config = at
+		before := p.shownToAll()
+		next := before
+		if at, value := p.Config(); at > before.config {
+			next.config = at
 			p.tellConfig(at, value)
 		}
-		states, next := p.Servers.Since(now, revision)
+		states, servers := p.Servers.Since(now, before.servers)
 		due := now.Sub(last) >= every
 		if due {
 			last = now
@@ -234,12 +246,25 @@
 			}
 		}
 		if len(states) > 0 || renewal || due {
-			revision = next
+			next.servers = servers
 			p.tellFleet(now, states, due)
 		}
+		p.show(next)
 	}
 }
 
+func (p *Peers) shownToAll() shown {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shown
+}
+
+func (p *Peers) show(at shown) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shown = at
+}
+
 // tellFleet tells of servers, and of their load when it is due: it is the larger
 // part of a frame, and changes of servers can come a hundred times a second.
 func (p *Peers) tellFleet(now time.Time, states []backs.State, load bool) {
--- a/peers/left_test.go
+++ b/peers/left_test.go
@@ -1,7 +1,9 @@
 package peers
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -9,6 +11,9 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/store"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -38,7 +43,7 @@
 func tell(t *testing.T, from, to *Peers) {
 	t.Helper()
 	from.mu.Lock()
-	frames, err := from.wholeView(nil)
+	frames, _, err := from.wholeView(nil)
 	from.mu.Unlock()
 	require.NoError(t, err)
 	for _, frame := range frames {
@@ -82,3 +87,46 @@
 		})
 	}
 }
+
+// A VM links to a controller whose term has just begun, and a server leaves and the
+// configuration changes before the controller begins to tell changes; the VM was never told.
+func TestChangeAsATermBeginsIsNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		p := silent(&now, "a")
+		p.Now = time.Now
+		p.Lease = &Lease{Name: "vm", Address: "vm:1", Objects: (&stand.Objects{}).Client(), Duration: time.Hour, Now: time.Now, Log: zerolog.Nop()}
+		p.Book = &pick.Book{}
+		p.Controller = &steer.Controller{Servers: p.Servers, Now: time.Now}
+		config := 1
+		p.Config = func() (int, []byte) { return config, nil }
+		p.ConfigChanged = func() <-chan struct{} { return nil }
+		for !p.Lease.Held(time.Now()) {
+			p.Lease.Step(t.Context())
+		}
+		d := &downlink{vm: "other", frames: make(chan []byte, frameQueue)}
+		require.NoError(t, p.addLink(d))
+		p.Servers.Remove(time.Now(), "a")
+		config = 2
+
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.broadcast(ctx, nil)
+		time.Sleep(time.Second)
+		told, configured := false, 0
+		for len(d.frames) > 0 {
+			m, err := link.Decode(<-d.frames)
+			require.NoError(t, err)
+			if m.ConfigState != nil {
+				configured = m.ConfigState.Revision
+				continue
+			}
+			for _, s := range m.FleetState.Servers {
+				told = told || s.Server == "a" && s.Gone
+			}
+		}
+		require.True(t, told)
+		require.Equal(t, 2, configured)
+		cancel()
+	})
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -83,7 +83,9 @@
 	asking questions
 	vms    int
 	links  map[*downlink]bool
-	up     *uplink
+	// shown is what all links have been told.
+	shown shown
+	up    *uplink
 	// fresh is as of when the word of the controller or relay is current, lent
 	// how much older than usual it may get.
 	fresh time.Time
