--- a/steer/plan.go
+++ b/steer/plan.go
@@ -86,6 +86,9 @@
 	// gainFades is the time to load over which a copy's worth falls by a third of it:
 	// most surges and shifts of demand need it within some seconds.
 	gainFades = 4 * time.Second
+	// demandLasts is how long demand stays with its models, about: the time between two of
+	// its shifts.
+	demandLasts = 14 * time.Second
 	// drainTime is how long a copy that is in use takes to make way, idleTime one that
 	// is not, and idleWork the work below which it counts as not in use.
 	drainTime = 2 * time.Second
@@ -333,7 +336,13 @@
 	}
 	o.worth = gain - margin*loss
 	o.urgency = o.worth * math.Exp(-ready.Seconds()/gainFades.Seconds())
-	return o, o.worth > 0 && o.worth >= needed
+	return o, o.worth > 0 && o.worth >= needed && (o.victim == "" || pays(gain, loss, ready))
+}
+
+// pays reports whether a copy's gain makes up for what its victim's loss costs from now on, as
+// the gain comes only when the copy is there.
+func pays(gain, loss float64, ready time.Duration) bool {
+	return gain*math.Exp(-ready.Seconds()/demandLasts.Seconds()) > loss
 }
 
 // reach is what the only copy of a model is worth.
--- a/steer/plan_test.go
+++ b/steer/plan_test.go
@@ -129,3 +129,30 @@
 	servers = append(servers, loading("d"), loading("e"))
 	require.Empty(t, steps(planner(at(1), e, work, servers...)))
 }
+
+// A copy that has callers makes way for one that is worth a little more, and that is there
+// eight seconds later, when demand has mostly moved on. From a disk it is there in time.
+func TestACopyMakesWayForOneThatComesTooLate(t *testing.T) {
+	work := map[string]float64{"low": 0.5, "high": 0.95}
+	servers := func() []*steer.Server {
+		disk := steer.NewServer(at(0), entry("a", "low"))
+		disk.Reported(at(0), at(0), steer.Report{Models: []backs.Held{{Model: "low"}}, OnDisk: []string{"high"}})
+		return []*steer.Server{disk, reported(at(0), "b", 0, "low"), reported(at(0), "c", 0, "high")}
+	}
+	for name, tc := range map[string]struct {
+		load, disk time.Duration
+		want       []string
+	}{
+		"soon": {30 * time.Second, time.Second, []string{"unload low at a"}},
+		"late": {30 * time.Second, 30 * time.Second, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := engine(10, "low", "high")
+			for n, m := range e.Models {
+				m.Load, m.Disk = tc.load, tc.disk
+				e.Models[n] = m
+			}
+			require.Equal(t, tc.want, steps(planner(at(1), e, work, servers()...)))
+		})
+	}
+}
