Log a request fingerprint that is shared by repeats

Cause: in the incident of the request that crashes its servers, no log line shows that two attempts are the same request: each attempt by a caller has a new identifier, and path, body and caller are not logged. The three hypotheses (repeats are not recognized, VMs multiply them, crashes are attributed to the server) could not be distinguished.

Ruled out: the identifier (new for each attempt), the path alone (shared by callers), headers (deadline and identifier change).

No decision changes.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -98,7 +98,7 @@
 // note logs why a try did not answer.
 func (g *Gateway) note(c *call, choice pick.Choice, reason string) {
 	c.reason = reason
-	g.Log.Info().Str("request", c.id).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
+	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
 		Dur("predicted", choice.Predicted).Int("running", choice.Load.Running).
 		Bool("may_have_run", c.uncertain).Str("reason", reason).Msg("try failed")
 }
--- a/pass/call.go
+++ b/pass/call.go
@@ -12,13 +12,17 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // call is one request of a caller on its way.
 type call struct {
-	id      string
+	id string
+	// fingerprint is shared by repeats of the same request, whose ids differ.
+	fingerprint poison.Fingerprint
+
 	request *http.Request
 	body    []byte
 	route   routes.Route
@@ -86,7 +90,7 @@
 // read.
 func newCall(now time.Time, n *Names, r *http.Request, body []byte, t *routes.Table, route routes.Route) *call {
 	c := &call{
-		id: r.Header.Get(n.ID), request: r, body: body, route: route, version: t.Version(),
+		id: r.Header.Get(n.ID), fingerprint: poison.FingerprintOf(r, body), request: r, body: body, route: route, version: t.Version(),
 		arrived: now, lastEvent: r.Header.Get(headerLastEvent),
 	}
 	c.service, _ = t.Service(route.Service(xxhash.Sum64String(c.id)))
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -142,7 +142,7 @@
 }
 
 func (g *Gateway) logEnd(c *call) {
-	g.Log.Info().Str("request", c.id).Str("route", c.route.Name).Int("config_version", c.version).
+	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("route", c.route.Name).Int("config_version", c.version).
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.servers).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.uncertain).Str("reason", c.reason).
