Failing test: a request that has crashed three servers goes on crashing others

The stand-in of a backend server crashes when it runs a request with a set body: its connections break, nothing listens for 100 ms, and it is back empty, at another address and with a new start. Bodies of the stand-in's callers differ by request, as no two of them are the same request.

--- a/demo/check.go
+++ b/demo/check.go
@@ -50,7 +50,7 @@
 		model = k.Models[rng.IntN(len(k.Models))]
 	}
 	o := Outcome{ID: id, Kind: k}
-	resp, err := s.Call(ctx, client, address, id, k.Method, k.Path, model, "body")
+	resp, err := s.Call(ctx, client, address, id, k.Method, k.Path, model, "body of "+id)
 	if err != nil {
 		o.Broken = true
 		return o
--- a/demo/site.go
+++ b/demo/site.go
@@ -37,6 +37,9 @@
 	// Front returns the address under which a backend server is listed, for a
 	// proxy before it; nil lists its own.
 	Front func(address string) (string, error)
+	// CrashOn is the body of a request that crashes each backend server which runs it, "" for
+	// none. The server starts again, empty and at another address.
+	CrashOn string
 	// Routes replaces the routes of SiteRoutes.
 	Routes []routes.Route
 	Log    zerolog.Logger
@@ -54,8 +57,11 @@
 	mu       sync.Mutex
 	backends []*stand.Backend
 	address  map[string]string
-	servers  []*http.Server
-	nodes    []*siteNode
+	// process serves each backend server that is up.
+	process map[string]*http.Server
+	servers []*http.Server
+	nodes   []*siteNode
+	closed  bool
 }
 
 // siteNode is a VM and its settings, so that it can be started again.
@@ -82,7 +88,9 @@
 	siteEvents = 8
 	siteWork   = 2 * time.Millisecond
 	siteLoad   = 60 * time.Millisecond
-	siteCount  = 3
+	// siteDown is how long a backend server that crashed is not there.
+	siteDown  = 100 * time.Millisecond
+	siteCount = 3
 )
 
 // SiteModels are the models of a Site's model servers.
@@ -112,7 +120,7 @@
 	if o.Routes == nil {
 		o.Routes = SiteRoutes()
 	}
-	s := &Site{Objects: &stand.Objects{}, Runs: &stand.Ledger{}, options: o, address: make(map[string]string)}
+	s := &Site{Objects: &stand.Objects{}, Runs: &stand.Ledger{}, options: o, address: make(map[string]string), process: make(map[string]*http.Server)}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -175,28 +183,70 @@
 		}
 		b.Hold(SiteModels[n%len(SiteModels)])
 	}
-	address, err := s.listen(platform.ServeBackend(b))
+	b.CrashOn, b.Crash = s.options.CrashOn, func() { s.crash(b) }
+	b.Changed = func() { s.enter(b) }
+	if err := s.startBackend(b); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.backends = append(s.backends, b)
+	s.mu.Unlock()
+	s.enter(b)
+	return b, nil
+}
+
+// startBackend starts the process of a backend server, at an address of its own.
+func (s *Site) startBackend(b *stand.Backend) error {
+	server, address, err := s.serve(platform.ServeBackend(b))
 	if err != nil {
-		return nil, fmt.Errorf("start backend server: %w", err)
+		return fmt.Errorf("start backend server: %w", err)
 	}
 	if s.options.Front != nil {
 		if address, err = s.options.Front(address); err != nil {
-			return nil, fmt.Errorf("front of backend server: %w", err)
+			return fmt.Errorf("front of backend server: %w", err)
 		}
 	}
-	b.Changed = func() { s.enter(b, address) }
 	s.mu.Lock()
-	s.backends = append(s.backends, b)
-	s.address[b.ID] = address
+	defer s.mu.Unlock()
+	s.address[b.ID], s.process[b.ID] = address, server
+	return nil
+}
+
+// crash ends the process of a backend server and its connections, and starts it again a
+// little later.
+func (s *Site) crash(b *stand.Backend) {
+	s.mu.Lock()
+	process := s.process[b.ID]
+	delete(s.process, b.ID)
 	s.mu.Unlock()
-	s.enter(b, address)
-	return b, nil
+	if process == nil {
+		return
+	}
+	_ = process.Close()
+	time.AfterFunc(siteDown, func() {
+		if s.isClosed() {
+			return
+		}
+		if err := s.startBackend(b); err != nil {
+			s.options.Log.Error().Err(err).Str("server", b.ID).Msg("backend server not started again")
+			return
+		}
+		b.Restart(time.Now())
+	})
+}
+
+func (s *Site) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
 }
 
 // enter writes a backend server's entry.
-func (s *Site) enter(b *stand.Backend, address string) {
+func (s *Site) enter(b *stand.Backend) {
 	e := b.Entry()
-	e.Address = address
+	s.mu.Lock()
+	e.Address = s.address[b.ID]
+	s.mu.Unlock()
 	value, err := platform.EntryValue(e)
 	if err != nil {
 		s.options.Log.Error().Err(err).Msg("entry not written")
@@ -221,16 +271,22 @@
 }
 
 func (s *Site) listen(h http.Handler) (string, error) {
+	_, address, err := s.serve(h)
+	return address, err
+}
+
+// serve serves a handler on a free port of loopback.
+func (s *Site) serve(h http.Handler) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
-		return "", fmt.Errorf("listen: %w", err)
+		return nil, "", fmt.Errorf("listen: %w", err)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	s.mu.Lock()
 	s.servers = append(s.servers, server)
 	s.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
-	return l.Addr().String(), nil
+	return server, l.Addr().String(), nil
 }
 
 // siteSettings is the settings file of a VM of a Site.
@@ -381,6 +437,9 @@
 			n.idle()
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -68,6 +68,10 @@
 	Events int
 	// Runs takes each run of a request.
 	Runs *Ledger
+	// CrashOn is the body of a request that crashes the process when it begins to run it, ""
+	// for none; Crash, when set, ends the process as callers see it.
+	CrashOn string
+	Crash   func()
 	// Changed, when set, is called after the models changed, without the lock.
 	Changed func()
 
@@ -77,7 +81,9 @@
 	busy     bool
 	draining bool
 	crashed  bool
-	strikes  *Strikes
+	// crashes counts the runs of CrashOn.
+	crashes int
+	strikes *Strikes
 	// born is when it started again under its ID, the zero time before.
 	born time.Time
 }
@@ -132,6 +138,13 @@
 	return b.crashed
 }
 
+// Crashes returns how often a request crashed the process.
+func (b *Backend) Crashes() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes
+}
+
 func (b *Backend) changed() {
 	if b.Changed != nil {
 		b.Changed()
@@ -270,11 +283,13 @@
 	TurnStray
 	// TurnForge answers without proof.
 	TurnForge
+	// TurnCrash ends the process.
+	TurnCrash
 )
 
 // Accept decides what happens with a request that names a server, a model and an
 // adapter, and notes its run.
-func (b *Backend) Accept(id, expect, model, adapter string) Turn {
+func (b *Backend) Accept(id, expect, model, adapter, body string) Turn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if expect != "" && expect != b.ID {
@@ -291,6 +306,9 @@
 	}
 	b.Runs.Note(id, b.ID)
 	switch {
+	case b.CrashOn != "" && body == b.CrashOn:
+		b.crashes++
+		return TurnCrash
 	case b.strikes.take(func(f *BackendFaults) *int { return &f.Fail }):
 		return TurnFail
 	case b.strikes.take(func(f *BackendFaults) *int { return &f.Lose }):
