Block requests that crash servers

Cause: repeats of the request were not recognized. A VM treated each attempt as a new request, sent it to two servers and attributed each crash to the server. No VM knew of the crashes that another VM had seen.

Change: when a server closes a connection, the VM records the requests in progress on it and opens a new connection to find out whether the server process has ended. It has if the connection is refused, or if the server's store entry ends within five seconds. Crashes are sent up the links to the controller with the reports. The controller counts the ended server processes by request fingerprint and distributes requests with two or more crashes together with the loads. At three crashes a request is blocked for an hour: it is refused with status 503 and a Retry-After of at least the remaining time, on arrival and immediately before a send. The lease record stores the blocked requests, so that the next controller and newly started processes know them without another call. A complete answer from any server clears a request that is not blocked. Settings: [poison] crashes, block.

The fingerprint excludes the caller's address.

Evidence: log lines "server crashed while processing a request" and "request blocked", with the fingerprint.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -96,6 +97,17 @@
 	return 0
 }
 
+// ConnectionLost reports whether an error from Send, Answer or reading an answer means that the
+// connection was closed or reset by the server or timed out, rather than closed by this VM.
+func ConnectionLost(err error) bool {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
+
 // ErrTooLong says that a body is longer than allowed.
 var ErrTooLong = errors.New("body is longer than allowed")
 
--- a/demo/site.go
+++ b/demo/site.go
@@ -37,9 +37,9 @@
 	// Front returns the address under which a backend server is listed, for a
 	// proxy before it; nil lists its own.
 	Front func(address string) (string, error)
-	// CrashOn is the body of a request that crashes each backend server which runs it, "" for
-	// none. The server starts again, empty and at another address.
-	CrashOn string
+	// CrashBody is the body of requests that crash the backend server executing them; empty for
+	// none. The server restarts without models and at a different address.
+	CrashBody string
 	// Routes replaces the routes of SiteRoutes.
 	Routes []routes.Route
 	Log    zerolog.Logger
@@ -57,11 +57,11 @@
 	mu       sync.Mutex
 	backends []*stand.Backend
 	address  map[string]string
-	// process serves each backend server that is up.
-	process map[string]*http.Server
-	servers []*http.Server
-	nodes   []*siteNode
-	closed  bool
+	// processes holds the HTTP server of each running backend server, by the backend's ID.
+	processes map[string]*http.Server
+	servers   []*http.Server
+	nodes     []*siteNode
+	closed    bool
 }
 
 // siteNode is a VM and its settings, so that it can be started again.
@@ -88,9 +88,9 @@
 	siteEvents = 8
 	siteWork   = 2 * time.Millisecond
 	siteLoad   = 60 * time.Millisecond
-	// siteDown is how long a backend server that crashed is not there.
-	siteDown  = 100 * time.Millisecond
-	siteCount = 3
+	// siteRestartDelay is the time between the crash of a backend server and its restart.
+	siteRestartDelay = 100 * time.Millisecond
+	siteCount        = 3
 )
 
 // SiteModels are the models of a Site's model servers.
@@ -120,7 +120,7 @@
 	if o.Routes == nil {
 		o.Routes = SiteRoutes()
 	}
-	s := &Site{Objects: &stand.Objects{}, Runs: &stand.Ledger{}, options: o, address: make(map[string]string), process: make(map[string]*http.Server)}
+	s := &Site{Objects: &stand.Objects{}, Runs: &stand.Ledger{}, options: o, address: make(map[string]string), processes: make(map[string]*http.Server)}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -183,7 +183,7 @@
 		}
 		b.Hold(SiteModels[n%len(SiteModels)])
 	}
-	b.CrashOn, b.Crash = s.options.CrashOn, func() { s.crash(b) }
+	b.CrashBody, b.Crash = s.options.CrashBody, func() { s.crashBackend(b) }
 	b.Changed = func() { s.enter(b) }
 	if err := s.startBackend(b); err != nil {
 		return nil, err
@@ -195,7 +195,7 @@
 	return b, nil
 }
 
-// startBackend starts the process of a backend server, at an address of its own.
+// startBackend serves a backend server at a new address.
 func (s *Site) startBackend(b *stand.Backend) error {
 	server, address, err := s.serve(platform.ServeBackend(b))
 	if err != nil {
@@ -208,27 +208,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.address[b.ID], s.process[b.ID] = address, server
+	s.address[b.ID], s.processes[b.ID] = address, server
 	return nil
 }
 
-// crash ends the process of a backend server and its connections, and starts it again a
-// little later.
-func (s *Site) crash(b *stand.Backend) {
+// crashBackend closes the listener and connections of a backend server and restarts it after
+// siteRestartDelay.
+func (s *Site) crashBackend(b *stand.Backend) {
 	s.mu.Lock()
-	process := s.process[b.ID]
-	delete(s.process, b.ID)
+	process := s.processes[b.ID]
+	delete(s.processes, b.ID)
 	s.mu.Unlock()
 	if process == nil {
 		return
 	}
 	_ = process.Close()
-	time.AfterFunc(siteDown, func() {
+	time.AfterFunc(siteRestartDelay, func() {
 		if s.isClosed() {
 			return
 		}
 		if err := s.startBackend(b); err != nil {
-			s.options.Log.Error().Err(err).Str("server", b.ID).Msg("backend server not started again")
+			s.options.Log.Error().Err(err).Str("server", b.ID).Msg("backend server not restarted")
 			return
 		}
 		b.Restart(time.Now())
@@ -275,7 +275,7 @@
 	return address, err
 }
 
-// serve serves a handler on a free port of loopback.
+// serve serves a handler on a free loopback port.
 func (s *Site) serve(h http.Handler) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
--- a/node/follow.go
+++ b/node/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/store"
 )
@@ -313,10 +314,24 @@
 	text := "server gone"
 	if m.Kept {
 		text = "entry missing, server kept in use"
+	} else {
+		n.poison.ProcessEnded(n.now(), m.ID)
 	}
 	n.log.Info().Str("server", m.ID).Msg(text)
 }
 
+// noteCrash logs and counts a server crash that this VM detected during a request.
+func (n *Node) noteCrash(c poison.Crash, crashes int) {
+	n.meter.Count("poison.crashes", 1)
+	n.log.Info().Str("fingerprint", string(c.Request)).Str("server", c.Server).Int("crashes", crashes).Msg("server crashed while processing a request")
+}
+
+// noteBlock logs and counts a request that has become blocked on this VM.
+func (n *Node) noteBlock(s poison.Suspect) {
+	n.meter.Count("poison.blocked", 1)
+	n.log.Warn().Str("fingerprint", string(s.Request)).Int("crashes", s.Crashes).Dur("for", s.BlockedFor).Msg("request blocked")
+}
+
 func (n *Node) serverChanged(now time.Time, c store.Change) {
 	if c.Deleted {
 		n.servers.Remove(now, c.Object.Name)
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/peers"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/steer"
@@ -91,6 +92,7 @@
 	control *steer.Controller
 	peers   *peers.Peers
 	lease   *peers.Lease
+	poison  *poison.Tracker
 	table   atomic.Pointer[routes.Table]
 
 	mu sync.Mutex
@@ -129,10 +131,11 @@
 	n.active.Store(s)
 	n.config.Objects = c.Objects.Noting(func() { n.servers.Answered(n.now()) })
 	n.servers.Noted = n.noteMissing
+	n.poison = &poison.Tracker{CrashLimit: s.Int("poison", "crashes"), BlockDuration: s.Duration("poison", "block"), OnCrash: n.noteCrash, OnBlock: n.noteBlock}
 	n.book.Idle = n.pool.Idle
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: n.config.Objects,
-		Weakness: weakness(s.Float("limits", "cpu")),
+		Weakness: weakness(s.Float("limits", "cpu")), Poison: n.poison,
 		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
 	}
 	n.control = &steer.Controller{
@@ -144,13 +147,13 @@
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.configValue, ConfigChanged: n.configChanged, Configure: n.configure, Current: n.current, StoreAway: n.storeAway,
-		Controller: n.control, Servers: n.servers, Book: n.book, Now: c.Now, Log: n.log, Meter: n.meter,
+		Controller: n.control, Servers: n.servers, Book: n.book, Poison: n.poison, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.lease.Count = n.peers.VMs
 	n.closing, n.endWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
 		Closing: n.closing,
-		Names:   c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Budget: n.budget,
+		Names:   c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Poison: n.poison, Budget: n.budget,
 		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, VMs: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -37,6 +37,7 @@
 	conn, err := g.connect(ctx, now, server, choice.Server.Address, !c.route.Repeatable())
 	if err != nil {
 		g.Book.Unreached(g.Now(), choice.Server)
+		g.noteConnectionRefused(choice.Server, err)
 		g.doubt(server)
 		g.note(c, choice, "not connected: "+err.Error())
 		c.avoid = append(c.avoid, server)
@@ -57,6 +58,10 @@
 		c.avoid = append(c.avoid, server)
 		return false
 	}
+	if g.blocked(now, c) {
+		g.Pool.Return(now, conn)
+		return false
+	}
 	// Only what reaches a server feeds an overload, so only sends draw on the
 	// budget and failed connections do not.
 	if c.sends > 0 && !c.takeRetry(now) {
@@ -122,6 +127,9 @@
 func (t *try) finish() {
 	now := t.g.Now()
 	t.ticket.End(now, t.verdict)
+	if t.whole && t.verdict != pick.Refused {
+		t.g.Poison.Answered(now, t.c.fingerprint)
+	}
 	if t.exchange == nil {
 		t.g.Pool.Discard(t.conn)
 		return
@@ -168,11 +176,11 @@
 	var err error
 	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, t.choice.Server.Called(), c.remaining(now)), c.body)
 	if err != nil {
-		return t.failed(ctx, "send: "+err.Error())
+		return t.connectionLost(ctx, "send: "+err.Error(), err)
 	}
 	t.conn.Watch(t.patience(), t.elsewhere)
 	if err := t.answer(); err != nil {
-		return t.failed(ctx, err.Error())
+		return t.connectionLost(ctx, err.Error(), err)
 	}
 	t.conn.Watch(0, nil)
 	if t.notRun() {
@@ -298,7 +306,7 @@
 func (t *try) plain(ctx context.Context, w http.ResponseWriter) bool {
 	body, err := conns.ReadAll(t.resp.Body, answerLimit)
 	if err != nil {
-		return t.failed(ctx, err.Error())
+		return t.connectionLost(ctx, err.Error(), err)
 	}
 	t.whole = true
 	t.verdict = pick.Good
--- a/pass/call.go
+++ b/pass/call.go
@@ -20,7 +20,7 @@
 // call is one request of a caller on its way.
 type call struct {
 	id string
-	// fingerprint is shared by repeats of the same request, whose ids differ.
+	// fingerprint is shared by repeats of the same request, even if their ids differ.
 	fingerprint poison.Fingerprint
 
 	request *http.Request
@@ -69,6 +69,8 @@
 	// again, 0 for soon.
 	heldSince        time.Time
 	waited, comeBack time.Duration
+	// blocked is set when the request is not sent to servers because of earlier crashes.
+	blocked bool
 	// sought is how long it waited for a server with its model or adapter.
 	sought time.Duration
 	// failed is a failure that a server answered with and that no later try has
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -54,6 +54,9 @@
 		if c.remaining(now) <= 0 || ctx.Err() != nil {
 			return pick.Choice{}, errNoTime
 		}
+		if g.blocked(now, c) {
+			return pick.Choice{}, errBlocked
+		}
 		changed := g.Servers.Changed()
 		serving := g.Servers.Serving(now, c.service.Name)
 		if choice, ok := g.pick(now, c, serving); ok {
--- /dev/null
+++ b/pass/crash.go
@@ -0,0 +1,80 @@
+package pass
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/conns"
+)
+
+// errBlocked is the reason for refusing a blocked request.
+var errBlocked = errors.New("servers crashed when they ran this request")
+
+// blocked reports whether a call's request is blocked, and if so sets the call's reason and
+// remaining block time.
+func (g *Gateway) blocked(now time.Time, c *call) bool {
+	remaining := g.Poison.BlockedFor(now, c.fingerprint)
+	if remaining == 0 {
+		return false
+	}
+	c.blocked, c.reason, c.comeBack = true, errBlocked.Error(), remaining
+	return true
+}
+
+// connectionLost marks a try as failed by a connection error. If this VM did not close the
+// connection, the server may have crashed, so it is probed with a new connection.
+func (t *try) connectionLost(ctx context.Context, reason string, err error) bool {
+	g := t.g
+	if now := g.Now(); ctx.Err() == nil && conns.ConnectionLost(err) && g.Servers.Usable(now, t.choice.Server.ID) {
+		g.Poison.ConnectionLost(now, t.c.fingerprint, t.choice.Server.ID)
+		go g.probeServer(t.choice.Server)
+	}
+	return t.failed(ctx, reason)
+}
+
+// probeServer opens a connection to a server to find out whether its process has ended. Requests
+// that fail at the same time share one probe.
+func (g *Gateway) probeServer(server backs.Entry) {
+	if !g.beginProbe(server.ID) {
+		return
+	}
+	defer g.endProbe(server.ID)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := g.Pool.Dial(ctx, server.ID, server.Address)
+	if err != nil {
+		g.noteConnectionRefused(server, err)
+		return
+	}
+	g.Pool.Keep(g.Now(), conn, 0)
+}
+
+// noteConnectionRefused records that a server process has ended if err is a refused connection.
+// Other errors may come from a failed host or network path.
+func (g *Gateway) noteConnectionRefused(server backs.Entry, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.Poison.ProcessEnded(g.Now(), server.ID)
+	}
+}
+
+func (g *Gateway) beginProbe(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.probing[server] {
+		return false
+	}
+	if g.probing == nil {
+		g.probing = make(map[string]bool)
+	}
+	g.probing[server] = true
+	return true
+}
+
+func (g *Gateway) endProbe(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.probing, server)
+}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/spans"
@@ -52,6 +53,8 @@
 	Servers *backs.View
 	Book    *pick.Book
 	Pool    *conns.Pool
+	// Poison tracks server crashes by request and blocks requests that cause them.
+	Poison *poison.Tracker
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retry.Window
 	// Wanted notes the demand for a model: a request that takes some of a server's
@@ -77,6 +80,9 @@
 	rng *rand.Rand
 	// held counts the requests that wait for room, by service and model.
 	held map[string]int
+	// probing holds the servers to which a connection is being opened to find out whether their
+	// process has ended.
+	probing map[string]bool
 }
 
 const (
@@ -164,6 +170,11 @@
 		span.SetAttributes(attribute.Int("status", c.status), attribute.Int("sends", c.sends))
 		spans.End(span, c.failure())
 	}()
+	if g.blocked(c.arrived, c) {
+		g.Meter.Count("pass.blocked", 1)
+		g.fail(ctx, w, c)
+		return
+	}
 	c.budget = g.Budget(c.service.Name)
 	c.budget.Request(c.arrived)
 	if g.Wanted != nil && c.work.Model != "" {
@@ -208,7 +219,10 @@
 	if ctx.Err() != nil || c.sends >= maxSends || c.tries >= maxTries {
 		return false
 	}
-	return !c.broke && !c.left && (!c.uncertain || c.route.Repeatable())
+	if c.broke || c.left || g.blocked(g.Now(), c) {
+		return false
+	}
+	return !c.uncertain || c.route.Repeatable()
 }
 
 // fail gives the final answer of a request that got none from a server, or only a
@@ -246,7 +260,11 @@
 	if c.id != "" {
 		w.Header().Set(g.Names.ID, c.id)
 	}
-	http.Error(w, callerTexts[c.status], c.status)
+	text := callerTexts[c.status]
+	if c.blocked && !c.uncertain {
+		text = errBlocked.Error() + "; it was not run, and is not before the time in " + headerRetryAfter
+	}
+	http.Error(w, text, c.status)
 }
 
 // stopping reports whether this VM stops: it then closes its callers' connections itself.
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -46,7 +46,7 @@
 			return t.streamEnd(w, out, events)
 		}
 		if err != nil {
-			return t.failed(ctx, "stream broke off: "+err.Error())
+			return t.connectionLost(ctx, "stream broke off: "+err.Error(), err)
 		}
 	}
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -138,6 +138,7 @@
 func (p *Peers) addLoad(state *wire.FleetState, loads []wire.ServerLoad) {
 	state.Loads, state.HasLoads = loads, true
 	state.PauseMs = int(interval(len(p.links)).Milliseconds())
+	state.Suspects = suspectList(p.Poison.Suspects(p.Now()))
 	state.Relays = p.relays
 	if !p.relaying {
 		state.Relays = p.chooseRelays()
@@ -172,6 +173,9 @@
 
 // take handles one frame of another VM.
 func (p *Peers) take(ctx context.Context, d *downlink, m *wire.Message) {
+	if m.VMReport != nil {
+		p.mergeCrashes(m.VMReport)
+	}
 	switch {
 	case m.VMReport != nil && p.isRelaying():
 		p.branchReport(d.vm, m.VMReport)
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart/lease"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/store"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -60,8 +61,11 @@
 	Weakness time.Duration
 	// Count returns how many VMs there are, for the record; nil for not known.
 	Count func() int
-	Now   func() time.Time
-	Log   zerolog.Logger
+	// Poison tracks blocked requests. The record stores them, so that the next holder and VMs
+	// that start also block them. If nil, the record stores none.
+	Poison *poison.Tracker
+	Now    func() time.Time
+	Log    zerolog.Logger
 
 	mu sync.Mutex
 	// freeSince is when the lease was first seen to be free.
@@ -237,6 +241,9 @@
 		l.freeSince = time.Time{}
 	}
 	l.record = record
+	if l.Poison != nil {
+		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
+	}
 	l.keeper.Observe(l.Now(), version, lease.Record{
 		Holder: record.Holder, Boot: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
 	})
@@ -279,6 +286,9 @@
 		Holder: next.Holder, Boot: next.Boot, DurationMs: next.DurationMs, Renewals: next.Renewals,
 		Address: l.Address, Key: l.key, Vms: vms,
 	}
+	if l.Poison != nil {
+		record.Blocked = blockedList(l.Poison.Suspects(begun))
+	}
 	got, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peers/lease_test.go
+++ b/peers/lease_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/peers"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/store"
 )
@@ -172,3 +173,25 @@
 		})
 	}
 }
+
+// Guards against losing blocked requests when the controller dies or all processes end at once:
+// the lease record must restore them.
+func TestBlockedRequestsSurviveControllerChange(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.Objects{}
+	a, b, c := newLease(clock, o, "1"), newLease(clock, o, "2"), newLease(clock, o, "3")
+	a.Poison, b.Poison, c.Poison = &poison.Tracker{}, &poison.Tracker{}, &poison.Tracker{}
+	const request = poison.Fingerprint("aa")
+	a.Step(t.Context())
+	a.Poison.MergeSuspects(clock.Now(), []poison.Suspect{{Request: request, Crashes: 3, BlockedFor: time.Hour}, {Request: "bb", Crashes: 2}})
+	clock.advance(time.Second / 2)
+	a.Step(t.Context())
+	for range 80 {
+		clock.advance(100 * time.Millisecond)
+		b.Step(t.Context())
+	}
+	require.True(t, mayOrder(b, clock.Now()))
+	require.InDelta(t, time.Hour, b.Poison.BlockedFor(clock.Now(), request), float64(10*time.Second))
+	require.Zero(t, b.Poison.BlockedFor(clock.Now(), "bb"))
+	c.Step(t.Context())
+	require.InDelta(t, time.Hour, c.Poison.BlockedFor(clock.Now(), request), float64(10*time.Second), "restored from the record written by the next holder")
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -60,6 +61,8 @@
 	Controller *steer.Controller
 	Servers    *backs.View
 	Book       *pick.Book
+	// Poison tracks server crashes by request and blocks requests that cause them.
+	Poison *poison.Tracker
 	// Config returns the configuration in force as the store holds it, and its
 	// revision; ConfigChanged is closed when it changes, and Configure puts one
 	// in force that the controller told.
@@ -301,6 +304,9 @@
 		own := p.Book.Own()
 		p.Controller.Report(now, p.Name, own, p.takeWants())
 		p.Controller.Doubt(p.takeDoubts())
+		// The controller's tracker already merges the reports of all VMs, so its own report is
+		// discarded.
+		p.Poison.TakeReport()
 		p.Book.Others(now, pick.Minus(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ShownSince(now, since) {
 			p.Servers.Hold(now, s.Server, s.Models)
--- /dev/null
+++ b/peers/suspects.go
@@ -0,0 +1,67 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/wire"
+)
+
+// maxSuspects bounds the suspect requests in a frame and in the lease record. Blocked requests
+// take precedence.
+const maxSuspects = 64
+
+// mergeCrashes adds the crashes and answered requests of another VM's report to the tracker.
+func (p *Peers) mergeCrashes(r *wire.VMReport) {
+	report := poison.Report{}
+	for _, c := range r.Crashes {
+		report.Crashes = append(report.Crashes, poison.Crash{Request: poison.Fingerprint(c.Request), Server: c.Server})
+	}
+	for _, request := range r.Answered {
+		report.Answered = append(report.Answered, poison.Fingerprint(request))
+	}
+	if !report.Empty() {
+		p.Poison.AddReport(p.Now(), report)
+	}
+}
+
+// addCrashes adds the crashes and answered requests of r to a report to the hub.
+func addCrashes(report *wire.VMReport, r poison.Report) {
+	for _, c := range r.Crashes {
+		report.Crashes = append(report.Crashes, wire.RequestCrash{Request: string(c.Request), Server: c.Server})
+	}
+	for _, request := range r.Answered {
+		report.Answered = append(report.Answered, string(request))
+	}
+}
+
+// suspectList converts suspects to their wire form, at most maxSuspects of them.
+func suspectList(suspects []poison.Suspect) []wire.SuspectRequest {
+	var list []wire.SuspectRequest
+	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
+		list = append(list, wire.SuspectRequest{Request: string(s.Request), Crashes: s.Crashes, LeftMs: int(s.BlockedFor.Milliseconds())})
+	}
+	return list
+}
+
+// blockedList is like suspectList but includes only blocked requests, which must come first in
+// suspects.
+func blockedList(suspects []poison.Suspect) []wire.SuspectRequest {
+	for i, s := range suspects {
+		if s.BlockedFor == 0 {
+			return suspectList(suspects[:i])
+		}
+	}
+	return suspectList(suspects)
+}
+
+// suspectsOf converts suspects from their wire form.
+func suspectsOf(list []wire.SuspectRequest) []poison.Suspect {
+	var suspects []poison.Suspect
+	for _, s := range list {
+		suspects = append(suspects, poison.Suspect{
+			Request: poison.Fingerprint(s.Request), Crashes: s.Crashes, BlockedFor: time.Duration(s.LeftMs) * time.Millisecond,
+		})
+	}
+	return suspects
+}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -148,15 +148,18 @@
 // report tells the hub the load and demand of this VM and of those linked to it.
 func (p *Peers) report(ctx context.Context, up *uplink) {
 	quiet, told := true, branch{vms: 1}
+	p.Poison.MarkUnreported()
 	for ctx.Err() == nil {
 		own := p.inside()
 		self, every := p.reporting()
 		loads, wants, doubts := loadList(own), wantList(p.takeWants()), append([]string{}, p.takeDoubts()...)
+		crashes := p.Poison.TakeReport()
 		up.tell(own)
-		if len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet || self.vms != told.vms || self.relaying != told.relaying {
+		if !crashes.Empty() || len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet || self.vms != told.vms || self.relaying != told.relaying {
 			quiet, told = len(loads) == 0 && len(wants) == 0, self
-			err := up.conn.Send(ctx, &wire.Message{VMReport: &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts}})
-			if err != nil {
+			report := &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts}
+			addCrashes(report, crashes)
+			if err := up.conn.Send(ctx, &wire.Message{VMReport: report}); err != nil {
 				up.conn.Close()
 				return
 			}
@@ -242,6 +245,7 @@
 	if !s.HasLoads {
 		return
 	}
+	p.Poison.MergeSuspects(now, suspectsOf(s.Suspects))
 	p.mu.Lock()
 	p.outside = pick.Minus(loadsOf(s.Loads), up.lastTold())
 	p.pause = time.Duration(s.PauseMs) * time.Millisecond
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -1,15 +1,13 @@
-// Package poison computes request fingerprints, which identify repeats of a request that
-// crashes the backend servers executing it, so that it can be kept away from other servers.
-// Such a request is repeated with new identifiers and through any VM, and each crash also
-// fails the other requests running on the server. The package performs no I/O and does not
-// read the clock.
+// Package poison tracks requests that crash the backend servers executing them and blocks their
+// repeats, which it identifies by a fingerprint. Such a request is repeated with new identifiers
+// and through any VM, and each crash also fails the other requests running on the server. The
+// package performs no I/O and does not read the clock.
 package poison
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
-	"net"
 	"net/http"
 )
 
@@ -22,15 +20,11 @@
 const fingerprintBytes = 8
 
 // FingerprintOf returns the fingerprint of r, whose body has already been read into body. It
-// covers the method, host, path, query, caller's address without the port, and body. Headers
-// are excluded because identifiers and deadlines differ between repeats.
+// covers the method, host, path, query and body. Headers are excluded because identifiers and
+// deadlines differ between repeats, and the caller's address because repeats come from several.
 func FingerprintOf(r *http.Request, body []byte) Fingerprint {
-	caller, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		caller = r.RemoteAddr
-	}
 	h := sha256.New()
-	for _, part := range []string{r.Method, r.Host, r.RequestURI, caller} {
+	for _, part := range []string{r.Method, r.Host, r.RequestURI} {
 		// The parts contain no NUL bytes, so terminating each with one keeps the encoding
 		// unambiguous. Writes to a hash never return an error.
 		_, _ = io.WriteString(h, part)
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -68,10 +68,10 @@
 	Events int
 	// Runs takes each run of a request.
 	Runs *Ledger
-	// CrashOn is the body of a request that crashes the process when it begins to run it, ""
-	// for none; Crash, when set, ends the process as callers see it.
-	CrashOn string
-	Crash   func()
+	// CrashBody is the body of requests that crash the process when their execution begins; empty
+	// for none. Crash, when set, then closes the process's listener and connections.
+	CrashBody string
+	Crash     func()
 	// Changed, when set, is called after the models changed, without the lock.
 	Changed func()
 
@@ -81,7 +81,7 @@
 	busy     bool
 	draining bool
 	crashed  bool
-	// crashes counts the runs of CrashOn.
+	// crashes counts the executed requests with CrashBody.
 	crashes int
 	strikes *Strikes
 	// born is when it started again under its ID, the zero time before.
@@ -138,7 +138,7 @@
 	return b.crashed
 }
 
-// Crashes returns how often a request crashed the process.
+// Crashes returns how often a request has crashed the process.
 func (b *Backend) Crashes() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -283,7 +283,7 @@
 	TurnStray
 	// TurnForge answers without proof.
 	TurnForge
-	// TurnCrash ends the process.
+	// TurnCrash crashes the process.
 	TurnCrash
 )
 
@@ -306,7 +306,7 @@
 	}
 	b.Runs.Note(id, b.ID)
 	switch {
-	case b.CrashOn != "" && body == b.CrashOn:
+	case b.CrashBody != "" && body == b.CrashBody:
 		b.crashes++
 		return TurnCrash
 	case b.strikes.take(func(f *BackendFaults) *int { return &f.Fail }):
--- a/wire/types.go
+++ b/wire/types.go
@@ -161,6 +161,10 @@
 	// Where the holder takes links.
 	Address string `json:"address"`
 
+	// Blocked requests, which are not sent to servers because servers crashed during
+	// them.
+	Blocked []SuspectRequest `json:"blocked,omitempty,omitzero"`
+
 	// Run of the holder's process.
 	Boot string `json:"boot"`
 
@@ -270,6 +274,9 @@
 	// Servers corresponds to the JSON schema field "servers".
 	Servers []ServerState `json:"servers"`
 
+	// Requests during which several servers crashed; sent with the loads.
+	Suspects []SuspectRequest `json:"suspects,omitempty,omitzero"`
+
 	// VMs linked to the controller, its own too.
 	Vms int `json:"vms"`
 }
@@ -710,6 +717,15 @@
 	Ready bool `json:"ready"`
 }
 
+// The end of a server process while a request was in progress on it.
+type RequestCrash struct {
+	// Fingerprint of the request.
+	Request string `json:"request"`
+
+	// ID of the server's start.
+	Server string `json:"server"`
+}
+
 type Resident struct {
 	// Adapter corresponds to the JSON schema field "adapter".
 	Adapter string `json:"adapter,omitempty,omitzero"`
@@ -882,6 +898,18 @@
 	RetainUntilMs int `json:"retain_until_ms"`
 }
 
+// A request during which several servers crashed.
+type SuspectRequest struct {
+	// Number of server processes that ended during the request.
+	Crashes int `json:"crashes"`
+
+	// Remaining block time; 0 if the request is not blocked.
+	LeftMs int `json:"left_ms"`
+
+	// Fingerprint of the request.
+	Request string `json:"request"`
+}
+
 // An entry VM in the platform's lagging list.
 type VM struct {
 	// FailureDomain corresponds to the JSON schema field "failure_domain".
@@ -899,6 +927,13 @@
 
 // Tells the controller what a VM has at the servers and what its callers ask for.
 type VMReport struct {
+	// Fingerprints of requests with recorded crashes that a server has since answered
+	// completely.
+	Answered []string `json:"answered,omitempty,omitzero"`
+
+	// Server crashes during requests; only those not yet reported on this link.
+	Crashes []RequestCrash `json:"crashes,omitempty,omitzero"`
+
 	// IDs of servers that can not be reached or do not hold what they were thought
 	// to.
 	Doubts []string `json:"doubts"`
