--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -64,10 +65,12 @@
 	options Options
 	site    *demo.Site
 	vms     []*vm
-	fronts  []*Proxy
 	checks  demo.Checks
+	// crashingRequests is appended to by crashServers and read only after it has returned.
+	crashingRequests []*crashingRequest
 
 	mu       sync.Mutex
+	fronts   []*Proxy
 	outcomes []demo.Outcome
 	faults   map[string]int
 }
@@ -119,6 +122,7 @@
 	for i := range o.Callers {
 		wait.Go(func() { r.caller(load, i) })
 	}
+	wait.Go(func() { r.crashServers(load) })
 	r.strike(load)
 	wait.Wait()
 	r.settle(ctx)
@@ -147,11 +151,13 @@
 		if err != nil {
 			return "", err
 		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.fronts = append(r.fronts, p)
 		return p.Address(), nil
 	}
 	var err error
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Front: front, Log: zerolog.Nop()})
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Front: front, CrashBody: crashBody, Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
@@ -300,6 +306,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	r.checkBlocked(ctx)
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
 		if !v.mustEnd() {
@@ -313,7 +320,7 @@
 	for _, b := range append(r.site.Backends(demo.SiteModel), r.site.Backends(demo.SitePlain)...) {
 		b.SetStrikes(nil)
 	}
-	for _, p := range r.fronts {
+	for _, p := range r.frontProxies() {
 		p.Set(Pass)
 	}
 	for _, v := range r.vms {
@@ -334,10 +341,18 @@
 			_ = v.log.Close()
 		}
 	}
-	for _, p := range r.fronts {
-		p.Close()
-	}
 	if r.site != nil {
 		r.site.Close()
 	}
+	for _, p := range r.frontProxies() {
+		p.Close()
+	}
+}
+
+// frontProxies returns the proxies in front of the backend servers, including those of crashed
+// processes.
+func (r *run) frontProxies() []*Proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.fronts)
 }
