Soak: keep the proxy of a backend server across restarts

Cause: a server that crashed was restarted behind a new proxy, and the old proxy stayed in the list from which faults select one.

Change: a restarted server keeps its proxy, which forwards new connections to the server's new address, so that its listed address stays the same in the soak; the tests of package demo restart servers at another one. A closed deployment no longer starts servers: a restart during the close left a listener open.

--- a/demo/site.go
+++ b/demo/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -35,8 +36,9 @@
 	// NoVMs starts only what is outside the system; the caller runs VMs.
 	NoVMs bool
 	// Front returns the address under which a backend server is listed, for a
-	// proxy before it; nil lists its own.
-	Front func(address string) (string, error)
+	// proxy in front of it; nil lists its own. It is called again with the same ID
+	// after the server has restarted at a different address.
+	Front func(id, address string) (string, error)
 	// CrashBody is the body of requests that crash the backend server executing them; empty for
 	// none. The server restarts without models and at a different address.
 	CrashBody string
@@ -202,7 +204,7 @@
 		return fmt.Errorf("start backend server: %w", err)
 	}
 	if s.options.Front != nil {
-		if address, err = s.options.Front(address); err != nil {
+		if address, err = s.options.Front(b.ID, address); err != nil {
 			return fmt.Errorf("front of backend server: %w", err)
 		}
 	}
@@ -224,10 +226,11 @@
 	}
 	_ = process.Close()
 	time.AfterFunc(siteRestartDelay, func() {
-		if s.isClosed() {
+		err := s.startBackend(b)
+		if errors.Is(err, errSiteClosed) {
 			return
 		}
-		if err := s.startBackend(b); err != nil {
+		if err != nil {
 			s.options.Log.Error().Err(err).Str("server", b.ID).Msg("backend server not restarted")
 			return
 		}
@@ -235,12 +238,6 @@
 	})
 }
 
-func (s *Site) isClosed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed
-}
-
 // enter writes a backend server's entry.
 func (s *Site) enter(b *stand.Backend) {
 	e := b.Entry()
@@ -275,6 +272,8 @@
 	return address, err
 }
 
+var errSiteClosed = errors.New("deployment is closed")
+
 // serve serves a handler on a free loopback port.
 func (s *Site) serve(h http.Handler) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", anyPort)
@@ -283,8 +282,13 @@
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		// A delayed restart after Close must not leave a listener open.
+		_ = l.Close()
+		return nil, "", errSiteClosed
+	}
 	s.servers = append(s.servers, server)
-	s.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 	return server, l.Addr().String(), nil
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -30,12 +30,12 @@
 
 // Proxy hands TCP connections on to a target and can be made to misbehave.
 type Proxy struct {
-	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	target string
+	mode   Mode
+	conns  map[net.Conn]bool
 }
 
 // NewProxy starts a proxy on loopback.
@@ -52,6 +52,14 @@
 // Address returns where the proxy takes connections.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// SetTarget sets the address to which new connections are forwarded. Open connections keep
+// their target.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
+
 // Set changes what the proxy does.
 func (p *Proxy) Set(m Mode) {
 	p.mu.Lock()
@@ -89,7 +97,10 @@
 }
 
 func (p *Proxy) serve(in net.Conn) {
-	out, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	out, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = in.Close()
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -69,10 +68,12 @@
 	// crashingRequests is appended to by crashServers and read only after it has returned.
 	crashingRequests []*crashingRequest
 
-	mu       sync.Mutex
-	fronts   []*Proxy
-	outcomes []demo.Outcome
-	faults   map[string]int
+	mu     sync.Mutex
+	fronts []*Proxy
+	// frontsByID holds the proxy in front of each backend server, by the backend's ID.
+	frontsByID map[string]*Proxy
+	outcomes   []demo.Outcome
+	faults     map[string]int
 }
 
 // vm is one process of the system, with the proxy between it and the store.
@@ -111,7 +112,7 @@
 	if o.Callers == 0 {
 		o.Callers = defaultCallers
 	}
-	r := &run{options: o, faults: make(map[string]int)}
+	r := &run{options: o, faults: make(map[string]int), frontsByID: make(map[string]*Proxy)}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
@@ -146,18 +147,8 @@
 }
 
 func (r *run) start(ctx context.Context) error {
-	front := func(address string) (string, error) {
-		p, err := NewProxy(address)
-		if err != nil {
-			return "", err
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.fronts = append(r.fronts, p)
-		return p.Address(), nil
-	}
 	var err error
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Front: front, CrashBody: crashBody, Log: zerolog.Nop()})
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Front: r.front, CrashBody: crashBody, Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
@@ -169,6 +160,25 @@
 	return r.await(ctx, startLimit)
 }
 
+// front returns the address of the proxy that forwards to a backend server at address. A restarted
+// server keeps its proxy, so that no proxy of an ended process remains a target of faults.
+func (r *run) front(id, address string) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.frontsByID[id]; p != nil {
+		p.SetTarget(address)
+		return p.Address(), nil
+	}
+	p, err := NewProxy(address)
+	if err != nil {
+		return "", err
+	}
+	// Servers are added only while the site starts; fronts is read without mu afterwards.
+	r.fronts = append(r.fronts, p)
+	r.frontsByID[id] = p
+	return p.Address(), nil
+}
+
 func (r *run) addVM(i int) error {
 	store, err := NewProxy(r.site.StoreAddress())
 	if err != nil {
@@ -320,7 +330,7 @@
 	for _, b := range append(r.site.Backends(demo.SiteModel), r.site.Backends(demo.SitePlain)...) {
 		b.SetStrikes(nil)
 	}
-	for _, p := range r.frontProxies() {
+	for _, p := range r.fronts {
 		p.Set(Pass)
 	}
 	for _, v := range r.vms {
@@ -344,15 +354,7 @@
 	if r.site != nil {
 		r.site.Close()
 	}
-	for _, p := range r.frontProxies() {
+	for _, p := range r.fronts {
 		p.Close()
 	}
 }
-
-// frontProxies returns the proxies in front of the backend servers, including those of crashed
-// processes.
-func (r *run) frontProxies() []*Proxy {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.fronts)
-}
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -30,8 +30,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(faultGap))))
 		length := faultLength/9 + time.Duration(rng.Int64N(int64(faultLength)))
-		fronts := r.frontProxies()
-		v, front := r.vms[rng.IntN(len(r.vms))], fronts[rng.IntN(len(fronts))]
+		v, front := r.vms[rng.IntN(len(r.vms))], r.fronts[rng.IntN(len(r.fronts))]
 		n := 1 + rng.IntN(strikeMost)
 		version++
 		fault, name := r.draw(rng.IntN(14), v, front, n, version)
