Assign each port to at most one test VM per process

VM 1 had exited with "address already in use": the settings of both VM 0 and VM 1 contained port 20266.

freePort picks a random port, checks that it is free by listening on it, and closes the listener before the VM starts listening. A later call could therefore return the same port. Tests of package demo choose their ports the same way and were affected too.

Make freePort try each port at most once per process.

--- a/demo/site.go
+++ b/demo/site.go
@@ -326,10 +326,19 @@
 	portTries = 50
 )
 
-// freePort returns a loopback address that nothing listens at now.
+// triedPorts holds every port that freePort has tried in this process. It keeps freePort from
+// returning a port that is already assigned to a VM that is not listening yet.
+var triedPorts sync.Map
+
+// freePort returns a loopback address that nothing listens at now. It returns each address at
+// most once per process.
 func freePort() (string, error) {
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		port := firstPort + rand.IntN(ports)
+		if _, tried := triedPorts.LoadOrStore(port, true); tried {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/routes"
@@ -349,3 +350,19 @@
 		backends[i%len(backends)].Changed()
 	}
 }
+
+// Guards against assigning one port to two VMs, the second of which then fails to listen.
+func TestVMsShareNoPort(t *testing.T) {
+	used := make(map[string]bool)
+	for i := range 200 {
+		text, err := demo.VMSettings(i, "127.0.0.1:1")
+		require.NoError(t, err)
+		settings, err := conf.ParseNode(text)
+		require.NoError(t, err)
+		for _, key := range []string{"listen", "ready_listen", "peer_listen"} {
+			address := settings.Text("vm", key)
+			require.False(t, used[address], "address %s assigned twice", address)
+			used[address] = true
+		}
+	}
+}
