Log the rates to which servers limit their requests

Cause: in the incident of the server that received more requests than its limit, no log line shows that a server has announced one. Whether no VM reads the limit, each VM applies it on its own, or it is forgotten could only be determined from the request rates at the server.

Change: package limit tracks, for each server, the rate that its answers announce in the Server-Limit header, in requests per second. An answer without the header removes the limit only if its request was sent after the limit was last announced, because answers can arrive out of order. Each change is logged as "server rate limit changed" (server, rate) or "server rate limit removed" (server), and each invalid value as "invalid server rate limit" (request, server, limit). The limits do not influence any decision yet.

Tests: TestAnswerToEarlierRequestKeepsLimit, TestParseLimit.

--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pass"
 	"github.com/hibiscuscart/hibiscuscart/pause"
@@ -93,6 +94,7 @@
 	peers   *peers.Peers
 	lease   *peers.Lease
 	poison  *poison.Tracker
+	limits  *limit.Limits
 	table   atomic.Pointer[routes.Table]
 
 	mu sync.Mutex
@@ -122,7 +124,7 @@
 func New(c Config) *Node {
 	s := c.Settings
 	n := &Node{
-		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, pool: &conns.Pool{},
+		config: c, now: c.Now, meter: meter.New(), servers: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, pool: &conns.Pool{}, limits: &limit.Limits{},
 		log:     c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		book:    &pick.Book{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
 		budgets: make(map[string]*retry.Window), configured: make(chan struct{}), contact: make(map[string]time.Time),
@@ -153,7 +155,7 @@
 	n.closing, n.endWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
 		Closing: n.closing,
-		Names:   c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Poison: n.poison, Budget: n.budget,
+		Names:   c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Poison: n.poison, Limits: n.limits, Budget: n.budget,
 		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, VMs: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -115,6 +115,7 @@
 	choice   pick.Choice
 	conn     *conns.Conn
 	ticket   *pick.Ticket
+	sent     time.Time
 	exchange *conns.Exchange
 	resp     *http.Response
 	// whole is set when the answer was read to its end.
@@ -173,6 +174,7 @@
 	if !slices.Contains(c.servers, server) {
 		c.servers = append(c.servers, server)
 	}
+	t.sent = now
 	var err error
 	t.exchange, err = t.conn.Send(c.request.Method, c.head(g.Names, t.choice.Server.Called(), c.remaining(now)), c.body)
 	if err != nil {
@@ -254,6 +256,7 @@
 		id := resp.Header.Get(t.g.Names.ID)
 		if id == t.c.id || id == "" && t.refusal(resp) {
 			t.resp = resp
+			t.updateLimit()
 			return nil
 		}
 		t.g.Meter.Count("pass.stray_answers", 1)
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
@@ -55,6 +56,8 @@
 	Pool    *conns.Pool
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
+	// Limits holds the request rate limits that servers have announced.
+	Limits *limit.Limits
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retry.Window
 	// Wanted notes the demand for a model: a request that takes some of a server's
--- a/pass/names.go
+++ b/pass/names.go
@@ -26,6 +26,9 @@
 	NotRun string
 	// Load is the server's running requests, waiting requests and slots.
 	Load string
+	// Limit is the maximum number of requests per second that the server accepts from all VMs
+	// together. It applies for as long as the server's answers contain it.
+	Limit string
 	// Model is the model, with an adapter after a slash.
 	Model string
 	// Usage is prompt tokens and the most output tokens.
@@ -43,6 +46,8 @@
 	ParsePrefix func(string) []pick.Part
 	// ParseModel splits the model from the adapter.
 	ParseModel func(string) (model, adapter string)
+	// ParseLimit parses a rate in requests per second and reports whether it is valid.
+	ParseLimit func(string) (rate float64, ok bool)
 }
 
 // Headers of HTTP that this package sets or reads.
