Failing test: a server gets more requests than the limit that its answers name

The stand-in of a backend server names a rate in Server-Limit and notes when requests come. TestServerGetsMoreThanItsLimit sends 150 requests a second by three VMs to three servers of which one takes 2 a second, plain and model servers.

--- a/stand/backend.go
+++ b/stand/backend.go
@@ -81,6 +81,11 @@
 	busy     bool
 	draining bool
 	crashed  bool
+	// limit is the rate of requests that its answers name while limited, in requests per second;
+	// arrivals are when requests came since it was set.
+	limit    float64
+	limited  bool
+	arrivals []time.Time
 	// crashes counts the executed requests with CrashBody.
 	crashes int
 	strikes *Strikes
@@ -123,6 +128,27 @@
 	b.strikes = s
 }
 
+// SetLimit makes answers name a rate of requests, in requests per second, or none any more.
+func (b *Backend) SetLimit(rate float64, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit, b.limited, b.arrivals = rate, limited, nil
+}
+
+// Limit returns the rate that answers name, and whether they name one.
+func (b *Backend) Limit() (rate float64, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit, b.limited
+}
+
+// Arrivals returns when requests came since the limit was set.
+func (b *Backend) Arrivals() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.arrivals)
+}
+
 // Drain makes the backend say that it leaves.
 func (b *Backend) Drain() {
 	b.mu.Lock()
@@ -289,9 +315,12 @@
 
 // Accept decides what happens with a request that names a server, a model and an
 // adapter, and notes its run.
-func (b *Backend) Accept(id, expect, model, adapter, body string) Turn {
+func (b *Backend) Accept(now time.Time, id, expect, model, adapter, body string) Turn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.limited {
+		b.arrivals = append(b.arrivals, now)
+	}
 	if expect != "" && expect != b.ID {
 		return TurnMisdirect
 	}
