Keep requests to a server within its announced rate limit

What callers saw: nothing yet. Two servers in need announced limits of 1.4 and 1 requests per second for all VMs together and received 16 and 12 requests in four seconds, where 13 and 11 are allowed.

Cause: no VM enforced the limit. It is in the headers of answers, which were passed on unchanged. The request rates at the two servers were 3.6 and 2.2 per second before the limits and 3.2 and 2.6 after.

Change: each request to a server with a limit requires a permit. A VM requests a permit for one request at a time over its link, through its relay if it has one. A refused VM is told how long to wait, each one permit later than the previous one, and sends nothing to that server until then. Requests go to other servers that hold the model; wait if a permit becomes available in time, with no more requests waiting than will get one, or one; or are otherwise refused at once with that wait as Retry-After. Limits are distributed with the VM reports and the loads. A VM that cannot reach a controller which knows the limit uses its equal share of the rate. A limit below one request in five seconds is treated as one in five seconds, because only an answer shows that a limit has ended.

Alternative considered: only equal shares of the rate for all VMs. With 195 VMs and 1.5 requests per second, a VM could send one request every 130 seconds, and permits accumulated by idle VMs could be used all at once.

When the change was read again: the least rate was applied to each VM's share, a controller that did not know a limit granted without one, and the first lists of a new controller removed limits (TestGrantShareEnforcesRate, TestGrantForUnknownServer).

Tried, not taken: copies at servers with a limit do not count for the placement.

--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
@@ -15,23 +17,24 @@
 )
 
 const (
-	// limitKnown is how long the VMs have to learn of a limit, limitWindow the span in which
-	// requests are counted, and limitFactor and limitExtra what is allowed in it beyond the rate.
-	limitKnown  = 3 * time.Second
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitExtra  = 5
-	// limitLoad is how long requests are sent, limitGap the pause between those of a VM.
-	limitLoad = 9 * time.Second
-	limitGap  = 20 * time.Millisecond
+	// limitGracePeriod is the time for a limit to reach all VMs. After it, each limitWindow may
+	// contain limitFactor times the requests that the rate allows, plus limitSlack.
+	limitGracePeriod = 3 * time.Second
+	limitWindow      = 4 * time.Second
+	limitFactor      = 1.5
+	limitSlack       = 5
+	// loadDuration is how long requests are sent, and loadInterval the time between two requests to
+	// the same VM.
+	loadDuration = 9 * time.Second
+	loadInterval = 20 * time.Millisecond
 )
 
-// load sends requests to all VMs for some time, and returns the answers.
-func load(ctx context.Context, s *demo.Site, method, path, model string) []answer {
+// sendLoad sends requests to all VMs for loadDuration and returns the answers.
+func sendLoad(ctx context.Context, s *demo.Site, method, path, model string) []answer {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var answers []answer
-	end := time.Now().Add(limitLoad)
+	end := time.Now().Add(loadDuration)
 	for v, address := range s.Addresses() {
 		wait.Go(func() {
 			for i := 0; time.Now().Before(end); i++ {
@@ -41,7 +44,7 @@
 					defer mu.Unlock()
 					answers = append(answers, got)
 				})
-				time.Sleep(limitGap)
+				time.Sleep(loadInterval)
 			}
 		})
 	}
@@ -49,14 +52,15 @@
 	return answers
 }
 
-// requireWithinLimit checks the requests that came to a server once its limit must be known.
-func requireWithinLimit(t *testing.T, b *stand.Backend, named time.Time) {
+// requireWithinLimit requires that the requests to a server stay within its limit after
+// limitGracePeriod.
+func requireWithinLimit(t *testing.T, b *stand.Backend, limitedAt time.Time) {
 	t.Helper()
 	rate, _ := b.Limit()
-	allowed := limitFactor*rate*limitWindow.Seconds() + limitExtra
+	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
 	arrivals := b.Arrivals()
 	for i, first := range arrivals {
-		if first.Before(named.Add(limitKnown)) {
+		if first.Before(limitedAt.Add(limitGracePeriod)) {
 			continue
 		}
 		n := 0
@@ -65,11 +69,11 @@
 				n++
 			}
 		}
-		require.LessOrEqual(t, float64(n), allowed, "in %v from %v after the limit", limitWindow, first.Sub(named))
+		require.LessOrEqual(t, float64(n), allowed, "in %v from %v after the limit", limitWindow, first.Sub(limitedAt))
 	}
 }
 
-// A server that limits its rate gets more requests than that from all VMs together, or none.
+// Guards against all VMs together sending a server more requests than its rate limit allows, or none.
 func TestServerGetsMoreThanItsLimit(t *testing.T) {
 	tests := map[string]struct{ method, path, model, service string }{
 		"plain service": {http.MethodGet, "/look/x", "", demo.SitePlain},
@@ -79,17 +83,63 @@
 		t.Run(name, func(t *testing.T) {
 			s, ctx := startSite(t, demo.SiteOptions{})
 			b := s.Backends(tc.service)[0]
-			named := time.Now()
+			limitedAt := time.Now()
 			b.SetLimit(2, true)
 			served := 0
-			for _, got := range load(ctx, s, tc.method, tc.path, tc.model) {
+			for _, got := range sendLoad(ctx, s, tc.method, tc.path, tc.model) {
 				if got.status == http.StatusOK {
 					served++
 				}
 			}
-			requireWithinLimit(t, b, named)
+			requireWithinLimit(t, b, limitedAt)
 			require.NotEmpty(t, b.Arrivals())
 			require.Positive(t, served)
 		})
 	}
 }
+
+// Guards against a permit call closing the VM's link to the controller, because its frame is rejected
+// or its caller disconnects.
+func TestPermitCallKeepsLink(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	var log logBuffer
+	s, err := demo.StartSite(ctx, demo.SiteOptions{Log: zerolog.New(&log)})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.NoError(t, s.WaitReady(ctx))
+	for _, b := range s.Backends(demo.SitePlain) {
+		b.SetLimit(1.5, true)
+	}
+	before := log.count("link to the controller lost")
+	var wait sync.WaitGroup
+	for i := range 1000 {
+		wait.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, time.Duration(i%40)*time.Millisecond)
+			defer cancel()
+			call(callCtx, s, s.Addresses()[i%3], fmt.Sprint("leaves", i), http.MethodGet, "/look/x", "")
+		})
+		time.Sleep(loadInterval / 10)
+	}
+	wait.Wait()
+	require.Equal(t, before, log.count("link to the controller lost"))
+}
+
+// logBuffer collects the logs of the VMs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// count returns how often text occurs in the logs.
+func (l *logBuffer) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
--- a/limit/limits_test.go
+++ b/limit/limits_test.go
@@ -22,3 +22,97 @@
 	require.True(t, l.Update(start.Add(2*time.Second), start.Add(3*time.Second/2), "a", 2, true))
 	require.True(t, l.Update(start.Add(4*time.Second), start.Add(3*time.Second), "a", 0, false))
 }
+
+// Guards against telling refused callers to retry at the same time, and against accumulating permits
+// while there are no requests.
+func TestGrantEnforcesRate(t *testing.T) {
+	for name, rate := range map[string]float64{"one and a half": 1.5, "a hundred": 100, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			var l limit.Limits
+			l.Update(start, start, "a", rate, true)
+			first, known := l.Grant(start, "a")
+			require.True(t, known)
+			require.NotZero(t, first, "requests sent before the limit was known count")
+			second, _ := l.Grant(start, "a")
+			third, _ := l.Grant(start, "a")
+			require.GreaterOrEqual(t, third, second)
+			now, granted := start.Add(time.Hour), 0
+			for range 4000 {
+				if wait, _ := l.Grant(now, "a"); wait == 0 {
+					granted++
+				}
+				now = now.Add(time.Millisecond)
+			}
+			require.LessOrEqual(t, float64(granted), 4*max(rate, 0.2)+1)
+			require.GreaterOrEqual(t, float64(granted), 0.9*4*rate)
+		})
+	}
+}
+
+// Guards against VMs without a controller exceeding the rate together because each uses all of it.
+func TestGrantShareEnforcesRate(t *testing.T) {
+	tests := map[string]struct {
+		vms  int
+		rate float64
+	}{
+		"few VMs": {9, 18}, "many VMs": {195, 1.5},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			granted := 0
+			for range tc.vms {
+				var l limit.Limits
+				l.Update(start, start, "a", tc.rate, true)
+				for now := start; now.Before(start.Add(4 * time.Second)); now = now.Add(time.Millisecond) {
+					if l.GrantShare(now, "a", tc.vms) == 0 {
+						granted++
+					}
+				}
+			}
+			require.InDelta(t, 4*tc.rate, granted, 9)
+		})
+	}
+}
+
+// Guards against a controller that grants permits without limit for a server whose limit it does not
+// know.
+func TestGrantForUnknownServer(t *testing.T) {
+	var l limit.Limits
+	_, known := l.Grant(start, "a")
+	require.False(t, known)
+}
+
+// Guards against an outdated controller's list removing a limit that was just announced or restoring
+// one that has ended, and against keeping a limit that the list no longer contains.
+func TestMergeControllerLimits(t *testing.T) {
+	var l, controller limit.Limits
+	l.Update(start, start, "a", 2, true)
+	l.Merge(start.Add(time.Second), nil)
+	_, limited := l.Rate("a")
+	require.True(t, limited, "announced recently")
+	controller.AddReport(start, l.TakeReport())
+	require.Empty(t, l.TakeReport())
+	l.Merge(start.Add(time.Minute), controller.Rates())
+	_, limited = l.Rate("a")
+	require.True(t, limited)
+	require.True(t, l.Update(start.Add(time.Minute), start.Add(time.Minute), "a", 0, false))
+	controller.AddReport(start, l.TakeReport())
+	require.Empty(t, controller.Rates())
+	controller.Update(start, start, "b", 3, true)
+	l.Merge(start, controller.Rates())
+	rate, limited := l.Rate("b")
+	require.True(t, limited)
+	require.InDelta(t, 3, rate, 0)
+	l.Merge(start.Add(time.Minute), nil)
+	_, limited = l.Rate("b")
+	require.False(t, limited)
+}
+
+// Guards against keeping the limits of removed servers in the lists that VMs exchange.
+func TestRetainRemovesUnusedServers(t *testing.T) {
+	var l limit.Limits
+	l.Update(start, start, "a", 1, true)
+	l.Update(start, start, "b", 1, true)
+	l.Retain(func(id string) bool { return id == "b" })
+	require.Len(t, l.Rates(), 1)
+}
--- a/link/codec.go
+++ b/link/codec.go
@@ -57,6 +57,7 @@
 		m.FleetQuery != nil, m.FleetReply != nil, m.Refusal != nil,
 		m.ClaimCall != nil, m.ClaimReply != nil,
 		m.VMReport != nil, m.FleetState != nil, m.FindCall != nil, m.FindReply != nil, m.ConfigState != nil,
+		m.PermitCall != nil, m.PermitReply != nil,
 	} {
 		if set {
 			n++
--- a/link/conn_test.go
+++ b/link/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -233,3 +234,22 @@
 		require.Equal(t, []string{name}, got.Pull.Names)
 	}
 }
+
+// Guards against a frame kind that Decode rejects, which would close the link.
+func TestEncodeDecodeEveryFrameKind(t *testing.T) {
+	kinds := reflect.TypeFor[wire.Message]()
+	for i := range kinds.NumField() {
+		field := kinds.Field(i)
+		if field.Type.Kind() != reflect.Pointer {
+			continue
+		}
+		t.Run(field.Name, func(t *testing.T) {
+			var m wire.Message
+			reflect.ValueOf(&m).Elem().Field(i).Set(reflect.New(field.Type.Elem()))
+			data, err := link.Encode(&m)
+			require.NoError(t, err)
+			_, err = link.Decode(data)
+			require.NoError(t, err)
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -149,14 +149,14 @@
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.configValue, ConfigChanged: n.configChanged, Configure: n.configure, Current: n.current, StoreAway: n.storeAway,
-		Controller: n.control, Servers: n.servers, Book: n.book, Poison: n.poison, Now: c.Now, Log: n.log, Meter: n.meter,
+		Controller: n.control, Servers: n.servers, Book: n.book, Poison: n.poison, Limits: n.limits, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.lease.Count = n.peers.VMs
 	n.closing, n.endWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
 		Closing: n.closing,
 		Names:   c.Names, Table: n.table.Load, Servers: n.servers, Book: n.book, Pool: n.pool, Poison: n.poison, Limits: n.limits, Budget: n.budget,
-		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, VMs: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
+		Wanted: n.peers.Want, Find: n.peers.Find, Doubt: n.peers.Doubt, Permit: n.peers.Permit, VMs: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
 }
@@ -323,6 +323,7 @@
 		now := n.now()
 		n.pool.Sweep(now)
 		n.book.Retain(n.servers.All(now))
+		n.limits.Retain(func(id string) bool { return n.servers.Usable(now, id) })
 		if n.config.Dropped != nil {
 			n.meter.Gauge("log.dropped", n.config.Dropped())
 		}
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -42,7 +42,9 @@
 // choose returns the server to send a call to. A call whose model or adapter no
 // server holds waits for one to be loaded.
 func (g *Gateway) choose(ctx context.Context, c *call) (pick.Choice, error) {
-	hold, cancel := context.WithTimeout(ctx, c.holdTime(g.Now()))
+	start := g.Now()
+	deadline := start.Add(c.holdTime(start))
+	hold, cancel := context.WithTimeout(ctx, deadline.Sub(start))
 	defer cancel()
 	if g.Closing != nil {
 		// A VM that stops has less time than the request: what still waits for a
@@ -61,6 +63,9 @@
 		serving := g.Servers.Serving(now, c.service.Name)
 		if choice, ok := g.pick(now, c, serving); ok {
 			if g.admit(now, c, choice) {
+				if !g.acquirePermit(hold, choice.Server.ID) {
+					continue
+				}
 				return choice, nil
 			}
 			if !g.holdBack(hold, now, c, choice) {
@@ -68,6 +73,11 @@
 			}
 			continue
 		}
+		if waited, err := g.awaitPermit(hold, now, deadline, c, serving); err != nil {
+			return pick.Choice{}, err
+		} else if waited {
+			continue
+		}
 		if len(c.avoid) > 0 && (c.tries > c.roundTries || !g.replaced(now, c, serving)) {
 			// Every candidate was tried. One that refused may take the request
 			// after a pause; one that can not be reached is left to the controller
@@ -134,20 +144,24 @@
 // pick chooses among the serving servers that hold what the call needs and that
 // it may still be sent to.
 func (g *Gateway) pick(now time.Time, c *call, serving []backs.Entry) (pick.Choice, bool) {
-	spent := len(c.servers) >= max(c.route.Attempts, 1)
 	candidates := make([]backs.Entry, 0, len(serving))
 	for _, e := range serving {
-		if c.work.Model != "" && !e.Holds(c.work.Model, c.work.Adapter) {
-			continue
+		if g.eligible(c, e) && g.Limits.Backoff(now, e.ID) == 0 {
+			candidates = append(candidates, e)
 		}
-		if spent && !slices.Contains(c.servers, e.ID) {
-			continue
-		}
-		candidates = append(candidates, e)
 	}
 	return g.Book.Choose(now, candidates, c.work, g.tokenMemory(c), c.avoid)
 }
 
+// eligible reports whether a server holds what a call needs, and the call may be sent to another
+// server or was already sent to this one.
+func (g *Gateway) eligible(c *call, e backs.Entry) bool {
+	if c.work.Model != "" && !e.Holds(c.work.Model, c.work.Adapter) {
+		return false
+	}
+	return len(c.servers) < max(c.route.Attempts, 1) || slices.Contains(c.servers, e.ID)
+}
+
 func (g *Gateway) tokenMemory(c *call) int {
 	if c.service.Engine == nil {
 		return 0
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -66,6 +66,9 @@
 	// Find asks for a server that will hold a model and adapter, and waits
 	// until it does. It returns the server's ID.
 	Find func(ctx context.Context, service, model, adapter string) (string, error)
+	// Permit requests a permit for one request to a server with a rate limit. It returns 0 if the
+	// permit was granted, and otherwise how long to wait before the next attempt.
+	Permit func(ctx context.Context, server string) time.Duration
 	// Closing is done when the VM stops: requests without a server are refused
 	// from then on. It may be nil.
 	Closing context.Context
@@ -83,6 +86,8 @@
 	rng *rand.Rand
 	// held counts the requests that wait for room, by service and model.
 	held map[string]int
+	// permitWaiters counts the requests that wait for a permit, by server.
+	permitWaiters map[string]int
 	// probing holds the servers to which a connection is being opened to find out whether their
 	// process has ended.
 	probing map[string]bool
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -60,7 +60,7 @@
 			}
 			return conns.Dial(ctx, address)
 		}},
-		Budget: func(string) *retry.Window { return budget }, Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
+		Budget: func(string) *retry.Window { return budget }, Permit: func(context.Context, string) time.Duration { return 0 }, Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
 	}
 }
 
--- /dev/null
+++ b/pass/limit_test.go
@@ -0,0 +1,42 @@
+package pass
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// Guards against a request that waits or busy-loops until its deadline although no permit becomes
+// available in time.
+func TestRequestRefusedWithoutPermitInTime(t *testing.T) {
+	const wait = 2 * time.Second
+	g := testGateway(server("a", "d", backend(t, http.StatusOK)))
+	route := routes.Route{
+		Name: "r", Host: "h", Prefix: "/", Kind: routes.Idempotent, Timeout: time.Hour, Leave: 2 * wait, Attempts: 2,
+		Targets: []routes.Target{{Service: "s", Weight: 1}},
+	}
+	table := routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s"}}, routes.Limits{})
+	g.Table = func() *routes.Table { return table }
+	calls := 0
+	g.Permit = func(context.Context, string) time.Duration {
+		calls++
+		return wait + time.Second
+	}
+	now := clock.Now()
+	g.Limits.Update(now, now, "a", 0.5, true)
+	for range 3 {
+		got := ask(g)
+		require.Equal(t, http.StatusServiceUnavailable, got.Code)
+		after, err := strconv.ParseFloat(got.Header().Get(headerRetryAfter), 64)
+		require.NoError(t, err)
+		require.Greater(t, after, wait.Seconds())
+	}
+	require.Equal(t, 1, calls, "no permit is requested during the backoff")
+}
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -139,6 +139,7 @@
 	state.Loads, state.HasLoads = loads, true
 	state.PauseMs = int(interval(len(p.links)).Milliseconds())
 	state.Suspects = suspectList(p.Poison.Suspects(p.Now()))
+	state.Limits = limitList(p.Limits.Rates())
 	state.Relays = p.relays
 	if !p.relaying {
 		state.Relays = p.chooseRelays()
@@ -175,6 +176,7 @@
 func (p *Peers) take(ctx context.Context, d *downlink, m *wire.Message) {
 	if m.VMReport != nil {
 		p.mergeCrashes(m.VMReport)
+		p.Limits.AddReport(p.Now(), limitsOf(m.VMReport.Limits))
 	}
 	switch {
 	case m.VMReport != nil && p.isRelaying():
@@ -187,6 +189,8 @@
 		p.Controller.Doubt(m.VMReport.Doubts)
 	case m.FindCall != nil:
 		go p.answerFind(spans.Extract(ctx, m.Traceparent), d, m.FindCall)
+	case m.PermitCall != nil:
+		go p.answerPermit(spans.Extract(ctx, m.Traceparent), d, m.PermitCall)
 	}
 }
 
--- a/peers/left_test.go
+++ b/peers/left_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
@@ -24,7 +25,7 @@
 	clock := func() time.Time { return *now }
 	view := &backs.View{}
 	p := &Peers{
-		Lease: &Lease{Objects: store.Objects{}, Now: clock, Log: zerolog.Nop()}, Servers: view, Poison: &poison.Tracker{},
+		Lease: &Lease{Objects: store.Objects{}, Now: clock, Log: zerolog.Nop()}, Servers: view, Poison: &poison.Tracker{}, Limits: &limit.Limits{},
 		Config: func() (int, []byte) { return 0, nil }, Current: clock, Now: clock, Log: zerolog.Nop(),
 	}
 	p.list(*now, servers...)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pause"
@@ -63,6 +64,8 @@
 	Book       *pick.Book
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
+	// Limits holds the request rate limits that servers have announced.
+	Limits *limit.Limits
 	// Config returns the configuration in force as the store holds it, and its
 	// revision; ConfigChanged is closed when it changes, and Configure puts one
 	// in force that the controller told.
@@ -307,6 +310,7 @@
 		// The controller's tracker already merges the reports of all VMs, so its own report is
 		// discarded.
 		p.Poison.TakeReport()
+		p.Limits.TakeReport()
 		p.Book.Others(now, pick.Minus(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ShownSince(now, since) {
 			p.Servers.Hold(now, s.Server, s.Models)
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -30,7 +30,7 @@
 	// controller's sums.
 	told    map[string]pick.Load
 	next    int
-	waiting map[int]chan *wire.FindReply
+	waiting map[int]chan *wire.Message
 	closed  bool
 }
 
@@ -49,7 +49,7 @@
 		}
 		return false
 	}
-	up := &uplink{conn: conn, address: address, direct: address == controller, waiting: make(map[int]chan *wire.FindReply)}
+	up := &uplink{conn: conn, address: address, direct: address == controller, waiting: make(map[int]chan *wire.Message)}
 	p.setUplink(up)
 	p.Log.Info().Str("address", address).Str("peer", conn.Peer().Node).Bool("direct", up.direct).Msg("linked to the controller")
 	root := ctx
@@ -149,15 +149,16 @@
 func (p *Peers) report(ctx context.Context, up *uplink) {
 	quiet, told := true, branch{vms: 1}
 	p.Poison.MarkUnreported()
+	p.Limits.MarkUnreported(p.Now())
 	for ctx.Err() == nil {
 		own := p.inside()
 		self, every := p.reporting()
 		loads, wants, doubts := loadList(own), wantList(p.takeWants()), append([]string{}, p.takeDoubts()...)
-		crashes := p.Poison.TakeReport()
+		crashes, limits := p.Poison.TakeReport(), limitList(p.Limits.TakeReport())
 		up.tell(own)
-		if !crashes.Empty() || len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet || self.vms != told.vms || self.relaying != told.relaying {
+		if !crashes.Empty() || len(limits) > 0 || len(loads) > 0 || len(wants) > 0 || len(doubts) > 0 || !quiet || self.vms != told.vms || self.relaying != told.relaying {
 			quiet, told = len(loads) == 0 && len(wants) == 0, self
-			report := &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts}
+			report := &wire.VMReport{Vms: self.vms, Relaying: self.relaying, Loads: loads, Wants: wants, Doubts: doubts, Limits: limits}
 			addCrashes(report, crashes)
 			if err := up.conn.Send(ctx, &wire.Message{VMReport: report}); err != nil {
 				up.conn.Close()
@@ -193,7 +194,9 @@
 		case m.ConfigState != nil:
 			p.adoptConfig(m.ConfigState)
 		case m.FindReply != nil:
-			up.reply(m.FindReply)
+			up.reply(m.FindReply.Call, m)
+		case m.PermitReply != nil:
+			up.reply(m.PermitReply.Call, m)
 		}
 	}
 }
@@ -246,6 +249,7 @@
 		return
 	}
 	p.Poison.MergeSuspects(now, suspectsOf(s.Suspects))
+	p.Limits.Merge(now, limitsOf(s.Limits))
 	p.mu.Lock()
 	p.outside = pick.Minus(loadsOf(s.Loads), up.lastTold())
 	p.pause = time.Duration(s.PauseMs) * time.Millisecond
@@ -279,34 +283,64 @@
 	p.Configure(s.Revision, value)
 }
 
+var errUnknownLimit = errors.New("the controller does not know the server's rate limit")
+
 var errLinkLost = errors.New("the link to the controller was lost")
 
 func (u *uplink) find(ctx context.Context, service, model, adapter string) (string, error) {
-	call, answer := u.register()
-	defer u.forget(call)
-	err := u.conn.Send(ctx, &wire.Message{Traceparent: spans.Inject(ctx), FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}})
+	m, err := u.call(ctx, func(call int) *wire.Message {
+		return &wire.Message{FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}}
+	})
 	if err != nil {
 		return "", err
 	}
+	if m.FindReply.Server == "" {
+		return "", errors.New(m.FindReply.Reason)
+	}
+	return m.FindReply.Server, nil
+}
+
+// permit requests a permit for one request to a server from the hub. It returns 0 if the permit was
+// granted, and otherwise how long to wait before the next call.
+func (u *uplink) permit(ctx context.Context, server string) (time.Duration, error) {
+	m, err := u.call(ctx, func(call int) *wire.Message {
+		return &wire.Message{PermitCall: &wire.PermitCall{Call: call, Server: server}}
+	})
+	if err != nil {
+		return 0, err
+	}
+	if m.PermitReply.WaitUs < 0 {
+		return 0, errUnknownLimit
+	}
+	return time.Duration(m.PermitReply.WaitUs) * time.Microsecond, nil
+}
+
+// call sends the message that newMessage returns for a call number to the hub, and waits for the
+// reply with the same number.
+func (u *uplink) call(ctx context.Context, newMessage func(call int) *wire.Message) (*wire.Message, error) {
+	call, answer := u.register()
+	defer u.forget(call)
+	m := newMessage(call)
+	m.Traceparent = spans.Inject(ctx)
+	if err := u.conn.Send(ctx, m); err != nil {
+		return nil, err
+	}
 	select {
 	case <-ctx.Done():
-		return "", ctx.Err()
+		return nil, ctx.Err()
 	case reply, ok := <-answer:
 		if !ok {
-			return "", errLinkLost
+			return nil, errLinkLost
 		}
-		if reply.Server == "" {
-			return "", errors.New(reply.Reason)
-		}
-		return reply.Server, nil
+		return reply, nil
 	}
 }
 
-func (u *uplink) register() (int, chan *wire.FindReply) {
+func (u *uplink) register() (int, chan *wire.Message) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.next++
-	answer := make(chan *wire.FindReply, 1)
+	answer := make(chan *wire.Message, 1)
 	if u.closed {
 		close(answer)
 		return u.next, answer
@@ -321,12 +355,12 @@
 	delete(u.waiting, call)
 }
 
-func (u *uplink) reply(r *wire.FindReply) {
+func (u *uplink) reply(call int, m *wire.Message) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if answer, ok := u.waiting[r.Call]; ok {
-		answer <- r
-		delete(u.waiting, r.Call)
+	if answer, ok := u.waiting[call]; ok {
+		answer <- m
+		delete(u.waiting, call)
 	}
 }
 
--- a/peers/uplink_test.go
+++ b/peers/uplink_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/store"
 )
@@ -31,7 +32,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var reads atomic.Int64
 				p := &Peers{
-					Poison: &poison.Tracker{},
+					Poison: &poison.Tracker{}, Limits: &limit.Limits{},
 					Lease: &Lease{Name: "b", Address: "b:1", Duration: time.Second, Now: time.Now, Log: zerolog.Nop(), Objects: store.Objects{
 						Get: func(context.Context, string, string) (store.Object, error) {
 							reads.Add(1)
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -81,8 +81,8 @@
 	busy     bool
 	draining bool
 	crashed  bool
-	// limit is the rate of requests that its answers name while limited, in requests per second;
-	// arrivals are when requests came since it was set.
+	// limit is the rate limit that answers contain if limited is set, in requests per second.
+	// arrivals holds the arrival times of the requests since the limit was set.
 	limit    float64
 	limited  bool
 	arrivals []time.Time
@@ -128,21 +128,22 @@
 	b.strikes = s
 }
 
-// SetLimit makes answers name a rate of requests, in requests per second, or none any more.
+// SetLimit sets the rate limit that answers contain, in requests per second, or removes it if limited
+// is false. It also clears the recorded arrivals.
 func (b *Backend) SetLimit(rate float64, limited bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limit, b.limited, b.arrivals = rate, limited, nil
 }
 
-// Limit returns the rate that answers name, and whether they name one.
+// Limit returns the rate limit that answers contain, and whether they contain one.
 func (b *Backend) Limit() (rate float64, limited bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.limit, b.limited
 }
 
-// Arrivals returns when requests came since the limit was set.
+// Arrivals returns the arrival times of the requests since the limit was set.
 func (b *Backend) Arrivals() []time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -258,6 +258,9 @@
 	// last.
 	LeaseVersion int `json:"lease_version"`
 
+	// All rate limits of servers; included with the loads.
+	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
+
 	// What all VMs have at the servers.
 	Loads []ServerLoad `json:"loads"`
 
@@ -482,6 +485,12 @@
 	// Offer corresponds to the JSON schema field "offer".
 	Offer *Offer `json:"offer,omitempty,omitzero"`
 
+	// PermitCall corresponds to the JSON schema field "permit_call".
+	PermitCall *PermitCall `json:"permit_call,omitempty,omitzero"`
+
+	// PermitReply corresponds to the JSON schema field "permit_reply".
+	PermitReply *PermitReply `json:"permit_reply,omitempty,omitzero"`
+
 	// Pull corresponds to the JSON schema field "pull".
 	Pull *Pull `json:"pull,omitempty,omitzero"`
 
@@ -606,6 +615,26 @@
 const OrderRoleMixed OrderRole = "mixed"
 const OrderRolePrefill OrderRole = "prefill"
 
+// Requests a permit for one request to a server with a rate limit from the
+// controller.
+type PermitCall struct {
+	// Number that the reply repeats.
+	Call int `json:"call"`
+
+	// ID of the server's start.
+	Server string `json:"server"`
+}
+
+// Answers a permit_call.
+type PermitReply struct {
+	// Number of the call.
+	Call int `json:"call"`
+
+	// 0 if the permit is granted, -1 if the controller does not know the limit,
+	// otherwise the wait before the next call in microseconds.
+	WaitUs int `json:"wait_us"`
+}
+
 // A profile document: how a class of work is to be served. Accepted documents are
 // complete: defaults are filled in before they are stored.
 type Profile struct {
@@ -783,6 +812,18 @@
 const ServerBackendEngine ServerBackend = "engine"
 const ServerBackendService ServerBackend = "service"
 
+// Request rate limit of a server.
+type ServerLimit struct {
+	// Set if the server no longer has a limit.
+	Ended bool `json:"ended"`
+
+	// Maximum number of requests per second from all VMs together.
+	Rate float64 `json:"rate"`
+
+	// ID of the server's start.
+	Server string `json:"server"`
+}
+
 // What some callers have at a backend server.
 type ServerLoad struct {
 	// Adapters in use, as MODEL/ADAPTER; only towards the controller.
@@ -938,6 +979,10 @@
 	// to.
 	Doubts []string `json:"doubts"`
 
+	// Rate limits of servers that changed or ended since the last report on this
+	// link.
+	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
+
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []ServerLoad `json:"loads"`
 
