Announce every newly loaded model copy to all VMs

What callers saw: in a trial with servers that limit their request rate, 82 of 100, 69 of 90 and 54 of 77 requests for a model were refused in the eight seconds after the orders for three additional copies, which had long been loaded.

Cause: a model was recorded as held from the time its server's entry arrived, but the controller processes entries every 100 ms. It sends the VMs what has changed since its previous update, and that update often falls between the two. The copy was then not announced until something else changed at that server. The VMs do not take it from the entry either: the controller's information takes precedence over entries for two seconds after the order, and an unchanged entry is not delivered again. Loads that take less than two seconds are lost in this way: all loads from a server's disk, and all loads of the smaller models.

Ruled out: limits (the servers concerned had none), links (load figures were sent throughout), the entry (the controller's log has it 1.2 s after the order).

Change: the change is dated when the controller processes the entry.

Test: TestShownSinceIncludesLoadedModel, which fails without the change.

--- a/steer/controller.go
+++ b/steer/controller.go
@@ -216,7 +216,7 @@
 			c.servers[e.ID] = s
 			added++
 		}
-		s.Listed(e.At, e.Entry)
+		s.Listed(now, e.At, e.Entry)
 		if e.Unreadable {
 			s.Doubt()
 		}
--- a/steer/server.go
+++ b/steer/server.go
@@ -83,7 +83,7 @@
 // NewServer returns the state of a server by its entry.
 func NewServer(now time.Time, e backs.Entry) *Server {
 	s := &Server{entry: e, models: make(map[string]*resident)}
-	s.Listed(now, e)
+	s.Listed(now, now, e)
 	return s
 }
 
@@ -94,11 +94,12 @@
 // where it differs: it can be a heartbeat and the store's delay old.
 const settleTime = 1500 * time.Millisecond
 
-// Listed takes in the server's entry in the platform, known since at. An entry
+// Listed applies the server's entry in the platform, known since at. Changes are
+// dated now, as ShownSince can miss one dated before its last call. An entry
 // adds models and never takes one away: it can be old, above all after the
 // store was away, and memory that is taken for free too early is overcommitted.
 // Only a report, which the server gives itself, shows that a model is gone.
-func (s *Server) Listed(at time.Time, e backs.Entry) {
+func (s *Server) Listed(now, at time.Time, e backs.Entry) {
 	s.entry = e
 	if !at.After(s.listedAt) {
 		return
@@ -109,7 +110,7 @@
 		if r == nil && at.Sub(s.ordered) < settleTime {
 			continue
 		}
-		s.add(at, h)
+		s.add(now, h)
 	}
 }
 
--- a/steer/server_test.go
+++ b/steer/server_test.go
@@ -41,7 +41,7 @@
 	s.Answered(at(1), at(1), &routes.Engine{}, load, steer.Accepted, time.Second)
 	s.Reported(at(3), at(3), steer.Report{Models: entry("", "m1", "m2").Models, Sequence: 1})
 	require.True(t, s.Has(at(3), "m2", ""))
-	s.Listed(at(9), entry("a", "m1"))
+	s.Listed(at(9), at(9), entry("a", "m1"))
 	require.True(t, s.Has(at(9), "m2", ""), "an entry took away what a report had shown")
 	s.Reported(at(10), at(10), steer.Report{Models: entry("", "m1").Models, Sequence: 1})
 	require.False(t, s.Has(at(10), "m2", ""))
--- a/steer/told_test.go
+++ b/steer/told_test.go
@@ -30,3 +30,22 @@
 	later = later.Add(time.Second)
 	require.Empty(t, c.ShownSince(later, later.Add(-100*time.Millisecond)))
 }
+
+// Guards against a loaded model missing from ShownSince when the previous call
+// fell between the arrival of the server's entry and the sync that applied it.
+func TestShownSinceIncludesLoadedModel(t *testing.T) {
+	c, _ := testController(func(time.Time) (int, bool) { return 5, true })
+	now := c.Now()
+	c.sync(now, "s")
+	c.servers["a"].Answered(now, now, &routes.Engine{}, Order{Model: "m2"}, Accepted, time.Second)
+
+	received := now.Add(1200 * time.Millisecond)
+	c.Servers.Put(received, backs.Entry{ID: "a", Service: "s", Models: []backs.Held{{Model: "m1"}, {Model: "m2"}}})
+	previous := received.Add(50 * time.Millisecond)
+	c.ShownSince(previous, received.Add(-50*time.Millisecond))
+	synced := received.Add(90 * time.Millisecond)
+	c.sync(synced, "s")
+	shown := c.ShownSince(synced, previous)
+	require.Len(t, shown, 1)
+	require.Equal(t, []backs.Held{{Model: "m1"}, {Model: "m2"}}, shown[0].Models)
+}
