Exclude copies at servers far over their rate limit from the placement

Cause: a model whose only copies are at rate-limited servers is refused for as long as the limit lasts, because the placement counts those copies in full and loads no others.

Change: the controller, which grants the permits, marks a server as contended once the moving average of refused permit attempts reaches 0.4, and keeps the mark until the server's limit ends. The placement excludes contended servers in the same way as draining ones: their copies are not counted, and no models are loaded there.

Servers without limits are never contended.

Tests: TestCopyAtContendedServerDoesNotCount, TestContended.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -12,6 +12,10 @@
 	minRate = 0.2
 	// maxWait bounds the wait before the next attempt, because the limit may have ended.
 	maxWait = 2 * time.Second
+	// contendedThreshold is the average share of refused attempts at which a bucket becomes
+	// contended. smoothingFactor is the weight of the latest attempt in that average.
+	contendedThreshold = 0.4
+	smoothingFactor    = 0.2
 	// minWait keeps short waits apart from a permit when they are rounded.
 	minWait = time.Millisecond
 )
@@ -23,6 +27,11 @@
 	rate    float64
 	// refused counts the refusals since the last permit.
 	refused int
+	// refusedShare is the exponentially weighted moving average of refused attempts.
+	refusedShare float64
+	// contended is set when refusedShare reaches contendedThreshold. It is not reset when the
+	// share falls, because requests then go to other servers.
+	contended bool
 }
 
 // acquire takes a permit and returns 0, or returns how long to wait before the next attempt. Each
@@ -36,7 +45,9 @@
 		b.limiter.SetLimitAt(now, rate.Limit(perSecond))
 	}
 	b.rate = perSecond
-	if b.limiter.AllowN(now, 1) {
+	allowed := b.limiter.AllowN(now, 1)
+	b.recordAttempt(allowed)
+	if allowed {
 		b.refused = 0
 		return 0
 	}
@@ -44,3 +55,12 @@
 	b.refused++
 	return min(max(time.Duration(permits/perSecond*float64(time.Second)), minWait), maxWait)
 }
+
+func (b *bucket) recordAttempt(allowed bool) {
+	refused := 1.0
+	if allowed {
+		refused = 0
+	}
+	b.refusedShare += smoothingFactor * (refused - b.refusedShare)
+	b.contended = b.contended || b.refusedShare >= contendedThreshold
+}
--- a/limit/limits.go
+++ b/limit/limits.go
@@ -146,6 +146,15 @@
 	return s.local.acquire(now, max(s.rate, minRate)/float64(max(vms, 1)))
 }
 
+// Contended reports whether Grant has refused a large share of the attempts for a server since its
+// limit became known. It stays true until the limit ends.
+func (l *Limits) Contended(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.servers[id]
+	return s != nil && s.global.contended
+}
+
 // TakeReport returns the limits that changed or ended since the last report.
 func (l *Limits) TakeReport() []Rate {
 	l.mu.Lock()
--- a/limit/limits_test.go
+++ b/limit/limits_test.go
@@ -116,3 +116,30 @@
 	l.Retain(func(id string) bool { return id == "b" })
 	require.Len(t, l.Rates(), 1)
 }
+
+// Guards against marking a server as contended when few attempts are refused, and against clearing
+// the mark before the limit ends.
+func TestContended(t *testing.T) {
+	var l limit.Limits
+	l.Update(start, start, "a", 10, true)
+	now := start
+	for i := range 100 {
+		now = now.Add(200 * time.Millisecond)
+		if i%10 == 0 {
+			l.Grant(now, "a")
+		}
+		l.Grant(now, "a")
+	}
+	require.False(t, l.Contended("a"))
+	for range 5 {
+		l.Grant(now, "a")
+	}
+	require.True(t, l.Contended("a"))
+	for range 100 {
+		now = now.Add(time.Second)
+		l.Grant(now, "a")
+	}
+	require.True(t, l.Contended("a"))
+	require.True(t, l.Update(now, now, "a", 0, false))
+	require.False(t, l.Contended("a"))
+}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -57,6 +57,9 @@
 	// Ended returns when the VM that steered before gave its last order at the
 	// latest; nil for when this one began.
 	Ended func() time.Time
+	// Contended reports whether the requests for a server far exceed its rate limit; nil for
+	// never.
+	Contended func(server string) bool
 	// Window is that of the weight store's bound; 0 takes five seconds.
 	Window time.Duration
 	// Spawn runs a call to a server beside the look that decided on it; nil for a
@@ -284,7 +287,7 @@
 // noteHeld notes which models have a copy now. c.mu is held.
 func (c *Controller) noteHeld(now time.Time, service string) {
 	for _, s := range c.of(service) {
-		if s.entry.Draining || s.Down() {
+		if s.entry.Draining || s.Down() || c.Contended != nil && c.Contended(s.entry.ID) {
 			continue
 		}
 		for name, r := range s.models {
@@ -324,7 +327,8 @@
 			then, mean = demand.Ahead(now, model, while)
 			return then / memory(demandHalfLife), mean / memory(demandHalfLife)
 		},
-		Missing: func(model string) time.Duration { return c.missing(now, service.Name, model) },
+		Contended: c.Contended,
+		Missing:   func(model string) time.Duration { return c.missing(now, service.Name, model) },
 		Awaited: func(model string) bool {
 			return now.Sub(c.first[service.Name]) < listFills && demand.Last(model).IsZero()
 		},
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -48,7 +48,10 @@
 	// Awaited reports whether a model without a copy is likely at a server that is not
 	// listed yet; nil for never.
 	Awaited func(model string) bool
-	Now     time.Time
+	// Contended reports whether the requests for a server far exceed its rate limit; nil for
+	// never. The copies at such a server are not counted, and no models are loaded there.
+	Contended func(server string) bool
+	Now       time.Time
 
 	// These are counted once for each plan: with a thousand models and as many
 	// servers, counting again for each choice would take seconds.
@@ -159,7 +162,7 @@
 }
 
 // count takes stock: the work for each model, and the copies that stay. Those
-// at servers that are leaving do not.
+// at servers that are leaving or contended do not.
 func (p *Planner) count() {
 	p.work = make(map[string]estimate, len(p.Engine.Models))
 	work := make(map[string]float64, len(p.Engine.Models))
@@ -170,7 +173,7 @@
 	p.inDomain, p.staying = make(map[domainModel]int), nil
 	domains := make(map[string]bool)
 	for _, s := range p.Servers {
-		if s.entry.Draining || s.Down() {
+		if s.entry.Draining || s.Down() || p.Contended != nil && p.Contended(s.entry.ID) {
 			continue
 		}
 		domains[s.entry.Domain] = true
--- a/steer/plan_test.go
+++ b/steer/plan_test.go
@@ -156,3 +156,15 @@
 		})
 	}
 }
+
+// Guards against leaving a model with no copy but one at a contended server, and against loading
+// models there.
+func TestCopyAtContendedServerDoesNotCount(t *testing.T) {
+	servers := []*steer.Server{reported(at(0), "a", 0, "m1"), reported(at(0), "b", 0)}
+	p := planner(at(0), engine(10, "m1"), nil, servers...)
+	require.Empty(t, steps(p))
+	p.Contended = func(server string) bool { return server == "a" }
+	require.Equal(t, []string{"load m1 at b"}, steps(p))
+	p.Contended = func(string) bool { return true }
+	require.Empty(t, steps(p))
+}
