soak: Check the rate limit of a backend server at the end of each run

Cause: only the tests of package demo ran with a server that has a rate limit.

Change: after all faults have been lifted, a plain backend server announces a limit of 2 requests per second, and each VM receives about 60 requests per second for eight seconds, beside the check of requests that crash servers. The check from the tests of package demo moves to demo.Checks, and both the tests and the soak use it: from three seconds after the announcement, at most 1.5 times the limit plus 5 requests in any 4 s.

--- a/demo/check.go
+++ b/demo/check.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
@@ -124,3 +125,36 @@
 	}
 	return s.String()
 }
+
+const (
+	// limitGracePeriod is the time for a rate limit to reach all VMs. After it, each limitWindow may
+	// contain limitFactor times the requests that the rate allows, plus limitSlack.
+	limitGracePeriod = 3 * time.Second
+	limitWindow      = 4 * time.Second
+	limitFactor      = 1.5
+	limitSlack       = 5
+)
+
+// Limit checks that the requests to a backend server stay within its rate limit once limitGracePeriod
+// has passed since limitedAt, when the limit was announced. It reports only the first violation.
+func (b *Checks) Limit(backend *stand.Backend, limitedAt time.Time) {
+	rate, _ := backend.Limit()
+	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
+	arrivals := backend.Arrivals()
+	for i, first := range arrivals {
+		if first.Before(limitedAt.Add(limitGracePeriod)) {
+			continue
+		}
+		count := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(first) < limitWindow {
+				count++
+			}
+		}
+		if float64(count) > allowed {
+			b.Add("server %s: rate limit of %v requests per second exceeded: %d requests in %v, starting %v after the announcement; at most %v allowed",
+				backend.ID, rate, count, limitWindow, first.Sub(limitedAt), allowed)
+			return
+		}
+	}
+}
--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -13,16 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
-	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 const (
-	// limitGracePeriod is the time for a limit to reach all VMs. After it, each limitWindow may
-	// contain limitFactor times the requests that the rate allows, plus limitSlack.
-	limitGracePeriod = 3 * time.Second
-	limitWindow      = 4 * time.Second
-	limitFactor      = 1.5
-	limitSlack       = 5
 	// loadDuration is how long requests are sent, and loadInterval the time between two requests to
 	// the same VM.
 	loadDuration = 9 * time.Second
@@ -52,27 +45,6 @@
 	return answers
 }
 
-// requireWithinLimit requires that the requests to a server stay within its limit after
-// limitGracePeriod.
-func requireWithinLimit(t *testing.T, b *stand.Backend, limitedAt time.Time) {
-	t.Helper()
-	rate, _ := b.Limit()
-	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
-	arrivals := b.Arrivals()
-	for i, first := range arrivals {
-		if first.Before(limitedAt.Add(limitGracePeriod)) {
-			continue
-		}
-		n := 0
-		for _, at := range arrivals[i:] {
-			if at.Sub(first) < limitWindow {
-				n++
-			}
-		}
-		require.LessOrEqual(t, float64(n), allowed, "in %v from %v after the limit", limitWindow, first.Sub(limitedAt))
-	}
-}
-
 // Guards against all VMs together sending a server more requests than its rate limit allows, or none.
 func TestServerGetsMoreThanItsLimit(t *testing.T) {
 	tests := map[string]struct{ method, path, model, service string }{
@@ -91,7 +63,9 @@
 					served++
 				}
 			}
-			requireWithinLimit(t, b, limitedAt)
+			var checks demo.Checks
+			checks.Limit(b, limitedAt)
+			require.Empty(t, checks.Broken())
 			require.NotEmpty(t, b.Arrivals())
 			require.Positive(t, served)
 		})
--- /dev/null
+++ b/soak/limit.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/demo"
+)
+
+const (
+	// limitRate is the rate limit that the backend server announces, in requests per second.
+	limitRate = 2
+	// limitLoadDuration is how long requests are sent, and limitLoadInterval the time between two
+	// requests to the same VM.
+	limitLoadDuration = 8 * time.Second
+	limitLoadInterval = 15 * time.Millisecond
+)
+
+// checkLimit sets a rate limit on a plain backend server, sends more requests than it allows to all
+// VMs, and checks the requests that the server receives. It guards against all VMs together sending
+// the server more requests than its rate limit allows.
+func (r *run) checkLimit(ctx context.Context) {
+	backend := r.site.Backends(demo.SitePlain)[0]
+	limitedAt := time.Now()
+	backend.SetLimit(limitRate, true)
+	ctx, cancel := context.WithTimeout(ctx, limitLoadDuration)
+	defer cancel()
+	var wait sync.WaitGroup
+	for v := range r.vms {
+		wait.Go(func() { r.sendLoad(ctx, v) })
+	}
+	wait.Wait()
+	r.checks.Limit(backend, limitedAt)
+	backend.SetLimit(0, false)
+}
+
+// sendLoad sends concurrent requests to a VM until ctx is done, then waits for the answers. Requests
+// in flight are not canceled.
+func (r *run) sendLoad(ctx context.Context, v int) {
+	client := &http.Client{Timeout: callLimit}
+	defer client.CloseIdleConnections()
+	var wait sync.WaitGroup
+	for i := 0; ctx.Err() == nil; i++ {
+		wait.Go(func() {
+			rng := rand.New(rand.NewPCG(r.options.Seed, uint64(i)))
+			r.checks.Answer(r.site.Ask(context.Background(), client, r.vms[v].listen, fmt.Sprintf("limit-%d-%d-%d", r.options.Seed, v, i), demo.SiteKinds[0], rng))
+		})
+		time.Sleep(limitLoadInterval)
+	}
+	wait.Wait()
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -316,7 +316,10 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	r.checkBlocked(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { r.checkBlocked(ctx) })
+	wait.Go(func() { r.checkLimit(ctx) })
+	wait.Wait()
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
 		if !v.mustEnd() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	require.NoError(t, err, string(out))
 	for _, seed := range append([]uint64{7}, failedSeeds(t)...) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: t.TempDir(), Seed: seed, For: shortRun})
 			require.NoError(t, err)
 			require.Empty(t, res.Broken)
