Soak: count crashes from three seconds after the last fault

The VM logs show the cause. The VMs blocked the request at 31.12 to 31.22 s, while the store had been unavailable since 30.9 s, so the block could not be written to the lease record. One VM was stopped at 32.08 and the other two were killed by 32.5; all three were back at 32.44 to 32.68. No record of the crashes was left. Two servers crashed at 34.42 and 34.71, within three seconds of those starts, and two more at 37.70 and 37.93, one at each of two VMs that had received the request before. All VMs blocked the request at 37.70 to 37.81.

The check was wrong. By the rule it verifies, VMs that have just been killed have three seconds to learn of crashes, but the check counted from the end of the faults. It now allows three crashes from three seconds later on, and six before that: three to learn and three that are under way. Before, three were allowed in all.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -19,7 +19,7 @@
 	crashingRequestGap   = 200 * time.Millisecond
 	crashingRequestSends = 10
 	// crashLimit is the number of crashes after which a request must be blocked, and
-	// maxLaterCrashes bounds its crashes after all faults are lifted.
+	// maxLaterCrashes bounds its crashes once blockTimeout has passed after the last fault.
 	crashLimit      = 3
 	maxLaterCrashes = 3
 	// blockTimeout is how long the VMs have to block a request after the first send without
@@ -73,28 +73,38 @@
 }
 
 // checkBlocked checks that requests with at least crashLimit crashes during the faults cause at
-// most maxLaterCrashes afterwards. It guards against VMs that do not block such requests.
+// most maxLaterCrashes after a grace period of blockTimeout without faults, and at most crashLimit
+// more within it. It guards against VMs that do not block such requests.
 func (r *run) checkBlocked(ctx context.Context) {
-	before := make(map[*crashingRequest]int)
+	var toBlock []*crashingRequest
+	during := make(map[*crashingRequest]int)
 	for _, c := range r.crashingRequests {
 		if n := r.crashCount(c); n >= crashLimit {
-			before[c] = n
-			// A killed VM loses the crashes it has not reported, so the request may not be
-			// blocked yet.
+			toBlock = append(toBlock, c)
+			during[c] = n
+			// If all VMs are killed while the store is unavailable, the record of the crashes is
+			// lost, and the VMs can block the request only after it crashes servers again.
 			r.sendCrashingRequest(c, r.vms[0])
 		}
 	}
 	pause.For(ctx, blockTimeout)
+	before := make(map[*crashingRequest]int)
+	for _, c := range toBlock {
+		before[c] = r.crashCount(c)
+	}
 	for range resendRounds {
-		for c := range before {
+		for _, c := range toBlock {
 			for _, v := range r.vms {
 				r.sendCrashingRequest(c, v)
 			}
 		}
 	}
-	for c, n := range before {
-		if later := r.crashCount(c) - n; later > maxLaterCrashes {
-			r.checks.Add("request %s crashed %d servers, and %d more after the last fault", c.path, n, later)
+	for _, c := range toBlock {
+		if relearned := before[c] - during[c]; relearned > crashLimit+maxLaterCrashes {
+			r.checks.Add("request %s crashed %d servers, and %d more within %v after the last fault", c.path, during[c], relearned, blockTimeout)
+		}
+		if later := r.crashCount(c) - before[c]; later > maxLaterCrashes {
+			r.checks.Add("request %s crashed %d servers, and %d more later than %v after the last fault", c.path, before[c], later, blockTimeout)
 		}
 	}
 }
