Soak: the comment of checkBlocked names the bound that it checks

Cause: the comment said at most three crashes within the grace period; the code allows three to learn and three under way. Only the comment changes.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -73,8 +73,8 @@
 }
 
 // checkBlocked checks that requests with at least crashLimit crashes during the faults cause at
-// most maxLaterCrashes after a grace period of blockTimeout without faults, and at most crashLimit
-// more within it. It guards against VMs that do not block such requests.
+// most maxLaterCrashes after a grace period of blockTimeout without faults, and at most
+// crashLimit+maxLaterCrashes within it. It guards against VMs that do not block such requests.
 func (r *run) checkBlocked(ctx context.Context) {
 	var toBlock []*crashingRequest
 	during := make(map[*crashingRequest]int)
