limit, peers, pass: Keep the quotas of teams over all VMs together

So each VM keeps its subtree's part of each quota as a bucket, uses it when the root is lost or silent, and hands its level over when it links again.

--- a/limit/quota.go
+++ b/limit/quota.go
@@ -19,9 +19,11 @@
 // its tokens from the root before it is sent. The reports are older than the bucket by some hundred
 // milliseconds, which the burst and the tolerance of the quota cover.
 //
-// A VM or relay that loses the root becomes the root of its subtree, with as much of each quota as
-// its subtree's part of all VMs, counted from an empty bucket. The root counts out the VMs that it
-// does not hear from. So the parts of all roots add up to one quota, whoever is cut off or restarts.
+// Each VM also keeps a bucket with its subtree's part of each quota, less all that its subtree uses. It
+// takes tokens from that bucket when the root does not answer, and when it has lost the root and is the
+// root of its subtree itself. The root gives that part up when it loses the subtree, and gets the level
+// of the bucket when the subtree links again. So the parts of all roots add up to one quota, whoever is
+// cut off, and a process that starts brings an empty bucket.
 
 const (
 	// toleranceShare is the share of a quota's tolerance by which a bucket may be overdrawn, so that
@@ -36,9 +38,15 @@
 	// that the most urgent requests of a team get the last tokens. maxReserve bounds it.
 	rankReserve = 0.15
 	maxReserve  = 0.6
-	// substituteIdle is the time after which a VM with a root starts with an empty bucket of its own
-	// when the root does not answer.
-	substituteIdle = 1500 * time.Millisecond
+	// maxDebt is how far a bucket may be below zero, as a multiple of its capacity. A subtree with more
+	// than its part of a team's requests would otherwise refuse them all for long after it has lost
+	// the root.
+	maxDebt = 2
+	// overdrawnLevel is the level, as a multiple of its capacity, below which the bucket of a VM with a
+	// root makes the team tight in its subtree until it is no longer below zero. The root may not
+	// get the reports: a lost link is noticed after a second, in which a team could use several
+	// times its quota.
+	overdrawnLevel = -1
 )
 
 // Quota is the limit of a team for all VMs together, in units per second and units.
@@ -73,7 +81,7 @@
 // Quotas holds the quotas of all teams at one VM. The zero value has no quotas. It is safe for
 // concurrent use.
 type Quotas struct {
-	// OnTight is called when a team becomes tight at the root. Optional.
+	// OnTight is called when a team becomes tight for the VMs linked to this one. Optional.
 	OnTight func()
 	// AlwaysTight makes every request take its tokens from the root.
 	AlwaysTight bool
@@ -100,10 +108,14 @@
 	// bucket at the root has been above relaxedLevel, zero if it is not.
 	tight bool
 	full  time.Time
+	// overdrawn is set while the bucket of a VM with a root makes the team tight.
+	overdrawn bool
 	// promisedUntil is the time up to which the tokens are promised to refused callers.
 	promisedUntil time.Time
 	// unreported is the number of tokens used and not yet reported to the root.
 	unreported int
+	// handed is the level handed over by linked VMs and not yet passed on to the root.
+	handed int
 }
 
 // Configure replaces the quotas and their tolerance. The state of teams that remain is kept.
@@ -123,28 +135,82 @@
 	}
 	q.rules, q.teams = rules, teams
 	for _, t := range teams {
-		t.level = min(t.level, q.capacity(t))
+		q.clamp(t)
 	}
 }
 
-// SetRole sets whether this VM is the root of its subtree, and the share of the quotas that it may
-// grant. A new root starts with empty buckets: it does not know what was used before.
+// SetRole sets whether this VM is the root of its subtree, and the subtree's share of the quotas. A
+// share that falls takes full buckets along, because the VMs that have left may use them. A share that
+// grows brings nothing; AddLevels adds what the new VMs bring.
 func (q *Quotas) SetRole(now time.Time, root bool, share float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if root == q.root && share == q.share {
 		return
 	}
-	begins, ends := root && !q.root, !root && q.root
+	begins, lost := root && !q.root, max(q.share-share, 0)
 	for _, t := range q.teams {
 		q.refill(now, t)
+		t.level -= lost * t.quota.Burst
+	}
+	if q.root && !root {
+		q.announced = false
+	}
+	q.root, q.share = root, share
+	for _, t := range q.teams {
+		q.clamp(t)
 		if begins {
-			*t = teamQuota{quota: t.quota, at: now, tight: true}
+			t.tight, t.full = t.level < tightLevel*q.capacity(t), time.Time{}
 		}
 	}
-	q.root, q.share = root, share
-	if ends {
-		q.announced = false
+}
+
+// Levels returns the levels of the buckets, which a VM hands to the hub that it links to.
+func (q *Quotas) Levels(now time.Time) []Spend {
+	return q.list(func(t *teamQuota) int {
+		q.refill(now, t)
+		t.handed = 0
+		return int(t.level)
+	})
+}
+
+// TakeHanded returns the levels that linked VMs have handed over since the last call, which are to be
+// passed on to the hub.
+func (q *Quotas) TakeHanded() []Spend {
+	return q.list(func(t *teamQuota) int {
+		handed := t.handed
+		t.handed = 0
+		return handed
+	})
+}
+
+// list returns a number of tokens of each team, without the teams for which it is 0, sorted by team.
+func (q *Quotas) list(tokens func(*teamQuota) int) []Spend {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []Spend
+	for team, t := range q.teams {
+		if n := tokens(t); n != 0 {
+			list = append(list, Spend{Team: team, Tokens: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b Spend) int { return cmp.Compare(a.Team, b.Team) })
+	return list
+}
+
+// AddLevels adds the levels that a VM hands over. The share must include that VM already.
+func (q *Quotas) AddLevels(now time.Time, levels []Spend) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, l := range levels {
+		if t := q.teams[l.Team]; t != nil {
+			q.refill(now, t)
+			t.level += float64(l.Tokens)
+			q.clamp(t)
+			if !q.root {
+				t.handed += l.Tokens
+			}
+		}
 	}
 }
 
@@ -156,14 +222,25 @@
 }
 
 // Tight reports whether a request of a team must take its tokens from the root before it is sent.
-func (q *Quotas) Tight(team string) bool {
+func (q *Quotas) Tight(now time.Time, team string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := q.teams[team]
-	return t != nil && (q.AlwaysTight || q.root || !q.announced || t.tight)
+	if t == nil {
+		return false
+	}
+	q.refill(now, t)
+	q.updateTight(now, t)
+	return q.AlwaysTight || q.root || q.tightBelow(t)
+}
+
+// tightBelow reports whether a team is tight for the VMs linked to this one. q.mu must be held.
+func (q *Quotas) tightBelow(t *teamQuota) bool {
+	return t.tight || !q.root && (!q.announced || t.overdrawn)
 }
 
-// Take takes the tokens of a request from this VM's bucket. If granted is set, the request may be sent
+// Take takes the tokens of a request from this VM's bucket, which at a VM with a root is a substitute
+// for an answer of the root. If granted is set, the request may be sent
 // after wait; otherwise its caller should retry after wait. known is false if the team has no quota
 // here.
 func (q *Quotas) Take(now time.Time, r QuotaRequest) (wait time.Duration, granted, known bool) {
@@ -173,11 +250,11 @@
 		q.mu.Unlock()
 		return 0, false, false
 	}
-	if !q.root && now.Sub(t.at) > substituteIdle {
-		t.level, t.at = 0, now
-	}
 	q.refill(now, t)
 	wait, granted = q.take(now, t, r)
+	if granted && !q.root {
+		t.unreported += r.Tokens
+	}
 	becameTight := q.updateTight(now, t)
 	q.mu.Unlock()
 	q.announce(becameTight)
@@ -209,40 +286,38 @@
 	return min(at.Sub(now), maxWait), false
 }
 
-// Spend records the use, or with a negative number the return, of a team's tokens that were not taken
-// by Take.
-func (q *Quotas) Spend(now time.Time, team string, tokens int) {
+// Spend records the use, or with a negative number the return, of a team's tokens that were taken
+// without asking, and are to be reported to the root.
+func (q *Quotas) Spend(now time.Time, team string, tokens int) { q.record(now, team, tokens, true) }
+
+// Granted records the use of tokens that the root has granted to this VM's subtree.
+func (q *Quotas) Granted(now time.Time, team string, tokens int) { q.record(now, team, tokens, false) }
+
+func (q *Quotas) record(now time.Time, team string, tokens int, report bool) {
 	q.mu.Lock()
 	t := q.teams[team]
 	if t == nil {
 		q.mu.Unlock()
 		return
 	}
-	becameTight := false
-	if q.root {
-		q.refill(now, t)
-		t.level = min(t.level-float64(tokens), q.capacity(t))
-		becameTight = q.updateTight(now, t)
-	} else {
+	q.refill(now, t)
+	t.level -= float64(tokens)
+	q.clamp(t)
+	if report && !q.root {
 		t.unreported += tokens
 	}
+	becameTight := q.updateTight(now, t)
 	q.mu.Unlock()
 	q.announce(becameTight)
 }
 
 // TakeReport returns the uses that are to be reported to the root, sorted by team.
 func (q *Quotas) TakeReport() []Spend {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var list []Spend
-	for team, t := range q.teams {
-		if t.unreported != 0 {
-			list = append(list, Spend{Team: team, Tokens: t.unreported})
-			t.unreported = 0
-		}
-	}
-	slices.SortFunc(list, func(a, b Spend) int { return cmp.Compare(a.Team, b.Team) })
-	return list
+	return q.list(func(t *teamQuota) int {
+		unreported := t.unreported
+		t.unreported = 0
+		return unreported
+	})
 }
 
 // TightTeams returns the names of the tight teams, as determined at the root or as announced by it,
@@ -252,11 +327,9 @@
 	defer q.mu.Unlock()
 	var list []string
 	for team, t := range q.teams {
-		if q.root {
-			q.refill(now, t)
-			q.updateTight(now, t)
-		}
-		if t.tight || !q.root && !q.announced {
+		q.refill(now, t)
+		q.updateTight(now, t)
+		if q.tightBelow(t) {
 			list = append(list, team)
 		}
 	}
@@ -295,13 +368,20 @@
 	}
 }
 
-// updateTight updates whether a team is tight at the root, and reports whether it has become so. q.mu
-// must be held.
+// clamp keeps the level of a bucket within its bounds. q.mu must be held.
+func (q *Quotas) clamp(t *teamQuota) {
+	t.level = min(max(t.level, -maxDebt*q.capacity(t)), q.capacity(t))
+}
+
+// updateTight updates whether a team is tight at the root, or overdrawn elsewhere, and reports whether
+// it has become so. q.mu must be held.
 func (q *Quotas) updateTight(now time.Time, t *teamQuota) (became bool) {
+	capacity := q.capacity(t)
 	if !q.root {
-		return false
+		was := t.overdrawn
+		t.overdrawn = t.level < overdrawnLevel*capacity || was && t.level < 0
+		return t.overdrawn && !was
 	}
-	capacity := q.capacity(t)
 	if t.level < relaxedLevel*capacity {
 		t.full = time.Time{}
 	} else if t.full.IsZero() {
--- a/pass/quota.go
+++ b/pass/quota.go
@@ -33,7 +33,7 @@
 		return true
 	}
 	c.quota = quotaUse{team: c.team.Name, tokens: c.team.Quota.Size(g.HeaderNames.ParseTokenUsage(c.request.Header.Get(g.HeaderNames.TokenUsage)))}
-	if !g.Quotas.Tight(c.quota.team) {
+	if !g.Quotas.Tight(g.Now(), c.quota.team) {
 		g.Quotas.Spend(g.Now(), c.quota.team, c.quota.tokens)
 		c.quota.charged = 1
 		return true
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -176,8 +176,8 @@
 	if m.VMReport != nil {
 		p.mergeCrashes(m.VMReport)
 		p.Limits.AddReport(p.Now(), limitsOf(m.VMReport.Limits))
-		p.recordSpends(m.VMReport.Spends)
 	}
+	defer p.mergeQuotaReport(m.VMReport)
 	switch {
 	case m.VMReport != nil && p.isRelaying():
 		p.mergeReport(d.vm, m.VMReport)
--- a/peers/quotas.go
+++ b/peers/quotas.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -14,15 +13,17 @@
 )
 
 const (
-	// quotaTimeout bounds a quota call. The round trip over two links takes milliseconds.
-	quotaTimeout = 150 * time.Millisecond
+	// quotaTimeout bounds a quota call to a hub that is the root, and relayedQuotaTimeout one to a
+	// relay, which waits for the root itself. Round trips take milliseconds.
+	quotaTimeout        = 100 * time.Millisecond
+	relayedQuotaTimeout = 200 * time.Millisecond
+	// quotaBackoff is how long a VM does not call a hub that has not answered a quota call.
+	quotaBackoff = 400 * time.Millisecond
 	// fleetMemory is how long a VM that is no longer heard of keeps its part of the quotas. It may be
 	// cut off and use that part.
 	fleetMemory = 10 * time.Minute
 )
 
-var errUnknownQuota = errors.New("the hub does not know the quota of the team")
-
 // fleetSize is the largest number of VMs of the last fleetMemory. The zero value is unknown.
 type fleetSize struct {
 	vms    int
@@ -35,9 +36,8 @@
 	}
 }
 
-// updateQuotaRole sets whether this VM is the root for the quotas, and the share of them that it may
-// grant: the part of its subtree in the fleet. The share of a VM with a hub is its own part, for when
-// the hub does not answer. A VM that knows neither a hub nor the lease record does not know the size of
+// updateQuotaRole sets whether this VM is the root for the quotas, and the part of its subtree in the
+// fleet. A VM that knows neither a hub nor the lease record does not know the size of
 // the fleet and may grant nothing.
 func (p *Peers) updateQuotaRole(now time.Time) {
 	if p.Quotas == nil {
@@ -49,7 +49,7 @@
 	defer p.mu.Unlock()
 	subtree := p.subtreeVMs()
 	root := p.uplink == nil || p.EqualQuotas
-	if !root || p.EqualQuotas {
+	if p.EqualQuotas {
 		subtree = 1
 	}
 	if reported = max(reported, p.vms); reported > 0 || held {
@@ -64,46 +64,60 @@
 
 // TakeQuota takes the tokens of a request from its team's quota, at the root of the tree of VMs. If
 // granted is set, the request may be sent after wait; otherwise its caller should retry after wait. If
-// the hub does not answer, the tokens are taken from this VM's equal part.
+// the hub does not answer, the tokens are taken from the part of this VM's subtree.
 func (p *Peers) TakeQuota(ctx context.Context, r limit.QuotaRequest) (wait time.Duration, granted bool) {
-	wait, granted, err := p.takeQuota(ctx, r)
-	if err == nil || ctx.Err() != nil {
-		return wait, granted
+	if up := p.quotaHub(p.Now()); up != nil {
+		wait, granted, err := p.callQuota(ctx, up, r)
+		if err == nil || ctx.Err() != nil {
+			return wait, granted
+		}
+		p.Log.Info().Str("team", r.Team).Err(err).Msg("quota call failed, using the local part")
 	}
-	p.Log.Info().Str("team", r.Team).Err(err).Msg("quota call failed, using the local part")
-	wait, granted, _ = p.Quotas.Take(p.Now(), r)
+	now := p.Now()
+	p.updateQuotaRole(now)
+	wait, granted, _ = p.Quotas.Take(now, r)
 	return wait, granted
 }
 
-func (p *Peers) takeQuota(ctx context.Context, r limit.QuotaRequest) (wait time.Duration, granted bool, err error) {
+// quotaHub returns the link to the hub, or nil if this VM is the root or the hub has not answered
+// lately.
+func (p *Peers) quotaHub(now time.Time) *uplink {
 	p.mu.Lock()
-	up := p.uplink
-	p.mu.Unlock()
-	if up == nil || p.EqualQuotas {
-		now := p.Now()
-		p.updateQuotaRole(now)
-		wait, granted, known := p.Quotas.Take(now, r)
-		if !known {
-			return 0, false, errUnknownQuota
-		}
-		return wait, granted, nil
+	defer p.mu.Unlock()
+	if p.EqualQuotas || now.Sub(p.quotaFailedAt) < quotaBackoff {
+		return nil
 	}
+	return p.uplink
+}
+
+// callQuota takes the tokens of a request from the hub.
+func (p *Peers) callQuota(ctx context.Context, up *uplink, r limit.QuotaRequest) (wait time.Duration, granted bool, err error) {
 	p.Meter.AddCounter("peers.quota_calls", 1)
-	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
+	timeout := relayedQuotaTimeout
+	if p.isDirect(up) {
+		timeout = quotaTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return up.takeQuota(ctx, r)
+	wait, granted, err = up.takeQuota(callCtx, r)
+	switch {
+	case err == nil && granted:
+		p.Quotas.Granted(p.Now(), r.Team, r.Tokens)
+	case err != nil && ctx.Err() == nil:
+		p.mu.Lock()
+		p.quotaFailedAt = p.Now()
+		p.mu.Unlock()
+	}
+	return wait, granted, err
 }
 
 func (p *Peers) answerQuota(ctx context.Context, d *downlink, call *wire.QuotaCall) {
 	ctx, span := spans.Start(ctx, "quota", attribute.String("team", call.Team))
-	wait, granted, err := p.takeQuota(ctx, limit.QuotaRequest{
+	wait, granted := p.TakeQuota(ctx, limit.QuotaRequest{
 		Team: call.Team, Tokens: call.Tokens, Rank: call.Rank, Patience: time.Duration(call.PatienceUs) * time.Microsecond,
 	})
-	spans.End(span, err)
+	spans.End(span, nil)
 	reply := &wire.QuotaReply{Call: call.Call, Granted: granted, WaitUs: int(wait.Microseconds())}
-	if err != nil {
-		reply.WaitUs = -1
-	}
 	frame, err := link.Encode(&wire.Message{QuotaReply: reply})
 	if err != nil {
 		p.Log.Error().Err(err).Msg("encoding a quota reply failed")
@@ -112,6 +126,16 @@
 	d.enqueueReply(frame)
 }
 
+// mergeQuotaReport merges a linked VM's part of the quotas and its uses, once the VM is counted in the
+// subtree. The report may be nil.
+func (p *Peers) mergeQuotaReport(r *wire.VMReport) {
+	if r == nil {
+		return
+	}
+	p.addLevels(r.Levels)
+	p.recordSpends(r.Spends)
+}
+
 // recordSpends records the uses reported by a linked VM: in the buckets of the root, or for the next
 // report of a relay.
 func (p *Peers) recordSpends(spends []wire.TeamSpend) {
@@ -123,13 +147,49 @@
 	}
 }
 
+// addLevels adds the levels of the buckets that a linked VM hands over.
+func (p *Peers) addLevels(levels []wire.TeamSpend) {
+	if p.Quotas == nil || len(levels) == 0 {
+		return
+	}
+	now := p.Now()
+	p.updateQuotaRole(now)
+	list := make([]limit.Spend, 0, len(levels))
+	for _, l := range levels {
+		list = append(list, limit.Spend{Team: l.Team, Tokens: l.Tokens})
+	}
+	p.Quotas.AddLevels(now, list)
+}
+
+// quotaLevels returns the levels to hand over to the hub in their wire form.
+func (p *Peers) quotaLevels() []wire.TeamSpend {
+	if p.Quotas == nil {
+		return nil
+	}
+	return spendList(p.Quotas.Levels(p.Now()))
+}
+
+// takeHandedLevels returns the levels that linked VMs have handed over to this relay, in their wire
+// form.
+func (p *Peers) takeHandedLevels() []wire.TeamSpend {
+	if p.Quotas == nil {
+		return nil
+	}
+	return spendList(p.Quotas.TakeHanded())
+}
+
 // takeSpends returns the uses to report to the hub in their wire form.
 func (p *Peers) takeSpends() []wire.TeamSpend {
 	if p.Quotas == nil {
 		return nil
 	}
+	return spendList(p.Quotas.TakeReport())
+}
+
+// spendList converts numbers of tokens to their wire form.
+func spendList(spends []limit.Spend) []wire.TeamSpend {
 	var list []wire.TeamSpend
-	for _, s := range p.Quotas.TakeReport() {
+	for _, s := range spends {
 		list = append(list, wire.TeamSpend{Team: s.Team, Tokens: s.Tokens})
 	}
 	return list
--- /dev/null
+++ b/peers/quotas_test.go
@@ -0,0 +1,93 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/limit"
+)
+
+var testQuota = limit.Quota{Team: "a", PerSecond: 10_000, Burst: 10_000}
+
+// withQuotas gives the VMs of a test fleet the quota of one team.
+func withQuotas(vms []*testVM) {
+	for _, v := range vms {
+		v.Quotas.Configure(clock.Now(), limit.QuotaRules{Window: 8 * time.Second, Overshoot: 0.1, Slack: 1000}, []limit.Quota{testQuota})
+	}
+}
+
+// takeAll requests tokens at all VMs for a time and returns the tokens granted.
+func takeAll(t *testing.T, vms []*testVM, duration time.Duration) (granted int) {
+	t.Helper()
+	const tokens = 500
+	for until := clock.Now().Add(duration); clock.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		for _, v := range vms {
+			if _, ok := v.TakeQuota(t.Context(), limit.QuotaRequest{Team: "a", Tokens: tokens}); ok {
+				granted += tokens
+			}
+		}
+	}
+	return granted
+}
+
+// Guards against the VMs of a tree exceeding a quota together, also right after the controller has
+// crashed, when the relays and a successor grant with what they know.
+func TestQuotaOfFleet(t *testing.T) {
+	vms := startFleet(t, minTreeVMs+4)
+	withQuotas(vms)
+	settled := func() bool { _, _, settled := topology(vms); return settled }
+	require.Eventually(t, settled, testTimeout, 10*time.Millisecond)
+	start := clock.Now()
+	granted := takeAll(t, vms, time.Second)
+	controller, _, _ := topology(vms)
+	vms[controller].crash()
+	vms = append(vms[:controller:controller], vms[controller+1:]...)
+	granted += takeAll(t, vms, 2*time.Second)
+	require.Eventually(t, settled, testTimeout, 10*time.Millisecond)
+	granted += takeAll(t, vms, time.Second)
+	limit := clock.Now().Sub(start).Seconds()*testQuota.PerSecond + testQuota.Burst
+	require.LessOrEqual(t, float64(granted), 1.1*limit+1000)
+	require.Positive(t, granted)
+}
+
+// Guards against a VM that has just started, and knows neither a hub nor the number of VMs, granting
+// as much as a small fleet's VM would.
+func TestQuotaOfUnknownFleet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newUnlinkedVM(&now)
+	p.Quotas = &limit.Quotas{}
+	p.Quotas.Configure(now, limit.QuotaRules{Window: 8 * time.Second, Overshoot: 0.1, Slack: 100_000}, []limit.Quota{testQuota})
+	for range 20 {
+		now = now.Add(time.Second)
+		_, granted := p.TakeQuota(t.Context(), limit.QuotaRequest{Team: "a", Tokens: 1})
+		require.False(t, granted)
+	}
+	p.vms = 4
+	p.updateQuotaRole(now)
+	granted := 0
+	for range 800 {
+		now = now.Add(10 * time.Millisecond)
+		if _, ok := p.TakeQuota(t.Context(), limit.QuotaRequest{Team: "a", Tokens: 100}); ok {
+			granted += 100
+		}
+	}
+	require.InDelta(t, 8*testQuota.PerSecond/4, granted, testQuota.Burst/4+7_500)
+	require.Greater(t, granted, 0)
+}
+
+// Guards against a VM that is no longer heard of losing its part of the quotas to the others at once,
+// although it may be cut off and use that part.
+func TestFleetSizeRemembersLostVMs(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var f fleetSize
+	f.observe(start, 87)
+	f.observe(start.Add(time.Minute), 65)
+	require.Equal(t, 87, f.vms)
+	f.observe(start.Add(2*time.Minute), 90)
+	require.Equal(t, 90, f.vms)
+	f.observe(start.Add(2*time.Minute+fleetMemory), 65)
+	require.Equal(t, 65, f.vms)
+}
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -80,7 +80,7 @@
 	view.Replace(clock.Now(), []backs.Entry{{ID: "s1", Service: "s", Domain: domain}})
 	lease := &Lease{Name: name, Objects: v.storeClient(o), Duration: 1200 * time.Millisecond, Now: clock.Now, Log: zerolog.Nop()}
 	v.Peers = &Peers{
-		Poison: &poison.Tracker{}, Limits: &limit.Limits{},
+		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Quotas: &limit.Quotas{},
 		Name: name, Domain: domain, Boot: name, Cores: cores, Lease: lease, Servers: view, Balancer: &pick.Balancer{Domain: domain},
 		Controller: &steer.Controller{
 			Name: name, Servers: view, Table: func() *routes.Table { return nil }, FencingToken: lease.FencingToken,
@@ -89,6 +89,7 @@
 		Config: func() (int, []byte) { return 0, nil }, ConfigChanged: func() <-chan struct{} { return nil },
 		ApplyConfig: func(int, []byte) {}, ConfirmedAt: v.confirmedAt, Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
 	}
+	v.Quotas.OnTight = v.SignalTight
 	v.server = httptest.NewServer(v.Handler())
 	v.Address = strings.TrimPrefix(v.server.URL, "http://")
 	lease.Address = v.Address
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -150,6 +150,7 @@
 // reportToHub sends the load and demand of this VM's subtree to the hub at intervals.
 func (p *Peers) reportToHub(ctx context.Context, up *uplink) {
 	idle, lastStatus := true, subtree{vms: 1}
+	levels := p.quotaLevels()
 	p.Poison.MarkUnreported()
 	p.Limits.MarkUnreported(p.Now())
 	for ctx.Err() == nil {
@@ -158,9 +159,9 @@
 		loads, demand, unverified := loadList(own), demandList(p.takeDemand()), append([]string{}, p.takeUnverified()...)
 		crashes, limits, spends := p.Poison.TakeReport(), limitList(p.Limits.TakeReport()), p.takeSpends()
 		up.setReported(own)
-		if !crashes.Empty() || len(limits) > 0 || len(spends) > 0 || len(loads) > 0 || len(demand) > 0 || len(unverified) > 0 || !idle || status.vms != lastStatus.vms || status.relaying != lastStatus.relaying {
+		if !crashes.Empty() || len(limits) > 0 || len(spends) > 0 || len(levels) > 0 || len(loads) > 0 || len(demand) > 0 || len(unverified) > 0 || !idle || status.vms != lastStatus.vms || status.relaying != lastStatus.relaying {
 			idle, lastStatus = len(loads) == 0 && len(demand) == 0, status
-			report := &wire.VMReport{Vms: status.vms, Relaying: status.relaying, Loads: loads, Wants: demand, Doubts: unverified, Limits: limits, Spends: spends}
+			report := &wire.VMReport{Vms: status.vms, Relaying: status.relaying, Loads: loads, Wants: demand, Doubts: unverified, Limits: limits, Spends: spends, Levels: levels}
 			addCrashes(report, crashes)
 			if err := up.conn.Send(ctx, &wire.Message{VMReport: report}); err != nil {
 				up.conn.Close()
@@ -171,6 +172,7 @@
 		case <-ctx.Done():
 		case <-time.After(interval):
 		}
+		levels = p.takeHandedLevels()
 	}
 }
 
@@ -329,9 +331,6 @@
 	if err != nil {
 		return 0, false, err
 	}
-	if m.QuotaReply.WaitUs < 0 {
-		return 0, false, errUnknownQuota
-	}
 	return time.Duration(m.QuotaReply.WaitUs) * time.Microsecond, m.QuotaReply.Granted, nil
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -778,7 +778,7 @@
 	Granted bool `json:"granted"`
 
 	// Time in microseconds until the request may be sent, or until its caller should
-	// retry; -1 if the hub does not know the quota.
+	// retry.
 	WaitUs int `json:"wait_us"`
 }
 
@@ -1008,12 +1008,13 @@
 	Request string `json:"request"`
 }
 
-// Use of a team's quota.
+// A number of tokens of a team's quota.
 type TeamSpend struct {
 	// Team corresponds to the JSON schema field "team".
 	Team string `json:"team"`
 
-	// Tokens used; negative for tokens returned because a request did not run.
+	// Tokens used or left; negative for tokens returned because a request did not
+	// run, or owed.
 	Tokens int `json:"tokens"`
 }
 
@@ -1046,6 +1047,10 @@
 	// state lists for them.
 	Doubts []string `json:"doubts"`
 
+	// Tokens that are left of the part of each team's quota for the VMs of the
+	// report; sent once on each link.
+	Levels []TeamSpend `json:"levels,omitempty,omitzero"`
+
 	// Rate limits of servers that changed or ended since the last report on this
 	// link.
 	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
