peers: Start with what the lease record says is left of the quotas

Ruled out: a full burst at each start, which a fleet that restarts in a loop would get each time; a file, as the VMs have no disk. Change: each renewal writes the teams' levels into the lease record, which a process reads anyway to find the controller; it starts with its part of the half of them, once. The levels are not sent on links.

--- a/limit/quota.go
+++ b/limit/quota.go
@@ -174,6 +174,21 @@
 	})
 }
 
+// CurrentLevels returns the levels of the buckets.
+func (q *Quotas) CurrentLevels(now time.Time) []Spend {
+	return q.list(func(t *teamQuota) int {
+		q.refill(now, t)
+		return int(t.level)
+	})
+}
+
+// Configured reports whether there are quotas.
+func (q *Quotas) Configured() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.teams) > 0
+}
+
 // TakeHanded returns the levels that linked VMs have handed over since the last call, which are to be
 // passed on to the hub.
 func (q *Quotas) TakeHanded() []Spend {
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -127,6 +127,7 @@
 
 func (p *Peers) newFleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.LatestRecord()
+	record.QuotaLevels = nil
 	return &wire.FleetState{
 		LeaseVersion: version, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
 		Servers: stateList(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{}, TightTeams: p.tightTeams(),
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -65,14 +65,19 @@
 	// Poison tracks blocked requests. The record stores them, so that the next holder and VMs
 	// that start also block them. If nil, the record stores none.
 	Poison *poison.Tracker
-	Now    func() time.Time
-	Log    zerolog.Logger
+	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
+	// the record has none.
+	QuotaLevels func() []wire.TeamSpend
+	Now         func() time.Time
+	Log         zerolog.Logger
 
 	mu sync.Mutex
 	// expiredSince is when this VM first observed that the lease had expired.
 	expiredSince time.Time
 	keeper       lease.Keeper
 	record       wire.ControllerLease
+	// startLevels are the levels of the quotas in the first record that was read.
+	startLevels  []wire.TeamSpend
 	key          string
 	fencingToken int
 	// staleReads counts the stale reads made.
@@ -217,10 +222,21 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.startLevels == nil {
+		l.startLevels = append([]wire.TeamSpend{}, record.QuotaLevels...)
+	}
 	l.observe(obj.Version, record)
 	return nil
 }
 
+// StartLevels returns the levels of the quotas in the first record that was read, and whether one was
+// read.
+func (l *Lease) StartLevels() ([]wire.TeamSpend, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.startLevels, l.startLevels != nil
+}
+
 // recordReader returns the store call to read the record with, and whether it is a stale read. A
 // starting VM with a small CPU share needs the controller's address but does not acquire the lease at
 // first. A read that may be some seconds old usually returns that address at little cost to the store.
@@ -289,6 +305,9 @@
 	if l.Poison != nil {
 		record.Blocked = blockedList(l.Poison.Suspects(startedAt))
 	}
+	if l.QuotaLevels != nil {
+		record.QuotaLevels = l.QuotaLevels()
+	}
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -127,6 +127,8 @@
 	tightChanged chan struct{}
 	// fleet is the size of the fleet for the parts of the quotas.
 	fleet fleetSize
+	// quotasSeeded is set once this process has its part of the levels in the lease record.
+	quotasSeeded bool
 	// quotaFailedAt is when the hub last failed to answer a quota call.
 	quotaFailedAt time.Time
 }
--- a/peers/quotas.go
+++ b/peers/quotas.go
@@ -60,6 +60,36 @@
 		share = min(float64(subtree)/float64(p.fleet.vms), 1)
 	}
 	p.Quotas.SetRole(now, root, share)
+	p.seedQuotas(now, share)
+}
+
+// startLevelShare is the share of the levels in the lease record with which a process starts. The
+// record is up to some seconds old, and a team may have used more since.
+const startLevelShare = 0.5
+
+// seedQuotas adds this VM's part of the levels in the lease record, once after the start of the process.
+// Without them, a fleet whose VMs have all restarted would refuse requests of teams that are far below
+// their quotas. p.mu must be held.
+func (p *Peers) seedQuotas(now time.Time, share float64) {
+	levels, known := p.Lease.StartLevels()
+	if p.quotasSeeded || !known || share == 0 || !p.Quotas.Configured() {
+		return
+	}
+	p.quotasSeeded = true
+	part := startLevelShare / float64(max(p.fleet.vms, 1))
+	var list []limit.Spend
+	for _, l := range levels {
+		list = append(list, limit.Spend{Team: l.Team, Tokens: int(part * float64(max(l.Tokens, 0)))})
+	}
+	p.Quotas.AddLevels(now, list)
+}
+
+// StoredLevels returns the levels of the quotas for the lease record.
+func (p *Peers) StoredLevels() []wire.TeamSpend {
+	if p.Quotas == nil {
+		return nil
+	}
+	return spendList(p.Quotas.CurrentLevels(p.Now()))
 }
 
 // TakeQuota takes the tokens of a request from its team's quota, at the root of the tree of VMs. If
--- a/peers/quotas_test.go
+++ b/peers/quotas_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/limit"
+	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
 var testQuota = limit.Quota{Team: "a", PerSecond: 10_000, Burst: 10_000}
@@ -91,3 +92,21 @@
 	f.observe(start.Add(2*time.Minute+fleetMemory), 65)
 	require.Equal(t, 65, f.vms)
 }
+
+// All VMs restart at once. Guards against each of them, and so the fleet, starting with nothing, or with
+// more than the record's part, although the last controller had a full bucket.
+func TestQuotaAfterRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newUnlinkedVM(&now)
+	p.Quotas = &limit.Quotas{}
+	p.Lease.startLevels = []wire.TeamSpend{{Team: "a", Tokens: 8_000}, {Team: "b", Tokens: -100}}
+	p.vms = 4
+	p.updateQuotaRole(now)
+	require.False(t, p.quotasSeeded, "the quotas are not known yet")
+	p.Quotas.Configure(now, limit.QuotaRules{Window: 8 * time.Second, Overshoot: 0.1}, []limit.Quota{testQuota})
+	for range 2 {
+		p.updateQuotaRole(now)
+		require.Equal(t, []limit.Spend{{Team: "a", Tokens: 1_000}}, p.Quotas.CurrentLevels(now))
+	}
+	require.Len(t, p.StoredLevels(), 1)
+}
--- a/replay/quotas.go
+++ b/replay/quotas.go
@@ -413,8 +413,21 @@
 	return v.domain == cutDomain && r.now >= r.pattern.CutAt && r.now < r.pattern.CutUntil
 }
 
-// restart replaces all VMs by new processes, which know nothing of what was used.
-func (r *quotaReplay) restart() { r.start() }
+// startLevelShare is the share of the root's last known levels that the processes of a restarted fleet
+// start with together.
+const startLevelShare = 0.5
+
+// restart replaces all VMs by new processes, which know no more than what the controller wrote down.
+func (r *quotaReplay) restart() {
+	levels := r.controller.quotas.CurrentLevels(r.currentTime())
+	r.start()
+	for _, v := range r.vms {
+		for _, l := range levels {
+			part := startLevelShare / float64(len(r.vms)) * float64(max(l.Tokens, 0))
+			v.quotas.AddLevels(r.currentTime(), []limit.Spend{{Team: l.Team, Tokens: int(part)}})
+		}
+	}
+}
 
 // lower lowers the quota at all VMs.
 func (r *quotaReplay) lower() {
--- a/wire/types.go
+++ b/wire/types.go
@@ -178,6 +178,10 @@
 	// Key with which other VMs authenticate to the holder; new for each holder.
 	Key string `json:"key"`
 
+	// Tokens that were left of each team's quota at the renewal. Processes that start
+	// later begin with a part of them. Not sent on links.
+	QuotaLevels []TeamSpend `json:"quota_levels,omitempty,omitzero"`
+
 	// Number of renewals; ensures that each renewal changes the object.
 	Renewals int `json:"renewals"`
 
