soak, stand: Check keys and quotas through processes that die

Cause: nothing but the users' bench checked what servers run for which team. Change: the servers' stand-in records team, key and time of what it executes; the soak's callers have keys, a hot team sends five times its quota, one request in ten has a key that nobody holds. The checker sees callers and servers only: a request runs for the team that holds its key, without the key; in no window of 2 s more of the hot team were both sent and run than its quota allows. After the faults the quota falls to a quarter and a key is removed, and a VM is killed under that load.

--- a/demo/backends.go
+++ b/demo/backends.go
@@ -13,7 +13,7 @@
 // and, for a model server, the model that is loaded at the start.
 func (s *Site) AddBackend(service string, index int) (*stand.Backend, error) {
 	b := &stand.Backend{
-		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Domain: fmt.Sprintf("domain-%d", index%siteDefaultCount), Slots: 8, ProcessingTime: siteWorkTime, Runs: s.Runs,
+		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Domain: fmt.Sprintf("domain-%d", index%siteDefaultCount), Slots: 8, ProcessingTime: siteWorkTime, Runs: s.Runs, Teams: s.Teams,
 	}
 	if service == SiteModelService {
 		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.StreamEvents = siteMemoryMB, 4, siteLoadTime, siteStreamEvents
--- a/demo/site.go
+++ b/demo/site.go
@@ -44,7 +44,9 @@
 	CrashBody string
 	// Routes replaces the routes of SiteRoutes.
 	Routes []routes.Route
-	Log    zerolog.Logger
+	// Teams are the teams of the configuration; without any, requests need no key.
+	Teams []routes.Team
+	Log   zerolog.Logger
 }
 
 // Site is a deployment on loopback in one process: stand-ins for the platform's store and for
@@ -53,6 +55,8 @@
 type Site struct {
 	Objects *stand.ObjectStore
 	Runs    *stand.RunLog
+	// Teams records the teams of the requests that ran.
+	Teams *stand.TeamLog
 
 	options          SiteOptions
 	storeAddress     string
@@ -124,7 +128,7 @@
 	if o.Routes == nil {
 		o.Routes = SiteRoutes()
 	}
-	s := &Site{Objects: &stand.ObjectStore{}, Runs: &stand.RunLog{}, options: o, backendAddresses: make(map[string]string), backendServers: make(map[string]*http.Server)}
+	s := &Site{Objects: &stand.ObjectStore{}, Runs: &stand.RunLog{}, Teams: &stand.TeamLog{}, options: o, backendAddresses: make(map[string]string), backendServers: make(map[string]*http.Server)}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -137,7 +141,7 @@
 	if s.storeAddress, err = s.listen(platform.NewStoreHandler(s.Objects)); err != nil {
 		return fmt.Errorf("start store: %w", err)
 	}
-	if err := s.Configure(1, s.options.Routes); err != nil {
+	if err := s.Configure(1, s.options.Routes, s.options.Teams...); err != nil {
 		return err
 	}
 	for i := range s.options.Backends {
@@ -162,9 +166,9 @@
 // StoreAddress returns the address on which the store listens.
 func (s *Site) StoreAddress() string { return s.storeAddress }
 
-// Configure writes the routes, services and limits to the store, as an operator does.
-func (s *Site) Configure(version int, all []routes.Route) error {
-	value, err := platform.EncodeTable(version, all, siteServices(), routes.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20})
+// Configure writes the routes, services, limits and teams to the store, as an operator does.
+func (s *Site) Configure(version int, all []routes.Route, teams ...routes.Team) error {
+	value, err := platform.EncodeTable(version, all, siteServices(), routes.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20}, teams...)
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
@@ -219,6 +223,9 @@
 [retries]
 share = 1
 extra = 1000
+[quotas]
+window = 2s
+slack = 20
 [drain]
 grace = 5s
 notice = 50ms
@@ -374,6 +381,9 @@
 	req.Host = SiteHost
 	req.Header.Set(platform.HeaderNames.AttemptID, id)
 	req.Header.Set(platform.HeaderNames.Deadline, "6000")
+	if len(s.options.Teams) > 0 {
+		req.Header.Set(platform.HeaderNames.Key, s.options.Teams[0].Keys[0])
+	}
 	if model != "" {
 		req.Header.Set(platform.HeaderNames.Model, model)
 		req.Header.Set(platform.HeaderNames.TokenUsage, "100,32")
@@ -382,6 +392,21 @@
 	return client.Do(req)
 }
 
+// CallWithKey sends an idempotent request to a plain service through a VM, with an API key and a forged
+// team.
+func (s *Site) CallWithKey(ctx context.Context, client *http.Client, address, id, key string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/look/"+id, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Host = SiteHost
+	req.Header.Set(platform.HeaderNames.AttemptID, id)
+	req.Header.Set(platform.HeaderNames.Deadline, "3000")
+	req.Header.Set(platform.HeaderNames.Key, key)
+	req.Header.Set(platform.HeaderNames.Team, "forged")
+	return client.Do(req)
+}
+
 // ServerStamp returns the header value by which a server proves that a response is its own, or "".
 func ServerStamp(resp *http.Response) string {
 	return resp.Header.Get(platform.HeaderNames.ServerStamp)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -90,7 +90,7 @@
 		return r.injectServerFaults(demo.SiteModelService, stand.BackendFaults{LostResponses: failureCount, BrokenStreams: failureCount, Rejections: failureCount, LostOrderResponses: failureCount}), "model_servers"
 	}
 	return func(context.Context, time.Duration) {
-		if err := r.site.Configure(version, demo.SiteRoutes()); err != nil {
+		if err := r.site.Configure(version, demo.SiteRoutes(), teams(1, true)...); err != nil {
 			r.checks.AddViolation("configuration not written: %v", err)
 		}
 	}, "configuration"
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,10 +62,11 @@
 
 // run is the state of one soak run.
 type run struct {
-	options Options
-	site    *demo.Site
-	vms     []*vm
-	checks  demo.Checks
+	options      Options
+	site         *demo.Site
+	vms          []*vm
+	checks       demo.Checks
+	teamRequests teamRequests
 	// crashingRequests is appended to by crashServers and read only after it has returned.
 	crashingRequests []*crashingRequest
 
@@ -125,10 +126,15 @@
 	for i := range o.Callers {
 		wait.Go(func() { r.sendRequests(loadCtx, i) })
 	}
+	for i := range hotCallers {
+		wait.Go(func() { r.sendHot(loadCtx, "hot", i) })
+	}
 	wait.Go(func() { r.crashServers(loadCtx) })
 	r.injectFaults(loadCtx)
 	wait.Wait()
+	r.checkQuota(1, time.Time{})
 	r.checkRecovery(ctx)
+	r.checkTeams()
 	r.checks.CheckExecutions(r.outcomes, r.site.Runs)
 	for _, b := range r.site.Backends(demo.SiteModelService) {
 		if b.Overcommitted() {
@@ -150,7 +156,7 @@
 
 func (r *run) start(ctx context.Context) error {
 	var err error
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, Log: zerolog.Nop()})
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, Teams: teams(1, true), Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
@@ -325,6 +331,7 @@
 	wait.Go(func() { r.checkBlocked(ctx) })
 	wait.Go(func() { r.checkLimit(ctx) })
 	wait.Wait()
+	r.checkLoweredQuota(ctx)
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
 		if !v.waitExit() {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -70,6 +70,8 @@
 	StreamEvents int
 	// Runs records each execution of a request.
 	Runs *RunLog
+	// Teams records the team of each executed request; nil to record none.
+	Teams *TeamLog
 	// CrashBody is the body of requests that crash the process when their execution begins; empty
 	// for none. OnCrash, when set, then closes the process's listener and connections.
 	CrashBody string
