peers, pass: Link a restarted fleet through its relays, and hold requests until then

Change: the lease record names the relays; a VM that starts links to the one of its domain, and to the controller only after 0.6 s; a recorded relay relays from its first link on. A request waits up to 0.6 s for the first configuration, and up to its objective for the first hub.

--- a/node/follow.go
+++ b/node/follow.go
@@ -295,6 +295,16 @@
 	return n.configChange
 }
 
+// awaitConfig waits for a change of the configuration for at most limit.
+func (n *Node) awaitConfig(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case <-n.configChanged():
+	case <-ctx.Done():
+	}
+}
+
 // applyHubConfig applies a configuration received from the controller.
 func (n *Node) applyHubConfig(revision int, value []byte) {
 	n.applyConfigObject(store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Version: revision, Value: value})
--- a/node/node.go
+++ b/node/node.go
@@ -154,12 +154,12 @@
 		Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
-	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
+	n.lease.CountVMs, n.lease.QuotaLevels, n.lease.Relays = n.peers.VMs, n.peers.StoredLevels, n.peers.Relays
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
 		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
-		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent,
+		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -71,6 +71,9 @@
 	// ShutdownContext ends when the VM starts to shut down: from then on, requests without a server are
 	// refused. Optional.
 	ShutdownContext context.Context
+	// AwaitConfig waits for a change of the configuration for at most limit. Optional; if nil, requests
+	// do not wait for the first configuration.
+	AwaitConfig func(ctx context.Context, limit time.Duration)
 	// Quotas holds the quotas of the teams; if nil, teams have none. TakeQuota takes the tokens of a
 	// request from its team's quota. If granted is set, the request may be sent after wait; otherwise
 	// its caller should retry after wait.
@@ -106,6 +109,10 @@
 	maxResponseBytes = 16 << 20
 	// defaultMaxBodyBytes bounds a request body if the configuration does not.
 	defaultMaxBodyBytes = 4 << 20
+	// maxTableWait bounds how long a request waits for the first configuration of its VM, which is
+	// checked at least every tableCheckInterval.
+	maxTableWait       = 600 * time.Millisecond
+	tableCheckInterval = 100 * time.Millisecond
 	// minRetryAfter is the minimum delay before a refused caller retries. retryAfterSpread is the
 	// minimum range of the random delay on top, so that callers do not retry all at the same time.
 	minRetryAfter    = 150 * time.Millisecond
@@ -115,7 +122,7 @@
 // ServeHTTP forwards one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := g.Now()
-	table := g.Table()
+	table := g.awaitTable(r.Context(), now)
 	if table == nil {
 		g.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
 		return
@@ -146,6 +153,19 @@
 	g.logRequest(c)
 }
 
+// awaitTable returns the configuration in force. A VM that has just started has none for some tenths of
+// a second; its callers wait that long, because most of them can retry only once.
+func (g *Gateway) awaitTable(ctx context.Context, now time.Time) *routes.Table {
+	deadline := now.Add(maxTableWait)
+	for {
+		table := g.Table()
+		if table != nil || g.AwaitConfig == nil || ctx.Err() != nil || !g.Now().Before(deadline) {
+			return table
+		}
+		g.AwaitConfig(ctx, tableCheckInterval)
+	}
+}
+
 func (g *Gateway) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, conns.ErrBodyTooLarge) {
 		g.reject(w, r, http.StatusRequestEntityTooLarge, "body too long")
--- a/pass/key_test.go
+++ b/pass/key_test.go
@@ -137,3 +137,27 @@
 		})
 	}
 }
+
+// Guards against refusing the requests of a VM that has just started, whose configuration is a moment
+// away, and against holding them when it does not come.
+func TestWaitForFirstConfiguration(t *testing.T) {
+	for name, tc := range map[string]struct{ comes bool }{"comes": {true}, "does not come": {false}} {
+		t.Run(name, func(t *testing.T) {
+			g := testGateway(server("a", "d", startBackend(t, http.StatusOK)))
+			first := g.Table()
+			var table atomic.Pointer[routes.Table]
+			g.Table = table.Load
+			now := clock.Now()
+			g.Now = func() time.Time { return now }
+			g.AwaitConfig = func(_ context.Context, limit time.Duration) {
+				now = now.Add(limit)
+				if tc.comes {
+					table.Store(first)
+				}
+			}
+			w := sendRequest(g)
+			require.Equal(t, tc.comes, w.Code == http.StatusOK, w.Code)
+			require.Equal(t, !tc.comes, w.Code == http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -68,16 +68,19 @@
 	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
 	// the record has none.
 	QuotaLevels func() []wire.TeamSpend
-	Now         func() time.Time
-	Log         zerolog.Logger
+	// Relays returns the relays of the failure domains, for VMs that start later. If nil, the record
+	// has none.
+	Relays func() []wire.Relay
+	Now    func() time.Time
+	Log    zerolog.Logger
 
 	mu sync.Mutex
 	// expiredSince is when this VM first observed that the lease had expired.
 	expiredSince time.Time
 	keeper       lease.Keeper
 	record       wire.ControllerLease
-	// startLevels are the levels of the quotas in the first record that was read.
-	startLevels  []wire.TeamSpend
+	// startRecord is the first record that was read, nil before.
+	startRecord  *wire.ControllerLease
 	key          string
 	fencingToken int
 	// staleReads counts the stale reads made.
@@ -222,19 +225,22 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.startLevels == nil {
-		l.startLevels = append([]wire.TeamSpend{}, record.QuotaLevels...)
+	if l.startRecord == nil {
+		l.startRecord = &record
 	}
 	l.observe(obj.Version, record)
 	return nil
 }
 
-// StartLevels returns the levels of the quotas in the first record that was read, and whether one was
-// read.
-func (l *Lease) StartLevels() ([]wire.TeamSpend, bool) {
+// StartRecord returns the first record that was read, and whether one was read. Only records that are
+// read have levels of quotas and relays.
+func (l *Lease) StartRecord() (record wire.ControllerLease, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.startLevels, l.startLevels != nil
+	if l.startRecord == nil {
+		return wire.ControllerLease{}, false
+	}
+	return *l.startRecord, true
 }
 
 // recordReader returns the store call to read the record with, and whether it is a stale read. A
@@ -308,6 +314,9 @@
 	if l.QuotaLevels != nil {
 		record.QuotaLevels = l.QuotaLevels()
 	}
+	if l.Relays != nil {
+		record.Relays = l.Relays()
+	}
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -97,6 +97,8 @@
 	// sent holds the revisions that have been sent on all links.
 	sent   sentRevisions
 	uplink *uplink
+	// linkedOnce is set once this VM has been linked to a hub.
+	linkedOnce bool
 	// hubConfirmedAt is when the store last confirmed the hub's data. extraAge is how much older
 	// than maxHubDataAge that data may become.
 	hubConfirmedAt time.Time
@@ -113,6 +115,10 @@
 	relays       []wire.Relay
 	chosenRelays map[string]string
 	relayLostAt  map[string]time.Time
+	// relaysSeeded is set once the relays of the lease record were taken over at the start. Until
+	// startRelaysUntil this VM waits for its relay among them.
+	relaysSeeded     bool
+	startRelaysUntil time.Time
 	// rejectedAt is when this relay rejected the link of a stronger VM, by VM name.
 	rejectedAt map[string]time.Time
 	// termStart is when this VM became the controller. inheritedVMs is the number of VMs then.
--- a/peers/quotas.go
+++ b/peers/quotas.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -19,6 +20,10 @@
 	relayedQuotaTimeout = 200 * time.Millisecond
 	// quotaBackoff is how long a VM does not call a hub that has not answered a quota call.
 	quotaBackoff = 400 * time.Millisecond
+	// maxFirstHubWait bounds how long a request waits for the first link of a VM that has just started,
+	// and hubPollInterval is the interval at which it looks for it.
+	maxFirstHubWait = 600 * time.Millisecond
+	hubPollInterval = 20 * time.Millisecond
 	// fleetMemory is how long a VM that is no longer heard of keeps its part of the quotas. It may be
 	// cut off and use that part.
 	fleetMemory = 10 * time.Minute
@@ -65,20 +70,20 @@
 
 // startLevelShare is the share of the levels in the lease record with which a process starts. The
 // record is up to some seconds old, and a team may have used more since.
-const startLevelShare = 0.5
+const startLevelShare = 0.9
 
 // seedQuotas adds this VM's part of the levels in the lease record, once after the start of the process.
 // Without them, a fleet whose VMs have all restarted would refuse requests of teams that are far below
 // their quotas. p.mu must be held.
 func (p *Peers) seedQuotas(now time.Time, share float64) {
-	levels, known := p.Lease.StartLevels()
+	record, known := p.Lease.StartRecord()
 	if p.quotasSeeded || !known || share == 0 || !p.Quotas.Configured() {
 		return
 	}
 	p.quotasSeeded = true
 	part := startLevelShare / float64(max(p.fleet.vms, 1))
 	var list []limit.Spend
-	for _, l := range levels {
+	for _, l := range record.QuotaLevels {
 		list = append(list, limit.Spend{Team: l.Team, Tokens: int(part * float64(max(l.Tokens, 0)))})
 	}
 	p.Quotas.AddLevels(now, list)
@@ -96,6 +101,7 @@
 // granted is set, the request may be sent after wait; otherwise its caller should retry after wait. If
 // the hub does not answer, the tokens are taken from the part of this VM's subtree.
 func (p *Peers) TakeQuota(ctx context.Context, r limit.QuotaRequest) (wait time.Duration, granted bool) {
+	p.awaitFirstHub(ctx, min(4*r.Patience, maxFirstHubWait))
 	if up := p.quotaHub(p.Now()); up != nil {
 		wait, granted, err := p.callQuota(ctx, up, r)
 		if err == nil || ctx.Err() != nil {
@@ -109,6 +115,26 @@
 	return wait, granted
 }
 
+// awaitFirstHub waits until a VM that has just started has linked to a hub, or for a time. Its own part
+// of the quotas is too small for most requests.
+func (p *Peers) awaitFirstHub(ctx context.Context, limit time.Duration) {
+	until := p.Now().Add(limit)
+	for ctx.Err() == nil && p.Now().Before(until) && p.neverLinked() {
+		pause.For(ctx, hubPollInterval)
+	}
+}
+
+// neverLinked reports whether this VM has neither been linked to a hub nor held the lease since it
+// started.
+func (p *Peers) neverLinked() bool {
+	if p.EqualQuotas || p.Lease.Held(p.Now()) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.linkedOnce && len(p.links) == 0
+}
+
 // quotaHub returns the link to the hub, or nil if this VM is the root or the hub has not answered
 // lately.
 func (p *Peers) quotaHub(now time.Time) *uplink {
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -329,3 +329,38 @@
 	require.Empty(t, d.frames)
 	require.False(t, d.overflowed.Load())
 }
+
+// All VMs of a large fleet restart at once. Guards against each of them linking to the controller first,
+// which sends the full state to all of them, although the relay of its domain is about to come back,
+// and against waiting for a relay that does not.
+func TestStartWithRecordedRelay(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, tc := range map[string]struct {
+		own    string
+		failed time.Duration
+		want   string
+	}{
+		"relay of the domain":   {own: "vm:1", want: "relay:1"},
+		"relay not started yet": {own: "vm:1", failed: startRelayWait / 2, want: "relay:1"},
+		"relay gone":            {own: "vm:1", failed: startRelayWait, want: "controller:1"},
+		"itself the relay":      {own: "relay:1", want: "controller:1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			p := newUnlinkedVM(&now)
+			p.Domain, p.Address = "d", tc.own
+			record := wire.ControllerLease{
+				Holder: "c", Address: "controller:1", Key: "key", Relays: []wire.Relay{{FailureDomain: "other", Address: "other:1", Ready: true}, {FailureDomain: "d", Address: "relay:1", Ready: true}},
+			}
+			p.Lease.record, p.Lease.startRecord = record, &record
+			p.selectHub(now)
+			now = start.Add(tc.failed)
+			if tc.failed > 0 {
+				p.recordLostRelay(now, "relay:1")
+			}
+			address, _, key := p.selectHub(now)
+			require.Equal(t, tc.want, address)
+			require.Equal(t, "key", key)
+		})
+	}
+}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -142,7 +142,7 @@
 
 func (p *Peers) setUplink(up *uplink) {
 	p.mu.Lock()
-	p.uplink = up
+	p.uplink, p.linkedOnce = up, true
 	p.mu.Unlock()
 	p.updateQuotaRole(p.Now())
 }
--- a/replay/quotas.go
+++ b/replay/quotas.go
@@ -415,7 +415,7 @@
 
 // startLevelShare is the share of the root's last known levels that the processes of a restarted fleet
 // start with together.
-const startLevelShare = 0.5
+const startLevelShare = 0.9
 
 // restart replaces all VMs by new processes, which know no more than what the controller wrote down.
 func (r *quotaReplay) restart() {
