--- a/pick/admission.go
+++ b/pick/admission.go
@@ -31,9 +31,7 @@
 	maxLateQueueTime = 2 * AdmissionCheckInterval
 	// objectiveShare is the share of the objective within which the first event must be
 	// predicted for a request to be sent at once; the rest covers network latency and
-	// the first decode step. With this and maxLateQueueTime, overload replays (9, 71 and
-	// 195 VMs, means of three seeds) score 0.873, 0.827 and 0.870 of the maximum, without
-	// them 0.864, 0.802 and 0.853. A value of 0.7 scores 0.851, 0.826 and 0.862.
+	// the first decode step.
 	objectiveShare = 0.9
 	// AdmissionCheckInterval is the interval between admission checks, equal to that of
 	// load reports.
@@ -55,10 +53,7 @@
 const (
 	// maxRunningPerSlot is the number of requests per slot of a server up to which less
 	// urgent ones are sent to it: the queued ones keep the slots occupied until the next
-	// load report. Overload replays (9, 71 and 195 VMs, means of three seeds) score 0.887,
-	// 0.880 and 0.862 of the maximum, without this limit 0.870, 0.848 and 0.862; with 71
-	// VMs, servers refuse 0.7 instead of 8.8 thousand requests. A value of 1.0 scores
-	// 0.864, 0.860 and 0.869, 1.6 scores 0.874, 0.878 and 0.864.
+	// load report. Fewer leave slots empty, more are refused by the servers.
 	maxRunningPerSlot = 1.3
 )
 
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -235,9 +235,7 @@
 // Options are therefore sorted by urgency, which favours short load times.
 
 // options returns the best option of each model that is worth one more replica, the most urgent
-// first. In replays of the worst load, this order earns 0.896 and 0.872 of all worth, and an order
-// by worth 0.878 and 0.866 (112 and 156 servers, means of six and four seeds; 0.873 both ways with
-// 12 servers).
+// first.
 func (p *Planner) options(used map[*Server]bool) []option {
 	var list []option
 	for _, m := range p.Engine.Models {
