--- a/limit/quota.go
+++ b/limit/quota.go
@@ -272,7 +272,7 @@
 	}
 	becameTight := q.updateTight(now, t)
 	q.mu.Unlock()
-	q.announce(becameTight)
+	q.notifyTight(becameTight)
 	return wait, granted, true
 }
 
@@ -323,7 +323,7 @@
 	}
 	becameTight := q.updateTight(now, t)
 	q.mu.Unlock()
-	q.announce(becameTight)
+	q.notifyTight(becameTight)
 }
 
 // TakeReport returns the uses that are to be reported to the root, sorted by team.
@@ -369,7 +369,7 @@
 	return changed
 }
 
-func (q *Quotas) announce(becameTight bool) {
+func (q *Quotas) notifyTight(becameTight bool) {
 	if becameTight && q.OnTight != nil {
 		q.OnTight()
 	}
--- a/replay/quotas_test.go
+++ b/replay/quotas_test.go
@@ -2,63 +2,18 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
-
-	"github.com/hibiscuscart/hibiscuscart/limit"
 )
 
-// quotaPattern returns a pattern without faults: demand at half the quota, then at a multiple of it.
-func quotaPattern(vms int, perSecond, factor float64) QuotaPattern {
-	return QuotaPattern{
-		VMs: vms, Domains: 4, Quota: limit.Quota{PerSecond: perSecond, Burst: perSecond},
-		Rules:      limit.QuotaRules{Window: 8 * time.Second, Overshoot: 0.1, Slack: 110_000},
-		MeanTokens: 9_200, Length: 34 * time.Second,
-		Demand: []QuotaDemand{{0, 0.5}, {8 * time.Second, factor}},
-	}
-}
-
-// usedIn returns the largest and the smallest use in any window that lies between from and until, at
-// steps of 50 ms. Admissions may be out of order.
-func usedIn(list []QuotaAdmission, window, from, until time.Duration) (most, least int) {
-	const step = 50 * time.Millisecond
-	used := make([]int, until/step+1)
-	for _, a := range list {
-		if a.At < until {
-			used[a.At/step] += a.Tokens
-		}
-	}
-	sum, steps := 0, int(window/step)
-	least = math.MaxInt
-	for i := int(from / step); i < int(until/step); i++ {
-		sum += used[i]
-		if first := i - steps; first >= int(from/step) {
-			sum -= used[first]
-		}
-		if i-int(from/step)+1 >= steps {
-			most, least = max(most, sum), min(least, sum)
-		}
-	}
-	return most, least
-}
-
 // allowed returns what a team may use in a window.
 func allowed(p QuotaPattern) float64 {
 	return (p.Quota.PerSecond*p.Rules.Window.Seconds()+p.Quota.Burst)*(1+p.Rules.Overshoot) + p.Rules.Slack
 }
 
-// quotaFaults are the faults of the tests, by name.
-var quotaFaults = map[string]func(*QuotaPattern){
-	"none":            func(*QuotaPattern) {},
-	"domain cut":      func(p *QuotaPattern) { p.CutAt, p.CutUntil = 12*time.Second, 22*time.Second },
-	"controller lost": func(p *QuotaPattern) { p.ControllerLostAt = 14 * time.Second },
-	"all restarted":   func(p *QuotaPattern) { p.RestartAt = 16 * time.Second },
-}
-
 // Guards against a team using more than its quota through all VMs together, whoever is cut off or
 // restarts, and against refusing much of what is below it. A team of 29,000 tokens a second gets a
 // request in a third of a second, one in ten of them of two seconds' worth, so its windows vary.
@@ -66,14 +21,14 @@
 	for _, vms := range []int{9, 87, 300} {
 		for rate, minServed := range map[float64]float64{29_000: 0.6, 821_000: 0.73} {
 			for _, factor := range []float64{2, 4, 8} {
-				for name, apply := range quotaFaults {
+				for name, apply := range QuotaFaults {
 					t.Run(fmt.Sprintf("%d VMs/%.0f a second/%.0f times/%s", vms, rate, factor, name), func(t *testing.T) {
-						p := quotaPattern(vms, rate, factor)
+						p := HotTeam(vms, rate, factor)
 						apply(&p)
 						result := RunQuotas(p, QuotaNear, 1)
-						most, _ := usedIn(result.Admitted, p.Rules.Window, 0, p.Length)
+						most, _ := result.UsedIn(p.Rules.Window, 0, p.Length)
 						require.LessOrEqual(t, float64(most), allowed(p))
-						_, least := usedIn(result.Admitted, p.Rules.Window, 9*time.Second, p.Length)
+						_, least := result.UsedIn(p.Rules.Window, 9*time.Second, p.Length)
 						require.GreaterOrEqual(t, float64(least), minServed*p.Rules.Window.Seconds()*rate)
 					})
 				}
@@ -86,7 +41,7 @@
 // than its quota.
 func TestQuotaKeptInRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := quotaPattern(rapid.IntRange(2, 60).Draw(t, "vms"), rapid.Float64Range(5_000, 1_000_000).Draw(t, "rate"), 0)
+		p := HotTeam(rapid.IntRange(2, 60).Draw(t, "vms"), rapid.Float64Range(5_000, 1_000_000).Draw(t, "rate"), 0)
 		p.Domains = rapid.IntRange(1, 4).Draw(t, "domains")
 		p.Quota.Burst = p.Quota.PerSecond * rapid.Float64Range(0.1, 2).Draw(t, "burst")
 		p.Length, p.Demand = 24*time.Second, nil
@@ -108,17 +63,17 @@
 			p.RestartAt = moment("restart at") + 1
 		}
 		result := RunQuotas(p, QuotaNear, rapid.Uint64().Draw(t, "seed"))
-		most, _ := usedIn(result.Admitted, p.Rules.Window, 0, p.Length)
+		most, _ := result.UsedIn(p.Rules.Window, 0, p.Length)
 		require.LessOrEqual(t, float64(most), allowed(p))
 	})
 }
 
 // Guards against using a quota as it was for longer than one window after it was lowered.
 func TestLoweredQuota(t *testing.T) {
-	p := quotaPattern(87, 821_000, 4)
+	p := HotTeam(87, 821_000, 4)
 	p.LoweredAt, p.LoweredTo = 16*time.Second, 0.2
 	result := RunQuotas(p, QuotaNear, 1)
-	most, _ := usedIn(result.Admitted, p.Rules.Window, p.LoweredAt, p.Length)
+	most, _ := result.UsedIn(p.Rules.Window, p.LoweredAt, p.Length)
 	p.Quota.PerSecond *= p.LoweredTo
 	p.Quota.Burst *= p.LoweredTo
 	require.LessOrEqual(t, float64(most), allowed(p))
@@ -128,12 +83,12 @@
 // figures meaningless.
 func TestQuotaMethods(t *testing.T) {
 	for _, method := range []QuotaMethod{QuotaAlways, QuotaEqual} {
-		for name, apply := range quotaFaults {
+		for name, apply := range QuotaFaults {
 			t.Run(fmt.Sprintf("%s/%s", method, name), func(t *testing.T) {
-				p := quotaPattern(87, 821_000, 4)
+				p := HotTeam(87, 821_000, 4)
 				apply(&p)
 				result := RunQuotas(p, method, 1)
-				most, _ := usedIn(result.Admitted, p.Rules.Window, 0, p.Length)
+				most, _ := result.UsedIn(p.Rules.Window, 0, p.Length)
 				require.LessOrEqual(t, float64(most), allowed(p))
 			})
 		}
