--- a/limit/limits.go
+++ b/limit/limits.go
@@ -1,6 +1,6 @@
-// Package limit tracks the request rate limits that backend servers announce in their responses, and
-// grants the permits for requests to them. A server's limit applies to the requests of all VMs
-// together. The package performs no I/O and does not read the clock.
+// Package limit keeps all VMs together within limits that apply to their sum: the request rate limits
+// that backend servers announce in their responses (Limits), and the quotas of the teams (Quotas). The
+// package performs no I/O and does not read the clock.
 package limit
 
 import (
