peers: Let a strong VM that a relay rejects link to the controller at its start

A VM that starts kept trying the relay of its domain for 0.6 s, also after the relay had closed the link because the VM is much stronger. Change: only a link that can not be opened is tried again at once; one that the relay closed sends the VM to the controller, as before the relays were recorded.

--- a/peers/tree.go
+++ b/peers/tree.go
@@ -83,13 +83,21 @@
 	return controller, controller, key
 }
 
-// recordLostRelay records that the link to a relay was lost or could not be opened.
+// recordUnreachableRelay records that no link to a relay could be opened, unless the relay is probably
+// starting as well.
+func (p *Peers) recordUnreachableRelay(now time.Time, address string) {
+	p.mu.Lock()
+	starting := now.Before(p.startRelaysUntil)
+	p.mu.Unlock()
+	if !starting {
+		p.recordLostRelay(now, address)
+	}
+}
+
+// recordLostRelay records that the link to a relay was lost, or closed because the relay rejects this VM.
 func (p *Peers) recordLostRelay(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.startRelaysUntil) {
-		return // The relay is probably starting.
-	}
 	if p.relayLostAt == nil {
 		p.relayLostAt = make(map[string]time.Time)
 	}
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -336,13 +336,15 @@
 func TestStartWithRecordedRelay(t *testing.T) {
 	start := time.Unix(1000, 0)
 	for name, tc := range map[string]struct {
-		own    string
-		failed time.Duration
-		want   string
+		own string
+		// failed is when no link to the relay could be opened, rejected when the relay closed it.
+		failed, rejected time.Duration
+		want             string
 	}{
 		"relay of the domain":   {own: "vm:1", want: "relay:1"},
 		"relay not started yet": {own: "vm:1", failed: startRelayWait / 2, want: "relay:1"},
 		"relay gone":            {own: "vm:1", failed: startRelayWait, want: "controller:1"},
+		"too strong for it":     {own: "vm:1", rejected: startRelayWait / 2, want: "controller:1"},
 		"itself the relay":      {own: "relay:1", want: "controller:1"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -354,8 +356,11 @@
 			}
 			p.Lease.record, p.Lease.startRecord = record, &record
 			p.selectHub(now)
-			now = start.Add(tc.failed)
+			now = start.Add(tc.failed + tc.rejected)
 			if tc.failed > 0 {
+				p.recordUnreachableRelay(now, "relay:1")
+			}
+			if tc.rejected > 0 {
 				p.recordLostRelay(now, "relay:1")
 			}
 			address, _, key := p.selectHub(now)
