peers: Take the recorded relays back out

Ruled out: the waits for the first configuration and hub; they send no bytes. Not traced: why the relays, which all VMs of a domain reach at once, move more bytes between domains. Change: VMs that start link to the controller first again; the lease record has the levels of the quotas only. Tests of peers pass. Conclusion: taken out.

--- a/node/node.go
+++ b/node/node.go
@@ -154,7 +154,7 @@
 		Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
-	n.lease.CountVMs, n.lease.QuotaLevels, n.lease.Relays = n.peers.VMs, n.peers.StoredLevels, n.peers.Relays
+	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -127,7 +127,7 @@
 
 func (p *Peers) newFleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.LatestRecord()
-	record.QuotaLevels, record.Relays = nil, nil
+	record.QuotaLevels = nil
 	return &wire.FleetState{
 		LeaseVersion: version, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
 		Servers: stateList(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{}, TightTeams: p.tightTeams(),
@@ -142,8 +142,7 @@
 	state.Limits = limitList(p.Limits.Rates())
 	state.Relays = p.relays
 	if !p.relaying {
-		p.relays = p.chooseRelays()
-		state.Relays = p.relays
+		state.Relays = p.chooseRelays()
 	}
 }
 
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -68,11 +68,8 @@
 	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
 	// the record has none.
 	QuotaLevels func() []wire.TeamSpend
-	// Relays returns the relays of the failure domains, for VMs that start later. If nil, the record
-	// has none.
-	Relays func() []wire.Relay
-	Now    func() time.Time
-	Log    zerolog.Logger
+	Now         func() time.Time
+	Log         zerolog.Logger
 
 	mu sync.Mutex
 	// expiredSince is when this VM first observed that the lease had expired.
@@ -233,7 +230,7 @@
 }
 
 // StartRecord returns the first record that was read, and whether one was read. Only records that are
-// read have levels of quotas and relays.
+// read have levels of quotas.
 func (l *Lease) StartRecord() (record wire.ControllerLease, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -314,9 +311,6 @@
 	if l.QuotaLevels != nil {
 		record.QuotaLevels = l.QuotaLevels()
 	}
-	if l.Relays != nil {
-		record.Relays = l.Relays()
-	}
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -115,10 +115,6 @@
 	relays       []wire.Relay
 	chosenRelays map[string]string
 	relayLostAt  map[string]time.Time
-	// relaysSeeded is set once the relays of the lease record were taken over at the start. Until
-	// startRelaysUntil this VM waits for its relay among them.
-	relaysSeeded     bool
-	startRelaysUntil time.Time
 	// rejectedAt is when this relay rejected the link of a stronger VM, by VM name.
 	rejectedAt map[string]time.Time
 	// termStart is when this VM became the controller. inheritedVMs is the number of VMs then.
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -24,10 +24,6 @@
 	// lostRelayCooldown is how long a VM does not link to a relay after losing its link. Within a
 	// few frames the controller announces another relay, or the same one if it has recovered.
 	lostRelayCooldown = 5 * time.Second
-	// startRelayWait is how long a VM that starts waits for the relay of its failure domain in the lease
-	// record, which may be starting as well, before it links to the controller. The full state of
-	// 3,000 servers for 300 VMs fills the controller's network connection for seconds.
-	startRelayWait = 600 * time.Millisecond
 	// relayExtraAge is how much older the data of a relay may be than that of the controller
 	// before a VM reads the store itself. A relay that loses the controller needs part of this
 	// time to list the servers from the store.
@@ -68,33 +64,15 @@
 	if controller == "" {
 		return "", "", ""
 	}
-	record, known := p.Lease.StartRecord()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known && !p.relaysSeeded {
-		p.relaysSeeded, p.startRelaysUntil = true, now.Add(startRelayWait)
-		if p.relays == nil {
-			p.relays = record.Relays
-		}
-	}
 	if r := p.selectRelay(now); r != "" && !p.relaying {
 		return r, controller, key
 	}
 	return controller, controller, key
 }
 
-// recordUnreachableRelay records that no link to a relay could be opened, unless the relay is probably
-// starting as well.
-func (p *Peers) recordUnreachableRelay(now time.Time, address string) {
-	p.mu.Lock()
-	starting := now.Before(p.startRelaysUntil)
-	p.mu.Unlock()
-	if !starting {
-		p.recordLostRelay(now, address)
-	}
-}
-
-// recordLostRelay records that the link to a relay was lost, or closed because the relay rejects this VM.
+// recordLostRelay records that the link to a relay was lost or could not be opened.
 func (p *Peers) recordLostRelay(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,10 +92,6 @@
 		}
 	}
 	p.mu.Lock()
-	if p.relayFromStart(up) && !isRelay && !otherRelay {
-		// The controller has not chosen a relay of this domain yet.
-		isRelay = true
-	}
 	p.relays = relays
 	// A relay continues if the list has no relay of its domain, because a controller whose term
 	// has just started may not have chosen one yet.
@@ -162,28 +136,6 @@
 	p.Log.Info().Msg("stopped as the relay of the failure domain")
 }
 
-// relayFromStart reports whether this VM was the relay of its failure domain when the lease record was
-// written that it read at its start, and is linked to the controller for the first time. p.mu must be
-// held.
-func (p *Peers) relayFromStart(up *uplink) bool {
-	record, known := p.Lease.StartRecord()
-	if !known || !up.direct || p.relays != nil && !slices.Equal(p.relays, record.Relays) {
-		return false
-	}
-	return slices.ContainsFunc(record.Relays, func(r wire.Relay) bool { return r.FailureDomain == p.Domain && r.Address == p.Address })
-}
-
-// Relays returns the relays that the controller chose last, for the lease record.
-func (p *Peers) Relays() []wire.Relay {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := make([]wire.Relay, 0, len(p.relays))
-	for _, r := range p.relays {
-		list = append(list, wire.Relay{FailureDomain: r.FailureDomain, Address: r.Address, Ready: true})
-	}
-	return list
-}
-
 // chooseRelays chooses a relay for each failure domain with linked VMs: the current relay while it is
 // linked, else the VM with the largest CPU share. p.mu must be held.
 func (p *Peers) chooseRelays() []wire.Relay {
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		p.Log.Info().Str("address", address).Err(err).Msg("opening a link to the hub failed")
 		if address != controller {
-			p.recordUnreachableRelay(p.Now(), address)
+			p.recordLostRelay(p.Now(), address)
 		}
 		return false
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -182,10 +182,6 @@
 	// later begin with a part of them. Not sent on links.
 	QuotaLevels []TeamSpend `json:"quota_levels,omitempty,omitzero"`
 
-	// Relays at the renewal, so that VMs that start link to them and not all to the
-	// controller. Not sent on links.
-	Relays []Relay `json:"relays,omitempty,omitzero"`
-
 	// Number of renewals; ensures that each renewal changes the object.
 	Renewals int `json:"renewals"`
 
