link, peers: Count frames and bytes by kind and role; a simulated control plane

Change: KindOf reads the kind of a frame from its first bytes without decoding it; Peers counts frames and bytes by role and kind. The simulated control plane runs the real links, tree and frames of a fleet in one process under simulated time, with the bandwidth of strong and weak VMs, and prints bytes by role and the time in which changes reach the VMs.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -75,7 +75,7 @@
 	return wire.Hello{Protocol: link.Protocol, Node: p.d.config.Name, FailureDomain: p.d.config.FailureDomain, Boot: p.d.bootID}
 }
 
-func (p *peers) countBytes(sent, received int) {
+func (p *peers) countBytes(_ string, sent, received int) {
 	p.d.meter.AddCounter("peers.bytes_sent", int64(sent))
 	p.d.meter.AddCounter("peers.bytes_received", int64(received))
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -26,18 +26,22 @@
 	frameWriteTimeout = 2 * time.Second
 )
 
+// CountBytes is called with the kind of each frame (see KindOf) and its size in bytes, as sent or
+// received.
+type CountBytes func(kind string, sent, received int)
+
 // Conn is a link after its handshake. Send may be called from one goroutine while another
 // calls Receive.
 type Conn struct {
 	ws        *websocket.Conn
 	peerHello wire.Hello
 	role      Role
-	onBytes   func(sent, received int)
+	onBytes   CountBytes
 }
 
-func (c *Conn) countBytes(sent, received int) {
+func (c *Conn) countBytes(data []byte, sent, received int) {
 	if c.onBytes != nil {
-		c.onBytes(sent, received)
+		c.onBytes(KindOf(data), sent, received)
 	}
 }
 
@@ -72,7 +76,7 @@
 	if err := c.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return fmt.Errorf("send frame: %w", err)
 	}
-	c.countBytes(len(data), 0)
+	c.countBytes(data, len(data), 0)
 	return nil
 }
 
@@ -83,7 +87,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("receive frame: %w", err)
 	}
-	c.countBytes(0, len(data))
+	c.countBytes(data, 0, len(data))
 	m, err := Decode(data)
 	if err != nil {
 		c.sendRefusal(ctx, err)
@@ -109,8 +113,8 @@
 	TLS *tls.Config
 	// MaxFrameBytes bounds a frame in bytes; 0 selects one megabyte.
 	MaxFrameBytes int64
-	// CountBytes, when set, is called with the size of each frame in bytes.
-	CountBytes func(sent, received int)
+	// CountBytes, when set, is called for each frame.
+	CountBytes CountBytes
 	// DialContext opens the connection; nil selects TCP. Tests use it to break links.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -145,8 +149,8 @@
 	Hello         func() wire.Hello
 	Keys          Keys
 	MaxFrameBytes int64
-	// CountBytes, when set, is called with the size of each frame in bytes.
-	CountBytes func(sent, received int)
+	// CountBytes, when set, is called for each frame.
+	CountBytes CountBytes
 	// Serve handles a link, which is closed when Serve returns.
 	Serve func(ctx context.Context, c *Conn)
 	// OnRefused, when set, is called for each wrong key or failed handshake.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -82,9 +83,11 @@
 	// StoreUnreachable reports whether the store did not answer this VM's last request and a retry is
 	// in progress. If nil, the store counts as reachable.
 	StoreUnreachable func() bool
-	Now              func() time.Time
-	Log              zerolog.Logger
-	Meter            *meter.Registry
+	// Dial opens a connection to another VM. If nil, it is a TCP connection.
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	Now   func() time.Time
+	Log   zerolog.Logger
+	Meter *meter.Registry
 
 	mu sync.Mutex
 	// demand and unverified are not yet reported to the controller.
@@ -406,9 +409,29 @@
 	}
 }
 
-func (p *Peers) countBytes(sent, received int) {
+// countBytes counts a frame in total, and by the role of this VM and the kind of frame. The counters by
+// role show what grows with the fleet: a VM may have all three roles in the course of its life.
+func (p *Peers) countBytes(kind string, sent, received int) {
 	p.Meter.AddCounter("peers.bytes_sent", int64(sent))
 	p.Meter.AddCounter("peers.bytes_received", int64(received))
+	direction, size := "sent", sent
+	if received > 0 {
+		direction, size = "received", received
+	}
+	name := "peers." + p.role() + "." + kind + "." + direction
+	p.Meter.AddCounter(name+".frames", 1)
+	p.Meter.AddCounter(name+".bytes", int64(size))
+}
+
+// role returns the role of this VM in the tree, as it names the counters of frames.
+func (p *Peers) role() string {
+	switch {
+	case p.Lease.Held(p.Now()):
+		return "controller"
+	case p.isRelaying():
+		return "relay"
+	}
+	return "leaf"
 }
 
 // loadInterval returns the interval between frames with load for a number of links.
--- /dev/null
+++ b/peers/simnet_test.go
@@ -0,0 +1,198 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// simNetwork connects the VMs of a simulated fleet in memory. Each VM has a network interface with a
+// bandwidth, which all of its connections share. It is used inside a synctest bubble, where time passes
+// only while all VMs wait: the processor time of the simulation does not delay them.
+type simNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*simListener
+}
+
+// simInterface is the network interface of a VM.
+type simInterface struct {
+	domain string
+	// bytesPerSecond is the bandwidth in each direction.
+	bytesPerSecond float64
+
+	mu                     sync.Mutex
+	sentUntil, receivedBy  time.Time
+	sentBytes, receivedAll int64
+}
+
+const (
+	// simDomainLatency and simFleetLatency are the latencies within a failure domain and between two.
+	simDomainLatency = 200 * time.Microsecond
+	simFleetLatency  = 900 * time.Microsecond
+)
+
+// reserve adds a transfer to a queue that ends at until, and returns when it is complete.
+func (i *simInterface) reserve(until *time.Time, now time.Time, bytes int) time.Time {
+	if until.Before(now) {
+		*until = now
+	}
+	*until = until.Add(time.Duration(float64(bytes) / i.bytesPerSecond * float64(time.Second)))
+	return *until
+}
+
+func (i *simInterface) send(now time.Time, bytes int) time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.sentBytes += int64(bytes)
+	return i.reserve(&i.sentUntil, now, bytes)
+}
+
+func (i *simInterface) receive(now time.Time, bytes int) time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.receivedAll += int64(bytes)
+	return i.reserve(&i.receivedBy, now, bytes)
+}
+
+// traffic returns the bytes sent and received so far.
+func (i *simInterface) traffic() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.sentBytes + i.receivedAll
+}
+
+// simListener accepts the connections to one address.
+type simListener struct {
+	network     *simNetwork
+	address     simAddress
+	at          *simInterface
+	connections chan net.Conn
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+type simAddress string
+
+func (a simAddress) Network() string { return "simulated" }
+func (a simAddress) String() string  { return string(a) }
+
+func (n *simNetwork) listen(address string, at *simInterface) *simListener {
+	l := &simListener{network: n, address: simAddress(address), at: at, connections: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners == nil {
+		n.listeners = make(map[string]*simListener)
+	}
+	n.listeners[address] = l
+	return l
+}
+
+func (l *simListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *simListener) Close() error {
+	l.closeOnce.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[string(l.address)] == l {
+			delete(l.network.listeners, string(l.address))
+		}
+	})
+	return nil
+}
+
+func (l *simListener) Addr() net.Addr { return l.address }
+
+var errSimRefused = errors.New("connection refused")
+
+// dial opens a connection from the VM at an interface to an address.
+func (n *simNetwork) dial(ctx context.Context, from *simInterface, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errSimRefused
+	}
+	latency := simFleetLatency
+	if from.domain == l.at.domain {
+		latency = simDomainLatency
+	}
+	time.Sleep(2 * latency)
+	client, server := net.Pipe()
+	select {
+	case l.connections <- newSimConn(server, l.at, from, latency):
+		return newSimConn(client, from, l.at, latency), nil
+	case <-l.closed:
+		return nil, errSimRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// simQueuedWrites is how many writes a connection buffers.
+const simQueuedWrites = 16
+
+// simConn is one end of a connection. A write takes the time for which the bytes occupy both interfaces,
+// and arrives after the latency.
+type simConn struct {
+	net.Conn
+	local, remote *simInterface
+	latency       time.Duration
+	queue         chan []byte
+	closed        chan struct{}
+	closeOnce     sync.Once
+}
+
+func newSimConn(c net.Conn, local, remote *simInterface, latency time.Duration) *simConn {
+	s := &simConn{Conn: c, local: local, remote: remote, latency: latency, queue: make(chan []byte, simQueuedWrites), closed: make(chan struct{})}
+	go s.deliver()
+	return s
+}
+
+// deliver hands the queued writes to the other end.
+func (c *simConn) deliver() {
+	for {
+		select {
+		case data := <-c.queue:
+			time.Sleep(c.latency)
+			if _, err := c.Conn.Write(data); err != nil {
+				return
+			}
+		case <-c.closed:
+			return
+		}
+	}
+}
+
+func (c *simConn) Write(data []byte) (int, error) {
+	now := time.Now()
+	sent, received := c.local.send(now, len(data)), c.remote.receive(now, len(data))
+	if received.After(sent) {
+		sent = received
+	}
+	time.Sleep(sent.Sub(now))
+	select {
+	case c.queue <- slices.Clone(data):
+		return len(data), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *simConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *simConn) LocalAddr() net.Addr  { return simAddress("local") }
+func (c *simConn) RemoteAddr() net.Addr { return simAddress("remote") }
--- /dev/null
+++ b/peers/simulation_test.go
@@ -0,0 +1,421 @@
+package peers
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/limit"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/stand"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+)
+
+// The simulated control plane runs the links, the tree and the frames of a fleet in one process, with
+// VMs of the sizes that operators use: in each failure domain 10 of 165 are strong. It takes no
+// requests; each VM holds one at a random server, as in a fleet with one request a second for each VM.
+// What it measures does not depend on the speed of the machine, because time is simulated.
+//
+//	go test ./peers -run TestSimulatedFleet -v -sim.vms 1000
+//
+// prints bytes by role and kind of frame, and the time in which changes reach the VMs.
+var simVMs = flag.Int("sim.vms", 0, "VMs of the simulated fleet; 0 for the size that is checked with every build")
+
+const (
+	simDomains       = 6
+	simServersPerVM  = 4
+	simModels        = 554
+	simStrongEvery   = 16
+	simStrongCores   = 0.8
+	simWeakCores     = 0.192
+	simStrongBytes   = 1000e6 / 8
+	simWeakBytes     = 20e6 / 8
+	simHeartbeat     = 5 * time.Second
+	simStartSpread   = time.Second
+	simSettleTime    = 20 * time.Second
+	simMeasuredTime  = 10 * time.Second
+	simCheckInterval = 10 * time.Millisecond
+	simChangeTimeout = 30 * time.Second
+	// simMaxViews is the largest number of views of servers that fit in memory, times their servers.
+	// Beyond it weak VMs of a failure domain share one view.
+	simMaxViews = 6_000_000
+)
+
+// simFleet is a simulated fleet.
+type simFleet struct {
+	network simNetwork
+	store   stand.ObjectStore
+	vms     []*simVM
+	// entries are the servers' entries, as the controller reads them from the store.
+	entries []backs.Entry
+	running sync.WaitGroup
+}
+
+// simVM is a VM of a simulated fleet. Its parts are replaced when it restarts.
+type simVM struct {
+	*Peers
+	fleet *simFleet
+	index int
+	nic   *simInterface
+	view  *backs.View
+	// shared is set if other VMs use the same view.
+	shared   bool
+	stop     context.CancelFunc
+	listener *simListener
+	configMu sync.Mutex
+	revision int
+	value    []byte
+	changed  chan struct{}
+}
+
+func newSimFleet(vms int) *simFleet {
+	f := &simFleet{}
+	for i := range vms * simServersPerVM {
+		f.entries = append(f.entries, simEntry(i))
+	}
+	views := make(map[string]*backs.View)
+	for i := range vms {
+		domain := fmt.Sprintf("d%d", i%simDomains)
+		v := &simVM{fleet: f, index: i, nic: &simInterface{domain: domain, bytesPerSecond: simWeakBytes}}
+		if v.strong() {
+			v.nic.bytesPerSecond = simStrongBytes
+		} else if vms*len(f.entries) > simMaxViews {
+			if views[domain] == nil {
+				views[domain] = &backs.View{}
+			}
+			v.view, v.shared = views[domain], true
+		}
+		f.vms = append(f.vms, v)
+	}
+	return f
+}
+
+func (v *simVM) strong() bool { return v.index/simDomains%simStrongEvery == 0 }
+
+// simEntry returns the entry of a server, which holds two models.
+func simEntry(i int) backs.Entry {
+	name := fmt.Sprintf("syl%07d", i)
+	born := time.Unix(1_700_000_000, 0)
+	return backs.Entry{
+		ID: backs.InstanceID(name, born), Name: name, StartedAt: born, Service: "label-llm", Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
+		Domain: fmt.Sprintf("d%d", i%simDomains), Slots: 32,
+		Models: []backs.LoadedModel{{Model: fmt.Sprintf("daka%06d", i%simModels), Adapters: []string{"a1"}}, {Model: fmt.Sprintf("daka%06d", (i*7+1)%simModels)}},
+	}
+}
+
+// start starts the processes of a VM.
+func (v *simVM) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	address := fmt.Sprintf("vm-%05d:7000", v.index)
+	cores := simWeakCores
+	if v.strong() {
+		cores = simStrongCores
+	}
+	view := v.view
+	if !v.shared {
+		view = &backs.View{}
+	}
+	lease := &Lease{
+		Name: address, Address: address, Objects: v.fleet.store.Client(), Duration: 3 * time.Second, Now: time.Now, Log: zerolog.Nop(),
+		AcquireDelay: time.Duration((1/cores - 1) * float64(time.Second) / 7),
+	}
+	v.configMu.Lock()
+	v.revision, v.value, v.changed = 0, nil, make(chan struct{})
+	v.configMu.Unlock()
+	p := &Peers{
+		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores,
+		Lease: lease, Servers: view, Balancer: &pick.Balancer{Domain: v.nic.domain},
+		Controller: &steer.Controller{
+			Name: address, Servers: view, Table: func() *routes.Table { return nil }, FencingToken: lease.FencingToken, Now: time.Now, Log: zerolog.Nop(), Meter: meter.New(),
+		},
+		Config: v.config, ConfigChanged: v.configChanged, ApplyConfig: v.applyConfig, ConfirmedAt: v.confirmedAt,
+		Dial: func(ctx context.Context, to string) (net.Conn, error) { return v.fleet.network.dial(ctx, v.nic, to) },
+		Now:  time.Now, Log: zerolog.Nop(), Meter: meter.New(),
+	}
+	lease.CountVMs = p.VMs
+	v.Peers = p
+	v.listener = v.fleet.network.listen(address, v.nic)
+	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
+	v.fleet.running.Go(func() { _ = server.Serve(v.listener) })
+	v.fleet.running.Go(func() { p.Run(ctx) })
+	v.fleet.running.Go(func() { v.control(ctx) })
+	v.fleet.running.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	server0 := v.fleet.entries[rand.N(len(v.fleet.entries))]
+	p.Balancer.Begin(time.Now(), pick.Choice{Server: server0, PrefillTime: time.Millisecond}, pick.Work{Model: server0.Models[0].Model, PromptTokens: 9000}, 0)
+}
+
+// control does what a VM does while it holds the lease: it lists the servers, and then reads the
+// heartbeats that they write.
+func (v *simVM) control(ctx context.Context) {
+	listed, next := false, 0
+	const batches = 100
+	for ctx.Err() == nil {
+		sleep(ctx, simHeartbeat/batches)
+		if !v.Leading() {
+			listed = false
+			continue
+		}
+		now := time.Now()
+		entries := v.fleet.entries
+		if !listed {
+			sleep(ctx, time.Duration(len(entries)/200)*5*time.Millisecond)
+			v.Servers.Replace(time.Now(), entries)
+			listed = true
+		}
+		for i := next; i < len(entries); i += batches {
+			v.Servers.Put(now, entries[i])
+		}
+		next = (next + 1) % batches
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (v *simVM) confirmedAt() time.Time {
+	if v.Leading() {
+		return time.Now()
+	}
+	return time.Time{}
+}
+
+func (v *simVM) config() (int, []byte) {
+	v.configMu.Lock()
+	defer v.configMu.Unlock()
+	return v.revision, v.value
+}
+
+func (v *simVM) configChanged() <-chan struct{} {
+	v.configMu.Lock()
+	defer v.configMu.Unlock()
+	return v.changed
+}
+
+func (v *simVM) applyConfig(revision int, value []byte) {
+	v.configMu.Lock()
+	defer v.configMu.Unlock()
+	if revision > v.revision {
+		v.revision, v.value = revision, value
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+}
+
+// kill ends the processes of a VM without notice.
+func (v *simVM) kill() {
+	v.stop()
+	v.closeLinks()
+	v.mu.Lock()
+	up := v.uplink
+	v.mu.Unlock()
+	if up != nil {
+		up.conn.Close()
+	}
+	_ = v.listener.Close()
+}
+
+func (f *simFleet) start() {
+	for _, v := range f.vms {
+		f.running.Go(func() {
+			time.Sleep(rand.N(simStartSpread))
+			v.start()
+		})
+	}
+	time.Sleep(simStartSpread + time.Millisecond)
+}
+
+func (f *simFleet) stop() {
+	for _, v := range f.vms {
+		v.kill()
+	}
+	f.running.Wait()
+	// Writes and timeouts of closed links end within this time.
+	time.Sleep(simSettleTime)
+}
+
+// spread waits until a condition holds at all VMs, and returns after which time it held at half, at 99%
+// and at all of them.
+func (f *simFleet) spread(reached func(v *simVM) bool) simSpread {
+	start := time.Now()
+	var s simSpread
+	for time.Since(start) < simChangeTimeout {
+		n := 0
+		for _, v := range f.vms {
+			if reached(v) {
+				n++
+			}
+		}
+		took := time.Since(start)
+		for at, share := range map[*time.Duration]float64{&s.half: 0.5, &s.most: 0.99, &s.all: 1} {
+			if *at == 0 && float64(n) >= share*float64(len(f.vms)) {
+				*at = max(took, 1)
+			}
+		}
+		if s.all > 0 {
+			return s
+		}
+		time.Sleep(simCheckInterval)
+	}
+	return s
+}
+
+// simSpread is the time in which a change reached half, 99% and all VMs; 0 if it did not.
+type simSpread struct{ half, most, all time.Duration }
+
+func (s simSpread) String() string {
+	text := func(d time.Duration) string {
+		if d == 0 {
+			return "never"
+		}
+		return fmt.Sprint(d.Round(simCheckInterval).Milliseconds())
+	}
+	return fmt.Sprintf("%s / %s / %s", text(s.half), text(s.most), text(s.all))
+}
+
+// linked reports whether a VM is the controller, or has a link and the full list of servers.
+func (v *simVM) linked() bool {
+	v.mu.Lock()
+	up := v.uplink
+	v.mu.Unlock()
+	return v.Servers.Synced() && (up != nil || v.Leading())
+}
+
+func (f *simFleet) controller() *simVM {
+	i := slices.IndexFunc(f.vms, func(v *simVM) bool { return v.Leading() })
+	if i < 0 {
+		return nil
+	}
+	return f.vms[i]
+}
+
+// traffic returns the bytes of each VM so far.
+func (f *simFleet) traffic() []int64 {
+	list := make([]int64, len(f.vms))
+	for i, v := range f.vms {
+		list[i] = v.nic.traffic()
+	}
+	return list
+}
+
+// simTraffic is the traffic of the VMs in some time, by role.
+type simTraffic struct {
+	controller, busiestRelay, middleLeaf, busiestLeaf int64
+	relays                                            int
+}
+
+func (f *simFleet) trafficSince(before []int64) simTraffic {
+	var t simTraffic
+	var leaves []int64
+	for i, n := range f.traffic() {
+		n -= before[i]
+		switch v := f.vms[i]; {
+		case v.Leading():
+			t.controller = n
+		case v.isRelaying():
+			t.relays++
+			t.busiestRelay = max(t.busiestRelay, n)
+		default:
+			leaves = append(leaves, n)
+		}
+	}
+	slices.Sort(leaves)
+	if len(leaves) > 0 {
+		t.middleLeaf, t.busiestLeaf = leaves[len(leaves)/2], leaves[len(leaves)-1]
+	}
+	return t
+}
+
+func (t simTraffic) perSecond(d time.Duration) string {
+	kb := func(n int64) string { return fmt.Sprintf("%.1f", float64(n)/1000/d.Seconds()) }
+	return fmt.Sprintf("controller %s, busiest of %d relays %s, leaf %s, busiest leaf %s KB/s", kb(t.controller), t.relays, kb(t.busiestRelay), kb(t.middleLeaf), kb(t.busiestLeaf))
+}
+
+// simResult is what a simulation measured.
+type simResult struct {
+	started, restarted                        simSpread
+	startTraffic, steadyTraffic               simTraffic
+	configured, serverGone, modelPlaced, held simSpread
+}
+
+// runSimulation starts a fleet, measures it at rest, lets a configuration, a removed server and a placed
+// model spread, kills the controller, and then kills and starts all VMs.
+func runSimulation(t *testing.T, vms int) (r simResult) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(vms)
+		zero := f.traffic()
+		began := time.Now()
+		f.start()
+		r.started = f.spread((*simVM).linked)
+		time.Sleep(simSettleTime - time.Since(began))
+		r.startTraffic = f.trafficSince(zero)
+		before := f.traffic()
+		time.Sleep(simMeasuredTime)
+		r.steadyTraffic = f.trafficSince(before)
+
+		c := f.controller()
+		require.NotNil(t, c)
+		c.applyConfig(2, []byte("configuration"))
+		r.configured = f.spread(func(v *simVM) bool { revision, _ := v.config(); return revision == 2 })
+		gone := f.entries[0]
+		f.entries = f.entries[1:]
+		c.Servers.Remove(time.Now(), gone.Name)
+		r.serverGone = f.spread(func(v *simVM) bool { return !v.Servers.Usable(time.Now(), gone.ID) })
+		placed := f.entries[1]
+		c.Servers.SetModels(time.Now(), placed.ID, []backs.LoadedModel{{Model: "new"}})
+		r.modelPlaced = f.spread(func(v *simVM) bool {
+			return v.shared || slices.ContainsFunc(v.Servers.All(time.Now()), func(e backs.Entry) bool { return e.ID == placed.ID && e.HasModel("new", "") })
+		})
+		c.kill()
+		old := c.Address
+		f.vms = slices.DeleteFunc(f.vms, func(v *simVM) bool { return v == c })
+		r.held = f.spread(func(v *simVM) bool {
+			holder, _ := v.Lease.OtherHolder()
+			return v.Leading() || holder != "" && holder != old && v.linked()
+		})
+		for _, v := range f.vms {
+			v.kill()
+		}
+		f.running.Wait()
+		f.start()
+		r.restarted = f.spread((*simVM).linked)
+		f.stop()
+	})
+	return r
+}
+
+func TestSimulatedFleet(t *testing.T) {
+	vms := *simVMs
+	if vms == 0 {
+		vms = 60
+	}
+	r := runSimulation(t, vms)
+	t.Logf("%d VMs, %d servers", vms, vms*simServersPerVM)
+	t.Logf("started in %v ms (half / 0.99 / all), traffic until settled %s", r.started, r.startTraffic.perSecond(simSettleTime))
+	t.Logf("steady: %s", r.steadyTraffic.perSecond(simMeasuredTime))
+	t.Logf("ms to half / 0.99 / all: configuration %v, server gone %v, model placed %v, new controller %v, all restarted %v",
+		r.configured, r.serverGone, r.modelPlaced, r.held, r.restarted)
+}
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -38,7 +38,7 @@
 // could be opened.
 func (p *Peers) followHub(ctx context.Context, address, controller, key string) bool {
 	dialer := &link.Dialer{Hello: p.hello, Key: key, CountBytes: p.countBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-		return conns.Dial(ctx, address)
+		return p.dial(ctx, address)
 	}}
 	dialCtx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 	conn, err := dialer.Dial(dialCtx, address)
@@ -69,6 +69,13 @@
 	return true
 }
 
+func (p *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+	return conns.Dial(ctx, address)
+}
+
 func (p *Peers) isDirect(up *uplink) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
