backs: Do not tell heartbeats that change nothing to all VMs

Cause: each server rewrites its entry at every heartbeat, and the view counted each write as a change. The controller sent all servers to all VMs once per heartbeat interval: bytes grow with VMs times servers whatever happens, and each heartbeat woke every waiting request of every VM.

Ruled out: sending heartbeats less often, which only changes the constant.

Change: an entry counts as a change if what VMs send each other differs. The times until a server is warm or drained count only as running or over. A request for a service without models no longer relies on the steady stream of changes: it checks again for a server that has become usable without a change.

--- a/backs/entry.go
+++ b/backs/entry.go
@@ -56,6 +56,14 @@
 	return name + "@" + strconv.FormatInt(startedAt.UnixMilli(), 10)
 }
 
+// sameUse reports whether both entries say the same about which requests a server gets. The times
+// until a server is warm or has drained count down between heartbeats and do not matter in detail.
+func (e Entry) sameUse(other Entry) bool {
+	return e.ID == other.ID && e.Name == other.Name && e.StartedAt.Equal(other.StartedAt) && e.Service == other.Service &&
+		e.Address == other.Address && e.Domain == other.Domain && e.Slots == other.Slots && e.Draining == other.Draining &&
+		(e.WarmupRemaining > 0) == (other.WarmupRemaining > 0) && slices.EqualFunc(e.Models, other.Models, LoadedModel.equal)
+}
+
 // HasModel reports whether the entry lists the model, and the adapter when one is named.
 func (e Entry) HasModel(model, adapter string) bool {
 	for _, m := range e.Models {
--- a/backs/update.go
+++ b/backs/update.go
@@ -13,6 +13,29 @@
 	Unreadable bool
 }
 
+// sharedState is the part of a record that VMs send to each other.
+type sharedState struct {
+	entry               Entry
+	removed, unreadable bool
+	reappearedAt        time.Time
+}
+
+func (r *record) shared() sharedState {
+	return sharedState{entry: r.entry, removed: !r.removedAt.IsZero(), unreadable: r.unreadable, reappearedAt: r.reappearedAt}
+}
+
+// sharedStateOf returns the shared state of a server, the zero state for an unknown one.
+func (v *View) sharedStateOf(id string) sharedState {
+	if r := v.records[id]; r != nil {
+		return r.shared()
+	}
+	return sharedState{}
+}
+
+func (s sharedState) equal(other sharedState) bool {
+	return s.removed == other.removed && s.unreadable == other.unreadable && s.reappearedAt.Equal(other.reappearedAt) && s.entry.sameUse(other.entry)
+}
+
 // Since returns the servers that changed after the given revision of the view, all for 0,
 // and the current revision.
 func (v *View) Since(now time.Time, revision int) ([]State, int) {
@@ -55,6 +78,7 @@
 	defer v.mu.Unlock()
 	senderWasSynced := !now.Add(-update.SyncedFor).After(v.currentAt)
 	v.recordCurrent(now, now.Add(-update.Age))
+	revision := v.revision
 	listed := make(map[string]bool, len(update.States))
 	for _, s := range update.States {
 		listed[s.ID] = true
@@ -64,7 +88,7 @@
 		v.removeUnlisted(now, listed, senderWasSynced)
 		v.markSynced(now)
 	}
-	if len(update.States) > 0 || update.Full {
+	if v.revision != revision || update.Full {
 		v.notify()
 	}
 }
@@ -90,8 +114,8 @@
 		}
 		return
 	}
-	v.put(now, s.Entry)
-	r := v.records[s.ID]
+	before := v.sharedStateOf(s.ID)
+	r := v.apply(now, s.Entry)
 	if r == nil {
 		// The state describes an earlier instance than the one in this view.
 		return
@@ -102,4 +126,5 @@
 	if s.ReadmitAfter > 0 {
 		r.reappearedAt = now.Add(s.ReadmitAfter - readmitDelay)
 	}
+	v.bumpIfChanged(r, before)
 }
--- a/backs/view.go
+++ b/backs/view.go
@@ -184,16 +184,28 @@
 func (v *View) Put(now time.Time, e Entry) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	revision := v.revision
 	v.put(now, e)
-	v.notify()
+	if v.revision != revision {
+		v.notify()
+	}
 }
 
+// put applies an entry and counts the change, if there is one.
 func (v *View) put(now time.Time, e Entry) {
+	before := v.sharedStateOf(e.ID)
+	if r := v.apply(now, e); r != nil {
+		v.bumpIfChanged(r, before)
+	}
+}
+
+// apply applies an entry and returns its record, or nil if the entry is of an earlier instance.
+func (v *View) apply(now time.Time, e Entry) *record {
 	if v.records == nil {
 		v.records, v.instanceIDs = make(map[string]*record), make(map[string]string)
 	}
 	if !v.acceptInstance(now, e) {
-		return
+		return nil
 	}
 	r := v.records[e.ID]
 	if r == nil {
@@ -211,7 +223,7 @@
 		e.Models = mergeControllerModels(e.Models, r.entry.Models)
 	}
 	r.entry, r.modelsAt = e, now
-	v.bumpRevision(r)
+	return r
 }
 
 // acceptInstance records which instance an entry belongs to. It reports false for an entry
@@ -257,6 +269,14 @@
 	r.revision = v.revision
 }
 
+// bumpIfChanged counts a change of a record if what VMs send each other about it differs from before.
+// Servers rewrite their entries at each heartbeat, so that most entries change nothing.
+func (v *View) bumpIfChanged(r *record, before sharedState) {
+	if !r.shared().equal(before) {
+		v.bumpRevision(r)
+	}
+}
+
 // Remove records that the entry of the named server was removed. Shortly after a long store
 // outage the server is kept for a grace period.
 func (v *View) Remove(now time.Time, name string) {
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -31,6 +31,9 @@
 	roundInterval = 40 * time.Millisecond
 	// findRetryInterval is the pause after a failed call to the controller.
 	findRetryInterval = 150 * time.Millisecond
+	// serverRecheckInterval is the interval between checks for a usable server while the list of
+	// servers does not change: a server that reappeared becomes usable without a change.
+	serverRecheckInterval = 100 * time.Millisecond
 )
 
 // maxServerWaitShare is the part of the remaining time for which a request may wait for a server. A
@@ -174,9 +177,13 @@
 // changes.
 func (g *Gateway) awaitServer(ctx context.Context, c *call, changed <-chan struct{}) error {
 	if c.work.Model == "" || g.FindServer == nil {
+		recheck := time.NewTimer(serverRecheckInterval)
+		defer recheck.Stop()
 		select {
 		case <-changed:
 			return nil
+		case <-recheck.C:
+			return nil
 		case <-ctx.Done():
 			return errNoServer
 		}
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -207,3 +207,29 @@
 	require.NoError(t, err)
 	require.Greater(t, retryAfter, (loadTime / 2).Seconds())
 }
+
+// The only server of a service without models reappeared 3.9 s ago, and gets requests again 0.1 s from
+// now. Nothing changes in the list of servers at that moment. Guards against a request that waits for
+// the next change until it is refused.
+func TestWaitForReadmittedServer(t *testing.T) {
+	e := server("a", "d", startBackend(t, http.StatusOK))
+	e.Models = nil
+	g := testGateway(e)
+	now := clock.Now()
+	g.Servers.Remove(now.Add(-5*time.Second), "a")
+	g.Servers.Put(now.Add(-3900*time.Millisecond), e)
+	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+	r.Header.Set("Attempt", "a1")
+	done := make(chan int, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, r)
+		done <- w.Code
+	}()
+	select {
+	case code := <-done:
+		require.Equal(t, http.StatusOK, code)
+	case <-time.After(time.Minute):
+		require.FailNow(t, "the request is still waiting")
+	}
+}
