pick: Retain servers in linear time

Cause: once a second each VM looked up each server it has state of in the list of all servers by a linear search: 16 million comparisons with 4,000 servers.

Change: a set of the listed servers.

--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -365,11 +365,14 @@
 
 // Retain discards the state of servers that are not in the list and have no running requests.
 func (b *Balancer) Retain(current []backs.Entry) {
+	listed := make(map[string]bool, len(current))
+	for _, e := range current {
+		listed[e.ID] = true
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.servers {
-		listed := slices.ContainsFunc(current, func(e backs.Entry) bool { return e.ID == id })
-		if !listed && s.local.Running == 0 {
+		if !listed[id] && s.local.Running == 0 {
 			delete(b.servers, id)
 		}
 	}
