pick, peers: Tell the load of the busiest servers only

Cause: each VM was told the load of every server with a request, several times a second. That is bytes of VMs times requests: with one request a second for each VM, the frame grows with the fleet, and so does the number of frames.

Two ways: all loads, as it stood, and the 256 largest. In a fleet with fewer busy servers both are the same.

--- a/peers/hub.go
+++ b/peers/hub.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -25,6 +26,9 @@
 	minBatchDelay     = 10 * time.Millisecond
 	maxBatchDelay     = 60 * time.Millisecond
 	batchDelayPerLink = 2 * time.Millisecond
+	// maxToldLoads is the number of servers whose load is sent in a frame, the busiest ones. It bounds
+	// a frame to some ten kilobytes, whatever the size of the fleet.
+	maxToldLoads = 256
 )
 
 // batchDelay returns how long to collect changes before sending them, for a number of links.
@@ -61,7 +65,7 @@
 
 // fullStateFrames returns the frames with the full state, including the load.
 func (p *Peers) fullStateFrames() ([][]byte, error) {
-	loads := loadList(p.totalLoads())
+	loads := p.toldLoads()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	frames, _, err := p.fullState(loads)
@@ -72,7 +76,7 @@
 
 // addLink enqueues the full state on a new link and registers the link for changes.
 func (p *Peers) addLink(d *downlink) error {
-	loads := loadList(p.totalLoads())
+	loads := p.toldLoads()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
@@ -125,6 +129,11 @@
 	return append(frames, frame), sentRevisions{servers: servers, config: revision}, nil
 }
 
+// toldLoads returns the loads that are sent on the links.
+func (p *Peers) toldLoads() []wire.ServerLoad {
+	return loadList(pick.Busiest(p.totalLoads(), maxToldLoads))
+}
+
 func (p *Peers) newFleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.LatestRecord()
 	record.QuotaLevels = nil
@@ -285,7 +294,7 @@
 	state := p.newFleetState(states)
 	var loads []wire.ServerLoad
 	if withLoad {
-		loads = loadList(p.totalLoads())
+		loads = p.toldLoads()
 	}
 	vms := p.VMs()
 	p.mu.Lock()
