peers, wire: Divide the VMs of a domain among relays, and send the full state once

Cause: the relay of a failure domain had a link to each of its VMs and sent them all the same, so that its bytes grew with the fleet. When all VMs start or lose their controller, each received the full state from the controller and then again from its relay: VMs times servers from one VM.

Change: a relay of 32 VMs or more divides them among about the square root of their number of further relays, strong VMs first, and each VM takes one by rendezvous hashing. A hub whose VMs move to relays withholds the full state and tells them the relays; the relays get the state at once, a VM that no relay takes after 1.5 s. Relays are announced as soon as they change, and a VM that moves does so without a pause. The interval between frames follows the size of the fleet, so that a VM does not receive more from a relay with fewer links. Relays have a hub in the frames: protocol 5.

Conclusion: what a VM sends grows with the square root of its domain. The full state itself still grows with the servers.

--- a/link/codec.go
+++ b/link/codec.go
@@ -15,7 +15,7 @@
 // Protocol is the version of the link protocol. Frames are encoded as arrays without field
 // names, which would make up most of a heartbeat. Any change of the schema therefore needs
 // a new version.
-const Protocol = 4
+const Protocol = 5
 
 // cborHandle encodes in canonical order, so that equal frames have equal bytes.
 var cborHandle = newHandle()
--- a/peers/downlink.go
+++ b/peers/downlink.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
 const (
@@ -19,15 +21,19 @@
 // downlink is the hub's side of a link.
 type downlink struct {
 	conn    *link.Conn
+	hello   wire.Hello
 	vm      string
 	frames  chan []byte
 	replies chan []byte
 	// overflowed is set when a frame was dropped, so that the full state must be sent.
 	overflowed atomic.Bool
+	// withheldSince is when the full state was withheld from the VM, zero if it was not or no longer
+	// is. The hub's lock guards it.
+	withheldSince time.Time
 }
 
 func newDownlink(c *link.Conn) *downlink {
-	return &downlink{conn: c, vm: c.PeerHello().Node, frames: make(chan []byte, frameQueue), replies: make(chan []byte, replyQueue)}
+	return &downlink{conn: c, hello: c.PeerHello(), vm: c.PeerHello().Node, frames: make(chan []byte, frameQueue), replies: make(chan []byte, replyQueue)}
 }
 
 // enqueue adds a frame to the queue, or drops it and sets overflowed if the queue is full. The link
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -29,6 +29,9 @@
 	// maxToldLoads is the number of servers whose load is sent in a frame, the busiest ones. It bounds
 	// a frame to some ten kilobytes, whatever the size of the fleet.
 	maxToldLoads = 256
+	// relaysBatchDelay is how long a change of the relays is delayed, so that the links that follow
+	// it are announced in the same frame.
+	relaysBatchDelay = 20 * time.Millisecond
 )
 
 // batchDelay returns how long to collect changes before sending them, for a number of links.
@@ -83,23 +86,30 @@
 	if !p.Lease.Held(now) && !p.relaying {
 		return errNoController
 	}
-	if p.relaying && p.rejectsStronger(now, d.conn.PeerHello()) {
+	if p.relaying && !p.furtherRelay && p.rejectsStronger(now, d.hello) {
 		return errStrongerPeer
 	}
+	first := len(p.links) == 0
+	if p.links == nil {
+		p.links = make(map[*downlink]bool)
+	}
+	// The relays that the first frames announce include the new VM, so that a relay which has just lost
+	// its hub does not find itself replaced.
+	p.links[d] = true
+	if p.withholdsState(now, d) {
+		return p.enqueueWithheld(d)
+	}
 	frames, sent, err := p.fullState(loads)
 	if err != nil {
+		delete(p.links, d)
 		return err
 	}
 	for _, frame := range frames {
 		d.enqueue(frame)
 	}
-	if len(p.links) == 0 {
+	if first {
 		p.sent = sent
 	}
-	if p.links == nil {
-		p.links = make(map[*downlink]bool)
-	}
-	p.links[d] = true
 	return nil
 }
 
@@ -146,13 +156,10 @@
 // addLoadState adds the load, suspect requests, rate limits and relays to a frame. p.mu must be held.
 func (p *Peers) addLoadState(state *wire.FleetState, loads []wire.ServerLoad) {
 	state.Loads, state.HasLoads = loads, true
-	state.PauseMs = int(loadInterval(len(p.links)).Milliseconds())
+	state.PauseMs = int(loadInterval(len(p.links), p.vms).Milliseconds())
 	state.Suspects = suspectList(p.Poison.Suspects(p.Now()))
 	state.Limits = limitList(p.Limits.Rates())
-	state.Relays = p.relays
-	if !p.relaying {
-		state.Relays = p.chooseRelays()
-	}
+	state.Relays = p.chooseRelays()
 }
 
 // dataAgeMs returns the time in milliseconds since the store confirmed, to this VM or to the hub
@@ -237,16 +244,19 @@
 		changed := p.Servers.Changed()
 		configured := p.ConfigChanged()
 		links := p.linkCount()
-		interval := loadInterval(links)
+		interval := loadInterval(links, p.VMs())
 		timer := time.NewTimer(interval)
-		renewal := false
+		renewal, relays := false, false
 		select {
 		case <-ctx.Done():
 		case <-configured:
 		case <-renewed:
 			renewal = true
-		case <-p.tightChanges():
+		case <-p.frameDue.raised():
 			renewal = true
+			if relays = p.takeRelaysDue(); relays {
+				pause.For(ctx, relaysBatchDelay)
+			}
 		case <-changed:
 			pause.For(ctx, batchDelay(links))
 		case <-timer.C:
@@ -261,7 +271,7 @@
 			p.broadcastConfig(revision, value)
 		}
 		states, servers := p.Servers.Since(now, sent.servers)
-		loadDue := now.Sub(lastLoad) >= interval
+		loadDue := relays || now.Sub(lastLoad) >= interval
 		if loadDue {
 			lastLoad = now
 			if p.isRelaying() {
@@ -276,6 +286,20 @@
 	}
 }
 
+// signalRelays makes broadcast announce the relays at once. p.mu must be held.
+func (p *Peers) signalRelays() {
+	p.relaysDue = true
+	p.frameDue.raise()
+}
+
+func (p *Peers) takeRelaysDue() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := p.relaysDue
+	p.relaysDue = false
+	return due
+}
+
 func (p *Peers) sentToAll() sentRevisions {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -301,6 +325,7 @@
 	state.AgeMs, state.Vms, state.Relayed = p.dataAgeMs(now), vms, p.relaying
 	if withLoad {
 		p.addLoadState(state, loads)
+		p.tellWithheld(now)
 	}
 	p.mu.Unlock()
 	frame, err := link.Encode(&wire.Message{FleetState: state})
@@ -330,6 +355,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for d := range p.links {
-		d.enqueue(frame)
+		if d.withheldSince.IsZero() {
+			d.enqueue(frame)
+		}
 	}
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -31,6 +31,9 @@
 	minLoadInterval     = 100 * time.Millisecond
 	maxLoadInterval     = 300 * time.Millisecond
 	loadIntervalPerLink = 5 * time.Millisecond
+	// loadIntervalPerVM is the growth with the fleet, so that a VM does not receive more because the
+	// links are divided among more relays.
+	loadIntervalPerVM = time.Millisecond
 	// linkIdleTimeout is the time without frames after which a link counts as broken. It is a
 	// few times the longest interval between frames.
 	linkIdleTimeout = 1200 * time.Millisecond
@@ -112,24 +115,28 @@
 	// the load of all VMs outside this VM's subtree, by server.
 	subtrees      map[string]subtree
 	externalLoads map[string]pick.Load
-	// relays is the list last received from the hub. chosenRelays is the relay VM of each
-	// failure domain that this VM chose as the controller. relayLostAt is when the link to a
-	// relay was lost, by address.
+	// relays is the list last received from the hub. chosenRelays are the VMs that this hub chose as
+	// relays. relayLostAt is when the link to a relay was lost, by address.
 	relays       []wire.Relay
-	chosenRelays map[string]string
+	chosenRelays map[string]bool
 	relayLostAt  map[string]time.Time
 	// rejectedAt is when this relay rejected the link of a stronger VM, by VM name.
 	rejectedAt map[string]time.Time
+	// withheldAt is when the full state was withheld from a VM that linked, by its process run.
+	withheldAt map[string]time.Time
 	// termStart is when this VM became the controller. inheritedVMs is the number of VMs then.
 	termStart    time.Time
 	inheritedVMs int
-	// relaying is set while this VM is the relay of its failure domain. leaseRenewed then
-	// signals each renewal that the controller announces.
+	// relaying is set while this VM is a relay, and furtherRelay if another relay chose it.
+	// leaseRenewed then signals each renewal that the controller announces.
 	relaying     bool
+	furtherRelay bool
 	stopRelaying context.CancelFunc
 	leaseRenewed chan struct{}
-	// tightChanged signals broadcast that the list of tight teams has changed.
-	tightChanged chan struct{}
+	// frameDue makes a hub send a frame at once, because the list of tight teams or, with relaysDue,
+	// that of the relays has changed. reportDue does the same for the report to the hub.
+	frameDue, reportDue signal
+	relaysDue           bool
 	// fleet is the size of the fleet for the parts of the quotas.
 	fleet fleetSize
 	// quotasSeeded is set once this process has its part of the levels in the lease record.
@@ -258,9 +265,12 @@
 			continue
 		}
 		if address, controller, key := p.selectHub(p.Now()); address != "" {
-			leaseDue = !p.followHub(ctx, address, controller, key) || p.Lease.Expired(p.Now())
-			// The hub's lease may have expired by now.
-			pause.For(ctx, time.Duration(p.PollIntervalFactor()*float64(leaseCheckInterval)))
+			end := p.followHub(ctx, address, controller, key)
+			leaseDue = end == linkFailed || p.Lease.Expired(p.Now())
+			if end != linkMoved {
+				// The hub's lease may have expired by now.
+				pause.For(ctx, time.Duration(p.PollIntervalFactor()*float64(leaseCheckInterval)))
+			}
 			continue
 		}
 		pause.For(ctx, p.leaseReadPause())
@@ -434,7 +444,8 @@
 	return "leaf"
 }
 
-// loadInterval returns the interval between frames with load for a number of links.
-func loadInterval(links int) time.Duration {
-	return min(max(minLoadInterval, time.Duration(links)*loadIntervalPerLink), maxLoadInterval)
+// loadInterval returns the interval between frames with load for a number of links in a fleet of a number
+// of VMs.
+func loadInterval(links, vms int) time.Duration {
+	return min(max(minLoadInterval, time.Duration(links)*loadIntervalPerLink, time.Duration(vms)*loadIntervalPerVM), maxLoadInterval)
 }
--- a/peers/quotas.go
+++ b/peers/quotas.go
@@ -266,18 +266,4 @@
 }
 
 // SignalTight makes the hub announce its tight teams at once.
-func (p *Peers) SignalTight() {
-	select {
-	case p.tightChanges() <- struct{}{}:
-	default:
-	}
-}
-
-func (p *Peers) tightChanges() chan struct{} {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.tightChanged == nil {
-		p.tightChanged = make(chan struct{}, 1)
-	}
-	return p.tightChanged
-}
+func (p *Peers) SignalTight() { p.frameDue.raise() }
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -12,15 +12,13 @@
 )
 
 // In a large fleet the links form a tree. One VM of each failure domain, its relay, is linked to the
-// controller, and the other VMs of the domain are linked to the relay. If every VM were linked to the
-// controller, its traffic would grow with the number of VMs times the number of servers, and all VMs
-// would read the store at once when the controller fails. A relay that loses the controller watches the
-// store for its domain, and the other VMs of the domain are not affected.
+// controller, and the other VMs of the domain are linked to the relay, or to further relays that it has
+// chosen. If every VM were linked to the controller, its traffic would grow with the number of VMs times
+// the number of servers, and all VMs would read the store at once when the controller fails. A relay that
+// loses the controller watches the store for its domain, and the other VMs of the domain are not
+// affected.
 
 const (
-	// minTreeVMs is the number of VMs from which the links form a tree. In a smaller fleet, one
-	// hop less is worth more than the saved traffic.
-	minTreeVMs = 20
 	// lostRelayCooldown is how long a VM does not link to a relay after losing its link. Within a
 	// few frames the controller announces another relay, or the same one if it has recovered.
 	lostRelayCooldown = 5 * time.Second
@@ -28,8 +26,6 @@
 	// before a VM reads the store itself. A relay that loses the controller needs part of this
 	// time to list the servers from the store.
 	relayExtraAge = 400 * time.Millisecond
-	// strongerFactor is the ratio of CPU shares from which a VM replaces the current relay.
-	strongerFactor = 2
 	// rejectCooldown is how long a relay accepts all links of a stronger VM after it rejected one
 	// of them. A VM that links to the relay again cannot reach the controller itself.
 	rejectCooldown = 30 * time.Second
@@ -47,14 +43,11 @@
 }
 
 // selectRelay returns the address of the relay that this VM should link to, or "" if it should link
-// to the controller. p.mu must be held.
+// to the controller. A relay that another one has chosen links to that one. p.mu must be held.
 func (p *Peers) selectRelay(now time.Time) string {
-	for _, r := range p.relays {
-		if r.FailureDomain == p.Domain && r.Ready && r.Address != p.Address && now.Sub(p.relayLostAt[r.Address]) >= lostRelayCooldown {
-			return r.Address
-		}
-	}
-	return ""
+	return preferredRelay(p.Name, p.Domain, p.relays, func(r wire.Relay) bool {
+		return r.Address != p.Address && (r.Hub == "" || !p.relaying) && now.Sub(p.relayLostAt[r.Address]) >= lostRelayCooldown
+	})
 }
 
 // selectHub returns the address of the hub to link to, the controller's address and the key to
@@ -66,7 +59,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r := p.selectRelay(now); r != "" && !p.relaying {
+	if r := p.selectRelay(now); r != "" && (!p.relaying || p.furtherRelay) {
 		return r, controller, key
 	}
 	return controller, controller, key
@@ -82,31 +75,56 @@
 	p.relayLostAt[address] = now
 }
 
-// applyRelays applies the list of relays received from the hub. This VM starts or stops being a
-// relay, or moves its link from the controller to the relay of its failure domain.
-func (p *Peers) applyRelays(ctx context.Context, now time.Time, up *uplink, relays []wire.Relay) {
-	isRelay, otherRelay := false, false
+// relayChange is what a list of relays means for this VM.
+type relayChange struct {
+	// named is set if this VM is a relay of the hub. begin and end start and stop relaying.
+	named, begin, end bool
+	// move is set if this VM must link to another hub.
+	move bool
+}
+
+// decideRelays returns what a list of relays that was received from a hub means for this VM. A relay
+// continues if the list has no other relay in its place, because a hub that has just begun may not have
+// chosen one yet. p.mu must be held.
+func (p *Peers) decideRelays(now time.Time, up *uplink, relays []wire.Relay) relayChange {
+	named, other := false, false
 	for _, r := range relays {
-		if r.FailureDomain == p.Domain {
-			isRelay, otherRelay = r.Address == p.Address, r.Address != p.Address
+		if r.FailureDomain == p.Domain && (up.direct && r.Hub == "" || !up.direct && r.Hub == up.address) {
+			named = named || r.Address == p.Address
+			other = other || r.Address != p.Address
 		}
 	}
+	next := p.selectRelay(now)
+	replaced := other && !named
+	return relayChange{
+		named: named, begin: named && !p.relaying,
+		// A further relay that is linked to the controller has lost its hub. It moves to the next
+		// one and keeps its VMs.
+		end:  replaced && p.relaying && p.furtherRelay == !up.direct,
+		move: replaced && next != "" && next != up.address && (up.direct || !p.relaying),
+	}
+}
+
+// applyRelays applies the list of relays received from the hub. This VM starts or stops being a
+// relay, or moves its link to the relay that it should be linked to.
+func (p *Peers) applyRelays(ctx context.Context, now time.Time, up *uplink, relays []wire.Relay) {
 	p.mu.Lock()
 	p.relays = relays
-	// A relay continues if the list has no relay of its domain, because a controller whose term
-	// has just started may not have chosen one yet.
-	begin, end := up.direct && isRelay && !p.relaying, up.direct && otherRelay && p.relaying
-	move := up.direct && otherRelay && p.selectRelay(now) != ""
+	change := p.decideRelays(now, up, relays)
+	if change.named {
+		p.furtherRelay = !up.direct
+	}
 	p.mu.Unlock()
 	switch {
-	case begin:
+	case change.begin:
 		p.beginRelaying(ctx)
-	case end:
+	case change.end:
 		p.endRelaying()
 		p.closeLinks()
 	}
-	if move {
-		p.Log.Info().Msg("closing the link to the controller; linking to the relay of the failure domain")
+	if change.move {
+		p.Log.Info().Str("address", up.address).Msg("closing the link to the hub; linking to a relay of the failure domain")
+		up.moving = true
 		up.conn.Close()
 	}
 }
@@ -119,7 +137,8 @@
 	p.mu.Lock()
 	p.relaying, p.stopRelaying, p.leaseRenewed = true, cancel, renewed
 	p.mu.Unlock()
-	p.Log.Info().Msg("started as the relay of the failure domain")
+	p.reportDue.raise()
+	p.Log.Info().Msg("started as a relay")
 	go p.broadcast(ctx, renewed)
 }
 
@@ -132,54 +151,54 @@
 		return
 	}
 	p.stopRelaying()
-	p.relaying, p.stopRelaying, p.leaseRenewed = false, nil, nil
-	p.Log.Info().Msg("stopped as the relay of the failure domain")
+	p.relaying, p.furtherRelay, p.stopRelaying, p.leaseRenewed = false, false, nil, nil
+	p.chosenRelays = nil
+	p.Log.Info().Msg("stopped as a relay")
 }
 
-// chooseRelays chooses a relay for each failure domain with linked VMs: the current relay while it is
-// linked, else the VM with the largest CPU share. p.mu must be held.
+// chooseRelays returns the relays that this hub announces: the controller one for each failure domain
+// with linked VMs, and the relay of a failure domain the further ones besides those that it has received.
+// p.mu must be held.
 func (p *Peers) chooseRelays() []wire.Relay {
-	if p.vms < minTreeVMs {
+	switch {
+	case p.furtherRelay:
+		return p.relays
+	case p.relaying:
+		return slices.Concat(p.relays, p.announceRelays(p.Address, furtherRelays(p.subtreeVMs(), p.relayCandidates())))
+	case max(p.vms, p.subtreeVMs()) < minTreeVMs:
 		return []wire.Relay{}
 	}
-	best := make(map[string]*downlink)
-	for d := range p.links {
-		h := d.conn.PeerHello()
-		if h.Address == "" {
-			continue
-		}
-		if b := best[h.FailureDomain]; b == nil || p.betterRelay(d, b) {
-			best[h.FailureDomain] = d
-		}
-	}
-	p.chosenRelays = make(map[string]string, len(best))
-	relays := make([]wire.Relay, 0, len(best))
+	best := bestRelays(p.relayCandidates())
+	chosen := make([]relayCandidate, 0, len(best))
 	for _, domain := range slices.Sorted(maps.Keys(best)) {
-		p.chosenRelays[domain] = best[domain].vm
-		d := best[domain]
-		relays = append(relays, wire.Relay{FailureDomain: domain, Address: d.conn.PeerHello().Address, Ready: p.subtrees[d.vm].relaying})
+		chosen = append(chosen, best[domain])
 	}
-	return relays
+	return p.announceRelays("", chosen)
 }
 
-// betterRelay reports whether a is preferred to b as a relay. A VM with a much larger CPU share takes
-// precedence, because a relay writes to all VMs of its domain. Among VMs with similar shares, one that
-// already relays is preferred, so that a change of controller moves no links.
-func (p *Peers) betterRelay(a, b *downlink) bool {
-	helloA, helloB := a.conn.PeerHello(), b.conn.PeerHello()
-	if helloA.Millicores >= strongerFactor*helloB.Millicores || helloB.Millicores >= strongerFactor*helloA.Millicores {
-		return helloA.Millicores > helloB.Millicores
-	}
-	if chosenA, chosenB := p.chosenRelays[helloA.FailureDomain] == a.vm, p.chosenRelays[helloB.FailureDomain] == b.vm; chosenA != chosenB {
-		return chosenA
-	}
-	if helloA.Relaying != helloB.Relaying {
-		return helloA.Relaying
+// relayCandidates returns the linked VMs that accept links. A relay considers those of its failure
+// domain. p.mu must be held.
+func (p *Peers) relayCandidates() []relayCandidate {
+	candidates := make([]relayCandidate, 0, len(p.links))
+	for d := range p.links {
+		h := d.hello
+		if h.Address != "" && (!p.relaying || h.FailureDomain == p.Domain) {
+			candidates = append(candidates, relayCandidate{vm: d.vm, address: h.Address, domain: h.FailureDomain, millicores: h.Millicores, chosen: p.chosenRelays[d.vm], relaying: h.Relaying})
+		}
 	}
-	if helloA.Millicores != helloB.Millicores {
-		return helloA.Millicores > helloB.Millicores
+	return candidates
+}
+
+// announceRelays records the chosen relays and returns them for the frames of this hub. p.mu must be
+// held.
+func (p *Peers) announceRelays(hub string, chosen []relayCandidate) []wire.Relay {
+	p.chosenRelays = make(map[string]bool, len(chosen))
+	relays := make([]wire.Relay, 0, len(chosen))
+	for _, c := range chosen {
+		p.chosenRelays[c.vm] = true
+		relays = append(relays, wire.Relay{FailureDomain: c.domain, Address: c.address, Hub: hub, Ready: p.subtrees[c.vm].relaying})
 	}
-	return a.vm < b.vm
+	return relays
 }
 
 // rejectsStronger reports whether this relay rejects a link because the VM is much stronger. That VM
@@ -286,6 +305,9 @@
 	if p.subtrees == nil {
 		p.subtrees = make(map[string]subtree)
 	}
+	if s.relaying != p.subtrees[vm].relaying {
+		p.signalRelays()
+	}
 	p.subtrees[vm] = s
 }
 
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -23,6 +23,10 @@
 	address string
 	// direct is set if the hub is the controller. A relay may become the controller.
 	direct bool
+	// complete is set once the full state has been received. Changes mean nothing before.
+	complete bool
+	// moving is set when this VM closes the link to open one to a relay.
+	moving bool
 
 	mu sync.Mutex
 	// lastLeaseVersion is the version of the controller's lease last received from the hub.
@@ -34,9 +38,19 @@
 	closed       bool
 }
 
-// followHub links to a hub and receives its data until the link is lost. It reports whether the link
-// could be opened.
-func (p *Peers) followHub(ctx context.Context, address, controller, key string) bool {
+// linkEnd is how a link to a hub ended.
+type linkEnd int
+
+const (
+	// linkFailed means that the link could not be opened.
+	linkFailed linkEnd = iota
+	linkLost
+	// linkMoved means that this VM closed the link to open one to a relay.
+	linkMoved
+)
+
+// followHub links to a hub and receives its data until the link ends.
+func (p *Peers) followHub(ctx context.Context, address, controller, key string) linkEnd {
 	dialer := &link.Dialer{Hello: p.hello, Key: key, CountBytes: p.countBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return p.dial(ctx, address)
 	}}
@@ -48,7 +62,7 @@
 		if address != controller {
 			p.recordLostRelay(p.Now(), address)
 		}
-		return false
+		return linkFailed
 	}
 	up := &uplink{conn: conn, address: address, direct: address == controller, pendingCalls: make(map[int]chan *wire.Message)}
 	p.setUplink(up)
@@ -62,11 +76,14 @@
 	p.setUplink(nil)
 	up.close()
 	p.clearExternalLoads()
+	if up.moving {
+		return linkMoved
+	}
 	if address != controller {
 		p.recordLostRelay(p.Now(), address)
 	}
 	p.Log.Info().Str("address", address).Err(err).Msg("link to the controller lost")
-	return true
+	return linkLost
 }
 
 func (p *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -177,6 +194,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-p.reportDue.raised():
 		case <-time.After(interval):
 		}
 		levels = p.takeHandedLevels()
@@ -245,13 +263,22 @@
 	now := p.Now()
 	p.mu.Lock()
 	p.vms = s.Vms
-	p.hubConfirmedAt, p.extraAge = now.Add(-time.Duration(s.AgeMs)*time.Millisecond), 0
-	if up.direct = !s.Relayed; s.Relayed {
-		p.extraAge = relayExtraAge
+	up.direct = !s.Relayed
+	up.complete = up.complete || s.Full
+	if up.complete {
+		p.hubConfirmedAt, p.extraAge = now.Add(-time.Duration(s.AgeMs)*time.Millisecond), 0
+		if s.Relayed {
+			p.extraAge = relayExtraAge
+		}
 	}
 	p.mu.Unlock()
 	up.setLeaseVersion(s.LeaseVersion)
 	p.applyLease(s.LeaseVersion, s.Lease)
+	if !up.complete {
+		// The hub withholds the state, because this VM is to link to a relay.
+		p.applyRelays(root, now, up, s.Relays)
+		return
+	}
 	p.applyTightTeams(s.TightTeams)
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
--- a/wire/types.go
+++ b/wire/types.go
@@ -800,6 +800,10 @@
 	// FailureDomain corresponds to the JSON schema field "failure_domain".
 	FailureDomain string `json:"failure_domain"`
 
+	// Address of the relay that this one is linked to; empty for one that is linked
+	// to the controller.
+	Hub string `json:"hub"`
+
 	// Set if the relay accepts links; until then this entry instructs it to start.
 	Ready bool `json:"ready"`
 }
