steer: Let the idle only replica of a model yield to a model that is asked for

Cause: each model kept at least one replica for good.

Ruled out: taking turns among models that are all in use. Their requests would be refused instead, and each turn costs a load.

Change: an only replica that has not been requested for three seconds, and that has been loaded for four, yields to a model that was requested within the last five, the least recently requested one first. Its loss falls with the idle time; the worth of a first replica grows while it is missing, so that a model whose server has just crashed replaces none. What was requested before a term is unknown and counts as requested at its start. The test of the planner without knowledge of requests is unchanged: there a last replica stays.

--- a/steer/controller.go
+++ b/steer/controller.go
@@ -72,8 +72,10 @@
 	mu sync.Mutex
 	// fencingToken is the lease's fencing token in the current term. predecessorEnd is the latest
 	// time at which the previous controller may have sent an order.
-	fencingToken      int
-	predecessorEnd    time.Time
+	fencingToken   int
+	predecessorEnd time.Time
+	// termBegunAt is when this VM began its term.
+	termBegunAt       time.Time
 	servers           map[string]*Server
 	sortedServers     map[string][]*Server
 	orderInFlight     map[string]bool
@@ -181,7 +183,7 @@
 func (c *Controller) beginTerm(now time.Time, fencingToken int, table *routes.Table) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fencingToken, c.predecessorEnd = fencingToken, now
+	c.fencingToken, c.predecessorEnd, c.termBegunAt = fencingToken, now, now
 	if c.PredecessorEnd != nil {
 		c.predecessorEnd = c.PredecessorEnd()
 	}
@@ -307,6 +309,16 @@
 	return now.Sub(last)
 }
 
+// sinceRequested returns how long ago a model was last requested. The requests before this VM's term are
+// unknown, and may have been sent just before it. c.mu is held.
+func (c *Controller) sinceRequested(now time.Time, demand *Demand, model string) time.Duration {
+	last := demand.Last(model)
+	if last.Before(c.termBegunAt) {
+		last = c.termBegunAt
+	}
+	return now.Sub(last)
+}
+
 func (c *Controller) placeModels(ctx context.Context, now time.Time, service routes.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -329,6 +341,7 @@
 		},
 		Contended:          c.Contended,
 		TimeWithoutReplica: func(model string) time.Duration { return c.timeWithoutReplica(now, service.Name, model) },
+		SinceRequested:     func(model string) (time.Duration, bool) { return c.sinceRequested(now, demand, model), true },
 		MayBeUnlisted: func(model string) bool {
 			return now.Sub(c.firstListed[service.Name]) < startupListingTime && demand.Last(model).IsZero()
 		},
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -25,7 +25,8 @@
 
 // Planner turns demand into the next model orders of a service. It keeps no state between plans.
 //
-// Each model keeps at least one replica. A further replica is loaded if it improves the balance of
+// Each model keeps at least one replica while it is in use, and longer if memory allows (see
+// lastReplicaLoss). A further replica is loaded if it improves the balance of
 // work between the servers by more than it costs (see balance). It replaces another replica only if
 // the difference exceeds a margin and the uncertainty of the demand: the model that gets a replica
 // counts with the low estimate of its work, the model that loses one with the high estimate.
@@ -46,6 +47,9 @@
 	StartStoreLoad func() *LoadStart
 	// TimeWithoutReplica returns how long a model has been without a replica; nil if unknown.
 	TimeWithoutReplica func(model string) time.Duration
+	// SinceRequested returns how long ago a model was last requested, and whether it ever was; nil if
+	// that is unknown. No last replica is replaced then.
+	SinceRequested func(model string) (time.Duration, bool)
 	// MayBeUnlisted reports whether a model without a replica probably has one at a server that is
 	// not listed yet; nil for never.
 	MayBeUnlisted func(model string) bool
@@ -108,6 +112,17 @@
 	// refused. Initially it is too low to replace a replica of a busy model: a crashed server is
 	// usually back within two or three seconds, with its models' weights on its disk.
 	firstReplicaBaseWorth = 0.04
+	// lastReplicaIdleTime is how long a model must not have been requested before its only replica is
+	// replaced, and minResidence how long that replica must have been loaded: the requests that
+	// waited for it need some time to arrive.
+	lastReplicaIdleTime = 3 * time.Second
+	minResidence        = 4 * time.Second
+	// requestWaitTime is about how long requests wait for a model to be loaded. If the last request
+	// for a model is older, nobody waits for it any more.
+	requestWaitTime = 5 * time.Second
+	// lastReplicaWorth is the worth of an only replica that was requested just now. It is above the
+	// worth of a model with little demand that lost its replica within the last second.
+	lastReplicaWorth = 4.0
 	// firstReplicaWorkWeight weighs the model's work in the worth of its only replica.
 	firstReplicaWorkWeight = 4.0
 )
@@ -296,14 +311,21 @@
 	var best option
 	found := false
 	for victim, r := range s.models {
-		if r.phase != loaded || len(p.current.replicas[victim]) < 2 || s.usedMemoryMB-p.Engine.Models[victim].SizeMB+m.SizeMB > p.Engine.WeightMemoryMB {
+		if r.phase != loaded || s.usedMemoryMB-p.Engine.Models[victim].SizeMB+m.SizeMB > p.Engine.WeightMemoryMB {
 			continue
 		}
+		lastLoss := 0.0
+		if len(p.current.replicas[victim]) < 2 {
+			var ok bool
+			if lastLoss, ok = p.lastReplicaLoss(victim, r, m.Name); !ok {
+				continue
+			}
+		}
 		loss, util := p.planned.loss(victim, i)
 		currentLoss, _ := p.current.loss(victim, i)
 		loss = max(loss, currentLoss)
 		work, drain := p.work[victim], drainTime
-		if work.high < idleWork {
+		if work.high < idleWork || lastLoss > 0 {
 			drain = idleDrainTime
 		}
 		if work.mean > 0 {
@@ -312,6 +334,7 @@
 		if p.replicasInDomain[domainModel{s.entry.Domain, victim}] < 2 {
 			loss += p.domainWorth(work.high)
 		}
+		loss += lastLoss
 		replacing := o
 		replacing.victim = victim
 		replacing, ok := p.evaluate(replacing, util, loss, loadTime+drain)
@@ -322,6 +345,32 @@
 	return best, found
 }
 
+// Load pattern: there are more models than places for them, and each place holds the only replica of
+// some model. A model without a replica is asked for again and again, and all of its requests are
+// refused after they have waited for a load that is never ordered, while nobody asks for most of the
+// models that are loaded.
+//
+// The only replica of a model that has not been requested for some time therefore yields to a model
+// that is being asked for, the least recently requested one first. What it costs decreases with that
+// time and is compared with the worth of a first replica, which grows while requests wait for it. A
+// model that has lost its server for a second, and returns with it, replaces none.
+
+// lastReplicaLoss returns the loss if the only replica of a model is replaced by a first replica of
+// another one. It returns false if that is not allowed.
+func (p *Planner) lastReplicaLoss(victim string, r *modelState, replacement string) (float64, bool) {
+	if p.SinceRequested == nil || len(p.planned.replicas[replacement]) > 0 || p.Now.Sub(r.since) < minResidence {
+		return 0, false
+	}
+	if waiting, requested := p.SinceRequested(replacement); !requested || waiting >= requestWaitTime {
+		return 0, false
+	}
+	idle, requested := p.SinceRequested(victim)
+	if !requested {
+		return math.SmallestNonzeroFloat64, true
+	}
+	return lastReplicaWorth / (1 + idle.Seconds()), idle >= lastReplicaIdleTime
+}
+
 // evaluate sets the worth and urgency of an option at a server whose utilization is util without
 // it. It returns false if the worth is too low.
 func (p *Planner) evaluate(o option, util, loss float64, readyIn time.Duration) (option, bool) {
