steer: Compare a few servers for each model where there are many

Cause: a plan compared every server, with every replica that could be replaced there, for each model that wanted a replica, and again for each replica it got. That is models times servers times replicas: with demand that has moved to twenty models, 6.3 s for 1,500 servers and 1,000 models and over 90 s (stopped) for 4,000 and 554, with the controller's lock held, so that it answered no VM, and then a pause of twenty times as long.

A plan has at most 100 orders; the next one continues a tenth of a second later.

--- a/steer/plan.go
+++ b/steer/plan.go
@@ -66,6 +66,13 @@
 	candidates       []candidate
 	// planned includes the replicas that are loading, current only the loaded ones.
 	planned, current *balance
+	// ordered are the servers that have a step of this plan.
+	ordered map[*Server]bool
+	// allCandidates are the indices of all candidates. shortlists, by failure domain, and cachedAt, by
+	// model, name those that are compared if there are many.
+	allCandidates []int
+	shortlists    map[string]*shortlist
+	cachedAt      map[string][]int
 }
 
 // candidate is a server that models can be placed on.
@@ -83,6 +90,9 @@
 type domainModel struct{ domain, model string }
 
 const (
+	// maxPlanSteps bounds the orders of a plan, and with them the time for which the controller does
+	// nothing else. The next plan continues a tenth of a second later.
+	maxPlanSteps = 100
 	// moveMargin is the factor by which the gain of a replica must exceed the loss of the replica
 	// that it replaces.
 	moveMargin = 1.5
@@ -130,18 +140,20 @@
 // Steps returns the next orders, at most one for each server.
 func (p *Planner) Steps() []Step {
 	p.prepare()
-	used := make(map[*Server]bool)
-	steps := p.reservedLoads(used)
+	steps := p.reservedLoads()
 	for again := true; again; {
 		again = false
-		for _, o := range p.options(used) {
+		for _, o := range p.options() {
 			// Earlier steps of this plan may have lowered the worth of the option.
-			o, ok := p.bestOption(o.step.Model, used)
+			o, ok := p.bestOption(o.step.Model)
 			if !ok {
 				continue
 			}
+			if len(steps) >= maxPlanSteps {
+				return steps
+			}
 			if step, ok := p.accept(o); ok {
-				used[step.Server] = true
+				p.ordered[step.Server] = true
 				steps = append(steps, step)
 				again = true
 			}
@@ -151,7 +163,7 @@
 }
 
 // reservedLoads returns the loads that an earlier unload has freed memory for.
-func (p *Planner) reservedLoads(used map[*Server]bool) []Step {
+func (p *Planner) reservedLoads() []Step {
 	var steps []Step
 	for i, s := range p.candidates {
 		m, ok := p.Engine.Models[s.ReservedFor(p.Now)]
@@ -163,7 +175,7 @@
 		if !p.startLoad(&step) {
 			continue
 		}
-		used[s.Server] = true
+		p.ordered[s.Server] = true
 		p.replicasInDomain[domainModel{s.entry.Domain, m.Name}]++
 		steps = append(steps, step)
 	}
@@ -204,6 +216,11 @@
 		}
 	}
 	p.domains = max(len(domains), 1)
+	p.ordered, p.shortlists, p.cachedAt = make(map[*Server]bool), nil, nil
+	p.allCandidates = p.allCandidates[:0]
+	for i := range p.candidates {
+		p.allCandidates = append(p.allCandidates, i)
+	}
 	p.planned = newBalance(len(p.candidates), plannedReplicas(p.Engine, p.candidates, p.Now), work)
 	p.current = newBalance(len(p.candidates), loadedReplicas(p.Engine, p.candidates), work)
 }
@@ -251,10 +268,10 @@
 
 // options returns the best option of each model that is worth one more replica, the most urgent
 // first.
-func (p *Planner) options(used map[*Server]bool) []option {
+func (p *Planner) options() []option {
 	var list []option
 	for _, m := range p.Engine.Models {
-		if o, ok := p.bestOption(m, used); ok {
+		if o, ok := p.bestOption(m); ok {
 			list = append(list, o)
 		}
 	}
@@ -265,15 +282,16 @@
 }
 
 // bestOption returns the most urgent option for one more replica of a model.
-func (p *Planner) bestOption(m routes.Model, used map[*Server]bool) (option, bool) {
+func (p *Planner) bestOption(m routes.Model) (option, bool) {
 	work, replicas := p.work[m.Name], len(p.planned.replicas[m.Name])
 	if replicas == 0 && p.MayBeUnlisted != nil && p.MayBeUnlisted(m.Name) || replicas > 0 && work.low*work.low < minGain {
 		return option{}, false
 	}
 	var best option
 	found := false
-	for i, s := range p.candidates {
-		if !s.acceptsOrders || used[s.Server] || s.models[m.Name] != nil || s.ReservedFor(p.Now) != "" {
+	for _, i := range p.comparedCandidates(m) {
+		s := p.candidates[i]
+		if !s.acceptsOrders || p.ordered[s.Server] || s.models[m.Name] != nil || s.ReservedFor(p.Now) != "" {
 			continue
 		}
 		o, ok := p.optionAt(i, m)
--- a/steer/scale_test.go
+++ b/steer/scale_test.go
@@ -16,7 +16,7 @@
 // BenchmarkStep measures one placement step while demand is spread over all models and no orders
 // are needed.
 func BenchmarkStep(b *testing.B) {
-	for _, size := range []struct{ servers, models int }{{12, 20}, {144, 171}, {1500, 1000}} {
+	for _, size := range []struct{ servers, models int }{{12, 20}, {144, 171}, {1500, 1000}, {4000, 554}} {
 		b.Run(fmt.Sprintf("%d_servers_%d_models", size.servers, size.models), func(b *testing.B) {
 			c := scaledController(size.servers, size.models)
 			now := c.Now()
@@ -27,18 +27,40 @@
 	}
 }
 
+// BenchmarkStepAfterShift measures the step in which demand has moved to twenty other models, and models
+// without a replica are asked for.
+func BenchmarkStepAfterShift(b *testing.B) {
+	for _, size := range []struct{ servers, models int }{{144, 171}, {1500, 1000}, {4000, 554}} {
+		b.Run(fmt.Sprintf("%d_servers_%d_models", size.servers, size.models), func(b *testing.B) {
+			c := scaledController(size.servers, size.models)
+			now := c.Now().Add(2 * time.Minute)
+			for _, s := range c.servers {
+				for m := range 5 {
+					delete(s.models, scaledModel(m))
+				}
+			}
+			for m := range 20 {
+				c.demand("s").Add(now, scaledModel(m), 40, 100)
+			}
+			for b.Loop() {
+				c.Step(context.Background(), now)
+			}
+		})
+	}
+}
+
 func scaledController(servers, models int) *Controller {
 	now := time.Unix(1000, 0)
 	engine := &routes.Engine{WeightMemoryMB: 83, AdapterSlots: 5, StoreLoadsPerSecond: 20, Models: make(map[string]routes.Model)}
 	for m := range models {
-		name := fmt.Sprintf("m%04d", m)
+		name := scaledModel(m)
 		engine.Models[name] = routes.Model{Name: name, SizeMB: 20, LoadTime: time.Second, AdapterCount: 4}
 	}
 	var entries []backs.Entry
 	for s := range servers {
 		e := backs.Entry{ID: fmt.Sprintf("i%04d", s), Service: "s", Domain: fmt.Sprintf("d%d", s%4)}
 		for k := range 4 {
-			e.Models = append(e.Models, backs.LoadedModel{Model: fmt.Sprintf("m%04d", (4*s+k)%models)})
+			e.Models = append(e.Models, backs.LoadedModel{Model: scaledModel((4*s + k) % models)})
 		}
 		entries = append(entries, e)
 	}
@@ -55,7 +77,7 @@
 		},
 	}
 	for m := range models {
-		c.demand("s").Add(now, fmt.Sprintf("m%04d", m), float64(1000/(m+1)), 1)
+		c.demand("s").Add(now, scaledModel(m), float64(1000/(m+1)), 1)
 	}
 	c.Step(context.Background(), now)
 	for _, s := range c.servers {
@@ -64,3 +86,5 @@
 	}
 	return c
 }
+
+func scaledModel(m int) string { return fmt.Sprintf("m%04d", m) }
