trail: explain -spread prints how long changes took to reach all VMs

CAPACITY.md promises times in which a change of the configuration, a lost server and a new lease holder reach all VMs, and only a tool outside the product could measure them. Each VM logs when it learns of another holder of the controller lease (one line for each change); the other two lines existed. VMs that start later or end before do not count; lines that cannot be read are counted and named.

--- a/cmd/hibiscuscart/explain.go
+++ b/cmd/hibiscuscart/explain.go
@@ -14,18 +14,20 @@
 )
 
 var explainCommand = command{
-	name: "explain", args: "[-request ID | -model NAME] [-plot FILE] [FILE...]",
-	summary: "report from log lines which requests were lost or late, and why",
+	name: "explain", args: "[-request ID | -spread | -model NAME] [-plot FILE] [FILE...]",
+	summary: "report from log lines which requests were lost or late, and why, or how long changes took to reach all VMs",
 	examples: []string{
 		"explain vm-1.log vm-2.log",
 		"explain -request 8c5b5c03c01a3c3e *.log",
 		"explain -plot day.svg < all.log",
+		"explain -spread vm-*.log",
 	},
 	run: runExplain,
 }
 
 func runExplain(_ context.Context, fs *flag.FlagSet, args []string) error {
 	requestID := fs.String("request", "", "trace the request with this `ID`")
+	spread := fs.Bool("spread", false, "print when configurations, lost servers and lease holders were known to half, 99% and all VMs")
 	var opts trail.Options
 	fs.StringVar(&opts.Model, "model", "", "include only requests for this model")
 	fs.IntVar(&opts.Top, "top", 0, "maximum rows in the tables of causes, models and servers (default 10)")
@@ -44,6 +46,8 @@
 		return usageErrorf("-window must be at least 1ms")
 	case *requestID != "" && (opts.Model != "" || *plotFile != ""):
 		return usageErrorf("-request cannot be combined with -model or -plot")
+	case *spread && (*requestID != "" || opts.Model != "" || *plotFile != ""):
+		return usageErrorf("-spread cannot be combined with -request, -model or -plot")
 	}
 	log := &trail.Log{RequestID: *requestID}
 	if err := readLogs(log, fs.Args()); err != nil {
@@ -52,6 +56,9 @@
 	if *requestID != "" {
 		return log.WriteTimeline(os.Stdout)
 	}
+	if *spread {
+		return log.WriteSpread(os.Stdout)
+	}
 	if err := log.Report(os.Stdout, opts); err != nil {
 		return err
 	}
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -259,6 +259,9 @@
 	if version != 0 && record.Renewals != l.record.Renewals {
 		l.expiredSince = time.Time{}
 	}
+	if record.Holder != "" && record.Address != l.record.Address {
+		l.Log.Info().Str("holder", record.Holder).Int("version", version).Str("before", l.record.Holder).Msg("controller lease has another holder")
+	}
 	l.record = record
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
--- a/trail/line.go
+++ b/trail/line.go
@@ -53,6 +53,9 @@
 	Server      string `json:"server"`
 	Unload      bool   `json:"unload"`
 	OrderResult int    `json:"verdict"`
+
+	Revision int    `json:"revision"`
+	Holder   string `json:"holder"`
 }
 
 // Errors of lines that are skipped.
--- a/trail/log.go
+++ b/trail/log.go
@@ -84,6 +84,10 @@
 	orders   []order
 	// failedAttempts counts the failed attempts, by server and reason.
 	failedAttempts map[failedAttempt]int
+	// changes holds when each VM first stated that it knows of a change, and running from when to
+	// when each VM logged.
+	changes map[change]map[textID]int64
+	running map[textID]runningSpan
 	// timeline holds the lines of the request selected by RequestID.
 	timeline []timelineLine
 }
@@ -175,6 +179,8 @@
 		l.vms, l.failedAttempts = make(map[textID]bool), make(map[failedAttempt]int)
 	}
 	l.vms[vm] = true
+	l.extendRunning(vm, parsed.Time.UnixNano())
+	l.addChange(vm, &parsed)
 	if l.RequestID != "" && parsed.Request == l.RequestID {
 		l.timeline = append(l.timeline, timelineLine{at: parsed.Time, vm: parsed.VM, text: string(text), line: parsed})
 	}
--- a/trail/tables.go
+++ b/trail/tables.go
@@ -118,14 +118,20 @@
 	return list
 }
 
+// writeBadLines writes how many lines could not be read, and the first of them.
+func (l *Log) writeBadLines(t *table) {
+	if l.bad == 0 {
+		return
+	}
+	t.writeRow(fmt.Sprintf("%d lines were not read, the first:", l.bad))
+	for _, b := range l.badLines {
+		t.writeRow("  " + b.String())
+	}
+}
+
 func (l *Log) writeSummary(t *table, requests []*Request) {
 	t.writeRow(fmt.Sprintf("%d lines of %d VMs, %s to %s", l.lines, len(l.vms), formatTime(l.firstAt), formatTime(l.lastAt)))
-	if l.bad > 0 {
-		t.writeRow(fmt.Sprintf("%d lines were not read, the first:", l.bad))
-		for _, b := range l.badLines {
-			t.writeRow("  " + b.String())
-		}
-	}
+	l.writeBadLines(t)
 	var all outcomeCounts
 	for _, r := range requests {
 		all.add(r)
