peers, node: Store calls of a fleet that starts or loses its controller

Cause: three herds at the store grow with VMs. A VM that had linked to a hub but not yet received the full state listed all servers after half a second, twenty pages for 4,000. A VM without a hub read the lease with each attempt to link. A relay that lost the controller had 0.4 s to list all servers before each of its VMs listed them too; twenty pages take longer.

Change: a VM that waits for the full state of a hub leaves the store alone for 0.8 s, or 3 s while it has no list and thus no callers. Weak VMs of a large fleet read the lease at their usual interval. The time that a relay has grows with the servers, from 0.4 s to at most 1.5 s: 0.43 s for 144.

--- a/backs/view.go
+++ b/backs/view.go
@@ -173,6 +173,13 @@
 	return now.Sub(v.syncedAt)
 }
 
+// Count returns the number of servers known, including those removed in the last minutes.
+func (v *View) Count() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.records)
+}
+
 // Synced reports whether a full list has been received.
 func (v *View) Synced() bool {
 	v.mu.Lock()
--- a/node/follow.go
+++ b/node/follow.go
@@ -24,8 +24,8 @@
 	// unreachable.
 	outageFailures = 2
 	// startupHubWait is how long a starting VM waits for the data of the controller before it reads
-	// the store itself. When many VMs start at once, listing all servers from each of them would
-	// exhaust the store's rate limit.
+	// the store itself, a weak VM of a large fleet longer (see peers.PollIntervalFactor). When many
+	// VMs start at once, listing all servers from each of them would exhaust the store's rate limit.
 	startupHubWait = 500 * time.Millisecond
 	// hubCheckInterval is the interval between checks whether this VM must call the store itself.
 	hubCheckInterval = 50 * time.Millisecond
@@ -63,7 +63,7 @@
 	startedAt := n.now()
 	var lastCallAt time.Time
 	for ctx.Err() == nil {
-		if now := n.now(); n.coveredByController(now) || !n.peers.Leading() && now.Sub(startedAt) < startupHubWait {
+		if n.leavesStoreToHub(n.now(), startedAt) {
 			synced = false
 			n.discardSingleFailure(w.kind)
 			pause.For(ctx, hubCheckInterval)
@@ -110,6 +110,16 @@
 	}
 }
 
+// leavesStoreToHub reports whether this VM does not call the store, because a hub keeps its data current
+// or is about to send it.
+func (n *Node) leavesStoreToHub(now, startedAt time.Time) bool {
+	if n.peers.Leading() {
+		return false
+	}
+	startupWait := time.Duration(n.peers.PollIntervalFactor() * float64(startupHubWait))
+	return n.peers.HubDataFresh(now) || now.Sub(startedAt) < startupWait || n.peers.AwaitsState(now)
+}
+
 // If every VM polled an unreachable store for the configuration, the servers and the lease, 195 VMs
 // would send it 650 calls per second during the outage instead of 20. A poll for the configuration
 // detects the recovery just as well, so the other calls wait for its response. The controller makes
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -240,6 +240,16 @@
 	return min(max(fleetFactor*delayFactor, 1), maxPollIntervalFactor)
 }
 
+// minLeaseReadInterval returns the least time between two reads of the lease record by a VM that has no
+// hub. When a whole fleet starts, its VMs would otherwise read the record with each attempt to link,
+// three times a second each. A strong VM reads an expired lease more often, because it acquires it.
+func (p *Peers) minLeaseReadInterval(expired bool) time.Duration {
+	if p.PollIntervalFactor() <= 1 || expired && p.Lease.AcquireDelay < minStaleReadDelay {
+		return 0
+	}
+	return p.leaseReadPause()
+}
+
 func (p *Peers) leaseReadPause() time.Duration {
 	return time.Duration(p.PollIntervalFactor() * float64(leaseReadInterval))
 }
@@ -247,8 +257,10 @@
 // Run maintains the lease and the link to the hub until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	leaseDue := true
+	var steppedAt time.Time
 	for ctx.Err() == nil {
-		if leaseDue {
+		if now := p.Now(); leaseDue && now.Sub(steppedAt) >= p.minLeaseReadInterval(p.Lease.Expired(now)) {
+			steppedAt = now
 			p.Lease.Step(ctx)
 		}
 		// While a link lasts, the hub sends the lease record. After the link is lost, the store
--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/steer"
+	"github.com/hibiscuscart/hibiscuscart/store"
 )
 
 // The simulated control plane runs the links, the tree and the frames of a fleet in one process, with
@@ -64,6 +66,23 @@
 	// entries are the servers' entries, as the controller reads them from the store.
 	entries []backs.Entry
 	running sync.WaitGroup
+	// leaseCalls counts the store calls for the lease.
+	leaseCalls atomic.Int64
+}
+
+// storeClient returns a client of the store that counts the calls.
+func (f *simFleet) storeClient() store.Objects {
+	client := f.store.Client()
+	get, put := client.Get, client.Put
+	client.Get = func(ctx context.Context, kind, name string) (store.Object, error) {
+		f.leaseCalls.Add(1)
+		return get(ctx, kind, name)
+	}
+	client.Put = func(ctx context.Context, kind, name string, ifVersion int, value any) (int, error) {
+		f.leaseCalls.Add(1)
+		return put(ctx, kind, name, ifVersion, value)
+	}
+	return client
 }
 
 // simVM is a VM of a simulated fleet. Its parts are replaced when it restarts.
@@ -81,6 +100,8 @@
 	revision int
 	value    []byte
 	changed  chan struct{}
+	// confirmed is when the store last confirmed the list of servers, in Unix nanoseconds.
+	confirmed atomic.Int64
 }
 
 func newSimFleet(vms int) *simFleet {
@@ -132,7 +153,7 @@
 		view = &backs.View{}
 	}
 	lease := &Lease{
-		Name: address, Address: address, Objects: v.fleet.store.Client(), Duration: 3 * time.Second, Now: time.Now, Log: zerolog.Nop(),
+		Name: address, Address: address, Objects: v.fleet.storeClient(), Duration: 3 * time.Second, Now: time.Now, Log: zerolog.Nop(),
 		AcquireDelay: time.Duration((1/cores - 1) * float64(time.Second) / 7),
 	}
 	v.configMu.Lock()
@@ -170,6 +191,9 @@
 	const batches = 100
 	for ctx.Err() == nil {
 		sleep(ctx, simHeartbeat/batches)
+		if v.watchesStore() {
+			v.confirmed.Store(time.Now().UnixNano())
+		}
 		if !v.Leading() {
 			listed = false
 			continue
@@ -195,11 +219,18 @@
 	}
 }
 
-func (v *simVM) confirmedAt() time.Time {
+// confirmedAt returns when the store last confirmed the list of servers to this VM.
+func (v *simVM) confirmedAt() time.Time { return time.Unix(0, v.confirmed.Load()) }
+
+// watchesStore reports whether a VM watches the store: the controller, and a relay of a failure domain
+// that has lost it.
+func (v *simVM) watchesStore() bool {
 	if v.Leading() {
-		return time.Now()
+		return true
 	}
-	return time.Time{}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.relaying && !v.furtherRelay && v.uplink == nil
 }
 
 func (v *simVM) config() (int, []byte) {
@@ -358,6 +389,9 @@
 	started, restarted                        simSpread
 	startTraffic, steadyTraffic               simTraffic
 	configured, serverGone, modelPlaced, held simSpread
+	// startCalls, steadyCalls, lossCalls and restartCalls are the store calls for the lease of the
+	// fleet until it has settled, at rest, after the loss of its controller and after that of all VMs.
+	startCalls, steadyCalls, lossCalls, restartCalls int64
 }
 
 // runSimulation starts a fleet, measures it at rest, lets a configuration, a removed server and a placed
@@ -371,10 +405,10 @@
 		f.start()
 		r.started = f.spread((*simVM).linked)
 		time.Sleep(simSettleTime - time.Since(began))
-		r.startTraffic = f.trafficSince(zero)
+		r.startTraffic, r.startCalls = f.trafficSince(zero), f.leaseCalls.Swap(0)
 		before := f.traffic()
 		time.Sleep(simMeasuredTime)
-		r.steadyTraffic = f.trafficSince(before)
+		r.steadyTraffic, r.steadyCalls = f.trafficSince(before), f.leaseCalls.Swap(0)
 
 		c := f.controller()
 		require.NotNil(t, c)
@@ -389,6 +423,7 @@
 		r.modelPlaced = f.spread(func(v *simVM) bool {
 			return v.shared || slices.ContainsFunc(v.Servers.All(time.Now()), func(e backs.Entry) bool { return e.ID == placed.ID && e.HasModel("new", "") })
 		})
+		f.leaseCalls.Store(0)
 		c.kill()
 		old := c.Address
 		f.vms = slices.DeleteFunc(f.vms, func(v *simVM) bool { return v == c })
@@ -396,12 +431,14 @@
 			holder, _ := v.Lease.OtherHolder()
 			return v.Leading() || holder != "" && holder != old && v.linked()
 		})
+		r.lossCalls = f.leaseCalls.Swap(0)
 		for _, v := range f.vms {
 			v.kill()
 		}
 		f.running.Wait()
 		f.start()
 		r.restarted = f.spread((*simVM).linked)
+		r.restartCalls = f.leaseCalls.Load()
 		f.stop()
 	})
 	return r
@@ -418,4 +455,5 @@
 	t.Logf("steady: %s", r.steadyTraffic.perSecond(simMeasuredTime))
 	t.Logf("ms to half / 0.99 / all: configuration %v, server gone %v, model placed %v, new controller %v, all restarted %v",
 		r.configured, r.serverGone, r.modelPlaced, r.held, r.restarted)
+	t.Logf("calls for the lease: until settled %d, in %v at rest %d, controller lost %d, all restarted %d", r.startCalls, simMeasuredTime, r.steadyCalls, r.lossCalls, r.restartCalls)
 }
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -22,10 +22,13 @@
 	// lostRelayCooldown is how long a VM does not link to a relay after losing its link. Within a
 	// few frames the controller announces another relay, or the same one if it has recovered.
 	lostRelayCooldown = 5 * time.Second
-	// relayExtraAge is how much older the data of a relay may be than that of the controller
-	// before a VM reads the store itself. A relay that loses the controller needs part of this
-	// time to list the servers from the store.
-	relayExtraAge = 400 * time.Millisecond
+	// minRelayExtraAge is how much older the data of a relay may be than that of the controller
+	// before a VM reads the store itself, and relayExtraAgePerServer the growth with the number of
+	// servers. A relay that loses the controller needs part of this time to list the servers from the
+	// store, in pages. If it is not done in time, all of its VMs list them too.
+	minRelayExtraAge       = 400 * time.Millisecond
+	relayExtraAgePerServer = 200 * time.Microsecond
+	maxRelayExtraAge       = 1500 * time.Millisecond
 	// rejectCooldown is how long a relay accepts all links of a stronger VM after it rejected one
 	// of them. A VM that links to the relay again cannot reach the controller itself.
 	rejectCooldown = 30 * time.Second
@@ -34,6 +37,12 @@
 	recountPeriod = 10 * time.Second
 )
 
+// relayExtraAge returns how much older the data of a relay may be than that of the controller, for a
+// number of servers.
+func relayExtraAge(servers int) time.Duration {
+	return min(minRelayExtraAge+time.Duration(servers)*relayExtraAgePerServer, maxRelayExtraAge)
+}
+
 // subtree is the last report of a VM linked to this one, for itself and the VMs linked to it.
 type subtree struct {
 	loads map[string]pick.Load
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -23,7 +23,9 @@
 	address string
 	// direct is set if the hub is the controller. A relay may become the controller.
 	direct bool
-	// complete is set once the full state has been received. Changes mean nothing before.
+	// openedAt is when the link was opened. complete is set once the full state has been received.
+	// Changes mean nothing before.
+	openedAt time.Time
 	complete bool
 	// moving is set when this VM closes the link to open one to a relay.
 	moving bool
@@ -64,7 +66,7 @@
 		}
 		return linkFailed
 	}
-	up := &uplink{conn: conn, address: address, direct: address == controller, pendingCalls: make(map[int]chan *wire.Message)}
+	up := &uplink{conn: conn, address: address, openedAt: p.Now(), direct: address == controller, pendingCalls: make(map[int]chan *wire.Message)}
 	p.setUplink(up)
 	p.Log.Info().Str("address", address).Str("peer", conn.PeerHello().Node).Bool("direct", up.direct).Msg("linked to the hub")
 	root := ctx
@@ -93,6 +95,29 @@
 	return conns.Dial(ctx, address)
 }
 
+const (
+	// maxStateWait is how long a VM that has just linked to a hub waits for the full state before it
+	// lists the servers from the store, and maxFirstStateWait a VM that has no list yet. It receives
+	// no new callers meanwhile.
+	maxStateWait      = 800 * time.Millisecond
+	maxFirstStateWait = 3 * time.Second
+)
+
+// Load pattern: hundreds of VMs start together, or lose their hub. Each that has no hub's data for half a
+// second listed all servers from the store: twenty pages for 4,000 servers, at a store that serves 200
+// pages a second to all of them. A VM that is on its way to a relay gets the list from there.
+
+// AwaitsState reports whether this VM expects the full state from a hub that it has just linked to.
+func (p *Peers) AwaitsState(now time.Time) bool {
+	limit := maxStateWait
+	if !p.Servers.Synced() {
+		limit = maxFirstStateWait
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.uplink != nil && !p.uplink.complete && now.Sub(p.uplink.openedAt) < limit
+}
+
 func (p *Peers) isDirect(up *uplink) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -268,7 +293,7 @@
 	if up.complete {
 		p.hubConfirmedAt, p.extraAge = now.Add(-time.Duration(s.AgeMs)*time.Millisecond), 0
 		if s.Relayed {
-			p.extraAge = relayExtraAge
+			p.extraAge = relayExtraAge(p.Servers.Count())
 		}
 	}
 	p.mu.Unlock()
--- /dev/null
+++ b/peers/uplink_state_test.go
@@ -0,0 +1,67 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+)
+
+// A VM that has linked to a hub and waits for the full state listed all servers from the store after half
+// a second. With hundreds of VMs starting together the store was busy for minutes. It must wait for the
+// hub, but not for good: a hub that never sends the state must not keep it from the store.
+func TestVMWithLinkAwaitsState(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newUnlinkedVM(&now, "a")
+	require.False(t, p.AwaitsState(now), "no link")
+	p.uplink = &uplink{openedAt: now}
+	require.True(t, p.AwaitsState(now))
+	require.False(t, p.AwaitsState(now.Add(maxStateWait)))
+	p.Servers = &backs.View{}
+	require.True(t, p.AwaitsState(now.Add(maxStateWait)), "a VM without a list receives no callers yet")
+	require.False(t, p.AwaitsState(now.Add(maxFirstStateWait)))
+	p.uplink.complete = true
+	require.False(t, p.AwaitsState(now))
+}
+
+// When a whole fleet starts, a weak VM read the lease record with each attempt to link to a controller
+// that had just begun, three times a second. Strong VMs and those of a small fleet still do, because one
+// of them becomes the controller.
+func TestLeaseReadsOfWeakVMsAreSpaced(t *testing.T) {
+	for name, tc := range map[string]struct {
+		vms     int
+		delay   time.Duration
+		expired bool
+		want    time.Duration
+	}{
+		"small fleet":                         {9, 600 * time.Millisecond, true, 0},
+		"strong VM of a fleet":                {1000, 30 * time.Millisecond, false, 3 * leaseReadInterval},
+		"strong VM of a fleet, lease expired": {1000, 30 * time.Millisecond, true, 0},
+		"weak VM of a fleet":                  {1000, 600 * time.Millisecond, false, 3 * leaseReadInterval},
+		"weak VM of a fleet, lease expired":   {1000, 600 * time.Millisecond, true, 3 * leaseReadInterval},
+		"strong VM of 87":                     {87, 30 * time.Millisecond, false, 0},
+		"strongest VM of 10,000":              {10000, 0, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newUnlinkedVM(&now, "a")
+			p.vms, p.Lease.AcquireDelay = tc.vms, tc.delay
+			require.Equal(t, tc.want, p.minLeaseReadInterval(tc.expired))
+		})
+	}
+}
+
+// A relay that loses the controller lists all servers from the store, in pages, before its data counts as
+// current. With 4,000 servers that took longer than its VMs waited, and each of them listed all servers
+// too. The wait must cover the list, and stay within the seconds in which a change must be in force.
+func TestVMsWaitForTheListOfTheirRelay(t *testing.T) {
+	const pageServers, pageTime = 200, 30 * time.Millisecond
+	for _, servers := range []int{13, 144, 1000, 4000} {
+		listTime := time.Duration((servers+pageServers-1)/pageServers) * pageTime
+		require.Greater(t, relayExtraAge(servers), listTime, "%d servers", servers)
+		require.LessOrEqual(t, maxHubDataAge+relayExtraAge(servers), 3*time.Second)
+	}
+	require.Less(t, relayExtraAge(144), 500*time.Millisecond)
+}
