peers: No weak relay while strong VMs still start, and no outdated list of relays

Cause, seen in the log of the fleet's first two seconds: relays chose weak VMs as further relays, because strong ones had not linked yet, and replaced them tens of milliseconds later. Their VMs lost their links, tried the other relays of their outdated list one after the other, which had stopped as well (503), 0.3 s each, and after 1.5 s listed all servers from the store: 40 weak VMs did.

Change: a relay chooses weak VMs only after a second with enough VMs to divide, and withholds the full state meanwhile. A VM that loses a further relay asks the relay that chose it for the current list. A canceled read of the lease is no longer logged as a failure, and a VM that awaits the state does not read it.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -119,11 +119,15 @@
 	// relays. relayLostAt is when the link to a relay was lost, by address.
 	relays       []wire.Relay
 	chosenRelays map[string]bool
-	relayLostAt  map[string]time.Time
+	// relaysOutdated is set when a relay of the list was lost. dividedSince is since when this relay has
+	// had enough VMs to divide them.
+	relaysOutdated bool
+	dividedSince   time.Time
+	relayLostAt    map[string]time.Time
 	// rejectedAt is when this relay rejected the link of a stronger VM, by VM name.
 	rejectedAt map[string]time.Time
-	// withheldAt is when the full state was withheld from a VM that linked, by its process run.
-	withheldAt map[string]time.Time
+	// withheld records how often the full state was withheld from a VM that linked, by its process run.
+	withheld map[string]withheldLinks
 	// termStart is when this VM became the controller. inheritedVMs is the number of VMs then.
 	termStart    time.Time
 	inheritedVMs int
--- a/peers/relays.go
+++ b/peers/relays.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,6 +21,9 @@
 	minTreeVMs = 20
 	// minDividedVMs is the number of VMs from which a relay divides them among further relays.
 	minDividedVMs = 32
+	// settleTime is how long a relay with enough VMs waits for strong ones before it chooses weak VMs
+	// as further relays.
+	settleTime = time.Second
 	// strongerFactor is the ratio of CPU shares from which a VM replaces the current relay.
 	strongerFactor = 2
 )
@@ -67,19 +71,33 @@
 	return best
 }
 
+// division is what a relay decides by when it divides its VMs.
+type division struct {
+	// vms is the number of VMs in its subtree, millicores its own CPU share.
+	vms, millicores int
+	// settled is set if the VMs have had time to link.
+	settled bool
+}
+
 // furtherRelays returns the candidates among which a relay divides its VMs. VMs with a much smaller CPU
 // share than the strongest are chosen only if there would be less than half as many relays as needed: a
-// weak VM takes seconds to send the full state to its VMs.
-func furtherRelays(vms int, candidates []relayCandidate) []relayCandidate {
-	if vms < minDividedVMs {
+// weak VM takes seconds to send the full state to its VMs. They are not chosen either while the VMs of a
+// fleet that has just started still link: each weak relay would soon be replaced by a strong one, and its
+// VMs would lose their links.
+func (d division) furtherRelays(candidates []relayCandidate) []relayCandidate {
+	if d.vms < minDividedVMs {
 		return nil
 	}
-	most := int(math.Ceil(math.Sqrt(float64(vms))))
+	most := int(math.Ceil(math.Sqrt(float64(d.vms))))
 	sorted := slices.SortedFunc(slices.Values(candidates), compareRelays)
+	strongest := d.millicores
+	for _, c := range candidates {
+		strongest = max(strongest, c.millicores)
+	}
 	n := 0
 	for _, c := range sorted {
-		weak := c.millicores*strongerFactor <= sorted[0].millicores
-		if n == most || weak && n >= (most+1)/2 {
+		weak := c.millicores*strongerFactor <= strongest
+		if n == most || weak && (!d.settled && !c.chosen || n >= (most+1)/2) {
 			break
 		}
 		n++
@@ -90,8 +108,9 @@
 // preferredRelay returns the relay that a VM should link to, among those of its failure domain, and the
 // empty address if there is none. usable reports whether a link to a relay may be tried now. The VMs of a
 // relay that has divided them wait until the one that they prefer is ready, so that the first one does
-// not get all of them.
-func preferredRelay(vm, domain string, relays []wire.Relay, usable func(wire.Relay) bool) string {
+// not get all of them. If the list is outdated, which shows when a further relay is lost, the VM asks the
+// relay that chose it for the current one: the others of an old list may have stopped as well.
+func preferredRelay(vm, domain string, relays []wire.Relay, outdated bool, usable func(wire.Relay) bool) string {
 	var direct, preferred wire.Relay
 	var most uint64
 	for _, r := range relays {
@@ -106,7 +125,7 @@
 			preferred, most = r, weight
 		}
 	}
-	if preferred.Ready {
+	if preferred.Ready && !(outdated && direct.Ready) {
 		return preferred.Address
 	}
 	if direct.Ready {
--- a/peers/relays_test.go
+++ b/peers/relays_test.go
@@ -37,7 +37,8 @@
 		"fewer linked VMs than are due": {165, 0, 4, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			require.Len(t, furtherRelays(tc.vms, candidates(tc.strong, tc.weak)), tc.want)
+			d := division{vms: tc.vms, settled: true}
+			require.Len(t, d.furtherRelays(candidates(tc.strong, tc.weak)), tc.want)
 		})
 	}
 }
@@ -47,7 +48,7 @@
 func TestFurtherRelaysAreKept(t *testing.T) {
 	list := candidates(30, 100)
 	list[20].chosen, list[25].relaying = true, true
-	chosen := furtherRelays(100, list)
+	chosen := division{vms: 100, settled: true}.furtherRelays(list)
 	require.Contains(t, chosen, list[20])
 	require.Contains(t, chosen, list[25])
 	for _, c := range chosen {
@@ -55,6 +56,18 @@
 	}
 }
 
+// All VMs of a failure domain start together, the weak ones first. Each weak VM that becomes a relay is
+// replaced as soon as a strong one links, and all of its VMs lose their links. The relay waits for strong
+// VMs for a moment, unless it is no stronger itself.
+func TestWeakVMsAreChosenLast(t *testing.T) {
+	weak := candidates(0, 40)
+	require.Empty(t, division{vms: 100, millicores: 800}.furtherRelays(weak))
+	require.Len(t, division{vms: 100, millicores: 800, settled: true}.furtherRelays(weak), 5)
+	require.Len(t, division{vms: 100, millicores: 192}.furtherRelays(weak), 10)
+	weak[3].chosen = true
+	require.Equal(t, weak[3:4], division{vms: 100, millicores: 800}.furtherRelays(weak), "one that was chosen before is kept")
+}
+
 func TestPreferredRelay(t *testing.T) {
 	direct := wire.Relay{FailureDomain: "d", Address: "r", Ready: true}
 	var further []wire.Relay
@@ -63,28 +76,31 @@
 	}
 	foreign := wire.Relay{FailureDomain: "e", Address: "x", Ready: true}
 	all := func(wire.Relay) bool { return true }
-	require.Empty(t, preferredRelay("vm", "d", []wire.Relay{foreign}, all))
-	require.Equal(t, "r", preferredRelay("vm", "d", []wire.Relay{foreign, direct}, all))
+	require.Empty(t, preferredRelay("vm", "d", []wire.Relay{foreign}, false, all))
+	require.Equal(t, "r", preferredRelay("vm", "d", []wire.Relay{foreign, direct}, false, all))
 
 	relays := append([]wire.Relay{foreign, direct}, further...)
 	counts := make(map[string]int)
 	for i := range 400 {
-		counts[preferredRelay(fmt.Sprint("vm", i), "d", relays, all)]++
+		counts[preferredRelay(fmt.Sprint("vm", i), "d", relays, false, all)]++
 	}
 	require.Len(t, counts, len(further), "the VMs divide among the further relays")
 	for address, n := range counts {
 		require.InDelta(t, 50, n, 25, address)
 	}
 
-	preferred := preferredRelay("vm", "d", relays, all)
+	preferred := preferredRelay("vm", "d", relays, false, all)
 	for i := range relays {
 		if relays[i].Address == preferred {
 			relays[i].Ready = false
 		}
 	}
-	require.Equal(t, "r", preferredRelay("vm", "d", relays, all), "a VM waits at the relay until the one that it prefers is ready")
+	require.Equal(t, "r", preferredRelay("vm", "d", relays, false, all), "a VM waits at the relay until the one that it prefers is ready")
 	lost := func(r wire.Relay) bool { return r.Address != preferred }
-	other := preferredRelay("vm", "d", relays, lost)
+	other := preferredRelay("vm", "d", relays, false, lost)
 	require.NotEmpty(t, other)
 	require.NotEqual(t, "r", other, "a VM that lost its relay uses another one")
+	require.Equal(t, "r", preferredRelay("vm", "d", relays, true, lost), "a VM with an outdated list asks for the current one")
+	noDirect := func(r wire.Relay) bool { return lost(r) && r.Hub != "" }
+	require.Equal(t, other, preferredRelay("vm", "d", relays, true, noDirect))
 }
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -54,7 +54,7 @@
 // selectRelay returns the address of the relay that this VM should link to, or "" if it should link
 // to the controller. A relay that another one has chosen links to that one. p.mu must be held.
 func (p *Peers) selectRelay(now time.Time) string {
-	return preferredRelay(p.Name, p.Domain, p.relays, func(r wire.Relay) bool {
+	return preferredRelay(p.Name, p.Domain, p.relays, p.relaysOutdated, func(r wire.Relay) bool {
 		return r.Address != p.Address && (r.Hub == "" || !p.relaying) && now.Sub(p.relayLostAt[r.Address]) >= lostRelayCooldown
 	})
 }
@@ -82,6 +82,7 @@
 		p.relayLostAt = make(map[string]time.Time)
 	}
 	p.relayLostAt[address] = now
+	p.relaysOutdated = true
 }
 
 // relayChange is what a list of relays means for this VM.
@@ -118,7 +119,7 @@
 // relay, or moves its link to the relay that it should be linked to.
 func (p *Peers) applyRelays(ctx context.Context, now time.Time, up *uplink, relays []wire.Relay) {
 	p.mu.Lock()
-	p.relays = relays
+	p.relays, p.relaysOutdated = relays, false
 	change := p.decideRelays(now, up, relays)
 	if change.named {
 		p.furtherRelay = !up.direct
@@ -161,7 +162,7 @@
 	}
 	p.stopRelaying()
 	p.relaying, p.furtherRelay, p.stopRelaying, p.leaseRenewed = false, false, nil, nil
-	p.chosenRelays = nil
+	p.chosenRelays, p.dividedSince = nil, time.Time{}
 	p.Log.Info().Msg("stopped as a relay")
 }
 
@@ -173,7 +174,7 @@
 	case p.furtherRelay:
 		return p.relays
 	case p.relaying:
-		return slices.Concat(p.relays, p.announceRelays(p.Address, furtherRelays(p.subtreeVMs(), p.relayCandidates())))
+		return slices.Concat(p.relays, p.announceRelays(p.Address, p.division(p.Now()).furtherRelays(p.relayCandidates())))
 	case max(p.vms, p.subtreeVMs()) < minTreeVMs:
 		return []wire.Relay{}
 	}
@@ -185,6 +186,20 @@
 	return p.announceRelays("", chosen)
 }
 
+// division returns what this relay divides its VMs by. p.mu must be held.
+func (p *Peers) division(now time.Time) division {
+	d := division{vms: p.subtreeVMs(), millicores: int(1000 * p.Cores)}
+	if d.vms < minDividedVMs {
+		p.dividedSince = time.Time{}
+		return d
+	}
+	if p.dividedSince.IsZero() {
+		p.dividedSince = now
+	}
+	d.settled = now.Sub(p.dividedSince) >= settleTime
+	return d
+}
+
 // relayCandidates returns the linked VMs that accept links. A relay considers those of its failure
 // domain. p.mu must be held.
 func (p *Peers) relayCandidates() []relayCandidate {
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -109,13 +109,16 @@
 
 // AwaitsState reports whether this VM expects the full state from a hub that it has just linked to.
 func (p *Peers) AwaitsState(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uplink == nil || p.uplink.complete {
+		return false
+	}
 	limit := maxStateWait
 	if !p.Servers.Synced() {
 		limit = maxFirstStateWait
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.uplink != nil && !p.uplink.complete && now.Sub(p.uplink.openedAt) < limit
+	return now.Sub(p.uplink.openedAt) < limit
 }
 
 func (p *Peers) isDirect(up *uplink) bool {
@@ -152,8 +155,11 @@
 	var laggingSince, lastRead time.Time
 	for ctx.Err() == nil {
 		pause.For(ctx, p.leaseReadPause())
+		if ctx.Err() != nil {
+			return
+		}
 		now := p.Now()
-		if p.HubDataFresh(now) || p.storeUnreachable() && now.Sub(lastRead) < unreachableReadInterval {
+		if p.HubDataFresh(now) || p.AwaitsState(now) || p.storeUnreachable() && now.Sub(lastRead) < unreachableReadInterval {
 			laggingSince = time.Time{}
 			continue
 		}
--- a/peers/withhold.go
+++ b/peers/withhold.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/link"
@@ -16,25 +17,40 @@
 // it only the relays. The VM gets the state from the relay that it moves to, and the relays get it at
 // once. A VM that no relay takes gets it from the hub after a time.
 
-// maxWithheldTime is how long a hub withholds the full state from a VM. Relays are ready within some
-// hundred milliseconds of their choice.
-const maxWithheldTime = 1500 * time.Millisecond
+const (
+	// maxWithheldTime is how long a hub withholds the full state from a VM. Relays are ready within
+	// some hundred milliseconds of their choice.
+	maxWithheldTime = 1500 * time.Millisecond
+	// maxWithheldLinks is how many links in a row of a VM, within rejectCooldown, are told the relays
+	// only. A VM that returns once more finds no relay and gets the state at once.
+	maxWithheldLinks = 2
+)
+
+// withheldLinks counts the links of a VM that were not sent the full state, and when the last was opened.
+type withheldLinks struct {
+	count int
+	at    time.Time
+}
 
 // withholdsState reports whether the full state is withheld from a VM that links to this hub, and records
-// it. A VM that links again has not found a relay, and gets the state at once. p.mu must be held.
+// it. p.mu must be held.
 func (p *Peers) withholdsState(now time.Time, d *downlink) bool {
 	announced := p.chooseRelays()
 	hello := d.hello
 	if hello.Address == "" || p.chosenRelays[d.vm] || !p.dividesVMs(hello, announced) {
 		return false
 	}
-	if last, withheld := p.withheldAt[hello.Boot]; withheld && now.Sub(last) < rejectCooldown {
+	links := p.withheld[hello.Boot]
+	if now.Sub(links.at) >= rejectCooldown {
+		links = withheldLinks{}
+	}
+	if links.count >= maxWithheldLinks {
 		return false
 	}
-	if p.withheldAt == nil {
-		p.withheldAt = make(map[string]time.Time)
+	if p.withheld == nil {
+		p.withheld = make(map[string]withheldLinks)
 	}
-	p.withheldAt[hello.Boot] = now
+	p.withheld[hello.Boot] = withheldLinks{links.count + 1, now}
 	d.withheldSince = now
 	p.signalRelays()
 	return true
@@ -47,7 +63,7 @@
 	case p.furtherRelay:
 		return false
 	case p.relaying:
-		return hello.FailureDomain == p.Domain && len(p.chosenRelays) > 0
+		return hello.FailureDomain == p.Domain && p.subtreeVMs() >= minDividedVMs
 	}
 	for _, r := range announced {
 		if r.FailureDomain == hello.FailureDomain {
@@ -110,9 +126,5 @@
 
 // forgetWithheld removes old records. p.mu must be held.
 func (p *Peers) forgetWithheld(now time.Time) {
-	for boot, at := range p.withheldAt {
-		if now.Sub(at) >= rejectCooldown {
-			delete(p.withheldAt, boot)
-		}
-	}
+	maps.DeleteFunc(p.withheld, func(_ string, links withheldLinks) bool { return now.Sub(links.at) >= rejectCooldown })
 }
--- a/peers/withhold_test.go
+++ b/peers/withhold_test.go
@@ -79,8 +79,8 @@
 	require.True(t, receivedFull(t, weak[0]), "no relay has taken the VM")
 }
 
-// A VM that has not found its relay links to the controller again. It must get the full state at once:
-// its requests wait.
+// A VM that has not found its relay links to the controller again, and once more. It must then get the
+// full state at once: its requests wait.
 func TestFullStateForVMThatReturns(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := newControllerOf(t, &now, 300)
@@ -89,6 +89,10 @@
 	require.False(t, receivedFull(t, d))
 	p.removeLink(d)
 	now = now.Add(2 * time.Second)
+	d = p.link(t, "weak", "2", 192)
+	require.False(t, receivedFull(t, d), "the relays may have changed")
+	p.removeLink(d)
+	now = now.Add(2 * time.Second)
 	require.True(t, receivedFull(t, p.link(t, "weak", "2", 192)))
 	require.False(t, receivedFull(t, p.link(t, "weak", "3", 192)), "a restarted process is told the relays first")
 }
