steer, node, peers: Let the VMs of a fleet at rest sleep

A VM without the lease made a placement step ten times a second and copied the list of 4,000 servers for it, two followers of the store and the probe of the domains looked 44 times a second whether the hub's data was still fresh.

Change: a VM without the lease steps every two seconds, and at once when it acquires the lease. Followers and probe sleep until the hub's data would be too old, and wake when this VM becomes the controller.

--- a/node/follow.go
+++ b/node/follow.go
@@ -63,10 +63,11 @@
 	startedAt := n.now()
 	var lastCallAt time.Time
 	for ctx.Err() == nil {
+		termStarted := n.peers.TermStarted()
 		if n.leavesStoreToHub(n.now(), startedAt) {
 			synced = false
 			n.discardSingleFailure(w.kind)
-			pause.For(ctx, hubCheckInterval)
+			n.pauseForHub(ctx, termStarted, hubCheckInterval)
 			continue
 		}
 		if w.kind != n.config.ConfigKind && n.kindUnreachable(w.kind) && n.storeUnreachable() && n.now().Sub(lastCallAt) < serverPollInterval {
@@ -110,6 +111,19 @@
 	}
 }
 
+// pauseForHub waits while the hub keeps this VM's data current, for at least a time, unless termStarted is
+// closed because this VM becomes the controller. A VM at rest has little else to do: with fixed intervals, a thousand VMs wake up tens of
+// thousands of times a second only to find that nothing has changed.
+func (n *Node) pauseForHub(ctx context.Context, termStarted <-chan struct{}, least time.Duration) {
+	timer := time.NewTimer(max(n.peers.HubDataFreshFor(n.now()), least))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-termStarted:
+	case <-timer.C:
+	}
+}
+
 // leavesStoreToHub reports whether this VM does not call the store, because a hub keeps its data current
 // or is about to send it.
 func (n *Node) leavesStoreToHub(now, startedAt time.Time) bool {
--- a/node/probe.go
+++ b/node/probe.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
-	"github.com/hibiscuscart/hibiscuscart/pause"
 )
 
 const (
@@ -22,7 +21,7 @@
 // of a second. The VM makes no dials while a controller keeps its data current.
 func (n *Node) probeDomains(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause.For(ctx, probeInterval)
+		n.pauseForHub(ctx, n.peers.TermStarted(), probeInterval)
 		now := n.now()
 		if !n.serverView.Synced() || n.peers.HubDataFresh(now) || n.peers.Leading() {
 			continue
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -131,6 +131,7 @@
 	// termStart is when this VM became the controller. inheritedVMs is the number of VMs then.
 	termStart    time.Time
 	inheritedVMs int
+	termStarted  chan struct{}
 	// relaying is set while this VM is a relay, and furtherRelay if another relay chose it.
 	// leaseRenewed then signals each renewal that the controller announces.
 	relaying     bool
@@ -300,6 +301,7 @@
 	p.Log.Info().Msg("controller term started")
 	p.endRelaying()
 	p.startTerm(p.Now())
+	p.Controller.Wake()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	renewed := make(chan struct{}, 1)
@@ -319,6 +321,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.termStart, p.inheritedVMs = now, vms
+	if p.termStarted != nil {
+		close(p.termStarted)
+		p.termStarted = nil
+	}
+}
+
+// TermStarted returns a channel that is closed when this VM next becomes the controller.
+func (p *Peers) TermStarted() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.termStarted == nil {
+		p.termStarted = make(chan struct{})
+	}
+	return p.termStarted
 }
 
 // stepLease renews the lease if due, and signals a renewal so that it is announced at once. A VM
@@ -389,10 +405,17 @@
 
 // HubDataFresh reports whether the hub's data is recent enough that this VM need not watch the store
 // itself.
-func (p *Peers) HubDataFresh(now time.Time) bool {
+func (p *Peers) HubDataFresh(now time.Time) bool { return p.HubDataFreshFor(now) > 0 }
+
+// HubDataFreshFor returns how much longer the hub's data will be recent enough if no more arrives, 0 if
+// it is not.
+func (p *Peers) HubDataFreshFor(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.hubConfirmedAt.IsZero() && now.Sub(p.hubConfirmedAt) < maxHubDataAge+p.extraAge
+	if p.hubConfirmedAt.IsZero() {
+		return 0
+	}
+	return max(p.hubConfirmedAt.Add(maxHubDataAge+p.extraAge).Sub(now), 0)
 }
 
 // Handler accepts links from other VMs while this VM holds the lease or is a relay, and has the
--- a/peers/relays.go
+++ b/peers/relays.go
@@ -125,7 +125,7 @@
 			preferred, most = r, weight
 		}
 	}
-	if preferred.Ready && !(outdated && direct.Ready) {
+	if preferred.Ready && (!outdated || !direct.Ready) {
 		return preferred.Address
 	}
 	if direct.Ready {
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -11,7 +11,6 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/meter"
-	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
@@ -19,6 +18,9 @@
 const (
 	// stepInterval is the time between two placement steps: demand shifts over seconds.
 	stepInterval = 100 * time.Millisecond
+	// idleStepInterval is the time between two steps of a VM that does not hold the lease. It keeps its
+	// record of the servers, which it needs when it takes over.
+	idleStepInterval = 2 * time.Second
 	// stepDutyDivisor limits placement steps to a twentieth of the VM's time, however many servers
 	// and models there are.
 	stepDutyDivisor = 20
@@ -92,6 +94,8 @@
 	totalLoads      map[string]pick.Load
 	changed         chan struct{}
 	pendingFinds    map[string]*pendingFind
+	// wake ends the wait between two steps.
+	wake chan struct{}
 	// lastNotified is the time of the latest change that closed the channel of Changed.
 	lastNotified time.Time
 }
@@ -131,8 +135,37 @@
 		c.Step(ctx, startedAt)
 		elapsed := c.Now().Sub(startedAt)
 		c.Meter.RecordDuration("steer.step", elapsed)
-		pause.For(ctx, max(stepInterval, stepDutyDivisor*elapsed))
+		interval := max(stepInterval, stepDutyDivisor*elapsed)
+		if _, held := c.currentTerm(c.Now()); !held {
+			interval = max(interval, idleStepInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.woken():
+		case <-time.After(interval):
+		}
+	}
+}
+
+// Load pattern: a fleet of a thousand VMs at rest. Each copied the list of 4,000 servers ten times a
+// second for a placement that only the holder of the lease makes: ten megabytes a second and VM, and most
+// of the processor time of a VM that serves one request a second.
+
+// Wake makes Run step at once. It is called when this VM has acquired the lease.
+func (c *Controller) Wake() {
+	select {
+	case c.woken() <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) woken() chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wake == nil {
+		c.wake = make(chan struct{}, 1)
 	}
+	return c.wake
 }
 
 // Step runs one placement step for every service that runs models.
--- a/steer/controller_test.go
+++ b/steer/controller_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -310,3 +312,29 @@
 		})
 	}
 }
+
+// Each VM of a large fleet made a placement step ten times a second, although only the holder of the lease
+// places models, and copied the list of all servers each time. A VM without the lease steps rarely, and at
+// once when it acquires the lease.
+func TestVMWithoutLeaseStepsRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held atomic.Bool
+		c, _ := testController(func(time.Time) (int, bool) { return 5, held.Load() })
+		c.Now = time.Now
+		var steps atomic.Int64
+		c.Table = func() *routes.Table {
+			steps.Add(1)
+			return nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		time.Sleep(3*idleStepInterval + time.Millisecond)
+		require.LessOrEqual(t, steps.Load(), int64(4))
+		steps.Store(0)
+		held.Store(true)
+		c.Wake()
+		time.Sleep(time.Second)
+		require.GreaterOrEqual(t, steps.Load(), int64(5))
+		cancel()
+	})
+}
--- a/trail/spread.go
+++ b/trail/spread.go
@@ -39,7 +39,7 @@
 // addChange records that a VM knows of a change. A VM that restarts learns of it again; the first time
 // counts.
 func (l *Log) addChange(vm textID, parsed *logLine) {
-	c := change{}
+	var c change
 	switch parsed.Message {
 	case messageConfigInForce:
 		c = change{configChange, l.texts.id(fmt.Sprint("revision ", parsed.Revision))}
