steer: Start the metrics library before the bubble of a test

The test of the commit before never ended: the library's goroutine for timers started inside the synctest bubble, whose time then ran for ever.

--- a/steer/controller_test.go
+++ b/steer/controller_test.go
@@ -317,6 +317,9 @@
 // places models, and copied the list of all servers each time. A VM without the lease steps rarely, and at
 // once when it acquires the lease.
 func TestVMWithoutLeaseStepsRarely(t *testing.T) {
+	// The metrics library starts a goroutine with the first timer, which never ends. It must not belong
+	// to the bubble.
+	meter.New().RecordDuration("first", 0)
 	synctest.Test(t, func(t *testing.T) {
 		var held atomic.Bool
 		c, _ := testController(func(time.Time) (int, bool) { return 5, held.Load() })
