--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -33,13 +33,15 @@
 // requests; each VM holds one at a random server, as in a fleet with one request a second for each VM.
 // What it measures does not depend on the speed of the machine, because time is simulated.
 //
-//	go test ./peers -run TestSimulatedFleet -v -sim.vms 1000
+//	go test ./peers -run TestSimulatedFleet -v -sim.vms 985 -sim.domains 6
 //
 // prints bytes by role and kind of frame, and the time in which changes reach the VMs.
-var simVMs = flag.Int("sim.vms", 0, "VMs of the simulated fleet; 0 for the size that is checked with every build")
+var (
+	simVMs     = flag.Int("sim.vms", 0, "VMs of the simulated fleet; 0 for the size that is checked with every build")
+	simDomains = flag.Int("sim.domains", 3, "failure domains of the simulated fleet")
+)
 
 const (
-	simDomains       = 6
 	simServersPerVM  = 4
 	simModels        = 554
 	simStrongEvery   = 16
@@ -48,6 +50,7 @@
 	simStrongBytes   = 1000e6 / 8
 	simWeakBytes     = 20e6 / 8
 	simHeartbeat     = 5 * time.Second
+	simCheckedVMs    = 120
 	simStartSpread   = time.Second
 	simSettleTime    = 20 * time.Second
 	simMeasuredTime  = 10 * time.Second
@@ -64,8 +67,9 @@
 	store   stand.ObjectStore
 	vms     []*simVM
 	// entries are the servers' entries, as the controller reads them from the store.
-	entries []backs.Entry
-	running sync.WaitGroup
+	entries   []backs.Entry
+	entriesMu sync.Mutex
+	running   sync.WaitGroup
 	// leaseCalls counts the store calls for the lease.
 	leaseCalls atomic.Int64
 }
@@ -85,6 +89,22 @@
 	return client
 }
 
+// servers returns the entries of all servers. Callers must not change them.
+func (f *simFleet) servers() []backs.Entry {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
+	return f.entries
+}
+
+// removeServer removes the first server from the store.
+func (f *simFleet) removeServer() backs.Entry {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
+	gone := f.entries[0]
+	f.entries = f.entries[1:]
+	return gone
+}
+
 // simVM is a VM of a simulated fleet. Its parts are replaced when it restarts.
 type simVM struct {
 	*Peers
@@ -111,7 +131,7 @@
 	}
 	views := make(map[string]*backs.View)
 	for i := range vms {
-		domain := fmt.Sprintf("d%d", i%simDomains)
+		domain := fmt.Sprintf("d%d", i%*simDomains)
 		v := &simVM{fleet: f, index: i, nic: &simInterface{domain: domain, bytesPerSecond: simWeakBytes}}
 		if v.strong() {
 			v.nic.bytesPerSecond = simStrongBytes
@@ -126,7 +146,7 @@
 	return f
 }
 
-func (v *simVM) strong() bool { return v.index/simDomains%simStrongEvery == 0 }
+func (v *simVM) strong() bool { return v.index / *simDomains % simStrongEvery == 0 }
 
 // simEntry returns the entry of a server, which holds two models.
 func simEntry(i int) backs.Entry {
@@ -134,7 +154,7 @@
 	born := time.Unix(1_700_000_000, 0)
 	return backs.Entry{
 		ID: backs.InstanceID(name, born), Name: name, StartedAt: born, Service: "label-llm", Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
-		Domain: fmt.Sprintf("d%d", i%simDomains), Slots: 32,
+		Domain: fmt.Sprintf("d%d", i%*simDomains), Slots: 32,
 		Models: []backs.LoadedModel{{Model: fmt.Sprintf("daka%06d", i%simModels), Adapters: []string{"a1"}}, {Model: fmt.Sprintf("daka%06d", (i*7+1)%simModels)}},
 	}
 }
@@ -180,8 +200,9 @@
 		<-ctx.Done()
 		_ = server.Close()
 	})
-	server0 := v.fleet.entries[rand.N(len(v.fleet.entries))]
-	p.Balancer.Begin(time.Now(), pick.Choice{Server: server0, PrefillTime: time.Millisecond}, pick.Work{Model: server0.Models[0].Model, PromptTokens: 9000}, 0)
+	servers := v.fleet.servers()
+	busy := servers[rand.N(len(servers))]
+	p.Balancer.Begin(time.Now(), pick.Choice{Server: busy, PrefillTime: time.Millisecond}, pick.Work{Model: busy.Models[0].Model, PromptTokens: 9000}, 0)
 }
 
 // control does what a VM does while it holds the lease: it lists the servers, and then reads the
@@ -199,7 +220,7 @@
 			continue
 		}
 		now := time.Now()
-		entries := v.fleet.entries
+		entries := v.fleet.servers()
 		if !listed {
 			sleep(ctx, time.Duration(len(entries)/200)*5*time.Millisecond)
 			v.Servers.Replace(time.Now(), entries)
@@ -268,14 +289,16 @@
 	_ = v.listener.Close()
 }
 
+// start starts all VMs within simStartSpread.
 func (f *simFleet) start() {
+	var starting sync.WaitGroup
 	for _, v := range f.vms {
-		f.running.Go(func() {
+		starting.Go(func() {
 			time.Sleep(rand.N(simStartSpread))
 			v.start()
 		})
 	}
-	time.Sleep(simStartSpread + time.Millisecond)
+	starting.Wait()
 }
 
 func (f *simFleet) stop() {
@@ -414,11 +437,10 @@
 		require.NotNil(t, c)
 		c.applyConfig(2, []byte("configuration"))
 		r.configured = f.spread(func(v *simVM) bool { revision, _ := v.config(); return revision == 2 })
-		gone := f.entries[0]
-		f.entries = f.entries[1:]
+		gone := f.removeServer()
 		c.Servers.Remove(time.Now(), gone.Name)
 		r.serverGone = f.spread(func(v *simVM) bool { return !v.Servers.Usable(time.Now(), gone.ID) })
-		placed := f.entries[1]
+		placed := f.servers()[1]
 		c.Servers.SetModels(time.Now(), placed.ID, []backs.LoadedModel{{Model: "new"}})
 		r.modelPlaced = f.spread(func(v *simVM) bool {
 			return v.shared || slices.ContainsFunc(v.Servers.All(time.Now()), func(e backs.Entry) bool { return e.ID == placed.ID && e.HasModel("new", "") })
@@ -444,10 +466,14 @@
 	return r
 }
 
+// Guards against what made a thousand VMs unusable: bytes of a VM that grow with the fleet, changes that
+// do not reach all VMs, and store calls that grow with VMs. The bounds are those of the size that is
+// checked with every build; the figures of larger fleets are in docs/CAPACITY.md.
 func TestSimulatedFleet(t *testing.T) {
 	vms := *simVMs
-	if vms == 0 {
-		vms = 60
+	checked := vms == 0
+	if checked {
+		vms = simCheckedVMs
 	}
 	r := runSimulation(t, vms)
 	t.Logf("%d VMs, %d servers", vms, vms*simServersPerVM)
@@ -456,4 +482,16 @@
 	t.Logf("ms to half / 0.99 / all: configuration %v, server gone %v, model placed %v, new controller %v, all restarted %v",
 		r.configured, r.serverGone, r.modelPlaced, r.held, r.restarted)
 	t.Logf("calls for the lease: until settled %d, in %v at rest %d, controller lost %d, all restarted %d", r.startCalls, simMeasuredTime, r.steadyCalls, r.lossCalls, r.restartCalls)
+	if !checked {
+		return
+	}
+	for name, s := range map[string]simSpread{"configuration": r.configured, "server gone": r.serverGone, "model placed": r.modelPlaced} {
+		require.NotZero(t, s.all, name)
+		require.LessOrEqual(t, s.all, time.Second, name)
+	}
+	require.NotZero(t, r.held.all)
+	require.NotZero(t, r.restarted.all)
+	require.LessOrEqual(t, r.restarted.most, 5*time.Second)
+	require.LessOrEqual(t, r.steadyTraffic.middleLeaf, int64(40e3*simMeasuredTime.Seconds()))
+	require.LessOrEqual(t, r.steadyCalls, int64(15), "the controller renews its lease, and nobody else calls")
 }
