peers, node: Space the herd's store calls by the size of the fleet

Weak VMs there read the lease every 0.9 s and waited 1.5 s before they read the store, as in the fleet of 985, although a store serves the calls of 87 VMs easily.

Change: both intervals grow with the number of VMs from 100 on, up to three times. At 985 VMs nothing changes but for strong VMs, which waited as long before.

--- a/node/follow.go
+++ b/node/follow.go
@@ -24,7 +24,7 @@
 	// unreachable.
 	outageFailures = 2
 	// startupHubWait is how long a starting VM waits for the data of the controller before it reads
-	// the store itself, a weak VM of a large fleet longer (see peers.PollIntervalFactor). When many
+	// the store itself, longer in a large fleet (see peers.HerdFactor). When many
 	// VMs start at once, listing all servers from each of them would exhaust the store's rate limit.
 	startupHubWait = 500 * time.Millisecond
 	// hubCheckInterval is the interval between checks whether this VM must call the store itself.
@@ -130,7 +130,7 @@
 	if n.peers.Leading() {
 		return false
 	}
-	startupWait := time.Duration(n.peers.PollIntervalFactor() * float64(startupHubWait))
+	startupWait := time.Duration(n.peers.HerdFactor() * float64(startupHubWait))
 	return n.peers.HubDataFresh(now) || now.Sub(startedAt) < startupWait || n.peers.AwaitsState(now)
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -245,14 +245,26 @@
 	return min(max(fleetFactor*delayFactor, 1), maxPollIntervalFactor)
 }
 
+// herdVMs is the number of VMs from which intervals of calls to the store that all VMs make when a fleet
+// starts grow with the fleet, up to maxPollIntervalFactor times. The store serves some hundred calls a
+// second to all VMs.
+const herdVMs = 100
+
+// HerdFactor returns the factor by which this VM extends the time before a call to the store that all VMs
+// of the fleet would make at the same moment.
+func (p *Peers) HerdFactor() float64 {
+	return min(max(float64(p.VMs())/herdVMs, 1), maxPollIntervalFactor)
+}
+
 // minLeaseReadInterval returns the least time between two reads of the lease record by a VM that has no
 // hub. When a whole fleet starts, its VMs would otherwise read the record with each attempt to link,
 // three times a second each. A strong VM reads an expired lease more often, because it acquires it.
 func (p *Peers) minLeaseReadInterval(expired bool) time.Duration {
-	if p.PollIntervalFactor() <= 1 || expired && p.Lease.AcquireDelay < minStaleReadDelay {
+	factor := p.HerdFactor()
+	if factor <= 1 || expired && p.Lease.AcquireDelay < minStaleReadDelay {
 		return 0
 	}
-	return p.leaseReadPause()
+	return time.Duration(factor * float64(leaseReadInterval))
 }
 
 func (p *Peers) leaseReadPause() time.Duration {
