--- a/peers/peers.go
+++ b/peers/peers.go
@@ -295,7 +295,10 @@
 		}
 		if address, controller, key := p.selectHub(p.Now()); address != "" {
 			end := p.followHub(ctx, address, controller, key)
-			leaseDue = end == linkFailed || p.Lease.Expired(p.Now())
+			leaseDue = end == linkFailed || end == linkDenied || p.Lease.Expired(p.Now())
+			if end == linkDenied {
+				steppedAt = time.Time{}
+			}
 			if end != linkMoved {
 				// The hub's lease may have expired by now.
 				pause.For(ctx, time.Duration(p.PollIntervalFactor()*float64(leaseCheckInterval)))
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/limit"
@@ -47,6 +49,8 @@
 	// linkFailed means that the link could not be opened.
 	linkFailed linkEnd = iota
 	linkLost
+	// linkDenied means that the hub refused the key: the lease record that named it is outdated.
+	linkDenied
 	// linkMoved means that this VM closed the link to open one to a relay.
 	linkMoved
 )
@@ -64,6 +68,9 @@
 		if address != controller {
 			p.recordLostRelay(p.Now(), address)
 		}
+		if trace.IsAccessDenied(err) {
+			return linkDenied
+		}
 		return linkFailed
 	}
 	up := &uplink{conn: conn, address: address, openedAt: p.Now(), direct: address == controller, pendingCalls: make(map[int]chan *wire.Message)}
--- a/peers/uplink_state_test.go
+++ b/peers/uplink_state_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 // A VM that has linked to a hub and waits for the full state listed all servers from the store after half
@@ -65,3 +66,18 @@
 	}
 	require.Less(t, relayExtraAge(144), 500*time.Millisecond)
 }
+
+// All VMs of a fleet restart, and the controller has a new key under its old address. VMs with the old lease
+// record tried the old key until they read the record at their usual interval. A refused key must make
+// them read it at once.
+func TestRefusedKeyMakesVMReadTheLease(t *testing.T) {
+	controller, vm := newVM(&stand.ObjectStore{}, "controller", "d", 1), newVM(&stand.ObjectStore{}, "vm", "d", 1)
+	t.Cleanup(controller.server.Close)
+	t.Cleanup(vm.server.Close)
+	require.Equal(t, linkFailed, vm.followHub(t.Context(), controller.Address, controller.Address, "key"), "503: not the controller yet")
+	require.Eventually(t, func() bool {
+		controller.Lease.Step(t.Context())
+		return controller.Leading()
+	}, testTimeout, 10*time.Millisecond)
+	require.Equal(t, linkDenied, vm.followHub(t.Context(), controller.Address, controller.Address, "old key"))
+}
