pass: Log what a response says about its server

Change: the lines of a request and of a failed try carry server_leaving and server_retry_after, as the last response had them. No decision reads them.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -105,7 +105,7 @@
 	c.reason = reason
 	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
 		Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).
-		Bool("may_have_run", c.mayHaveRun).Str("reason", reason).Msg("try failed")
+		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).Str("reason", reason).Msg("try failed")
 }
 
 // attempt is one send of a call to one server.
@@ -258,6 +258,7 @@
 		id := resp.Header.Get(a.g.HeaderNames.AttemptID)
 		if id == a.c.id || id == "" && a.provesNotRun(resp) {
 			a.resp = resp
+			a.logNotice()
 			a.updateRateLimit()
 			return nil
 		}
--- a/pass/call.go
+++ b/pass/call.go
@@ -82,6 +82,10 @@
 	modelWait time.Duration
 	// errorResponse is an error response of a server; it is forwarded if no later attempt succeeds.
 	errorResponse *response
+	// serverLeaving and serverRetryAfter are what the last response said about its server: that it will
+	// exit soon, and the value of its Retry-After header.
+	serverLeaving    bool
+	serverRetryAfter string
 	// reason is why the last attempt failed.
 	reason string
 	status int
