Failing tests: requests reach servers that have said that they leave or want rest

Change: the stand-in backend server says that it leaves in all responses once it drains, and on its own without its entry saying so; it can refuse everything with a Retry-After. It counts in its own place: requests that callers sent over two seconds after a VM had passed its leaving on, and requests of a VM between half a second after a refusal that asks for rest and the end of it, two of which are allowed. Tests for one VM with the clock as an argument, and for a site of three VMs without a store.

--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -16,18 +16,18 @@
 )
 
 const (
-	// loadDuration is how long requests are sent, and loadInterval the time between two requests to
+	// loadDuration is how long requests to a limited server are sent, and loadInterval the time between two requests to
 	// the same VM.
 	loadDuration = 9 * time.Second
 	loadInterval = 20 * time.Millisecond
 )
 
-// sendLoad sends requests to all VMs for loadDuration and returns the results.
-func sendLoad(ctx context.Context, s *demo.Site, method, path, model string) []callResult {
+// sendLoad sends requests to all VMs for a duration and returns the results.
+func sendLoad(ctx context.Context, s *demo.Site, duration time.Duration, method, path, model string) []callResult {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var results []callResult
-	end := time.Now().Add(loadDuration)
+	end := time.Now().Add(duration)
 	for v, address := range s.VMAddresses() {
 		wait.Go(func() {
 			for i := 0; time.Now().Before(end); i++ {
@@ -59,7 +59,7 @@
 			limitedAt := time.Now()
 			b.SetRateLimit(2, true)
 			served := 0
-			for _, got := range sendLoad(ctx, s, tc.method, tc.path, tc.model) {
+			for _, got := range sendLoad(ctx, s, loadDuration, tc.method, tc.path, tc.model) {
 				if got.status == http.StatusOK {
 					served++
 				}
--- a/demo/site.go
+++ b/demo/site.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -389,7 +390,27 @@
 		req.Header.Set(platform.HeaderNames.TokenUsage, "100,32")
 		req.Header.Set(platform.HeaderNames.PromptPrefix, "aa:60,"+id+":40")
 	}
-	return client.Do(req)
+	req.Header.Set(platform.HeaderEntryVM, address)
+	req.Header.Set(platform.HeaderSentAt, strconv.FormatInt(time.Now().UnixNano(), 10))
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Header.Get(platform.HeaderNames.Leaving) != "" {
+		s.recordPassedOn(address, ServerStamp(resp))
+	}
+	return resp, nil
+}
+
+// recordPassedOn tells a backend server that a VM has passed on its word that it leaves.
+func (s *Site) recordPassedOn(vmAddress, server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backends {
+		if b.ID == server {
+			b.RecordPassedOn(time.Now(), vmAddress)
+		}
+	}
 }
 
 // CallWithKey sends an idempotent request to a plain service through a VM, with an API key and a forged
--- a/pass/call_test.go
+++ b/pass/call_test.go
@@ -17,7 +17,7 @@
 )
 
 var testHeaderNames = &HeaderNames{
-	AttemptID: "Attempt", Deadline: "Deadline", ExpectServer: "Expect-Server", ServerStamp: "Stamp", NotExecuted: "Not-Run",
+	AttemptID: "Attempt", Deadline: "Deadline", ExpectServer: "Expect-Server", ServerStamp: "Stamp", NotExecuted: "Not-Run", Leaving: "Leaving",
 	Model: "Model", TokenUsage: "Usage", PromptPrefix: "Prefix", Priority: "Priority", Key: "Key", Team: "Team", Reserved: []string{"Pin"},
 	ParseModel:        func(s string) (string, string) { m, a, _ := strings.Cut(s, "/"); return m, a },
 	ParseTokenUsage:   func(string) (int, int) { return 10, 20 },
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -95,6 +95,12 @@
 	pendingFaults *PendingFaults
 	// startedAt is the start time of the current instance; zero before the first restart.
 	startedAt time.Time
+	// leaving is set while responses say that the server leaves. retryAfter is the Retry-After value
+	// with which it refuses everything, empty for none, and rest the time that it asks for.
+	leaving    bool
+	retryAfter string
+	rest       time.Duration
+	notices    *NoticeLog
 }
 
 // Restart simulates a restart of the process with the same ID. All models and the
@@ -102,6 +108,7 @@
 func (b *Backend) Restart(now time.Time) {
 	b.mu.Lock()
 	b.startedAt, b.models, b.orderSequence, b.orderInProgress, b.draining = now, nil, 0, false, false
+	b.leaving, b.retryAfter, b.notices = false, "", nil
 	b.mu.Unlock()
 	b.notifyChange()
 }
@@ -153,10 +160,10 @@
 	return slices.Clone(b.arrivals)
 }
 
-// Drain makes the backend announce that it is draining.
+// Drain makes the backend announce that it is draining, in its entry and in all responses.
 func (b *Backend) Drain() {
 	b.mu.Lock()
-	b.draining = true
+	b.draining, b.leaving = true, true
 	b.mu.Unlock()
 	b.notifyChange()
 }
