Heed a server's word in a response that it leaves, and tell it to all VMs

What callers saw: nothing yet. A server that leaves and can not reach the store said so in its responses; VMs that had passed them on sent it requests more than two seconds later, whose answers its exit can cut. Cause: the word stands in the head of a response, which was passed on whole; a VM went by the server's entry in the store alone. The class: a word of a server about itself that nobody takes in. Change: the view of the servers, which every send asks, keeps the word for good, for the one process that gave it: no entry, list or state of another VM sets it back, and it outlives the server's record. A VM reports it to its hub, once on each link and all of it on a new one, so that a controller that took over or started without knowing learns it; the hub's changes tell all others. Only a response that proves its origin counts, and never a 421, which another server at the address may have sent. VM reports have an optional field more, which older builds pass over.

--- a/backs/update.go
+++ b/backs/update.go
@@ -120,6 +120,9 @@
 		// The state describes an earlier instance than the one in this view.
 		return
 	}
+	if r.draining && !before.entry.Draining {
+		v.reportNotice(NoticeChange{ID: s.ID, Notice: Notice{Leaving: true}, Source: FromHub})
+	}
 	r.unreadable = s.Unreadable
 	// The other VM's list of models is newer than the store's.
 	r.entry.Models, r.controllerAt = s.Models, now
--- a/backs/view.go
+++ b/backs/view.go
@@ -73,6 +73,9 @@
 	// OnMissing, if not nil, is called for each server that goes missing, and again when a
 	// kept server is removed. It is called with the View's lock held.
 	OnMissing func(Missing)
+	// OnNotice, if not nil, is called when this VM learns, other than from a server's entry, that the
+	// server leaves. It is called with the View's lock held.
+	OnNotice func(NoticeChange)
 	// Heartbeat is the interval between heartbeats of a server; 0 selects the default.
 	Heartbeat time.Duration
 
@@ -80,6 +83,9 @@
 	records map[string]*record
 	// instanceIDs maps a server's platform name to the ID of its newest instance.
 	instanceIDs map[string]string
+	// leaving holds the servers that said in a response to any VM that they leave, by ID. It outlives
+	// the records, as an entry may be removed and stored again.
+	leaving map[string]*leavingServer
 	// storeUnreachable is set while the store is unreachable. recoveredAt is when the last outage
 	// ended that was long enough for entries to expire.
 	storeUnreachable bool
@@ -223,7 +229,7 @@
 		r.removedAt, r.reappearedAt = time.Time{}, now
 	}
 	r.missingSince, r.unreadable = time.Time{}, false
-	r.draining = r.draining || e.Draining
+	r.draining = r.draining || e.Draining || v.leaving[e.ID] != nil
 	e.Draining = r.draining
 	r.stored, r.receivedAt = e, now
 	if now.Sub(r.controllerAt) < controllerPrecedence {
@@ -359,6 +365,7 @@
 		return
 	}
 	v.scannedAt = now
+	v.forgetNotices(now)
 	for id, r := range v.records {
 		if !r.missingSince.IsZero() && !v.storeUnreachable && !now.Before(v.recoveredAt.Add(expiryGrace)) {
 			v.markRemoved(now, r)
--- a/demo/notices_test.go
+++ b/demo/notices_test.go
@@ -1,10 +1,13 @@
 package demo_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
@@ -38,3 +41,34 @@
 		})
 	}
 }
+
+// Guards against a VM keeping to itself that a server leaves, and against a VM that starts later going by
+// the server's entry, which says ready.
+func TestLeavingServerKnownToAllVMs(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	var log logBuffer
+	s, err := demo.StartSite(ctx, demo.SiteOptions{Log: zerolog.New(&log)})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.NoError(t, s.WaitReady(ctx))
+	b := s.Backends(demo.SitePlainService)[0]
+	b.SetLeaving(true)
+	for i := 0; log.count("server leaves") == 0; i++ {
+		require.NoError(t, ctx.Err())
+		call(ctx, s, s.VMAddresses()[0], fmt.Sprint("first", i), http.MethodGet, "/look/x", "")
+	}
+	awaitLeaving := func(vms int) {
+		require.Eventually(t, func() bool { return log.count("server leaves") >= vms }, testTimeout, time.Millisecond)
+	}
+	awaitLeaving(3)
+	for i := range 3 {
+		s.KillNode(i)
+		require.NoError(t, s.StartNode(ctx, i))
+		awaitLeaving(4 + i)
+	}
+	require.NoError(t, s.WaitReady(ctx))
+	arrived := b.Notices().Contacts()
+	sendLoad(ctx, s, 200*time.Millisecond, http.MethodGet, "/look/x", "")
+	require.Equal(t, arrived, b.Notices().Contacts())
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -388,6 +388,12 @@
 	n.log.Info().Str("server", m.ID).Msg(message)
 }
 
+// handleNotice logs and counts what a server has said about itself, to this VM or to another one.
+func (n *Node) handleNotice(c backs.NoticeChange) {
+	n.meter.AddCounter("servers.leaving", 1)
+	n.log.Info().Str("server", c.ID).Str("source", string(c.Source)).Msg("server leaves")
+}
+
 // recordCrash logs and counts a server crash that this VM detected during a request. crashes is the
 // number of crashes attributed to the request.
 func (n *Node) recordCrash(c poison.Crash, crashes int) {
--- a/node/node.go
+++ b/node/node.go
@@ -133,7 +133,7 @@
 	}
 	n.activeSettings.Store(s)
 	n.config.Objects = c.Objects.WithResponseObserver(func() { n.serverView.RecordStoreAnswer(n.now()) })
-	n.serverView.OnMissing = n.handleMissing
+	n.serverView.OnMissing, n.serverView.OnNotice = n.handleMissing, n.handleNotice
 	n.crashTracker = &poison.Tracker{CrashLimit: s.Int("poison", "crashes"), BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordCrash, OnBlock: n.recordBlock}
 	n.balancer.HasIdleConn = n.connPool.HasIdle
 	n.lease = &peers.Lease{
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -255,10 +255,10 @@
 		if err != nil {
 			return err
 		}
+		a.applyNotice(resp)
 		id := resp.Header.Get(a.g.HeaderNames.AttemptID)
 		if id == a.c.id || id == "" && a.provesNotRun(resp) {
 			a.resp = resp
-			a.logNotice()
 			a.updateRateLimit()
 			return nil
 		}
--- a/pass/headers.go
+++ b/pass/headers.go
@@ -27,7 +27,7 @@
 	// RateLimit is the maximum number of requests per second that the server accepts from all VMs
 	// together. It applies for as long as the server's responses contain it.
 	RateLimit string
-	// Leaving is set in all responses of a server that will exit soon.
+	// Leaving is 1 in all responses of a server that will exit soon.
 	Leaving string
 	// Model is the model, followed by a slash and the adapter if there is one.
 	Model string
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -390,6 +390,7 @@
 		// discarded.
 		p.Poison.TakeReport()
 		p.Limits.TakeReport()
+		p.Servers.TakeLeaving()
 		p.updateQuotaRole(now)
 		p.Balancer.SetRemoteLoads(now, pick.SubtractLoads(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ChangedSince(now, since) {
--- a/stand/notices.go
+++ b/stand/notices.go
@@ -55,6 +55,13 @@
 	l.contacts = append(l.contacts, c)
 }
 
+// Contacts returns how many requests, reports and orders the instance has received.
+func (l *NoticeLog) Contacts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.contacts)
+}
+
 func (l *NoticeLog) recordRest(r restAsked) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -1055,6 +1055,10 @@
 	// state lists for them.
 	Doubts []string `json:"doubts"`
 
+	// IDs of servers that said in a response that they leave; only those not yet
+	// reported on this link.
+	Leaving []string `json:"leaving,omitempty,omitzero"`
+
 	// Tokens that are left of the part of each team's quota for the VMs of the
 	// report; sent once on each link.
 	Levels []TeamSpend `json:"levels,omitempty,omitzero"`
