Heed the rest that a server asks a VM for

What callers saw: refusals. A server that answered 503 with Retry-After: 3 got up to five more requests of the same VM in that time, one request up to four times within 0.2 s, while other servers could have taken some of them, and the callers were sent back after a fraction of a second to be refused again. Cause: as for leaving: the word stands in the head of a refusal, of which a VM read the status alone. A refused server was left out of the rest of that request's round and tried again 40 ms later, and by the next request at once. Change: the view of the servers keeps, for each server instance, until when it wants nothing from this VM; longest word wins, and neither entries nor lists nor responses without it end it. First sends, repeats, second tries of a silent server, what waited for a permit, for room or for a connection, and probes of processes and of failure domains ask that one place, sends right before the bytes go out. Seconds with and without fractions and dates are read, by the server's own Date where it gives one; anything else is logged and left out. 429 counts like 503. The rest concerns one VM: it is told to no other one, suspects nothing and removes no replica.

--- a/backs/notice.go
+++ b/backs/notice.go
@@ -7,6 +7,8 @@
 	// Leaving is set if the server will exit soon. Its entry may not say so yet: a server that can not
 	// reach the platform can not change it.
 	Leaving bool
+	// Rest is for how long the server wants nothing from the VM that it responded to, 0 for no time.
+	Rest time.Duration
 }
 
 // NoticeSource is how a VM learned of a notice.
@@ -38,14 +40,18 @@
 }
 
 // ApplyNotice applies a response of a server instance, received at now. Leaving is for good, and known to
-// all VMs before long.
+// all VMs before long. Rest concerns this VM only: the server may take requests of other VMs, and a later
+// response does not shorten a rest that was asked for before.
 func (v *View) ApplyNotice(now time.Time, id string, n Notice) {
-	if !n.Leaving {
+	if !n.Leaving && n.Rest <= 0 {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.markLeaving(now, id, FromResponse)
+	if n.Leaving {
+		v.markLeaving(now, id, FromResponse)
+	}
+	v.extendRest(now, id, n.Rest)
 }
 
 // AddLeaving applies the report of another VM: servers that said that they leave.
@@ -77,6 +83,20 @@
 	v.notify()
 }
 
+func (v *View) extendRest(now time.Time, id string, rest time.Duration) {
+	until := now.Add(rest)
+	if rest <= 0 || !until.After(v.restUntil[id]) {
+		return
+	}
+	if v.restUntil == nil {
+		v.restUntil = make(map[string]time.Time)
+	}
+	if !v.restUntil[id].After(now) {
+		v.reportNotice(NoticeChange{ID: id, Notice: Notice{Rest: rest}, Source: FromResponse})
+	}
+	v.restUntil[id] = until
+}
+
 func (v *View) reportNotice(c NoticeChange) {
 	if v.OnNotice != nil {
 		v.OnNotice(c)
@@ -115,11 +135,38 @@
 	}
 }
 
-// forgetNotices deletes the notices of servers that have been removed long ago.
+// forgetNotices deletes the notices of servers that have been removed long ago, and rests that have
+// ended.
 func (v *View) forgetNotices(now time.Time) {
 	for id, s := range v.leaving {
 		if v.records[id] == nil && now.Sub(s.learnedAt) > removedRetention {
 			delete(v.leaving, id)
 		}
 	}
+	for id, until := range v.restUntil {
+		if !until.After(now) {
+			delete(v.restUntil, id)
+		}
+	}
+}
+
+// RestRemaining returns how much longer this VM must not send anything to a server: no requests, reports,
+// orders or connections.
+func (v *View) RestRemaining(now time.Time, id string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.restRemaining(now, id)
+}
+
+func (v *View) restRemaining(now time.Time, id string) time.Duration {
+	return max(v.restUntil[id].Sub(now), 0)
+}
+
+// MaySend reports whether this VM may send a caller's request to a server now.
+func (v *View) MaySend(now time.Time, id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(now)
+	r := v.records[id]
+	return r != nil && r.usable(now) && v.restRemaining(now, id) == 0
 }
--- a/backs/notice_test.go
+++ b/backs/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,7 +43,7 @@
 			require.False(t, v.Usable(at(1), "a"))
 			later(&v)
 			require.False(t, v.Usable(at(100), "a"))
-			require.False(t, v.Usable(at(200), "a"))
+			require.False(t, v.MaySend(at(200), "a"))
 		})
 	}
 }
@@ -55,9 +56,9 @@
 	v.Replace(at(0), []backs.Entry{before})
 	v.ApplyNotice(at(1), before.ID, backs.Notice{Leaving: true})
 	v.Put(at(4), after)
-	require.True(t, v.Usable(at(4), after.ID))
+	require.True(t, v.MaySend(at(4), after.ID))
 	v.ApplyNotice(at(5), before.ID, backs.Notice{Leaving: true})
-	require.True(t, v.Usable(at(5), after.ID), "a late response of the previous process")
+	require.True(t, v.MaySend(at(5), after.ID), "a late response of the previous process")
 }
 
 // Guards against keeping to one VM that a server leaves: the VMs above it, those below, and a hub that
@@ -123,3 +124,60 @@
 	require.True(t, v.StoredEntries(at(2))[0].Draining)
 	require.True(t, v.All(at(2))[0].Draining)
 }
+
+// Guards against ending a rest early, and against a rest without an end.
+func TestRestOfServer(t *testing.T) {
+	rest := func(s float64) backs.Notice { return backs.Notice{Rest: time.Duration(s * float64(time.Second))} }
+	tests := map[string]struct {
+		during func(v *backs.View)
+		endsAt float64
+	}{
+		"one refusal":                    {func(*backs.View) {}, 4},
+		"a shorter rest asked for later": {func(v *backs.View) { v.ApplyNotice(at(2), "a", rest(0.5)) }, 4},
+		"a longer rest asked for later":  {func(v *backs.View) { v.ApplyNotice(at(2), "a", rest(5)) }, 7},
+		"a response without the word":    {func(v *backs.View) { v.ApplyNotice(at(2), "a", backs.Notice{}) }, 4},
+		"a heartbeat":                    {func(v *backs.View) { v.Put(at(2), entry("a")) }, 4},
+		"a full list of another VM": {func(v *backs.View) {
+			v.Merge(at(2), backs.Update{States: []backs.State{{Entry: entry("a")}, {Entry: entry("b")}}, Full: true})
+		}, 4},
+		"a day":                             {func(v *backs.View) { v.ApplyNotice(at(2), "a", rest(86400)) }, 86402},
+		"an entry removed and stored again": {func(v *backs.View) { v.Remove(at(2), "a"); v.Put(at(3), entry("a")) }, 7},
+		"an entry that is gone for some time": {func(v *backs.View) {
+			v.ApplyNotice(at(2), "a", rest(600))
+			v.Remove(at(3), "a")
+			v.Serving(at(300), "s")
+			v.Put(at(301), entry("a"))
+		}, 602},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var v backs.View
+			v.Replace(at(0), []backs.Entry{entry("a"), entry("b")})
+			v.ApplyNotice(at(1), "a", rest(3))
+			tc.during(&v)
+			require.False(t, v.MaySend(at(tc.endsAt-0.001), "a"))
+			require.True(t, v.MaySend(at(tc.endsAt), "a"))
+			require.True(t, v.MaySend(at(2), "b"))
+		})
+	}
+}
+
+// Guards against telling other VMs of a rest that a server asked this VM for, and against a rest that goes
+// on when the server has started again.
+func TestRestConcernsOneVMAndOneInstance(t *testing.T) {
+	var v, other backs.View
+	before, after := started("a", at(-10)), started("a", at(2))
+	v.Replace(at(0), []backs.Entry{before})
+	_, told := v.Since(at(0), 0)
+	v.ApplyNotice(at(1), before.ID, backs.Notice{Rest: time.Hour})
+	require.Equal(t, time.Hour, v.RestRemaining(at(1), before.ID))
+	states, _ := v.Since(at(1), told)
+	require.Empty(t, states)
+	require.Empty(t, v.TakeLeaving())
+	states, _ = v.Since(at(1), 0)
+	other.Merge(at(1), backs.Update{States: states, Full: true})
+	require.True(t, other.MaySend(at(1), before.ID))
+	require.True(t, v.Usable(at(1), before.ID), "the server has not failed")
+	v.Put(at(3), after)
+	require.True(t, v.MaySend(at(3), after.ID))
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -74,7 +74,7 @@
 	// kept server is removed. It is called with the View's lock held.
 	OnMissing func(Missing)
 	// OnNotice, if not nil, is called when this VM learns, other than from a server's entry, that the
-	// server leaves. It is called with the View's lock held.
+	// server leaves, and when a server asks this VM for rest. It is called with the View's lock held.
 	OnNotice func(NoticeChange)
 	// Heartbeat is the interval between heartbeats of a server; 0 selects the default.
 	Heartbeat time.Duration
@@ -83,9 +83,11 @@
 	records map[string]*record
 	// instanceIDs maps a server's platform name to the ID of its newest instance.
 	instanceIDs map[string]string
-	// leaving holds the servers that said in a response to any VM that they leave, by ID. It outlives
-	// the records, as an entry may be removed and stored again.
-	leaving map[string]*leavingServer
+	// leaving holds the servers that said in a response to any VM that they leave, and restUntil the
+	// ends of the rests that servers asked this VM for, both by server ID. They outlive the records,
+	// as an entry may be removed and stored again.
+	leaving   map[string]*leavingServer
+	restUntil map[string]time.Time
 	// storeUnreachable is set while the store is unreachable. recoveredAt is when the last outage
 	// ended that was long enough for entries to expire.
 	storeUnreachable bool
@@ -402,11 +404,13 @@
 }
 
 // StoredEntry is an entry as stored, with the time at which this VM received it. Unreadable
-// is set when the stored entry can't be read now; Entry is then the last readable one.
+// is set when the stored entry can't be read now; Entry is then the last readable one. Rest is how
+// much longer the server wants nothing from this VM.
 type StoredEntry struct {
 	Entry
 	ReceivedAt time.Time
 	Unreadable bool
+	Rest       time.Duration
 }
 
 // StoredEntries returns the stored entry of every server that is not removed, including
@@ -418,7 +422,7 @@
 	var list []StoredEntry
 	for _, r := range v.records {
 		if r.removedAt.IsZero() {
-			list = append(list, StoredEntry{Entry: r.stored, ReceivedAt: r.receivedAt, Unreadable: r.unreadable})
+			list = append(list, StoredEntry{Entry: r.stored, ReceivedAt: r.receivedAt, Unreadable: r.unreadable, Rest: v.restRemaining(now, r.entry.ID)})
 		}
 	}
 	return list
@@ -449,7 +453,7 @@
 	}
 }
 
-// Usable reports whether a server may get new requests now.
+// Usable reports whether a server may get new requests now, apart from a rest that it asked this VM for.
 func (v *View) Usable(now time.Time, id string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/node/follow.go
+++ b/node/follow.go
@@ -390,8 +390,13 @@
 
 // handleNotice logs and counts what a server has said about itself, to this VM or to another one.
 func (n *Node) handleNotice(c backs.NoticeChange) {
-	n.meter.AddCounter("servers.leaving", 1)
-	n.log.Info().Str("server", c.ID).Str("source", string(c.Source)).Msg("server leaves")
+	if c.Leaving {
+		n.meter.AddCounter("servers.leaving", 1)
+		n.log.Info().Str("server", c.ID).Str("source", string(c.Source)).Msg("server leaves")
+		return
+	}
+	n.meter.AddCounter("servers.rests", 1)
+	n.log.Info().Str("server", c.ID).Dur("rest", c.Rest).Msg("server asked this VM for rest")
 }
 
 // recordCrash logs and counts a server crash that this VM detected during a request. crashes is the
--- a/node/probe.go
+++ b/node/probe.go
@@ -32,12 +32,12 @@
 	}
 }
 
-// serverPerDomain returns one server of each other failure domain that is not draining.
+// serverPerDomain returns one server of each other failure domain that is neither draining nor at rest.
 func (n *Node) serverPerDomain(now time.Time) map[string]backs.Entry {
 	ownDomain := n.settings().Text("vm", "failure_domain")
 	chosen := make(map[string]backs.Entry)
 	for _, e := range n.serverView.All(now) {
-		if e.Domain != ownDomain && !e.Draining {
+		if e.Domain != ownDomain && !e.Draining && n.serverView.RestRemaining(now, e.ID) == 0 {
 			chosen[e.Domain] = e
 		}
 	}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -45,16 +45,16 @@
 		return false
 	}
 	// While the connection was opened or this VM was suspended, the server may have started
-	// draining or the request deadline may have passed.
+	// draining or asked for rest, or the request deadline may have passed.
 	now = g.Now()
 	if callerDisconnected(c.request) {
 		c.disconnected = true
 		g.Pool.PutUnused(now, conn)
 		return false
 	}
-	if !g.Servers.Usable(now, server) || c.remaining(now) <= 0 {
+	if !g.Servers.MaySend(now, server) || c.remaining(now) <= 0 {
 		g.Pool.PutUnused(now, conn)
-		g.logFailedAttempt(c, choice, "server unavailable or deadline passed before the send")
+		g.logFailedAttempt(c, choice, "server unavailable or at rest, or deadline passed before the send")
 		c.excluded = append(c.excluded, server)
 		return false
 	}
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -30,7 +30,9 @@
 	g := a.g
 	if now := g.Now(); ctx.Err() == nil && conns.ConnectionLost(err) && g.Servers.Usable(now, a.choice.Server.ID) {
 		g.Poison.ConnectionLost(now, a.c.fingerprint, a.choice.Server.ID)
-		go g.probeServer(a.choice.Server)
+		if g.Servers.MaySend(now, a.choice.Server.ID) {
+			go g.probeServer(a.choice.Server)
+		}
 	}
 	return a.failUncertain(ctx, reason)
 }
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -113,10 +113,12 @@
 	// checked at least every tableCheckInterval.
 	maxTableWait       = 600 * time.Millisecond
 	tableCheckInterval = 100 * time.Millisecond
-	// minRetryAfter is the minimum delay before a refused caller retries. retryAfterSpread is the
-	// minimum range of the random delay on top, so that callers do not retry all at the same time.
-	minRetryAfter    = 150 * time.Millisecond
-	retryAfterSpread = 350 * time.Millisecond
+	// minRetryAfter is the minimum delay before a refused caller retries. The random delay on top, so
+	// that callers do not retry all at the same time, has a range as long as the delay itself, within
+	// minRetryAfterSpread and maxRetryAfterSpread.
+	minRetryAfter       = 150 * time.Millisecond
+	minRetryAfterSpread = 350 * time.Millisecond
+	maxRetryAfterSpread = 5 * time.Second
 )
 
 // ServeHTTP forwards one request.
@@ -338,7 +340,7 @@
 func (g *Gateway) retryAfter(minDelay time.Duration) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	spread := max(retryAfterSpread, minDelay)
+	spread := min(max(minRetryAfterSpread, minDelay), maxRetryAfterSpread)
 	delay := max(minRetryAfter, minDelay) + time.Duration(g.random(g.Now()).Int64N(int64(spread)))
 	return fmt.Sprintf("%.2f", delay.Seconds())
 }
--- a/pass/limit.go
+++ b/pass/limit.go
@@ -82,7 +82,7 @@
 // to, or "" if none is in backoff.
 func (g *Gateway) shortestBackoff(now time.Time, c *call, serving []backs.Entry) (server string, wait time.Duration) {
 	for _, e := range serving {
-		if !g.eligible(c, e) || slices.Contains(c.excluded, e.ID) {
+		if !g.eligible(c, e) || slices.Contains(c.excluded, e.ID) || g.Servers.RestRemaining(now, e.ID) > 0 {
 			continue
 		}
 		if backoff := g.RateLimits.Backoff(now, e.ID); backoff > 0 && (server == "" || backoff < wait) {
--- a/pass/notice.go
+++ b/pass/notice.go
@@ -1,30 +1,65 @@
 package pass
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 )
 
-// Notice reads what the head of a response says about the server that sent it. An invalid value is left
-// out and described by the error. A response to a request that another server was expected to get says nothing.
-func (n *HeaderNames) Notice(resp *http.Response) (backs.Notice, error) {
+// maxRest bounds the rest that a server can ask for. It keeps any number of seconds representable.
+const maxRest = 366 * 24 * time.Hour
+
+// Notice reads what the head of a response says about the server that sent it. wall is the time of day; it
+// serves for a Retry-After date in a response without a Date. Invalid values are left out and described
+// by the error. A response to a request that another server was expected to get says nothing.
+func (n *HeaderNames) Notice(wall time.Time, resp *http.Response) (backs.Notice, error) {
 	var notice backs.Notice
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return notice, nil
 	}
-	value := resp.Header.Get(n.Leaving)
+	var leavingErr, restErr error
+	if value := resp.Header.Get(n.Leaving); value != "" {
+		if notice.Leaving, leavingErr = strconv.ParseBool(strings.TrimSpace(value)); leavingErr != nil {
+			leavingErr = fmt.Errorf("parse %s: %w", n.Leaving, leavingErr)
+		}
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		if notice.Rest, restErr = parseRetryAfter(wall, resp.Header); restErr != nil {
+			restErr = fmt.Errorf("parse %s: %w", headerRetryAfter, restErr)
+		}
+	}
+	return notice, errors.Join(leavingErr, restErr)
+}
+
+// parseRetryAfter returns the time that a Retry-After header asks for: seconds, possibly with a fraction,
+// or a date (RFC 9110, 10.2.3). It returns 0 if there is none.
+func parseRetryAfter(wall time.Time, h http.Header) (time.Duration, error) {
+	value := strings.TrimSpace(h.Get(headerRetryAfter))
 	if value == "" {
-		return notice, nil
+		return 0, nil
+	}
+	if strings.Trim(value, "0123456789.") == "" {
+		seconds, err := strconv.ParseFloat(value, 64)
+		if err != nil && !errors.Is(err, strconv.ErrRange) {
+			return 0, err
+		}
+		return time.Duration(math.Min(seconds, maxRest.Seconds()) * float64(time.Second)), nil
 	}
-	var err error
-	if notice.Leaving, err = strconv.ParseBool(strings.TrimSpace(value)); err != nil {
-		return backs.Notice{}, fmt.Errorf("parse %s: %w", n.Leaving, err)
+	until, err := http.ParseTime(value)
+	if err != nil {
+		return 0, err
+	}
+	if sentAt, err := http.ParseTime(h.Get("Date")); err == nil {
+		wall = sentAt
 	}
-	return notice, nil
+	return min(max(until.Sub(wall), 0), maxRest), nil
 }
 
 // applyNotice applies what a response says about its server, before anything of it reaches the caller.
@@ -34,7 +69,7 @@
 	n := a.g.HeaderNames
 	a.c.serverLeaving = resp.Header.Get(n.Leaving) != ""
 	a.c.serverRetryAfter = resp.Header.Get(headerRetryAfter)
-	notice, err := n.Notice(resp)
+	notice, err := n.Notice(time.Now(), resp)
 	if err != nil {
 		a.g.Log.Info().Str("request", a.c.id).Str("server", a.choice.Server.ID).Err(err).Msg("invalid notice of a server")
 	}
@@ -43,3 +78,31 @@
 	}
 	a.g.Servers.ApplyNotice(a.g.Now(), a.choice.Server.ID, notice)
 }
+
+// errResting is returned for a request whose servers all want rest from this VM.
+var errResting = errors.New("the servers asked this VM for rest")
+
+// allResting reports whether a call can not be served for now because its servers want rest from this VM:
+// it could be sent to one of them, and all others are at rest, unreachable or beyond the number of servers
+// that the call may be sent to. The call is then refused at once, as nothing that it waits for comes
+// sooner, with the time at which the first of them takes requests again.
+func (g *Gateway) allResting(now time.Time, c *call, serving []backs.Entry) bool {
+	resting, shortest := false, maxRest
+	for _, e := range serving {
+		if c.work.Model != "" && !e.HasModel(c.work.Model, c.work.Adapter) || slices.Contains(c.unreachable, e.ID) {
+			continue
+		}
+		rest := g.Servers.RestRemaining(now, e.ID)
+		if rest == 0 && g.eligible(c, e) {
+			return false
+		}
+		resting = resting || rest > 0
+		shortest = min(shortest, rest)
+	}
+	if !resting {
+		return false
+	}
+	g.Meter.AddCounter("pass.refused_resting", 1)
+	c.retryAfter = shortest
+	return true
+}
