Reports and orders heed what servers say about themselves

What callers would see: a model loaded twice, and a controller that asks a server for a report every 200 ms in the rest that the server wants. A 503 to a report request counted as a failed report, two of them as an unreachable server, whose replicas count as missing. Change: the controller's calls return the notice of their response, and so does a report whose state says that it drains, for the instance that sent it. A server at rest gets no report requests and no orders, which is asked right before an order goes out, and has not failed.

--- a/demo/notices_test.go
+++ b/demo/notices_test.go
@@ -18,22 +18,28 @@
 const noticeLoadDuration = 3500 * time.Millisecond
 
 // Guards against requests to a server after a VM has passed on its word that it leaves, or during the
-// rest that it has asked the VM for. The store is unavailable, so that nothing else tells.
+// rest that it has asked the VM for. Without a store, nothing else tells.
 func TestServerNotices(t *testing.T) {
 	tests := map[string]struct {
 		service, method, path, model string
 		notice                       func(b *stand.Backend)
+		// store is set if the store is available, and a controller gives orders and asks for reports.
+		store bool
 	}{
-		"plain service leaves": {demo.SitePlainService, http.MethodGet, "/look/x", "", func(b *stand.Backend) { b.SetLeaving(true) }},
-		"model server leaves":  {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetLeaving(true) }},
-		"plain service rests":  {demo.SitePlainService, http.MethodGet, "/look/x", "", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }},
-		"model server rests":   {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }},
+		"plain service leaves":                       {demo.SitePlainService, http.MethodGet, "/look/x", "", func(b *stand.Backend) { b.SetLeaving(true) }, false},
+		"model server leaves":                        {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetLeaving(true) }, false},
+		"plain service rests":                        {demo.SitePlainService, http.MethodGet, "/look/x", "", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, false},
+		"model server rests":                         {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, false},
+		"model server rests from orders and reports": {demo.SiteModelService, http.MethodPost, "/draft/x", "m1/a1", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, true},
+		"model server leaves, store reachable":       {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetLeaving(true) }, true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, ctx := startSite(t, demo.SiteOptions{})
-			s.Objects.SetFaults(stand.ObjectStoreFaults{UnavailableTo: []string{"*"}})
+			if !tc.store {
+				s.Objects.SetFaults(stand.ObjectStoreFaults{UnavailableTo: []string{"*"}})
+			}
 			b := s.Backends(tc.service)[0]
 			tc.notice(b)
 			sendLoad(ctx, s, noticeLoadDuration, tc.method, tc.path, tc.model)
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -257,13 +257,13 @@
 		FencingToken: func(time.Time) (int, bool) { return 1, true }, Now: sim.currentTime, Log: zerolog.Nop(), Meter: meter.New(),
 		Spawn: func(call func()) { sim.pendingCalls = append(sim.pendingCalls, call) },
 		ServerCalls: steer.ServerCalls{
-			Send: func(_ context.Context, e backs.Entry, o steer.Order) (steer.OrderResult, error) {
+			Send: func(_ context.Context, e backs.Entry, o steer.Order) (steer.OrderResult, backs.Notice, error) {
 				s := sim.serverByID(e.ID)
 				if s == nil || s.down {
-					return steer.Refused, fmt.Errorf("%s is down", e.ID)
+					return steer.Refused, backs.Notice{}, fmt.Errorf("%s is down", e.ID)
 				}
 				sim.tally.orders++
-				return s.applyOrder(o), nil
+				return s.applyOrder(o), backs.Notice{}, nil
 			},
 			Report: func(_ context.Context, e backs.Entry) (steer.Report, error) {
 				s := sim.serverByID(e.ID)
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -256,6 +256,7 @@
 			added++
 		}
 		s.ApplyEntry(now, e.ReceivedAt, e.Entry)
+		s.SetRest(now, e.Rest)
 		if e.Unreadable {
 			s.RequireReport()
 		}
--- a/steer/controller_test.go
+++ b/steer/controller_test.go
@@ -31,9 +31,9 @@
 		Name: "vm", Servers: view, Table: func() *routes.Table { return table }, FencingToken: fencingToken,
 		Now: func() time.Time { return now }, Log: zerolog.Nop(), Meter: meter.New(),
 		ServerCalls: ServerCalls{
-			Send: func(_ context.Context, _ backs.Entry, o Order) (OrderResult, error) {
+			Send: func(_ context.Context, _ backs.Entry, o Order) (OrderResult, backs.Notice, error) {
 				orders <- o
-				return Accepted, nil
+				return Accepted, backs.Notice{}, nil
 			},
 			Report: func(context.Context, backs.Entry) (Report, error) {
 				return Report{Models: []backs.LoadedModel{{Model: "m1"}}, Sequence: 7}, nil
@@ -122,7 +122,7 @@
 	var calls []func()
 	c.Spawn = func(call func()) { calls = append(calls, call) }
 	send := c.ServerCalls.Send
-	c.ServerCalls.Send = func(ctx context.Context, e backs.Entry, o Order) (OrderResult, error) {
+	c.ServerCalls.Send = func(ctx context.Context, e backs.Entry, o Order) (OrderResult, backs.Notice, error) {
 		now = now.Add(500 * time.Millisecond)
 		return send(ctx, e, o)
 	}
@@ -234,15 +234,15 @@
 			leading := true
 			c, orders := testController(func(time.Time) (int, bool) { return 5, leading })
 			sent := 0
-			c.ServerCalls.Send = func(_ context.Context, _ backs.Entry, o Order) (OrderResult, error) {
+			c.ServerCalls.Send = func(_ context.Context, _ backs.Entry, o Order) (OrderResult, backs.Notice, error) {
 				orders <- o
 				if sent++; sent != 2 {
-					return Accepted, nil
+					return Accepted, backs.Notice{}, nil
 				}
 				if tc.between != nil {
 					tc.between(c, &leading)
 				}
-				return tc.result, nil
+				return tc.result, backs.Notice{}, nil
 			}
 			var sendAll func()
 			c.Spawn = func(call func()) { sendAll = call }
--- a/steer/dispatch.go
+++ b/steer/dispatch.go
@@ -57,7 +57,12 @@
 	o.Holder, o.FencingToken = c.Name, fencingToken
 	e := s.entry
 	c.mu.Unlock()
-	result, err := c.ServerCalls.Send(ctx, e, o)
+	if rest := c.Servers.RestRemaining(now, e.ID); rest > 0 {
+		c.Log.Info().Str("server", e.ID).Str("model", o.Model).Str("adapter", o.Adapter).Dur("rest", rest).Msg("order not sent, the server asked for rest")
+		return Refused
+	}
+	result, notice, err := c.ServerCalls.Send(ctx, e, o)
+	c.Servers.ApplyNotice(c.Now(), e.ID, notice)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ApplyResult(c.Now(), now, c.engine(e.Service), o, result, expectedTime)
--- a/steer/order.go
+++ b/steer/order.go
@@ -58,11 +58,15 @@
 	Sequence int
 	// InMemory and OnDisk are the models whose weights the server caches there.
 	InMemory, OnDisk []string
+	// Notice is what the response says about the server besides. It is also set if there is no report
+	// because the server refused to send one.
+	Notice backs.Notice
 }
 
-// ServerCalls are the calls to servers. The deployment's platform layer implements them.
+// ServerCalls are the calls to servers. The deployment's platform layer implements them. The response to an
+// order may say something about the server besides, whatever its result.
 type ServerCalls struct {
-	Send   func(ctx context.Context, server backs.Entry, o Order) (OrderResult, error)
+	Send   func(ctx context.Context, server backs.Entry, o Order) (OrderResult, backs.Notice, error)
 	Report func(ctx context.Context, server backs.Entry) (Report, error)
 }
 
--- a/steer/reports.go
+++ b/steer/reports.go
@@ -16,7 +16,7 @@
 			interval = reportRetryInterval
 		}
 		id := s.entry.ID
-		if c.orderInFlight[id] || !c.lastReportRequest[id].IsZero() && now.Sub(c.lastReportRequest[id]) < interval {
+		if s.Resting(now) || c.orderInFlight[id] || !c.lastReportRequest[id].IsZero() && now.Sub(c.lastReportRequest[id]) < interval {
 			continue
 		}
 		c.lastReportRequest[id] = now
@@ -31,7 +31,7 @@
 	requestedAt := c.Now()
 	r, err := c.ServerCalls.Report(ctx, e)
 	if err != nil {
-		c.recordFailedReport(e.ID, err)
+		c.applyRefusedReport(e.ID, r.Notice, err)
 		return
 	}
 	c.mu.Lock()
@@ -47,6 +47,7 @@
 		}
 		return
 	}
+	c.Servers.ApplyNotice(c.Now(), e.ID, r.Notice)
 	ready, sequence, changed := s.AcceptsOrders(requestedAt), s.sequence, s.changedAt
 	s.ApplyReport(c.Now(), requestedAt, r)
 	if ready != s.AcceptsOrders(requestedAt) || sequence != s.sequence || changed != s.changedAt {
@@ -56,6 +57,15 @@
 	c.notifyChanged()
 }
 
+// applyRefusedReport applies the response of a server that sent no report, or the lack of one. A server that
+// asks for rest has not failed: its replicas count, and nothing is loaded elsewhere in their place.
+func (c *Controller) applyRefusedReport(id string, n backs.Notice, err error) {
+	c.Servers.ApplyNotice(c.Now(), id, n)
+	if n.Rest == 0 {
+		c.recordFailedReport(id, err)
+	}
+}
+
 // recordFailedReport records that a server did not respond to a report request.
 func (c *Controller) recordFailedReport(id string, err error) {
 	c.mu.Lock()
--- a/steer/server.go
+++ b/steer/server.go
@@ -80,6 +80,8 @@
 	mayInheritLoad bool
 	// cache is the weights that the server caches, empty while they are not known for certain.
 	cache weightCache
+	// restUntil is until when the server wants neither orders nor report requests of this VM.
+	restUntil time.Time
 }
 
 // NewServer returns a server with the models of its entry.
@@ -252,12 +254,23 @@
 // it ends, however long that takes. Only a report can clear it, or the server gets orders beyond
 // its memory and crashes.
 func (s *Server) AcceptsOrders(now time.Time) bool {
-	if !s.lastRefused.IsZero() && now.Sub(s.lastRefused) < refusalBackoff || now.Before(s.blockedUntil) {
+	if !s.lastRefused.IsZero() && now.Sub(s.lastRefused) < refusalBackoff || now.Before(s.blockedUntil) || s.Resting(now) {
 		return false
 	}
 	return s.sequenceKnown && s.failedReports == 0 && !s.reportRequired && s.outcomeUnknownAt.IsZero() && !s.orderInProgress && !now.Before(s.busyUntil)
 }
 
+// SetRest sets for how long the server wants neither orders nor report requests of this VM, 0 for no time.
+func (s *Server) SetRest(now time.Time, rest time.Duration) {
+	s.restUntil = time.Time{}
+	if rest > 0 {
+		s.restUntil = now.Add(rest)
+	}
+}
+
+// Resting reports whether the server wants neither orders nor report requests of this VM.
+func (s *Server) Resting(now time.Time) bool { return now.Before(s.restUntil) }
+
 // NeedsReport reports whether the server can get no orders until it has sent a report.
 func (s *Server) NeedsReport() bool {
 	return !s.sequenceKnown || s.reportRequired || s.failedReports > 0 || !s.outcomeUnknownAt.IsZero()
