soak: Servers that leave and servers that want rest

The servers count: a request that a caller sent over two seconds after the VM passed the word on, and more than two requests of a VM within a rest. Restarts and suspensions of the VM excuse both, a disturbed link to the server the second.

--- a/demo/notices_test.go
+++ b/demo/notices_test.go
@@ -43,7 +43,7 @@
 			b := s.Backends(tc.service)[0]
 			tc.notice(b)
 			sendLoad(ctx, s, noticeLoadDuration, tc.method, tc.path, tc.model)
-			require.Empty(t, b.Notices().Violations(nil))
+			require.Empty(t, b.Notices().Violations(nil, nil))
 		})
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -60,6 +60,7 @@
 		return r.restart(v, syscall.SIGTERM), "stop"
 	case 2:
 		return func(ctx context.Context, d time.Duration) {
+			defer r.disturbances.record(v.listenAddress)()
 			v.signal(syscall.SIGSTOP)
 			pause.For(ctx, d)
 			v.signal(syscall.SIGCONT)
@@ -69,11 +70,14 @@
 	case 4:
 		return proxyFault(v.storeProxy, StallResponses), "store_one_way"
 	case 5:
-		return proxyFault(serverProxy, Stall), "server_silent"
+		return r.serverProxyFault(serverProxy, Stall), "server_silent"
 	case 6:
-		return proxyFault(serverProxy, Delay), "server_delayed"
+		return r.serverProxyFault(serverProxy, Delay), "server_delayed"
 	case 7:
-		return func(context.Context, time.Duration) { serverProxy.Reset() }, "server_reset"
+		return func(context.Context, time.Duration) {
+			defer r.disturbances.record(serverProxy.Address())()
+			serverProxy.Reset()
+		}, "server_reset"
 	case 8:
 		return func(context.Context, time.Duration) { v.storeProxy.Reset() }, "store_reset"
 	case 9:
@@ -105,6 +109,15 @@
 	}
 }
 
+// serverProxyFault is proxyFault for the proxy in front of a backend server.
+func (r *run) serverProxyFault(p *Proxy, mode ProxyMode) fault {
+	inject := proxyFault(p, mode)
+	return func(ctx context.Context, duration time.Duration) {
+		defer r.disturbances.record(p.Address())()
+		inject(ctx, duration)
+	}
+}
+
 // injectServerFaults returns a fault that makes the backend servers of a service inject the given
 // faults. The counts apply to all servers together.
 func (r *run) injectServerFaults(service string, faults stand.BackendFaults) fault {
@@ -123,6 +136,7 @@
 			return
 		}
 		defer v.release()
+		defer r.disturbances.record(v.listenAddress)()
 		v.signal(s)
 		// A paused process handles SIGTERM only after SIGCONT.
 		v.signal(syscall.SIGCONT)
--- /dev/null
+++ b/soak/notices.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/demo"
+	"github.com/hibiscuscart/hibiscuscart/pause"
+)
+
+const (
+	// maxNoticeInterval bounds the time between two notices. A server asks for rest for restDuration, and
+	// says that it leaves for leavingDuration; minRest and maxRest bound the rest that it asks for.
+	maxNoticeInterval = 900 * time.Millisecond
+	restDuration      = 2800 * time.Millisecond
+	leavingDuration   = 4500 * time.Millisecond
+	minRest           = 700 * time.Millisecond
+	maxRest           = 2500 * time.Millisecond
+	// disturbanceMargin is how long before and after a disturbance its effects count.
+	disturbanceMargin = 200 * time.Millisecond
+)
+
+// disturbances records when a VM or the proxy of a server, both by address, was disturbed. The zero value
+// is ready to use. It is safe for concurrent use.
+type disturbances struct {
+	mu        sync.Mutex
+	byAddress map[string][]*disturbance
+}
+
+// disturbance is one that has ended at until, or goes on if that is zero.
+type disturbance struct{ from, until time.Time }
+
+// record records a disturbance until the returned function is called.
+func (d *disturbances) record(address string) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byAddress == nil {
+		d.byAddress = make(map[string][]*disturbance)
+	}
+	current := &disturbance{from: time.Now()}
+	d.byAddress[address] = append(d.byAddress[address], current)
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		current.until = time.Now()
+	}
+}
+
+// overlaps reports whether an address was disturbed between two times.
+func (d *disturbances) overlaps(address string, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, current := range d.byAddress[address] {
+		ended := !current.until.IsZero() && current.until.Add(disturbanceMargin).Before(from)
+		if !ended && !current.from.Add(-disturbanceMargin).After(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// injectNotices makes backend servers say that they leave, while their entries say that they are ready, or
+// ask for rest, until ctx ends. A server that leaves starts again under its name and address, or goes on
+// and says no more that it leaves; the VMs must not use that one again before it has started anew.
+func (r *run) injectNotices(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.options.Seed, 3))
+	var wait sync.WaitGroup
+	servers := append(r.site.Backends(demo.SiteModelService), r.site.Backends(demo.SitePlainService)...)
+	// One server of each service says nothing, so that there is one to send requests to.
+	servers = append(servers[1:len(servers)/2], servers[len(servers)/2+1:]...)
+	for ctx.Err() == nil {
+		pause.For(ctx, time.Duration(rng.Int64N(int64(maxNoticeInterval))))
+		b := servers[rng.IntN(len(servers))]
+		kind, rest := rng.IntN(4), minRest+time.Duration(rng.Int64N(int64(maxRest-minRest)))
+		if kind < 2 {
+			r.countFault("server_rests")
+			wait.Go(func() {
+				b.SetRest(strconv.FormatFloat(rest.Seconds(), 'f', 3, 64), rest)
+				pause.For(ctx, restDuration)
+				b.SetRest("", 0)
+			})
+			continue
+		}
+		r.countFault("server_leaves")
+		wait.Go(func() {
+			b.SetLeaving(true)
+			pause.For(ctx, leavingDuration)
+			b.SetLeaving(false)
+			if kind == 2 {
+				b.Restart(time.Now())
+			}
+		})
+	}
+	wait.Wait()
+	for _, b := range servers {
+		b.Restart(time.Now())
+	}
+}
+
+// checkNotices checks that no VM sent requests to a server that had said to it that it leaves, or during the
+// rest that it had asked the VM for.
+func (r *run) checkNotices() {
+	for _, b := range append(r.site.Backends(demo.SiteModelService), r.site.Backends(demo.SitePlainService)...) {
+		r.mu.Lock()
+		proxy := r.proxyByServerID[b.ID].Address()
+		r.mu.Unlock()
+		// Reports and orders do not tell which VM sent them, and the controller changes.
+		cut := func(vm string, from, to time.Time) bool { return vm == "" || r.disturbances.overlaps(proxy, from, to) }
+		for _, log := range b.AllNotices() {
+			for _, violation := range log.Violations(r.disturbances.overlaps, cut) {
+				r.checks.AddViolation("server %s: %s", b.ID, violation)
+			}
+		}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,7 @@
 	teamRequests teamRequests
 	// crashingRequests is appended to by crashServers and read only after it has returned.
 	crashingRequests []*crashingRequest
+	disturbances     disturbances
 
 	mu            sync.Mutex
 	serverProxies []*Proxy
@@ -130,11 +131,13 @@
 		wait.Go(func() { r.sendHot(loadCtx, "hot", i) })
 	}
 	wait.Go(func() { r.crashServers(loadCtx) })
+	wait.Go(func() { r.injectNotices(loadCtx) })
 	r.injectFaults(loadCtx)
 	wait.Wait()
 	r.checkQuota(1, time.Time{})
 	r.checkRecovery(ctx)
 	r.checkTeams()
+	r.checkNotices()
 	r.checks.CheckExecutions(r.outcomes, r.site.Runs)
 	for _, b := range r.site.Backends(demo.SiteModelService) {
 		if b.Overcommitted() {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -100,7 +100,8 @@
 	leaving    bool
 	retryAfter string
 	rest       time.Duration
-	notices    *NoticeLog
+	// notices holds the log of each instance.
+	notices []*NoticeLog
 }
 
 // Restart simulates a restart of the process with the same ID. All models and the
@@ -108,7 +109,7 @@
 func (b *Backend) Restart(now time.Time) {
 	b.mu.Lock()
 	b.startedAt, b.models, b.orderSequence, b.orderInProgress, b.draining = now, nil, 0, false, false
-	b.leaving, b.retryAfter, b.notices = false, "", nil
+	b.leaving, b.retryAfter, b.notices = false, "", append(b.notices, &NoticeLog{})
 	b.mu.Unlock()
 	b.notifyChange()
 }
--- a/stand/notices.go
+++ b/stand/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -45,8 +46,8 @@
 	mu       sync.Mutex
 	contacts []Contact
 	rests    []restAsked
-	// passedOnAt is when each VM first passed on a response that says that the server leaves.
-	passedOnAt map[string]time.Time
+	// passedOnAt is when each VM passed on responses that say that the server leaves, in this order.
+	passedOnAt map[string][]time.Time
 }
 
 func (l *NoticeLog) recordContact(c Contact) {
@@ -72,38 +73,52 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.passedOnAt == nil {
-		l.passedOnAt = make(map[string]time.Time)
-	}
-	if _, ok := l.passedOnAt[vm]; !ok {
-		l.passedOnAt[vm] = now
+		l.passedOnAt = make(map[string][]time.Time)
 	}
+	l.passedOnAt[vm] = append(l.passedOnAt[vm], now)
 }
 
-// Excuse reports whether a VM was restarted, suspended or cut off from the server between two times.
+// Excuse reports whether a VM was disturbed between two times.
 type Excuse func(vm string, from, to time.Time) bool
 
 // Violations describes each VM that sent the server requests although it knew that the server leaves, or
-// during its rest. A nil excuse excuses nothing.
-func (l *NoticeLog) Violations(excused Excuse) []string {
+// during its rest. A restart or suspension of the VM excuses both, and a cut of its link to the server
+// requests during a rest, which may arrive late. The functions tell of these; nil ones of none.
+func (l *NoticeLog) Violations(restarted, cut Excuse) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if excused == nil {
-		excused = func(string, time.Time, time.Time) bool { return false }
+	never := func(string, time.Time, time.Time) bool { return false }
+	if restarted == nil {
+		restarted = never
+	}
+	if cut == nil {
+		cut = never
 	}
-	return append(l.leavingViolations(excused), l.restViolations(excused)...)
+	disturbed := func(vm string, from, to time.Time) bool { return restarted(vm, from, to) || cut(vm, from, to) }
+	return append(l.leavingViolations(restarted), l.restViolations(disturbed)...)
 }
 
 func (l *NoticeLog) leavingViolations(excused Excuse) []string {
 	var list []string
 	for _, c := range l.contacts {
-		told, ok := l.passedOnAt[c.VM]
-		if late := c.SentAt.Sub(told); ok && late > leavingBound && !excused(c.VM, told, c.ArrivedAt) {
+		told, ok := l.lastPassedOn(c.VM, c.SentAt.Add(-leavingBound))
+		if late := c.SentAt.Sub(told); ok && !excused(c.VM, told, c.ArrivedAt) {
 			list = append(list, fmt.Sprintf("a request that was sent to VM %s %v after the VM had passed on that the server leaves reached the server", c.VM, late))
 		}
 	}
 	return list
 }
 
+// lastPassedOn returns when a VM last passed on, before a time, that the server leaves.
+func (l *NoticeLog) lastPassedOn(vm string, before time.Time) (at time.Time, ok bool) {
+	for _, t := range l.passedOnAt[vm] {
+		if t.Before(before) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
+
 func (l *NoticeLog) restViolations(excused Excuse) []string {
 	var list []string
 	for _, r := range l.rests {
@@ -166,9 +181,17 @@
 	return b.noticesLocked()
 }
 
+// AllNotices returns the logs of all instances, the current one last.
+func (b *Backend) AllNotices() []*NoticeLog {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noticesLocked()
+	return slices.Clone(b.notices)
+}
+
 func (b *Backend) noticesLocked() *NoticeLog {
-	if b.notices == nil {
-		b.notices = &NoticeLog{}
+	if len(b.notices) == 0 {
+		b.notices = []*NoticeLog{{}}
 	}
-	return b.notices
+	return b.notices[len(b.notices)-1]
 }
--- a/steer/scale_test.go
+++ b/steer/scale_test.go
@@ -72,7 +72,9 @@
 		FencingToken: func(time.Time) (int, bool) { return 1, true }, Now: func() time.Time { return now },
 		Log: zerolog.Nop(), Meter: meter.New(),
 		ServerCalls: ServerCalls{
-			Send:   func(context.Context, backs.Entry, Order) (OrderResult, backs.Notice, error) { return Refused, backs.Notice{}, nil },
+			Send: func(context.Context, backs.Entry, Order) (OrderResult, backs.Notice, error) {
+				return Refused, backs.Notice{}, nil
+			},
 			Report: func(context.Context, backs.Entry) (Report, error) { return Report{}, fmt.Errorf("unreachable") },
 		},
 	}
