Hold models elsewhere while their servers want a long rest

Cause: a rest delays requests and counts as nothing else, so that the server's replicas went on counting. Ruled out: telling other VMs of a rest, which would spread it as a failure of the server; loading elsewhere for any rest, as a rest of some seconds is over before a load is done. Change: a server that has asked the controller for more than ten seconds of rest is no place for replicas for as long, like one that drains: its models and adapters are loaded elsewhere. A request whose servers all want a long rest asks the controller as it does for a model that no server holds; if the controller names one that rests for this VM only, it is refused at once, with at most ten seconds, as other VMs are served.

--- a/backs/notice.go
+++ b/backs/notice.go
@@ -11,6 +11,10 @@
 	Rest time.Duration
 }
 
+// LongRest is the rest from which the models of a server are held elsewhere: longer than a load and the
+// unloads that make room for it. A shorter rest only delays requests.
+const LongRest = 10 * time.Second
+
 // NoticeSource is how a VM learned of a notice.
 type NoticeSource string
 
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -76,7 +76,8 @@
 			}
 			continue
 		}
-		if g.allResting(now, c, serving) {
+		if g.allResting(now, c, serving) && !g.mayWaitOutRest(c) {
+			g.Meter.AddCounter("pass.refused_resting", 1)
 			return pick.Choice{}, errResting
 		}
 		if waited, err := g.awaitPermit(waitCtx, now, deadline, c, serving); err != nil {
@@ -111,7 +112,12 @@
 			if g.stopping() {
 				return pick.Choice{}, errStopping
 			}
-			c.retryAfter = c.remainingLoadTime(serving)
+			c.retryAfter = g.remainingLoadTime(now, c, serving)
+			if errors.Is(err, errResting) {
+				// Other VMs can send requests to the server, so the caller need not wait for as long.
+				g.Meter.AddCounter("pass.refused_resting", 1)
+				c.retryAfter = backs.LongRest
+			}
 			return pick.Choice{}, err
 		}
 	}
@@ -120,8 +126,9 @@
 // remainingLoadTime returns how much longer it will take to load the model of a call that has
 // waited for a server. It returns 0 if a reachable server has the model, because an adapter loads
 // in milliseconds. A caller that retried sooner would wait in vain once more, and then give up.
-func (c *call) remainingLoadTime(serving []backs.Entry) time.Duration {
-	if c.service.Engine == nil || slices.ContainsFunc(serving, c.hasModel) {
+func (g *Gateway) remainingLoadTime(now time.Time, c *call, serving []backs.Entry) time.Duration {
+	has := func(e backs.Entry) bool { return c.hasModel(e) && g.Servers.RestRemaining(now, e.ID) == 0 }
+	if c.service.Engine == nil || slices.ContainsFunc(serving, has) {
 		return 0
 	}
 	return max(c.service.Engine.Models[c.work.Model].LoadTime-c.modelWait, 0)
@@ -191,17 +198,22 @@
 			return errNoServer
 		}
 	}
+	var server string
 	found := make(chan error, 1)
 	findCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		_, err := g.FindServer(findCtx, c.service.Name, c.work.Model, c.work.Adapter)
+		var err error
+		server, err = g.FindServer(findCtx, c.service.Name, c.work.Model, c.work.Adapter)
 		found <- err
 	}()
 	select {
 	case <-changed:
 		return nil
 	case err := <-found:
+		if err == nil && g.Servers.RestRemaining(g.Now(), server) > 0 {
+			return errResting
+		}
 		if err == nil {
 			// This VM may be unable to reach the server that was found, until the controller
 			// detects that too.
--- a/pass/notice.go
+++ b/pass/notice.go
@@ -84,8 +84,8 @@
 
 // allResting reports whether a call can not be served for now because its servers want rest from this VM:
 // it could be sent to one of them, and all others are at rest, unreachable or beyond the number of servers
-// that the call may be sent to. The call is then refused at once, as nothing that it waits for comes
-// sooner, with the time at which the first of them takes requests again.
+// that the call may be sent to. It sets the call's retryAfter to the time at which the first of them takes
+// requests again.
 func (g *Gateway) allResting(now time.Time, c *call, serving []backs.Entry) bool {
 	resting, shortest := false, maxRest
 	for _, e := range serving {
@@ -102,7 +102,12 @@
 	if !resting {
 		return false
 	}
-	g.Meter.AddCounter("pass.refused_resting", 1)
 	c.retryAfter = shortest
 	return true
 }
+
+// mayWaitOutRest reports whether a call whose servers all want rest may be served sooner by another one that
+// loads its model or adapter: the controller does so if the rest is long. Any other call is refused at once.
+func (g *Gateway) mayWaitOutRest(c *call) bool {
+	return c.retryAfter > backs.LongRest && c.work.Model != "" && g.FindServer != nil
+}
--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -134,7 +134,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.serversOf(service) {
-		if s.Serves(now, model, adapter) && !s.reportRequired && !s.Unreachable() && c.Servers.Usable(now, s.entry.ID) {
+		if s.Serves(now, model, adapter) && !s.reportRequired && c.reachable(now, s) {
 			return s.entry.ID
 		}
 	}
@@ -169,11 +169,11 @@
 	c.loadAdapterAt(ctx, now, best, service, model, adapter)
 }
 
-// reachable reports whether requests can be sent to a server. The entry of a crashed server stays
+// reachable reports whether requests can be sent to a server, now or after a short rest. The entry of a crashed server stays
 // listed for some seconds. Its adapters must not count as present in that time, or no other server
 // would load them.
 func (c *Controller) reachable(now time.Time, s *Server) bool {
-	return !s.Unreachable() && c.Servers.Usable(now, s.entry.ID)
+	return s.Placeable(now) && c.Servers.Usable(now, s.entry.ID)
 }
 
 // loadAdapterAt orders an adapter at a server. Without a free slot or memory it orders the
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -84,8 +84,8 @@
 	lastReportRequest map[string]time.Time
 	// firstListed is when the first server of each service was listed.
 	firstListed map[string]time.Time
-	// lastReplicaSeen is when each model last had a replica at a server that is reachable, not
-	// draining and not contended.
+	// lastReplicaSeen is when each model last had a replica at a server that is placeable and not
+	// contended.
 	lastReplicaSeen map[string]time.Time
 	modelDemand     map[string]*Demand
 	adapterDemand   Demand
@@ -323,7 +323,7 @@
 // recordReplicas records which models have a replica now. c.mu is held.
 func (c *Controller) recordReplicas(now time.Time, service string) {
 	for _, s := range c.serversOf(service) {
-		if s.entry.Draining || s.Unreachable() || c.Contended != nil && c.Contended(s.entry.ID) {
+		if !s.Placeable(now) || c.Contended != nil && c.Contended(s.entry.ID) {
 			continue
 		}
 		for name, r := range s.models {
--- a/steer/notice_test.go
+++ b/steer/notice_test.go
@@ -97,3 +97,67 @@
 		})
 	}
 }
+
+// Guards against a model that stays unreachable for as long as its only server wants rest, and against a load
+// elsewhere for a rest that is over sooner.
+func TestModelOfRestingServerLoadedElsewhere(t *testing.T) {
+	for name, tc := range map[string]struct {
+		rest  time.Duration
+		loads int
+	}{
+		"a day": {24 * time.Hour, 1}, "three seconds": {3 * time.Second, 0}, "none": {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, orders := testController(func(time.Time) (int, bool) { return 5, true })
+			now := c.Now()
+			c.Servers.Replace(now, []backs.Entry{{ID: "a", Service: "s", Models: []backs.LoadedModel{{Model: "m1"}}}, {ID: "b", Service: "s", Models: []backs.LoadedModel{{Model: "m2"}}}})
+			c.ServerCalls.Report = func(_ context.Context, e backs.Entry) (Report, error) {
+				return Report{Models: e.Models, Sequence: 7}, nil
+			}
+			stepFor(t, c, &now, 6*time.Second)
+			for len(orders) > 0 {
+				<-orders
+			}
+			c.Servers.ApplyNotice(now, "a", backs.Notice{Rest: tc.rest})
+			stepFor(t, c, &now, 3*time.Second)
+			loads := 0
+			for len(orders) > 0 {
+				if o := <-orders; o.Model == "m1" && o.Adapter == "" && !o.Unload {
+					loads++
+				}
+			}
+			require.Equal(t, tc.loads, min(loads, 1))
+		})
+	}
+}
+
+// Guards against an adapter that no other server gets for as long as the one that has it wants rest.
+func TestAdapterOfRestingServerLoadedElsewhere(t *testing.T) {
+	c, orders := testController(func(time.Time) (int, bool) { return 5, true })
+	now := c.Now()
+	withAdapter, without := []backs.LoadedModel{{Model: "m1", Adapters: []string{"a1"}}}, []backs.LoadedModel{{Model: "m1"}, {Model: "m2"}}
+	c.Servers.Replace(now, []backs.Entry{{ID: "a", Service: "s", Models: withAdapter}, {ID: "b", Service: "s", Models: without}})
+	c.ServerCalls.Report = func(_ context.Context, e backs.Entry) (Report, error) {
+		return Report{Models: e.Models, Sequence: 7}, nil
+	}
+	stepFor(t, c, &now, 6*time.Second)
+	for len(orders) > 0 {
+		<-orders
+	}
+	service, _ := c.Table().Service("s")
+	id, err := c.TryFind(t.Context(), now, service, "m1", "a1")
+	require.NoError(t, err)
+	require.Equal(t, "a", id)
+	c.Servers.ApplyNotice(now, "a", backs.Notice{Rest: time.Hour})
+	stepFor(t, c, &now, stepInterval)
+	var calls []func()
+	c.Spawn = func(call func()) { calls = append(calls, call) }
+	id, err = c.TryFind(t.Context(), now, service, "m1", "a1")
+	require.NoError(t, err)
+	require.Empty(t, id)
+	for _, call := range calls {
+		call()
+	}
+	require.NotEmpty(t, orders)
+	require.Equal(t, "a1", (<-orders).Adapter)
+}
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -193,7 +193,7 @@
 }
 
 // prepare computes the work of each model, the candidates and the balances. Servers that are
-// draining, unreachable or contended are left out.
+// not placeable or contended are left out.
 func (p *Planner) prepare() {
 	p.work = make(map[string]estimate, len(p.Engine.Models))
 	work := make(map[string]float64, len(p.Engine.Models))
@@ -204,7 +204,7 @@
 	p.replicasInDomain, p.candidates = make(map[domainModel]int), nil
 	domains := make(map[string]bool)
 	for _, s := range p.Servers {
-		if s.entry.Draining || s.Unreachable() || p.Contended != nil && p.Contended(s.entry.ID) {
+		if !s.Placeable(p.Now) || p.Contended != nil && p.Contended(s.entry.ID) {
 			continue
 		}
 		domains[s.entry.Domain] = true
--- a/steer/server.go
+++ b/steer/server.go
@@ -268,6 +268,12 @@
 	}
 }
 
+// Placeable reports whether the models at the server count as replicas: it is reachable, not draining, and
+// not in a long rest.
+func (s *Server) Placeable(now time.Time) bool {
+	return !s.entry.Draining && !s.Unreachable() && s.restUntil.Sub(now) <= backs.LongRest
+}
+
 // Resting reports whether the server wants neither orders nor report requests of this VM.
 func (s *Server) Resting(now time.Time) bool { return now.Before(s.restUntil) }
 
