--- a/soak/notices.go
+++ b/soak/notices.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
@@ -100,6 +101,32 @@
 	}
 }
 
+const (
+	// A slow VM runs for slowRunTime of each slowCycle. The cycle is short, so that it does not count as a
+	// suspension, which would excuse what the VM does.
+	slowCycle   = 30 * time.Millisecond
+	slowRunTime = 4 * time.Millisecond
+	// maxSlowInterval bounds the time between two slow VMs, and maxSlowDuration how long a VM is slow.
+	maxSlowInterval = 2 * time.Second
+	maxSlowDuration = 2 * time.Second
+)
+
+// slowVMs makes one VM after the other run at a fraction of its speed until ctx ends.
+func (r *run) slowVMs(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.options.Seed, 4))
+	for ctx.Err() == nil {
+		pause.For(ctx, time.Duration(rng.Int64N(int64(maxSlowInterval))))
+		v, end := r.vms[rng.IntN(len(r.vms))], time.Now().Add(time.Duration(rng.Int64N(int64(maxSlowDuration))))
+		r.countFault("slow")
+		for ctx.Err() == nil && time.Now().Before(end) {
+			v.signal(syscall.SIGSTOP)
+			pause.For(ctx, slowCycle-slowRunTime)
+			v.signal(syscall.SIGCONT)
+			pause.For(ctx, slowRunTime)
+		}
+	}
+}
+
 // checkNotices checks that no VM sent requests to a server that had said to it that it leaves, or during the
 // rest that it had asked the VM for.
 func (r *run) checkNotices() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -132,6 +132,7 @@
 	}
 	wait.Go(func() { r.crashServers(loadCtx) })
 	wait.Go(func() { r.injectNotices(loadCtx) })
+	wait.Go(func() { r.slowVMs(loadCtx) })
 	r.injectFaults(loadCtx)
 	wait.Wait()
 	r.checkQuota(1, time.Time{})
