wire: Put the servers that leave last in a VM's report, so that older VMs can read it

What callers saw: in a soak with builds of before and after mixed, VMs whose hub was an older one had no hub for seconds: they linked and were closed ten times a second. The hub refused the frame ("only encoded map or array can decode into struct") and closed the link. Ruled out: the crash records themselves: the two VMs that had them logged one each, and their link to the hub lasted two milliseconds at a time. Change: the field's name sorts behind all others of the report. Older builds skip what follows the fields that they know, and the link protocol keeps its version.

--- a/peers/hub.go
+++ b/peers/hub.go
@@ -193,7 +193,7 @@
 	if m.VMReport != nil {
 		p.mergeCrashes(m.VMReport)
 		p.Limits.AddReport(p.Now(), limitsOf(m.VMReport.Limits))
-		p.Servers.AddLeaving(p.Now(), m.VMReport.Leaving)
+		p.Servers.AddLeaving(p.Now(), m.VMReport.WillExit)
 	}
 	defer p.mergeQuotaReport(m.VMReport)
 	switch {
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -225,7 +225,7 @@
 		up.setReported(own)
 		if !crashes.Empty() || len(leaving) > 0 || len(limits) > 0 || len(spends) > 0 || len(levels) > 0 || len(loads) > 0 || len(demand) > 0 || len(unverified) > 0 || !idle || status.vms != lastStatus.vms || status.relaying != lastStatus.relaying {
 			idle, lastStatus = len(loads) == 0 && len(demand) == 0, status
-			report := &wire.VMReport{Vms: status.vms, Relaying: status.relaying, Loads: loads, Wants: demand, Doubts: unverified, Leaving: leaving, Limits: limits, Spends: spends, Levels: levels}
+			report := &wire.VMReport{Vms: status.vms, Relaying: status.relaying, Loads: loads, Wants: demand, Doubts: unverified, WillExit: leaving, Limits: limits, Spends: spends, Levels: levels}
 			addCrashes(report, crashes)
 			if err := up.conn.Send(ctx, &wire.Message{VMReport: report}); err != nil {
 				up.conn.Close()
--- a/wire/types.go
+++ b/wire/types.go
@@ -1055,10 +1055,6 @@
 	// state lists for them.
 	Doubts []string `json:"doubts"`
 
-	// IDs of servers that said in a response that they leave; only those not yet
-	// reported on this link.
-	Leaving []string `json:"leaving,omitempty,omitzero"`
-
 	// Tokens that are left of the part of each team's quota for the VMs of the
 	// report; sent once on each link.
 	Levels []TeamSpend `json:"levels,omitempty,omitzero"`
@@ -1083,4 +1079,9 @@
 
 	// Wants corresponds to the JSON schema field "wants".
 	Wants []ModelWant `json:"wants"`
+
+	// IDs of servers that said in a response that they leave; only those not yet
+	// reported on this link. Its name sorts behind all others, so that builds without
+	// it skip it.
+	WillExit []string `json:"will_exit,omitempty,omitzero"`
 }
