--- a/backs/notice.go
+++ b/backs/notice.go
@@ -165,12 +165,3 @@
 func (v *View) restRemaining(now time.Time, id string) time.Duration {
 	return max(v.restUntil[id].Sub(now), 0)
 }
-
-// MaySend reports whether this VM may send a caller's request to a server now.
-func (v *View) MaySend(now time.Time, id string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire(now)
-	r := v.records[id]
-	return r != nil && r.usable(now) && v.restRemaining(now, id) == 0
-}
--- /dev/null
+++ b/backs/queries.go
@@ -0,0 +1,81 @@
+package backs
+
+import "time"
+
+// Serving returns the servers of a service that may get new requests.
+func (v *View) Serving(now time.Time, service string) []Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(now)
+	var list []Entry
+	for _, r := range v.records {
+		if r.entry.Service == service && r.usable(now) {
+			list = append(list, r.entry)
+		}
+	}
+	return list
+}
+
+func (r *record) usable(now time.Time) bool {
+	if r.draining || r.unreadable || !r.removedAt.IsZero() {
+		return false
+	}
+	return r.reappearedAt.IsZero() || now.Sub(r.reappearedAt) >= readmitDelay
+}
+
+// StoredEntry is an entry as stored, with the time at which this VM received it. Unreadable
+// is set when the stored entry can't be read now; Entry is then the last readable one. Rest is how
+// much longer the server wants nothing from this VM.
+type StoredEntry struct {
+	Entry
+	ReceivedAt time.Time
+	Unreadable bool
+	Rest       time.Duration
+}
+
+// StoredEntries returns the stored entry of every server that is not removed, including
+// draining ones.
+func (v *View) StoredEntries(now time.Time) []StoredEntry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(now)
+	var list []StoredEntry
+	for _, r := range v.records {
+		if r.removedAt.IsZero() {
+			list = append(list, StoredEntry{Entry: r.stored, ReceivedAt: r.receivedAt, Unreadable: r.unreadable, Rest: v.restRemaining(now, r.entry.ID)})
+		}
+	}
+	return list
+}
+
+// All returns every server that is not removed, with the newest information on its models.
+func (v *View) All(now time.Time) []Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(now)
+	var list []Entry
+	for _, r := range v.records {
+		if r.removedAt.IsZero() {
+			list = append(list, r.entry)
+		}
+	}
+	return list
+}
+
+// Usable reports whether a server may get new requests now, apart from a rest that it asked this VM for.
+func (v *View) Usable(now time.Time, id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(now)
+	r := v.records[id]
+	return r != nil && r.usable(now)
+}
+
+// MaySend reports whether this VM may send a caller's request to a server now.
+func (v *View) MaySend(now time.Time, id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(now)
+	r := v.records[id]
+	return r != nil && r.usable(now) && v.restRemaining(now, id) == 0
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -1,7 +1,6 @@
 package backs
 
 import (
-	"cmp"
 	"sync"
 	"time"
 )
@@ -123,54 +122,6 @@
 	}
 }
 
-// MarkStoreUnreachable records that the store does not respond to calls of this VM.
-func (v *View) MarkStoreUnreachable() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.storeUnreachable, v.scannedAt = true, time.Time{}
-}
-
-// RecordStoreAnswer records that the store responded to any call of this VM.
-func (v *View) RecordStoreAnswer(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.recordContact(now, now)
-}
-
-// MarkCurrent records that the view is current at the given time.
-func (v *View) MarkCurrent(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.recordCurrent(now, now)
-}
-
-// recordCurrent records at time now that the view was current at asOf.
-func (v *View) recordCurrent(now, asOf time.Time) {
-	if asOf.After(v.currentAt) {
-		v.currentAt = asOf
-	}
-	v.recordContact(now, asOf)
-}
-
-// recordContact records at time now that the store was reachable at the given time. Failed
-// calls alone don't prove an outage, because this VM may have been slow or partitioned.
-// Entries can have expired only if no VM has reported contact with the store for long
-// enough.
-func (v *View) recordContact(now, at time.Time) {
-	if !at.After(v.contactAt) {
-		return
-	}
-	outage := now.Sub(v.contactAt)
-	v.contactAt = at
-	if !v.storeUnreachable {
-		return
-	}
-	v.storeUnreachable = false
-	if outage >= expiryHeartbeats*cmp.Or(v.Heartbeat, defaultHeartbeat) {
-		v.recoveredAt, v.scannedAt = now, time.Time{}
-	}
-}
-
 // SyncedFor returns the time since the first full list was received, 0 before that.
 func (v *View) SyncedFor(now time.Time) time.Duration {
 	v.mu.Lock()
@@ -382,66 +333,6 @@
 	}
 }
 
-// Serving returns the servers of a service that may get new requests.
-func (v *View) Serving(now time.Time, service string) []Entry {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire(now)
-	var list []Entry
-	for _, r := range v.records {
-		if r.entry.Service == service && r.usable(now) {
-			list = append(list, r.entry)
-		}
-	}
-	return list
-}
-
-func (r *record) usable(now time.Time) bool {
-	if r.draining || r.unreadable || !r.removedAt.IsZero() {
-		return false
-	}
-	return r.reappearedAt.IsZero() || now.Sub(r.reappearedAt) >= readmitDelay
-}
-
-// StoredEntry is an entry as stored, with the time at which this VM received it. Unreadable
-// is set when the stored entry can't be read now; Entry is then the last readable one. Rest is how
-// much longer the server wants nothing from this VM.
-type StoredEntry struct {
-	Entry
-	ReceivedAt time.Time
-	Unreadable bool
-	Rest       time.Duration
-}
-
-// StoredEntries returns the stored entry of every server that is not removed, including
-// draining ones.
-func (v *View) StoredEntries(now time.Time) []StoredEntry {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire(now)
-	var list []StoredEntry
-	for _, r := range v.records {
-		if r.removedAt.IsZero() {
-			list = append(list, StoredEntry{Entry: r.stored, ReceivedAt: r.receivedAt, Unreadable: r.unreadable, Rest: v.restRemaining(now, r.entry.ID)})
-		}
-	}
-	return list
-}
-
-// All returns every server that is not removed, with the newest information on its models.
-func (v *View) All(now time.Time) []Entry {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire(now)
-	var list []Entry
-	for _, r := range v.records {
-		if r.removedAt.IsZero() {
-			list = append(list, r.entry)
-		}
-	}
-	return list
-}
-
 // MarkEnded records that a server instance has ended because another instance answers under
 // its name.
 func (v *View) MarkEnded(now time.Time, id string) {
@@ -452,12 +343,3 @@
 		v.notify()
 	}
 }
-
-// Usable reports whether a server may get new requests now, apart from a rest that it asked this VM for.
-func (v *View) Usable(now time.Time, id string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire(now)
-	r := v.records[id]
-	return r != nil && r.usable(now)
-}
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -85,44 +85,59 @@
 		} else if waited {
 			continue
 		}
-		if len(c.excluded) > 0 && (c.attempts > c.roundStartAttempts || !g.replacementExpected(now, c, serving)) {
-			// Every candidate was tried. A server that refused may accept the request after a
-			// pause. An unreachable server is skipped until the last round, while the controller
-			// loads its model elsewhere.
-			c.roundStartAttempts = c.attempts
-			c.rounds++
-			if g.isolated(now, c, serving) {
-				return pick.Choice{}, errIsolated
-			}
-			if c.rounds > maxRounds && !g.replacementExpected(now, c, serving) {
-				return pick.Choice{}, errAllTried
-			}
-			pause.For(waitCtx, roundInterval)
-			c.excluded = nil
-			if c.rounds != maxRounds {
-				c.excluded = c.unreachable
-			}
-			if _, ok := g.pickServer(g.Now(), c, serving); ok || !g.replacementExpected(now, c, serving) {
-				continue
-			}
+		if again, err := g.nextRound(waitCtx, now, c, serving); err != nil {
+			return pick.Choice{}, err
+		} else if again {
+			continue
 		}
 		err := g.awaitServer(waitCtx, c, changed)
 		c.modelWait += g.Now().Sub(now)
 		if err != nil {
-			if g.stopping() {
-				return pick.Choice{}, errStopping
-			}
-			c.retryAfter = g.remainingLoadTime(now, c, serving)
-			if errors.Is(err, errResting) {
-				// Other VMs can send requests to the server, so the caller need not wait for as long.
-				g.Meter.AddCounter("pass.refused_resting", 1)
-				c.retryAfter = backs.LongRest
-			}
-			return pick.Choice{}, err
+			return pick.Choice{}, g.refuseAfterWait(now, c, serving, err)
 		}
 	}
 }
 
+// nextRound begins another pass over the candidates if every one was tried. A server that refused may accept
+// the request after a pause. An unreachable server is skipped until the last round, while the controller
+// loads its model elsewhere. It reports whether to choose again, and returns an error if no pass is left.
+func (g *Gateway) nextRound(ctx context.Context, now time.Time, c *call, serving []backs.Entry) (again bool, err error) {
+	if len(c.excluded) == 0 || c.attempts <= c.roundStartAttempts && g.replacementExpected(now, c, serving) {
+		return false, nil
+	}
+	c.roundStartAttempts = c.attempts
+	c.rounds++
+	if g.isolated(now, c, serving) {
+		return false, errIsolated
+	}
+	if c.rounds > maxRounds && !g.replacementExpected(now, c, serving) {
+		return false, errAllTried
+	}
+	pause.For(ctx, roundInterval)
+	c.excluded = nil
+	if c.rounds != maxRounds {
+		c.excluded = c.unreachable
+	}
+	_, ok := g.pickServer(g.Now(), c, serving)
+	return ok || !g.replacementExpected(now, c, serving), nil
+}
+
+// refuseAfterWait returns the reason for refusing a call whose wait for a server ended with err, and sets
+// the call's retryAfter.
+func (g *Gateway) refuseAfterWait(now time.Time, c *call, serving []backs.Entry, err error) error {
+	switch {
+	case g.stopping():
+		return errStopping
+	case errors.Is(err, errResting):
+		// Other VMs can send requests to the server, so the caller need not wait for the end of the rest.
+		g.Meter.AddCounter("pass.refused_resting", 1)
+		c.retryAfter = backs.LongRest
+	default:
+		c.retryAfter = g.remainingLoadTime(now, c, serving)
+	}
+	return err
+}
+
 // remainingLoadTime returns how much longer it will take to load the model of a call that has
 // waited for a server. It returns 0 if a reachable server has the model, because an adapter loads
 // in milliseconds. A caller that retried sooner would wait in vain once more, and then give up.
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -209,46 +209,6 @@
 	p.updateQuotaRole(p.Now())
 }
 
-// reportToHub sends the load and demand of this VM's subtree to the hub at intervals.
-func (p *Peers) reportToHub(ctx context.Context, up *uplink) {
-	idle, lastStatus := true, subtree{vms: 1}
-	levels := p.quotaLevels()
-	p.Poison.MarkUnreported()
-	p.Limits.MarkUnreported(p.Now())
-	p.Servers.MarkLeavingUnreported(p.Now())
-	for ctx.Err() == nil {
-		own := p.subtreeLoads()
-		status, interval := p.reportStatus()
-		loads, demand, unverified := loadList(own), demandList(p.takeDemand()), append([]string{}, p.takeUnverified()...)
-		crashes, limits, spends := p.Poison.TakeReport(), limitList(p.Limits.TakeReport()), p.takeSpends()
-		leaving := p.Servers.TakeLeaving()
-		up.setReported(own)
-		if !crashes.Empty() || len(leaving) > 0 || len(limits) > 0 || len(spends) > 0 || len(levels) > 0 || len(loads) > 0 || len(demand) > 0 || len(unverified) > 0 || !idle || status.vms != lastStatus.vms || status.relaying != lastStatus.relaying {
-			idle, lastStatus = len(loads) == 0 && len(demand) == 0, status
-			report := &wire.VMReport{Vms: status.vms, Relaying: status.relaying, Loads: loads, Wants: demand, Doubts: unverified, WillExit: leaving, Limits: limits, Spends: spends, Levels: levels}
-			addCrashes(report, crashes)
-			if err := up.conn.Send(ctx, &wire.Message{VMReport: report}); err != nil {
-				up.conn.Close()
-				return
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-p.reportDue.raised():
-		case <-time.After(interval):
-		}
-		levels = p.takeHandedLevels()
-	}
-}
-
-// reportStatus returns the number of VMs in this VM's subtree, whether it relays, and the report
-// interval.
-func (p *Peers) reportStatus() (status subtree, interval time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return subtree{vms: p.subtreeVMs(), relaying: p.relaying}, max(p.reportInterval, minLoadInterval)
-}
-
 // receiveFrames receives and applies the hub's frames until the link fails. root outlives the link.
 func (p *Peers) receiveFrames(ctx, root context.Context, up *uplink) error {
 	for {
