trail: What servers said about themselves in a request's timeline

Change: explain -request adds to a try and to the request that its server said that it leaves, or asked for rest, and for how long. Measured: TestTimelineNamesNotices.

--- a/trail/line.go
+++ b/trail/line.go
@@ -50,6 +50,10 @@
 	FindWait      float64  `json:"sought"`
 	Duration      float64  `json:"took"`
 
+	// ServerLeaving and ServerRetryAfter are what the last response said about its server.
+	ServerLeaving    bool   `json:"server_leaving"`
+	ServerRetryAfter string `json:"server_retry_after"`
+
 	Server      string `json:"server"`
 	Unload      bool   `json:"unload"`
 	OrderResult int    `json:"verdict"`
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -59,7 +59,7 @@
 func describe(l *logLine) string {
 	switch l.Message {
 	case messageAttemptFailed:
-		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", l.Server, normalizeReason(l.Reason), l.Predicted, l.Running)
+		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", l.Server, normalizeReason(l.Reason), l.Predicted, l.Running) + describeNotice(l)
 	case messageServerSilent:
 		return fmt.Sprintf("%s was silent", l.Server)
 	case messageRejected:
@@ -83,9 +83,21 @@
 		if l.FindWait > 0 {
 			text += fmt.Sprintf("; waited %.0f ms for a server", l.FindWait)
 		}
-		return text
+		return text + describeNotice(l)
 	}
 	return l.Message
 }
 
+// describeNotice returns what the last response before a line said about its server.
+func describeNotice(l *logLine) string {
+	text := ""
+	if l.ServerLeaving {
+		text += "; its server said that it leaves"
+	}
+	if l.ServerRetryAfter != "" {
+		text += "; its server asked for rest, Retry-After " + l.ServerRetryAfter
+	}
+	return text
+}
+
 var outcomeTexts = map[Outcome]string{InTime: "in time", Late: "late", Lost: "lost"}
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -189,3 +189,17 @@
 		require.NoError(b, (&trail.Log{}).Read("log", bytes.NewReader(data)))
 	}
 }
+
+// Guards against a timeline that does not tell why a server was not used again: what it said in a response
+// is in no other line about the request.
+func TestTimelineNamesNotices(t *testing.T) {
+	const lines = `{"vm":"vm-1","request":"r1","server":"s1","server_retry_after":"3","reason":"refused with 503","time":"2026-01-01T00:00:01Z","message":"try failed"}
+{"vm":"vm-1","request":"r1","servers":["s1","s2"],"sends":2,"status":200,"server_leaving":true,"time":"2026-01-01T00:00:02Z","message":"request"}
+`
+	log := &trail.Log{RequestID: "r1"}
+	require.NoError(t, log.Read("lines", strings.NewReader(lines)))
+	var out strings.Builder
+	require.NoError(t, log.WriteTimeline(&out))
+	require.Contains(t, out.String(), "refused with 503 (predicted 0 ms, 0 running); its server asked for rest, Retry-After 3")
+	require.Contains(t, out.String(), "its server said that it leaves")
+}
