--- a/demo/notices_test.go
+++ b/demo/notices_test.go
@@ -30,6 +30,8 @@
 		"model server leaves":                        {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetLeaving(true) }, false},
 		"plain service rests":                        {demo.SitePlainService, http.MethodGet, "/look/x", "", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, false},
 		"model server rests":                         {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, false},
+		"request that runs once, server leaves":      {demo.SitePlainService, http.MethodPost, "/book/x", "", func(b *stand.Backend) { b.SetLeaving(true) }, false},
+		"stream that is not resumed, server rests":   {demo.SiteModelService, http.MethodPost, "/batch/x", "m1", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, false},
 		"model server rests from orders and reports": {demo.SiteModelService, http.MethodPost, "/draft/x", "m1/a1", func(b *stand.Backend) { b.SetRest("3", 3*time.Second) }, true},
 		"model server leaves, store reachable":       {demo.SiteModelService, http.MethodPost, "/draft/x", "m1", func(b *stand.Backend) { b.SetLeaving(true) }, true},
 	}
