backs: Keep it for an hour that a server leaves, whatever becomes of its record

What callers would see: an answer that is cut off, of a server that said that it leaves, lost its entry and had it stored again minutes later by a late write. Cause: the word was to outlive the record, which is dropped two minutes after the entry, and was dropped with it in the next scan: both counted from times two minutes back. The test looked once, in the scan between. Change: an hour from the word on, as long as the server has no record; the log field server_leaving is the value that was read, not whether there was any. Measured: the case of TestLeavingServerStaysUnused with a scan each second failed before, passes now.

--- a/backs/notice.go
+++ b/backs/notice.go
@@ -15,6 +15,10 @@
 // unloads that make room for it. A shorter rest only delays requests.
 const LongRest = 10 * time.Second
 
+// leavingRetention is how long it is kept that a server leaves once the server has no record. It may go on
+// serving for some time, and its entry may be stored again.
+const leavingRetention = time.Hour
+
 // NoticeSource is how a VM learned of a notice.
 type NoticeSource string
 
@@ -143,7 +147,7 @@
 // ended.
 func (v *View) forgetNotices(now time.Time) {
 	for id, s := range v.leaving {
-		if v.records[id] == nil && now.Sub(s.learnedAt) > removedRetention {
+		if v.records[id] == nil && now.Sub(s.learnedAt) > leavingRetention {
 			delete(v.leaving, id)
 		}
 	}
--- a/backs/notice_test.go
+++ b/backs/notice_test.go
@@ -24,8 +24,10 @@
 		},
 		"removed for longer than records are kept": func(v *backs.View) {
 			v.Remove(at(2), "a")
-			v.Serving(at(125), "s")
-			v.Put(at(126), entry("a"))
+			for s := 125; s < 140; s++ {
+				v.Serving(at(float64(s)), "s")
+			}
+			v.Put(at(140), entry("a"))
 		},
 		"a response without the word": func(v *backs.View) { v.ApplyNotice(at(2), "a", backs.Notice{}) },
 		"lapsed while the store was away": func(v *backs.View) {
--- a/backs/queries.go
+++ b/backs/queries.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Serving returns the servers of a service that may get new requests.
+// Serving returns the servers of a service that may get new requests, apart from rests that they asked this
+// VM for.
 func (v *View) Serving(now time.Time, service string) []Entry {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/pass/notice.go
+++ b/pass/notice.go
@@ -67,9 +67,8 @@
 // away from all VMs.
 func (a *attempt) applyNotice(resp *http.Response) {
 	n := a.g.HeaderNames
-	a.c.serverLeaving = resp.Header.Get(n.Leaving) != ""
-	a.c.serverRetryAfter = resp.Header.Get(headerRetryAfter)
 	notice, err := n.Notice(time.Now(), resp)
+	a.c.serverLeaving, a.c.serverRetryAfter = notice.Leaving, resp.Header.Get(headerRetryAfter)
 	if err != nil {
 		a.g.Log.Info().Str("request", a.c.id).Str("server", a.choice.Server.ID).Err(err).Msg("invalid notice of a server")
 	}
--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -169,9 +169,9 @@
 	c.loadAdapterAt(ctx, now, best, service, model, adapter)
 }
 
-// reachable reports whether requests can be sent to a server, now or after a short rest. The entry of a crashed server stays
-// listed for some seconds. Its adapters must not count as present in that time, or no other server
-// would load them.
+// reachable reports whether requests can be sent to a server, now or after a short rest. The entry of a
+// crashed server stays listed for some seconds. Its adapters must not count as present in that time, or no
+// other server would load them.
 func (c *Controller) reachable(now time.Time, s *Server) bool {
 	return s.Placeable(now) && c.Servers.Usable(now, s.entry.ID)
 }
--- a/steer/notice_test.go
+++ b/steer/notice_test.go
@@ -68,7 +68,7 @@
 }
 
 // Guards against a placement that goes on with a server which has said in the response to an order or in a
-// report that it leaves, and against taking the word of the process that came after it for its own.
+// report that it leaves, and against taking the word of the next process for its own.
 func TestControllerHeedsLeavingServer(t *testing.T) {
 	leaving := backs.Notice{Leaving: true}
 	tests := map[string]struct {
@@ -76,10 +76,10 @@
 		order   backs.Notice
 		leaving bool
 	}{
-		"report":             {Report{Sequence: 7, Notice: leaving}, backs.Notice{}, true},
-		"order":              {Report{Sequence: 7}, leaving, true},
-		"report of its heir": {Report{Sequence: 7, StartedAt: time.Unix(900, 0), Notice: leaving}, backs.Notice{}, false},
-		"neither":            {Report{Sequence: 7}, backs.Notice{}, false},
+		"report":                     {Report{Sequence: 7, Notice: leaving}, backs.Notice{}, true},
+		"order":                      {Report{Sequence: 7}, leaving, true},
+		"report of the next process": {Report{Sequence: 7, StartedAt: time.Unix(900, 0), Notice: leaving}, backs.Notice{}, false},
+		"neither":                    {Report{Sequence: 7}, backs.Notice{}, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
