--- a/pass/notice_test.go
+++ b/pass/notice_test.go
@@ -298,3 +298,19 @@
 	}
 	require.EqualValues(t, 1, s.arrived.Load())
 }
+
+// FuzzRetryAfter guards against a header value that makes a rest negative or endless, or crashes the VM.
+func FuzzRetryAfter(f *testing.F) {
+	for _, value := range []string{"", "3", "0.5", "86400", "-1", "1e9", "NaN", "Sun, 01 Mar 2026 12:00:05 GMT", "soon", "99999999999999999999"} {
+		f.Add(value, "Sun, 01 Mar 2026 12:00:00 GMT")
+	}
+	f.Fuzz(func(t *testing.T, value, date string) {
+		h := http.Header{headerRetryAfter: {value}, "Date": {date}}
+		rest, err := parseRetryAfter(time.Unix(1_000_000, 0), h)
+		require.GreaterOrEqual(t, rest, time.Duration(0))
+		require.LessOrEqual(t, rest, maxRest)
+		if err != nil {
+			require.Zero(t, rest)
+		}
+	})
+}
