soak: Name what servers say in functions of their own

Change: asking for rest and leaving stand in functions; which servers say nothing is plain from the list.

--- a/soak/notices.go
+++ b/soak/notices.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 const (
@@ -63,37 +64,24 @@
 	return false
 }
 
-// injectNotices makes backend servers say that they leave, while their entries say that they are ready, or
-// ask for rest, until ctx ends. A server that leaves starts again under its name and address, or goes on
-// and says no more that it leaves; the VMs must not use that one again before it has started anew.
+// injectNotices makes backend servers say that they leave, or ask for rest, until ctx ends. One server of each
+// service says nothing, so that there is one to send requests to.
 func (r *run) injectNotices(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, 3))
+	servers := append(r.site.Backends(demo.SiteModelService)[1:], r.site.Backends(demo.SitePlainService)[1:]...)
 	var wait sync.WaitGroup
-	servers := append(r.site.Backends(demo.SiteModelService), r.site.Backends(demo.SitePlainService)...)
-	// One server of each service says nothing, so that there is one to send requests to.
-	servers = append(servers[1:len(servers)/2], servers[len(servers)/2+1:]...)
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(maxNoticeInterval))))
 		b := servers[rng.IntN(len(servers))]
 		kind, rest := rng.IntN(4), minRest+time.Duration(rng.Int64N(int64(maxRest-minRest)))
-		if kind < 2 {
+		switch kind {
+		case 0, 1:
 			r.countFault("server_rests")
-			wait.Go(func() {
-				b.SetRest(strconv.FormatFloat(rest.Seconds(), 'f', 3, 64), rest)
-				pause.For(ctx, restDuration)
-				b.SetRest("", 0)
-			})
-			continue
+			wait.Go(func() { askForRest(ctx, b, rest) })
+		default:
+			r.countFault("server_leaves")
+			wait.Go(func() { leave(ctx, b, kind == 2) })
 		}
-		r.countFault("server_leaves")
-		wait.Go(func() {
-			b.SetLeaving(true)
-			pause.For(ctx, leavingDuration)
-			b.SetLeaving(false)
-			if kind == 2 {
-				b.Restart(time.Now())
-			}
-		})
 	}
 	wait.Wait()
 	for _, b := range servers {
@@ -101,6 +89,24 @@
 	}
 }
 
+// askForRest makes a server refuse everything and ask for rest, for restDuration.
+func askForRest(ctx context.Context, b *stand.Backend, rest time.Duration) {
+	b.SetRest(strconv.FormatFloat(rest.Seconds(), 'f', 3, 64), rest)
+	pause.For(ctx, restDuration)
+	b.SetRest("", 0)
+}
+
+// leave makes a server say that it leaves, while its entry says that it is ready. It then starts again under
+// its name and address, or goes on and takes it back. The VMs must not use it in the second case.
+func leave(ctx context.Context, b *stand.Backend, restart bool) {
+	b.SetLeaving(true)
+	pause.For(ctx, leavingDuration)
+	b.SetLeaving(false)
+	if restart {
+		b.Restart(time.Now())
+	}
+}
+
 const (
 	// A slow VM runs for slowRunTime of each slowCycle. The cycle is short, so that it does not count as a
 	// suspension, which would excuse what the VM does.
