--- a/soak/notices.go
+++ b/soak/notices.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -68,7 +69,7 @@
 // service says nothing, so that there is one to send requests to.
 func (r *run) injectNotices(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, 3))
-	servers := append(r.site.Backends(demo.SiteModelService)[1:], r.site.Backends(demo.SitePlainService)[1:]...)
+	servers := slices.Concat(r.site.Backends(demo.SiteModelService)[1:], r.site.Backends(demo.SitePlainService)[1:])
 	var wait sync.WaitGroup
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(maxNoticeInterval))))
