peers: The placed model of the simulated fleet stands in its server's entry

Cause: the test put the model into the controller's view alone. The server's heartbeat, written once in 1.2 s without the model, takes it out of that view (a model that the entry does not list is not in use), and a VM whose relay sends its changes after that never hears of it: some ninety of 1,200 ms. Change: the server's entry lists the model when the controller places it, as a server does that has loaded it. All VMs still have to have it, within the same second.

--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -96,6 +96,16 @@
 	return f.entries
 }
 
+// placeModel adds a model to the entry of the second server, which has loaded it.
+func (f *simFleet) placeModel(model string) backs.Entry {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
+	f.entries = slices.Clone(f.entries)
+	placed := &f.entries[1]
+	placed.Models = append(slices.Clone(placed.Models), backs.LoadedModel{Model: model})
+	return *placed
+}
+
 // removeServer removes the first server from the store.
 func (f *simFleet) removeServer() backs.Entry {
 	f.entriesMu.Lock()
@@ -440,8 +450,8 @@
 		gone := f.removeServer()
 		c.Servers.Remove(time.Now(), gone.Name)
 		r.serverGone = f.spread(func(v *simVM) bool { return !v.Servers.Usable(time.Now(), gone.ID) })
-		placed := f.servers()[1]
-		c.Servers.SetModels(time.Now(), placed.ID, []backs.LoadedModel{{Model: "new"}})
+		placed := f.placeModel("new")
+		c.Servers.SetModels(time.Now(), placed.ID, placed.Models)
 		r.modelPlaced = f.spread(func(v *simVM) bool {
 			return v.shared || slices.ContainsFunc(v.Servers.All(time.Now()), func(e backs.Entry) bool { return e.ID == placed.ID && e.HasModel("new", "") })
 		})
