entry: A stopped VM does not refuse claims of its shards

Cause: when a VM of serve ends, its claim runners refuse whatever waits and whatever comes. A peer whose link to it is still open got this refusal as the owner's decision and told its caller "not run", with a 503, though it writes the shard itself whenever the owner does not reply.

Ruled out: the platform (no error of a shard's read or write in a traced run), the request's deadline (0.24 s had passed), the VM's own runner (no refusal in its trace).

Change: handleCall returns no reply to a claim refused after the VM has stopped; the link closes, and the peer goes on as after any lost reply: it withdraws the grant and claims under a new one. Granted claims and other verdicts are still sent.

--- a/entry/claimer.go
+++ b/entry/claimer.go
@@ -144,7 +144,9 @@
 	return nil
 }
 
-// handleCall replies to a peer that considers this VM the owner of a shard.
+// handleCall replies to a peer that considers this VM the owner of a shard. It
+// returns nil when the claim was refused because this VM has stopped: the link
+// then closes without a reply, and the peer writes the shard itself.
 func (c *claimer) handleCall(ctx context.Context, call *wire.ClaimCall) *wire.ClaimReply {
 	ctx, span := spans.Start(ctx, "claim owner")
 	defer span.End()
@@ -159,6 +161,9 @@
 	switch call.Operation {
 	case wire.ClaimCallOperationClaim:
 		d := runner.Claim(ctx, r)
+		if d.Verdict == dedup.Unavailable && c.baseCtx.Err() != nil {
+			return nil
+		}
 		reply.Verdict = wire.ClaimReplyVerdict(d.Verdict.String())
 		reply.Answer, reply.RetryAfterMs = d.Response, int(d.RetryAfter.Milliseconds())
 	case wire.ClaimCallOperationDone, wire.ClaimCallOperationUnknown:
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -296,8 +296,9 @@
 		p.d.applyDocument(m.Push.Name, m.Push.Version, m.Push.Document)
 	case m.ClaimCall != nil:
 		go func() {
-			reply := p.d.claimer.handleCall(spans.Extract(ctx, m.Traceparent), m.ClaimCall)
-			_ = conn.Send(ctx, &wire.Message{ClaimReply: reply})
+			if reply := p.d.claimer.handleCall(spans.Extract(ctx, m.Traceparent), m.ClaimCall); reply != nil {
+				_ = conn.Send(ctx, &wire.Message{ClaimReply: reply})
+			}
 		}()
 	case m.ClaimReply != nil:
 		p.claimCalls.deliver(m.ClaimReply)
