entry: Write an outcome that the shard's owner could not record

Cause: finish and release took any reply of the owner for success, also "unavailable", the reply of an owner that could not write the outcome. The claim would have stayed granted: its key reads as unknown and the stored response is lost, though the sender can write the shard itself.

Ruled out: harm to the rule that a request runs once; a claim without an outcome never runs again.

Change: ownerAccepts, which both use, reads the verdict. The claimer's call to another VM is a function field, so that a test can reply in the owner's place.

--- a/entry/claimer.go
+++ b/entry/claimer.go
@@ -35,6 +35,8 @@
 	d       *Daemon
 	shards  int
 	baseCtx context.Context
+	// call sends a call to another VM and waits for its reply.
+	call func(ctx context.Context, vm string, call *wire.ClaimCall) (*wire.ClaimReply, error)
 
 	mu      sync.Mutex
 	runners map[int]*claim.Runner
@@ -46,7 +48,7 @@
 	if shards == 0 {
 		shards = defaultClaimShards
 	}
-	return &claimer{d: d, shards: shards, runners: make(map[int]*claim.Runner)}
+	return &claimer{d: d, shards: shards, call: d.peers.callClaim, runners: make(map[int]*claim.Runner)}
 }
 
 // claims returns the functions that claimStage calls.
@@ -94,7 +96,7 @@
 	if owner == c.d.config.Name {
 		return c.runner(shard).Claim(ctx, r), nil
 	}
-	reply, err := c.d.peers.callClaim(ctx, owner, newClaimCall(wire.ClaimCallOperationClaim, r, ""))
+	reply, err := c.call(ctx, owner, newClaimCall(wire.ClaimCallOperationClaim, r, ""))
 	if err == nil {
 		return decisionOf(r, reply), nil
 	}
@@ -114,7 +116,7 @@
 	c.runner(shard).Cancel(r)
 	ctx, cancel := context.WithTimeout(c.baseCtx, withdrawTimeout)
 	defer cancel()
-	_, _ = c.d.peers.callClaim(ctx, owner, newClaimCall(wire.ClaimCallOperationRelease, r, ""))
+	_, _ = c.call(ctx, owner, newClaimCall(wire.ClaimCallOperationRelease, r, ""))
 }
 
 // finish records the outcome of a granted request.
@@ -124,10 +126,8 @@
 	if state == wire.ClaimStateUnknown {
 		operation = wire.ClaimCallOperationUnknown
 	}
-	if owner := c.owner(shard); owner != c.d.config.Name {
-		if _, err := c.d.peers.callClaim(ctx, owner, newClaimCall(operation, r, response)); err == nil {
-			return nil
-		}
+	if c.ownerAccepts(ctx, shard, newClaimCall(operation, r, response)) {
+		return nil
 	}
 	return c.runner(shard).RecordOutcome(ctx, r, state, response)
 }
@@ -135,15 +135,24 @@
 // release withdraws the claim of a request that was not sent.
 func (c *claimer) release(ctx context.Context, r dedup.Request, _ dedup.Decision) error {
 	shard := c.shardOf(r.StoredKey())
-	if owner := c.owner(shard); owner != c.d.config.Name {
-		if _, err := c.d.peers.callClaim(ctx, owner, newClaimCall(wire.ClaimCallOperationRelease, r, "")); err == nil {
-			return nil
-		}
+	if c.ownerAccepts(ctx, shard, newClaimCall(wire.ClaimCallOperationRelease, r, "")) {
+		return nil
 	}
 	c.runner(shard).Cancel(r)
 	return nil
 }
 
+// ownerAccepts sends a call to the owner of a shard, if that is another VM, and
+// reports whether the owner has carried it out.
+func (c *claimer) ownerAccepts(ctx context.Context, shard int, call *wire.ClaimCall) bool {
+	owner := c.owner(shard)
+	if owner == c.d.config.Name {
+		return false
+	}
+	reply, err := c.call(ctx, owner, call)
+	return err == nil && reply.Verdict != wire.ClaimReplyVerdictUnavailable
+}
+
 // handleCall replies to a peer that considers this VM the owner of a shard. It
 // returns nil when the claim was refused because this VM has stopped: the link
 // then closes without a reply, and the peer writes the shard itself.
