--- /dev/null
+++ b/peers/demand.go
@@ -0,0 +1,74 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/steer"
+)
+
+type demandKey struct{ service, model, adapter string }
+
+// RecordDemand records the demand of one request, to be reported to the controller.
+func (p *Peers) RecordDemand(service string, w pick.Work, cost time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addDemand(steer.ModelDemand{Service: service, Model: w.Model, Adapter: w.Adapter, Requests: 1, ServerTime: cost})
+}
+
+func (p *Peers) takeDemand() []steer.ModelDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []steer.ModelDemand
+	for _, d := range p.demand {
+		list = append(list, *d)
+	}
+	p.demand = nil
+	return list
+}
+
+// RequestVerification asks the controller to verify the state of a server that could not be reached or
+// did not have the expected model or adapter loaded.
+func (p *Peers) RequestVerification(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addUnverified(server)
+}
+
+func (p *Peers) takeUnverified() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := slices.Collect(maps.Keys(p.unverified))
+	p.unverified = nil
+	return list
+}
+
+var errNoController = errors.New("no link to a controller")
+
+// Find returns the ID of a server that has a model and adapter loaded, as found by the controller.
+func (p *Peers) Find(ctx context.Context, service, model, adapter string) (string, error) {
+	if p.Lease.Held(p.Now()) {
+		id, err := p.Controller.Find(ctx, service, model, adapter)
+		if err == nil {
+			p.Servers.SetModels(p.Now(), id, p.Controller.ServableModels(p.Now(), id))
+		}
+		return id, err
+	}
+	return p.finds.find(ctx, findKey{service, model, adapter}, func(ctx context.Context) (string, error) {
+		p.mu.Lock()
+		up := p.uplink
+		p.mu.Unlock()
+		if up == nil {
+			return "", errNoController
+		}
+		id, err := up.find(ctx, service, model, adapter)
+		if err == nil {
+			p.Servers.AddModel(p.Now(), id, model, adapter)
+		}
+		return id, err
+	})
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -150,42 +147,6 @@
 	quotaFailedAt time.Time
 }
 
-type demandKey struct{ service, model, adapter string }
-
-// RecordDemand records the demand of one request, to be reported to the controller.
-func (p *Peers) RecordDemand(service string, w pick.Work, cost time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addDemand(steer.ModelDemand{Service: service, Model: w.Model, Adapter: w.Adapter, Requests: 1, ServerTime: cost})
-}
-
-// RequestVerification asks the controller to verify the state of a server that could not be reached or
-// did not have the expected model or adapter loaded.
-func (p *Peers) RequestVerification(server string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addUnverified(server)
-}
-
-func (p *Peers) takeUnverified() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := slices.Collect(maps.Keys(p.unverified))
-	p.unverified = nil
-	return list
-}
-
-func (p *Peers) takeDemand() []steer.ModelDemand {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var list []steer.ModelDemand
-	for _, d := range p.demand {
-		list = append(list, *d)
-	}
-	p.demand = nil
-	return list
-}
-
 // VMs returns the number of VMs as last reported by the hub, else from the lease record, else
 // defaultVMs.
 func (p *Peers) VMs() int {
@@ -201,76 +162,6 @@
 	return vms
 }
 
-var errNoController = errors.New("no link to a controller")
-
-// Find returns the ID of a server that has a model and adapter loaded, as found by the controller.
-func (p *Peers) Find(ctx context.Context, service, model, adapter string) (string, error) {
-	if p.Lease.Held(p.Now()) {
-		id, err := p.Controller.Find(ctx, service, model, adapter)
-		if err == nil {
-			p.Servers.SetModels(p.Now(), id, p.Controller.ServableModels(p.Now(), id))
-		}
-		return id, err
-	}
-	return p.finds.find(ctx, findKey{service, model, adapter}, func(ctx context.Context) (string, error) {
-		p.mu.Lock()
-		up := p.uplink
-		p.mu.Unlock()
-		if up == nil {
-			return "", errNoController
-		}
-		id, err := up.find(ctx, service, model, adapter)
-		if err == nil {
-			p.Servers.AddModel(p.Now(), id, model, adapter)
-		}
-		return id, err
-	})
-}
-
-const (
-	// fullRateVMs is the number of VMs that may poll the store at the full rate while none of
-	// them has a controller. In a larger fleet, VMs with an acquire delay above
-	// fullRateAcquireDelay poll less often. maxPollIntervalFactor bounds the interval: a change
-	// must still be in force within 2 s after the store becomes reachable again.
-	fullRateVMs           = 16
-	fullRateAcquireDelay  = 500 * time.Millisecond
-	maxPollIntervalFactor = 3.0
-)
-
-// PollIntervalFactor returns the factor by which this VM extends its intervals between store calls
-// while it has no controller. In a large fleet VMs with a small CPU share poll less often, because all
-// VMs together would exhaust the store's rate limit.
-func (p *Peers) PollIntervalFactor() float64 {
-	fleetFactor, delayFactor := float64(p.VMs())/fullRateVMs, float64(p.Lease.AcquireDelay)/float64(fullRateAcquireDelay)
-	return min(max(fleetFactor*delayFactor, 1), maxPollIntervalFactor)
-}
-
-// herdVMs is the number of VMs from which intervals of calls to the store that all VMs make when a fleet
-// starts grow with the fleet, up to maxPollIntervalFactor times. The store serves some hundred calls a
-// second to all VMs.
-const herdVMs = 100
-
-// HerdFactor returns the factor by which this VM extends the time before a call to the store that all VMs
-// of the fleet would make at the same moment.
-func (p *Peers) HerdFactor() float64 {
-	return min(max(float64(p.VMs())/herdVMs, 1), maxPollIntervalFactor)
-}
-
-// minLeaseReadInterval returns the least time between two reads of the lease record by a VM that has no
-// hub. When a whole fleet starts, its VMs would otherwise read the record with each attempt to link,
-// three times a second each. A strong VM reads an expired lease more often, because it acquires it.
-func (p *Peers) minLeaseReadInterval(expired bool) time.Duration {
-	factor := p.HerdFactor()
-	if factor <= 1 || expired && p.Lease.AcquireDelay < minStaleReadDelay {
-		return 0
-	}
-	return time.Duration(factor * float64(leaseReadInterval))
-}
-
-func (p *Peers) leaseReadPause() time.Duration {
-	return time.Duration(p.PollIntervalFactor() * float64(leaseReadInterval))
-}
-
 // Run maintains the lease and the link to the hub until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	leaseDue := true
@@ -309,116 +200,6 @@
 	}
 }
 
-// runController serves the controller's side until another VM holds the lease. While the store is
-// unreachable, the lease expires and no orders are sent, but no other VM can acquire the lease either.
-// The links stay open and continue to carry load and server states.
-func (p *Peers) runController(ctx context.Context) {
-	p.Log.Info().Msg("controller term started")
-	p.endRelaying()
-	p.startTerm(p.Now())
-	p.Controller.Wake()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	renewed := make(chan struct{}, 1)
-	go p.reportOwn(ctx)
-	go p.broadcast(ctx, renewed)
-	for ctx.Err() == nil && !p.superseded() {
-		pause.For(ctx, leaseCheckInterval)
-		p.stepLease(ctx, renewed)
-	}
-	p.closeLinks()
-	p.Log.Info().Msg("controller term ended")
-}
-
-// startTerm records when the term started and the number of VMs at that time.
-func (p *Peers) startTerm(now time.Time) {
-	vms := p.VMs()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.termStart, p.inheritedVMs = now, vms
-	if p.termStarted != nil {
-		close(p.termStarted)
-		p.termStarted = nil
-	}
-}
-
-// TermStarted returns a channel that is closed when this VM next becomes the controller.
-func (p *Peers) TermStarted() <-chan struct{} {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.termStarted == nil {
-		p.termStarted = make(chan struct{})
-	}
-	return p.termStarted
-}
-
-// stepLease renews the lease if due, and signals a renewal so that it is announced at once. A VM
-// that reads an unannounced renewal in the store must count the full lease duration from its read,
-// and so takes over a second later.
-func (p *Peers) stepLease(ctx context.Context, renewed chan<- struct{}) {
-	before, _ := p.Lease.LatestRecord()
-	p.Lease.Step(ctx)
-	if after, _ := p.Lease.LatestRecord(); after == before {
-		return
-	}
-	select {
-	case renewed <- struct{}{}:
-	default:
-	}
-}
-
-// superseded reports whether another VM is known to hold the lease.
-func (p *Peers) superseded() bool {
-	if p.Lease.Held(p.Now()) {
-		return false
-	}
-	address, _ := p.Lease.OtherHolder()
-	return address != ""
-}
-
-// reportOwn merges the load and demand of this VM, which is the controller, with the reports of
-// the linked VMs.
-func (p *Peers) reportOwn(ctx context.Context) {
-	since := time.Time{}
-	for ctx.Err() == nil {
-		changed := p.Controller.Changed()
-		now := p.Now()
-		own := p.Balancer.LocalLoads()
-		p.Controller.RecordVMReport(now, p.Name, own, p.takeDemand())
-		p.Controller.RequireReports(p.takeUnverified())
-		// The controller's tracker already merges the reports of all VMs, so its own report is
-		// discarded.
-		p.Poison.TakeReport()
-		p.Limits.TakeReport()
-		p.Servers.TakeLeaving()
-		p.updateQuotaRole(now)
-		p.Balancer.SetRemoteLoads(now, pick.SubtractLoads(p.Controller.Loads(), own))
-		for _, s := range p.Controller.ChangedSince(now, since) {
-			p.Servers.SetModels(now, s.Server, s.Models)
-		}
-		since = now
-		p.updateVMCount(now)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-time.After(minLoadInterval):
-		}
-	}
-}
-
-func (p *Peers) closeLinks() {
-	p.mu.Lock()
-	links := p.links
-	p.links = nil
-	p.mu.Unlock()
-	for d := range links {
-		d.conn.Close()
-	}
-}
-
-// Leading reports whether this VM holds the lease. The holder watches the store for all other VMs.
-func (p *Peers) Leading() bool { return p.Lease.Held(p.Now()) }
-
 // HubDataFresh reports whether the hub's data is recent enough that this VM need not watch the store
 // itself.
 func (p *Peers) HubDataFresh(now time.Time) bool { return p.HubDataFreshFor(now) > 0 }
@@ -498,9 +279,3 @@
 	}
 	return "leaf"
 }
-
-// loadInterval returns the interval between frames with load for a number of links in a fleet of a number
-// of VMs.
-func loadInterval(links, vms int) time.Duration {
-	return min(max(minLoadInterval, time.Duration(links)*loadIntervalPerLink, time.Duration(vms)*loadIntervalPerVM), maxLoadInterval)
-}
--- /dev/null
+++ b/peers/term.go
@@ -0,0 +1,119 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+// runController serves the controller's side until another VM holds the lease. While the store is
+// unreachable, the lease expires and no orders are sent, but no other VM can acquire the lease either.
+// The links stay open and continue to carry load and server states.
+func (p *Peers) runController(ctx context.Context) {
+	p.Log.Info().Msg("controller term started")
+	p.endRelaying()
+	p.startTerm(p.Now())
+	p.Controller.Wake()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	renewed := make(chan struct{}, 1)
+	go p.reportOwn(ctx)
+	go p.broadcast(ctx, renewed)
+	for ctx.Err() == nil && !p.superseded() {
+		pause.For(ctx, leaseCheckInterval)
+		p.stepLease(ctx, renewed)
+	}
+	p.closeLinks()
+	p.Log.Info().Msg("controller term ended")
+}
+
+// startTerm records when the term started and the number of VMs at that time.
+func (p *Peers) startTerm(now time.Time) {
+	vms := p.VMs()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.termStart, p.inheritedVMs = now, vms
+	if p.termStarted != nil {
+		close(p.termStarted)
+		p.termStarted = nil
+	}
+}
+
+// TermStarted returns a channel that is closed when this VM next becomes the controller.
+func (p *Peers) TermStarted() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.termStarted == nil {
+		p.termStarted = make(chan struct{})
+	}
+	return p.termStarted
+}
+
+// stepLease renews the lease if due, and signals a renewal so that it is announced at once. A VM
+// that reads an unannounced renewal in the store must count the full lease duration from its read,
+// and so takes over a second later.
+func (p *Peers) stepLease(ctx context.Context, renewed chan<- struct{}) {
+	before, _ := p.Lease.LatestRecord()
+	p.Lease.Step(ctx)
+	if after, _ := p.Lease.LatestRecord(); after == before {
+		return
+	}
+	select {
+	case renewed <- struct{}{}:
+	default:
+	}
+}
+
+// superseded reports whether another VM is known to hold the lease.
+func (p *Peers) superseded() bool {
+	if p.Lease.Held(p.Now()) {
+		return false
+	}
+	address, _ := p.Lease.OtherHolder()
+	return address != ""
+}
+
+// reportOwn merges the load and demand of this VM, which is the controller, with the reports of
+// the linked VMs.
+func (p *Peers) reportOwn(ctx context.Context) {
+	since := time.Time{}
+	for ctx.Err() == nil {
+		changed := p.Controller.Changed()
+		now := p.Now()
+		own := p.Balancer.LocalLoads()
+		p.Controller.RecordVMReport(now, p.Name, own, p.takeDemand())
+		p.Controller.RequireReports(p.takeUnverified())
+		// The controller's tracker already merges the reports of all VMs, so its own report is
+		// discarded.
+		p.Poison.TakeReport()
+		p.Limits.TakeReport()
+		p.Servers.TakeLeaving()
+		p.updateQuotaRole(now)
+		p.Balancer.SetRemoteLoads(now, pick.SubtractLoads(p.Controller.Loads(), own))
+		for _, s := range p.Controller.ChangedSince(now, since) {
+			p.Servers.SetModels(now, s.Server, s.Models)
+		}
+		since = now
+		p.updateVMCount(now)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(minLoadInterval):
+		}
+	}
+}
+
+func (p *Peers) closeLinks() {
+	p.mu.Lock()
+	links := p.links
+	p.links = nil
+	p.mu.Unlock()
+	for d := range links {
+		d.conn.Close()
+	}
+}
+
+// Leading reports whether this VM holds the lease. The holder watches the store for all other VMs.
+func (p *Peers) Leading() bool { return p.Lease.Held(p.Now()) }
