fleet: A server that said that it leaves stays without requests

Cause: serve recorded the refusal "draining" in a flag that the next load report and the next list of servers set anew. Reports are up to 200 ms old and come five times a second, so one from before the refusal, or any list, sent requests to the leaving server again. A report's "draining" was lost with each list too.

Ruled out: the platform's path (backs.View keeps it by instance).

Change: leaving is derived from the server's document, its last report and the time of its refusal. Only a report that was certainly taken after the refusal takes it back, as a drain may be ended; another address is another process.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -219,7 +219,7 @@
 func (s *relayStage) recordRefusal(x *Exchange, c fleet.Candidate, reason string) {
 	switch reason {
 	case engine.RefusedDraining:
-		s.fleet.SetLeaving(c.Name)
+		s.fleet.MarkLeaving(s.now(), c.Name)
 	case engine.RefusedOverloaded:
 		s.fleet.MarkFull(s.now(), c.Name)
 	default:
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -18,9 +18,11 @@
 	ejectedUntil        time.Time
 	// probing is set while a request is in progress on a server whose ejection is over. No
 	// other request is sent until it has ended.
-	probing        bool
-	fullUntil      time.Time
-	leaving        bool
+	probing   bool
+	fullUntil time.Time
+	// saidLeavingAt is when the server refused a request because it is leaving, zero if it has
+	// not, or if a later report says otherwise.
+	saidLeavingAt  time.Time
 	notLoadedUntil map[string]time.Time
 	cachedPrefixes map[uint64]bool
 	lastCacheEvent int
@@ -33,6 +35,12 @@
 	delta int
 }
 
+// leaving reports whether the server's document, its last report or a refusal says that it
+// leaves.
+func (s *server) leaving() bool {
+	return s.doc.Leaving || s.report.Draining || !s.saidLeavingAt.IsZero()
+}
+
 // load returns the reported load, corrected by this VM's requests that the report cannot
 // include yet.
 func (s *server) load(now time.Time) int {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -77,7 +77,6 @@
 			s = &server{notLoadedUntil: make(map[string]time.Time), cachedPrefixes: make(map[uint64]bool)}
 		}
 		s.doc = doc
-		s.leaving = doc.Leaving
 		next[doc.Name] = s
 	}
 	v.servers = next
@@ -108,8 +107,11 @@
 		maxAge = defaultMaxReportAge
 	}
 	s.report, s.reportedAt = report, now
-	s.leaving = s.doc.Leaving || report.Draining
-	s.discardIncluded(now.Add(-maxAge))
+	takenAfter := now.Add(-maxAge)
+	if s.saidLeavingAt.Before(takenAfter) {
+		s.saidLeavingAt = time.Time{}
+	}
+	s.discardIncluded(takenAfter)
 }
 
 // Report returns the last load report of a server and its arrival time, which is zero when
@@ -215,12 +217,13 @@
 	}
 }
 
-// SetLeaving records that a server refused a request because it is leaving.
-func (v *View) SetLeaving(name string) {
+// MarkLeaving records that a server refused a request because it is leaving. Only a report
+// that was certainly taken later can say otherwise.
+func (v *View) MarkLeaving(now time.Time, name string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if s := v.servers[name]; s != nil {
-		s.leaving = true
+		s.saidLeavingAt = now
 	}
 }
 
@@ -259,7 +262,7 @@
 }
 
 func (v *View) meets(now time.Time, s *server, required Requirements) bool {
-	if s.leaving || s.doc.Pool != required.Pool {
+	if s.leaving() || s.doc.Pool != required.Pool {
 		return false
 	}
 	if required.NoModel {
@@ -296,7 +299,7 @@
 
 func (v *View) state(now time.Time, s *server) wire.ServerStatusState {
 	switch {
-	case s.leaving:
+	case s.leaving():
 		return wire.ServerStatusStateLeaving
 	case s.ejected(now):
 		return wire.ServerStatusStateEjected
@@ -343,7 +346,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.servers[name]
-	if s == nil || s.leaving || v.silent(now, s) {
+	if s == nil || s.leaving() || v.silent(now, s) {
 		return false
 	}
 	return s.hasLoaded(model, adapter)
@@ -354,7 +357,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.servers[name]
-	return s != nil && !s.leaving && !s.reportedAt.IsZero() && !v.silent(now, s)
+	return s != nil && !s.leaving() && !s.reportedAt.IsZero() && !v.silent(now, s)
 }
 
 // LoadedAnywhere reports whether any server reports this version of an artifact as loaded.
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -52,7 +52,7 @@
 		"missing adapter":      {need: fleet.Requirements{Pool: "llm", Model: "m", Adapter: "y"}},
 		"still loading":        {need: fleet.Requirements{Pool: "llm", Model: "n"}},
 		"other pool":           {need: fleet.Requirements{Pool: "desk", NoModel: true}},
-		"leaving":              {need: fleet.Requirements{Pool: "llm", Model: "m"}, change: func(v *fleet.View) { v.SetLeaving("a") }, want: []string{"b"}},
+		"leaving":              {need: fleet.Requirements{Pool: "llm", Model: "m"}, change: func(v *fleet.View) { v.MarkLeaving(start, "a") }, want: []string{"b"}},
 		"draining report":      {need: fleet.Requirements{Pool: "llm", Model: "m"}, change: func(v *fleet.View) { v.SetReport(start, "b", wire.LoadReport{Draining: true}) }, want: []string{"a"}},
 		"refused the model":    {need: fleet.Requirements{Pool: "llm", Model: "m"}, change: func(v *fleet.View) { v.MarkNotLoaded(start, "a", "m", "") }, want: []string{"b"}},
 		"refused, at capacity": {need: fleet.Requirements{Pool: "llm", Model: "m"}, change: func(v *fleet.View) { v.MarkFull(start, "a") }, want: []string{"a", "b"}},
@@ -139,3 +139,47 @@
 	require.Equal(t, []string{"a"}, names(v.Candidates(start, fleet.Requirements{Pool: "llm", Model: "m"})),
 		"a server at another address is another server")
 }
+
+// A server that said that it leaves gets no requests again because of a load report or a list of servers from
+// before it said so.
+func TestLeavingIsKept(t *testing.T) {
+	servers := []wire.Server{{Name: "a", Pool: "llm", Address: "1"}, {Name: "b", Pool: "llm", Address: "2"}}
+	restarted := []wire.Server{{Name: "a", Pool: "llm", Address: "3"}, servers[1]}
+	draining := report(0)
+	draining.Draining = true
+	refused := start.Add(time.Second)
+	tests := map[string]struct {
+		change func(v *fleet.View)
+		want   []string
+	}{
+		"refusal, then a report from before it": {func(v *fleet.View) {
+			v.MarkLeaving(refused, "a")
+			v.SetReport(refused.Add(100*time.Millisecond), "a", report(0))
+		}, []string{"b"}},
+		"refusal, then a list of servers": {func(v *fleet.View) {
+			v.MarkLeaving(refused, "a")
+			v.SetServers(servers)
+		}, []string{"b"}},
+		"report, then a list of servers": {func(v *fleet.View) {
+			v.SetReport(refused, "a", draining)
+			v.SetServers(servers)
+		}, []string{"b"}},
+		"drain taken back": {func(v *fleet.View) {
+			v.MarkLeaving(refused, "a")
+			v.SetReport(refused.Add(300*time.Millisecond), "a", report(0))
+		}, []string{"a", "b"}},
+		"started again elsewhere": {func(v *fleet.View) {
+			v.MarkLeaving(refused, "a")
+			v.SetServers(restarted)
+			v.SetReport(refused.Add(time.Millisecond), "a", report(0))
+		}, []string{"a", "b"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := view(t)
+			tc.change(v)
+			now := refused.Add(300 * time.Millisecond)
+			require.Equal(t, tc.want, names(v.Candidates(now, fleet.Requirements{Pool: "llm", Model: "m"})))
+		})
+	}
+}
