httpx: One reader of Retry-After

Cause: pass read the header whole (fractions, dates, bounds), store/client.go had a reader of its own that took dates and infinity for a second or for ever.

Change: pass's reader and its fuzz test are moved to httpx, and store uses it. Its default of a second for a refusal without a valid value stays.

--- a/pass/notice.go
+++ b/pass/notice.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,11 +10,9 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 )
 
-// maxRest bounds the rest that a server can ask for. It keeps any number of seconds representable.
-const maxRest = 366 * 24 * time.Hour
-
 // Notice reads what the head of a response says about the server that sent it. wall is the time of day; it
 // serves for a Retry-After date in a response without a Date. Invalid values are left out and described
 // by the error. A response to a request that another server was expected to get says nothing.
@@ -31,37 +28,13 @@
 		}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		if notice.Rest, restErr = parseRetryAfter(wall, resp.Header); restErr != nil {
+		if notice.Rest, restErr = httpx.ParseRetryAfter(wall, resp.Header); restErr != nil {
 			restErr = fmt.Errorf("parse %s: %w", headerRetryAfter, restErr)
 		}
 	}
 	return notice, errors.Join(leavingErr, restErr)
 }
 
-// parseRetryAfter returns the time that a Retry-After header asks for: seconds, possibly with a fraction,
-// or a date (RFC 9110, 10.2.3). It returns 0 if there is none.
-func parseRetryAfter(wall time.Time, h http.Header) (time.Duration, error) {
-	value := strings.TrimSpace(h.Get(headerRetryAfter))
-	if value == "" {
-		return 0, nil
-	}
-	if strings.Trim(value, "0123456789.") == "" {
-		seconds, err := strconv.ParseFloat(value, 64)
-		if err != nil && !errors.Is(err, strconv.ErrRange) {
-			return 0, err
-		}
-		return time.Duration(math.Min(seconds, maxRest.Seconds()) * float64(time.Second)), nil
-	}
-	until, err := http.ParseTime(value)
-	if err != nil {
-		return 0, err
-	}
-	if sentAt, err := http.ParseTime(h.Get("Date")); err == nil {
-		wall = sentAt
-	}
-	return min(max(until.Sub(wall), 0), maxRest), nil
-}
-
 // applyNotice applies what a response says about its server, before anything of it reaches the caller.
 // Without proof that the server itself sent it, a response may be forged, and can not take the server
 // away from all VMs.
@@ -86,7 +59,7 @@
 // that the call may be sent to. It sets the call's retryAfter to the time at which the first of them takes
 // requests again.
 func (g *Gateway) allResting(now time.Time, c *call, serving []backs.Entry) bool {
-	resting, shortest := false, maxRest
+	resting, shortest := false, httpx.MaxRetryAfter
 	for _, e := range serving {
 		if c.work.Model != "" && !e.HasModel(c.work.Model, c.work.Adapter) || slices.Contains(c.unreachable, e.ID) {
 			continue
--- a/pass/notice_test.go
+++ b/pass/notice_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
@@ -102,7 +103,7 @@
 		"seconds with spaces":           {503, " 3 ", "", 3 * time.Second, false},
 		"a fraction":                    {503, "1.25", "", 1250 * time.Millisecond, false},
 		"a day":                         {503, "86400", "", 24 * time.Hour, false},
-		"more than there is":            {503, strings.Repeat("9", 400), "", maxRest, false},
+		"more than there is":            {503, strings.Repeat("9", 400), "", httpx.MaxRetryAfter, false},
 		"a date":                        {503, date(5 * time.Second), "", 5 * time.Second, false},
 		"a date by the server's clock":  {503, date(time.Hour), date(time.Hour - 4*time.Second), 4 * time.Second, false},
 		"a date in the past":            {503, date(-time.Minute), "", 0, false},
@@ -298,19 +299,3 @@
 	}
 	require.EqualValues(t, 1, s.arrived.Load())
 }
-
-// FuzzRetryAfter guards against a header value that makes a rest negative or endless, or crashes the VM.
-func FuzzRetryAfter(f *testing.F) {
-	for _, value := range []string{"", "3", "0.5", "86400", "-1", "1e9", "NaN", "Sun, 01 Mar 2026 12:00:05 GMT", "soon", "99999999999999999999"} {
-		f.Add(value, "Sun, 01 Mar 2026 12:00:00 GMT")
-	}
-	f.Fuzz(func(t *testing.T, value, date string) {
-		h := http.Header{headerRetryAfter: {value}, "Date": {date}}
-		rest, err := parseRetryAfter(time.Unix(1_000_000, 0), h)
-		require.GreaterOrEqual(t, rest, time.Duration(0))
-		require.LessOrEqual(t, rest, maxRest)
-		if err != nil {
-			require.Zero(t, rest)
-		}
-	})
-}
--- a/store/client.go
+++ b/store/client.go
@@ -250,7 +250,7 @@
 		_ = json.Unmarshal(respBody, &body)
 		return &ConflictError{Current: body.Version}
 	case http.StatusTooManyRequests:
-		return &RateLimitedError{RetryAfter: parseRetryAfter(resp.Header)}
+		return rateLimited(resp.Header)
 	case http.StatusGone:
 		return &GoneError{}
 	case http.StatusServiceUnavailable:
@@ -263,10 +263,13 @@
 	return classifyCallError(method, true, statusErr)
 }
 
-func parseRetryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 {
-		return time.Second
+// defaultRetryAfter is the pause for a refusal without a valid Retry-After.
+const defaultRetryAfter = time.Second
+
+func rateLimited(h http.Header) *RateLimitedError {
+	wait, err := httpx.ParseRetryAfter(time.Now(), h)
+	if err != nil || wait == 0 {
+		wait = defaultRetryAfter
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return &RateLimitedError{RetryAfter: wait}
 }
