httpx, fleet, entry: serve sends nothing to a server that asked for rest

Cause: in serve nobody read Retry-After of a server's refusal. Requests, repeats, load reports and orders went on reaching a server that had asked for rest, and a request that only such servers could take waited half its time and was then told to come back in a second.

Ruled out: asking each caller's code to check. Runs, resumed streams, reports, cache events, orders, fences and cancels of a VM all go through one client for backend servers; a check in each would miss the next one.

Change: httpx.Rests keeps rests by address, the client applies each refusal to it and asks it before a request and once a connection is open. fleet.View asks it when it lists candidates. A request whose servers all rest is refused at once with the time of the first, plus at most five random seconds, unless the rest is long and another server of the pool may load the model. A request held back is a refusal without a run and no failure of the server. The stand-ins of both server kinds can ask for rest and count what reaches them.

By address, a server that follows at the address of one at rest waits too; listed as open.

--- a/entry/config.go
+++ b/entry/config.go
@@ -65,7 +65,8 @@
 	Log zerolog.Logger
 	// PlatformHTTP and BackendHTTP are the clients for the platform and for
 	// backend servers; nil creates new ones. Tests inject network failures
-	// here.
+	// here. A VM keeps in BackendHTTP what servers ask of it, so VMs must not
+	// share one.
 	PlatformHTTP *httpx.Client
 	BackendHTTP  *httpx.Client
 	// PeerDial opens the links to peers; nil uses TCP.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -96,6 +96,7 @@
 		engines: &engine.Client{HTTP: c.BackendHTTP}, plain: &plain.Client{HTTP: c.BackendHTTP, MaxResponseBytes: c.Limits.ResponseBytes},
 		profiles: &profs.View{}, fleet: &fleet.View{}, offeredLoads: &offeredLoads{},
 	}
+	d.keepRests()
 	d.activeConfig = &activeConfig{profiles: d.profiles}
 	d.baseCtx = context.Background()
 	d.peers = newPeers(d)
@@ -109,6 +110,17 @@
 	return d
 }
 
+// keepRests makes the client of the backend servers keep for how long they want nothing from this VM, and the
+// choice of servers respect that.
+func (d *Daemon) keepRests() {
+	rests := &httpx.Rests{OnRest: func(address string, rest time.Duration) {
+		d.meter.AddCounter("backend.rests", 1)
+		d.log.Info().Str("address", address).Dur("rest", rest).Msg("server asked for rest")
+	}}
+	d.config.BackendHTTP.Rests, d.config.BackendHTTP.Now = rests, d.now
+	d.fleet.RestRemaining = rests.Remaining
+}
+
 // unbatchedClaims makes each claim with its own conditional update.
 func unbatchedClaims(c *store.Client) Claims {
 	n := naive.NewClaims(c)
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -41,6 +43,10 @@
 		fetchReport = d.plain.LoadReport
 	}
 	report, err := fetchReport(ctx, server.Address)
+	var resting *httpx.RestingError
+	if errors.As(err, &resting) {
+		return
+	}
 	if err != nil {
 		d.meter.AddCounter("poll.failed", 1)
 		return
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -151,6 +151,10 @@
 		if ok {
 			return c, nil
 		}
+		if rest := s.fleet.Rest(now, need); rest > 0 {
+			s.meter.AddCounter("relay.refused_resting", 1)
+			return c, s.finalFailure(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "the servers asked this VM for rest").WithRetryAfter(rest+s.restSpread()))
+		}
 		if now.After(searchDeadline) {
 			return c, s.finalFailure(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "no server holds the model now").WithRetryAfter(time.Second))
 		}
@@ -161,6 +165,16 @@
 	}
 }
 
+// maxRestSpread bounds the random time that callers are asked to wait beyond the rest of a server, so that
+// they do not return together.
+const maxRestSpread = 5 * time.Second
+
+func (s *relayStage) restSpread() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.rng.Int64N(int64(maxRestSpread)))
+}
+
 // attempt sends the request to one server.
 func (s *relayStage) attempt(ctx context.Context, x *Exchange, c fleet.Candidate, assembly *relay.Assembly) error {
 	now := s.now()
@@ -222,6 +236,8 @@
 		s.fleet.MarkLeaving(s.now(), c.Name)
 	case engine.RefusedOverloaded:
 		s.fleet.MarkFull(s.now(), c.Name)
+	case httpx.ReasonResting:
+		// The fleet view knows of it.
 	default:
 		s.fleet.MarkNotLoaded(s.now(), c.Name, x.modelName, x.request.Adapter)
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -21,6 +21,9 @@
 	failuresToEject     = 3
 	notLoadedTTL        = 500 * time.Millisecond
 	fullTTL             = 100 * time.Millisecond
+	// longRest is the rest from which the models of a server are loaded on others: longer than
+	// the time after which it counts as silent, and a load.
+	longRest = 10 * time.Second
 	// fullFactor is the load, in multiples of the slots, that is assumed for a server which
 	// refused a request for lack of capacity.
 	fullFactor = 2
@@ -34,6 +37,9 @@
 	// SilentAfter is the time without a report after which a server counts as silent; 0
 	// selects 3 s.
 	SilentAfter time.Duration
+	// RestRemaining returns how much longer the server at an address wants nothing from this VM; nil
+	// if no server asks for that.
+	RestRemaining func(now time.Time, address string) time.Duration
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -261,7 +267,46 @@
 	return all
 }
 
+// meets reports whether a server meets the requirements and takes requests of this VM now.
 func (v *View) meets(now time.Time, s *server, required Requirements) bool {
+	return v.suits(now, s, required) && v.rest(now, s) == 0
+}
+
+func (v *View) rest(now time.Time, s *server) time.Duration {
+	if v.RestRemaining == nil {
+		return 0
+	}
+	return v.RestRemaining(now, s.doc.Address)
+}
+
+// Rest returns when the first server that meets the requirements takes requests of this VM again. It is 0
+// if one of them does now, if there is none, or if another server of the pool may load the model sooner.
+func (v *View) Rest(now time.Time, required Requirements) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var shortest time.Duration
+	othersAwake := false
+	for _, s := range v.servers {
+		rest := v.rest(now, s)
+		if !v.suits(now, s, required) {
+			othersAwake = othersAwake || rest == 0 && !s.leaving() && s.doc.Pool == required.Pool
+			continue
+		}
+		if rest == 0 {
+			return 0
+		}
+		if shortest == 0 || rest < shortest {
+			shortest = rest
+		}
+	}
+	if shortest > longRest && othersAwake {
+		return 0
+	}
+	return shortest
+}
+
+// suits reports whether a server meets the requirements, whether at rest or not.
+func (v *View) suits(now time.Time, s *server, required Requirements) bool {
 	if s.leaving() || s.doc.Pool != required.Pool {
 		return false
 	}
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -183,3 +183,33 @@
 		})
 	}
 }
+
+// A server at rest gets no requests, and a request that only servers at rest can take learns when the first
+// of them takes it.
+func TestRest(t *testing.T) {
+	need := fleet.Requirements{Pool: "llm", Model: "m"}
+	tests := map[string]struct {
+		rests  map[string]time.Duration
+		change func(v *fleet.View)
+		want   []string
+		rest   time.Duration
+	}{
+		"none":                    {nil, nil, []string{"a", "b"}, 0},
+		"one":                     {map[string]time.Duration{"1": time.Hour}, nil, []string{"b"}, 0},
+		"both":                    {map[string]time.Duration{"1": time.Hour, "2": time.Minute}, nil, nil, time.Minute},
+		"one, the other leaves":   {map[string]time.Duration{"1": time.Hour}, func(v *fleet.View) { v.MarkLeaving(start, "b") }, nil, time.Hour},
+		"one, the other may load": {map[string]time.Duration{"1": time.Hour}, func(v *fleet.View) { v.MarkNotLoaded(start, "b", "m", "") }, nil, 0},
+		"briefly, other may load": {map[string]time.Duration{"1": time.Second}, func(v *fleet.View) { v.MarkNotLoaded(start, "b", "m", "") }, nil, time.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := view(t)
+			v.RestRemaining = func(_ time.Time, address string) time.Duration { return tc.rests[address] }
+			if tc.change != nil {
+				tc.change(v)
+			}
+			require.Equal(t, tc.want, names(v.Candidates(start, need)))
+			require.Equal(t, tc.rest, v.Rest(start, need))
+		})
+	}
+}
--- a/httpx/failure.go
+++ b/httpx/failure.go
@@ -18,6 +18,10 @@
 	if written {
 		return hibiscuscart.Fail(hibiscuscart.CauseLostBeforeAnswer, "the connection broke").WithError(err)
 	}
+	var resting *RestingError
+	if errors.As(err, &resting) {
+		return hibiscuscart.Fail(hibiscuscart.CauseRefused, ReasonResting).WithRetryAfter(resting.Remaining).WithError(err)
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return hibiscuscart.Fail(hibiscuscart.CauseDialFailed, "the server could not be reached").WithError(err)
--- a/httpx/httpx.go
+++ b/httpx/httpx.go
@@ -26,6 +26,10 @@
 	// Dial opens a connection; nil uses TCP with DialTimeout. Tests and
 	// experiments replace it to inject network failures.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Rests, when set, keeps for how long servers want no requests; the client sends none to these.
+	Rests *Rests
+	// Now returns the current time; nil uses time.Now.
+	Now func() time.Time
 
 	initOnce   sync.Once
 	httpClient *http.Client
@@ -50,6 +54,11 @@
 			if err != nil {
 				return nil, err
 			}
+			// The server may have asked for rest while the connection was opened.
+			if err := c.checkRest(address); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
 			return &countingConn{Conn: conn}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
@@ -75,12 +84,36 @@
 // method and another header name; the transport then retries only requests of
 // which nothing was written.
 func (c *Client) Do(req *http.Request) (resp *http.Response, written bool, err error) {
+	if err := c.checkRest(req.URL.Host); err != nil {
+		return nil, false, err
+	}
 	var tracker writeTracker
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: tracker.gotConn})
 	resp, err = c.HTTPClient().Do(req.WithContext(ctx))
+	if err == nil && c.Rests != nil {
+		c.Rests.Apply(c.now(), req.URL.Host, resp)
+	}
 	return resp, tracker.written(), err
 }
 
+// checkRest returns a RestingError while the server at an address wants no requests.
+func (c *Client) checkRest(address string) error {
+	if c.Rests == nil {
+		return nil
+	}
+	if rest := c.Rests.Remaining(c.now(), address); rest > 0 {
+		return &RestingError{Address: address, Remaining: rest}
+	}
+	return nil
+}
+
+func (c *Client) now() time.Time {
+	if c.Now != nil {
+		return c.Now()
+	}
+	return time.Now()
+}
+
 // writeTracker determines whether a request may have been written to any of the
 // connections that it used. It compares the byte count of a connection with the
 // count from before the request.
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -32,6 +32,9 @@
 	DuplicateShare float64 `json:"repeat_share"`
 	// Draining rejects new requests.
 	Draining bool `json:"draining"`
+	// RetryAfter, when set, is the Retry-After value with which all runs, load reports and orders
+	// are refused.
+	RetryAfter string `json:"retry_after"`
 	// Hang accepts connections and sends no responses.
 	Hang bool `json:"hang"`
 	// LostOrderShare is the fraction of orders whose connection breaks before
@@ -94,6 +97,7 @@
 
 	mu            sync.Mutex
 	faults        EngineFaults
+	restGate      restGate
 	fencingToken  int
 	role          string
 	residents     map[residentKey]*resident
@@ -154,6 +158,9 @@
 	return e.faults
 }
 
+// RefusedAtRest returns how many requests were refused while the engine asked for rest.
+func (e *Engine) RefusedAtRest() int64 { return e.restGate.refused.Load() }
+
 // Counts returns the current values of the counters.
 func (e *Engine) Counts() EngineCounts {
 	c := &e.counts
--- a/stand/engine_http.go
+++ b/stand/engine_http.go
@@ -36,7 +36,17 @@
 	mux.HandleFunc("PUT /control/faults", e.controlFaults)
 	mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Counts()) })
 	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { writeRuns(w, e.Runs) })
-	return e.hangMiddleware(mux)
+	return e.hangMiddleware(e.restMiddleware(mux))
+}
+
+func (e *Engine) restMiddleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.restGate.refuse(w, r, e.Faults().RetryAfter) {
+			writeEngineError(w, errOverloaded)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func writeRuns(w http.ResponseWriter, r *RunCounter) {
--- a/stand/service.go
+++ b/stand/service.go
@@ -26,6 +26,9 @@
 	// Hang executes calls and sends no responses.
 	Hang     bool `json:"hang"`
 	Draining bool `json:"draining"`
+	// RetryAfter, when set, is the Retry-After value with which all calls and load reports are
+	// refused.
+	RetryAfter string `json:"retry_after"`
 }
 
 // ServiceResponse is the response of a Service to a call.
@@ -47,6 +50,7 @@
 	executedCalls atomic.Int64
 	mu            sync.Mutex
 	faults        ServiceFaults
+	restGate      restGate
 }
 
 // SetFaults replaces the faults.
@@ -66,6 +70,9 @@
 // Calls returns how many calls were executed.
 func (s *Service) Calls() int64 { return s.executedCalls.Load() }
 
+// RefusedAtRest returns how many requests were refused while the service asked for rest.
+func (s *Service) RefusedAtRest() int64 { return s.restGate.refused.Load() }
+
 // BodyDigest returns the digest of a request body that a Service responds with.
 func BodyDigest(body []byte) string {
 	d := xxhash.New()
@@ -81,7 +88,18 @@
 	mux.HandleFunc("PUT /control/faults", s.controlFaults)
 	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { writeRuns(w, s.Runs) })
 	mux.HandleFunc("/", s.handleCall)
-	return mux
+	return s.restMiddleware(mux)
+}
+
+func (s *Service) restMiddleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.restGate.refuse(w, r, s.Faults().RetryAfter) {
+			w.Header().Set("Not-Run", "overloaded")
+			writeProblem(w, http.StatusServiceUnavailable, "overloaded")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Service) handleLoad(w http.ResponseWriter, _ *http.Request) {
