httpx, entry: An unreadable Retry-After is logged

Cause: serve passed over a Retry-After that it could not read without a word; the errors of the reader were returned without context.

Change: Rests.OnInvalid, logged as 'invalid Retry-After of a server'; the reader says which form it could not parse.

Measured: the tests of httpx, pass and entry pass.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -113,10 +113,15 @@
 // keepRests makes the client of the backend servers keep for how long they want nothing from this VM, and the
 // choice of servers respect that.
 func (d *Daemon) keepRests() {
-	rests := &httpx.Rests{OnRest: func(address string, rest time.Duration) {
-		d.meter.AddCounter("backend.rests", 1)
-		d.log.Info().Str("address", address).Dur("rest", rest).Msg("server asked for rest")
-	}}
+	rests := &httpx.Rests{
+		OnRest: func(address string, rest time.Duration) {
+			d.meter.AddCounter("backend.rests", 1)
+			d.log.Info().Str("address", address).Dur("rest", rest).Msg("server asked for rest")
+		},
+		OnInvalid: func(address string, err error) {
+			d.log.Info().Str("address", address).Err(err).Msg("invalid Retry-After of a server")
+		},
+	}
 	d.config.BackendHTTP.Rests, d.config.BackendHTTP.Now = rests, d.now
 	d.fleet.RestRemaining = rests.Remaining
 }
--- a/httpx/rest.go
+++ b/httpx/rest.go
@@ -15,8 +15,10 @@
 // Rests keeps for how long servers want nothing from this process: no requests, reports or orders. A server
 // says so with a Retry-After in a refusal. The zero value is ready to use. It is safe for concurrent use.
 type Rests struct {
-	// OnRest, when set, is called when a server that was not at rest asks for it.
-	OnRest func(address string, rest time.Duration)
+	// OnRest, when set, is called when a server that was not at rest asks for it, and OnInvalid for a
+	// Retry-After that cannot be read.
+	OnRest    func(address string, rest time.Duration)
+	OnInvalid func(address string, err error)
 
 	mu    sync.Mutex
 	until map[string]time.Time
@@ -36,6 +38,9 @@
 		return
 	}
 	rest, err := ParseRetryAfter(now, resp.Header)
+	if err != nil && r.OnInvalid != nil {
+		r.OnInvalid(address, err)
+	}
 	if err != nil || rest == 0 {
 		return
 	}
--- a/httpx/retryafter.go
+++ b/httpx/retryafter.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -26,13 +27,13 @@
 	if strings.Trim(value, "0123456789.") == "" {
 		seconds, err := strconv.ParseFloat(value, 64)
 		if err != nil && !errors.Is(err, strconv.ErrRange) {
-			return 0, err
+			return 0, fmt.Errorf("parse seconds: %w", err)
 		}
 		return time.Duration(math.Min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second)), nil
 	}
 	until, err := http.ParseTime(value)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("parse date: %w", err)
 	}
 	if sentAt, err := http.ParseTime(h.Get("Date")); err == nil {
 		wall = sentAt
