store: The client keeps to the Retry-After of the platform

Cause: a refusal by the platform's rate limit was parsed for its Retry-After, and nothing read it: the next call came after the usual back-off, 15 ms later in the test, and a caller whose time ended sooner waited all of it.

Ruled out: the node's store client; its pages know of no Retry-After, so the second that it put into the error, which nobody read either, is taken out.

Change: retryError makes the retries wait for as long as the platform says, or end at once if the caller's time ends before. Without a valid value the back-off stays as it was.

--- a/store/client.go
+++ b/store/client.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -176,7 +177,7 @@
 	var lastErr error
 	op := func() (struct{}, error) {
 		lastErr = call()
-		return struct{}{}, markPermanent(lastErr)
+		return struct{}{}, retryError(ctx, time.Now(), lastErr)
 	}
 	_, _ = backoff.Retry(ctx, op, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
 	return lastErr
@@ -189,13 +190,23 @@
 	return b
 }
 
-// markPermanent marks errors as permanent except those of calls without effect,
-// so that only these are retried.
-func markPermanent(err error) error {
-	if err == nil || IsUnavailable(err) || IsRateLimited(err) {
+// retryError returns the error that makes backoff.Retry repeat a call or not. Only calls without effect are
+// repeated, and not before the platform takes calls again, if it says when.
+func retryError(ctx context.Context, now time.Time, err error) error {
+	if err == nil || IsUnavailable(err) {
 		return err
 	}
-	return backoff.Permanent(err)
+	var limited *RateLimitedError
+	if !errors.As(err, &limited) {
+		return backoff.Permanent(err)
+	}
+	if limited.RetryAfter == 0 {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(now) <= limited.RetryAfter {
+		return backoff.Permanent(err)
+	}
+	return &backoff.RetryAfterError{Duration: limited.RetryAfter}
 }
 
 // callOnce sends one request and decodes the response into out.
@@ -263,13 +274,11 @@
 	return classifyCallError(method, true, statusErr)
 }
 
-// defaultRetryAfter is the pause for a refusal without a valid Retry-After.
-const defaultRetryAfter = time.Second
-
+// rateLimited returns the error of a refusal by the platform's rate limit. An invalid Retry-After counts as none.
 func rateLimited(h http.Header) *RateLimitedError {
-	wait, err := httpx.ParseRetryAfter(time.Now(), h)
-	if err != nil || wait == 0 {
-		wait = defaultRetryAfter
+	retryAfter, err := httpx.ParseRetryAfter(time.Now(), h)
+	if err != nil {
+		return &RateLimitedError{}
 	}
-	return &RateLimitedError{RetryAfter: wait}
+	return &RateLimitedError{RetryAfter: retryAfter}
 }
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -323,3 +323,42 @@
 		})
 	}
 }
+
+// The platform refuses a call and says when it takes calls again. The client must not call it before that, nor
+// keep a caller waiting whose time ends sooner. The test runs on the synctest clock.
+func TestRetryAfterOfPlatform(t *testing.T) {
+	tests := map[string]struct {
+		retryAfter string
+		calls      int64
+		minWait    time.Duration
+	}{
+		"beyond the caller's time": {"3600", 1, 0},
+		"soon":                     {"1.5", 2, 1500 * time.Millisecond},
+		"none":                     {"", 2, 0},
+		"garbage":                  {"soon", 2, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				var calls, served atomic.Int64
+				c := store.New("http://platform", "", "vm-1")
+				c.HTTP.Dial = pipeDialer(t, func(w http.ResponseWriter, _ *http.Request) {
+					if served.Add(1) > 1 {
+						_, _ = io.WriteString(w, `{"version":1}`)
+						return
+					}
+					w.Header().Set("Retry-After", tc.retryAfter)
+					w.WriteHeader(http.StatusTooManyRequests)
+				}, &calls)
+				defer c.HTTP.CloseIdle()
+				_, err := c.Put(timeoutContext(t, 5*time.Second), "things", "a", 0, 1)
+				require.Equal(t, tc.calls == 1, store.IsRateLimited(err), "%v", err)
+				require.Equal(t, tc.calls, served.Load())
+				waited := time.Since(start)
+				require.GreaterOrEqual(t, waited, tc.minWait)
+				require.Less(t, waited, tc.minWait+time.Second, "the caller waits no longer than needed")
+			})
+		})
+	}
+}
--- a/store/errors.go
+++ b/store/errors.go
@@ -42,10 +42,16 @@
 
 // RateLimitedError reports that the platform's rate limit rejected the call. The
 // call had no effect.
-type RateLimitedError struct{ RetryAfter time.Duration }
+type RateLimitedError struct {
+	// RetryAfter is when the platform takes calls again, 0 if it does not say.
+	RetryAfter time.Duration
+}
 
 // Error implements error.
 func (e *RateLimitedError) Error() string {
+	if e.RetryAfter == 0 {
+		return "rate limited"
+	}
 	return fmt.Sprintf("rate limited, retry after %v", e.RetryAfter)
 }
 
