entry: A refusal without a retry left tells the rest of its server

Cause: a request that its only server had refused with Retry-After, and for which the retry budget had nothing left, was told to come back in a second, the default for transient failures.

Change: withRest, which the search for a server uses too, gives a transient failure the time at which the first suitable server takes requests again.

Measured: the new test failed before (1 s for an hour of rest) and passes with the other tests of entry.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -80,7 +80,7 @@
 		}
 		f := hibiscuscart.AsFailure(err)
 		if !s.mayRetry(x, f, attempt) {
-			return s.finalFailure(x, f)
+			return s.finalFailure(x, s.withRest(x, f))
 		}
 		s.meter.AddCounter("relay.retries", 1)
 		if !pause.For(ctx, s.backoffDelay(attempt)) {
@@ -134,13 +134,7 @@
 }
 
 func (s *relayStage) findServer(ctx context.Context, x *Exchange, tried []string) (fleet.Candidate, error) {
-	need := fleet.Requirements{
-		Pool: x.profile.Pool(), Model: x.modelName, Adapter: x.request.Adapter,
-		NoModel: x.profile.IsService(), PromptPrefix: x.request.PrefixHash(),
-	}
-	if need.NoModel {
-		need.PromptPrefix = 0
-	}
+	need := requirements(x)
 	searchDeadline := x.request.ArrivedAt.Add(x.profile.ResponseTimeout() / 2)
 	for {
 		now := s.now()
@@ -151,9 +145,9 @@
 		if ok {
 			return c, nil
 		}
-		if rest := s.fleet.Rest(now, need); rest > 0 {
+		if s.fleet.Rest(now, need) > 0 {
 			s.meter.AddCounter("relay.refused_resting", 1)
-			return c, s.finalFailure(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "the servers asked this VM for rest").WithRetryAfter(rest+s.restSpread()))
+			return c, s.finalFailure(x, s.withRest(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "the servers asked this VM for rest")))
 		}
 		if now.After(searchDeadline) {
 			return c, s.finalFailure(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "no server holds the model now").WithRetryAfter(time.Second))
@@ -169,10 +163,25 @@
 // they do not return together.
 const maxRestSpread = 5 * time.Second
 
-func (s *relayStage) restSpread() time.Duration {
+// withRest makes a transient failure tell when the first server that can take the request does so again, if
+// all of them are at rest.
+func (s *relayStage) withRest(x *Exchange, f *hibiscuscart.Failure) *hibiscuscart.Failure {
+	rest := s.fleet.Rest(s.now(), requirements(x))
+	if rest == 0 || !f.Cause().Transient() {
+		return f
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Duration(s.rng.Int64N(int64(maxRestSpread)))
+	return f.WithRetryAfter(rest + time.Duration(s.rng.Int64N(int64(maxRestSpread))))
+}
+
+// requirements returns what a request requires of a server.
+func requirements(x *Exchange) fleet.Requirements {
+	need := fleet.Requirements{Pool: x.profile.Pool(), Model: x.modelName, Adapter: x.request.Adapter, NoModel: x.profile.IsService()}
+	if !need.NoModel {
+		need.PromptPrefix = x.request.PrefixHash()
+	}
+	return need
 }
 
 // attempt sends the request to one server.
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,7 +15,9 @@
 
 	"github.com/hibiscuscart/hibiscuscart"
 	"github.com/hibiscuscart/hibiscuscart/fleet"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/plain"
 	"github.com/hibiscuscart/hibiscuscart/relay"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -78,3 +85,29 @@
 		require.False(t, s.mayRetry(x, hibiscuscart.Fail(cause, "x"), maxAttempts))
 	}
 }
+
+// The only server refuses a request and asks for rest, and no retry is left. The caller must not be told to come
+// back before the rest ends.
+func TestRefusalWithoutRetryTellsRest(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(plain.HeaderNotRun, "overloaded")
+		w.Header().Set("Retry-After", "3600")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	rests := &httpx.Rests{}
+	view := &fleet.View{RestRemaining: rests.Remaining}
+	view.SetServers([]wire.Server{{Name: "a", Pool: "desk", Address: strings.TrimPrefix(server.URL, "http://")}})
+	s := &relayStage{
+		fleet: view, budget: &retry.Budget{Reserve: 0.1}, plain: &plain.Client{HTTP: &httpx.Client{Rests: rests}},
+		now: time.Now, meter: meter.New(), rng: rand.New(rand.NewPCG(1, 1)),
+		selectCandidate: func(all []fleet.Candidate, _ uint64, _ []string) (fleet.Candidate, bool) {
+			return slices.Concat(all, []fleet.Candidate{{}})[0], len(all) > 0
+		},
+	}
+	x := onceOnlyExchange(time.Now().Add(time.Minute))
+	x.profile = hibiscuscart.NewProfile(1, wire.Profile{Pool: "desk", Backend: wire.ProfileBackendService, RunsAllowed: 1, WholeAnswerMs: 1000})
+	err := s.run(t.Context(), x, nil)
+	require.Equal(t, hibiscuscart.OutcomeNotRun, hibiscuscart.AsFailure(err).Outcome())
+	require.Greater(t, hibiscuscart.AsFailure(err).RetryAfter(), 50*time.Minute)
+}
