fleet, entry: A request that tells nothing about its server does not clear its ejection

Cause: a request that was held back because its server asked for rest ended as a success of the server, as did one whose caller went away, and a success clears the failures and the ejection of a server. A silent server whose callers leave before it responds got requests again as if it were healthy.

Change: View.CancelRequest ends such a request without a verdict on the server; recordResult handles the success first and reads the cause once.

Measured: both new cases failed before; the tests of entry and fleet pass.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -208,22 +208,26 @@
 
 // recordResult updates the fleet view with the result of the attempt.
 func (s *relayStage) recordResult(x *Exchange, c fleet.Candidate, err error) {
-	healthy := true
-	if err != nil {
-		switch f := hibiscuscart.AsFailure(err); f.Cause() {
-		case hibiscuscart.CauseRefused:
-			s.recordRefusal(x, c, f.Detail())
-		case hibiscuscart.CauseCanceledAfterSend, hibiscuscart.CauseCanceledBeforeSend:
-		default:
-			healthy = false
+	now := s.now()
+	if err == nil {
+		if x.modelName != "" {
+			s.offeredLoads.recordServiceTime(x.modelName, now.Sub(x.sentAt))
 		}
-		s.meter.AddCounter("relay.failed."+hibiscuscart.AsFailure(err).Cause().String(), 1)
+		s.fleet.EndRequest(now, c.Name, true)
+		return
 	}
-	now := s.now()
-	if err == nil && x.modelName != "" {
-		s.offeredLoads.recordServiceTime(x.modelName, now.Sub(x.sentAt))
+	f := hibiscuscart.AsFailure(err)
+	s.meter.AddCounter("relay.failed."+f.Cause().String(), 1)
+	switch {
+	case f.Cause() == hibiscuscart.CauseCanceledAfterSend, f.Cause() == hibiscuscart.CauseCanceledBeforeSend,
+		f.Cause() == hibiscuscart.CauseRefused && f.Detail() == httpx.ReasonResting:
+		s.fleet.CancelRequest(now, c.Name)
+	case f.Cause() == hibiscuscart.CauseRefused:
+		s.recordRefusal(x, c, f.Detail())
+		s.fleet.EndRequest(now, c.Name, true)
+	default:
+		s.fleet.EndRequest(now, c.Name, false)
 	}
-	s.fleet.EndRequest(now, c.Name, healthy)
 }
 
 func (s *relayStage) recordRefusal(x *Exchange, c fleet.Candidate, reason string) {
@@ -232,8 +236,6 @@
 		s.fleet.MarkLeaving(s.now(), c.Name)
 	case engine.RefusedOverloaded:
 		s.fleet.MarkFull(s.now(), c.Name)
-	case httpx.ReasonResting:
-		// The fleet view knows of it.
 	default:
 		s.fleet.MarkNotLoaded(s.now(), c.Name, x.modelName, x.request.Adapter)
 	}
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -111,3 +111,32 @@
 	require.Equal(t, hibiscuscart.OutcomeNotRun, hibiscuscart.AsFailure(err).Outcome())
 	require.Greater(t, hibiscuscart.AsFailure(err).RetryAfter(), 50*time.Minute)
 }
+
+// A request that was not sent says nothing about its server: an ejected one must not count as healthy again.
+func TestUnsentRequestKeepsEjection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]*hibiscuscart.Failure{
+		"server at rest":   hibiscuscart.Fail(hibiscuscart.CauseRefused, httpx.ReasonResting),
+		"caller went away": hibiscuscart.Fail(hibiscuscart.CauseCanceledBeforeSend, "x"),
+	}
+	for name, unsent := range tests {
+		t.Run(name, func(t *testing.T) {
+			view := &fleet.View{}
+			view.SetServers([]wire.Server{{Name: "a", Pool: "desk", Address: "1"}})
+			s := &relayStage{fleet: view, now: func() time.Time { return now }, meter: meter.New()}
+			end := func(f *hibiscuscart.Failure) {
+				view.BeginRequest(now, "a")
+				s.recordResult(&Exchange{}, fleet.Candidate{Name: "a"}, f)
+			}
+			for range 3 {
+				end(hibiscuscart.Fail(hibiscuscart.CauseDialFailed, "x"))
+			}
+			now = now.Add(time.Minute)
+			end(unsent)
+			end(hibiscuscart.Fail(hibiscuscart.CauseDialFailed, "x"))
+			all := view.Candidates(now, fleet.Requirements{Pool: "desk", NoModel: true})
+			require.Len(t, all, 1)
+			require.False(t, all[0].Healthy)
+		})
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -175,6 +175,17 @@
 	}
 }
 
+// CancelRequest records that a request has ended in a way that says nothing about its server:
+// it was not sent, or its caller went away.
+func (v *View) CancelRequest(now time.Time, name string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.servers[name]; s != nil {
+		s.recordChange(now, -1)
+		s.probing = false
+	}
+}
+
 // EndRequest records that a request has ended, and whether it succeeded. Consecutive
 // failures eject the server, each time for twice as long. The first request after an
 // ejection is the probe.
