entry: A stopped VM accepts no outcome and no release of a claim

A VM that had stopped still replied to a release that its shard's writer, which had ended, would never write, and let a call that records an outcome wait for two seconds. The VM that called took the release for done, so the key of a request that had not run would have read as in progress and then as unknown.

Ruled out: a second run; a claim that stays granted never runs again.

Change: handleCall replies to no call once the VM has stopped, and gives no refusal to one that waited meanwhile. The caller then writes the shard itself.

--- a/entry/claimer.go
+++ b/entry/claimer.go
@@ -154,9 +154,12 @@
 }
 
 // handleCall replies to a peer that considers this VM the owner of a shard. It
-// returns nil when the claim was refused because this VM has stopped: the link
+// returns nil when this VM has stopped and writes no shard any more: the link
 // then closes without a reply, and the peer writes the shard itself.
 func (c *claimer) handleCall(ctx context.Context, call *wire.ClaimCall) *wire.ClaimReply {
+	if c.baseCtx.Err() != nil {
+		return nil
+	}
 	ctx, span := spans.Start(ctx, "claim owner")
 	defer span.End()
 	r := dedup.Request{
@@ -170,9 +173,6 @@
 	switch call.Operation {
 	case wire.ClaimCallOperationClaim:
 		d := runner.Claim(ctx, r)
-		if d.Verdict == dedup.Unavailable && c.baseCtx.Err() != nil {
-			return nil
-		}
 		reply.Verdict = wire.ClaimReplyVerdict(d.Verdict.String())
 		reply.Answer, reply.RetryAfterMs = d.Response, int(d.RetryAfter.Milliseconds())
 	case wire.ClaimCallOperationDone, wire.ClaimCallOperationUnknown:
@@ -182,6 +182,9 @@
 	case wire.ClaimCallOperationRelease:
 		runner.Cancel(r)
 	}
+	if reply.Verdict == wire.ClaimReplyVerdictUnavailable && c.baseCtx.Err() != nil {
+		return nil // The VM stopped while the call waited.
+	}
 	return reply
 }
 
--- a/entry/claimer_test.go
+++ b/entry/claimer_test.go
@@ -12,15 +12,21 @@
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
-// A VM that has stopped must not reply "unavailable" for its shards: the VM
-// that called would refuse a claim that it can decide itself.
-func TestStoppedOwnerDoesNotRefuse(t *testing.T) {
-	daemon := New(Config{Name: "owner"})
-	ctx, stop := context.WithCancel(t.Context())
-	stop()
-	daemon.claimer.baseCtx = ctx
-	call := newClaimCall(wire.ClaimCallOperationClaim, dedup.Request{GrantID: "grant"}, "")
-	require.Nil(t, daemon.claimer.handleCall(t.Context(), call))
+// A VM that has stopped must not reply for its shards: the VM that called would refuse a claim that it can decide
+// itself, or take an outcome or a release for written that nobody writes.
+func TestStoppedOwnerDoesNotReply(t *testing.T) {
+	for _, operation := range []wire.ClaimCallOperation{
+		wire.ClaimCallOperationClaim, wire.ClaimCallOperationDone, wire.ClaimCallOperationUnknown, wire.ClaimCallOperationRelease,
+	} {
+		t.Run(string(operation), func(t *testing.T) {
+			daemon := New(Config{Name: "owner"})
+			ctx, stop := context.WithCancel(t.Context())
+			stop()
+			daemon.claimer.baseCtx = ctx
+			call := newClaimCall(operation, dedup.Request{GrantID: "grant"}, "")
+			require.Nil(t, daemon.claimer.handleCall(t.Context(), call))
+		})
+	}
 }
 
 // The owner of a shard replies that it cannot record the outcome of a request:
