pass: Requests log how their response was framed, and an event cut in two

Cause: three hypotheses of the incident (no framing, a last chunk after a crash, streams joined wrongly) leave the same lines in the log. Change: request and failed tries carry framing (length, chunked, close) and partial_event, the bytes left over of an event when the stream ended. Ruled out: logging the head of each response, some hundred bytes a request. Conclusion: with these two fields each hypothesis has a line of its own.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/spans"
 )
@@ -105,7 +106,8 @@
 	c.reason = reason
 	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
 		Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).
-		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).Str("reason", reason).Msg("try failed")
+		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
+		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("reason", reason).Msg("try failed")
 }
 
 // attempt is one send of a call to one server.
@@ -177,6 +179,7 @@
 		c.sentTo = append(c.sentTo, server)
 	}
 	a.sent = now
+	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
 	var err error
 	a.exchange, err = a.conn.Send(c.request.Method, c.requestHead(g.HeaderNames, a.choice.Server.PlatformName(), c.remaining(now)), c.body)
 	if err != nil {
@@ -259,6 +262,7 @@
 		id := resp.Header.Get(a.g.HeaderNames.AttemptID)
 		if id == a.c.id || id == "" && a.provesNotRun(resp) {
 			a.resp = resp
+			a.c.framing = httpx.FramingOf(resp)
 			a.updateRateLimit()
 			return nil
 		}
--- a/pass/call.go
+++ b/pass/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
@@ -86,6 +87,10 @@
 	// exit soon, and the value of its Retry-After header.
 	serverLeaving    bool
 	serverRetryAfter string
+	// framing is how the last response marks its end, and partialEventBytes the length of the event in
+	// which its stream ended, 0 if it ended after an event.
+	framing           httpx.Framing
+	partialEventBytes int
 	// reason is why the last attempt failed.
 	reason string
 	status int
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -39,6 +39,7 @@
 			}
 			a.c.lastEventID = splitter.lastID
 		}
+		a.c.partialEventBytes = len(splitter.partial)
 		if err == io.EOF {
 			if a.c.sends == 1 {
 				a.balancerAttempt.StreamCompleted(a.c.eventCount, last.Sub(first))
