pass: A response without length or chunks is passed on without either

Seen by callers: a stream that its server broke off came with a last chunk, and a plain response with the length of what had come. Both say that nothing is missing. Cause: the gateway read until the end of the connection and then framed what it had by itself. A connection that closes early is the same to a reader as one that closes in time, so the framing was made up; a stream that ended inside an event, which shows the break, was passed on with the cut event as well. Ruled out: to refuse or repeat whatever has no framing (whole answers would be lost, or run twice); to ask another server after each such stream whether it is complete (a second run for each of them). A stream that ends inside an event, or without framing before any event, counts as broken and goes on elsewhere. Where an earlier server's chunks were passed on already, only a server that continues after the last event and frames its end can end the stream. Whole responses without framing are still delivered. Conclusion: the end that a caller sees is one that a server has sent.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -322,11 +322,11 @@
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		a.result = pick.Failed
 		if a.c.route.Repeatable() && a.c.sends < a.c.route.MaxServers && ctx.Err() == nil {
-			a.c.errorResponse = &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body}
+			a.c.errorResponse = &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body, framing: a.c.framing}
 			return a.failUncertain(ctx, "server error: status "+strconv.Itoa(a.resp.StatusCode))
 		}
 	}
-	a.g.writeResponse(w, a.c, &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body})
+	a.g.writeResponse(w, a.c, &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body, framing: a.c.framing})
 	return true
 }
 
@@ -335,12 +335,22 @@
 	for name, values := range resp.header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(headerLength, strconv.Itoa(len(resp.body)))
+	if resp.framing == httpx.FramedByClose {
+		c.endByClose(w.Header())
+	} else {
+		w.Header().Set(headerLength, strconv.Itoa(len(resp.body)))
+	}
 	c.status = resp.status
 	w.WriteHeader(resp.status)
-	if _, err := w.Write(resp.body); err != nil {
+	_, err := w.Write(resp.body)
+	if err == nil && c.endsByClose {
+		err = http.NewResponseController(w).Flush()
+	}
+	if err != nil {
 		c.reason = "caller disconnected"
+		return
 	}
+	c.completeByClose()
 }
 
 // responseHeaders returns the response headers without the hop-by-hop headers and Content-Length.
--- a/pass/call.go
+++ b/pass/call.go
@@ -65,6 +65,8 @@
 	// head was sent.
 	lastEventID string
 	headSent    bool
+	// endsByClose is set if the response to the caller ends with its connection.
+	endsByClose bool
 	// disconnected is set once the caller has closed its connection.
 	disconnected bool
 	// admissionWaitStart is when the current wait for capacity at the servers began, zero if there
@@ -98,9 +100,10 @@
 
 // response is a complete response of a server.
 type response struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	framing httpx.Framing
 }
 
 // newCall parses the headers that routing depends on. The request body must have been read.
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 )
 
 // streamBufferBytes is the size of one read from a stream, enough for some events.
@@ -41,10 +41,11 @@
 		}
 		a.c.partialEventBytes = len(splitter.partial)
 		if err == io.EOF {
-			if a.c.sends == 1 {
+			done := a.endStream(ctx, w, !first.IsZero())
+			if done && a.c.sends == 1 {
 				a.balancerAttempt.StreamCompleted(a.c.eventCount, last.Sub(first))
 			}
-			return a.finishStream(w, controller, splitter)
+			return done
 		}
 		if err != nil {
 			return a.connectionLost(ctx, "read stream: "+err.Error(), err)
@@ -79,18 +80,10 @@
 	for name, values := range a.responseHeaders() {
 		w.Header()[name] = values
 	}
+	if a.c.callerFraming(a.c.framing) == httpx.FramedByClose {
+		a.c.endByClose(w.Header())
+	}
 	w.WriteHeader(a.resp.StatusCode)
 	a.c.timeToFirstEvent = a.g.Now().Sub(a.c.arrived)
 	a.g.Meter.RecordDuration("pass.first_event", a.c.timeToFirstEvent)
 }
-
-func (a *attempt) finishStream(w http.ResponseWriter, controller *http.ResponseController, splitter *eventSplitter) bool {
-	a.writeHead(w)
-	if len(splitter.partial) > 0 {
-		a.writeEvents(w, controller, splitter.partial)
-	}
-	a.conn.SetStallTimeout(0, nil)
-	a.complete = true
-	a.result = pick.Succeeded
-	return true
-}
