entry: serve passes on a service's response without length as it came

Seen by callers: a plain response that its service cut short, with the length of what came; the same again each time the key was repeated. Cause: the second reader of the class. plain.Client reads until the end, and the daemon wrote the length of what it had, then stored it with the claim. Ruled out: engines (a stream needs its end frame), load reports and orders (JSON documents that are decoded whole). Change: the response carries how it ended, also in the stored answer; it ends with the caller's connection, which is reset until it is written whole. The service stand-in can answer so, whole and cut short.

--- a/answer.go
+++ b/answer.go
@@ -10,4 +10,7 @@
 	Status      int    `json:"status,omitempty"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
+	// EndsByClose is set if the service ended its response with the connection, without a length. Body
+	// may then be cut short, and is passed on without a length.
+	EndsByClose bool `json:"ends_by_close,omitempty"`
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -219,7 +219,7 @@
 func (d *Daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: d.config.Limits.ReadTimeout,
-		MaxHeaderBytes: d.config.Limits.HeaderBytes,
+		MaxHeaderBytes: d.config.Limits.HeaderBytes, ConnContext: httpx.WithConn,
 	}
 }
 
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/entry"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/profs"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -336,3 +337,36 @@
 	require.NoError(t, json.Unmarshal(obj.Value, &stored))
 	require.Len(t, stored.Models, 1)
 }
+
+// A service ends its response with the connection, whole or in the middle. Guards against a length for a
+// response that may have been cut short, also when it is replayed for the same key.
+func TestServiceResponseWithoutLength(t *testing.T) {
+	tests := map[string]struct {
+		faults stand.ServiceFaults
+		whole  bool
+	}{
+		"whole":     {stand.ServiceFaults{ByCloseShare: 1}, true},
+		"truncated": {stand.ServiceFaults{CutShortShare: 1}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			deployment := startDeployment(t, nil)
+			for _, s := range deployment.Servers() {
+				if service := deployment.Service(s.Name); service != nil {
+					service.SetFaults(tc.faults)
+				}
+			}
+			for _, which := range []string{"first", "replayed"} {
+				var r response
+				require.Eventually(t, func() bool {
+					r = post(t, deployment, "one-1", "/services/desk/entries", loanCall(name), entry.HeaderIdempotencyKey, name)
+					return r.problem.Title != "claim_in_progress"
+				}, testTimeout, 10*time.Millisecond)
+				require.Equal(t, http.StatusOK, r.status, which+r.body)
+				require.Equal(t, tc.whole, json.Valid([]byte(r.body)), which)
+				require.Equal(t, httpx.FramedByClose, r.framing, "%s response framed by %s", which, r.framing)
+			}
+			require.Equal(t, 1, deployment.Runs.Count(name))
+		})
+	}
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -78,7 +78,7 @@
 		return
 	}
 	req.ArrivedAt = arrived
-	out := newResponseWriter(w, req, d.config.Limits.WriteTimeout)
+	out := newResponseWriter(r.Context(), w, req, d.config.Limits.WriteTimeout)
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	if err := d.HandleRequest(ctx, req, out.sink()); err != nil {
 		out.writeFailure(hibiscuscart.AsFailure(err))
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -248,7 +248,9 @@
 	if err != nil {
 		return err
 	}
-	x.response = hibiscuscart.Response{Status: response.Status, ContentType: response.ContentType, Body: response.Body}
+	x.response = hibiscuscart.Response{
+		Status: response.Status, ContentType: response.ContentType, Body: response.Body, EndsByClose: response.Framing == httpx.FramedByClose,
+	}
 	return s.deliverResponse(x)
 }
 
--- a/entry/sinks.go
+++ b/entry/sinks.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 )
 
 const streamEndMarker = "[DONE]"
@@ -44,13 +46,15 @@
 type responseWriter struct {
 	http               http.ResponseWriter
 	responseController *http.ResponseController
-	request            *hibiscuscart.Request
-	timeout            time.Duration
-	started            bool
+	// callerContext holds the caller's connection.
+	callerContext context.Context
+	request       *hibiscuscart.Request
+	timeout       time.Duration
+	started       bool
 }
 
-func newResponseWriter(w http.ResponseWriter, req *hibiscuscart.Request, timeout time.Duration) *responseWriter {
-	return &responseWriter{http: w, responseController: http.NewResponseController(w), request: req, timeout: timeout}
+func newResponseWriter(ctx context.Context, w http.ResponseWriter, req *hibiscuscart.Request, timeout time.Duration) *responseWriter {
+	return &responseWriter{http: w, responseController: http.NewResponseController(w), callerContext: ctx, request: req, timeout: timeout}
 }
 
 // sink returns the Sink for the response format that the request selects.
@@ -82,10 +86,19 @@
 func (w *responseWriter) writeServiceResponse(r hibiscuscart.Response) error {
 	w.extendDeadline()
 	w.http.Header().Set(hibiscuscart.OutcomeHeader, hibiscuscart.OutcomeDone.String())
+	if r.EndsByClose {
+		httpx.BeginByClose(w.callerContext, w.http.Header())
+	}
 	w.writeHeader(r.ContentType, r.Status)
 	if _, err := w.http.Write(r.Body); err != nil {
 		return fmt.Errorf("write response: %w", err)
 	}
+	if !r.EndsByClose {
+		return nil
+	}
+	if err := httpx.CompleteByClose(w.callerContext, w.http); err != nil {
+		return fmt.Errorf("write end of response: %w", err)
+	}
 	return nil
 }
 
--- a/entry/testdata_test.go
+++ b/entry/testdata_test.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/entry"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/profs"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -96,6 +97,7 @@
 type response struct {
 	status  int
 	header  http.Header
+	framing httpx.Framing
 	body    string
 	problem struct {
 		Outcome string `json:"outcome"`
@@ -126,7 +128,7 @@
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
-	r := response{status: resp.StatusCode, header: resp.Header, body: string(text)}
+	r := response{status: resp.StatusCode, header: resp.Header, framing: httpx.FramingOf(resp), body: string(text)}
 	_ = json.Unmarshal(text, &r.problem)
 	return r
 }
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pass"
@@ -203,7 +204,7 @@
 	ctx, n.stopBackground = context.WithCancel(ctx)
 	n.callerServer = &http.Server{
 		Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: pass.WithConn,
+		ConnContext: httpx.WithConn,
 	}
 	listeners := []struct {
 		key    string
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -343,14 +343,12 @@
 	c.status = resp.status
 	w.WriteHeader(resp.status)
 	_, err := w.Write(resp.body)
-	if err == nil && c.endsByClose {
-		err = http.NewResponseController(w).Flush()
+	if err == nil {
+		err = c.completeByClose(w)
 	}
 	if err != nil {
 		c.reason = "caller disconnected"
-		return
 	}
-	c.completeByClose()
 }
 
 // responseHeaders returns the response headers without the hop-by-hop headers and Content-Length.
--- a/pass/framing.go
+++ b/pass/framing.go
@@ -10,43 +10,20 @@
 )
 
 // A server may mark the end of its response by closing the connection alone. Whether the response is whole
-// is then for its caller to judge, so it is passed on in the same way: the gateway adds neither a length nor
-// a last chunk, as both state that nothing is missing.
+// is then for its caller to judge, so it is passed on in the same way.
 
-// endByClose makes the response to a call end with the caller's connection. Until completeByClose, any close
-// resets that connection: the end of this process, too, would otherwise look like the end of the response.
+// endByClose makes the response to a call end with the caller's connection.
 func (c *call) endByClose(header http.Header) {
 	c.endsByClose = true
-	header.Set(headerTransferEncoding, encodingIdentity)
-	c.setResetOnClose(true)
+	httpx.BeginByClose(c.request.Context(), header)
 }
 
-// completeByClose ends a response that was begun with endByClose; all of it has been written.
-func (c *call) completeByClose() {
-	if c.endsByClose {
-		c.setResetOnClose(false)
+// completeByClose ends a response that was begun with endByClose.
+func (c *call) completeByClose(w http.ResponseWriter) error {
+	if !c.endsByClose {
+		return nil
 	}
-}
-
-// The net/http server writes neither a length nor chunks if the handler sets this transfer encoding, and
-// closes the connection after the response.
-const (
-	headerTransferEncoding = "Transfer-Encoding"
-	encodingIdentity       = "identity"
-)
-
-// setResetOnClose selects whether the caller's connection is reset when it is closed.
-func (c *call) setResetOnClose(reset bool) {
-	conn, ok := c.request.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
-	if !ok {
-		return
-	}
-	seconds := -1
-	if reset {
-		seconds = 0
-	}
-	// An error means that the connection is closed, so that the caller gets nothing more in any case.
-	_ = conn.SetLinger(seconds)
+	return httpx.CompleteByClose(c.request.Context(), w)
 }
 
 // callerFraming returns how the response to a call marks its end if that of the server has the given framing
@@ -75,7 +52,9 @@
 		return a.fail("read stream: connection closed after an event, in place of a last chunk")
 	}
 	a.writeHead(w)
-	a.c.completeByClose()
+	if err := a.c.completeByClose(w); err != nil {
+		a.c.reason = "caller disconnected"
+	}
 	a.conn.SetStallTimeout(0, nil)
 	a.complete = true
 	a.result = pick.Succeeded
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -25,14 +25,6 @@
 	"github.com/hibiscuscart/hibiscuscart/spans"
 )
 
-type callerConnKey struct{}
-
-// WithConn returns a context that holds a caller's connection. It is used as the ConnContext of the
-// HTTP server that calls the Gateway.
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
 // callerDisconnected reports whether the caller has closed its connection. The HTTP server cancels
 // the request's context for that, but only some time after it has read the request: a request
 // buffered in the kernel while this VM was suspended would be forwarded for a caller that
@@ -41,11 +33,12 @@
 	if r.Context().Err() != nil {
 		return true
 	}
-	c, ok := r.Context().Value(callerConnKey{}).(net.Conn)
+	c, ok := httpx.CallerConn(r.Context())
 	return ok && conns.PeerClosed(c)
 }
 
-// Gateway forwards requests to backend servers. All fields must be set, except those described as
+// Gateway forwards requests to backend servers. The HTTP server that calls it uses httpx.WithConn as its
+// ConnContext. All fields must be set, except those described as
 // optional; RecordDemand and FindServer may be nil if no service runs models.
 type Gateway struct {
 	HeaderNames *HeaderNames
--- a/pass/truncation_test.go
+++ b/pass/truncation_test.go
@@ -140,7 +140,7 @@
 func serveGateway(t *testing.T, g *Gateway) *httptest.Server {
 	t.Helper()
 	s := httptest.NewUnstartedServer(g)
-	s.Config.ConnContext = WithConn
+	s.Config.ConnContext = httpx.WithConn
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
--- a/plain/client.go
+++ b/plain/client.go
@@ -35,11 +35,14 @@
 	Body        []byte
 }
 
-// Response is the complete response of a service.
+// Response is the response of a service.
 type Response struct {
 	Status      int
 	ContentType string
 	Body        []byte
+	// Framing is how the service marked the end of Body, which is certainly complete unless it is
+	// httpx.FramedByClose.
+	Framing httpx.Framing
 }
 
 // Client calls services by address. The zero value is ready for use.
@@ -62,7 +65,7 @@
 	return c.HTTP
 }
 
-// Do sends a call once and returns the complete response. Its errors are Failures;
+// Do sends a call once and returns the response. Its errors are Failures;
 // the cause states whether the call may have been executed.
 func (c *Client) Do(ctx context.Context, address, attempt string, call Call) (Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
@@ -99,7 +102,7 @@
 	if int64(len(body)) > limit {
 		return Response{}, hibiscuscart.Fail(hibiscuscart.CauseBackendError, "the answer is larger than %d bytes", limit)
 	}
-	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, Framing: httpx.FramingOf(resp)}, nil
 }
 
 // LoadReport returns the service's load report.
--- a/stand/http.go
+++ b/stand/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 )
 
@@ -28,6 +29,20 @@
 	return true
 }
 
+// writeByClose writes a JSON response without a length, or only half of it, and closes the connection.
+func writeByClose(w http.ResponseWriter, v any, cutShort bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	body, _ := json.Marshal(v)
+	if cutShort {
+		body = body[:len(body)/2]
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n%s", body)
+}
+
 // closeConnection closes the connection without a response.
 func closeConnection(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/stand/service.go
+++ b/stand/service.go
@@ -23,6 +23,10 @@
 	// execution, DisconnectBeforeRunShare of those whose connection breaks before it.
 	LostResponseShare        float64 `json:"lose_answers"`
 	DisconnectBeforeRunShare float64 `json:"cut_before"`
+	// ByCloseShare is the fraction of calls whose response has neither a length nor chunks, so that it ends
+	// with its connection, and CutShortShare of those whose response also ends in the middle.
+	ByCloseShare  float64 `json:"no_length"`
+	CutShortShare float64 `json:"cut_short"`
 	// Hang executes calls and sends no responses.
 	Hang     bool `json:"hang"`
 	Draining bool `json:"draining"`
@@ -133,7 +137,15 @@
 		closeConnection(w)
 		return
 	}
-	writeJSON(w, http.StatusOK, ServiceResponse{Status: "recorded", Digest: BodyDigest(body)})
+	response := ServiceResponse{Status: "recorded", Digest: BodyDigest(body)}
+	switch {
+	case s.shouldInject(faults.CutShortShare):
+		writeByClose(w, response, true)
+	case s.shouldInject(faults.ByCloseShare):
+		writeByClose(w, response, false)
+	default:
+		writeJSON(w, http.StatusOK, response)
+	}
 }
 
 func (s *Service) execute(r *http.Request, body []byte) {
