soak: Servers answer without a length or chunks, whole and cut short

Cause: no stand-in of the platform's servers played the framing that the incident came from, and no check looked at the framing that callers get. Change: the stand-in ends responses with its connection, whole, or cut short: a stream by a close inside an event, another response by a reset. It marks such responses in a header that VMs pass on; callers check that theirs has no length and no last chunk, and, as before, that what looks complete is. The proxy of the soak forwards a reset as a reset; it made a close of it. Ruled out: to accept a short body without framing as possibly whole; with resets forwarded the check of the body stays as strict as it was.

--- a/demo/check.go
+++ b/demo/check.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/httpx"
+	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
@@ -41,6 +43,9 @@
 	ServerStamp string
 	// Incomplete is set if the connection failed before the response was complete.
 	Incomplete bool
+	// EndsByClose is set if the response ended with its connection, and ServerEndsByClose if that of the
+	// server did.
+	EndsByClose, ServerEndsByClose bool
 }
 
 // Succeeded reports whether the caller received a complete successful response.
@@ -60,6 +65,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	outcome.EndsByClose, outcome.ServerEndsByClose = httpx.FramingOf(resp) == httpx.FramedByClose, resp.Header.Get(platform.HeaderEndsByClose) != ""
 	outcome.Status, outcome.ServerStamp, outcome.Body, outcome.Incomplete = resp.StatusCode, ServerStamp(resp), string(body), err != nil
 	return outcome
 }
@@ -86,7 +92,7 @@
 }
 
 // CheckOutcome checks a successful response: it carries the server stamp and the expected complete
-// body.
+// body, and states no length or last chunk if its server did not.
 func (c *Checks) CheckOutcome(o Outcome) {
 	if o.Status != http.StatusOK || o.Incomplete {
 		return
@@ -94,6 +100,9 @@
 	if o.ServerStamp == "" {
 		c.AddViolation("%s %s: successful response without a server stamp", o.Kind.Name, o.ID)
 	}
+	if o.ServerEndsByClose && !o.EndsByClose {
+		c.AddViolation("%s %s: a response that ends with its server's connection has a length or a last chunk", o.Kind.Name, o.ID)
+	}
 	want := "answer to " + o.ID
 	if o.Kind.Stream {
 		want = completeStream(o.ID)
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -129,6 +129,14 @@
 		"stream lost, resumable":      {stand.BackendFaults{LostResponses: 1}, "/draft/", 200, 2},
 		"stream cut, resumable":       {stand.BackendFaults{BrokenStreams: 1}, "/draft/", 200, 2},
 		"stream cut, not resumable":   {stand.BackendFaults{BrokenStreams: 1}, "/batch/", 200, 1},
+
+		"no length, idempotent":                 {stand.BackendFaults{ByCloseResponses: 1}, "/look/", 200, 1},
+		"no length, at most once":               {stand.BackendFaults{ByCloseResponses: 1}, "/book/", 200, 1},
+		"no length, cut short, idempotent":      {stand.BackendFaults{CutShortResponses: 1}, "/look/", 200, 2},
+		"no length, cut short, at most once":    {stand.BackendFaults{CutShortResponses: 1}, "/book/", 502, 1},
+		"stream without chunks":                 {stand.BackendFaults{ByCloseResponses: 1}, "/draft/", 200, 1},
+		"stream without chunks, cut, resumable": {stand.BackendFaults{CutShortResponses: 1}, "/draft/", 200, 2},
+		"stream without chunks, cut":            {stand.BackendFaults{CutShortResponses: 1}, "/batch/", 200, 1},
 	}
 	s, ctx := startSite(t, demo.SiteOptions{Backends: 2})
 	n := 0
@@ -149,7 +157,7 @@
 			require.Equal(t, tc.status, got.status, got.body)
 			require.Len(t, s.Runs.Servers(id), tc.runs)
 			switch {
-			case name == "stream cut, not resumable":
+			case tc.path == "/batch/":
 				require.Error(t, got.err, "an interrupted stream must not appear complete")
 			case model != "":
 				require.NoError(t, got.err)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -116,7 +118,8 @@
 	p.mu.Unlock()
 }
 
-// copy forwards the bytes of one direction until either connection is closed.
+// copy forwards the bytes of one direction until either connection is closed. A reset is forwarded as one:
+// only a close may end a response without a length.
 func (p *Proxy) copy(to, from net.Conn, response bool) {
 	defer to.Close()
 	defer from.Close()
@@ -131,9 +134,13 @@
 				return
 			}
 		}
-		if err != nil {
-			return
+		if err == nil {
+			continue
 		}
+		if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+			_ = tcp.SetLinger(0)
+		}
+		return
 	}
 }
 
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -27,6 +27,10 @@
 	// ForgedResponses is how many requests get a response without the proof that it comes
 	// from this server.
 	ForgedResponses int
+	// ByCloseResponses is how many requests get a response without a length or chunks, so that it ends with
+	// its connection. CutShortResponses is how many get half of such a response: a stream is closed inside
+	// an event, and another response is reset.
+	ByCloseResponses, CutShortResponses int
 }
 
 // PendingFaults holds faults that are still to be injected. Several backends may share
@@ -321,6 +325,10 @@
 	ActionRespondTwice
 	// ActionForge responds without proof that the response comes from this server.
 	ActionForge
+	// ActionRespondByClose responds without a length or chunks and closes the connection.
+	ActionRespondByClose
+	// ActionCutShort does the same in the middle of the response.
+	ActionCutShort
 	// ActionCrash crashes the process.
 	ActionCrash
 )
@@ -360,6 +368,10 @@
 		return ActionRespondTwice
 	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.ForgedResponses }):
 		return ActionForge
+	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.ByCloseResponses }):
+		return ActionRespondByClose
+	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.CutShortResponses }):
+		return ActionCutShort
 	}
 	return ActionRespond
 }
