--- a/pass/truncation_test.go
+++ b/pass/truncation_test.go
@@ -17,120 +17,40 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
-// connEnd is how a scripted server ends its connection.
-type connEnd int
-
-const (
-	endClosed connEnd = iota
-	endReset
-	endSilent
-)
-
-// script is what a scripted server sends in response to each request: the head of a response with some
-// framing, and the first sent bytes of its body. A script that sends the whole body ends it as its framing
-// requires; then end is what happens to the connection.
+// script is what a scripted server sends in response to a request.
 type script struct {
-	framing   httpx.Framing
+	stand.ScriptedResponse
 	eventType bool
-	body      string
-	sent      int
-	end       connEnd
-	// oneWrite sends the head together with the body.
-	oneWrite bool
 }
 
-// startScriptedServer starts a server that plays one script for each request, the last one for all further
-// requests. A request with a Last-Event-Id gets the events after it.
-func startScriptedServer(t *testing.T, name string, scripts ...script) string {
+// startScriptedServer starts a server that plays a script for each request. A request with a Last-Event-Id
+// gets the events after it.
+func startScriptedServer(t *testing.T, name string, s script) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	ended := make(chan struct{})
-	t.Cleanup(func() {
-		close(ended)
-		_ = l.Close()
-	})
-	go func() {
-		for n := 0; ; n++ {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go scripts[min(n, len(scripts)-1)].play(conn.(*net.TCPConn), name, ended)
+	address, stop, err := stand.StartScripted(func(r *http.Request) stand.ScriptedResponse {
+		resp := s.resumed(r.Header.Get(headerLastEvent))
+		resp.Header = "Attempt: " + r.Header.Get("Attempt") + "\r\nStamp: " + name + "\r\n"
+		if s.eventType {
+			resp.Header += "Content-Type: " + typeEvents + "\r\n"
 		}
-	}()
-	return l.Addr().String()
-}
-
-func (s script) play(conn *net.TCPConn, name string, ended <-chan struct{}) {
-	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	body, sent := s.resumed(r.Header.Get(headerLastEvent))
-	w := bufio.NewWriter(conn)
-	_, _ = w.WriteString(s.head(name, r.Header.Get("Attempt"), len(body)))
-	if !s.oneWrite {
-		_ = w.Flush()
-	}
-	if s.framing == httpx.FramedByChunks {
-		writeChunks(w, body, sent)
-	} else {
-		_, _ = w.WriteString(body[:sent])
-	}
-	_ = w.Flush()
-	switch s.end {
-	case endReset:
-		// The gateway has to read what was sent before the reset discards it.
-		time.Sleep(20 * time.Millisecond)
-		_ = conn.SetLinger(0)
-	case endSilent:
-		<-ended
-	}
-}
-
-// writeChunks writes the first bytes of a body, one chunk for each event. Only a whole body gets its last
-// chunk.
-func writeChunks(w io.Writer, body string, sent int) {
-	for _, event := range strings.SplitAfter(body, "\n\n") {
-		if sent == 0 && event != "" {
-			return
-		}
-		part := event[:min(sent, len(event))]
-		_, _ = fmt.Fprintf(w, "%x\r\n%s", len(event), part)
-		if len(part) < len(event) {
-			return
-		}
-		_, _ = io.WriteString(w, "\r\n")
-		sent -= len(part)
-	}
-}
-
-// resumed returns the body after an event, and how many bytes of it are sent.
-func (s script) resumed(lastEvent string) (body string, sent int) {
-	if lastEvent == "" {
-		return s.body, s.sent
-	}
-	last, _ := strconv.Atoi(lastEvent)
-	skip := len(strings.Join(strings.SplitAfterN(s.body, "\n\n", last+1)[:last], ""))
-	return s.body[skip:], max(s.sent-skip, 0)
+		return resp
+	})
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	return address
 }
 
-func (s script) head(name, attempt string, length int) string {
-	head := "HTTP/1.1 200 OK\r\nAttempt: " + attempt + "\r\nStamp: " + name + "\r\n"
-	if s.eventType {
-		head += "Content-Type: " + typeEvents + "\r\n"
-	}
-	switch s.framing {
-	case httpx.FramedByLength:
-		head += "Content-Length: " + strconv.Itoa(length) + "\r\n"
-	case httpx.FramedByChunks:
-		head += "Transfer-Encoding: chunked\r\n"
+// resumed returns the response after an event.
+func (s script) resumed(lastEvent string) stand.ScriptedResponse {
+	resp := s.ScriptedResponse
+	if last, err := strconv.Atoi(lastEvent); err == nil {
+		skipped := len(strings.Join(strings.SplitAfter(s.Body, "\n\n")[:last], ""))
+		resp.Body, resp.Sent = resp.Body[skipped:], max(resp.Sent-skipped, 0)
 	}
-	return head + "\r\n"
+	return resp
 }
 
 // callerView is a response as its caller sees it on the connection.
@@ -186,7 +106,7 @@
 	if got.status != http.StatusOK {
 		return
 	}
-	require.True(t, strings.HasPrefix(s.body, got.body), "%q of %q", got.body, s.body)
+	require.True(t, strings.HasPrefix(s.Body, got.body), "%q of %q", got.body, s.Body)
 	if s.looksWhole() {
 		require.Equal(t, httpx.FramedByClose, got.framing)
 		return
@@ -196,17 +116,13 @@
 
 // looksWhole reports whether nothing tells the end of the script from that of a whole response.
 func (s script) looksWhole() bool {
-	atEventEnd := strings.HasSuffix(s.body[:s.sent], "\n\n")
-	return s.framing == httpx.FramedByClose && s.end == endClosed && (!s.eventType || atEventEnd)
+	atEventEnd := strings.HasSuffix(s.Body[:s.Sent], "\n\n")
+	return s.Framing == httpx.FramedByClose && s.End == stand.EndClosed && (!s.eventType || atEventEnd)
 }
 
 const threeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
 var (
-	// truncationFramings and truncationEnds are all ways in which a server can frame its response and end
-	// its connection.
-	truncationFramings = []httpx.Framing{httpx.FramedByLength, httpx.FramedByChunks, httpx.FramedByClose}
-	truncationEnds     = map[string]connEnd{"closed": endClosed, "reset": endReset, "silent": endSilent}
 	// truncationPoints is how many bytes of threeEvents a server sends before the end.
 	truncationPoints = map[string]int{
 		"after the head": 0, "inside an event": len("id: 1\ndata: a\n\nid: 2\nda"), "between two events": len("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
@@ -216,20 +132,32 @@
 // forEachTruncation runs a test for each framing, end and point of threeEvents.
 func forEachTruncation(t *testing.T, test func(t *testing.T, s script)) {
 	t.Helper()
-	for _, framing := range truncationFramings {
-		for end, connEnd := range truncationEnds {
+	for _, framing := range stand.ResponseFramings {
+		for end, connEnd := range stand.ConnEnds {
 			for point, sent := range truncationPoints {
 				t.Run(framing.String()+", "+end+" "+point, func(t *testing.T) {
 					t.Parallel()
-					test(t, script{framing: framing, eventType: true, body: threeEvents, sent: sent, end: connEnd})
+					test(t, eventScript(stand.ScriptedResponse{Framing: framing, Sent: sent, End: connEnd}))
 				})
 			}
 		}
 	}
 }
 
+// eventScript returns a script that sends a part of threeEvents.
+func eventScript(s stand.ScriptedResponse) script {
+	s.Body = threeEvents
+	return script{ScriptedResponse: s, eventType: true}
+}
+
+// plainScript returns a script without the content type of events.
+func plainScript(s script) script {
+	s.eventType = false
+	return s
+}
+
 func wholeStream(framing httpx.Framing) script {
-	return script{framing: framing, eventType: true, body: threeEvents, sent: len(threeEvents)}
+	return eventScript(stand.ScriptedResponse{Framing: framing, Sent: len(threeEvents)})
 }
 
 // truncationGateway returns a gateway with one route of a kind, to servers at these addresses.
@@ -252,7 +180,7 @@
 // The head of a stream and its first event arrive together with a part of the second one, and then nothing.
 // Guards against an event that is kept back, and a silence that is not noticed, until the deadline.
 func TestSilenceInsideSecondEvent(t *testing.T) {
-	s := script{framing: httpx.FramedByChunks, eventType: true, body: threeEvents, sent: truncationPoints["inside an event"], end: endSilent, oneWrite: true}
+	s := eventScript(stand.ScriptedResponse{Framing: httpx.FramedByChunks, Sent: truncationPoints["inside an event"], End: stand.EndSilent, OneWrite: true})
 	g := truncationGateway(routes.Route{Kind: routes.Stream, Resumable: true, Objective: 10 * time.Millisecond, MaxEventGap: time.Millisecond},
 		startScriptedServer(t, "a", s), startScriptedServer(t, "b", wholeStream(httpx.FramedByChunks)))
 	got := callGateway(t, g, longDeadline)
@@ -296,7 +224,7 @@
 // The second server of a stream ends it with its connection, after an event. Guards against a last chunk
 // for a stream that may have been cut short.
 func TestResumedStreamWithoutFraming(t *testing.T) {
-	broken := script{framing: httpx.FramedByChunks, eventType: true, body: threeEvents, sent: truncationPoints["inside an event"], end: endReset}
+	broken := eventScript(stand.ScriptedResponse{Framing: httpx.FramedByChunks, Sent: truncationPoints["inside an event"], End: stand.EndReset})
 	tests := map[string]struct {
 		third  script
 		broken bool
@@ -319,7 +247,7 @@
 func TestTruncatedResponseNotComplete(t *testing.T) {
 	for _, kind := range []routes.Kind{routes.Idempotent, routes.AtMostOnce} {
 		forEachTruncation(t, func(t *testing.T, s script) {
-			s.eventType = false
+			s = plainScript(s)
 			g := truncationGateway(routes.Route{Kind: kind}, startScriptedServer(t, "a", s))
 			requireNotComplete(t, callGateway(t, g, truncationDeadline), s)
 		})
@@ -330,11 +258,11 @@
 // of the first response although another server has a whole one.
 func TestTruncatedResponseRetried(t *testing.T) {
 	forEachTruncation(t, func(t *testing.T, s script) {
-		s.eventType = false
+		s = plainScript(s)
 		if s.looksWhole() {
 			t.Skip("not known to be broken off")
 		}
-		g := truncationGateway(routes.Route{Kind: routes.Idempotent, Objective: 10 * time.Millisecond}, startScriptedServer(t, "a", s), startScriptedServer(t, "b", script{framing: httpx.FramedByLength, body: threeEvents, sent: len(threeEvents)}))
+		g := truncationGateway(routes.Route{Kind: routes.Idempotent, Objective: 10 * time.Millisecond}, startScriptedServer(t, "a", s), startScriptedServer(t, "b", plainScript(wholeStream(httpx.FramedByLength))))
 		got := callGateway(t, g, longDeadline)
 		require.Equal(t, threeEvents, got.body)
 		require.False(t, got.broken)
@@ -349,7 +277,7 @@
 		"idempotent": {Kind: routes.Idempotent}, "at most once": {Kind: routes.AtMostOnce},
 	}
 	for kind, route := range kinds {
-		for _, framing := range truncationFramings {
+		for _, framing := range stand.ResponseFramings {
 			t.Run(kind+", "+framing.String(), func(t *testing.T) {
 				t.Parallel()
 				s := wholeStream(framing)
@@ -367,7 +295,7 @@
 // A VM is killed while it passes on a stream that its server ends with the connection. Guards against a
 // caller who takes the close of the killed process for the end of the stream.
 func TestKilledVMResetsStream(t *testing.T) {
-	silent := script{framing: httpx.FramedByClose, eventType: true, body: threeEvents, sent: truncationPoints["between two events"], end: endSilent}
+	silent := eventScript(stand.ScriptedResponse{Framing: httpx.FramedByClose, Sent: truncationPoints["between two events"], End: stand.EndSilent})
 	g := truncationGateway(routes.Route{Kind: routes.Stream}, startScriptedServer(t, "a", silent))
 	s := serveGateway(t, g)
 	resp := openResponse(t, s, "HTTP/1.1", longDeadline)
@@ -383,7 +311,7 @@
 		script script
 		broken bool
 	}{
-		"broken": {script{framing: httpx.FramedByChunks, eventType: true, body: threeEvents, sent: truncationPoints["inside an event"]}, true},
+		"broken": {eventScript(stand.ScriptedResponse{Framing: httpx.FramedByChunks, Sent: truncationPoints["inside an event"]}), true},
 		"whole":  {wholeStream(httpx.FramedByChunks), false},
 	}
 	for name, tc := range tests {
--- /dev/null
+++ b/stand/scripted.go
@@ -0,0 +1,147 @@
+package stand
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/httpx"
+)
+
+// ConnEnd is how a server ends the connection of a response.
+type ConnEnd int
+
+// Values of ConnEnd.
+const (
+	EndClosed ConnEnd = iota
+	EndReset
+	// EndSilent keeps the connection open and sends nothing more.
+	EndSilent
+)
+
+// ConnEnds lists all values of ConnEnd by name, and ResponseFramings all ways in which a response can mark
+// its end.
+var (
+	ConnEnds         = map[string]ConnEnd{"closed": EndClosed, "reset": EndReset, "silent": EndSilent}
+	ResponseFramings = []httpx.Framing{httpx.FramedByLength, httpx.FramedByChunks, httpx.FramedByClose}
+)
+
+// ScriptedResponse is a response with status 200, or the beginning of one, byte by byte as it is sent.
+type ScriptedResponse struct {
+	// Header is the head without the status line and the framing, each line ended by CR LF.
+	Header  string
+	Framing httpx.Framing
+	Body    string
+	// Sent is how many bytes of Body are sent. If that is all, the response ends as Framing requires.
+	Sent int
+	End  ConnEnd
+	// OneWrite sends the head together with the body.
+	OneWrite bool
+}
+
+// Truncations returns a response for each way to break off a body: with each framing, after the head, in the
+// middle and before the last byte, and with each end of the connection. The keys describe them.
+func Truncations(body string) map[string]ScriptedResponse {
+	all := make(map[string]ScriptedResponse)
+	for _, framing := range ResponseFramings {
+		for end, connEnd := range ConnEnds {
+			for point, sent := range map[string]int{"after the head": 0, "in the middle": len(body) / 2, "before the last byte": len(body) - 1} {
+				all[fmt.Sprintf("%s, %s %s", framing, end, point)] = ScriptedResponse{Framing: framing, Body: body, Sent: sent, End: connEnd}
+			}
+		}
+	}
+	return all
+}
+
+// StartScripted serves a response to every request on a free loopback port until stop is called.
+func StartScripted(respond func(*http.Request) ScriptedResponse) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("listen: %w", err)
+	}
+	go serveScripted(l, respond)
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
+
+// resetDelay is the time for the receiver to read what was sent, which a reset discards.
+const resetDelay = 20 * time.Millisecond
+
+// serveScripted answers one request on each connection to l with what respond returns. It returns when l is
+// closed, and then closes the silent connections.
+func serveScripted(l net.Listener, respond func(*http.Request) ScriptedResponse) {
+	ended := make(chan struct{})
+	defer close(ended)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			respond(r).send(conn, ended)
+		}()
+	}
+}
+
+func (s ScriptedResponse) send(conn net.Conn, ended <-chan struct{}) {
+	w := bufio.NewWriter(conn)
+	_, _ = w.WriteString(s.head())
+	if !s.OneWrite {
+		_ = w.Flush()
+	}
+	if s.Framing == httpx.FramedByChunks {
+		s.writeChunks(w)
+	} else {
+		_, _ = w.WriteString(s.Body[:s.Sent])
+	}
+	_ = w.Flush()
+	switch s.End {
+	case EndReset:
+		time.Sleep(resetDelay)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	case EndSilent:
+		<-ended
+	}
+}
+
+func (s ScriptedResponse) head() string {
+	head := "HTTP/1.1 200 OK\r\n" + s.Header
+	switch s.Framing {
+	case httpx.FramedByLength:
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(s.Body))
+	case httpx.FramedByChunks:
+		head += "Transfer-Encoding: chunked\r\n"
+	}
+	return head + "\r\n"
+}
+
+// writeChunks writes a chunk for each part of the body that ends with an empty line. Only a whole body gets
+// its last chunk.
+func (s ScriptedResponse) writeChunks(w io.Writer) {
+	remaining := s.Sent
+	for _, chunk := range strings.SplitAfter(s.Body, "\n\n") {
+		if chunk != "" && remaining == 0 {
+			return
+		}
+		part := chunk[:min(remaining, len(chunk))]
+		_, _ = fmt.Fprintf(w, "%x\r\n%s", len(chunk), part)
+		if len(part) < len(chunk) {
+			return
+		}
+		_, _ = io.WriteString(w, "\r\n")
+		remaining -= len(part)
+	}
+	if s.Body != "" && !strings.HasSuffix(s.Body, "\n\n") {
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}
+}
