pass: The response to a HEAD request keeps the length that its server gave

Seen: in the tests of the class; a HEAD request was answered with a length of 0, whatever its server had said. Cause: the gateway set the length of the body that it had read, and a response to HEAD has none. Change: that length is the server's, or absent. Measured: TestLengthOfHeadResponse fails before (0 for 48 and for none), passes after. Conclusion: no length of the gateway's own is left but that of a body that it has read whole.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -337,9 +337,10 @@
 	for name, values := range resp.header {
 		w.Header()[name] = values
 	}
-	if resp.framing == httpx.FramedByClose {
+	switch {
+	case resp.framing == httpx.FramedByClose:
 		c.endByClose(w.Header())
-	} else {
+	case c.request.Method != http.MethodHead:
 		w.Header().Set(headerLength, strconv.Itoa(len(resp.body)))
 	}
 	c.status = resp.status
@@ -353,12 +354,13 @@
 	}
 }
 
-// responseHeaders returns the response headers without the hop-by-hop headers and Content-Length.
+// responseHeaders returns the response headers without the hop-by-hop headers, and without Content-Length
+// unless it stands for a body that is not sent.
 func (a *attempt) responseHeaders() http.Header {
 	options := connectionOptions(a.resp.Header)
 	headers := make(http.Header, len(a.resp.Header))
 	for name, values := range a.resp.Header {
-		if !isHopByHop(name, options) && name != headerLength {
+		if !isHopByHop(name, options) && (name != headerLength || a.c.request.Method == http.MethodHead) {
 			headers[name] = values
 		}
 	}
--- a/pass/truncation_test.go
+++ b/pass/truncation_test.go
@@ -322,3 +322,31 @@
 		})
 	}
 }
+
+// A server answers a HEAD request, whose response has no body, with or without a length. Guards against a
+// length of the gateway's own.
+func TestLengthOfHeadResponse(t *testing.T) {
+	for name, length := range map[string]string{"known": "48", "unknown": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Attempt", r.Header.Get("Attempt"))
+				w.Header().Set("Stamp", "a")
+				if length != "" {
+					w.Header().Set(headerLength, length)
+				}
+			}))
+			t.Cleanup(s.Close)
+			gateway := serveGateway(t, truncationGateway(routes.Route{Kind: routes.Idempotent}, strings.TrimPrefix(s.URL, "http://")))
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodHead, gateway.URL+"/x", http.NoBody)
+			require.NoError(t, err)
+			r.Host = "h"
+			r.Header.Set("Attempt", "a1")
+			r.Header.Set("Model", "m")
+			resp, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Equal(t, length, resp.Header.Get(headerLength))
+		})
+	}
+}
