pass: The framing in the log is that of the last attempt

Seen: failed tries that could not connect had the framing of the try before. Change: it is cleared when an attempt begins, not when its request is sent. Conclusion: a line without framing had no response.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -34,6 +34,7 @@
 func (g *Gateway) sendAttempt(ctx context.Context, w http.ResponseWriter, c *call, choice pick.Choice) bool {
 	server := choice.Server.ID
 	c.attempts++
+	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
 	now := g.Now()
 	conn, err := g.connect(ctx, now, server, choice.Server.Address, !c.route.Repeatable())
 	if err != nil {
@@ -179,7 +180,6 @@
 		c.sentTo = append(c.sentTo, server)
 	}
 	a.sent = now
-	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
 	var err error
 	a.exchange, err = a.conn.Send(c.request.Method, c.requestHead(g.HeaderNames, a.choice.Server.PlatformName(), c.remaining(now)), c.body)
 	if err != nil {
