node: Changes of the readiness are logged, with their reason

Cause: whether a VM that reaches no server was ready, which tells the second hypothesis of the incident from the first, was in no log. Change: one line for each change of the answer to the balancer; readiness has a file of its own. Ruled out: a line for each check, one a second and VM. Conclusion: a VM that refuses while it is ready is told from one that is not.

--- a/node/node.go
+++ b/node/node.go
@@ -113,6 +113,8 @@
 	retryBudgets map[string]*retry.SlidingWindow
 
 	stopping atomic.Bool
+	// readiness is the last answer to a readiness check, for the log.
+	readiness atomic.Value
 	// waitContext is canceled to end the waits of requests for a server.
 	waitContext    context.Context
 	cancelWaits    context.CancelFunc
@@ -264,43 +266,6 @@
 	n.gateway.ServeHTTP(w, r)
 }
 
-// Ready reports whether the VM can serve new callers: it has the configuration and the list of
-// servers, is not stopping, and is not partitioned from most servers.
-func (n *Node) Ready() bool {
-	return n.table.Load() != nil && n.serverView.Synced() && !n.stopping.Load() && !n.partitioned(n.now())
-}
-
-// partitioned reports whether the VM reaches neither the controller nor any server of another
-// failure domain, while most servers are in other domains. The VM continues to serve its existing
-// callers. The load balancer sends new callers to the VMs of another domain, which reach more
-// servers.
-func (n *Node) partitioned(now time.Time) bool {
-	if n.peers.HubDataFresh(now) || n.peers.Leading() {
-		return false
-	}
-	ownDomain := n.settings().Text("vm", "failure_domain")
-	ownDomainServers, otherDomainServers := 0, 0
-	for _, e := range n.serverView.All(now) {
-		if e.Domain == ownDomain {
-			ownDomainServers++
-			continue
-		}
-		otherDomainServers++
-		if !n.balancer.DomainUnreachable(now, e.Domain) {
-			return false
-		}
-	}
-	return otherDomainServers > ownDomainServers
-}
-
-func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !n.Ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // Reload applies changed settings: the limits on threads and memory, the retry budget, the drain
 // times and the wait of store watches. Addresses and all other settings change when the process
 // restarts.
