--- a/demo/site.go
+++ b/demo/site.go
@@ -76,6 +76,8 @@
 	node                 *node.Node
 	settings             *conf.Settings
 	closeIdleConnections func()
+	// path is the network path to the backend servers.
+	path *stand.Path
 }
 
 // SiteRoutes returns the default routes of a Site, which cover all kinds of routes.
@@ -295,7 +297,7 @@
 	if err != nil {
 		return fmt.Errorf("parse settings of a VM: %w", err)
 	}
-	vm := &siteVM{settings: settings}
+	vm := &siteVM{settings: settings, path: &stand.Path{}}
 	s.mu.Lock()
 	s.vms = append(s.vms, vm)
 	s.mu.Unlock()
@@ -306,10 +308,14 @@
 func (s *Site) StartNode(ctx context.Context, i int) error {
 	vm := s.vms[i]
 	client := &http.Client{Transport: &http.Transport{}}
-	vm.closeIdleConnections = client.CloseIdleConnections
+	serverClient := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return vm.path.Dial(ctx, address) }}}
+	vm.closeIdleConnections = func() {
+		client.CloseIdleConnections()
+		serverClient.CloseIdleConnections()
+	}
 	vm.node = node.New(node.Config{
 		Settings: vm.settings, HeaderNames: &platform.HeaderNames,
-		Objects: platform.NewStoreClient(client, s.storeAddress), ServerClient: platform.NewServerClient(client),
+		Objects: platform.NewStoreClient(client, s.storeAddress), ServerClient: platform.NewServerClient(serverClient), DialServer: vm.path.Dial,
 		ConfigKind: platform.ConfigKind, ConfigName: platform.ConfigName, ServerKind: platform.ServerKind,
 		DecodeTable: platform.DecodeTable, DecodeEntry: platform.DecodeEntry, CloseIdleStoreConns: client.CloseIdleConnections, Now: clock.Now, Log: s.options.Log,
 	})
@@ -334,6 +340,9 @@
 	return list
 }
 
+// Path returns the network path from the i-th VM to the backend servers.
+func (s *Site) Path(i int) *stand.Path { return s.vms[i].path }
+
 // Node returns the i-th VM.
 func (s *Site) Node(i int) *node.Node { return s.vms[i].node }
 
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,8 @@
 	// DecodeTable decodes the configuration, DecodeEntry a server entry.
 	DecodeTable func(store.Object) (*routes.Table, error)
 	DecodeEntry func(store.Object) (backs.Entry, error)
+	// DialServer opens a connection to a backend server; nil uses conns.Dial.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// CloseIdleStoreConns closes the idle connections to the store, which may be broken without
 	// having been reset.
 	CloseIdleStoreConns func()
@@ -128,7 +130,7 @@
 func New(c Config) *Node {
 	s := c.Settings
 	n := &Node{
-		config: c, now: c.Now, meter: meter.New(), serverView: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, connPool: &conns.Pool{}, rateLimits: &limit.Limits{}, quotas: &limit.Quotas{AlwaysTight: s.Text("quotas", "tokens") == "always"},
+		config: c, now: c.Now, meter: meter.New(), serverView: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, connPool: &conns.Pool{DialFunc: c.DialServer}, rateLimits: &limit.Limits{}, quotas: &limit.Quotas{AlwaysTight: s.Text("quotas", "tokens") == "always"},
 		log:          c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		balancer:     &pick.Balancer{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
 		retryBudgets: make(map[string]*retry.SlidingWindow), configChange: make(chan struct{}), confirmedAt: make(map[string]time.Time),
