paths, node, pass: A VM knows that it has lost its path to the servers

Cause: a VM took each failed connection for a failure of that server or of its failure domain; that it reaches none, and only it, was known to nothing but the choice of a single request. Ruled out: responses as evidence (old connections live on in some cuts); counting failures alone (a crashed service looks the same); waiting for the kernel to give up silent connections (two seconds and more). Change: package paths counts new connections: the first that fails raises a suspicion, which probes two servers of other services and domains; three that fail with none that works in between are a lost path, and one probe each 0.4 s finds out when it is back. A second without a byte from any server while requests wait is a suspicion too. Nothing acts on it yet but a log line. Conclusion: the VM can now choose another way; which one is measured next.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -89,7 +89,7 @@
 	// stallTimeout is how long a read waits before it calls abortOnStall; 0
 	// waits for as long as the connection lasts.
 	stallTimeout time.Duration
-	abortOnStall func() bool
+	abortOnStall func(waited time.Duration) bool
 }
 
 // Reused reports whether the connection has been in the pool before.
@@ -100,12 +100,13 @@
 func (c *Conn) Close() { _ = c.net.Close() }
 
 // SetStallTimeout makes each read that waits for longer than timeout call
-// abort, and again after every further timeout. The read fails only when abort
+// abort with the time that it has waited, and again after every further
+// timeout. The read fails only when abort
 // returns true: a silent server may still respond, and a request should abandon
 // it only when another server is available. The readers of net/http cannot
 // continue after a failed read, so they must not see the deadline. A timeout of
 // 0 disables the check.
-func (c *Conn) SetStallTimeout(timeout time.Duration, abort func() bool) {
+func (c *Conn) SetStallTimeout(timeout time.Duration, abort func(waited time.Duration) bool) {
 	c.stallTimeout, c.abortOnStall = timeout, abort
 	if timeout == 0 {
 		_ = c.net.SetReadDeadline(time.Time{})
@@ -117,12 +118,15 @@
 
 // Read implements io.Reader.
 func (r stallReader) Read(p []byte) (int, error) {
-	for {
+	for waited := time.Duration(0); ; {
 		if r.stallTimeout > 0 {
 			_ = r.net.SetReadDeadline(time.Now().Add(r.stallTimeout))
 		}
 		n, err := r.net.Read(p)
-		if n > 0 || r.stallTimeout == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.abortOnStall() {
+		if n > 0 || r.stallTimeout == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if waited += r.stallTimeout; r.abortOnStall(waited) {
 			return n, err
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pass"
+	"github.com/hibiscuscart/hibiscuscart/paths"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/peers"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -100,7 +101,10 @@
 	crashTracker   *poison.Tracker
 	rateLimits     *limit.Limits
 	quotas         *limit.Quotas
-	table          atomic.Pointer[routes.Table]
+	// paths knows whether this VM reaches the servers; pathSuspected wakes the probes.
+	paths         *paths.Tracker
+	pathSuspected chan struct{}
+	table         atomic.Pointer[routes.Table]
 
 	mu sync.Mutex
 	// configRevision and storedConfig are the configuration in force, as stored. configChange is
@@ -134,9 +138,10 @@
 		log:          c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
 		balancer:     &pick.Balancer{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
 		retryBudgets: make(map[string]*retry.SlidingWindow), configChange: make(chan struct{}), confirmedAt: make(map[string]time.Time),
-		failedCalls: make(map[string]int),
+		failedCalls: make(map[string]int), pathSuspected: make(chan struct{}, 1),
 	}
 	n.activeSettings.Store(s)
+	n.paths = &paths.Tracker{OnSuspicion: n.suspectPath, OnChange: n.pathChanged}
 	n.config.Objects = c.Objects.WithResponseObserver(func() { n.serverView.RecordStoreAnswer(n.now()) })
 	n.serverView.OnMissing, n.serverView.OnNotice = n.handleMissing, n.handleNotice
 	n.crashTracker = &poison.Tracker{CrashLimit: s.Int("poison", "crashes"), BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordCrash, OnBlock: n.recordBlock}
@@ -163,7 +168,7 @@
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
-		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
+		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
@@ -229,7 +234,7 @@
 			return fmt.Errorf("listen on %s %s: %w", l.key, address, err)
 		}
 	}
-	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.controller.Run, n.cleanUp, n.probeDomains} {
+	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.controller.Run, n.cleanUp, n.probeDomains, n.watchPath} {
 		n.background.Go(func() { job(ctx) })
 	}
 	n.log.Info().Str("listen", n.settings().Text("vm", "listen")).Str("store", n.settings().Text("store", "address")).Msg("started")
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -39,6 +40,9 @@
 	conn, err := g.connect(ctx, now, server, choice.Server.Address, !c.route.Repeatable())
 	if err != nil {
 		g.Balancer.ConnectFailed(g.Now(), choice.Server)
+		if ctx.Err() == nil {
+			g.Paths.ConnectionFailed(g.Now(), server, errors.Is(err, syscall.ECONNREFUSED))
+		}
 		g.recordConnectionRefused(choice.Server, err)
 		g.reportSuspect(server)
 		g.logFailedAttempt(c, choice, "connect: "+err.Error())
@@ -185,7 +189,7 @@
 	if err != nil {
 		return a.connectionLost(ctx, "send request: "+err.Error(), err)
 	}
-	a.conn.SetStallTimeout(a.startTimeout(), a.reserveFailover)
+	a.limitSilence(a.startTimeout())
 	if err := a.readResponseHead(); err != nil {
 		return a.connectionLost(ctx, err.Error(), err)
 	}
@@ -209,6 +213,25 @@
 	minEventTimeout  = 900 * time.Millisecond
 )
 
+// pathCheckInterval is how often a request that waits for a server checks whether this VM has lost its path
+// to all of them.
+const pathCheckInterval = 400 * time.Millisecond
+
+// limitSilence moves the call to another server when its server is silent for a time, if that is possible.
+// A limit of 0 waits for the request deadline.
+func (a *attempt) limitSilence(limit time.Duration) {
+	interval := pathCheckInterval
+	if limit > 0 {
+		checks := (limit + pathCheckInterval - 1) / pathCheckInterval
+		interval = limit / checks
+	}
+	a.conn.SetStallTimeout(interval, func(waited time.Duration) bool {
+		now := a.g.Now()
+		a.g.Paths.Silent(now, now.Add(-waited))
+		return limit > 0 && waited >= limit && a.reserveFailover()
+	})
+}
+
 // startTimeout returns how long to wait for the response to begin, or 0 if only the request deadline
 // applies.
 func (a *attempt) startTimeout() time.Duration {
@@ -259,6 +282,10 @@
 		if err != nil {
 			return err
 		}
+		a.g.Paths.Heard(a.g.Now())
+		if !a.conn.Reused() {
+			a.g.Paths.ConnectionWorked(a.g.Now())
+		}
 		a.applyNotice(resp)
 		id := resp.Header.Get(a.g.HeaderNames.AttemptID)
 		if id == a.c.id || id == "" && a.provesNotRun(resp) {
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -28,7 +28,11 @@
 // connection, the server may have crashed, so it is probed with a new connection.
 func (a *attempt) connectionLost(ctx context.Context, reason string, err error) bool {
 	g := a.g
-	if now := g.Now(); ctx.Err() == nil && conns.ConnectionLost(err) && g.Servers.Usable(now, a.choice.Server.ID) {
+	now := g.Now()
+	if a.resp == nil && !a.conn.Reused() && ctx.Err() == nil && conns.ConnectionLost(err) {
+		g.Paths.ConnectionFailed(now, a.choice.Server.ID, false)
+	}
+	if ctx.Err() == nil && conns.ConnectionLost(err) && g.Servers.Usable(now, a.choice.Server.ID) {
 		g.Poison.ConnectionLost(now, a.c.fingerprint, a.choice.Server.ID)
 		if g.Servers.MaySend(now, a.choice.Server.ID) {
 			go g.probeServer(a.choice.Server)
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/paths"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
@@ -47,6 +48,8 @@
 	Servers  *backs.View
 	Balancer *pick.Balancer
 	Pool     *conns.Pool
+	// Paths tracks whether this VM reaches the servers.
+	Paths *paths.Tracker
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
 	// RateLimits holds the request rate limits that servers have announced.
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/paths"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
@@ -53,7 +54,7 @@
 	table := routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s", Engine: &routes.Engine{}}}, routes.Limits{})
 	budget := &retry.SlidingWindow{}
 	return &Gateway{
-		Poison: &poison.Tracker{}, RateLimits: &limit.Limits{}, HeaderNames: testHeaderNames, Table: func() *routes.Table { return table }, Servers: view, Balancer: &pick.Balancer{Domain: "d"},
+		Poison: &poison.Tracker{}, Paths: &paths.Tracker{}, RateLimits: &limit.Limits{}, HeaderNames: testHeaderNames, Table: func() *routes.Table { return table }, Servers: view, Balancer: &pick.Balancer{Domain: "d"},
 		Pool: &conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
 			if strings.HasPrefix(address, "dead") {
 				return nil, errConnectionRefused
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -22,11 +22,12 @@
 	var first, last time.Time
 	for {
 		if a.c.headSent {
-			a.conn.SetStallTimeout(a.eventTimeout(splitter.lastID), a.reserveFailover)
+			a.limitSilence(a.eventTimeout(splitter.lastID))
 		}
 		n, err := a.resp.Body.Read(buffer)
 		if complete := splitter.add(buffer[:n]); len(complete) > 0 {
 			now := a.g.Now()
+			a.g.Paths.Heard(now)
 			a.balancerAttempt.FirstEvent(now)
 			a.c.recordEvents(now, last, complete)
 			if last = now; first.IsZero() {
