paths: Connections that fail right after a cut do not begin another one

Seen: in a trial with injected cuts one VM of six lost its path again 60 ms after it was back, for 110 ms: connections begun during the cut failed late, while the suspicion of the cut had not ended yet. Change: failures within a second of a new connection that worked do not count, whether there is a suspicion or not. Measured: TestLateFailuresAfterCut fails before, passes after.

--- a/paths/tracker.go
+++ b/paths/tracker.go
@@ -72,7 +72,7 @@
 func (t *Tracker) connectionFailed(now time.Time, server string, refused bool) (notify []func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.lost && !t.suspected && !t.workedAt.IsZero() && now.Sub(t.workedAt) < suspicionInterval {
+	if !t.lost && !t.workedAt.IsZero() && now.Sub(t.workedAt) < suspicionInterval {
 		return t.processEnded(now, server, refused)
 	}
 	if t.failed == nil {
--- a/paths/tracker_test.go
+++ b/paths/tracker_test.go
@@ -88,6 +88,21 @@
 	require.Empty(t, v.ended, "a refusal by a lost path says nothing about the server")
 }
 
+// Connections that were begun during a cut fail right after it. Guards against a path that counts as lost
+// again at its end.
+func TestLateFailuresAfterCut(t *testing.T) {
+	v := newVM()
+	for _, e := range fleet()[:lostServers] {
+		v.ConnectionFailed(at(0), e.ID, false)
+	}
+	require.True(t, v.Lost())
+	v.ConnectionWorked(at(5))
+	for _, e := range fleet() {
+		v.ConnectionFailed(at(5.2), e.ID, false)
+	}
+	require.False(t, v.Lost())
+}
+
 // All servers of one service, or of one failure domain, crash at the same moment. Guards against taking that
 // for a lost path of the VM, which would send its requests through others in vain.
 func TestCrashedGroupIsNoLostPath(t *testing.T) {
