peers, wire: A hub names VMs that have a path to the servers

Cause: a VM without a path knows no other VM but its hub; there is no list of VMs, and the hub can be cut off as well. Ruled out: a list in the store (calls of each VM); a list in every frame (bytes of each link all the time); one flag for a relay and its VMs (a relay without a path was named to its VMs). A VM accepts the key of the current term and of the one before. The new fields sort last in their frames, so that older builds skip them; a VM of an older build is not named, as its greeting does not say that it serves. Conclusion: nothing is sent through them yet.

--- a/link/codec.go
+++ b/link/codec.go
@@ -14,8 +14,8 @@
 
 // Protocol is the version of the link protocol. Frames are encoded as arrays without field
 // names, which would make up most of a heartbeat. Any change of the schema therefore needs
-// a new version, except an optional field whose name sorts behind all others of its object:
-// it comes last, and builds without it skip it.
+// a new version, except optional fields whose names sort behind all others of their object:
+// they come last, and builds without them skip them.
 const Protocol = 5
 
 // cborHandle encodes in canonical order, so that equal frames have equal bytes.
--- a/link/keys.go
+++ b/link/keys.go
@@ -29,8 +29,8 @@
 // time, so that a key cannot be guessed byte by byte.
 func (k Keys) Role(r *http.Request) Role {
 	given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	peer := keysEqual(given, k.Peer)
-	operator := keysEqual(given, k.Operator)
+	peer := KeysEqual(given, k.Peer)
+	operator := KeysEqual(given, k.Operator)
 	switch {
 	case peer:
 		return RolePeer
@@ -40,7 +40,8 @@
 	return RoleNone
 }
 
-func keysEqual(given, want string) bool {
+// KeysEqual reports whether a given key is the wanted one, which must not be empty. It takes constant time.
+func KeysEqual(given, want string) bool {
 	a, b := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(want))
 	return subtle.ConstantTimeCompare(a[:], b[:]) == 1 && want != ""
 }
--- a/link/older_test.go
+++ b/link/older_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,27 +10,69 @@
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
-// olderReport is a frame with a VMReport as builds without its last field encode it.
-var olderReport = "94" + strings.Repeat("f6", 18) + "60" + "8af6f6816161f6f6f6f4f602818560616d036000"
+// olderFrame is a frame as builds without the last fields of its object encode it.
+type olderFrame struct {
+	older string
+	// message is what it means. extend sets the fields that were added since; the frame is then newer.
+	message wire.Message
+	extend  func(m *wire.Message)
+	newer   string
+}
 
-// Guards against a report that older VMs can not read, or whose fields they take for others: frames carry no
-// names, and the hub closes the link of a VM whose frame it can not read.
-func TestVMReportBesideOlderBuilds(t *testing.T) {
-	data, err := hex.DecodeString(olderReport)
-	require.NoError(t, err)
-	m, err := Decode(data)
-	require.NoError(t, err)
+func olderFrames() map[string]olderFrame {
 	report := wire.VMReport{Vms: 2, Doubts: []string{"a"}, Wants: []wire.ModelWant{{Model: "m", Requests: 3}}}
-	require.Equal(t, &report, m.VMReport)
+	hello := wire.Hello{Protocol: 5, Node: "n", FailureDomain: "d", Boot: "b", Address: "a", Millicores: 400, Relaying: true}
+	state := wire.FleetState{Vms: 3, Full: true, AgeMs: 7, TightTeams: []string{"t"}}
+	return map[string]olderFrame{
+		"report": {
+			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608af6f6816161f6f6f6f4f602818560616d036000",
+			message: wire.Message{VMReport: &report},
+			extend:  func(m *wire.Message) { m.VMReport.WillExit, m.VMReport.WithoutPath = []string{"s"}, true },
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608df6f6816161f6f6f6f4f602818560616d036000816173f5f4",
+		},
+		"report of a later build": {
+			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608bf6f6816161f6f6f6f4f602818560616d036000f6",
+			message: wire.Message{VMReport: &report},
+			extend:  func(m *wire.Message) { m.VMReport.WithoutPathBelow = true },
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608df6f6816161f6f6f6f4f602818560616d036000f6f4f5",
+		},
+		"hello": {
+			older:   "94f6f6f6f6f6f6f6f6f687616161626164190190616e05f5f6f6f6f6f6f6f6f660f6",
+			message: wire.Message{Hello: &hello},
+			extend:  func(m *wire.Message) { m.Hello.ServesAsProxy = true },
+			newer:   "94f6f6f6f6f6f6f6f6f688616161626164190190616e05f5f5f6f6f6f6f6f6f6f660f6",
+		},
+		"fleet state": {
+			older:   "94f6f6f6f6f6f6f68f07f5f4008960f660006060f6000000f6f600f4f6f6f681617403f6f6f6f6f6f6f6f6f6f660f6",
+			message: wire.Message{FleetState: &state},
+			extend:  func(m *wire.Message) { m.FleetState.VmsWithPath = []string{"p"} },
+			newer:   "94f6f6f6f6f6f6f69007f5f4008960f660006060f6000000f6f600f4f6f6f681617403816170f6f6f6f6f6f6f6f6f6f660f6",
+		},
+	}
+}
 
-	report.WillExit = []string{"s"}
-	sent, err := Encode(&wire.Message{VMReport: &report})
-	require.NoError(t, err)
-	want := strings.Replace(olderReport, "608af6", "608bf6", 1) + "816173"
-	require.Equal(t, want, hex.EncodeToString(sent))
+// Guards against frames that older VMs can not read, or whose fields they take for others: frames carry no
+// names, and the hub closes the link of a VM whose frame it can not read.
+func TestFramesBesideOlderBuilds(t *testing.T) {
+	for name, f := range olderFrames() {
+		t.Run(name, func(t *testing.T) {
+			data, err := hex.DecodeString(f.older)
+			require.NoError(t, err)
+			m, err := Decode(data)
+			require.NoError(t, err)
+			require.Equal(t, &f.message, m)
+			f.extend(m)
+			sent, err := Encode(m)
+			require.NoError(t, err)
+			require.Equal(t, f.newer, hex.EncodeToString(sent))
+		})
+	}
+}
 
+// Guards against a codec that does not skip what is behind the fields that a build knows.
+func TestUnknownFieldsSkipped(t *testing.T) {
 	var older struct{ First, Second []string }
-	longer := []byte{0x83, 0x81, 0x61, 'a', 0x81, 0x61, 'b', 0x81, 0x61, 'c'}
+	longer := []byte{0x84, 0x81, 0x61, 'a', 0x81, 0x61, 'b', 0x81, 0x61, 'c', 0xf5}
 	require.NoError(t, codec.NewDecoderBytes(longer, cborHandle).Decode(&older))
 	require.Equal(t, []string{"b"}, older.Second)
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -29,9 +29,9 @@
 	// maxToldLoads is the number of servers whose load is sent in a frame, the busiest ones. It bounds
 	// a frame to some ten kilobytes, whatever the size of the fleet.
 	maxToldLoads = 256
-	// relaysBatchDelay is how long a change of the relays is delayed, so that the links that follow
-	// it are announced in the same frame.
-	relaysBatchDelay = 20 * time.Millisecond
+	// loadsBatchDelay is how long a change of the relays or proxies is delayed, so that the links and
+	// reports that follow it are announced in the same frame.
+	loadsBatchDelay = 20 * time.Millisecond
 )
 
 // batchDelay returns how long to collect changes before sending them, for a number of links.
@@ -160,6 +160,7 @@
 	state.Suspects = suspectList(p.Poison.Suspects(p.Now()))
 	state.Limits = limitList(p.Limits.Rates())
 	state.Relays = p.chooseRelays()
+	state.VmsWithPath = p.announcedProxies()
 }
 
 // dataAgeMs returns the time in milliseconds since the store confirmed, to this VM or to the hub
@@ -201,7 +202,9 @@
 		p.mergeReport(d.vm, m.VMReport)
 	case m.VMReport != nil:
 		p.mu.Lock()
-		p.setSubtree(d.vm, subtree{vms: m.VMReport.Vms, relaying: m.VMReport.Relaying})
+		p.setSubtree(d.vm, subtree{
+			vms: m.VMReport.Vms, relaying: m.VMReport.Relaying, withoutPath: m.VMReport.WithoutPath, withoutPathBelow: m.VMReport.WithoutPathBelow,
+		})
 		p.mu.Unlock()
 		p.Controller.RecordVMReport(p.Now(), d.vm, loadsOf(m.VMReport.Loads), demandOf(m.VMReport.Wants))
 		p.Controller.RequireReports(m.VMReport.Doubts)
@@ -247,7 +250,7 @@
 		links := p.linkCount()
 		interval := loadInterval(links, p.VMs())
 		timer := time.NewTimer(interval)
-		renewal, relays := false, false
+		renewal, loadsDue := false, false
 		select {
 		case <-ctx.Done():
 		case <-configured:
@@ -255,8 +258,8 @@
 			renewal = true
 		case <-p.frameDue.raised():
 			renewal = true
-			if relays = p.takeRelaysDue(); relays {
-				pause.For(ctx, relaysBatchDelay)
+			if loadsDue = p.takeLoadsDue(); loadsDue {
+				pause.For(ctx, loadsBatchDelay)
 			}
 		case <-changed:
 			pause.For(ctx, batchDelay(links))
@@ -272,7 +275,7 @@
 			p.broadcastConfig(revision, value)
 		}
 		states, servers := p.Servers.Since(now, sent.servers)
-		loadDue := relays || now.Sub(lastLoad) >= interval
+		loadDue := loadsDue || now.Sub(lastLoad) >= interval
 		if loadDue {
 			lastLoad = now
 			if p.isRelaying() {
@@ -287,17 +290,18 @@
 	}
 }
 
-// signalRelays makes broadcast announce the relays at once. p.mu must be held.
-func (p *Peers) signalRelays() {
-	p.relaysDue = true
+// signalLoads makes broadcast announce the relays and proxies at once, which are sent with the loads. p.mu
+// must be held.
+func (p *Peers) signalLoads() {
+	p.loadsDue = true
 	p.frameDue.raise()
 }
 
-func (p *Peers) takeRelaysDue() bool {
+func (p *Peers) takeLoadsDue() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	due := p.relaysDue
-	p.relaysDue = false
+	due := p.loadsDue
+	p.loadsDue = false
 	return due
 }
 
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -76,6 +76,8 @@
 	expiredSince time.Time
 	keeper       lease.Keeper
 	record       wire.ControllerLease
+	// previousKey is the key of the term before that of record.
+	previousKey string
 	// startRecord is the first record that was read, nil before.
 	startRecord  *wire.ControllerLease
 	key          string
@@ -262,7 +264,7 @@
 	if record.Holder != "" && record.Address != l.record.Address {
 		l.Log.Info().Str("holder", record.Holder).Int("version", version).Str("before", l.record.Holder).Msg("controller lease has another holder")
 	}
-	l.record = record
+	l.setRecord(record)
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
 	}
@@ -322,7 +324,7 @@
 		return fmt.Errorf("write lease: %w", err)
 	}
 	l.keeper.UpdateSucceeded(startedAt, newVersion, next)
-	l.record = record
+	l.setRecord(record)
 	if action == lease.Acquire {
 		l.recordAcquisition(startedAt, newVersion, previous, previousChangedAt)
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -83,6 +83,9 @@
 	// StoreUnreachable reports whether the store did not answer this VM's last request and a retry is
 	// in progress. If nil, the store counts as reachable.
 	StoreUnreachable func() bool
+	// HasPath reports whether this VM has a path to the backend servers and serves as a proxy for VMs
+	// that have none. If nil, it has one and does not serve.
+	HasPath func() bool
 	// Dial opens a connection to another VM. If nil, it is a TCP connection.
 	Dial  func(ctx context.Context, address string) (net.Conn, error)
 	Now   func() time.Time
@@ -116,6 +119,8 @@
 	// relays. relayLostAt is when the link to a relay was lost, by address.
 	relays       []wire.Relay
 	chosenRelays map[string]bool
+	// hubProxies are the proxies that the hub named last.
+	hubProxies []string
 	// relaysOutdated is set when a relay of the list was lost. dividedSince is since when this relay has
 	// had enough VMs to divide them.
 	relaysOutdated bool
@@ -135,10 +140,10 @@
 	furtherRelay bool
 	stopRelaying context.CancelFunc
 	leaseRenewed chan struct{}
-	// frameDue makes a hub send a frame at once, because the list of tight teams or, with relaysDue,
-	// that of the relays has changed. reportDue does the same for the report to the hub.
+	// frameDue makes a hub send a frame at once, because the list of tight teams or, with loadsDue,
+	// that of the relays or proxies has changed. reportDue does the same for the report to the hub.
 	frameDue, reportDue signal
-	relaysDue           bool
+	loadsDue            bool
 	// fleet is the size of the fleet for the parts of the quotas.
 	fleet fleetSize
 	// quotasSeeded is set once this process has its part of the levels in the lease record.
@@ -251,7 +256,7 @@
 func (p *Peers) hello() wire.Hello {
 	return wire.Hello{
 		Protocol: link.Protocol, Node: p.Name, FailureDomain: p.Domain, Boot: p.Boot,
-		Address: p.Address, Millicores: int(1000 * p.Cores), Relaying: p.isRelaying(),
+		Address: p.Address, Millicores: int(1000 * p.Cores), Relaying: p.isRelaying(), ServesAsProxy: p.HasPath != nil,
 	}
 }
 
--- a/peers/report.go
+++ b/peers/report.go
@@ -41,7 +41,7 @@
 	up.setReported(own)
 	status, interval := p.reportStatus()
 	report := &wire.VMReport{
-		Vms: status.vms, Relaying: status.relaying, Loads: loadList(own), Wants: demandList(p.takeDemand()), Doubts: append([]string{}, p.takeUnverified()...),
+		Vms: status.vms, Relaying: status.relaying, WithoutPath: status.withoutPath, WithoutPathBelow: status.withoutPathBelow, Loads: loadList(own), Wants: demandList(p.takeDemand()), Doubts: append([]string{}, p.takeUnverified()...),
 		WillExit: p.Servers.TakeLeaving(), Limits: limitList(p.Limits.TakeReport()), Spends: p.takeSpends(),
 	}
 	addCrashes(report, p.Poison.TakeReport())
@@ -53,13 +53,13 @@
 func worthSending(r, last *wire.VMReport) bool {
 	events := len(r.Doubts) + len(r.WillExit) + len(r.Limits) + len(r.Spends) + len(r.Levels) + len(r.Crashes) + len(r.Answered)
 	busy := len(r.Loads)+len(r.Wants) > 0 || len(last.Loads)+len(last.Wants) > 0
-	return events > 0 || busy || r.Vms != last.Vms || r.Relaying != last.Relaying
+	return events > 0 || busy || r.Vms != last.Vms || r.Relaying != last.Relaying || r.WithoutPath != last.WithoutPath || r.WithoutPathBelow != last.WithoutPathBelow
 }
 
-// reportStatus returns the number of VMs in this VM's subtree, whether it relays, and the report
-// interval.
+// reportStatus returns the state of this VM's subtree without its loads, and the report interval.
 func (p *Peers) reportStatus() (status subtree, interval time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return subtree{vms: p.subtreeVMs(), relaying: p.relaying}, max(p.reportInterval, minLoadInterval)
+	status = subtree{vms: p.subtreeVMs(), relaying: p.relaying, withoutPath: !p.hasPath(), withoutPathBelow: p.withoutPathBelow()}
+	return status, max(p.reportInterval, minLoadInterval)
 }
--- a/peers/term.go
+++ b/peers/term.go
@@ -34,7 +34,7 @@
 	vms := p.VMs()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.termStart, p.inheritedVMs = now, vms
+	p.termStart, p.inheritedVMs, p.hubProxies = now, vms, nil
 	if p.termStarted != nil {
 		close(p.termStarted)
 		p.termStarted = nil
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -49,6 +49,9 @@
 	// vms is the number of VMs in the subtree. relaying is set if its root is a relay.
 	vms      int
 	relaying bool
+	// withoutPath is set if its root has no path to the backend servers, withoutPathBelow if another VM of
+	// it has none.
+	withoutPath, withoutPathBelow bool
 }
 
 // selectRelay returns the address of the relay that this VM should link to, or "" if it should link
@@ -315,7 +318,7 @@
 func (p *Peers) mergeReport(vm string, r *wire.VMReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setSubtree(vm, subtree{loads: loadsOf(r.Loads), vms: r.Vms, relaying: r.Relaying})
+	p.setSubtree(vm, subtree{loads: loadsOf(r.Loads), vms: r.Vms, relaying: r.Relaying, withoutPath: r.WithoutPath, withoutPathBelow: r.WithoutPathBelow})
 	for _, d := range demandOf(r.Wants) {
 		p.addDemand(d)
 	}
@@ -329,8 +332,8 @@
 	if p.subtrees == nil {
 		p.subtrees = make(map[string]subtree)
 	}
-	if s.relaying != p.subtrees[vm].relaying {
-		p.signalRelays()
+	if last := p.subtrees[vm]; s.relaying != last.relaying || s.withoutPath != last.withoutPath || s.withoutPathBelow != last.withoutPathBelow {
+		p.signalLoads()
 	}
 	p.subtrees[vm] = s
 }
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -114,6 +114,12 @@
 
 // startFleet starts VMs in two failure domains, two of them strong in each domain.
 func startFleet(t *testing.T, count int) []*testVM {
+	t.Helper()
+	return startFleetWith(t, count, func(int, *testVM) {})
+}
+
+// startFleetWith is startFleet with a function that changes each VM before it starts.
+func startFleetWith(t *testing.T, count int, change func(i int, v *testVM)) []*testVM {
 	t.Helper()
 	o := &stand.ObjectStore{}
 	var vms []*testVM
@@ -123,6 +129,7 @@
 			cores = 0.8
 		}
 		v := newVM(o, fmt.Sprintf("vm-%02d", i), fmt.Sprintf("d%d", i%2), cores)
+		change(i, v)
 		v.start(t.Context())
 		t.Cleanup(v.crash)
 		vms = append(vms, v)
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -295,6 +295,10 @@
 	p.mu.Lock()
 	p.externalLoads = pick.SubtractLoads(loadsOf(s.Loads), up.lastReported())
 	p.reportInterval = time.Duration(s.PauseMs) * time.Millisecond
+	if len(s.VmsWithPath) > 0 || !p.needsProxies() {
+		// A new hub names none until it has the report of this VM.
+		p.hubProxies = s.VmsWithPath
+	}
 	p.mu.Unlock()
 	p.updateOtherLoads()
 	p.applyRelays(root, now, up, s.Relays)
--- a/peers/withhold.go
+++ b/peers/withhold.go
@@ -59,7 +59,7 @@
 	}
 	p.withheld[hello.Boot] = withheldLinks{links.count + 1, now}
 	d.withheldSince = now
-	p.signalRelays()
+	p.signalLoads()
 	return true
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -294,6 +294,11 @@
 
 	// Number of VMs linked to the controller, including its own.
 	Vms int `json:"vms"`
+
+	// Addresses of VMs that send requests for those without a path to the backend
+	// servers; sent with the loads while there is such a VM. Its name sorts behind
+	// all others, so that builds without it skip it.
+	VmsWithPath []string `json:"vms_with_path,omitempty,omitzero"`
 }
 
 // Heartbeats that the sender forwards, its own first.
@@ -372,6 +377,10 @@
 
 	// Set if the VM is a relay for other VMs of its failure domain.
 	Relaying bool `json:"relaying"`
+
+	// Set if the VM sends requests for VMs without a path to the backend servers. Its
+	// name sorts behind all others, so that builds without it skip it.
+	ServesAsProxy bool `json:"serves_as_proxy,omitempty,omitzero"`
 }
 
 // Memory of a backend server that a controller has reserved. The reservation is
@@ -1081,7 +1090,15 @@
 	Wants []ModelWant `json:"wants"`
 
 	// IDs of servers that said in a response that they leave; only those not yet
-	// reported on this link. Its name sorts behind all others, so that builds without
-	// it skip it.
+	// reported on this link. Its name sorts behind those of the first builds, which
+	// skip it.
 	WillExit []string `json:"will_exit,omitempty,omitzero"`
+
+	// Set if the sender has no path to the backend servers. Its name sorts behind
+	// those of the first builds, which skip it.
+	WithoutPath bool `json:"without_path,omitempty,omitzero"`
+
+	// Set if a VM linked to the sender has no path to the backend servers. Its name
+	// sorts behind all others, so that builds without it skip it.
+	WithoutPathBelow bool `json:"without_path_below,omitempty,omitzero"`
 }
