pass, node: A VM without a path sends its requests through one that has a path

Seen by callers: VMs that reached no backend server refused nearly all requests (503), for as long as that lasted, while other VMs reached every server. Cause: a VM sent over a connection of its own or not at all. It knew that it was the one cut off, but stayed ready as its controller's data were fresh, and refused. Ruled out by weighing: a byte tunnel (the VM in the middle would not see what servers say to it), frames on the links (flow control of their own). Change: while the path is lost, the request goes to a VM that the hub names, as HTTP with two headers more; that VM makes the one attempt, over its own connections, and passes the response on as it is framed. Server, retries, quotas, budgets and at-most-once stay with the first VM; a refusal takes the send back. One hop: a proxy sends over its own path or refuses. At most 100 requests for each core at a time. Without a proxy the VM is not ready and refuses at once. A connection that never brought a response proves no path. The controller still can not order while it is cut off.

--- a/backs/queries.go
+++ b/backs/queries.go
@@ -63,6 +63,17 @@
 	return list
 }
 
+// Entry returns the entry of a server, and whether there is one.
+func (v *View) Entry(id string) (Entry, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := v.records[id]
+	if r == nil || !r.removedAt.IsZero() {
+		return Entry{}, false
+	}
+	return r.entry, true
+}
+
 // Usable reports whether a server may get new requests now, apart from a rest that it asked this VM for.
 func (v *View) Usable(now time.Time, id string) bool {
 	v.mu.Lock()
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -54,6 +54,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		x.conn.proven = true
 		if resp.StatusCode >= 200 {
 			return resp, nil
 		}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -81,8 +81,8 @@
 	net    net.Conn
 	reader *bufio.Reader
 	key    string
-	// reused is set once the connection has been in the pool.
-	reused bool
+	// reused is set once the connection has been in the pool, proven once a response has arrived on it.
+	reused, proven bool
 	// expiresAt is when the connection is too old for any request, safeUntil
 	// when it is too old for a request that cannot be repeated.
 	expiresAt, safeUntil time.Time
@@ -92,8 +92,9 @@
 	abortOnStall func(waited time.Duration) bool
 }
 
-// Reused reports whether the connection has been in the pool before.
-func (c *Conn) Reused() bool { return c.reused }
+// Proven reports whether a response has arrived on the connection. One that was
+// opened and kept may be broken as soon as it is used.
+func (c *Conn) Proven() bool { return c.proven }
 
 // Close closes the connection. It may be called more than once and while
 // another goroutine reads or writes.
--- a/demo/path_test.go
+++ b/demo/path_test.go
@@ -57,6 +57,14 @@
 	}, testTimeout, time.Millisecond)
 }
 
+// proxiedRequests returns how many requests VMs have sent for others.
+func proxiedRequests(s *demo.Site) (sent int64) {
+	for vm := range s.VMAddresses() {
+		sent += s.Node(vm).Metrics().CounterValue("proxy.sent")
+	}
+	return sent
+}
+
 // controllerOf returns the VM that is the controller.
 func controllerOf(ctx context.Context, t *testing.T, s *demo.Site) int {
 	t.Helper()
@@ -95,6 +103,13 @@
 			for _, vm := range cut {
 				requireServing(ctx, t, s, vm, "after")
 			}
+			require.Eventually(t, func() bool {
+				before := proxiedRequests(s)
+				for _, vm := range cut {
+					requireServing(ctx, t, s, vm, fmt.Sprintf("direct-%d", before))
+				}
+				return proxiedRequests(s) == before
+			}, testTimeout, time.Millisecond, "requests still go through another VM")
 		})
 	}
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -113,8 +113,8 @@
 		models[m] = routes.Model{Name: m, SizeMB: siteModelMB, LoadTime: siteLoadTime, MemoryLoadTime: siteLoadTime, DiskLoadTime: siteLoadTime, AdapterCount: 4}
 	}
 	return []routes.Service{
-		{Name: SitePlainService, MaxConns: 100},
-		{Name: SiteModelService, MaxConns: 100, Engine: &routes.Engine{
+		{Name: SitePlainService, HealthPath: platform.HealthPath, MaxConns: 100},
+		{Name: SiteModelService, HealthPath: platform.HealthPath, MaxConns: 100, Engine: &routes.Engine{
 			Slots: 8, KVCacheTokens: 100_000, WeightMemoryMB: siteMemoryMB, AdapterSlots: 4, StoreLoadsPerSecond: 20, Models: models,
 		}},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -161,7 +161,7 @@
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, StoreUnreachable: n.storeUnreachable,
 		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, Limits: n.rateLimits, Quotas: n.quotas, EqualQuotas: s.Text("quotas", "tokens") == "equal",
-		Now: c.Now, Log: n.log, Meter: n.meter,
+		HasPath: func() bool { return !n.paths.Lost() }, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
 	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
@@ -170,6 +170,7 @@
 		ShutdownContext: n.waitContext,
 		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
+		ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
@@ -221,7 +222,7 @@
 	}{
 		{"listen", n.callerServer},
 		{"ready_listen", &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{"peer_listen", &http.Server{Handler: n.peers.Handler(), ReadHeaderTimeout: headerTimeout}},
+		{"peer_listen", &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: httpx.WithConn}},
 		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, l := range listeners {
@@ -301,6 +302,7 @@
 		pause.For(ctx, cleanupInterval)
 		now := n.now()
 		n.connPool.CloseExpired(now)
+		n.gateway.CloseExpiredProxyConns(now)
 		n.balancer.Retain(n.serverView.All(now))
 		n.rateLimits.Retain(func(id string) bool { return n.serverView.Usable(now, id) })
 		if n.config.DroppedLogLines != nil {
@@ -328,6 +330,7 @@
 	ctx, cancel := context.WithTimeout(background, remaining)
 	defer cancel()
 	err := n.callerServer.Shutdown(ctx)
+	n.gateway.AwaitProxied(ctx)
 	// No background renewal of the lease may follow the final renewal below.
 	n.stopBackground()
 	n.lease.Extend(background, restartLeaseDuration)
@@ -350,3 +353,6 @@
 
 // Leading reports whether this VM is the controller.
 func (n *Node) Leading() bool { return n.peers.Leading() }
+
+// Metrics returns the counters and durations of this VM.
+func (n *Node) Metrics() *meter.Registry { return n.meter }
--- a/node/ready.go
+++ b/node/ready.go
@@ -9,7 +9,8 @@
 func (n *Node) Ready() bool { return n.unreadyReason(n.now()) == "" }
 
 // unreadyReason returns why the VM can not serve new callers, or "" if it can: it has the configuration and
-// the list of servers, is not stopping, and is not partitioned from most servers.
+// the list of servers, is not stopping, and is not partitioned from most servers. A VM that has lost its path
+// to the servers serves callers as long as it knows another VM that sends its requests.
 func (n *Node) unreadyReason(now time.Time) string {
 	switch {
 	case n.table.Load() == nil:
@@ -18,6 +19,8 @@
 		return "no list of servers"
 	case n.stopping.Load():
 		return "stopping"
+	case n.paths.Lost() && len(n.peers.ProxyVMs()) == 0:
+		return "path to the servers lost, and no other VM to send through"
 	case n.partitioned(now):
 		return "partitioned from the controller and most servers"
 	}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -36,17 +35,10 @@
 	c.attempts++
 	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
 	now := g.Now()
-	conn, err := g.connect(ctx, now, server, choice.Server.Address, !c.route.Repeatable())
+	way, err := g.openWay(ctx, now, choice.Server, !c.route.Repeatable())
+	c.proxy = way.proxy
 	if err != nil {
-		g.Balancer.ConnectFailed(g.Now(), choice.Server)
-		if ctx.Err() == nil {
-			g.Paths.ConnectionFailed(g.Now(), server, errors.Is(err, syscall.ECONNREFUSED))
-		}
-		g.recordConnectionRefused(choice.Server, err)
-		g.reportSuspect(server)
-		g.logFailedAttempt(c, choice, "connect: "+err.Error())
-		c.excluded = append(c.excluded, server)
-		c.unreachable = append(c.unreachable, server)
+		g.connectFailed(c, choice, err)
 		return false
 	}
 	// While the connection was opened or this VM was suspended, the server may have started
@@ -54,36 +46,38 @@
 	now = g.Now()
 	if callerDisconnected(c.request) {
 		c.disconnected = true
-		g.Pool.PutUnused(now, conn)
+		way.pool.PutUnused(now, way.conn)
 		return false
 	}
 	if !g.Servers.MaySend(now, server) || c.remaining(now) <= 0 {
-		g.Pool.PutUnused(now, conn)
+		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, "server unavailable or at rest, or deadline passed before the send")
 		c.excluded = append(c.excluded, server)
 		return false
 	}
 	if g.blocked(now, c) || !g.recheckKey(c) {
-		g.Pool.PutUnused(now, conn)
+		way.pool.PutUnused(now, way.conn)
 		return false
 	}
 	// Only requests that reach a server contribute to an overload, so only sends count against the
 	// retry budget, and failed connections do not.
 	if c.sends > 0 && !c.takeRetry(now) {
 		c.budgetExhausted = true
-		g.Pool.PutUnused(now, conn)
+		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, c.reason+"; retry budget exhausted")
 		return false
 	}
 	c.choice = choice
 	balancerAttempt := g.Balancer.Begin(now, choice, c.work, g.kvCacheTokens(c))
 	a := &attempt{
-		reply: reply{g: g, conn: conn, requestID: c.id, server: server}, c: c, choice: choice, balancerAttempt: balancerAttempt,
+		reply: reply{g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(), requestID: c.id, server: server}, c: c, choice: choice, pool: way.pool, balancerAttempt: balancerAttempt,
 	}
 	ctx, span := spans.Start(ctx, "attempt", attribute.String("server", server), attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
 	defer func() { spans.End(span, a.err) }()
-	stop := context.AfterFunc(ctx, conn.Close)
+	stop := context.AfterFunc(ctx, way.conn.Close)
+	g.proxyLoads.add(way.proxy, 1)
 	done := a.run(ctx, w, now)
+	g.proxyLoads.add(way.proxy, -1)
 	if !stop() && a.complete {
 		a.complete = false
 	}
@@ -91,16 +85,6 @@
 	return done
 }
 
-func (g *Gateway) connect(ctx context.Context, now time.Time, server, address string, avoidStale bool) (*conns.Conn, error) {
-	if conn := g.Pool.Get(now, server, avoidStale); conn != nil {
-		return conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	g.Meter.AddCounter("pass.dials", 1)
-	return g.Pool.Dial(ctx, server, address)
-}
-
 func (g *Gateway) reportSuspect(server string) {
 	if g.ReportSuspect != nil {
 		g.ReportSuspect(server)
@@ -113,7 +97,7 @@
 	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
 		Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).
 		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
-		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("reason", reason).Msg("try failed")
+		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Str("reason", reason).Msg("try failed")
 }
 
 // attempt is one send of a call to one server.
@@ -121,7 +105,10 @@
 	reply
 	c               *call
 	choice          pick.Choice
+	pool            *conns.Pool
 	balancerAttempt *pick.Attempt
+	// firstSendToServer is set if the server has not got the call before.
+	firstSendToServer bool
 	// complete is set when the response was read to its end.
 	complete bool
 	result   pick.Result
@@ -136,10 +123,10 @@
 		a.g.Poison.Answered(now, a.c.fingerprint)
 	}
 	if a.exchange == nil {
-		a.g.Pool.Discard(a.conn)
+		a.pool.Discard(a.conn)
 		return
 	}
-	a.exchange.Finish(now, a.g.Pool, a.resp, a.complete)
+	a.exchange.Finish(now, a.pool, a.resp, a.complete)
 }
 
 // failUncertain records the failure of an attempt that the server may have executed.
@@ -177,12 +164,12 @@
 	server := a.choice.Server.ID
 	c.sends++
 	g.chargeRun(c)
-	if !slices.Contains(c.sentTo, server) {
+	if a.firstSendToServer = !slices.Contains(c.sentTo, server); a.firstSendToServer {
 		c.sentTo = append(c.sentTo, server)
 	}
 	a.sent = now
 	var err error
-	a.exchange, err = a.conn.Send(c.request.Method, c.requestHead(g.HeaderNames, a.choice.Server.PlatformName(), c.remaining(now)), c.body)
+	a.exchange, err = a.conn.Send(c.request.Method, c.requestHead(g.HeaderNames, a.choice.Server.PlatformName(), c.remaining(now), a.proxyHeaders()), c.body)
 	if err != nil {
 		return a.connectionLost(ctx, "send request: "+err.Error(), err)
 	}
@@ -193,6 +180,10 @@
 		return a.connectionLost(ctx, err.Error(), err)
 	}
 	c.framing = httpx.FramingOf(a.resp)
+	if a.refusedByProxy(a.resp) {
+		a.conn.SetStallTimeout(0, nil)
+		return a.handleProxyRefusal()
+	}
 	if a.notRun() {
 		a.conn.SetStallTimeout(0, nil)
 		return a.handleRefusal()
@@ -288,6 +279,14 @@
 	return a.failNotRun("refused with " + strconv.Itoa(a.resp.StatusCode))
 }
 
+// proxyHeaders returns the headers for the proxy of the attempt, if it has one.
+func (a *attempt) proxyHeaders() string {
+	if a.proxy == "" {
+		return ""
+	}
+	return a.g.proxyHeaders(a.server)
+}
+
 // forward forwards the response to the caller.
 func (a *attempt) forward(ctx context.Context, w http.ResponseWriter) bool {
 	resp := a.resp
--- a/pass/call.go
+++ b/pass/call.go
@@ -67,6 +67,10 @@
 	headSent    bool
 	// endsByClose is set if the response to the caller ends with its connection.
 	endsByClose bool
+	// proxy is the address of the VM that the last attempt went through, "" if it went to the server
+	// directly. viaProxies is set once the call goes through proxies, and withoutPath if none took it.
+	proxy                   string
+	viaProxies, withoutPath bool
 	// disconnected is set once the caller has closed its connection.
 	disconnected bool
 	// admissionWaitStart is when the current wait for capacity at the servers began, zero if there
@@ -203,20 +207,12 @@
 	return min(priority, lowestServerPriority)
 }
 
-// requestHead returns the head of the request for a server.
-func (c *call) requestHead(n *HeaderNames, server string, remaining time.Duration) []byte {
+// requestHead returns the head of the request for a server, with the headers for a proxy.
+func (c *call) requestHead(n *HeaderNames, server string, remaining time.Duration, proxyHeaders string) []byte {
 	r := c.request
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
-	options := connectionOptions(r.Header)
-	for name, values := range r.Header {
-		if isHopByHop(name, options) || c.overridden(n, name) {
-			continue
-		}
-		for _, v := range values {
-			fmt.Fprintf(&b, "%s: %s\r\n", name, v)
-		}
-	}
+	writeHeaders(&b, r.Header, func(name string) bool { return c.overridden(n, name) })
 	fmt.Fprintf(&b, "%s: %d\r\n", n.Deadline, max(remaining.Milliseconds(), 1))
 	fmt.Fprintf(&b, "%s: %s\r\n", n.ExpectServer, server)
 	if c.team != nil {
@@ -231,7 +227,7 @@
 	if len(c.body) > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		fmt.Fprintf(&b, "%s: %d\r\n", headerLength, len(c.body))
 	}
-	b.WriteString("\r\n")
+	b.WriteString(proxyHeaders + "\r\n")
 	return b.Bytes()
 }
 
@@ -239,7 +235,7 @@
 // reserves it.
 func (c *call) overridden(n *HeaderNames, name string) bool {
 	switch name {
-	case headerLength, headerLastEvent, n.Deadline, n.ExpectServer, n.Priority, n.Key, n.Team:
+	case headerLength, headerLastEvent, headerProxyServer, n.Deadline, n.ExpectServer, n.Priority, n.Key, n.Team:
 		return true
 	}
 	for _, reserved := range n.Reserved {
--- a/pass/call_test.go
+++ b/pass/call_test.go
@@ -43,7 +43,7 @@
 func TestRequestHeadFraming(t *testing.T) {
 	c := testCall(t, "POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h.example\r\nAttempt: 7\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"+
 		"3\r\nabc\r\n0\r\n\r\nGET /evil HTTP/1.1\r\nHost: h\r\n\r\n", routes.Route{})
-	sent := append(c.requestHead(testHeaderNames, "srv", time.Second), c.body...)
+	sent := append(c.requestHead(testHeaderNames, "srv", time.Second, ""), c.body...)
 	reader := bufio.NewReader(bytes.NewReader(sent))
 	r, err := http.ReadRequest(reader)
 	require.NoError(t, err)
@@ -58,7 +58,7 @@
 func TestRequestHeadHeaders(t *testing.T) {
 	c := testCall(t, "POST /x HTTP/1.1\r\nHost: h\r\nAttempt: 7\r\nModel: m/a1\r\nDeadline: 6000\r\nPin: 5\r\nPriority: 0\r\n"+
 		"Expect-Server: other\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Own: a\r\nX-Own: b\r\nContent-Length: 1\r\n\r\nz", routes.Route{Priority: 2})
-	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(c.requestHead(testHeaderNames, "srv", 1500*time.Millisecond), 'z'))))
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(c.requestHead(testHeaderNames, "srv", 1500*time.Millisecond, ""), 'z'))))
 	require.NoError(t, err)
 	require.Equal(t, []string{"a", "b"}, r.Header["X-Own"])
 	tests := map[string]string{
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -62,6 +62,7 @@
 		if g.blocked(now, c) {
 			return pick.Choice{}, errBlocked
 		}
+		g.beginViaProxies(c)
 		changed := g.Servers.Changed()
 		serving := g.Servers.Serving(now, c.service.Name)
 		if choice, ok := g.pickServer(now, c, serving); ok {
@@ -166,6 +167,9 @@
 // the other failure domains. Further rounds would end in the same refusal, after 0.2 s and up to
 // ten connection attempts.
 func (g *Gateway) isolated(now time.Time, c *call, serving []backs.Entry) bool {
+	if g.Paths.Lost() {
+		return false
+	}
 	reached := slices.ContainsFunc(c.excluded, func(id string) bool { return !slices.Contains(c.unreachable, id) })
 	return !reached && len(c.unreachable) > 0 && g.Balancer.Isolated(now, serving)
 }
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/poison"
 )
 
 // errBlocked is the reason for refusing a blocked request.
@@ -27,20 +28,33 @@
 // connectionLost marks an attempt as failed by a connection error. If this VM did not close the
 // connection, the server may have crashed, so it is probed with a new connection.
 func (a *attempt) connectionLost(ctx context.Context, reason string, err error) bool {
-	g := a.g
-	now := g.Now()
-	if a.resp == nil && !a.conn.Reused() && ctx.Err() == nil && conns.ConnectionLost(err) {
-		g.Paths.ConnectionFailed(now, a.choice.Server.ID, false)
-	}
-	if ctx.Err() == nil && conns.ConnectionLost(err) && g.Servers.Usable(now, a.choice.Server.ID) {
-		g.Poison.ConnectionLost(now, a.c.fingerprint, a.choice.Server.ID)
-		if g.Servers.MaySend(now, a.choice.Server.ID) {
-			go g.probeServer(a.choice.Server)
+	if ctx.Err() == nil && conns.ConnectionLost(err) {
+		switch {
+		case a.proxy != "":
+			// Whether the server or the proxy is gone is for the proxy to say.
+			a.g.proxyLoads.avoid(a.g.Now(), a.proxy)
+		case a.resp == nil && a.unproven:
+			a.g.Paths.ConnectionFailed(a.g.Now(), a.server, false)
+			fallthrough
+		default:
+			a.g.recordConnectionLost(a.c.fingerprint, a.choice.Server)
 		}
 	}
 	return a.failUncertain(ctx, reason)
 }
 
+// recordConnectionLost records that a server broke the connection of a request.
+func (g *Gateway) recordConnectionLost(fingerprint poison.Fingerprint, server backs.Entry) {
+	now := g.Now()
+	if !g.Servers.Usable(now, server.ID) {
+		return
+	}
+	g.Poison.ConnectionLost(now, fingerprint, server.ID)
+	if g.Servers.MaySend(now, server.ID) {
+		go g.probeServer(server)
+	}
+}
+
 // probeServer opens a connection to a server to find out whether its process has ended. Requests
 // that fail at the same time share one probe.
 func (g *Gateway) probeServer(server backs.Entry) {
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -61,6 +62,14 @@
 	// FindServer requests a server for a model and adapter from the controller, waits until the server
 	// has them, and returns its ID.
 	FindServer func(ctx context.Context, service, model, adapter string) (string, error)
+	// ProxyVMs returns the addresses of VMs through which requests may be sent while this VM has no path to
+	// the servers, and ProxyKey the key that they want. AcceptsProxyKey reports whether a key allows another
+	// VM to send requests through this one, at most MaxProxied at a time. Optional; if nil, no other VM is
+	// used or served.
+	ProxyVMs        func() []string
+	ProxyKey        func() string
+	AcceptsProxyKey func(key string) bool
+	MaxProxied      int
 	// RequestPermit requests a permit for one request to a server with a rate limit. It returns 0
 	// if the permit was granted, and otherwise how long to wait before the next attempt.
 	RequestPermit func(ctx context.Context, server string) time.Duration
@@ -88,6 +97,12 @@
 	// Meter receives counters and durations.
 	Meter *meter.Registry
 
+	// proxyPool and proxyLoads are the connections to proxies and the requests at them, proxiedRunning counts
+	// the requests that this VM sends for others.
+	proxyPool      conns.Pool
+	proxyLoads     proxyLoads
+	proxiedRunning atomic.Int64
+
 	mu  sync.Mutex
 	rng *rand.Rand
 	// admissionWaiters counts the requests that wait for capacity at the servers, by service and
@@ -190,7 +205,7 @@
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.sentTo).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
-		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("reason", c.reason).
+		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Str("reason", c.reason).
 		Dur("objective", c.route.Objective).Dur("pause_limit", c.route.MaxEventGap).Int("prompt", c.work.PromptTokens).Int("output", c.work.MaxOutputTokens).
 		Dur("predicted", c.choice.PredictedTime).Dur("queue", c.choice.QueueTime).Int("missing", c.choice.UncachedTokens).
 		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.KVTokens).
@@ -263,7 +278,7 @@
 	if ctx.Err() != nil || c.sends >= maxSends || c.attempts >= maxAttempts {
 		return false
 	}
-	if c.budgetExhausted || c.disconnected || c.keyRemoved || g.blocked(g.Now(), c) {
+	if c.budgetExhausted || c.disconnected || c.keyRemoved || c.withoutPath || g.blocked(g.Now(), c) {
 		return false
 	}
 	return !c.mayHaveRun || c.route.Repeatable()
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -14,7 +14,9 @@
 	g    *Gateway
 	conn *conns.Conn
 	// proxy is the address of the VM that the request went through, "" if it went to the server directly.
-	proxy             string
+	proxy string
+	// unproven is set if no response had arrived on conn before.
+	unproven          bool
 	requestID, server string
 	sent              time.Time
 	exchange          *conns.Exchange
@@ -36,7 +38,7 @@
 		r.recordPath()
 		r.applyNotice(resp)
 		id := resp.Header.Get(r.g.HeaderNames.AttemptID)
-		if id == r.requestID || id == "" && r.g.provesNotRun(resp) {
+		if id == r.requestID || id == "" && (r.g.provesNotRun(resp) || r.refusedByProxy(resp)) {
 			r.resp = resp
 			r.updateRateLimit()
 			return nil
@@ -58,7 +60,7 @@
 	}
 	now := r.g.Now()
 	r.g.Paths.Heard(now)
-	if !r.conn.Reused() {
+	if r.unproven {
 		r.g.Paths.ConnectionWorked(now)
 	}
 }
