pass, paths: Connections that a lost path refuses are no crashed servers

Cause: a refused connection counted as the end of a server's process, and with a request whose connection had broken there, as a crash by that request. A VM whose path is lost by resets and refusals would count one for each try, and three block the request for all VMs. Ruled out: to count nothing while a suspicion lasts (crashes in a series). Change: whether the process has ended is told when the suspicion ends: with the first new connection that works, or not at all if the path is lost.

--- a/node/node.go
+++ b/node/node.go
@@ -166,6 +166,7 @@
 	n.quotas.OnTight = n.peers.SignalTight
 	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
+	n.paths.OnProcessEnded = n.crashTracker.ProcessEnded
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
 		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -66,18 +66,16 @@
 	defer cancel()
 	conn, err := g.Pool.Dial(ctx, server.ID, server.Address)
 	if err != nil {
-		g.recordConnectionRefused(server, err)
+		g.connectionFailed(server.ID, err)
 		return
 	}
 	g.Pool.Put(g.Now(), conn, 0)
 }
 
-// recordConnectionRefused records that a server process has ended if err is a refused connection.
-// Other errors may come from a failed host or network path.
-func (g *Gateway) recordConnectionRefused(server backs.Entry, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.Poison.ProcessEnded(g.Now(), server.ID)
-	}
+// connectionFailed records that no connection to a server could be opened. A refused one means that its
+// process has ended, unless this VM has lost its path to all servers; Paths finds that out.
+func (g *Gateway) connectionFailed(server string, err error) {
+	g.Paths.ConnectionFailed(g.Now(), server, errors.Is(err, syscall.ECONNREFUSED))
 }
 
 func (g *Gateway) beginProbe(server string) bool {
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"syscall"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
@@ -153,7 +152,7 @@
 
 func (p *proxied) connectFailed(ctx context.Context, err error) {
 	if ctx.Err() == nil {
-		p.g.Paths.ConnectionFailed(p.g.Now(), p.server, errors.Is(err, syscall.ECONNREFUSED))
+		p.g.connectionFailed(p.server, err)
 		p.g.Balancer.ConnectFailed(p.g.Now(), p.entry)
 	}
 	p.refuse(refusalUnreachable)
--- a/pass/way.go
+++ b/pass/way.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
@@ -40,7 +39,7 @@
 			return way{conn: conn, pool: g.Pool}, nil
 		}
 		if ctx.Err() == nil {
-			g.Paths.ConnectionFailed(g.Now(), server.ID, errors.Is(err, syscall.ECONNREFUSED))
+			g.connectionFailed(server.ID, err)
 		}
 		if !g.Paths.Lost() {
 			return way{}, err
@@ -177,7 +176,6 @@
 		return
 	}
 	g.Balancer.ConnectFailed(g.Now(), choice.Server)
-	g.recordConnectionRefused(choice.Server, err)
 	g.serverUnreachable(c, choice.Server.ID)
 	g.logFailedAttempt(c, choice, "connect: "+err.Error())
 }
