peers: A controller without a path to the servers releases its lease

Ruled out: orders through a proxy (two holders at one server); waiting for the lease to lapse (it is renewed, the store is reached). Change: after half a second without a path, and if a linked VM has one, the controller releases its lease; VMs that have a path close their link and acquire it, those without leave a free lease to others for three seconds. The record keeps the address, so that the next holder waits for the last order as before.

--- a/node/node.go
+++ b/node/node.go
@@ -164,6 +164,7 @@
 		HasPath: func() bool { return !n.paths.Lost() }, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
+	n.lease.HasPath = func() bool { return !n.paths.Lost() }
 	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.paths.OnProcessEnded = n.crashTracker.ProcessEnded
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -65,6 +65,8 @@
 	// Poison tracks blocked requests. The record stores them, so that the next holder and VMs
 	// that start also block them. If nil, the record stores none.
 	Poison *poison.Tracker
+	// HasPath reports whether this VM has a path to the backend servers. If nil, it has one.
+	HasPath func() bool
 	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
 	// the record has none.
 	QuotaLevels func() []wire.TeamSpend
@@ -82,6 +84,8 @@
 	startRecord  *wire.ControllerLease
 	key          string
 	fencingToken int
+	// releasing is set while the lease is being released; no orders are sent from then on.
+	releasing bool
 	// staleReads counts the stale reads made.
 	staleReads int
 	// previousTermEnd is the latest time at which the previous holder may have sent an order.
@@ -93,7 +97,7 @@
 func (l *Lease) FencingToken(now time.Time) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fencingToken, l.keeper.Held(now) && !now.Before(l.ordersFrom)
+	return l.fencingToken, l.keeper.Held(now) && !l.releasing && !now.Before(l.ordersFrom)
 }
 
 // Term returns the fencing token, and whether this VM holds the lease. It may hold the lease before it
@@ -173,18 +177,28 @@
 	}
 }
 
-// delaysAcquisition reports whether this VM still leaves an expired lease to stronger VMs.
+// withoutPathDelay is how long a VM without a path to the backend servers leaves a free lease to others. It
+// could give no orders, but a fleet in which no VM has a path needs a hub as well.
+const withoutPathDelay = 3 * time.Second
+
+// delaysAcquisition reports whether this VM still leaves a free lease to stronger VMs, or to VMs with a path
+// to the backend servers.
 func (l *Lease) delaysAcquisition() bool {
+	hasPath := l.HasPath == nil || l.HasPath()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	if l.record.Address == l.Address {
-		return false
-	}
 	if l.expiredSince.IsZero() {
 		l.expiredSince = now
 	}
-	return now.Sub(l.expiredSince) < l.AcquireDelay
+	freeFor := now.Sub(l.expiredSince)
+	switch {
+	case !hasPath:
+		return freeFor < withoutPathDelay
+	case l.record.Address == l.Address:
+		return false
+	}
+	return freeFor < l.AcquireDelay
 }
 
 func (l *Lease) initialize() {
@@ -344,6 +358,43 @@
 	l.Log.Info().Int("fence", version).Str("before", previous.Holder).Time("begun", startedAt).Msg("controller lease acquired")
 }
 
+// Release gives the lease up, so that another VM can acquire it at once.
+func (l *Lease) Release(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	l.mu.Lock()
+	if !l.keeper.Held(l.Now()) {
+		l.mu.Unlock()
+		return nil
+	}
+	l.releasing = true
+	startedAt := l.Now()
+	next, version := l.keeper.ReleaseRecord()
+	// The next holder needs the address, to wait for the last order of this term, and VMs the key.
+	record := wire.ControllerLease{Renewals: next.Renewals, Address: l.Address, Key: l.key, Vms: l.record.Vms, Blocked: l.record.Blocked, QuotaLevels: l.record.QuotaLevels}
+	l.mu.Unlock()
+	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.releasing = false
+	if err != nil {
+		l.keeper.UpdateFailed()
+		return fmt.Errorf("write lease: %w", err)
+	}
+	l.keeper.UpdateSucceeded(startedAt, newVersion, next)
+	l.setRecord(record)
+	l.expiredSince = time.Time{}
+	l.Log.Info().Int("version", newVersion).Msg("controller lease released")
+	return nil
+}
+
+// Released reports whether the record last observed is that of a released lease.
+func (l *Lease) Released() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Observed() && l.record.Holder == "" && l.record.Address != ""
+}
+
 // Extend renews the lease one last time, long enough for the process to restart and continue with it.
 // A restart takes one second. A change of controller takes the lease duration plus the handover time,
 // during which no model is loaded or unloaded. Extend reports whether this VM held the lease.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -119,6 +119,8 @@
 	// relays. relayLostAt is when the link to a relay was lost, by address.
 	relays       []wire.Relay
 	chosenRelays map[string]bool
+	// withoutPathSince is since when this VM, the controller, has had no path to the servers.
+	withoutPathSince time.Time
 	// hubProxies are the proxies that the hub named last.
 	hubProxies []string
 	// relaysOutdated is set when a relay of the list was lost. dividedSince is since when this relay has
--- a/peers/proxies.go
+++ b/peers/proxies.go
@@ -70,7 +70,7 @@
 		millicores int
 	}
 	var proxies []proxy
-	if p.hasPath() {
+	if p.HasPath != nil && p.HasPath() {
 		proxies = append(proxies, proxy{p.Address, int(1000 * p.Cores)})
 	}
 	for d := range p.links {
--- a/peers/proxies_test.go
+++ b/peers/proxies_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
 )
 
 // pathFleet is a fleet whose VMs can lose their path to the backend servers.
@@ -15,16 +17,20 @@
 	lost []*atomic.Bool
 }
 
-// startPathFleet starts VMs, the last of which is of a build that does not serve as a proxy.
+// startPathFleet starts VMs, the last of which is of a build that does not serve as a proxy, and never the
+// controller.
 func startPathFleet(t *testing.T, count int) *pathFleet {
 	t.Helper()
 	f := &pathFleet{}
 	f.vms = startFleetWith(t, count, func(i int, v *testVM) {
 		lost := &atomic.Bool{}
 		f.lost = append(f.lost, lost)
-		if i < count-1 {
-			v.HasPath = func() bool { return !lost.Load() }
+		if i == count-1 {
+			v.Lease.AcquireDelay = testTimeout
+			return
 		}
+		v.HasPath = func() bool { return !lost.Load() }
+		v.Lease.HasPath = v.HasPath
 	})
 	require.Eventually(t, func() bool {
 		linked := 0
@@ -118,3 +124,38 @@
 	}
 	require.False(t, (&Peers{Lease: &Lease{}}).AcceptsProxyKey(""), "no key is known")
 }
+
+// The controller loses its path to the backend servers. Guards against a fleet in which no model is loaded
+// until the path is back, although other VMs could give the orders.
+func TestControllerWithoutPathReleasesLease(t *testing.T) {
+	f := startPathFleet(t, 6)
+	controller, _, _ := topology(f.vms)
+	f.setLost(controller, true)
+	require.Eventually(t, func() bool {
+		next, _, _ := topology(f.vms)
+		return next >= 0 && next != controller
+	}, testTimeout, 10*time.Millisecond)
+	next, _, _ := topology(f.vms)
+	require.Eventually(t, func() bool {
+		_, mayOrder := f.vms[next].Lease.FencingToken(clock.Now())
+		return mayOrder && f.vms[next].linkCount() == len(f.vms)-1
+	}, testTimeout, 10*time.Millisecond, "the new controller may give orders to servers and has all links")
+}
+
+// All VMs lose their path to the backend servers. Guards against a fleet without a controller, whose VMs
+// would not share what they know.
+func TestFleetWithoutPathKeepsController(t *testing.T) {
+	f := startPathFleet(t, 4)
+	for i := range f.vms {
+		f.vms[i].HasPath = func() bool { return false }
+		f.vms[i].Lease.HasPath = f.vms[i].HasPath
+		f.vms[i].PathChanged()
+	}
+	controller, _, _ := topology(f.vms)
+	f.vms[controller].crash()
+	f.vms = slices.Delete(f.vms, controller, controller+1)
+	require.Eventually(t, func() bool {
+		next, _, _ := topology(f.vms)
+		return next >= 0
+	}, testTimeout, 10*time.Millisecond)
+}
--- a/peers/term.go
+++ b/peers/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/pause"
@@ -23,12 +24,44 @@
 	go p.broadcast(ctx, renewed)
 	for ctx.Err() == nil && !p.superseded() {
 		pause.For(ctx, leaseCheckInterval)
+		p.releaseWithoutPath(ctx, renewed)
 		p.stepLease(ctx, renewed)
 	}
 	p.closeLinks()
 	p.Log.Info().Msg("controller term ended")
 }
 
+// withoutPathGrace is how long a controller without a path to the backend servers keeps the lease. The next
+// one may order only some seconds after the last order of this one.
+const withoutPathGrace = 500 * time.Millisecond
+
+// releaseWithoutPath releases the lease if this VM, the controller, has lost its path to the backend servers
+// and a linked VM has one: no model could be loaded until the path is back. The links stay open until another
+// VM holds the lease.
+func (p *Peers) releaseWithoutPath(ctx context.Context, renewed chan<- struct{}) {
+	now := p.Now()
+	p.mu.Lock()
+	if p.hasPath() {
+		p.withoutPathSince = time.Time{}
+	} else if p.withoutPathSince.IsZero() {
+		p.withoutPathSince = now
+	}
+	since := p.withoutPathSince
+	others := slices.ContainsFunc(p.knownProxies(), func(address string) bool { return address != p.Address })
+	p.mu.Unlock()
+	if since.IsZero() || now.Sub(since) < withoutPathGrace || !others || !p.Lease.Held(now) {
+		return
+	}
+	if err := p.Lease.Release(ctx); err != nil {
+		p.Log.Info().Err(err).Msg("releasing the controller lease failed")
+		return
+	}
+	select {
+	case renewed <- struct{}{}:
+	default:
+	}
+}
+
 // startTerm records when the term started and the number of VMs at that time.
 func (p *Peers) startTerm(now time.Time) {
 	vms := p.VMs()
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -274,6 +274,11 @@
 	p.mu.Unlock()
 	up.setLeaseVersion(s.LeaseVersion)
 	p.applyLease(s.LeaseVersion, s.Lease)
+	if p.Lease.Released() && p.hasPath() {
+		// The hub has no path to the servers. Without the link this VM acquires the lease, unless
+		// another one does so first.
+		up.conn.Close()
+	}
 	if !up.complete {
 		// The hub withholds the state, because this VM is to link to a relay.
 		p.applyRelays(root, now, up, s.Relays)
