conns: Connections survive a server's silence of a second and a half

Cause: data that was not acknowledged for 1.2 s ended its connection, with the request on it, although a sound server may be silent for a second or so; the user timeout also decides for keep-alive probes, whatever their count. Ruled out: 2.5 s (idle connections that are dead would be found after 3 s in place of 2); an option set anew for each request (two system calls each). Change: 1.9 s. Idle connections end after two seconds as before. Measured: TestConnectionSurvivesSilence fails before (1.2 s), passes after.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -37,13 +37,14 @@
 	// network delay of the server's close and of a request that crosses it.
 	idleTimeoutMargin = 500 * time.Millisecond
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the
-	// kernel aborts the connection: some retransmissions on paths with a latency
-	// of milliseconds. Without it a request to a server that lost power or is
-	// partitioned hangs for minutes.
-	tcpUserTimeout = 1200 * time.Millisecond
+	// kernel aborts the connection. Without it a request to a server that lost
+	// power or is partitioned hangs for minutes. A sound server can be silent for
+	// a second or so, and its requests must survive that; idle connections end
+	// after two seconds in any case.
+	tcpUserTimeout = 1900 * time.Millisecond
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe
-	// and the interval between probes. Unanswered probes abort the connection
-	// after tcpUserTimeout.
+	// and the interval between probes. An unanswered probe aborts the connection
+	// once it has been idle for tcpUserTimeout, whatever the count of probes.
 	keepAliveInterval = time.Second
 )
 
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuscart/hibiscuscart/conns"
 )
@@ -221,3 +222,37 @@
 	p.PutUnused(later, c)
 	require.Nil(t, p.Get(later.Add(time.Second), "k", true))
 }
+
+// A host is silent for a second and a half and goes on. Guards against connections that the kernel gives up in that
+// time, with the requests on them: the user timeout decides for unacknowledged data and for keep-alive probes,
+// whatever their count. A host that is gone must still be noticed within three seconds.
+func TestConnectionSurvivesSilence(t *testing.T) {
+	const silence, noticed = 1500 * time.Millisecond, 3 * time.Second
+	address, _ := listen(t)
+	conn, err := conns.Dial(t.Context(), address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	userTimeout := time.Duration(sockopt(t, conn, unix.TCP_USER_TIMEOUT)) * time.Millisecond
+	idle, interval := time.Duration(sockopt(t, conn, unix.TCP_KEEPIDLE))*time.Second, time.Duration(sockopt(t, conn, unix.TCP_KEEPINTVL))*time.Second
+	require.Greater(t, userTimeout, silence, "sent data")
+	// The first probe that finds the user timeout exceeded, and an earlier one unanswered, ends an idle
+	// connection.
+	ends := idle + interval
+	for ends < userTimeout {
+		ends += interval
+	}
+	require.Greater(t, ends, silence, "idle")
+	require.LessOrEqual(t, ends, noticed)
+	require.LessOrEqual(t, userTimeout, noticed)
+}
+
+func sockopt(t *testing.T, conn net.Conn, option int) int {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var value int
+	var optErr error
+	require.NoError(t, raw.Control(func(fd uintptr) { value, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) }))
+	require.NoError(t, optErr)
+	return value
+}
