limit, backs, peers, pass: Servers that may not reject many requests get only what is granted

Cause: servers can say (Server-Brittle) how many requests they can reject in a second for want of room, and crash beyond. Nobody read it, and each VM sends by loads that are some hundred milliseconds old, so that all see the same free slot. Change: the word is read with the other two (responses, reports, orders), told to all VMs, and each request to such a server takes a permit of the controller, as for rate limits. It grants what fits nine tenths of the slots, counting what it granted in the last 0.4 s beside the known load, and at most half of what may be rejected until it would hear of it; a rejection lowers the share and stops grants for a second. VMs without a controller grant half of an equal part. Conclusion: a careful half of the capacity while servers are in that state.

--- a/backs/notice.go
+++ b/backs/notice.go
@@ -9,6 +9,11 @@
 	Leaving bool
 	// Rest is for how long the server wants nothing from the VM that it responded to, 0 for no time.
 	Rest time.Duration
+	// RejectLimit is how many requests the server can reject in a second for want of room, if
+	// HasRejectLimit is set; it crashes if it has to reject more. NoRejectLimit is set if the response is
+	// certainly the server's own and has no limit.
+	RejectLimit                   float64
+	HasRejectLimit, NoRejectLimit bool
 }
 
 // LongRest is the rest from which the models of a server are held elsewhere: longer than a load and the
@@ -51,11 +56,12 @@
 // all VMs before long. Rest concerns this VM only: the server may take requests of other VMs, and a later
 // response does not shorten a rest that was asked for before.
 func (v *View) ApplyNotice(now time.Time, id string, n Notice) {
-	if !n.Leaving && n.Rest <= 0 {
+	if !n.Leaving && n.Rest <= 0 && !n.HasRejectLimit && !n.NoRejectLimit {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.applyRejectLimit(now, id, n)
 	if n.Leaving {
 		v.markLeaving(now, id, FromResponse)
 	}
--- a/backs/view.go
+++ b/backs/view.go
@@ -87,6 +87,8 @@
 	// as an entry may be removed and stored again.
 	leaving   map[string]*leavingServer
 	restUntil map[string]time.Time
+	// limited holds the servers that crash if they have to reject too many requests, by server ID.
+	limited map[string]*limitedServer
 	// storeUnreachable is set while the store is unreachable. recoveredAt is when the last outage
 	// ended that was long enough for entries to expire.
 	storeUnreachable bool
--- a/link/older_test.go
+++ b/link/older_test.go
@@ -28,13 +28,13 @@
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608af6f6816161f6f6f6f4f602818560616d036000",
 			message: wire.Message{VMReport: &report},
 			extend:  func(m *wire.Message) { m.VMReport.WillExit, m.VMReport.WithoutPath = []string{"s"}, true },
-			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608df6f6816161f6f6f6f4f602818560616d036000816173f5f4",
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608ef6f6816161f6f6f6f4f602818560616d036000816173f5f4f6",
 		},
 		"report of a later build": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608bf6f6816161f6f6f6f4f602818560616d036000f6",
 			message: wire.Message{VMReport: &report},
 			extend:  func(m *wire.Message) { m.VMReport.WithoutPathBelow = true },
-			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608df6f6816161f6f6f6f4f602818560616d036000f6f4f5",
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608ef6f6816161f6f6f6f4f602818560616d036000f6f4f5f6",
 		},
 		"hello": {
 			older:   "94f6f6f6f6f6f6f6f6f687616161626164190190616e05f5f6f6f6f6f6f6f6f660f6",
@@ -45,8 +45,11 @@
 		"fleet state": {
 			older:   "94f6f6f6f6f6f6f68f07f5f4008960f660006060f6000000f6f600f4f6f6f681617403f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FleetState: &state},
-			extend:  func(m *wire.Message) { m.FleetState.VmsWithPath = []string{"p"} },
-			newer:   "94f6f6f6f6f6f6f69007f5f4008960f660006060f6000000f6f600f4f6f6f681617403816170f6f6f6f6f6f6f6f6f6f660f6",
+			extend: func(m *wire.Message) {
+				m.FleetState.VmsWithPath = []string{"p"}
+				m.FleetState.ZRejectLimits = []wire.RejectLimit{{Server: "z", PerSecond: 2, Rejected: true}}
+			},
+			newer: "94f6f6f6f6f6f6f69107f5f4008960f660006060f6000000f6f600f4f6f6f6816174038161708183fb4000000000000000f5617af6f6f6f6f6f6f6f6f6f660f6",
 		},
 	}
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -395,6 +395,10 @@
 		n.log.Info().Str("server", c.ID).Str("source", string(c.Source)).Msg("server leaves")
 		return
 	}
+	if c.HasRejectLimit || c.NoRejectLimit {
+		n.log.Info().Str("server", c.ID).Bool("limited", c.HasRejectLimit).Float64("rejects_per_second", c.RejectLimit).Msg("rejection limit of a server changed")
+		return
+	}
 	n.meter.AddCounter("servers.rests", 1)
 	n.log.Info().Str("server", c.ID).Dur("rest", c.Rest).Msg("server asked this VM for rest")
 }
--- a/node/node.go
+++ b/node/node.go
@@ -171,7 +171,7 @@
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
 		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
-		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
+		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
@@ -306,7 +306,9 @@
 		n.connPool.CloseExpired(now)
 		n.gateway.CloseExpiredProxyConns(now)
 		n.balancer.Retain(n.serverView.All(now))
-		n.rateLimits.Retain(func(id string) bool { return n.serverView.Usable(now, id) })
+		usable := func(id string) bool { return n.serverView.Usable(now, id) }
+		n.rateLimits.Retain(usable)
+		n.peers.RetainServers(usable)
 		if n.config.DroppedLogLines != nil {
 			n.meter.SetGauge("log.dropped", n.config.DroppedLogLines())
 		}
--- a/pass/admission.go
+++ b/pass/admission.go
@@ -17,10 +17,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	admission := pick.Admission{VMs: 1, Objective: c.work.Objective, Urgent: c.urgency.Top}
-	if g.VMCount != nil {
-		admission.VMs = g.VMCount()
-	}
+	admission := pick.Admission{VMs: g.vmCount(), Objective: c.work.Objective, Urgent: c.urgency.Top}
 	if c.admissionWaitStart.IsZero() {
 		return admission.Admit(choice, 0)
 	}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -270,6 +270,7 @@
 func (a *attempt) handleRefusal() bool {
 	_, err := conns.ReadAll(a.resp.Body, maxForeignBodyBytes)
 	a.complete = err == nil
+	a.recordReject()
 	if a.resp.StatusCode == http.StatusMisdirectedRequest {
 		// The server does not have the model or adapter, or another server has taken over its
 		// address. The cached state of the server is wrong.
--- a/pass/call_test.go
+++ b/pass/call_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -17,10 +18,14 @@
 )
 
 var testHeaderNames = &HeaderNames{
-	AttemptID: "Attempt", Deadline: "Deadline", ExpectServer: "Expect-Server", ServerStamp: "Stamp", NotExecuted: "Not-Run", Leaving: "Leaving",
+	AttemptID: "Attempt", Deadline: "Deadline", ExpectServer: "Expect-Server", ServerStamp: "Stamp", NotExecuted: "Not-Run", Leaving: "Leaving", RejectLimit: "Reject-Limit",
 	Model: "Model", TokenUsage: "Usage", PromptPrefix: "Prefix", Priority: "Priority", Key: "Key", Team: "Team", Reserved: []string{"Pin"},
-	ParseModel:        func(s string) (string, string) { m, a, _ := strings.Cut(s, "/"); return m, a },
-	ParseTokenUsage:   func(string) (int, int) { return 10, 20 },
+	ParseModel:      func(s string) (string, string) { m, a, _ := strings.Cut(s, "/"); return m, a },
+	ParseTokenUsage: func(string) (int, int) { return 10, 20 },
+	ParseRateLimit: func(s string) (float64, bool) {
+		rate, err := strconv.ParseFloat(s, 64)
+		return rate, err == nil
+	},
 	ParsePromptPrefix: func(string) []pick.PromptPart { return nil },
 }
 
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -81,6 +81,11 @@
 			g.Meter.AddCounter("pass.refused_resting", 1)
 			return pick.Choice{}, errResting
 		}
+		if waited, err := g.awaitRoom(waitCtx, now, deadline, c, serving); err != nil {
+			return pick.Choice{}, err
+		} else if waited {
+			continue
+		}
 		if waited, err := g.awaitPermit(waitCtx, now, deadline, c, serving); err != nil {
 			return pick.Choice{}, err
 		} else if waited {
@@ -174,12 +179,12 @@
 	return !reached && len(c.unreachable) > 0 && g.Balancer.Isolated(now, serving)
 }
 
-// pickServer selects one of the serving servers that have what the call needs, are neither at rest
-// nor in backoff, and may receive the call.
+// pickServer selects one of the serving servers that have what the call needs, are neither at rest nor in
+// backoff, have room if they may not reject many requests, and may receive the call.
 func (g *Gateway) pickServer(now time.Time, c *call, serving []backs.Entry) (pick.Choice, bool) {
 	candidates := make([]backs.Entry, 0, len(serving))
 	for _, e := range serving {
-		if g.eligible(c, e) && g.Servers.RestRemaining(now, e.ID) == 0 && g.RateLimits.Backoff(now, e.ID) == 0 {
+		if g.eligible(c, e) && g.Servers.RestRemaining(now, e.ID) == 0 && g.RateLimits.Backoff(now, e.ID) == 0 && g.Servers.SendPause(now, e.ID) == 0 {
 			candidates = append(candidates, e)
 		}
 	}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -89,6 +89,8 @@
 	ConfigCurrent func(now time.Time) bool
 	// VMCount returns how many VMs send requests to the same servers. Optional; the default is 1.
 	VMCount func() int
+	// OnReject is called when a server that may not reject many requests has rejected one. Optional.
+	OnReject func()
 	// ReportSuspect reports that a server is unreachable or does not have the model it was listed with.
 	// Optional.
 	ReportSuspect func(server string)
--- a/pass/headers.go
+++ b/pass/headers.go
@@ -27,6 +27,9 @@
 	// RateLimit is the maximum number of requests per second that the server accepts from all VMs
 	// together. It applies for as long as the server's responses contain it.
 	RateLimit string
+	// RejectLimit is how many requests the server can reject in a second for want of room; it crashes if it
+	// has to reject more. It applies for as long as the server's responses contain it.
+	RejectLimit string
 	// Leaving is 1 in all responses of a server that will exit soon.
 	Leaving string
 	// Model is the model, followed by a slash and the adapter if there is one.
--- a/pass/limit.go
+++ b/pass/limit.go
@@ -21,21 +21,31 @@
 // errRateLimited is returned for a request that gets no permit from any server in time.
 var errRateLimited = errors.New("the rate limits of the servers are reached")
 
-// acquirePermit reports whether a call may be sent to the server chosen for it. If the server has a
-// rate limit, it requests a permit, and a refusal sets the server's backoff.
+// acquirePermit reports whether a call may be sent to the server chosen for it. If the server limits its
+// requests or its rejections, it requests a permit, and a refusal keeps the server from getting any for as long
+// as that says.
 func (g *Gateway) acquirePermit(ctx context.Context, server string) bool {
-	if _, limited := g.RateLimits.Rate(server); !limited {
+	_, rateLimited := g.RateLimits.Rate(server)
+	_, rejectLimited := g.Servers.RejectLimit(g.Now(), server)
+	if !rateLimited && !rejectLimited {
 		return true
 	}
-	g.RateLimits.SetBackoff(g.Now(), server, permitCallBackoff)
+	g.setBackoff(server, permitCallBackoff)
 	wait := g.RequestPermit(ctx, server)
-	g.RateLimits.SetBackoff(g.Now(), server, wait)
+	g.setBackoff(server, wait)
 	if wait > 0 {
 		g.Meter.AddCounter("pass.permits_refused", 1)
 	}
 	return wait == 0
 }
 
+// setBackoff keeps this VM from requesting permits for a server for a time.
+func (g *Gateway) setBackoff(server string, wait time.Duration) {
+	now := g.Now()
+	g.RateLimits.SetBackoff(now, server, wait)
+	g.Servers.PauseSends(now, server, wait)
+}
+
 // awaitPermit waits for the eligible server whose backoff ends first. It returns false if no
 // eligible server is in backoff, and true after a wait, when the caller should choose again. It
 // returns errRateLimited if the backoff ends after the deadline, or if the requests already waiting
@@ -72,11 +82,7 @@
 // requests will use this VM's share of the permits in the remaining time.
 func (g *Gateway) addPermitWaiter(remaining time.Duration, server string) bool {
 	rate, _ := g.RateLimits.Rate(server)
-	vms := 1
-	if g.VMCount != nil {
-		vms = g.VMCount()
-	}
-	maxWaiters := max(1, int(rate*remaining.Seconds()/float64(max(vms, 1))))
+	maxWaiters := max(1, int(rate*remaining.Seconds()/float64(max(g.vmCount(), 1))))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.permitWaiters[server] >= maxWaiters {
--- a/pass/notice.go
+++ b/pass/notice.go
@@ -21,7 +21,7 @@
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return notice, nil
 	}
-	var leavingErr, restErr error
+	var leavingErr, restErr, limitErr error
 	if value := resp.Header.Get(n.Leaving); value != "" {
 		if notice.Leaving, leavingErr = strconv.ParseBool(strings.TrimSpace(value)); leavingErr != nil {
 			leavingErr = fmt.Errorf("parse %s: %w", n.Leaving, leavingErr)
@@ -32,7 +32,14 @@
 			restErr = fmt.Errorf("parse %s: %w", headerRetryAfter, restErr)
 		}
 	}
-	return notice, errors.Join(leavingErr, restErr)
+	if value := resp.Header.Get(n.RejectLimit); value != "" {
+		var ok bool
+		if notice.RejectLimit, ok = n.ParseRateLimit(value); !ok {
+			limitErr = fmt.Errorf("parse %s: invalid rate %q", n.RejectLimit, value)
+		}
+		notice.HasRejectLimit = ok
+	}
+	return notice, errors.Join(leavingErr, restErr, limitErr)
 }
 
 // errResting is returned for a request whose servers all want rest from this VM.
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -167,6 +167,9 @@
 	if err := p.readHead(); err != nil {
 		return false, err
 	}
+	if p.g.provesNotRun(p.resp) {
+		p.recordReject()
+	}
 	framing := httpx.FramingOf(p.resp)
 	p.writeHead(framing)
 	if err := p.copyBody(); err != nil {
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -80,9 +80,10 @@
 	if err != nil {
 		r.g.Log.Info().Str("request", r.requestID).Str("server", r.server).Err(err).Msg("invalid notice of a server")
 	}
-	if resp.Header.Get(n.ServerStamp) == "" && resp.Header.Get(n.NotExecuted) == "" {
-		notice.Leaving = false
-	}
+	attested := resp.Header.Get(n.ServerStamp) != "" || resp.Header.Get(n.NotExecuted) != ""
+	notice.Leaving = notice.Leaving && attested
+	notice.HasRejectLimit = notice.HasRejectLimit && attested
+	notice.NoRejectLimit = attested && resp.Header.Get(n.RejectLimit) == ""
 	r.g.Servers.ApplyNotice(r.g.Now(), r.server, notice)
 }
 
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -195,6 +195,7 @@
 		p.mergeCrashes(m.VMReport)
 		p.Limits.AddReport(p.Now(), limitsOf(m.VMReport.Limits))
 		p.Servers.AddLeaving(p.Now(), m.VMReport.WillExit)
+		p.applyRejects(m.VMReport.ZRejectLimits, true)
 	}
 	defer p.mergeQuotaReport(m.VMReport)
 	switch {
@@ -321,6 +322,7 @@
 // The load is the larger part of a frame, and servers can change a hundred times per second.
 func (p *Peers) broadcastFleetState(now time.Time, states []backs.State, withLoad bool) {
 	state := p.newFleetState(states)
+	state.ZRejectLimits = p.takeRejectsDown(now)
 	var loads []wire.ServerLoad
 	if withLoad {
 		loads = p.toldLoads()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
@@ -121,6 +122,10 @@
 	chosenRelays map[string]bool
 	// withoutPathSince is since when this VM, the controller, has had no path to the servers.
 	withoutPathSince time.Time
+	// rooms grants requests to servers that may not reject many.
+	rooms limit.Slots
+	// rejects are the news of servers that may not reject many requests.
+	rejects rejectNews
 	// hubProxies are the proxies that the hub named last.
 	hubProxies []string
 	// relaysOutdated is set when a relay of the list was lost. dividedSince is since when this relay has
@@ -171,6 +176,7 @@
 
 // Run maintains the lease and the link to the hub until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
+	p.rooms.Seed = xxhash.Sum64String(p.Name)
 	leaseDue := true
 	var steppedAt time.Time
 	for ctx.Err() == nil {
--- a/peers/permits.go
+++ b/peers/permits.go
@@ -15,7 +15,7 @@
 // permitTimeout bounds a permit call. The round trip on a link takes milliseconds.
 const permitTimeout = 150 * time.Millisecond
 
-// Permit requests a permit for one request to a server with a rate limit. It returns 0 if the permit
+// Permit requests a permit for one request to a server that limits its requests or its rejections. It returns 0 if the permit
 // was granted, and otherwise how long to wait before the next attempt. The controller grants the
 // permits of all VMs, so that they stay within the limit together. A VM that cannot reach it uses
 // its equal share of the rate.
@@ -28,7 +28,8 @@
 		return permitTimeout // The caller has canceled the request.
 	}
 	p.Log.Info().Str("server", server).Err(err).Msg("permit call failed, using the local share")
-	return p.Limits.GrantShare(p.Now(), server, p.VMs())
+	now := p.Now()
+	return max(p.Limits.GrantShare(now, server, p.VMs()), p.grantRoomShare(now, server))
 }
 
 // requestPermit gets a permit from the controller, which may be this VM, or how long to wait.
@@ -39,8 +40,12 @@
 	up, acting := p.uplink, p.uplink == nil && !p.relaying && len(p.links) > 0
 	p.mu.Unlock()
 	if now := p.Now(); acting || p.Lease.Held(now) {
+		roomWait, limited := p.grantRoom(now, server)
+		if roomWait > 0 {
+			return roomWait, nil
+		}
 		wait, known := p.Limits.Grant(now, server)
-		if !known {
+		if !known && !limited {
 			return 0, errUnknownLimit
 		}
 		return wait, nil
--- a/peers/report.go
+++ b/peers/report.go
@@ -43,6 +43,7 @@
 	report := &wire.VMReport{
 		Vms: status.vms, Relaying: status.relaying, WithoutPath: status.withoutPath, WithoutPathBelow: status.withoutPathBelow, Loads: loadList(own), Wants: demandList(p.takeDemand()), Doubts: append([]string{}, p.takeUnverified()...),
 		WillExit: p.Servers.TakeLeaving(), Limits: limitList(p.Limits.TakeReport()), Spends: p.takeSpends(),
+		ZRejectLimits: p.takeRejectsUp(p.Now()),
 	}
 	addCrashes(report, p.Poison.TakeReport())
 	return report, interval
@@ -51,7 +52,7 @@
 // worthSending reports whether a report says anything beyond the last one that was sent. After a report of
 // load or demand one more is sent, which says that there is none any more.
 func worthSending(r, last *wire.VMReport) bool {
-	events := len(r.Doubts) + len(r.WillExit) + len(r.Limits) + len(r.Spends) + len(r.Levels) + len(r.Crashes) + len(r.Answered)
+	events := len(r.Doubts) + len(r.WillExit) + len(r.Limits) + len(r.Spends) + len(r.Levels) + len(r.Crashes) + len(r.Answered) + len(r.ZRejectLimits)
 	busy := len(r.Loads)+len(r.Wants) > 0 || len(last.Loads)+len(last.Wants) > 0
 	return events > 0 || busy || r.Vms != last.Vms || r.Relaying != last.Relaying || r.WithoutPath != last.WithoutPath || r.WithoutPathBelow != last.WithoutPathBelow
 }
--- a/peers/term.go
+++ b/peers/term.go
@@ -123,6 +123,7 @@
 		p.Poison.TakeReport()
 		p.Limits.TakeReport()
 		p.Servers.TakeLeaving()
+		p.collectRejects(now)
 		p.updateQuotaRole(now)
 		p.Balancer.SetRemoteLoads(now, pick.SubtractLoads(p.Controller.Loads(), own))
 		for _, s := range p.Controller.ChangedSince(now, since) {
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -285,6 +285,7 @@
 		return
 	}
 	p.applyTightTeams(s.TightTeams)
+	p.applyRejects(s.ZRejectLimits, false)
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
 		states = append(states, stateOf(state))
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -348,6 +348,28 @@
 	}
 }
 
+// Running returns how many requests of all VMs run or wait at a server, as far as known.
+func (b *Balancer) Running(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+	if s == nil {
+		return 0
+	}
+	return s.local.Running + s.remote.Running
+}
+
+// LocalRunning returns how many requests of this VM run or wait at a server.
+func (b *Balancer) LocalRunning(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+	if s == nil {
+		return 0
+	}
+	return s.local.Running
+}
+
 // LocalLoads returns the load of this VM on each server.
 func (b *Balancer) LocalLoads() map[string]Load {
 	b.mu.Lock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -299,6 +299,10 @@
 	// servers; sent with the loads while there is such a VM. Its name sorts behind
 	// all others, so that builds without it skip it.
 	VmsWithPath []string `json:"vms_with_path,omitempty,omitzero"`
+
+	// Servers that crash if they have to reject too many requests, as far as news.
+	// Its name sorts behind all others, so that builds without it skip it.
+	ZRejectLimits []RejectLimit `json:"z_reject_limits,omitempty,omitzero"`
 }
 
 // Heartbeats that the sender forwards, its own first.
@@ -801,6 +805,18 @@
 	Reason string `json:"reason"`
 }
 
+// A backend server that crashes if it has to reject too many requests in a second.
+type RejectLimit struct {
+	// Number of requests that it can reject in a second for want of room.
+	PerSecond float64 `json:"per_second"`
+
+	// Set if it has just rejected a request.
+	Rejected bool `json:"rejected"`
+
+	// ID of the server instance.
+	Server string `json:"server"`
+}
+
 // A VM that other VMs of its failure domain link to instead of the controller.
 type Relay struct {
 	// Address corresponds to the JSON schema field "address".
@@ -1101,4 +1117,9 @@
 	// Set if a VM linked to the sender has no path to the backend servers. Its name
 	// sorts behind all others, so that builds without it skip it.
 	WithoutPathBelow bool `json:"without_path_below,omitempty,omitzero"`
+
+	// Servers that crash if they have to reject too many requests, as far as news:
+	// limits from time to time, and rejections. Its name sorts behind all others, so
+	// that builds without it skip it.
+	ZRejectLimits []RejectLimit `json:"z_reject_limits,omitempty,omitzero"`
 }
