soak, stand: Servers that crash if they have to reject too many requests

Cause: no stand-in played the new word, and no check counted such crashes. Change: the stand-in of a backend server rejects what its slots do not take, three seconds after it has said its limit, and crashes at one rejection too many in a second. The soak asks the plain servers for more than they can serve for eight seconds and counts their crashes: two and a tenth of the servers.

--- a/soak/limit.go
+++ b/soak/limit.go
@@ -31,7 +31,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for v := range r.vms {
-		wait.Go(func() { r.sendLoad(ctx, v) })
+		wait.Go(func() { r.sendLoad(ctx, v, "limit") })
 	}
 	wait.Wait()
 	r.checks.CheckRateLimit(backend, limitedAt)
@@ -40,14 +40,14 @@
 
 // sendLoad sends concurrent requests to a VM until ctx is done, then waits for the responses. Requests
 // in flight are not canceled.
-func (r *run) sendLoad(ctx context.Context, v int) {
+func (r *run) sendLoad(ctx context.Context, v int, name string) {
 	client := &http.Client{Timeout: callTimeout}
 	defer client.CloseIdleConnections()
 	var wait sync.WaitGroup
 	for i := 0; ctx.Err() == nil; i++ {
 		wait.Go(func() {
 			rng := rand.New(rand.NewPCG(r.options.Seed, uint64(i)))
-			r.checks.CheckOutcome(r.site.SendRequest(context.Background(), client, r.vms[v].listenAddress, fmt.Sprintf("limit-%d-%d-%d", r.options.Seed, v, i), demo.SiteRequestKinds[0], rng))
+			r.checks.CheckOutcome(r.site.SendRequest(context.Background(), client, r.vms[v].listenAddress, fmt.Sprintf("%s-%d-%d-%d", name, r.options.Seed, v, i), demo.SiteRequestKinds[0], rng))
 		})
 		time.Sleep(limitLoadInterval)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -335,6 +335,7 @@
 	wait.Go(func() { r.checkBlocked(ctx) })
 	wait.Go(func() { r.checkLimit(ctx) })
 	wait.Wait()
+	r.checkRejectLimit(ctx)
 	r.checkLoweredQuota(ctx)
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -99,6 +99,7 @@
 	pendingFaults *PendingFaults
 	// startedAt is the start time of the current instance; zero before the first restart.
 	startedAt time.Time
+	rejects   rejectLimit
 	// leaving is set while responses say that the server leaves. retryAfter is the Retry-After value
 	// with which it refuses everything, empty for none, and rest the time that it asks for.
 	leaving    bool
