soak, conf: Cuts between single VMs and all servers, and silent servers

Cause: the soak cut off servers from all VMs, never a VM from all servers, and had no check for either rule that a caller would see. Change: a VM can be told the address from which it connects to servers ([servers] source), by which the proxies tell the VMs apart. Single VMs lose their path in series that overlap, with open connections reset or left alive. At the end two of three VMs are cut off, and from three seconds on their first tries are compared with the others'; and each plain server is silent for a second, in which no request that may run once may be lost. Options -no-cuts for builds that do not know the setting.

--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -114,7 +114,7 @@
 		level = zerolog.InfoLevel
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	storeClient, serverClient := newHTTPClient(), newHTTPClient()
+	storeClient, serverClient := newHTTPClient(conns.Dial), newHTTPClient(conns.DialFrom(settings.Text("servers", "source")))
 	return node.Config{
 		Settings: settings, HeaderNames: &platform.HeaderNames,
 		Objects:      platform.NewStoreClient(storeClient, settings.Text("store", "address")),
@@ -134,12 +134,12 @@
 )
 
 // newHTTPClient returns a client whose connections detect an unreachable peer.
-func newHTTPClient() *http.Client {
+func newHTTPClient(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, clientDialTimeout)
 			defer cancel()
-			return conns.Dial(ctx, address)
+			return dial(ctx, address)
 		},
 		DisableCompression: true, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 4,
 	}}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,14 +23,15 @@
 	seedCount := flag.Int("seeds", 1, "number of seeds to run")
 	duration := flag.Duration("for", 6*time.Second, "duration of faults and load for each seed")
 	concurrency := flag.Int("jobs", 2, "number of seeds to run concurrently")
+	noCuts := flag.Bool("no-cuts", false, "do not cut single VMs off from the servers, for builds without the setting that this needs")
 	flag.Parse()
-	if err := run(*program, *dir, *firstSeed, *seedCount, *concurrency, *duration); err != nil {
+	if err := run(*program, *dir, *firstSeed, *seedCount, *concurrency, *duration, *noCuts); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
-func run(program, dir string, firstSeed uint64, seedCount, concurrency int, duration time.Duration) error {
+func run(program, dir string, firstSeed uint64, seedCount, concurrency int, duration time.Duration, noCuts bool) error {
 	program, err := filepath.Abs(program)
 	if err != nil {
 		return fmt.Errorf("resolve path of program: %w", err)
@@ -47,7 +48,7 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			ok := runSeed(program, filepath.Join(dir, fmt.Sprint(firstSeed+uint64(i))), firstSeed+uint64(i), duration)
+			ok := runSeed(program, filepath.Join(dir, fmt.Sprint(firstSeed+uint64(i))), firstSeed+uint64(i), duration, noCuts)
 			mu.Lock()
 			defer mu.Unlock()
 			if !ok {
@@ -63,12 +64,12 @@
 }
 
 // runSeed runs one seed and reports whether the run succeeded without a violated guarantee.
-func runSeed(program, dir string, seed uint64, duration time.Duration) bool {
+func runSeed(program, dir string, seed uint64, duration time.Duration, noCuts bool) bool {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return false
 	}
-	res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: dir, Seed: seed, Duration: duration})
+	res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: dir, Seed: seed, Duration: duration, NoCuts: noCuts})
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", seed, err)
 		return false
--- a/conf/check.go
+++ b/conf/check.go
@@ -147,6 +147,7 @@
 		"text": "text", "name": "a lower-case name", "names": "lower-case names separated by commas",
 		"int": "an integer", "float": "a number", "duration": "a duration such as 500ms",
 		"bool": "true or false", "address": "an IP address and port such as 127.0.0.1:7000",
+		"ip":     "an IP address such as 127.0.0.1, or nothing",
 		"choice": "one of " + r.allowed, "secret": "a key",
 	}[r.valueType]
 	if r.valueType == "choice" || r.allowed == "" {
@@ -191,6 +192,9 @@
 	case "address":
 		ap, err := netip.ParseAddrPort(value)
 		return err == nil && ap.Port() != 0
+	case "ip":
+		_, err := netip.ParseAddr(value)
+		return err == nil || value == ""
 	case "choice":
 		return slices.Contains(strings.Fields(r.allowed), value)
 	case "secret":
--- a/conf/node_test.go
+++ b/conf/node_test.go
@@ -29,12 +29,12 @@
 }
 
 func TestNodeAllViolationsReported(t *testing.T) {
-	invalid := strings.Replace(minimalNodeSettings, "10.0.0.2:80", "somewhere", 1) + "[retries]\nshare = 7\n[drain]\nnap = 1s\n"
+	invalid := strings.Replace(minimalNodeSettings, "10.0.0.2:80", "somewhere", 1) + "[servers]\nsource = here\n[retries]\nshare = 7\n[drain]\nnap = 1s\n"
 	_, err := conf.ParseNode([]byte(invalid))
 	var validationErr *conf.ValidationError
 	require.ErrorAs(t, err, &validationErr)
-	require.Len(t, validationErr.Violations, 3)
-	for _, want := range []string{`[store] address = "somewhere": allowed: an IP address`, `[retries] share = "7": allowed: a number from 0 to 1`, `[drain] nap`} {
+	require.Len(t, validationErr.Violations, 4)
+	for _, want := range []string{`[store] address = "somewhere": allowed: an IP address`, `[servers] source = "here": allowed: an IP address`, `[retries] share = "7": allowed: a number from 0 to 1`, `[drain] nap`} {
 		require.Contains(t, err.Error(), want)
 	}
 }
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -52,7 +52,15 @@
 // discards undelivered bytes. Otherwise bytes delayed by a network partition
 // would arrive when the partition heals, and the peer would run a request or an
 // order that was abandoned long ago.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
+func Dial(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "", address) }
+
+// DialFrom returns Dial for connections from a local IP address, which may be
+// empty.
+func DialFrom(source string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, source, address) }
+}
+
+func dial(ctx context.Context, source, address string) (net.Conn, error) {
 	probes := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}
 	d := net.Dialer{KeepAliveConfig: probes, Control: func(_, _ string, c syscall.RawConn) error {
 		var sockoptErr error
@@ -64,6 +72,9 @@
 		}
 		return sockoptErr
 	}}
+	if source != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,8 @@
 	// DecodeTable decodes the configuration, DecodeEntry a server entry.
 	DecodeTable func(store.Object) (*routes.Table, error)
 	DecodeEntry func(store.Object) (backs.Entry, error)
-	// DialServer opens a connection to a backend server; nil uses conns.Dial.
+	// DialServer opens a connection to a backend server; nil uses conns.DialFrom with the source address
+	// of the settings.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// CloseIdleStoreConns closes the idle connections to the store, which may be broken without
 	// having been reset.
@@ -133,6 +134,9 @@
 // New returns a Node that has not started.
 func New(c Config) *Node {
 	s := c.Settings
+	if c.DialServer == nil {
+		c.DialServer = conns.DialFrom(s.Text("servers", "source"))
+	}
 	n := &Node{
 		config: c, now: c.Now, meter: meter.New(), serverView: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, connPool: &conns.Pool{DialFunc: c.DialServer}, rateLimits: &limit.Limits{}, quotas: &limit.Quotas{AlwaysTight: s.Text("quotas", "tokens") == "always"},
 		log:          c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -37,7 +37,10 @@
 	mu     sync.Mutex
 	target string
 	mode   ProxyMode
-	conns  map[net.Conn]bool
+	// cut holds the clients, by IP address, whose new connections are reset.
+	cut map[string]bool
+	// conns holds the open connections. Those from clients have the client's IP address.
+	conns map[net.Conn]string
 }
 
 // NewProxy starts a proxy on a free loopback port. The caller must call Close.
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]bool)}
+	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]string), cut: make(map[string]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -74,14 +77,39 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
 		delete(p.conns, c)
 	}
 }
 
+// Cut cuts a client, by its IP address, off from the target until Heal: its new connections are reset, and
+// its open ones too unless they are kept.
+func (p *Proxy) Cut(client string, keepOpen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[client] = true
+	for c, from := range p.conns {
+		if from == client && !keepOpen {
+			reset(c)
+		}
+	}
+}
+
+// Heal ends the cut of a client.
+func (p *Proxy) Heal(client string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.cut, client)
+}
+
+// reset closes a connection with a TCP reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -99,16 +127,21 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
+	from, _, _ := net.SplitHostPort(client.RemoteAddr().String())
 	p.mu.Lock()
-	target := p.target
+	target, cut := p.target, p.cut[from]
 	p.mu.Unlock()
+	if cut {
+		reset(client)
+		return
+	}
 	server, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = client.Close()
 		return
 	}
 	p.mu.Lock()
-	p.conns[client], p.conns[server] = true, true
+	p.conns[client], p.conns[server] = from, ""
 	p.mu.Unlock()
 	go p.copy(server, client, false)
 	p.copy(client, server, true)
@@ -137,8 +170,8 @@
 		if err == nil {
 			continue
 		}
-		if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
-			_ = tcp.SetLinger(0)
+		if errors.Is(err, syscall.ECONNRESET) {
+			reset(to)
 		}
 		return
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,9 @@
 	Seed         uint64
 	// Duration is the duration of the faults and the load.
 	Duration time.Duration
+	// NoCuts leaves out the cuts between single VMs and all servers. They need a setting that builds from
+	// before the proxy VMs do not know.
+	NoCuts bool
 	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
 	VMs, Callers int
 }
@@ -82,8 +85,10 @@
 // vm is one VM process with the proxy between it and the store.
 type vm struct {
 	settingsPath, listenAddress string
-	storeProxy                  *Proxy
-	logFile                     *os.File
+	// source is the IP address from which the VM connects to the servers.
+	source     string
+	storeProxy *Proxy
+	logFile    *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -133,6 +138,7 @@
 	wait.Go(func() { r.crashServers(loadCtx) })
 	wait.Go(func() { r.injectNotices(loadCtx) })
 	wait.Go(func() { r.slowVMs(loadCtx) })
+	wait.Go(func() { r.cutVMs(loadCtx) })
 	r.injectFaults(loadCtx)
 	wait.Wait()
 	r.checkQuota(1, time.Time{})
@@ -204,6 +210,10 @@
 	if err != nil {
 		return err
 	}
+	if !r.options.NoCuts {
+		v.source = fmt.Sprintf("127.0.0.%d", firstSource+i)
+		text = fmt.Appendf(text, "[servers]\nsource = %s\n", v.source)
+	}
 	if err := os.WriteFile(v.settingsPath, text, 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
@@ -336,6 +346,8 @@
 	wait.Go(func() { r.checkLimit(ctx) })
 	wait.Wait()
 	r.checkRejectLimit(ctx)
+	r.checkSilence(ctx)
+	r.checkCut(ctx)
 	r.checkLoweredQuota(ctx)
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
