--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -69,10 +69,16 @@
 	return backs.Entry{ID: id, Service: "s", Domain: domain, Address: address, Slots: 8, Models: []backs.LoadedModel{{Model: "m"}}}
 }
 
-func sendRequest(g *Gateway) *httptest.ResponseRecorder {
+func sendRequest(g *Gateway) *httptest.ResponseRecorder { return sendWithDeadline(g, "") }
+
+// sendWithDeadline sends a request whose caller waits for so many milliseconds, or for as long as the route says.
+func sendWithDeadline(g *Gateway, milliseconds string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
 	r.Header.Set("Attempt", "a1")
 	r.Header.Set("Model", "m")
+	if milliseconds != "" {
+		r.Header.Set("Deadline", milliseconds)
+	}
 	w := httptest.NewRecorder()
 	g.ServeHTTP(w, r)
 	return w
--- a/pass/notice_test.go
+++ b/pass/notice_test.go
@@ -154,11 +154,7 @@
 			s := startNoticeServer(t, tc.respond)
 			g := testGateway(server("a", "d", s.address), server("b", "d", startNoticeServer(t, nil).address))
 			for s.arrived.Load() == 0 {
-				r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
-				r.Header.Set("Attempt", "a1")
-				r.Header.Set("Model", "m")
-				r.Header.Set("Deadline", "300")
-				g.ServeHTTP(httptest.NewRecorder(), r)
+				sendWithDeadline(g, "300")
 			}
 			require.Equal(t, tc.usable, g.Servers.Usable(g.Now(), "a"))
 		})
