peers: The calls of an uplink are a type of their own

The file of the uplink held the link, its data and the calls over it, with one lock for all three. The calls with their replies now are a type with its own lock, in a file of its own; a nil map needs no constructor any more. The two ways to take news of rejections, up and down, were the same code twice.

--- a/peers/rejects.go
+++ b/peers/rejects.go
@@ -35,22 +35,23 @@
 	p.frameDue.raise()
 }
 
-// takeRejectsUp returns the news for the hub, takeRejectsDown those for the linked VMs.
+// takeRejectsUp returns the news for the hub.
 func (p *Peers) takeRejectsUp(now time.Time) []wire.RejectLimit {
-	p.collectRejects(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	news := p.rejects.up
-	p.rejects.up = nil
-	return news
+	return p.takeRejects(now, &p.rejects.up)
 }
 
+// takeRejectsDown returns the news for the linked VMs.
 func (p *Peers) takeRejectsDown(now time.Time) []wire.RejectLimit {
+	return p.takeRejects(now, &p.rejects.down)
+}
+
+// takeRejects takes the news out of a list of p.rejects, with what this VM has heard from servers itself.
+func (p *Peers) takeRejects(now time.Time, list *[]wire.RejectLimit) []wire.RejectLimit {
 	p.collectRejects(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	news := p.rejects.down
-	p.rejects.down = nil
+	news := *list
+	*list = nil
 	return news
 }
 
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -11,11 +10,9 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
-	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
-	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -36,10 +33,14 @@
 	// lastLeaseVersion is the version of the controller's lease last received from the hub.
 	lastLeaseVersion int
 	// reported is the load last reported to the hub, which is included in the hub's sums.
-	reported     map[string]pick.Load
-	lastCall     int
-	pendingCalls map[int]chan *wire.Message
-	closed       bool
+	reported map[string]pick.Load
+
+	calls calls
+}
+
+func (u *uplink) close() {
+	u.conn.Close()
+	u.calls.close()
 }
 
 // linkEnd is how a link to a hub ended.
@@ -73,7 +74,7 @@
 		}
 		return linkFailed
 	}
-	up := &uplink{conn: conn, address: address, openedAt: p.Now(), direct: address == controller, pendingCalls: make(map[int]chan *wire.Message)}
+	up := &uplink{conn: conn, address: address, openedAt: p.Now(), direct: address == controller}
 	p.setUplink(up)
 	p.Log.Info().Str("address", address).Str("peer", conn.PeerHello().Node).Bool("direct", up.direct).Msg("linked to the hub")
 	root := ctx
@@ -224,11 +225,11 @@
 		case m.ConfigState != nil:
 			p.applyConfigState(m.ConfigState)
 		case m.FindReply != nil:
-			up.deliverReply(m.FindReply.Call, m)
+			up.calls.deliver(m.FindReply.Call, m)
 		case m.PermitReply != nil:
-			up.deliverReply(m.PermitReply.Call, m)
+			up.calls.deliver(m.PermitReply.Call, m)
 		case m.QuotaReply != nil:
-			up.deliverReply(m.QuotaReply.Call, m)
+			up.calls.deliver(m.QuotaReply.Call, m)
 		}
 	}
 }
@@ -333,107 +334,3 @@
 	}
 	p.ApplyConfig(s.Revision, value)
 }
-
-var errUnknownLimit = errors.New("the controller has no rate limit for the server")
-
-var errLinkLost = errors.New("link to the hub lost")
-
-// find returns the ID of a server that has a model and adapter loaded, as found by the hub.
-func (u *uplink) find(ctx context.Context, service, model, adapter string) (string, error) {
-	m, err := u.call(ctx, func(call int) *wire.Message {
-		return &wire.Message{FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}}
-	})
-	if err != nil {
-		return "", err
-	}
-	if m.FindReply.Server == "" {
-		return "", errors.New(m.FindReply.Reason)
-	}
-	return m.FindReply.Server, nil
-}
-
-// permit requests a permit for one request to a server from the hub. It returns 0 if the permit was
-// granted, and otherwise how long to wait before the next call.
-func (u *uplink) permit(ctx context.Context, server string) (time.Duration, error) {
-	m, err := u.call(ctx, func(call int) *wire.Message {
-		return &wire.Message{PermitCall: &wire.PermitCall{Call: call, Server: server}}
-	})
-	if err != nil {
-		return 0, err
-	}
-	if m.PermitReply.WaitUs < 0 {
-		return 0, errUnknownLimit
-	}
-	return time.Duration(m.PermitReply.WaitUs) * time.Microsecond, nil
-}
-
-// takeQuota requests the tokens of a request from the hub.
-func (u *uplink) takeQuota(ctx context.Context, r limit.QuotaRequest) (wait time.Duration, granted bool, err error) {
-	m, err := u.call(ctx, func(call int) *wire.Message {
-		return &wire.Message{QuotaCall: &wire.QuotaCall{Call: call, Team: r.Team, Tokens: r.Tokens, Rank: r.Rank, PatienceUs: int(r.Patience.Microseconds())}}
-	})
-	if err != nil {
-		return 0, false, err
-	}
-	return time.Duration(m.QuotaReply.WaitUs) * time.Microsecond, m.QuotaReply.Granted, nil
-}
-
-// call sends the message that newMessage returns for a call number to the hub, and waits for the
-// reply with the same number.
-func (u *uplink) call(ctx context.Context, newMessage func(call int) *wire.Message) (*wire.Message, error) {
-	call, replies := u.registerCall()
-	defer u.removeCall(call)
-	m := newMessage(call)
-	m.Traceparent = spans.Inject(ctx)
-	if err := u.conn.Send(ctx, m); err != nil {
-		return nil, err
-	}
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case reply, ok := <-replies:
-		if !ok {
-			return nil, errLinkLost
-		}
-		return reply, nil
-	}
-}
-
-func (u *uplink) registerCall() (int, chan *wire.Message) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.lastCall++
-	replies := make(chan *wire.Message, 1)
-	if u.closed {
-		close(replies)
-		return u.lastCall, replies
-	}
-	u.pendingCalls[u.lastCall] = replies
-	return u.lastCall, replies
-}
-
-func (u *uplink) removeCall(call int) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.pendingCalls, call)
-}
-
-func (u *uplink) deliverReply(call int, m *wire.Message) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if replies, ok := u.pendingCalls[call]; ok {
-		replies <- m
-		delete(u.pendingCalls, call)
-	}
-}
-
-func (u *uplink) close() {
-	u.conn.Close()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.closed = true
-	for call, replies := range u.pendingCalls {
-		close(replies)
-		delete(u.pendingCalls, call)
-	}
-}
