pass: The spread over proxies in a file of its own

way.go held how an attempt reaches its server and which proxy takes it. The choice among proxies is state of its own, without I/O.

--- a/pass/way.go
+++ b/pass/way.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
@@ -63,8 +62,6 @@
 	// milliseconds after the path was lost. proxyPollInterval is the interval between looks.
 	proxyWait         = 400 * time.Millisecond
 	proxyPollInterval = 20 * time.Millisecond
-	// proxyAvoidTime is how long a proxy that refused a request or could not be reached gets no others.
-	proxyAvoidTime = 500 * time.Millisecond
 )
 
 // openProxyWay returns the way through a proxy.
@@ -108,55 +105,6 @@
 // CloseExpiredProxyConns closes the connections to proxies that have been idle for too long.
 func (g *Gateway) CloseExpiredProxyConns(now time.Time) { g.proxyPool.CloseExpired(now) }
 
-// proxyLoads spreads the requests of a VM over its proxies. The zero value is ready to use.
-type proxyLoads struct {
-	mu sync.Mutex
-	// running is the number of this VM's requests at each proxy, and avoidUntil the time until which a
-	// proxy gets none.
-	running    map[string]int
-	avoidUntil map[string]time.Time
-}
-
-// choose returns the proxy with the fewest requests of this VM.
-func (l *proxyLoads) choose(now time.Time, proxies []string) (address string, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, p := range proxies {
-		if now.Before(l.avoidUntil[p]) {
-			continue
-		}
-		if !ok || l.running[p] < l.running[address] {
-			address, ok = p, true
-		}
-	}
-	return address, ok
-}
-
-func (l *proxyLoads) avoid(now time.Time, proxy string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.avoidUntil == nil {
-		l.avoidUntil = make(map[string]time.Time)
-	}
-	for p, until := range l.avoidUntil {
-		if !now.Before(until) {
-			delete(l.avoidUntil, p)
-		}
-	}
-	l.avoidUntil[proxy] = now.Add(proxyAvoidTime)
-}
-
-func (l *proxyLoads) add(proxy string, delta int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.running == nil {
-		l.running = make(map[string]int)
-	}
-	if l.running[proxy] += delta; l.running[proxy] <= 0 {
-		delete(l.running, proxy)
-	}
-}
-
 // beginViaProxies makes a call forget the servers that it found unreachable over a path that turned out to be
 // lost: through a proxy they can be reached.
 func (g *Gateway) beginViaProxies(c *call) {
