--- a/demo/site.go
+++ b/demo/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -207,87 +206,6 @@
 	return server, l.Addr().String(), nil
 }
 
-// siteSettingsFormat is the format of the settings file of a VM.
-const siteSettingsFormat = `
-[vm]
-name = vm-%d
-failure_domain = domain-%d
-listen = %s
-ready_listen = %s
-peer_listen = %s
-[store]
-address = %s
-wait = 200ms
-[limits]
-threads = 8
-[steering]
-handover = 300ms
-lease = 600ms
-[retries]
-share = 1
-extra = 1000
-[quotas]
-window = 2s
-slack = 20
-[drain]
-grace = 5s
-notice = 50ms
-`
-
-const (
-	// firstPort and portCount define the range of ports on which VMs listen. It is below the
-	// kernel's ephemeral ports: an outgoing connection could otherwise occupy a port between the
-	// check in freePort and the start of the VM.
-	firstPort       = 12_000
-	portCount       = 18_000
-	maxPortAttempts = 50
-)
-
-// triedPorts holds every port that freePort has tried in this process. It keeps freePort from
-// returning a port that is already assigned to a VM that is not listening yet.
-var triedPorts sync.Map
-
-// freePort returns a loopback address on which nothing currently listens. It returns each address
-// at most once per process.
-func freePort() (string, error) {
-	for range maxPortAttempts {
-		port := firstPort + rand.IntN(portCount)
-		if _, tried := triedPorts.LoadOrStore(port, true); tried {
-			continue
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return address, nil
-	}
-	return "", fmt.Errorf("find a port for a VM: no free port from %d on", firstPort)
-}
-
-// VMSettings returns the settings file of the i-th VM of a Site with the store at storeAddress. The
-// VM listens on ports that are currently free.
-func VMSettings(i int, storeAddress string) ([]byte, error) {
-	var addresses [3]string
-	for k := range addresses {
-		var err error
-		if addresses[k], err = freePort(); err != nil {
-			return nil, err
-		}
-	}
-	return fmt.Appendf(nil, siteSettingsFormat, i, i%siteDefaultCount, addresses[0], addresses[1], addresses[2], storeAddress), nil
-}
-
-// ListenAddress returns the caller-facing address in the settings file of a VM.
-func ListenAddress(text []byte) (string, error) {
-	settings, err := conf.ParseNode(text)
-	if err != nil {
-		return "", fmt.Errorf("parse settings of a VM: %w", err)
-	}
-	return settings.Text("vm", "listen"), nil
-}
-
 func (s *Site) addVM(ctx context.Context, i int) error {
 	text, err := VMSettings(i, s.storeAddress)
 	if err != nil {
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/limit"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+	"github.com/hibiscuscart/hibiscuscart/store"
+)
+
+// configWatcher returns the watcher that applies the newest configuration. A lower revision never
+// replaces a higher one.
+func (n *Node) configWatcher() watcher {
+	return watcher{
+		kind: n.config.ConfigKind,
+		onList: func(_ time.Time, l store.Listing) {
+			for _, o := range l.Items {
+				n.applyConfigObject(o)
+			}
+		},
+		onChange: func(_ time.Time, c store.Change) {
+			if !c.Deleted {
+				n.applyConfigObject(c.Object)
+			}
+		},
+		onCurrent: func(time.Time) {},
+	}
+}
+
+// maxConfigAge is the time after which a configuration that nobody has confirmed may be outdated. The
+// store confirms it once in each watch, and the controller in each frame.
+const maxConfigAge = 2 * time.Second
+
+// configCurrent reports whether the store or the controller has recently confirmed the configuration.
+func (n *Node) configCurrent(now time.Time) bool {
+	if n.coveredByController(now) {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return now.Sub(n.confirmedAt[n.config.ConfigKind]) < maxConfigAge
+}
+
+func (n *Node) activateConfig(table *routes.Table, revision int, value []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if revision <= n.configRevision {
+		return
+	}
+	n.configRevision, n.storedConfig = revision, value
+	n.table.Store(table)
+	n.quotas.Configure(n.now(), n.quotaRules(), quotasOf(table))
+	close(n.configChange)
+	n.configChange = make(chan struct{})
+	n.log.Info().Int("config_version", table.Version()).Int("revision", revision).Msg("configuration in force")
+}
+
+func (n *Node) quotaRules() limit.QuotaRules {
+	s := n.settings()
+	return limit.QuotaRules{Window: s.Duration("quotas", "window"), Overshoot: s.Float("quotas", "overshoot"), Slack: s.Float("quotas", "slack")}
+}
+
+// quotasOf returns the quotas of a configuration's teams.
+func quotasOf(table *routes.Table) []limit.Quota {
+	var list []limit.Quota
+	for _, team := range table.Teams() {
+		if team.Quota.Limited() {
+			list = append(list, limit.Quota{Team: team.Name, PerSecond: team.Quota.PerSecond, Burst: team.Quota.Burst})
+		}
+	}
+	return list
+}
+
+// currentConfig returns the configuration in force, as stored, and its revision.
+func (n *Node) currentConfig() (int, []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.configRevision, n.storedConfig
+}
+
+func (n *Node) configChanged() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.configChange
+}
+
+// awaitConfig waits for a change of the configuration for at most limit.
+func (n *Node) awaitConfig(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case <-n.configChanged():
+	case <-ctx.Done():
+	}
+}
+
+// applyHubConfig applies a configuration received from the controller.
+func (n *Node) applyHubConfig(revision int, value []byte) {
+	n.applyConfigObject(store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Version: revision, Value: value})
+}
+
+func (n *Node) applyConfigObject(o store.Object) {
+	if o.Name != n.config.ConfigName {
+		return
+	}
+	table, err := n.config.DecodeTable(o)
+	if err != nil {
+		n.log.Error().Err(err).Int("version", o.Version).Msg("cannot decode configuration; keeping the one in force")
+		return
+	}
+	n.activateConfig(table, o.Version, o.Value)
+}
--- a/node/path.go
+++ b/node/path.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
-	"github.com/hibiscuscart/hibiscuscart/pass"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 )
 
@@ -125,25 +124,3 @@
 	}
 	n.log.Info().Msg("path to the backend servers is back")
 }
-
-const (
-	// proxiedPerCore is how many requests of other VMs a VM sends at a time for each core that it has: some
-	// times what it has of its own at the usual load, and as much work for its core as a few percent.
-	proxiedPerCore = 100
-	minProxied     = 8
-)
-
-// maxProxied returns how many requests of other VMs a VM with a CPU share sends at a time.
-func maxProxied(cores float64) int { return max(int(proxiedPerCore*cores), minProxied) }
-
-// peerHandler serves other VMs: their links, and their requests while they have no path to the servers.
-func (n *Node) peerHandler() http.Handler {
-	links := n.peers.Handler()
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if pass.IsProxied(r) {
-			n.gateway.ServeProxied(w, r)
-			return
-		}
-		links.ServeHTTP(w, r)
-	})
-}
--- /dev/null
+++ b/node/servers.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/store"
+)
+
+// serverWatcher returns the watcher that updates the view of the backend servers.
+func (n *Node) serverWatcher() watcher {
+	return watcher{
+		kind: n.config.ServerKind,
+		onList: func(now time.Time, l store.Listing) {
+			entries := make([]backs.Entry, 0, len(l.Items))
+			var unreadable []string
+			for _, o := range l.Items {
+				if e, ok := n.decodeEntry(o); ok {
+					entries = append(entries, e)
+				} else {
+					unreadable = append(unreadable, o.Name)
+				}
+			}
+			n.serverView.Replace(now, entries, unreadable...)
+		},
+		onChange:  n.serverChanged,
+		onCurrent: n.serverView.MarkCurrent,
+	}
+}
+
+func (n *Node) decodeEntry(o store.Object) (backs.Entry, bool) {
+	e, err := n.config.DecodeEntry(o)
+	if err != nil {
+		n.log.Error().Err(err).Int("version", o.Version).Msg("ignoring invalid server entry")
+		return backs.Entry{}, false
+	}
+	return e, true
+}
+
+// handleMissing logs whether a server whose entry is missing stays in use. It is also called when
+// another VM reported the removal or omitted the server from its list.
+func (n *Node) handleMissing(m backs.Missing) {
+	message := "entry missing; server no longer used"
+	if m.Kept {
+		message = "entry missing; server kept in use"
+	} else {
+		n.crashTracker.ProcessEnded(n.now(), m.ID)
+	}
+	n.log.Info().Str("server", m.ID).Msg(message)
+}
+
+// handleNotice logs and counts what a server has said about itself, to this VM or to another one.
+func (n *Node) handleNotice(c backs.NoticeChange) {
+	if c.Leaving {
+		n.meter.AddCounter("servers.leaving", 1)
+		n.log.Info().Str("server", c.ID).Str("source", string(c.Source)).Msg("server leaves")
+		return
+	}
+	if c.HasRejectLimit || c.NoRejectLimit {
+		n.log.Info().Str("server", c.ID).Bool("limited", c.HasRejectLimit).Float64("rejects_per_second", c.RejectLimit).Msg("rejection limit of a server changed")
+		return
+	}
+	n.meter.AddCounter("servers.rests", 1)
+	n.log.Info().Str("server", c.ID).Dur("rest", c.Rest).Msg("server asked this VM for rest")
+}
+
+// recordCrash logs and counts a server crash that this VM detected during a request. crashes is the
+// number of crashes attributed to the request.
+func (n *Node) recordCrash(c poison.Crash, crashes int) {
+	n.meter.AddCounter("poison.crashes", 1)
+	n.log.Info().Str("fingerprint", string(c.Request)).Str("server", c.Server).Int("crashes", crashes).Msg("server crashed while processing a request")
+}
+
+// recordBlock logs and counts a request that is now blocked on this VM.
+func (n *Node) recordBlock(s poison.Suspect) {
+	n.meter.AddCounter("poison.blocked", 1)
+	n.log.Warn().Str("fingerprint", string(s.Request)).Int("crashes", s.Crashes).Dur("for", s.BlockedFor).Msg("request blocked")
+}
+
+func (n *Node) serverChanged(now time.Time, c store.Change) {
+	if c.Deleted {
+		n.serverView.Remove(now, c.Object.Name)
+		n.log.Info().Str("server", c.Object.Name).Int("version", c.Object.Version).Msg("server removed")
+		return
+	}
+	e, ok := n.decodeEntry(c.Object)
+	if !ok {
+		n.serverView.MarkUnreadable(c.Object.Name)
+		return
+	}
+	n.serverView.Put(now, e)
+	n.log.Info().Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Bool("draining", e.Draining).
+		Int("models", len(e.Models)).Int("version", c.Object.Version).Msg("server changed")
+}
