soak: Load on all VMs in one function

The checks of the rate limit and of the limit on rejections both sent concurrent requests to all VMs in the same six lines.

--- a/soak/limit.go
+++ b/soak/limit.go
@@ -27,15 +27,20 @@
 	backend := r.site.Backends(demo.SitePlainService)[0]
 	limitedAt := time.Now()
 	backend.SetRateLimit(limitRate, true)
-	ctx, cancel := context.WithTimeout(ctx, limitLoadDuration)
+	r.sendLoadToAll(ctx, limitLoadDuration, "limit")
+	r.checks.CheckRateLimit(backend, limitedAt)
+	backend.SetRateLimit(0, false)
+}
+
+// sendLoadToAll sends concurrent requests to all VMs for a time, then waits for the responses.
+func (r *run) sendLoadToAll(ctx context.Context, duration time.Duration, name string) {
+	ctx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	var wait sync.WaitGroup
 	for v := range r.vms {
-		wait.Go(func() { r.sendLoad(ctx, v, "limit") })
+		wait.Go(func() { r.sendLoad(ctx, v, name) })
 	}
 	wait.Wait()
-	r.checks.CheckRateLimit(backend, limitedAt)
-	backend.SetRateLimit(0, false)
 }
 
 // sendLoad sends concurrent requests to a VM until ctx is done, then waits for the responses. Requests
--- a/soak/rejects.go
+++ b/soak/rejects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
@@ -24,13 +23,7 @@
 	for _, b := range servers {
 		b.SetRejectLimit(time.Now(), rejectsPerSecond, rejectProcessing)
 	}
-	ctx, cancel := context.WithTimeout(ctx, rejectLoadDuration)
-	defer cancel()
-	var wait sync.WaitGroup
-	for v := range r.vms {
-		wait.Go(func() { r.sendLoad(ctx, v, "rejects") })
-	}
-	wait.Wait()
+	r.sendLoadToAll(ctx, rejectLoadDuration, "rejects")
 	falls := 0
 	for _, b := range servers {
 		falls += b.Falls()
