trail: explain -request names the proxy of an attempt and how its response ended

The line of a proxy about another VM's request stood in the timeline as its bare message, and the fields proxy, framing and partial_event of the other lines in none. The test failed on all three before; the tests of trail pass.

--- a/trail/line.go
+++ b/trail/line.go
@@ -21,6 +21,7 @@
 	messageServerRemoved = "server removed"
 	messageServerSilent  = "server silent"
 	messageRejected      = "request rejected"
+	messageProxied       = "request proxied"
 )
 
 // logLine is a parsed log line. Durations are in milliseconds, as zerolog writes them.
@@ -54,6 +55,15 @@
 	ServerLeaving    bool   `json:"server_leaving"`
 	ServerRetryAfter string `json:"server_retry_after"`
 
+	// Framing is how the last response marked its end, PartialEventBytes what was left over of an event then.
+	Framing           string `json:"framing"`
+	PartialEventBytes int    `json:"partial_event"`
+	// Proxy is the address of the VM through which the last attempt went. The line of that VM has From, the
+	// address of the VM that has the caller, and Result.
+	Proxy  string `json:"proxy"`
+	From   string `json:"from"`
+	Result string `json:"result"`
+
 	Server      string `json:"server"`
 	Unload      bool   `json:"unload"`
 	OrderResult int    `json:"verdict"`
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -59,9 +59,11 @@
 func describe(l *logLine) string {
 	switch l.Message {
 	case messageAttemptFailed:
-		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", l.Server, normalizeReason(l.Reason), l.Predicted, l.Running) + describeNotice(l)
+		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", l.Server, normalizeReason(l.Reason), l.Predicted, l.Running) + describeResponse(l)
 	case messageServerSilent:
 		return fmt.Sprintf("%s was silent", l.Server)
+	case messageProxied:
+		return fmt.Sprintf("sent to %s for the VM at %s: status %d, %s", l.Server, l.From, l.Status, l.Result) + describeResponse(l)
 	case messageRejected:
 		return fmt.Sprintf("rejected with status %d: %s", l.Status, l.Reason)
 	case messageRequest:
@@ -83,14 +85,26 @@
 		if l.FindWait > 0 {
 			text += fmt.Sprintf("; waited %.0f ms for a server", l.FindWait)
 		}
-		return text + describeNotice(l)
+		return text + describeResponse(l)
 	}
 	return l.Message
 }
 
-// describeNotice returns what the last response before a line said about its server.
-func describeNotice(l *logLine) string {
+// framingByClose is the logged framing of a response that ends with its connection.
+const framingByClose = "close"
+
+// describeResponse returns how the last response before a line came and ended, and what it said about its server.
+func describeResponse(l *logLine) string {
 	text := ""
+	if l.Proxy != "" {
+		text += "; sent through the VM at " + l.Proxy
+	}
+	if l.Framing == framingByClose {
+		text += "; the response ends with its connection"
+	}
+	if l.PartialEventBytes > 0 {
+		text += fmt.Sprintf("; it ended %d bytes into an event", l.PartialEventBytes)
+	}
 	if l.ServerLeaving {
 		text += "; its server said that it leaves"
 	}
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -203,3 +203,19 @@
 	require.Contains(t, out.String(), "refused with 503 (predicted 0 ms, 0 running); its server asked for rest, Retry-After 3")
 	require.Contains(t, out.String(), "its server said that it leaves")
 }
+
+// Guards against a timeline that ends at the VM with the caller although another VM sent the request, or that
+// does not tell a response that may be cut short from others.
+func TestTimelineNamesProxiesAndFraming(t *testing.T) {
+	const lines = `{"vm":"vm-2","request":"r1","server":"s1","from":"10.0.0.1:4000","status":200,"framing":"close","result":"passed on","time":"2026-01-01T00:00:01Z","message":"request proxied"}
+{"vm":"vm-1","request":"r1","server":"s2","proxy":"10.0.0.2:9000","framing":"chunked","partial_event":7,"reason":"read stream: EOF","time":"2026-01-01T00:00:02Z","message":"try failed"}
+{"vm":"vm-1","request":"r1","servers":["s2","s1"],"sends":2,"status":200,"proxy":"10.0.0.2:9000","framing":"close","time":"2026-01-01T00:00:03Z","message":"request"}
+`
+	log := &trail.Log{RequestID: "r1"}
+	require.NoError(t, log.Read("lines", strings.NewReader(lines)))
+	var out strings.Builder
+	require.NoError(t, log.WriteTimeline(&out))
+	require.Contains(t, out.String(), "sent to s1 for the VM at 10.0.0.1:4000: status 200, passed on; the response ends with its connection")
+	require.Contains(t, out.String(), "s2 did not answer: read stream: EOF (predicted 0 ms, 0 running); sent through the VM at 10.0.0.2:9000; it ended 7 bytes into an event")
+	require.Contains(t, out.String(), "sent through the VM at 10.0.0.2:9000; the response ends with its connection")
+}
