node: The body of a path probe's response is closed

Nothing leaked: a body of length zero holds nothing, and any other one was discarded with its connection.

Change: the body is closed, a response that was not read gives up its connection at one place.

--- a/node/path.go
+++ b/node/path.go
@@ -101,7 +101,14 @@
 		return
 	}
 	n.paths.ConnectionWorked(n.now())
-	exchange.Finish(n.now(), n.connPool, resp, err == nil && resp.ContentLength == 0)
+	if err != nil {
+		n.connPool.Discard(conn)
+		return
+	}
+	exchange.Finish(n.now(), n.connPool, resp, resp.ContentLength == 0)
+	if err := resp.Body.Close(); err != nil {
+		n.log.Debug().Err(err).Str("server", e.ID).Msg("body of a path probe")
+	}
 }
 
 // healthPath returns the path of a service's health check, or "" if it has none.
