paths: A refused connection counts as a crash only once the path is known to be there

Cause: within a second of a new connection that worked, a refused one was told at once as the end of a server's process, as failures in that second count for nothing else. A VM of a large site opens connections all the time, so that it is always within that second. Ruled out: a suspicion for each refusal (TestCrashedGroupIsNoLostPath allows two probes a second while servers crash in series); to wait for the second to end (the next servers would get the request meanwhile). Change: each refusal is kept until something tells: a new connection works, bytes arrive from any server 50 ms later, or the path is lost, which drops it. The first in a second raises a suspicion; a request that waits raises one for the others. Connections that fail while a suspicion lasts count. Measured: TestRefusalsRightAfterConnection and TestCrashBesideWorkingServersCounts fail before, pass after; paths, pass and node pass, with the race detector too, and TestVMsWithoutPathServe and the crash tests of demo.

--- a/paths/tracker.go
+++ b/paths/tracker.go
@@ -23,6 +23,9 @@
 	// raises no suspicion. While servers crash in series, each failed connection would otherwise cost
 	// probes. It is a third of the time within which a lost path has to be known.
 	suspicionInterval = time.Second
+	// refusalDelay is the time after a refused connection from which bytes of any server tell that the path
+	// is not lost. Bytes that arrived before a cut may be read a little later.
+	refusalDelay = 50 * time.Millisecond
 	// silenceLimit is the time without a byte from any server after which a silent server raises a
 	// suspicion. A single server that is silent for a second is no sign of a lost path.
 	silenceLimit = time.Second
@@ -34,21 +37,22 @@
 type Tracker struct {
 	// OnSuspicion is called when a new connection has failed and the path may be lost. Probes then tells
 	// which servers to connect to. OnChange is called when the path is lost or is back. OnProcessEnded is
-	// called for a server that refused a connection although the path is not lost. All may be nil; they
-	// are called without locks held.
+	// called for a server that refused a connection at a time, once it is known that the path is not lost.
+	// All may be nil; they are called without locks held.
 	OnSuspicion    func()
 	OnChange       func(lost bool)
-	OnProcessEnded func(now time.Time, server string)
+	OnProcessEnded func(refusedAt time.Time, server string)
 
 	mu sync.Mutex
-	// failed holds the servers that failed since a new connection last worked, at workedAt, and refused
-	// those of them that refused the connection.
-	failed, refused map[string]bool
-	workedAt        time.Time
-	// suspected is set while probes are to tell whether the path is lost; workedBefore is the value of
-	// workedAt when that began.
-	suspected, lost bool
-	workedBefore    time.Time
+	// failed holds the servers that failed since a new connection last worked, at workedAt. refusedAt holds
+	// when servers refused a connection and nothing told since whether the path is lost.
+	failed    map[string]bool
+	refusedAt map[string]time.Time
+	workedAt  time.Time
+	// suspected is set while probes are to tell whether the path is lost; the last such time began at
+	// suspectedAt, and workedBefore is the value of workedAt then.
+	suspected, lost           bool
+	suspectedAt, workedBefore time.Time
 	// heardAt is when a byte last arrived from any server.
 	heardAt time.Time
 	// lastProbed is the server that was probed last while the path is lost.
@@ -74,33 +78,58 @@
 func (t *Tracker) connectionFailed(now time.Time, server string, refused bool) (notify []func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.lost && !t.workedAt.IsZero() && now.Sub(t.workedAt) < suspicionInterval {
-		return t.processEnded(now, server, refused)
+	if refused && !t.lost {
+		if t.refusedAt == nil {
+			t.refusedAt = make(map[string]time.Time)
+		}
+		t.refusedAt[server] = now
+	}
+	if t.mayBeLate(now) {
+		// Servers that crash in series must not cost probes each, nor may their crashes wait for long.
+		if refused && now.Sub(t.suspectedAt) >= suspicionInterval {
+			return t.suspect(now)
+		}
+		return nil
 	}
 	if t.failed == nil {
-		t.failed, t.refused = make(map[string]bool), make(map[string]bool)
+		t.failed = make(map[string]bool)
 	}
 	t.failed[server] = true
-	t.refused[server] = t.refused[server] || refused
 	if !t.lost && len(t.failed) >= lostServers {
 		notify = t.setLost(true)
 	}
-	return append(notify, t.suspect()...)
+	return append(notify, t.suspect(now)...)
+}
+
+// mayBeLate reports whether a failed connection may have been begun before the one that worked last. t.mu is
+// held.
+func (t *Tracker) mayBeLate(now time.Time) bool {
+	suspectedSince := t.suspected && t.suspectedAt.After(t.workedAt)
+	return !t.lost && !suspectedSince && !t.workedAt.IsZero() && now.Sub(t.workedAt) < suspicionInterval
 }
 
 // Heard records that bytes arrived from a server, over any connection.
 func (t *Tracker) Heard(now time.Time) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.heardAt = now
+	var notify []func()
+	if len(t.refusedAt) > 0 && !t.lost && !t.suspected {
+		notify = t.processesEnded(now.Add(-refusalDelay))
+	}
+	t.mu.Unlock()
+	for _, f := range notify {
+		f()
+	}
 }
 
 // Silent records that a request has waited for a server since a time. Its connection may have gone silent.
 func (t *Tracker) Silent(now, since time.Time) {
 	t.mu.Lock()
 	var notify []func()
-	if heardAt := latest(since, t.heardAt, t.workedAt); now.Sub(heardAt) >= silenceLimit {
-		notify = t.suspect()
+	silent := now.Sub(latest(since, t.heardAt, t.workedAt)) >= silenceLimit
+	untoldRefusals := len(t.refusedAt) > 0 && now.Sub(t.suspectedAt) >= suspicionInterval
+	if silent || untoldRefusals {
+		notify = t.suspect(now)
 	}
 	t.mu.Unlock()
 	for _, f := range notify {
@@ -111,25 +140,33 @@
 func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
 
 // suspect begins a suspicion, unless there is one. t.mu is held.
-func (t *Tracker) suspect() []func() {
+func (t *Tracker) suspect(now time.Time) []func() {
 	if t.suspected || t.OnSuspicion == nil {
 		return nil
 	}
-	t.suspected, t.workedBefore = true, t.workedAt
+	t.suspected, t.suspectedAt, t.workedBefore = true, now, t.workedAt
 	return []func(){t.OnSuspicion}
 }
 
-// processEnded returns the notification that a server's process has ended, if it refused a connection.
-func (t *Tracker) processEnded(now time.Time, server string, refused bool) []func() {
-	if !refused || t.OnProcessEnded == nil {
-		return nil
+// processesEnded returns the notifications that the processes of servers have ended which refused a connection
+// until a time. t.mu is held.
+func (t *Tracker) processesEnded(until time.Time) (notify []func()) {
+	for server, at := range t.refusedAt {
+		if at.After(until) {
+			continue
+		}
+		delete(t.refusedAt, server)
+		if t.OnProcessEnded != nil {
+			notify = append(notify, func() { t.OnProcessEnded(at, server) })
+		}
 	}
-	return []func(){func() { t.OnProcessEnded(now, server) }}
+	return notify
 }
 
 // setLost changes whether the path is lost. t.mu is held.
 func (t *Tracker) setLost(lost bool) []func() {
 	t.lost = lost
+	t.refusedAt = nil
 	if t.OnChange == nil {
 		return nil
 	}
@@ -150,11 +187,9 @@
 	if t.lost {
 		notify = t.setLost(false)
 	} else {
-		for server, refused := range t.refused {
-			notify = append(notify, t.processEnded(now, server, refused)...)
-		}
+		notify = t.processesEnded(now)
 	}
-	t.failed, t.refused = nil, nil
+	t.failed = nil
 	return notify
 }
 
--- a/paths/tracker_test.go
+++ b/paths/tracker_test.go
@@ -106,6 +106,56 @@
 	require.False(t, v.Lost())
 }
 
+// A VM that has just opened a connection loses its path, and connections are refused. Guards against taking its
+// servers for crashed, which blocks the requests that it had sent to them.
+func TestRefusalsRightAfterConnection(t *testing.T) {
+	v := newVM()
+	v.ConnectionWorked(at(5))
+	for i, e := range fleet()[:3] {
+		v.ConnectionFailed(at(5.01+float64(i)/100), e.ID, true)
+	}
+	for i := range 4 {
+		v.probe(at(5.05+float64(i)/100), nothing)
+	}
+	require.True(t, v.Lost())
+	v.Heard(at(6))
+	v.ConnectionWorked(at(15))
+	require.Empty(t, v.ended)
+}
+
+// A server crashes beside others that work. Guards against a crash that counts late or never, so that the next
+// servers get the request that caused it.
+func TestCrashBesideWorkingServersCounts(t *testing.T) {
+	tests := map[string]struct {
+		// crashedBefore is set if another server crashed a moment before, which was probed.
+		crashedBefore bool
+		confirm       func(v *vm)
+	}{
+		"new connection works":              {false, func(v *vm) { v.ConnectionWorked(at(5.4)) }},
+		"probe":                             {false, func(v *vm) { v.probe(at(5.4), everything) }},
+		"second crash, other server sends":  {true, func(v *vm) { v.Heard(at(5.4)) }},
+		"second crash, its request waits":   {true, func(v *vm) { v.Silent(at(6.2), at(5.8)); v.probe(at(6.3), everything) }},
+		"second crash, third one is probed": {true, func(v *vm) { v.ConnectionFailed(at(6.5), "s1", true); v.probe(at(6.6), everything) }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newVM()
+			v.ConnectionWorked(at(5))
+			if tc.crashedBefore {
+				v.ConnectionFailed(at(5.1), "s8", true)
+				v.probe(at(5.11), everything)
+				v.probe(at(5.12), everything)
+				require.Equal(t, []string{"s8"}, v.ended)
+			}
+			v.ConnectionFailed(at(5.2), "s0", true)
+			require.NotContains(t, v.ended, "s0", "nothing tells the crash from a lost path yet")
+			tc.confirm(v)
+			require.Contains(t, v.ended, "s0")
+			require.LessOrEqual(t, v.suspicions, 2)
+		})
+	}
+}
+
 // All servers of one service, or of one failure domain, crash at the same moment. Guards against taking that
 // for a lost path of the VM, which would send its requests through others in vain.
 func TestCrashedGroupIsNoLostPath(t *testing.T) {
