peers: A relay without a path names the VMs below it that have one

Cause: a hub names VMs that are linked to it, and the controller is linked to relays only; a relay told that it has no path and not who below it has one. Ruled out: a list of all VMs at the controller (bytes of each link all the time); relays that hand over as soon as they lose their path (a move of all links of a domain, in the moment in which they are needed). The field sorts last, so that older builds skip it. Measured: TestProxiesBelowRelaysWithoutPath fails before (a minute in vain), passes after, with the new holder of the lease too; tests of proxies, paths and frames of older builds pass.

--- a/peers/hub.go
+++ b/peers/hub.go
@@ -203,9 +203,7 @@
 		p.mergeReport(d.vm, m.VMReport)
 	case m.VMReport != nil:
 		p.mu.Lock()
-		p.setSubtree(d.vm, subtree{
-			vms: m.VMReport.Vms, relaying: m.VMReport.Relaying, withoutPath: m.VMReport.WithoutPath, withoutPathBelow: m.VMReport.WithoutPathBelow,
-		})
+		p.setSubtree(d.vm, subtreeOf(m.VMReport))
 		p.mu.Unlock()
 		p.Controller.RecordVMReport(p.Now(), d.vm, loadsOf(m.VMReport.Loads), demandOf(m.VMReport.Wants))
 		p.Controller.RequireReports(m.VMReport.Doubts)
--- a/peers/proxies.go
+++ b/peers/proxies.go
@@ -62,9 +62,15 @@
 	return p.knownProxies()
 }
 
-// knownProxies returns VMs that can serve as proxies: those linked to this VM and itself, the strongest
-// first, then those that its hub named. p.mu must be held.
+// knownProxies returns VMs that can serve as proxies: those of this VM's subtree, then those that its hub
+// named. p.mu must be held.
 func (p *Peers) knownProxies() []string {
+	return appendProxies(p.linkedProxies(), p.hubProxies)
+}
+
+// linkedProxies returns the VMs of this VM's subtree that can serve as proxies, as far as it knows them: those
+// linked to it and itself, the strongest first, then those below linked VMs without a path. p.mu must be held.
+func (p *Peers) linkedProxies() []string {
 	type proxy struct {
 		address    string
 		millicores int
@@ -73,10 +79,13 @@
 	if p.HasPath != nil && p.HasPath() {
 		proxies = append(proxies, proxy{p.Address, int(1000 * p.Cores)})
 	}
+	var below []string
 	for d := range p.links {
-		if d.hello.ServesAsProxy && d.hello.Address != "" && !p.subtrees[d.vm].withoutPath {
+		s := p.subtrees[d.vm]
+		if d.hello.ServesAsProxy && d.hello.Address != "" && !s.withoutPath {
 			proxies = append(proxies, proxy{d.hello.Address, d.hello.Millicores})
 		}
+		below = append(below, s.proxies...)
 	}
 	slices.SortFunc(proxies, func(a, b proxy) int {
 		return cmp.Or(cmp.Compare(b.millicores, a.millicores), cmp.Compare(a.address, b.address))
@@ -85,12 +94,18 @@
 	for _, x := range proxies {
 		addresses = append(addresses, x.address)
 	}
-	for _, address := range p.hubProxies {
-		if !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
+	slices.Sort(below)
+	return appendProxies(addresses, below)
+}
+
+// appendProxies appends the proxies that are not in the list yet, up to maxProxies.
+func appendProxies(list, more []string) []string {
+	for _, address := range more {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
 		}
 	}
-	return addresses[:min(len(addresses), maxProxies)]
+	return list[:min(len(list), maxProxies)]
 }
 
 // currentKey returns the key of the current term.
--- a/peers/proxies_test.go
+++ b/peers/proxies_test.go
@@ -110,6 +110,37 @@
 	}
 }
 
+// The controller and all relays of a tree lose their path, and most VMs below them do not. Guards against a fleet
+// whose controller knows no VM that has a path, so that it names none to whole failure domains and keeps the lease.
+func TestProxiesBelowRelaysWithoutPath(t *testing.T) {
+	f := startPathFleet(t, minTreeVMs+4)
+	var controller int
+	var relays []int
+	require.Eventually(t, func() bool {
+		var settled bool
+		controller, relays, settled = topology(f.vms)
+		return settled
+	}, testTimeout, 10*time.Millisecond)
+	// All VMs of one domain, and of the other one the controller and the relays, which are its strongest.
+	withoutPath := func(i int) bool {
+		return i == controller || slices.Contains(relays, i) || f.vms[i].Domain == f.vms[relays[0]].Domain
+	}
+	for i := range f.vms {
+		if withoutPath(i) {
+			f.setLost(i, true)
+		}
+	}
+	for i := range f.vms {
+		if withoutPath(i) {
+			f.requireProxies(t, i)
+		}
+	}
+	require.Eventually(t, func() bool {
+		next, _, _ := topology(f.vms)
+		return next >= 0 && next != controller && !withoutPath(next)
+	}, testTimeout, 10*time.Millisecond, "a VM with a path gives the orders")
+}
+
 // Guards against a proxy that refuses a VM which has not learned of the newest controller yet.
 func TestProxyKeyOfPreviousTerm(t *testing.T) {
 	l := &Lease{}
--- a/peers/report.go
+++ b/peers/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -43,7 +44,7 @@
 	report := &wire.VMReport{
 		Vms: status.vms, Relaying: status.relaying, WithoutPath: status.withoutPath, WithoutPathBelow: status.withoutPathBelow, Loads: loadList(own), Wants: demandList(p.takeDemand()), Doubts: append([]string{}, p.takeUnverified()...),
 		WillExit: p.Servers.TakeLeaving(), Limits: limitList(p.Limits.TakeReport()), Spends: p.takeSpends(),
-		ZRejectLimits: p.takeRejectsUp(p.Now()),
+		ZRejectLimits: p.takeRejectsUp(p.Now()), ZVmsWithPath: status.proxies,
 	}
 	addCrashes(report, p.Poison.TakeReport())
 	return report, interval
@@ -54,7 +55,8 @@
 func worthSending(r, last *wire.VMReport) bool {
 	events := len(r.Doubts) + len(r.WillExit) + len(r.Limits) + len(r.Spends) + len(r.Levels) + len(r.Crashes) + len(r.Answered) + len(r.ZRejectLimits)
 	busy := len(r.Loads)+len(r.Wants) > 0 || len(last.Loads)+len(last.Wants) > 0
-	return events > 0 || busy || r.Vms != last.Vms || r.Relaying != last.Relaying || r.WithoutPath != last.WithoutPath || r.WithoutPathBelow != last.WithoutPathBelow
+	return events > 0 || busy || r.Vms != last.Vms || r.Relaying != last.Relaying || r.WithoutPath != last.WithoutPath || r.WithoutPathBelow != last.WithoutPathBelow ||
+		!slices.Equal(r.ZVmsWithPath, last.ZVmsWithPath)
 }
 
 // reportStatus returns the state of this VM's subtree without its loads, and the report interval.
@@ -62,5 +64,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	status = subtree{vms: p.subtreeVMs(), relaying: p.relaying, withoutPath: !p.hasPath(), withoutPathBelow: p.withoutPathBelow()}
+	if status.withoutPath {
+		status.proxies = p.linkedProxies()
+	}
 	return status, max(p.reportInterval, minLoadInterval)
 }
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -52,6 +52,8 @@
 	// withoutPath is set if its root has no path to the backend servers, withoutPathBelow if another VM of
 	// it has none.
 	withoutPath, withoutPathBelow bool
+	// proxies are the addresses of VMs below its root that have a path, known while the root has none.
+	proxies []string
 }
 
 // selectRelay returns the address of the relay that this VM should link to, or "" if it should link
@@ -318,7 +320,9 @@
 func (p *Peers) mergeReport(vm string, r *wire.VMReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setSubtree(vm, subtree{loads: loadsOf(r.Loads), vms: r.Vms, relaying: r.Relaying, withoutPath: r.WithoutPath, withoutPathBelow: r.WithoutPathBelow})
+	s := subtreeOf(r)
+	s.loads = loadsOf(r.Loads)
+	p.setSubtree(vm, s)
 	for _, d := range demandOf(r.Wants) {
 		p.addDemand(d)
 	}
@@ -327,12 +331,18 @@
 	}
 }
 
+// subtreeOf returns the state of a VM's subtree in its report, without the loads.
+func subtreeOf(r *wire.VMReport) subtree {
+	return subtree{vms: r.Vms, relaying: r.Relaying, withoutPath: r.WithoutPath, withoutPathBelow: r.WithoutPathBelow, proxies: r.ZVmsWithPath}
+}
+
 // setSubtree replaces the last report of a linked VM. p.mu must be held.
 func (p *Peers) setSubtree(vm string, s subtree) {
 	if p.subtrees == nil {
 		p.subtrees = make(map[string]subtree)
 	}
-	if last := p.subtrees[vm]; s.relaying != last.relaying || s.withoutPath != last.withoutPath || s.withoutPathBelow != last.withoutPathBelow {
+	last := p.subtrees[vm]
+	if s.relaying != last.relaying || s.withoutPath != last.withoutPath || s.withoutPathBelow != last.withoutPathBelow || !slices.Equal(s.proxies, last.proxies) {
 		p.signalLoads()
 	}
 	p.subtrees[vm] = s
--- a/wire/types.go
+++ b/wire/types.go
@@ -1122,4 +1122,9 @@
 	// limits from time to time, and rejections. Its name sorts behind all others, so
 	// that builds without it skip it.
 	ZRejectLimits []RejectLimit `json:"z_reject_limits,omitempty,omitzero"`
+
+	// Addresses of VMs below the sender that send requests for those without a path
+	// to the backend servers, while the sender has none itself. Its name sorts behind
+	// all others, so that builds without it skip it.
+	ZVmsWithPath []string `json:"z_vms_with_path,omitempty,omitzero"`
 }
