pass: A busy proxy is asked again after a tenth of a second

Cause: a proxy that refused got no requests for half a second, whatever the reason. With 36 VMs on 16 proxies all 16 counted as busy at once. Ruled out: more requests for each core (100 streams take a third of it, by 18 us a token); asking busy proxies at once again (refusals in a row). Change: half a second as before for a proxy that is gone, stops or has no path, a tenth for a busy one. Measured: TestBusyProxyIsUsedAgainSoon fails with half a second, passes.

--- a/pass/crash.go
+++ b/pass/crash.go
@@ -32,7 +32,7 @@
 		switch {
 		case a.proxy != "":
 			// Whether the server or the proxy is gone is for the proxy to say.
-			a.g.proxyLoads.avoid(a.g.Now(), a.proxy)
+			a.g.proxyLoads.avoid(a.g.Now(), a.proxy, proxyAvoidTime)
 		case a.resp == nil && a.unproven:
 			a.g.Paths.ConnectionFailed(a.g.Now(), a.server, false)
 			fallthrough
--- a/pass/proxy_test.go
+++ b/pass/proxy_test.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// Guards against requests that are refused for half a second because all proxies were busy at one moment.
+func TestBusyProxyIsUsedAgainSoon(t *testing.T) {
+	tests := map[string]struct {
+		change func(proxy *Gateway)
+		usable bool
+	}{
+		"busy":         {func(proxy *Gateway) { proxy.MaxProxied = 0 }, true},
+		"without path": {losePath, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startRecorder(t)
+			g, proxy := proxiedGateway(t, routes.Route{Kind: routes.AtMostOnce}, address)
+			tc.change(proxy)
+			before := clock.Now()
+			require.Equal(t, http.StatusServiceUnavailable, callGateway(t, g, longDeadline).status)
+			_, ok := g.proxyLoads.choose(before, g.ProxyVMs())
+			require.False(t, ok)
+			_, ok = g.proxyLoads.choose(clock.Now().Add(busyProxyAvoidTime), g.ProxyVMs())
+			require.Equal(t, tc.usable, ok)
+		})
+	}
+}
+
 // A proxy can not reach the server either. Guards against a request that is not sent to another server, which
 // the proxy reaches.
 func TestProxyReachesOtherServer(t *testing.T) {
--- a/pass/proxyloads.go
+++ b/pass/proxyloads.go
@@ -5,8 +5,14 @@
 	"time"
 )
 
-// proxyAvoidTime is how long a proxy that refused a request or could not be reached gets no others.
-const proxyAvoidTime = 500 * time.Millisecond
+const (
+	// proxyAvoidTime is how long a proxy that could not be reached, or that can send nothing, gets no requests.
+	proxyAvoidTime = 500 * time.Millisecond
+	// busyProxyAvoidTime is the same for a proxy that sends as many requests as it may. One of them ends
+	// within some tens of milliseconds. If all proxies counted as busy for longer, requests would be refused
+	// which they could send.
+	busyProxyAvoidTime = 100 * time.Millisecond
+)
 
 // proxyLoads spreads the requests of a VM over its proxies. The zero value is ready to use.
 type proxyLoads struct {
@@ -32,7 +38,8 @@
 	return address, ok
 }
 
-func (l *proxyLoads) avoid(now time.Time, proxy string) {
+// avoid keeps requests from a proxy for a duration.
+func (l *proxyLoads) avoid(now time.Time, proxy string, duration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.avoidUntil == nil {
@@ -43,7 +50,7 @@
 			delete(l.avoidUntil, p)
 		}
 	}
-	l.avoidUntil[proxy] = now.Add(proxyAvoidTime)
+	l.avoidUntil[proxy] = now.Add(duration)
 }
 
 func (l *proxyLoads) add(proxy string, delta int) {
--- a/pass/way.go
+++ b/pass/way.go
@@ -81,7 +81,7 @@
 			return way{conn: conn, pool: &g.proxyPool, proxy: address}, nil
 		}
 		g.Log.Info().Str("proxy", address).Err(err).Msg("connecting to a proxy failed")
-		g.proxyLoads.avoid(g.Now(), address)
+		g.proxyLoads.avoid(g.Now(), address, proxyAvoidTime)
 	}
 }
 
@@ -153,8 +153,10 @@
 		a.g.serverUnreachable(a.c, a.choice.Server.ID)
 	case refusalUnavailable:
 		a.c.excluded = append(a.c.excluded, a.choice.Server.ID)
+	case refusalBusy:
+		a.g.proxyLoads.avoid(a.g.Now(), a.proxy, busyProxyAvoidTime)
 	default:
-		a.g.proxyLoads.avoid(a.g.Now(), a.proxy)
+		a.g.proxyLoads.avoid(a.g.Now(), a.proxy, proxyAvoidTime)
 	}
 	a.err = fmt.Errorf("%w: %s", errProxyRefused, reason)
 	a.g.logFailedAttempt(a.c, a.choice, a.err.Error())
