peers: Hubs name up to 32 proxies

Cause: a VM of a large site has a fifth of a core, so takes 19 requests of others; 16 of them less than the 450 that 36 VMs had running. Change: 32 addresses, some 500 bytes of a frame of loads while a VM has no path.

--- a/peers/proxies.go
+++ b/peers/proxies.go
@@ -12,7 +12,7 @@
 // tells its hub, and the hub names VMs that are linked to it and have a path.
 
 // maxProxies bounds the proxies that a hub names, and with them the size of a frame.
-const maxProxies = 16
+const maxProxies = 32
 
 // PathChanged makes this VM tell its hub, and the VMs linked to it, that it has lost its path to the backend
 // servers or has it again.
