demo: The ports of VMs are reserved across processes

Seen: 5 of 42 runs of a test, three at a time, ended with 'address already in use' as they started a VM. Cause: a port was free when it was drawn, and remembered within the process only; another process drew it before its VM listened. Ruled out: a part of the range for each process (process ids share parts). Change: a UDP socket of the same number, which nothing else uses, holds the port until the process ends.

--- a/demo/settings.go
+++ b/demo/settings.go
@@ -45,24 +45,26 @@
 	maxPortAttempts = 50
 )
 
-// triedPorts holds every port that freePort has tried in this process. It keeps freePort from
-// returning a port that is already assigned to a VM that is not listening yet.
-var triedPorts sync.Map
+// reservedPorts holds a UDP socket for every address that freePort has returned, until the process ends. It
+// keeps the address from VMs of this and other processes until its VM listens, and while the VM is restarted.
+var reservedPorts sync.Map
 
 // freePort returns a loopback address on which nothing currently listens. It returns each address
 // at most once per process.
 func freePort() (string, error) {
 	for range maxPortAttempts {
-		port := firstPort + rand.IntN(portCount)
-		if _, tried := triedPorts.LoadOrStore(port, true); tried {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		reservation, err := net.ListenPacket("udp", address)
+		if err != nil {
 			continue
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
+			_ = reservation.Close()
 			continue
 		}
 		_ = l.Close()
+		reservedPorts.Store(address, reservation)
 		return address, nil
 	}
 	return "", fmt.Errorf("find a port for a VM: no free port from %d on", firstPort)
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -379,3 +380,16 @@
 		}
 	}
 }
+
+// Guards against two processes, each with a demo or a test, that give the same port to a VM.
+func TestVMPortsReservedAcrossProcesses(t *testing.T) {
+	text, err := demo.VMSettings(0, "127.0.0.1:1")
+	require.NoError(t, err)
+	address, err := demo.ListenAddress(text)
+	require.NoError(t, err)
+	other, err := net.ListenPacket("udp", address)
+	if err == nil {
+		require.NoError(t, other.Close())
+	}
+	require.Error(t, err, "another process would take the port")
+}
