--- a/demo/lag_test.go
+++ b/demo/lag_test.go
@@ -111,7 +111,7 @@
 func TestLagMeterExcusesSlowTimesOnly(t *testing.T) {
 	m := &lagMeter{}
 	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	m.record(lag{from: at(0), to: at(maxLag)})
 	require.False(t, m.overlaps("", at(-time.Hour), at(time.Hour)))
 	m.record(lag{from: at(time.Second), to: at(time.Second + 2*maxLag)})
