node: The lease of the test of links and budgets outlasts a slow dial

Cause: the test renews the lease before each dial, and its lease of 1.2 s ends if one takes longer than that, with other processes on all cores; the hub then closes the link, as it must. Shown by a copy that renews once only: it fails after 1.08 to 1.10 s each time, once with this error, else with a refused dial. Ruled out: chance alone (144 runs, twelve at a time, passed). Change: a lease of a minute, as the test is about locks and not about leases. Measured: 5 runs of the package pass.

--- a/node/lock_test.go
+++ b/node/lock_test.go
@@ -27,6 +27,8 @@
 peer_listen = 127.0.0.1:3
 [store]
 address = 127.0.0.1:4
+[steering]
+lease = 1m
 `
 
 // newControllerNode returns a node that is the lease holder but is not started, and the address of its
