pass, peers, trail, wire: The software version of each send, in the logs and in explain

Cause: streams went on at another software version, and no log line says which version a send went to, nor that a request took a stream up; the entry's version was checked to be there and dropped. The hypotheses could be told apart only from the record of starts. Change: entries keep the version, hubs tell it (last field of a server's state, so that older builds skip it); request, try failed, request proxied and server changed log it, request also the attempt that a caller takes up. explain -request prints them, and the requests that take the attempt up. No logic changed: nothing is chosen by it. Conclusion: each hypothesis leaves lines of its own now.

--- a/backs/entry.go
+++ b/backs/entry.go
@@ -33,6 +33,9 @@
 	Service   string
 	Address   string
 	Domain    string
+	// SoftwareVersion is the version of the software that the instance runs, empty if unknown. What
+	// servers of two versions write into one stream does not fit together.
+	SoftwareVersion string
 	// Slots is how many requests the server processes concurrently.
 	Slots    int
 	Draining bool
@@ -60,7 +63,7 @@
 // until a server is warm or has drained count down between heartbeats and do not matter in detail.
 func (e Entry) sameUse(other Entry) bool {
 	return e.ID == other.ID && e.Name == other.Name && e.StartedAt.Equal(other.StartedAt) && e.Service == other.Service &&
-		e.Address == other.Address && e.Domain == other.Domain && e.Slots == other.Slots && e.Draining == other.Draining &&
+		e.Address == other.Address && e.Domain == other.Domain && e.SoftwareVersion == other.SoftwareVersion && e.Slots == other.Slots && e.Draining == other.Draining &&
 		(e.WarmupRemaining > 0) == (other.WarmupRemaining > 0) && slices.EqualFunc(e.Models, other.Models, LoadedModel.equal)
 }
 
--- a/link/older_test.go
+++ b/link/older_test.go
@@ -22,6 +22,7 @@
 func olderFrames() map[string]olderFrame {
 	report := wire.VMReport{Vms: 2, Doubts: []string{"a"}, Wants: []wire.ModelWant{{Model: "m", Requests: 3}}}
 	hello := wire.Hello{Protocol: 5, Node: "n", FailureDomain: "d", Boot: "b", Address: "a", Millicores: 400, Relaying: true}
+	servers := wire.FleetState{Vms: 3, Servers: []wire.ServerState{{Server: "s", Name: "n", Service: "v", Address: "a", Domain: "d", Slots: 8, Models: []wire.HeldModel{{Name: "m", Adapters: []string{}}}}}}
 	state := wire.FleetState{Vms: 3, Full: true, AgeMs: 7, TightTeams: []string{"t"}}
 	return map[string]olderFrame{
 		"report": {
@@ -42,6 +43,12 @@
 			extend:  func(m *wire.Message) { m.VMReport.WithoutPath, m.VMReport.ZVmsWithPath = true, []string{"p"} },
 			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608ff6f6816161f6f6f6f4f602818560616d036000f6f5f4f6816170",
 		},
+		"server state": {
+			older:   "94f6f6f6f6f6f6f69100f4f4008960f660006060f6000000f6f600f4f6818d616100006164f4f400818280616d616e6173617608f4f6f603f6f6f6f6f6f6f6f6f6f6f6f660f6",
+			message: wire.Message{FleetState: &servers},
+			extend:  func(m *wire.Message) { m.FleetState.Servers[0].Version = "v" },
+			newer:   "94f6f6f6f6f6f6f69100f4f4008960f660006060f6000000f6f600f4f6818e616100006164f4f400818280616d616e6173617608f46176f6f603f6f6f6f6f6f6f6f6f6f6f6f660f6",
+		},
 		"hello": {
 			older:   "94f6f6f6f6f6f6f6f6f687616161626164190190616e05f5f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{Hello: &hello},
--- a/node/servers.go
+++ b/node/servers.go
@@ -90,6 +90,6 @@
 		return
 	}
 	n.serverView.Put(now, e)
-	n.log.Info().Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Bool("draining", e.Draining).
+	n.log.Info().Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Str("software_version", e.SoftwareVersion).Bool("draining", e.Draining).
 		Int("models", len(e.Models)).Int("version", c.Object.Version).Msg("server changed")
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -94,7 +94,7 @@
 // logFailedAttempt logs why an attempt got no response that can be forwarded.
 func (g *Gateway) logFailedAttempt(c *call, choice pick.Choice, reason string) {
 	c.reason = reason
-	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).
+	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).Str("software_version", choice.Server.SoftwareVersion).
 		Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).
 		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
 		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Str("reason", reason).Msg("try failed")
@@ -163,6 +163,7 @@
 	c, g := a.c, a.g
 	server := a.choice.Server.ID
 	c.sends++
+	c.versions = append(c.versions, a.choice.Server.SoftwareVersion)
 	g.chargeRun(c)
 	if a.firstSendToServer = !slices.Contains(c.sentTo, server); a.firstSendToServer {
 		c.sentTo = append(c.sentTo, server)
--- a/pass/call.go
+++ b/pass/call.go
@@ -43,6 +43,8 @@
 	// last pass.
 	attempts, sends, rounds, roundStartAttempts int
 	sentTo                                      []string
+	// versions is the software version of the server of each send, in order.
+	versions []string
 	// excluded lists the servers that are not selected for now, unreachable those to which no
 	// connection could be opened.
 	excluded, unreachable []string
@@ -65,6 +67,8 @@
 	// head was sent.
 	lastEventID string
 	headSent    bool
+	// resumes is the attempt that began the stream which the caller takes up, "" for a new request.
+	resumes string
 	// endsByClose is set if the response to the caller ends with its connection.
 	endsByClose bool
 	// proxy is the address of the VM that the last attempt went through, "" if it went to the server
@@ -114,7 +118,7 @@
 func newCall(now time.Time, n *HeaderNames, r *http.Request, body []byte, t *routes.Table, route routes.Route, team *routes.Team) *call {
 	c := &call{
 		id: r.Header.Get(n.AttemptID), fingerprint: poison.FingerprintOf(r, body), request: r, body: body, route: route, team: team, configVersion: t.Version(),
-		arrived: now, lastEventID: r.Header.Get(headerLastEvent),
+		arrived: now, lastEventID: r.Header.Get(headerLastEvent), resumes: r.Header.Get(n.Resumes),
 	}
 	c.service, _ = t.Service(route.PickService(xxhash.Sum64String(c.id)))
 	c.deadline = now.Add(requestTimeout(n, r, route))
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -205,7 +205,7 @@
 func (g *Gateway) logRequest(c *call) {
 	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("route", c.route.Name).Str("team", c.teamName()).Int("config_version", c.configVersion).
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
-		Strs("servers", c.sentTo).Int("sends", c.sends).Int("status", c.status).
+		Strs("servers", c.sentTo).Strs("software_versions", c.versions).Str("resumes", c.resumes).Str("resumed_after", c.request.Header.Get(headerLastEvent)).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
 		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Str("reason", c.reason).
 		Dur("objective", c.route.Objective).Dur("pause_limit", c.route.MaxEventGap).Int("prompt", c.work.PromptTokens).Int("output", c.work.MaxOutputTokens).
--- a/pass/headers.go
+++ b/pass/headers.go
@@ -14,6 +14,9 @@
 type HeaderNames struct {
 	// AttemptID identifies one send of a request by a caller; servers echo it.
 	AttemptID string
+	// Resumes is, in a request that takes a stream up after its Last-Event-Id, the attempt that brought the
+	// caller its first event.
+	Resumes string
 	// Deadline is how many milliseconds the caller waits, or the server may take.
 	Deadline string
 	// ExpectServer is the server that the request is for; any other server refuses it.
--- a/pass/way.go
+++ b/pass/way.go
@@ -167,6 +167,7 @@
 func (a *attempt) takeBackSend() {
 	c := a.c
 	c.sends--
+	c.versions = c.versions[:c.sends]
 	if a.firstSendToServer {
 		c.sentTo = slices.DeleteFunc(c.sentTo, func(id string) bool { return id == a.choice.Server.ID })
 	}
--- a/peers/frames.go
+++ b/peers/frames.go
@@ -50,7 +50,8 @@
 	for _, s := range states {
 		state := wire.ServerState{
 			Server: s.ID, Name: s.Name, BornMs: toUnixMillis(s.StartedAt), Unreadable: s.Unreadable, Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
-			Gone: s.Removed, HoldMs: int(s.ReadmitAfter.Milliseconds()), ColdMs: int(s.WarmupRemaining.Milliseconds()), Models: []wire.HeldModel{},
+			Version: s.SoftwareVersion,
+			Gone:    s.Removed, HoldMs: int(s.ReadmitAfter.Milliseconds()), ColdMs: int(s.WarmupRemaining.Milliseconds()), Models: []wire.HeldModel{},
 		}
 		for _, m := range s.Models {
 			state.Models = append(state.Models, wire.HeldModel{Name: m.Model, Adapters: append([]string{}, m.Adapters...)})
@@ -63,7 +64,7 @@
 // stateOf converts a server state from its wire form.
 func stateOf(s wire.ServerState) backs.State {
 	state := backs.State{Removed: s.Gone, Unreadable: s.Unreadable, ReadmitAfter: time.Duration(s.HoldMs) * time.Millisecond, Entry: backs.Entry{
-		ID: s.Server, Name: s.Name, StartedAt: fromUnixMillis(s.BornMs), Service: s.Service, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Draining: s.Draining,
+		ID: s.Server, Name: s.Name, StartedAt: fromUnixMillis(s.BornMs), Service: s.Service, Address: s.Address, Domain: s.Domain, SoftwareVersion: s.Version, Slots: s.Slots, Draining: s.Draining,
 		WarmupRemaining: time.Duration(s.ColdMs) * time.Millisecond,
 	}}
 	for _, m := range s.Models {
--- a/trail/line.go
+++ b/trail/line.go
@@ -31,25 +31,30 @@
 	VM      string    `json:"vm"`
 	Request string    `json:"request"`
 
-	Team          string   `json:"team"`
-	Route         string   `json:"route"`
-	Service       string   `json:"service"`
-	Model         string   `json:"model"`
-	Adapter       string   `json:"adapter"`
-	Servers       []string `json:"servers"`
-	Attempts      int      `json:"sends"`
-	Status        int      `json:"status"`
-	Reason        string   `json:"reason"`
-	Objective     float64  `json:"objective"`
-	PauseLimit    float64  `json:"pause_limit"`
-	Predicted     float64  `json:"predicted"`
-	Running       int      `json:"running"`
-	FirstEvent    float64  `json:"first_event"`
-	LongestPause  float64  `json:"longest_pause"`
-	Events        int      `json:"events"`
-	AdmissionWait float64  `json:"held"`
-	FindWait      float64  `json:"sought"`
-	Duration      float64  `json:"took"`
+	Team     string   `json:"team"`
+	Route    string   `json:"route"`
+	Service  string   `json:"service"`
+	Model    string   `json:"model"`
+	Adapter  string   `json:"adapter"`
+	Servers  []string `json:"servers"`
+	Attempts int      `json:"sends"`
+	// SoftwareVersions holds that of the server of each send. Resumes is the attempt that began the stream
+	// which the request takes up after the event ResumedAfter.
+	SoftwareVersions []string `json:"software_versions"`
+	Resumes          string   `json:"resumes"`
+	ResumedAfter     string   `json:"resumed_after"`
+	Status           int      `json:"status"`
+	Reason           string   `json:"reason"`
+	Objective        float64  `json:"objective"`
+	PauseLimit       float64  `json:"pause_limit"`
+	Predicted        float64  `json:"predicted"`
+	Running          int      `json:"running"`
+	FirstEvent       float64  `json:"first_event"`
+	LongestPause     float64  `json:"longest_pause"`
+	Events           int      `json:"events"`
+	AdmissionWait    float64  `json:"held"`
+	FindWait         float64  `json:"sought"`
+	Duration         float64  `json:"took"`
 
 	// ServerLeaving and ServerRetryAfter are what the last response said about its server.
 	ServerLeaving    bool   `json:"server_leaving"`
@@ -64,9 +69,10 @@
 	From   string `json:"from"`
 	Result string `json:"result"`
 
-	Server      string `json:"server"`
-	Unload      bool   `json:"unload"`
-	OrderResult int    `json:"verdict"`
+	Server          string `json:"server"`
+	SoftwareVersion string `json:"software_version"`
+	Unload          bool   `json:"unload"`
+	OrderResult     int    `json:"verdict"`
 
 	Revision int    `json:"revision"`
 	Holder   string `json:"holder"`
--- a/trail/log.go
+++ b/trail/log.go
@@ -181,7 +181,7 @@
 	l.vms[vm] = true
 	l.extendRunning(vm, parsed.Time.UnixNano())
 	l.addChange(vm, &parsed)
-	if l.RequestID != "" && parsed.Request == l.RequestID {
+	if l.RequestID != "" && (parsed.Request == l.RequestID || parsed.Resumes == l.RequestID) {
 		l.timeline = append(l.timeline, timelineLine{at: parsed.Time, vm: parsed.VM, text: string(text), line: parsed})
 	}
 	switch parsed.Message {
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -1,9 +1,11 @@
 package trail
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -59,11 +61,11 @@
 func describe(l *logLine) string {
 	switch l.Message {
 	case messageAttemptFailed:
-		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", l.Server, normalizeReason(l.Reason), l.Predicted, l.Running) + describeResponse(l)
+		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", serverWithVersion(l), normalizeReason(l.Reason), l.Predicted, l.Running) + describeResponse(l)
 	case messageServerSilent:
 		return fmt.Sprintf("%s was silent", l.Server)
 	case messageProxied:
-		return fmt.Sprintf("sent to %s for the VM at %s: status %d, %s", l.Server, l.From, l.Status, l.Result) + describeResponse(l)
+		return fmt.Sprintf("sent to %s for the VM at %s: status %d, %s", serverWithVersion(l), l.From, l.Status, l.Result) + describeResponse(l)
 	case messageRejected:
 		return fmt.Sprintf("rejected with status %d: %s", l.Status, l.Reason)
 	case messageRequest:
@@ -73,6 +75,7 @@
 			text += ", " + cause
 		}
 		text += fmt.Sprintf("; first event %.0f ms, predicted %.0f, objective %.0f", l.FirstEvent, l.Predicted, l.Objective)
+		text += describeVersions(l)
 		if l.Team != "" {
 			text += "; team " + l.Team
 		}
@@ -90,6 +93,26 @@
 	return l.Message
 }
 
+// serverWithVersion returns the server of a line with its software version, if that is logged.
+func serverWithVersion(l *logLine) string {
+	if l.SoftwareVersion == "" {
+		return l.Server
+	}
+	return l.Server + " (" + l.SoftwareVersion + ")"
+}
+
+// describeVersions returns the software version of each send, and which stream the request takes up.
+func describeVersions(l *logLine) string {
+	text := ""
+	if len(l.SoftwareVersions) > 0 {
+		text = "; software versions " + strings.Join(l.SoftwareVersions, ", ")
+	}
+	if l.ResumedAfter != "" {
+		text += fmt.Sprintf("; request %s takes up attempt %s after event %s", l.Request, cmp.Or(l.Resumes, "(not named)"), l.ResumedAfter)
+	}
+	return text
+}
+
 // framingByClose is the logged framing of a response that ends with its connection.
 const framingByClose = "close"
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -971,6 +971,10 @@
 
 	// Set if the server's entry in the store is currently invalid.
 	Unreadable bool `json:"unreadable"`
+
+	// Version of the server's software; empty if unknown. Its name sorts behind all
+	// others, so that builds without it skip it.
+	Version string `json:"version,omitempty,omitzero"`
 }
 
 type ServerStatus struct {
