pass: A begun stream goes on within its answer only at the software version that began it

Callers saw events of two software versions in one answer. Cause: a server for the rest of a stream was chosen like one for a new request; the version of the entry was not known where it is chosen. Ruled out: a check of the events (servers don't check, and the events themselves do not say it). Change: from the first event that is passed on, a call is bound to the version of the server that wrote it, or to that very instance if its version is not known. Choice, failover of a silent server, rounds, waits for room, permits, rests and loads count only the servers that may go on; the look whether this VM is cut off goes by all servers, as it is about the VM. If none of the version is left, the answer is aborted at once.

--- a/pass/admission.go
+++ b/pass/admission.go
@@ -8,11 +8,11 @@
 	"github.com/hibiscuscart/hibiscuscart/pick"
 )
 
-// mayAdmit reports whether a call may be sent to the server chosen for it. A started stream that
-// has lost its server is always admitted: a refusal because of a long queue would abort a response
-// that its caller has in part.
+// mayAdmit reports whether a call may be sent to the server chosen for it. A begun stream that has
+// lost its server is always admitted: a refusal because of a long queue would leave its caller with
+// a part of the response.
 func (g *Gateway) mayAdmit(now time.Time, c *call, choice pick.Choice) bool {
-	if c.work.Model == "" || c.headSent {
+	if c.work.Model == "" || c.origin.begun {
 		return true
 	}
 	g.mu.Lock()
--- a/pass/call.go
+++ b/pass/call.go
@@ -67,6 +67,8 @@
 	// head was sent.
 	lastEventID string
 	headSent    bool
+	// origin binds the call to the software version that began its stream.
+	origin origin
 	// resumes is the attempt that began the stream which the caller takes up, "" for a new request.
 	resumes string
 	// endsByClose is set if the response to the caller ends with its connection.
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -64,7 +64,11 @@
 		}
 		g.beginViaProxies(c)
 		changed := g.Servers.Changed()
-		serving := g.Servers.Serving(now, c.service.Name)
+		serving := g.servingCall(now, c)
+		if len(serving) == 0 && g.originGone(now, c) {
+			g.Meter.AddCounter("pass.version_gone", 1)
+			return pick.Choice{}, errVersionGone
+		}
 		if choice, ok := g.pickServer(now, c, serving); ok {
 			if g.mayAdmit(now, c, choice) {
 				if !g.acquirePermit(waitCtx, choice.Server.ID) {
@@ -108,15 +112,15 @@
 // the request after a pause. An unreachable server is skipped until the last round, while the controller
 // loads its model elsewhere. It reports whether to choose again, and returns an error if no pass is left.
 func (g *Gateway) nextRound(ctx context.Context, now time.Time, c *call, serving []backs.Entry) (again bool, err error) {
-	if len(c.excluded) == 0 || c.attempts <= c.roundStartAttempts && g.replacementExpected(now, c, serving) {
+	if len(c.excluded) == 0 || c.attempts <= c.roundStartAttempts && g.replacementExpected(now, c) {
 		return false, nil
 	}
 	c.roundStartAttempts = c.attempts
 	c.rounds++
-	if g.isolated(now, c, serving) {
+	if g.isolated(now, c) {
 		return false, errIsolated
 	}
-	if c.rounds > maxRounds && !g.replacementExpected(now, c, serving) {
+	if c.rounds > maxRounds && !g.replacementExpected(now, c) {
 		return false, errAllTried
 	}
 	pause.For(ctx, roundInterval)
@@ -125,7 +129,7 @@
 		c.excluded = c.unreachable
 	}
 	_, ok := g.pickServer(g.Now(), c, serving)
-	return ok || !g.replacementExpected(now, c, serving), nil
+	return ok || !g.replacementExpected(now, c), nil
 }
 
 // refuseAfterWait returns the reason for refusing a call whose wait for a server ended with err, and sets
@@ -164,19 +168,25 @@
 // replacementExpected reports whether the controller can be expected to load the call's model
 // elsewhere, because the servers that have it are unreachable. If this VM itself is isolated, no
 // replacement is expected, and the call is refused at once so that its caller can use another VM.
-func (g *Gateway) replacementExpected(now time.Time, c *call, serving []backs.Entry) bool {
-	return c.work.Model != "" && len(c.unreachable) > 0 && !g.Balancer.Isolated(now, serving)
+func (g *Gateway) replacementExpected(now time.Time, c *call) bool {
+	return c.work.Model != "" && len(c.unreachable) > 0 && !g.cutOff(now, c)
 }
 
 // isolated reports whether a call reached none of its servers because this VM is partitioned from
 // the other failure domains. Further rounds would end in the same refusal, after 0.2 s and up to
 // ten connection attempts.
-func (g *Gateway) isolated(now time.Time, c *call, serving []backs.Entry) bool {
+func (g *Gateway) isolated(now time.Time, c *call) bool {
 	if g.Paths.Lost() {
 		return false
 	}
 	reached := slices.ContainsFunc(c.excluded, func(id string) bool { return !slices.Contains(c.unreachable, id) })
-	return !reached && len(c.unreachable) > 0 && g.Balancer.Isolated(now, serving)
+	return !reached && len(c.unreachable) > 0 && g.cutOff(now, c)
+}
+
+// cutOff reports whether this VM is partitioned from the other failure domains, by all servers of the service:
+// those that can take the call may be too few to tell.
+func (g *Gateway) cutOff(now time.Time, c *call) bool {
+	return g.Balancer.Isolated(now, g.Servers.Serving(now, c.service.Name))
 }
 
 // pickServer selects one of the serving servers that have what the call needs, are neither at rest nor in
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -66,7 +66,7 @@
 }
 
 func server(id, domain, address string) backs.Entry {
-	return backs.Entry{ID: id, Service: "s", Domain: domain, Address: address, Slots: 8, Models: []backs.LoadedModel{{Model: "m"}}}
+	return backs.Entry{ID: id, Service: "s", Domain: domain, Address: address, SoftwareVersion: "v1", Slots: 8, Models: []backs.LoadedModel{{Model: "m"}}}
 }
 
 func sendRequest(g *Gateway) *httptest.ResponseRecorder { return sendWithDeadline(g, "") }
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -76,6 +76,9 @@
 		return
 	}
 	a.c.headSent = true
+	if !a.c.origin.begun {
+		a.c.origin = originAt(a.choice.Server)
+	}
 	a.c.status = a.resp.StatusCode
 	for name, values := range a.responseHeaders() {
 		w.Header()[name] = values
