backs, peers, pass: The lease record tells later processes which software versions have existed

Cause: a version that left before the start may have begun the stream. Ruled out: counting from the start (a process is seldom older than 30 s there); servers that were removed in the full state of a link (nobody tells them after all VMs were killed); an object of its own (calls). Change: the controller's lease record, written each second in any case, says for how long it knows all versions and which have gone. A process takes that over if it was made at most 2.5 s before its first list: a server in use in between is still listed. The first record of a deployment says that nothing was before.

--- a/backs/queries.go
+++ b/backs/queries.go
@@ -74,29 +74,6 @@
 	return r.entry, true
 }
 
-// OnlyVersion returns the software version of all servers of a service that have existed within a time before now,
-// and whether there was just one and the view knows that. Servers that drain, have left or can't be read count: they
-// may have begun streams.
-func (v *View) OnlyVersion(now time.Time, service string, within time.Duration) (version string, ok bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !v.synced || within > removedRetention || now.Sub(v.historySince) < within {
-		return "", false
-	}
-	for _, r := range v.records {
-		if r.entry.Service != service || !r.removedAt.IsZero() && now.Sub(r.removedAt) > within {
-			continue
-		}
-		if version != "" && r.entry.SoftwareVersion != version {
-			return "", false
-		}
-		if version = r.entry.SoftwareVersion; version == "" {
-			return "", false
-		}
-	}
-	return version, version != ""
-}
-
 // CurrentAt returns the time for which the view was last confirmed as current.
 func (v *View) CurrentAt() time.Time {
 	v.mu.Lock()
--- a/backs/update.go
+++ b/backs/update.go
@@ -37,14 +37,14 @@
 }
 
 // Since returns the servers that changed after the given revision of the view, all for 0,
-// and the current revision. Servers that were removed in the last minutes are among them.
+// and the current revision.
 func (v *View) Since(now time.Time, revision int) ([]State, int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.expire(now)
 	var list []State
 	for _, r := range v.records {
-		if r.revision <= revision {
+		if r.revision <= revision || revision == 0 && !r.removedAt.IsZero() {
 			continue
 		}
 		s := State{Entry: r.entry, Removed: !r.removedAt.IsZero(), Unreadable: r.unreadable}
@@ -87,9 +87,6 @@
 	if update.Full {
 		v.removeUnlisted(now, listed, senderWasSynced)
 		v.markSynced(now)
-		if since := now.Add(-update.SyncedFor); since.Before(v.historySince) {
-			v.historySince = since
-		}
 	}
 	if v.revision != revision || update.Full {
 		v.notify()
@@ -110,24 +107,11 @@
 	}
 }
 
-// mergeRemoved applies that a server was removed. One that this view has never had is kept as removed: it may have
-// begun streams.
-func (v *View) mergeRemoved(now time.Time, s State) {
-	r := v.records[s.ID]
-	switch {
-	case r == nil:
-		if v.records == nil {
-			v.records, v.instanceIDs = make(map[string]*record), make(map[string]string)
-		}
-		v.records[s.ID] = &record{entry: s.Entry, stored: s.Entry, receivedAt: now, removedAt: now}
-	case r.removedAt.IsZero():
-		v.markRemoved(now, r)
-	}
-}
-
 func (v *View) mergeState(now time.Time, s State) {
 	if s.Removed {
-		v.mergeRemoved(now, s)
+		if r := v.records[s.ID]; r != nil && r.removedAt.IsZero() {
+			v.markRemoved(now, r)
+		}
 		return
 	}
 	before := v.sharedStateOf(s.ID)
--- a/backs/view.go
+++ b/backs/view.go
@@ -96,8 +96,7 @@
 	// currentAt is when the view was last confirmed as current, syncedAt when the first
 	// full list arrived.
 	currentAt, syncedAt time.Time
-	// historySince is the time since which no server can have existed that the view has no record of.
-	historySince time.Time
+	history             history
 	// contactAt is when the store was last known to be reachable, from a response to any
 	// call of this VM or from another VM's update.
 	contactAt time.Time
@@ -312,7 +311,8 @@
 // markSynced records that a full list has been received.
 func (v *View) markSynced(now time.Time) {
 	if !v.synced {
-		v.synced, v.syncedAt, v.historySince = true, now, now
+		v.synced, v.syncedAt = true, now
+		v.beginHistory(now)
 	}
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,7 +33,9 @@
 }
 
 // GaugeValue returns the value of a gauge.
-func (r *Registry) GaugeValue(name string) int64 { return metrics.GetOrRegisterGauge(name, r.registry).Value() }
+func (r *Registry) GaugeValue(name string) int64 {
+	return metrics.GetOrRegisterGauge(name, r.registry).Value()
+}
 
 // RecordDuration records a duration in a timer.
 func (r *Registry) RecordDuration(name string, d time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -171,6 +171,8 @@
 	}
 	n.quotas.OnTight = n.peers.SignalTight
 	n.lease.HasPath = func() bool { return !n.paths.Lost() }
+	n.lease.VersionHistory = func() backs.VersionHistory { return n.serverView.VersionHistory(n.now()) }
+	n.lease.ObserveHistory = func(h backs.VersionHistory) { n.serverView.AddVersionHistory(n.now(), h) }
 	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.origins = &origin.Exchange{
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -61,12 +61,12 @@
 
 	store Store
 
-	mu       sync.Mutex
-	conn     net.PacketConn
+	mu   sync.Mutex
+	conn net.PacketConn
 	// listensSince is when the socket was opened.
 	listensSince time.Time
 	resolved     map[string]net.Addr
-	lastCall int
+	lastCall     int
 	// questions holds the questions that wait for answers, by call.
 	questions map[int]question
 }
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -154,17 +154,16 @@
 		return "", false
 	}
 	life := max(streamLifeTimeouts*c.route.Timeout, minStreamLife)
-	for waited := time.Duration(0); waited < maxProofWait && ctx.Err() == nil; waited += proofCheckInterval {
-		version, ok := g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
-		if !ok {
+	if _, ok := g.Servers.OnlyVersion(g.Now(), c.service.Name, life); !ok {
+		return "", false
+	}
+	for waited := time.Duration(0); !g.Servers.CurrentAt().After(c.arrived); waited += proofCheckInterval {
+		if waited >= maxProofWait || ctx.Err() != nil {
 			return "", false
 		}
-		if g.Servers.CurrentAt().After(c.arrived) {
-			return version, true
-		}
 		pause.For(ctx, proofCheckInterval)
 	}
-	return "", false
+	return g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
 }
 
 // tellOrigin has the binding of a stream kept by other VMs, before its first event is passed on. A caller that takes
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/lease"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/store"
@@ -70,8 +71,12 @@
 	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
 	// the record has none.
 	QuotaLevels func() []wire.TeamSpend
-	Now         func() time.Time
-	Log         zerolog.Logger
+	// VersionHistory returns the software versions that have existed, for processes that start later, and
+	// ObserveHistory gets what the record says of them. If nil, the record has none.
+	VersionHistory func() backs.VersionHistory
+	ObserveHistory func(h backs.VersionHistory)
+	Now            func() time.Time
+	Log            zerolog.Logger
 
 	mu sync.Mutex
 	// expiredSince is when this VM first observed that the lease had expired.
@@ -282,6 +287,7 @@
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
 	}
+	l.observeHistory(record.ZVersionHistory)
 	l.keeper.Observe(l.Now(), version, lease.Record{
 		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
 	})
@@ -330,6 +336,9 @@
 	if l.QuotaLevels != nil {
 		record.QuotaLevels = l.QuotaLevels()
 	}
+	if l.VersionHistory != nil {
+		record.ZVersionHistory = historyRecord(time.Now(), l.VersionHistory())
+	}
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -339,6 +348,9 @@
 	}
 	l.keeper.UpdateSucceeded(startedAt, newVersion, next)
 	l.setRecord(record)
+	if version == 0 {
+		l.observeFirstTerm()
+	}
 	if action == lease.Acquire {
 		l.recordAcquisition(startedAt, newVersion, previous, previousChangedAt)
 	}
@@ -371,7 +383,7 @@
 	startedAt := l.Now()
 	next, version := l.keeper.ReleaseRecord()
 	// The next holder needs the address, to wait for the last order of this term, and VMs the key.
-	record := wire.ControllerLease{Renewals: next.Renewals, Address: l.Address, Key: l.key, Vms: l.record.Vms, Blocked: l.record.Blocked, QuotaLevels: l.record.QuotaLevels}
+	record := wire.ControllerLease{Renewals: next.Renewals, Address: l.Address, Key: l.key, Vms: l.record.Vms, Blocked: l.record.Blocked, QuotaLevels: l.record.QuotaLevels, ZVersionHistory: l.record.ZVersionHistory}
 	l.mu.Unlock()
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -187,6 +187,10 @@
 
 	// Number of VMs, including the holder; 0 if unknown.
 	Vms int `json:"vms"`
+
+	// Software versions that have existed besides those of the listed servers. Its
+	// name sorts behind all others, so that builds without it skip it.
+	ZVersionHistory *VersionHistory `json:"z_version_history,omitempty,omitzero"`
 }
 
 // The current controller of a failure domain.
@@ -314,6 +318,18 @@
 	ZStreamKeepers []OriginKeeper `json:"z_stream_keepers,omitempty,omitzero"`
 }
 
+// A software version of which a service has no server any more.
+type GoneVersion struct {
+	// Milliseconds between the end of its last server and the history.
+	AgoMs int `json:"ago_ms"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version"`
+}
+
 // Heartbeats that the sender forwards, its own first.
 type Gossip struct {
 	// Heartbeats corresponds to the JSON schema field "heartbeats".
@@ -1186,3 +1202,16 @@
 	// others, so that builds without it skip it.
 	ZzStreamKeepers []OriginKeeper `json:"zz_stream_keepers,omitempty,omitzero"`
 }
+
+// Software versions that have existed besides those of the listed servers.
+type VersionHistory struct {
+	// Unix time in milliseconds, by the clock of the VM that made the history, at
+	// which it was made.
+	AsOfMs int `json:"as_of_ms"`
+
+	// For how many milliseconds before that it lists all versions.
+	CompleteMs int `json:"complete_ms"`
+
+	// Gone corresponds to the JSON schema field "gone".
+	Gone []GoneVersion `json:"gone"`
+}
