steer, peers, pass: The controller finds and loads models at servers of the software version that a stream needs

A stream that was taken up waited for a server with its model while the controller named one of another version, or none: it counts replicas over all versions, and the plan may replace the last one that the stream can use. Ruled out: replicas of each model in each version (a release of three servers can not hold twenty models); counting every last replica of a version as a last one (it would bind the servers of a release for all of it). Change: a find names the version; ready servers and adapters are looked for at servers of it. An older controller that names a server of another version is not followed. The parameters of a find are one type now.

--- a/pass/choose.go
+++ b/pass/choose.go
@@ -238,7 +238,7 @@
 	defer cancel()
 	go func() {
 		var err error
-		server, err = g.FindServer(findCtx, c.service.Name, c.work.Model, c.work.Adapter)
+		server, err = g.FindServer(findCtx, backs.Need{Service: c.service.Name, Model: c.work.Model, Adapter: c.work.Adapter, Version: c.binding.version})
 		found <- err
 	}()
 	select {
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -60,9 +60,9 @@
 	RetryBudget func(service string) *retry.SlidingWindow
 	// RecordDemand records the demand for a model: one request, and its cost in server time.
 	RecordDemand func(service string, w pick.Work, cost time.Duration)
-	// FindServer requests a server for a model and adapter from the controller, waits until the server
+	// FindServer requests a server for a request from the controller, waits until the server
 	// has them, and returns its ID.
-	FindServer func(ctx context.Context, service, model, adapter string) (string, error)
+	FindServer func(ctx context.Context, need backs.Need) (string, error)
 	// ProxyVMs returns the addresses of VMs through which requests may be sent while this VM has no path to
 	// the servers, and ProxyKey the key that they want. AcceptsProxyKey reports whether a key allows another
 	// VM to send requests through this one, at most MaxProxied at a time. Optional; if nil, no other VM is
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -109,7 +109,7 @@
 	g := testGateway(server("a", "d", "dead:1"))
 	address := startBackend(t, http.StatusOK)
 	finds := 0
-	g.FindServer = func(ctx context.Context, _, _, _ string) (string, error) {
+	g.FindServer = func(ctx context.Context, _ backs.Need) (string, error) {
 		finds++
 		if finds < 50 {
 			g.Servers.Put(clock.Now(), server("a", "d", "dead:1"))
@@ -130,7 +130,7 @@
 	g := testGateway(server("a", "far", "dead:1"), server("b", "far", "dead:2"))
 	var suspects []string
 	g.ReportSuspect = func(server string) { suspects = append(suspects, server) }
-	g.FindServer = func(ctx context.Context, _, _, _ string) (string, error) {
+	g.FindServer = func(ctx context.Context, _ backs.Need) (string, error) {
 		<-ctx.Done()
 		return "", ctx.Err()
 	}
@@ -146,7 +146,7 @@
 	third := backs.Entry{ID: "c", Service: "s", Domain: "third", Address: "dead:3", Slots: 8}
 	g := testGateway(server("a", "far", "dead:1"), server("b", "far", "dead:2"), third)
 	address := startBackend(t, http.StatusOK)
-	g.FindServer = func(context.Context, string, string, string) (string, error) {
+	g.FindServer = func(context.Context, backs.Need) (string, error) {
 		g.Servers.Put(clock.Now(), server("d", "third", address))
 		return "d", nil
 	}
@@ -173,7 +173,7 @@
 	g := testGateway()
 	shutdown, stop := context.WithCancel(t.Context())
 	g.ShutdownContext = shutdown
-	g.FindServer = func(ctx context.Context, _, _, _ string) (string, error) {
+	g.FindServer = func(ctx context.Context, _ backs.Need) (string, error) {
 		stop()
 		<-ctx.Done()
 		return "", ctx.Err()
@@ -205,7 +205,7 @@
 	engine := &routes.Engine{Models: map[string]routes.Model{"m": {Name: "m", LoadTime: loadTime}}}
 	table := routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s", Engine: engine}}, routes.Limits{})
 	g.Table = func() *routes.Table { return table }
-	g.FindServer = func(ctx context.Context, _, _, _ string) (string, error) {
+	g.FindServer = func(ctx context.Context, _ backs.Need) (string, error) {
 		<-ctx.Done()
 		return "", ctx.Err()
 	}
--- a/pass/key_test.go
+++ b/pass/key_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
@@ -127,7 +128,7 @@
 			var table atomic.Pointer[routes.Table]
 			table.Store(first)
 			g.Table = table.Load
-			g.FindServer = func(context.Context, string, string, string) (string, error) {
+			g.FindServer = func(context.Context, backs.Need) (string, error) {
 				table.Store(tc.next)
 				g.Servers.Put(clock.Now(), server("s", "d", strings.TrimPrefix(backend.URL, "http://")))
 				return "s", nil
--- a/pass/notice_test.go
+++ b/pass/notice_test.go
@@ -201,7 +201,7 @@
 			g.ReportSuspect = func(id string) {
 				require.Equal(t, "dead:1", entries[len(entries)-1].Address, "rest reported as a failure of "+id)
 			}
-			g.FindServer = func(ctx context.Context, _, _, _ string) (string, error) { return "0", nil }
+			g.FindServer = func(ctx context.Context, _ backs.Need) (string, error) { return "0", nil }
 			for range tc.values {
 				sendRequest(g)
 			}
@@ -273,7 +273,7 @@
 func TestModelLoadedElsewhereInLongRest(t *testing.T) {
 	resting, other := startNoticeServer(t, askRest("86400")), startNoticeServer(t, nil)
 	g := testGateway(server("a", "d", resting.address))
-	g.FindServer = func(context.Context, string, string, string) (string, error) {
+	g.FindServer = func(context.Context, backs.Need) (string, error) {
 		g.Servers.Put(g.Now(), server("b", "d", other.address))
 		return "b", nil
 	}
--- a/pass/quota_test.go
+++ b/pass/quota_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -86,7 +87,7 @@
 			if !tc.tight {
 				quotas.Announce(nil)
 			}
-			g.FindServer = func(ctx context.Context, _, _, _ string) (string, error) { return "", context.Canceled }
+			g.FindServer = func(ctx context.Context, _ backs.Need) (string, error) { return "", context.Canceled }
 			if tc.status == http.StatusServiceUnavailable {
 				// The VM shuts down, so that the request does not wait for another server.
 				stopped, stop := context.WithCancel(context.Background())
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/wire"
@@ -15,10 +16,10 @@
 
 var errLinkLost = errors.New("link to the hub lost")
 
-// find returns the ID of a server that has a model and adapter loaded, as found by the hub.
-func (u *uplink) find(ctx context.Context, service, model, adapter string) (string, error) {
+// find returns the ID of a server that meets a need, as found by the hub.
+func (u *uplink) find(ctx context.Context, need backs.Need) (string, error) {
 	m, err := u.call(ctx, func(call int) *wire.Message {
-		return &wire.Message{FindCall: &wire.FindCall{Call: call, Service: service, Model: model, Adapter: adapter}}
+		return &wire.Message{FindCall: &wire.FindCall{Call: call, Service: need.Service, Model: need.Model, Adapter: need.Adapter, Version: need.Version}}
 	})
 	if err != nil {
 		return "", err
--- a/peers/demand.go
+++ b/peers/demand.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 )
@@ -49,25 +50,33 @@
 
 var errNoController = errors.New("no link to a controller")
 
-// Find returns the ID of a server that has a model and adapter loaded, as found by the controller.
-func (p *Peers) Find(ctx context.Context, service, model, adapter string) (string, error) {
+var errNoServerOfVersion = errors.New("the controller found no server of the software version that began the stream")
+
+// Find returns the ID of a server that meets a need, as found by the controller.
+func (p *Peers) Find(ctx context.Context, need backs.Need) (string, error) {
 	if p.Lease.Held(p.Now()) {
-		id, err := p.Controller.Find(ctx, service, model, adapter)
+		id, err := p.Controller.Find(ctx, need)
 		if err == nil {
 			p.Servers.SetModels(p.Now(), id, p.Controller.ServableModels(p.Now(), id))
 		}
 		return id, err
 	}
-	return p.finds.find(ctx, findKey{service, model, adapter}, func(ctx context.Context) (string, error) {
+	return p.finds.find(ctx, need, func(ctx context.Context) (string, error) {
 		p.mu.Lock()
 		up := p.uplink
 		p.mu.Unlock()
 		if up == nil {
 			return "", errNoController
 		}
-		id, err := up.find(ctx, service, model, adapter)
+		id, err := up.find(ctx, need)
+		if err == nil && need.Version != "" {
+			if e, known := p.Servers.Entry(id); known && !need.AllowsVersion(e) {
+				// A controller of an older build does not know versions.
+				return "", errNoServerOfVersion
+			}
+		}
 		if err == nil {
-			p.Servers.AddModel(p.Now(), id, model, adapter)
+			p.Servers.AddModel(p.Now(), id, need.Model, need.Adapter)
 		}
 		return id, err
 	})
--- a/peers/finds.go
+++ b/peers/finds.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
 )
 
-// A VM has at most one pending find call per model and adapter, shared by all requests that wait for
+// A VM has at most one pending find call per need, shared by all requests that wait for
 // it. A relay shares calls in the same way for its VMs. A call stays pending when waiting requests
 // resume their own search, and they join it again later.
 //
@@ -20,13 +22,10 @@
 // findCallTimeout bounds a find call. Requests that wait for longer start a new one.
 const findCallTimeout = 5 * time.Second
 
-// findKey identifies what a find call searches for.
-type findKey struct{ service, model, adapter string }
-
 // findGroup shares pending find calls between callers. The zero value is ready to use.
 type findGroup struct {
 	mu      sync.Mutex
-	pending map[findKey]*pendingFind
+	pending map[backs.Need]*pendingFind
 }
 
 // pendingFind is a find call. server and err may be read once done is closed.
@@ -38,7 +37,7 @@
 
 // find joins the pending find call for key, or starts one with call, and waits for its result until
 // ctx ends.
-func (g *findGroup) find(ctx context.Context, key findKey, call func(context.Context) (string, error)) (string, error) {
+func (g *findGroup) find(ctx context.Context, key backs.Need, call func(context.Context) (string, error)) (string, error) {
 	pending := g.joinOrStart(ctx, key, call)
 	select {
 	case <-ctx.Done():
@@ -48,7 +47,7 @@
 	}
 }
 
-func (g *findGroup) joinOrStart(ctx context.Context, key findKey, call func(context.Context) (string, error)) *pendingFind {
+func (g *findGroup) joinOrStart(ctx context.Context, key backs.Need, call func(context.Context) (string, error)) *pendingFind {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if pending := g.pending[key]; pending != nil {
@@ -56,7 +55,7 @@
 	}
 	pending := &pendingFind{done: make(chan struct{})}
 	if g.pending == nil {
-		g.pending = make(map[findKey]*pendingFind)
+		g.pending = make(map[backs.Need]*pendingFind)
 	}
 	g.pending[key] = pending
 	// The call continues if the caller that started it leaves, because others may wait for it.
--- a/peers/finds_test.go
+++ b/peers/finds_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
 )
 
 // Guards against overloading the controller with find calls after servers crash. Two hundred requests
@@ -21,7 +23,7 @@
 		calls.Add(1)
 		return <-answer, nil
 	}
-	keys := []findKey{{"s", "m1", ""}, {"s", "m1", "a1"}, {"s", "m2", ""}, {"s2", "m1", ""}}
+	keys := []backs.Need{{Service: "s", Model: "m1"}, {Service: "s", Model: "m1", Adapter: "a1"}, {Service: "s", Model: "m2"}, {Service: "s2", Model: "m1"}, {Service: "s", Model: "m1", Version: "v1"}}
 	for range 50 {
 		for _, key := range keys {
 			// The request is woken before the reply arrives.
@@ -55,7 +57,7 @@
 func TestFailedFindNotCached(t *testing.T) {
 	var g findGroup
 	errFailed := errors.New("find call failed")
-	key := findKey{"s", "m", ""}
+	key := backs.Need{Service: "s", Model: "m"}
 	_, err := g.find(t.Context(), key, func(context.Context) (string, error) { return "", errFailed })
 	require.ErrorIs(t, err, errFailed)
 	server, err := g.find(t.Context(), key, func(context.Context) (string, error) { return "b", nil })
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -222,7 +222,7 @@
 	defer cancel()
 	ctx, span := spans.Start(ctx, "find", attribute.String("model", call.Model), attribute.String("adapter", call.Adapter))
 	reply := &wire.FindReply{Call: call.Call}
-	id, err := p.Find(ctx, call.Service, call.Model, call.Adapter)
+	id, err := p.Find(ctx, backs.Need{Service: call.Service, Model: call.Model, Adapter: call.Adapter, Version: call.Version})
 	spans.End(span, err)
 	if err != nil {
 		reply.Reason = err.Error()
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -293,7 +293,7 @@
 
 // findServer requests a server with a request's model and adapter from the controller.
 func (sim *simulation) findServer(r *request) {
-	_, err := sim.controller.TryFind(context.Background(), sim.currentTime(), routes.Service{Name: serviceName, Engine: sim.engine}, r.work.Model, r.work.Adapter)
+	_, err := sim.controller.TryFind(context.Background(), sim.currentTime(), routes.Service{Name: serviceName, Engine: sim.engine}, backs.Need{Service: serviceName, Model: r.work.Model, Adapter: r.work.Adapter})
 	if err != nil {
 		panic(fmt.Sprintf("find a server for %s: %v", r.work.Model, err))
 	}
--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -34,21 +34,21 @@
 
 var errUnknownModel = errors.New("the service has no such model")
 
-// Find returns a server that serves a model and adapter. It orders a missing adapter to be loaded,
-// and waits until a server is ready or ctx ends.
-func (c *Controller) Find(ctx context.Context, service, model, adapter string) (string, error) {
+// Find returns a server that meets a need. It orders what is missing to be loaded, and waits until a
+// server is ready or ctx ends.
+func (c *Controller) Find(ctx context.Context, need backs.Need) (string, error) {
 	table := c.Table()
 	if table == nil {
 		return "", errUnknownModel
 	}
-	s, ok := table.Service(service)
+	s, ok := table.Service(need.Service)
 	if !ok || s.Engine == nil {
 		return "", errUnknownModel
 	}
-	if _, known := s.Engine.Models[model]; !known {
+	if _, known := s.Engine.Models[need.Model]; !known {
 		return "", errUnknownModel
 	}
-	return c.sharedFind(ctx, s, model, adapter)
+	return c.sharedFind(ctx, s, need)
 }
 
 // pendingFind is a search whose result several callers wait for.
@@ -61,20 +61,19 @@
 // findTimeout bounds one search. Callers that still wait start another.
 const findTimeout = 5 * time.Second
 
-// sharedFind runs one search for all callers that ask for the same model and adapter: after a
+// sharedFind runs one search for all callers that ask for the same: after a
 // shift of demand hundreds of requests wait for one model, and each would scan all servers
 // whenever one of them changes.
-func (c *Controller) sharedFind(ctx context.Context, s routes.Service, model, adapter string) (string, error) {
-	key := adapterKey(s.Name, model, adapter)
+func (c *Controller) sharedFind(ctx context.Context, s routes.Service, need backs.Need) (string, error) {
 	c.mu.Lock()
 	if c.pendingFinds == nil {
-		c.pendingFinds = make(map[string]*pendingFind)
+		c.pendingFinds = make(map[backs.Need]*pendingFind)
 	}
-	f := c.pendingFinds[key]
+	f := c.pendingFinds[need]
 	if f == nil {
 		f = &pendingFind{done: make(chan struct{})}
-		c.pendingFinds[key] = f
-		go c.runFind(s, model, adapter, key, f)
+		c.pendingFinds[need] = f
+		go c.runFind(s, need, f)
 	}
 	c.mu.Unlock()
 	select {
@@ -85,22 +84,21 @@
 	}
 }
 
-func (c *Controller) runFind(s routes.Service, model, adapter, key string, f *pendingFind) {
+func (c *Controller) runFind(s routes.Service, need backs.Need, f *pendingFind) {
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
-	f.id, f.err = c.findOrLoad(ctx, s, model, adapter)
+	f.id, f.err = c.findOrLoad(ctx, s, need)
 	c.mu.Lock()
-	delete(c.pendingFinds, key)
+	delete(c.pendingFinds, need)
 	c.mu.Unlock()
 	close(f.done)
 }
 
-// findOrLoad waits until a server is ready. It orders the adapter to be loaded if a server has the
-// model but none has the adapter.
-func (c *Controller) findOrLoad(ctx context.Context, s routes.Service, model, adapter string) (string, error) {
+// findOrLoad waits until a server is ready, and orders what is missing to be loaded.
+func (c *Controller) findOrLoad(ctx context.Context, s routes.Service, need backs.Need) (string, error) {
 	for {
 		changed := c.Changed()
-		id, err := c.TryFind(ctx, c.Now(), s, model, adapter)
+		id, err := c.TryFind(ctx, c.Now(), s, need)
 		if id != "" || err != nil {
 			return id, err
 		}
@@ -114,27 +112,31 @@
 	}
 }
 
-// TryFind returns a server that serves a model and adapter. If there is none, it returns "" and
-// orders the adapter to be loaded at a server that has the model, if there is one.
-func (c *Controller) TryFind(ctx context.Context, now time.Time, s routes.Service, model, adapter string) (string, error) {
-	if id := c.readyServer(now, s.Name, model, adapter); id != "" {
+// TryFind returns a server that meets a need. If there is none, it returns "" and orders the adapter to be
+// loaded at a server that has the model, if there is one. A model that servers of the needed version lack
+// is loaded at one of them; otherwise the plan decides on models.
+func (c *Controller) TryFind(ctx context.Context, now time.Time, s routes.Service, need backs.Need) (string, error) {
+	if id := c.readyServer(now, need); id != "" {
 		return id, nil
 	}
 	if _, leading := c.FencingToken(now); !leading {
 		return "", errNotLeading
 	}
-	if adapter != "" {
-		c.loadAdapter(ctx, now, s, model, adapter)
+	if need.Version != "" {
+		c.loadModelForVersion(ctx, now, s, need)
+	}
+	if need.Adapter != "" {
+		c.loadAdapter(ctx, now, s, need)
 	}
 	return "", nil
 }
 
-// readyServer returns a server that is ready for requests to a model and adapter, "" for none.
-func (c *Controller) readyServer(now time.Time, service, model, adapter string) string {
+// readyServer returns a server that is ready for requests with a need, "" for none.
+func (c *Controller) readyServer(now time.Time, need backs.Need) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.serversOf(service) {
-		if s.Serves(now, model, adapter) && !s.reportRequired && c.reachable(now, s) {
+	for _, s := range c.serversOf(need.Service) {
+		if need.AllowsVersion(s.entry) && s.Serves(now, need.Model, need.Adapter) && !s.reportRequired && c.reachable(now, s) {
 			return s.entry.ID
 		}
 	}
@@ -143,14 +145,15 @@
 
 // loadAdapter orders an adapter at the server with the lowest cost, unless a server has it loaded
 // or is loading it.
-func (c *Controller) loadAdapter(ctx context.Context, now time.Time, service routes.Service, model, adapter string) {
+func (c *Controller) loadAdapter(ctx context.Context, now time.Time, service routes.Service, need backs.Need) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	model, adapter := need.Model, need.Adapter
 	var best *Server
 	var bestCost uint64
 	for _, s := range c.serversOf(service.Name) {
 		r := s.models[model]
-		if r == nil || r.phase != loaded || !c.reachable(now, s) {
+		if r == nil || r.phase != loaded || !need.AllowsVersion(s.entry) || !c.reachable(now, s) {
 			continue
 		}
 		if slot, exists := r.adapters[adapter]; exists && !slot.unloading {
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -93,7 +93,9 @@
 	vmLoads         map[string]map[string]pick.Load
 	totalLoads      map[string]pick.Load
 	changed         chan struct{}
-	pendingFinds    map[string]*pendingFind
+	pendingFinds    map[backs.Need]*pendingFind
+	// versionNeeds is when streams last asked for a model at servers of their software version.
+	versionNeeds map[versionNeed]time.Time
 	// wake ends the wait between two steps.
 	wake chan struct{}
 	// lastNotified is the time of the latest change that closed the channel of Changed.
@@ -374,6 +376,7 @@
 			return future / meanAge(demandHalfLife), mean / meanAge(demandHalfLife)
 		},
 		Contended:          c.Contended,
+		Needed:             func(s *Server, model string) bool { return c.neededAt(now, s, service.Name, model) },
 		TimeWithoutReplica: func(model string) time.Duration { return c.timeWithoutReplica(now, service.Name, model) },
 		SinceRequested:     func(model string) (time.Duration, bool) { return c.sinceRequested(now, demand, model), true },
 		MayBeUnlisted: func(model string) bool {
--- a/steer/controller_test.go
+++ b/steer/controller_test.go
@@ -283,7 +283,7 @@
 			return nil
 		},
 		"for a request": func(c *Controller, s routes.Service) error {
-			_, err := c.TryFind(t.Context(), now, s, "m1", "a1")
+			_, err := c.TryFind(t.Context(), now, s, backs.Need{Service: s.Name, Model: "m1", Adapter: "a1"})
 			return err
 		},
 	}
--- a/steer/notice_test.go
+++ b/steer/notice_test.go
@@ -145,14 +145,14 @@
 		<-orders
 	}
 	service, _ := c.Table().Service("s")
-	id, err := c.TryFind(t.Context(), now, service, "m1", "a1")
+	id, err := c.TryFind(t.Context(), now, service, backs.Need{Service: service.Name, Model: "m1", Adapter: "a1"})
 	require.NoError(t, err)
 	require.Equal(t, "a", id)
 	c.Servers.ApplyNotice(now, "a", backs.Notice{Rest: time.Hour})
 	stepFor(t, c, &now, stepInterval)
 	var calls []func()
 	c.Spawn = func(call func()) { calls = append(calls, call) }
-	id, err = c.TryFind(t.Context(), now, service, "m1", "a1")
+	id, err = c.TryFind(t.Context(), now, service, backs.Need{Service: service.Name, Model: "m1", Adapter: "a1"})
 	require.NoError(t, err)
 	require.Empty(t, id)
 	for _, call := range calls {
--- a/steer/option.go
+++ b/steer/option.go
@@ -79,6 +79,9 @@
 		if r.phase != loaded || s.usedMemoryMB-p.Engine.Models[victim].SizeMB+m.SizeMB > p.Engine.WeightMemoryMB {
 			continue
 		}
+		if p.Needed != nil && p.Needed(s.Server, victim) {
+			continue
+		}
 		lastLoss := 0.0
 		if len(p.current.replicas[victim]) < 2 {
 			var ok bool
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -50,6 +50,9 @@
 	// MayBeUnlisted reports whether a model without a replica probably has one at a server that is
 	// not listed yet; nil for never.
 	MayBeUnlisted func(model string) bool
+	// Needed reports whether a server has the last replica of a model that streams of its software version
+	// need; nil for never.
+	Needed func(s *Server, model string) bool
 	// Contended reports whether the requests for a server far exceed its rate limit; nil for never.
 	// The replicas at such a server do not count, and no models are loaded there.
 	Contended func(server string) bool
