pass, conns, platform, node: Who answers at a server's address is asked before a stream goes there

A server that starts again under its name and address as another software version gets requests that are addressed to its name. Cause, the third hypothesis: the VM chooses by the entry, which is a heartbeat old, or older while the store or the VM is cut off. Ruled out: the expected name in the request (both processes have it); a check after the fact by start times (clocks step by seconds); the load in responses (says nothing of the process). Change: on a connection for a stream that may be taken up, the server is asked once for its report, whose start time names the instance; the answer holds for the connection. An instance that has been replaced is dropped from use. Requests through a proxy carry the version; the proxy compares it with its own entry and asks too. Answers to streams that can not go on: 503 without Retry-After, and the reason; with it only if keepers did not answer; 400 for a bad Resumes. Measured: TestServerCameBackAsAnotherVersion (directly and through a proxy), TestAnswerToStreamThatCanNotGoOn (12 cases), TestListProvesVersionOnlyWhenConfirmed, TestOriginIsToldBeforeFirstEvent, TestGoneVersionOutlivesRecords; tests of pass, backs, node, conns, platform. One case failed first: a route of an hour had no proof by the list.

--- a/backs/history.go
+++ b/backs/history.go
@@ -24,6 +24,9 @@
 // server that was in use in between is still listed after it: entries last longer without a heartbeat.
 const maxHistoryGap = 2500 * time.Millisecond
 
+// historyRetention is how long versions that have gone are kept. Streams may last that long.
+const historyRetention = 24 * time.Hour
+
 // serviceVersion is a software version of a service.
 type serviceVersion struct{ service, version string }
 
@@ -31,25 +34,29 @@
 type history struct {
 	// since is the time since which the view knows all versions that have existed.
 	since time.Time
-	// gone is when the last server of a version was seen, as far as other VMs have told.
+	// gone is when the last server of a version was seen, for those without a record.
 	gone map[serviceVersion]time.Time
 	// pending is what other VMs told before the first list.
 	pendingAt, pendingSince time.Time
 }
 
+// addGone records that a version was last seen at a time.
+func (h *history) addGone(key serviceVersion, seen time.Time) {
+	if h.gone == nil {
+		h.gone = make(map[serviceVersion]time.Time)
+	}
+	if seen.After(h.gone[key]) {
+		h.gone[key] = seen
+	}
+}
+
 // AddVersionHistory applies the history that another VM has told.
 func (v *View) AddVersionHistory(now time.Time, h VersionHistory) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	at := now.Add(-h.Age)
 	for _, g := range h.Gone {
-		if v.history.gone == nil {
-			v.history.gone = make(map[serviceVersion]time.Time)
-		}
-		key := serviceVersion{g.Service, g.Version}
-		if seen := at.Add(-g.Ago); seen.After(v.history.gone[key]) {
-			v.history.gone[key] = seen
-		}
+		v.history.addGone(serviceVersion{g.Service, g.Version}, at.Add(-g.Ago))
 	}
 	since := at.Add(-h.CompleteFor)
 	if !v.synced {
@@ -80,7 +87,7 @@
 	if !v.synced {
 		return VersionHistory{}
 	}
-	h := VersionHistory{CompleteFor: min(now.Sub(v.history.since), removedRetention)}
+	h := VersionHistory{CompleteFor: min(now.Sub(v.history.since), historyRetention)}
 	seen := v.versionsSeen(now)
 	for key, at := range seen {
 		if at.Before(now) {
@@ -94,7 +101,7 @@
 func (v *View) versionsSeen(now time.Time) map[serviceVersion]time.Time {
 	seen := make(map[serviceVersion]time.Time)
 	for key, at := range v.history.gone {
-		if now.Sub(at) > removedRetention {
+		if now.Sub(at) > historyRetention {
 			delete(v.history.gone, key)
 			continue
 		}
@@ -119,7 +126,7 @@
 func (v *View) OnlyVersion(now time.Time, service string, within time.Duration) (version string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.synced || within > removedRetention || now.Sub(v.history.since) < within {
+	if !v.synced || within > historyRetention || now.Sub(v.history.since) < within {
 		return "", false
 	}
 	var versions []string
--- a/backs/history_test.go
+++ b/backs/history_test.go
@@ -99,3 +99,17 @@
 		})
 	}
 }
+
+// Guards against a version that is forgotten with the records of its servers while its streams may still be taken up.
+func TestGoneVersionOutlivesRecords(t *testing.T) {
+	v := &backs.View{}
+	v.Replace(at(1), []backs.Entry{versionEntry("a", "v1"), versionEntry("b", "v2")})
+	v.Remove(at(2), "b")
+	v.Usable(at(1000), "a")
+	require.Equal(t, 1, v.Count())
+	_, ok := v.OnlyVersion(at(1001), entry("a").Service, 999500*time.Millisecond)
+	require.False(t, ok)
+	version, ok := v.OnlyVersion(at(1001), entry("a").Service, 900*time.Second)
+	require.True(t, ok)
+	require.Equal(t, "v1", version)
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -329,6 +329,7 @@
 			v.notify()
 		}
 		if !r.removedAt.IsZero() && now.Sub(r.removedAt) > removedRetention {
+			v.history.addGone(serviceVersion{r.entry.Service, r.entry.SoftwareVersion}, r.removedAt)
 			delete(v.records, id)
 			if v.instanceIDs[r.entry.PlatformName()] == id {
 				delete(v.instanceIDs, r.entry.PlatformName())
--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -116,7 +116,7 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	storeClient, serverClient := newHTTPClient(conns.Dial), newHTTPClient(conns.DialFrom(settings.Text("servers", "source")))
 	return node.Config{
-		Settings: settings, HeaderNames: &platform.HeaderNames,
+		Settings: settings, HeaderNames: &platform.HeaderNames, InstanceProbe: &platform.InstanceProbe,
 		Objects:      platform.NewStoreClient(storeClient, settings.Text("store", "address")),
 		ServerClient: platform.NewServerClient(serverClient),
 		ConfigKind:   platform.ConfigKind, ConfigName: platform.ConfigName, ServerKind: platform.ServerKind,
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -95,6 +95,8 @@
 	key    string
 	// reused is set once the connection has been in the pool, proven once a response has arrived on it.
 	reused, proven bool
+	// identified is set once the peer has said which instance of its server it is.
+	identified bool
 	// expiresAt is when the connection is too old for any request, safeUntil
 	// when it is too old for a request that cannot be repeated.
 	expiresAt, safeUntil time.Time
@@ -108,6 +110,13 @@
 // opened and kept may be broken as soon as it is used.
 func (c *Conn) Proven() bool { return c.proven }
 
+// Identified reports whether the peer has said which instance of its server it is.
+func (c *Conn) Identified() bool { return c.identified }
+
+// MarkIdentified records that the peer has said which instance of its server it is. Another one has connections of
+// its own.
+func (c *Conn) MarkIdentified() { c.identified = true }
+
 // Close closes the connection. It may be called more than once and while
 // another goroutine reads or writes.
 func (c *Conn) Close() { _ = c.net.Close() }
--- a/demo/backends.go
+++ b/demo/backends.go
@@ -52,6 +52,13 @@
 	return nil
 }
 
+// ReleaseBackend replaces the process of a backend server with one of another software version, which comes back under
+// its ID.
+func (s *Site) ReleaseBackend(b *stand.Backend, version string) {
+	b.SetSoftwareVersion(version)
+	s.crashBackend(b)
+}
+
 // crashBackend closes the listener and connections of a backend server and restarts it after
 // siteRestartDelay.
 func (s *Site) crashBackend(b *stand.Backend) {
--- a/demo/site.go
+++ b/demo/site.go
@@ -232,7 +232,7 @@
 		serverClient.CloseIdleConnections()
 	}
 	vm.node = node.New(node.Config{
-		Settings: vm.settings, HeaderNames: &platform.HeaderNames,
+		Settings: vm.settings, HeaderNames: &platform.HeaderNames, InstanceProbe: &platform.InstanceProbe,
 		Objects: platform.NewStoreClient(client, s.storeAddress), ServerClient: platform.NewServerClient(serverClient), DialServer: vm.path.Dial,
 		ConfigKind: platform.ConfigKind, ConfigName: platform.ConfigName, ServerKind: platform.ServerKind,
 		DecodeTable: platform.DecodeTable, DecodeEntry: platform.DecodeEntry, CloseIdleStoreConns: client.CloseIdleConnections, Now: clock.Now, Log: s.options.Log,
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,9 @@
 	Objects      store.Objects
 	ServerClient steer.ServerCalls
 	HeaderNames  *pass.HeaderNames
+	// InstanceProbe is how a server is asked which of its instances it is; nil if instances have names of
+	// their own.
+	InstanceProbe *pass.InstanceProbe
 	// ConfigKind and ConfigName identify the object that holds the configuration. ServerKind is the
 	// kind of the server entries.
 	ConfigKind, ConfigName, ServerKind string
@@ -182,7 +185,7 @@
 	n.paths.OnProcessEnded = n.crashTracker.ProcessEnded
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
-		HeaderNames:     c.HeaderNames, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
+		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -41,6 +41,10 @@
 		g.connectFailed(c, choice, err)
 		return false
 	}
+	if err := g.checkServer(c, way, choice.Server); err != nil {
+		g.logFailedAttempt(c, choice, err.Error())
+		return false
+	}
 	// While the connection was opened or this VM was suspended, the server may have started
 	// draining or asked for rest, or the request deadline may have passed.
 	now = g.Now()
@@ -286,7 +290,7 @@
 	if a.proxy == "" {
 		return ""
 	}
-	return a.g.proxyHeaders(a.server)
+	return a.g.proxyHeaders(a.c, a.choice.Server)
 }
 
 // forward forwards the response to the caller.
--- a/pass/call.go
+++ b/pass/call.go
@@ -72,6 +72,8 @@
 	// found out for a stream that the caller takes up.
 	binding binding
 	boundBy string
+	// toldAt is when the keepers of the stream's origin were told last.
+	toldAt time.Time
 	// failed is why the call has no server.
 	failed error
 	// resumes is the attempt that began the stream which the caller takes up, "" for a new request.
@@ -257,7 +259,7 @@
 // reserves it.
 func (c *call) overridden(n *HeaderNames, name string) bool {
 	switch name {
-	case headerLength, headerLastEvent, headerProxyServer, n.Deadline, n.ExpectServer, n.Priority, n.Key, n.Team:
+	case headerLength, headerLastEvent, headerProxyServer, headerProxyVersion, n.Deadline, n.ExpectServer, n.Priority, n.Key, n.Team:
 		return true
 	}
 	for _, reserved := range n.Reserved {
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -75,6 +75,9 @@
 	// Optional; if nil, streams that callers take up go on only if the list of servers proves their version.
 	TellOrigin func(attempt string, r origin.Record)
 	FindOrigin func(ctx context.Context, attempt string) (origin.Record, origin.Verdict)
+	// InstanceProbe is how servers that start again under their names are asked which instance they are.
+	// Optional; if nil, they are not asked.
+	InstanceProbe *InstanceProbe
 	// RequestPermit requests a permit for one request to a server with a rate limit. It returns 0
 	// if the permit was granted, and otherwise how long to wait before the next attempt.
 	RequestPermit func(ctx context.Context, server string) time.Duration
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -166,12 +166,16 @@
 	return g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
 }
 
+// tellInterval is the interval at which the keepers of a long stream are told again, so that they do not forget it.
+const tellInterval = origin.Retention / 2
+
 // tellOrigin has the binding of a stream kept by other VMs, before its first event is passed on. A caller that takes
 // it up names the attempt that began it.
-func (g *Gateway) tellOrigin(c *call) {
-	if g.TellOrigin == nil || !c.route.Repeatable() || c.binding.version == "" {
+func (g *Gateway) tellOrigin(now time.Time, c *call) {
+	if g.TellOrigin == nil || !c.route.Repeatable() || c.binding.version == "" || now.Sub(c.toldAt) < tellInterval {
 		return
 	}
+	c.toldAt = now
 	r := origin.Record{Service: c.service.Name, Version: c.binding.version}
 	g.TellOrigin(c.id, r)
 	if c.resumes != "" {
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -27,6 +27,9 @@
 	headerProxyServer = "Proxy-Server"
 	headerProxyAuth   = "Proxy-Authorization"
 	schemeBearer      = "Bearer "
+	// headerProxyVersion is the software version that the server must have, in a request for a stream that may be
+	// taken up.
+	headerProxyVersion = "Proxy-Version"
 	// headerProxyRefusal is in the response of a proxy that has not sent the request, with the reason.
 	headerProxyRefusal = "Proxy-Refusal"
 )
@@ -46,8 +49,12 @@
 func IsProxied(r *http.Request) bool { return r.Header.Get(headerProxyServer) != "" }
 
 // proxyHeaders returns the headers that a VM adds to a request for its proxy.
-func (g *Gateway) proxyHeaders(server string) string {
-	return fmt.Sprintf("%s: %s\r\n%s: %s%s\r\n", headerProxyServer, server, headerProxyAuth, schemeBearer, g.ProxyKey())
+func (g *Gateway) proxyHeaders(c *call, server backs.Entry) string {
+	headers := fmt.Sprintf("%s: %s\r\n%s: %s%s\r\n", headerProxyServer, server.ID, headerProxyAuth, schemeBearer, g.ProxyKey())
+	if c.bindsServer() && server.SoftwareVersion != "" {
+		headers += fmt.Sprintf("%s: %s\r\n", headerProxyVersion, server.SoftwareVersion)
+	}
+	return headers
 }
 
 // ServeProxied sends a request of another VM to the server that this VM has chosen, and passes the response
@@ -111,8 +118,9 @@
 		return
 	}
 	p.fingerprint = poison.FingerprintOf(p.r, body)
+	version := p.r.Header.Get(headerProxyVersion)
 	var known bool
-	if p.entry, known = g.Servers.Entry(p.server); !known || !g.Servers.MaySend(g.Now(), p.server) {
+	if p.entry, known = g.Servers.Entry(p.server); !known || !g.Servers.MaySend(g.Now(), p.server) || version != "" && version != p.entry.SoftwareVersion {
 		p.refuse(refusalUnavailable)
 		return
 	}
@@ -124,6 +132,13 @@
 		p.connectFailed(ctx, err)
 		return
 	}
+	if version != "" {
+		if err := g.checkInstance(p.conn, p.entry); err != nil {
+			g.Pool.Discard(p.conn)
+			p.refuse(refusalUnavailable)
+			return
+		}
+	}
 	p.sent, p.unproven = g.Now(), !p.conn.Proven()
 	if callerDisconnected(p.r) || !g.Servers.MaySend(p.sent, p.server) {
 		g.Pool.PutUnused(p.sent, p.conn)
@@ -186,7 +201,9 @@
 	r := p.r
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
-	writeHeaders(&b, r.Header, func(name string) bool { return name == headerProxyServer || name == headerLength })
+	writeHeaders(&b, r.Header, func(name string) bool {
+		return name == headerProxyServer || name == headerProxyVersion || name == headerLength
+	})
 	if r.ContentLength >= 0 && r.Header.Get(headerLength) != "" {
 		fmt.Fprintf(&b, "%s: %d\r\n", headerLength, bodyBytes)
 	}
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -64,6 +64,7 @@
 // writeEvents writes events to the caller, preceded by the response head if it was not sent.
 func (a *attempt) writeEvents(w http.ResponseWriter, controller *http.ResponseController, data []byte) bool {
 	a.writeHead(w)
+	a.g.tellOrigin(a.g.Now(), a.c)
 	if _, err := w.Write(data); err != nil {
 		return false
 	}
@@ -79,7 +80,6 @@
 	if !a.c.binding.begun {
 		a.c.binding = bindingAt(a.choice.Server)
 	}
-	a.g.tellOrigin(a.c)
 	a.c.status = a.resp.StatusCode
 	for name, values := range a.responseHeaders() {
 		w.Header()[name] = values
--- a/pass/versions_test.go
+++ b/pass/versions_test.go
@@ -1,9 +1,11 @@
 package pass
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/origin"
 )
 
 // versionServer returns a server of service "s" that runs a software version.
@@ -116,3 +119,174 @@
 	defer func() { _ = recover() }()
 	g.ServeHTTP(w, r)
 }
+
+// testProbe asks a server of a test for the Unix time of its start.
+var testProbe = &InstanceProbe{Path: "/started", ParseStartTime: func(body []byte) (time.Time, error) {
+	seconds, err := strconv.ParseInt(string(body), 10, 64)
+	return time.Unix(seconds, 0), err
+}}
+
+// startInstance starts a server that says that it started at a time, and serves streams of a version.
+func startInstance(t *testing.T, startedAt int64, version string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == testProbe.Path {
+			fmt.Fprint(w, startedAt)
+			return
+		}
+		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set("Stamp", version)
+		w.Header().Set("Content-Type", typeEvents)
+		fmt.Fprint(w, versionEvents(version, 1, 3))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// instanceEntry returns the entry of an instance of a server that started at a time.
+func instanceEntry(name, version, address string, startedAt int64) backs.Entry {
+	e := versionServer(name, version, address)
+	e.Name, e.StartedAt = name, time.Unix(startedAt, 0)
+	e.ID = backs.InstanceID(name, e.StartedAt)
+	return e
+}
+
+// Guards against a server that came back under its name and address as another software version, which this VM, or
+// its proxy, does not know yet: a stream begins there under the version of the old entry, and goes on at servers of
+// that.
+func TestServerCameBackAsAnotherVersion(t *testing.T) {
+	for _, proxied := range []bool{false, true} {
+		t.Run(fmt.Sprintf("proxied %v", proxied), func(t *testing.T) {
+			back := instanceEntry("back", "v1", startInstance(t, 2000, "v2"), 1000)
+			same := instanceEntry("same", "v1", startInstance(t, 1000, "v1"), 1000)
+			g, proxy := testGateway(back), testGateway(back)
+			for _, gateway := range []*Gateway{g, proxy} {
+				useResumableRoute(gateway)
+				gateway.InstanceProbe = testProbe
+				gateway.RetryBudget("s").SetLimit(0, 100, 10*time.Second)
+			}
+			if proxied {
+				losePath(g)
+				useProxies(g, serveAsProxy(t, proxy))
+			}
+			time.AfterFunc(50*time.Millisecond, func() {
+				for _, gateway := range []*Gateway{g, proxy} {
+					gateway.Servers.Put(clock.Now(), same)
+				}
+			})
+			w := httptest.NewRecorder()
+			sendAborted(g, w, newStreamRequest())
+			require.Equal(t, versionEvents("v1", 1, 3), w.Body.String())
+			prober := g
+			if proxied {
+				prober = proxy
+			}
+			require.False(t, prober.Servers.Usable(clock.Now(), back.ID), "the old instance is still in use")
+			probes := prober.Meter.CounterValue("pass.instance_probes")
+			w = httptest.NewRecorder()
+			sendAborted(g, w, newStreamRequest())
+			require.Equal(t, versionEvents("v1", 1, 3), w.Body.String())
+			require.Equal(t, probes, prober.Meter.CounterValue("pass.instance_probes"), "a kept connection is asked again")
+		})
+	}
+}
+
+// takeUpRequest returns a request that takes a stream up after its first event.
+func takeUpRequest(resumes ...string) *http.Request {
+	r := newStreamRequest()
+	r.Header.Set("Last-Event-Id", "1")
+	r.Header["Resumes"] = resumes
+	return r
+}
+
+// Guards against callers that wait for nothing, or that are told to come back although nothing will have changed.
+func TestAnswerToStreamThatCanNotGoOn(t *testing.T) {
+	known := origin.Record{Service: "s", Version: "v1"}
+	tests := map[string]struct {
+		resumes    []string
+		record     origin.Record
+		verdict    origin.Verdict
+		servers    []string
+		want       int
+		body       string
+		retryAfter bool
+	}{
+		"its version serves":         {[]string{"a0"}, known, origin.Known, []string{"v1", "v2"}, 200, "v1", false},
+		"its version serves no more": {[]string{"a0"}, known, origin.Known, []string{"v2"}, 503, "begin it anew", false},
+		"nobody knows the attempt":   {[]string{"a0"}, known, origin.Unknown, []string{"v1", "v2"}, 503, "begin it anew", false},
+		"the keepers do not answer":  {[]string{"a0"}, known, origin.Unanswered, []string{"v1", "v2"}, 503, "come back later", true},
+		"the attempt is not named":   {nil, known, origin.Known, []string{"v1", "v2"}, 503, "begin it anew", false},
+		"one version, nobody knows":  {[]string{"a0"}, known, origin.Unknown, []string{"v1"}, 200, "v1", false},
+		"one version, not named":     {nil, known, origin.Unknown, []string{"v1"}, 200, "v1", false},
+		"two attempts are named":     {[]string{"a0", "a1"}, known, origin.Known, []string{"v1"}, 400, "no valid attempt", false},
+		"the name is no ID":          {[]string{"a 0"}, known, origin.Known, []string{"v1"}, 400, "no valid attempt", false},
+		"the name is empty":          {[]string{""}, known, origin.Known, []string{"v1"}, 400, "no valid attempt", false},
+		"the name is too long":       {[]string{strings.Repeat("a", 200)}, known, origin.Known, []string{"v1"}, 400, "no valid attempt", false},
+		"another service began it":   {[]string{"a0"}, origin.Record{Service: "gone", Version: "v1"}, origin.Known, []string{"v1"}, 503, "begin it anew", false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := testGateway()
+			useResumableRoute(g)
+			g.FindOrigin = func(_ context.Context, attempt string) (origin.Record, origin.Verdict) {
+				require.Equal(t, "a0", attempt)
+				return tc.record, tc.verdict
+			}
+			var entries []backs.Entry
+			for i, version := range tc.servers {
+				address := startVersionBackend(t, version, breakOff, sendRest(version))
+				entries = append(entries, versionServer(fmt.Sprint(i), version, address))
+			}
+			g.Servers.Replace(clock.Now(), entries)
+			g.Servers.AddVersionHistory(clock.Now(), backs.VersionHistory{CompleteFor: 24 * time.Hour})
+			confirming, stop := context.WithCancel(t.Context())
+			defer stop()
+			go func() {
+				for confirming.Err() == nil {
+					g.Servers.MarkCurrent(clock.Now())
+					time.Sleep(time.Millisecond)
+				}
+			}()
+			w := httptest.NewRecorder()
+			sendAborted(g, w, takeUpRequest(tc.resumes...))
+			require.Equal(t, tc.want, w.Code, w.Body.String())
+			require.Contains(t, w.Body.String(), tc.body)
+			require.Equal(t, tc.retryAfter, w.Header().Get("Retry-After") != "")
+			if tc.want == http.StatusOK {
+				require.Equal(t, versionEvents("v1", 2, 3), w.Body.String())
+			}
+		})
+	}
+}
+
+// Guards against a proof by a list that is older than the request: the VM that began the stream may have known servers
+// which this VM does not.
+func TestListProvesVersionOnlyWhenConfirmed(t *testing.T) {
+	g := testGateway(versionServer("a", "v1", startVersionBackend(t, "v1", breakOff, sendRest("v1"))))
+	useResumableRoute(g)
+	g.Servers.AddVersionHistory(clock.Now(), backs.VersionHistory{CompleteFor: 24 * time.Hour})
+	w := httptest.NewRecorder()
+	sendAborted(g, w, takeUpRequest("a0"))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+}
+
+// Guards against keepers that are told late, after the caller may have the event, or not of a stream that is taken up.
+func TestOriginIsToldBeforeFirstEvent(t *testing.T) {
+	g := testGateway(versionServer("a", "v1", startVersionBackend(t, "v1", func(http.ResponseWriter, *http.Request) {}, sendRest("v1"))))
+	useResumableRoute(g)
+	w := httptest.NewRecorder()
+	told := map[string]origin.Record{}
+	g.TellOrigin = func(attempt string, r origin.Record) {
+		require.Empty(t, w.Body.String())
+		told[attempt] = r
+	}
+	g.FindOrigin = func(context.Context, string) (origin.Record, origin.Verdict) {
+		return origin.Record{Service: "s", Version: "v1"}, origin.Known
+	}
+	sendAborted(g, w, newStreamRequest())
+	require.Equal(t, map[string]origin.Record{"a1": {Service: "s", Version: "v1"}}, told)
+	w = httptest.NewRecorder()
+	sendAborted(g, w, takeUpRequest("a0"))
+	require.Equal(t, origin.Record{Service: "s", Version: "v1"}, told["a0"])
+}
