peers, backs: Behind a hub of an older build a VM reads the software versions of servers in the store

Change: a hub whose states lack a version counts as no source of the list; the VM watches the store itself, and an update without a version keeps the one that is known of the instance. Ruled out: a new protocol version (VMs of both builds would not link at all); taking no version for the same version. Measured: TestHubWithoutVersions; tests of peers. Conclusion: correct, and dear for as long as the controller is of the older build.

--- a/backs/update.go
+++ b/backs/update.go
@@ -115,6 +115,10 @@
 		return
 	}
 	before := v.sharedStateOf(s.ID)
+	if s.SoftwareVersion == "" {
+		// A hub of an older build does not tell versions. That of an instance does not change.
+		s.SoftwareVersion = before.entry.SoftwareVersion
+	}
 	r := v.apply(now, s.Entry)
 	if r == nil {
 		// The state describes an earlier instance than the one in this view.
--- a/peers/changes_test.go
+++ b/peers/changes_test.go
@@ -36,7 +36,7 @@
 func (p *Peers) setServers(now time.Time, servers ...string) {
 	entries := make([]backs.Entry, 0, len(servers))
 	for _, id := range servers {
-		entries = append(entries, backs.Entry{ID: id, Service: "s", Address: "127.0.0.1:1"})
+		entries = append(entries, backs.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", SoftwareVersion: "v1"})
 	}
 	p.Servers.Replace(now, entries)
 }
--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -163,7 +163,7 @@
 	name := fmt.Sprintf("syl%07d", i)
 	born := time.Unix(1_700_000_000, 0)
 	return backs.Entry{
-		ID: backs.InstanceID(name, born), Name: name, StartedAt: born, Service: "label-llm", Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
+		ID: backs.InstanceID(name, born), Name: name, StartedAt: born, SoftwareVersion: "v1", Service: "label-llm", Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
 		Domain: fmt.Sprintf("d%d", i%*simDomains), Slots: 32,
 		Models: []backs.LoadedModel{{Model: fmt.Sprintf("daka%06d", i%simModels), Adapters: []string{"a1"}}, {Model: fmt.Sprintf("daka%06d", (i*7+1)%simModels)}},
 	}
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -77,7 +77,7 @@
 func newVM(o *stand.ObjectStore, name, domain string, cores float64) *testVM {
 	v := &testVM{}
 	view := &backs.View{}
-	view.Replace(clock.Now(), []backs.Entry{{ID: "s1", Service: "s", Domain: domain}})
+	view.Replace(clock.Now(), []backs.Entry{{ID: "s1", Service: "s", Domain: domain, SoftwareVersion: "v1"}})
 	lease := &Lease{Name: name, Objects: v.storeClient(o), Duration: 1200 * time.Millisecond, Now: clock.Now, Log: zerolog.Nop()}
 	v.Peers = &Peers{
 		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Quotas: &limit.Quotas{},
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// Changes mean nothing before.
 	openedAt time.Time
 	complete bool
+	// withoutVersions is set if the hub does not tell the software versions of servers, as older builds do.
+	// This VM then reads the store itself.
+	withoutVersions bool
 	// moving is set when this VM closes the link to open one to a relay.
 	moving bool
 
@@ -266,7 +270,8 @@
 	p.vms = s.Vms
 	up.direct = !s.Relayed
 	up.complete = up.complete || s.Full
-	if up.complete {
+	up.withoutVersions = up.withoutVersions || slices.ContainsFunc(s.Servers, func(server wire.ServerState) bool { return server.Version == "" && !server.Gone })
+	if up.complete && !up.withoutVersions {
 		p.hubConfirmedAt, p.extraAge = now.Add(-time.Duration(s.AgeMs)*time.Millisecond), 0
 		if s.Relayed {
 			p.extraAge = relayExtraAge(p.Servers.Count())
--- a/peers/uplink_state_test.go
+++ b/peers/uplink_state_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/stand"
+	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
 // A VM that has linked to a hub and waits for the full state listed all servers from the store after half
@@ -81,3 +82,26 @@
 	}, testTimeout, 10*time.Millisecond)
 	require.Equal(t, linkDenied, vm.followHub(t.Context(), controller.Address, controller.Address, "old key"))
 }
+
+// A VM of this build is linked to a hub of the build before, which does not tell the software versions of servers.
+// Guards against streams that can not go on there: the VM reads the store itself, and keeps what it has read.
+func TestHubWithoutVersions(t *testing.T) {
+	for name, tc := range map[string]struct {
+		version string
+		fresh   bool
+	}{"this build": {"v1", true}, "older build": {"", false}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newUnlinkedVM(&now, "a")
+			p.Servers = &backs.View{}
+			p.Servers.Replace(now, []backs.Entry{{ID: "s1", Service: "s", SoftwareVersion: "v1"}})
+			state := &wire.FleetState{Vms: 2, Full: true, Servers: []wire.ServerState{{Server: "s1", Service: "s", Address: "1.2.3.4:5", Version: tc.version}}}
+			p.applyFleetState(t.Context(), &uplink{}, state)
+			require.Equal(t, tc.fresh, p.HubDataFresh(now))
+			e, known := p.Servers.Entry("s1")
+			require.True(t, known)
+			require.Equal(t, "1.2.3.4:5", e.Address)
+			require.Equal(t, "v1", e.SoftwareVersion)
+		})
+	}
+}
