soak, demo, peers: Callers that take streams up while servers are released and VMs are killed

Change: four callers read one to three events of a stream, leave and take it up at other VMs, up to four times; model servers are replaced by ones of another software version under their names and addresses, about once in 0.8 s. Checked in the caller's place: each next event has the next number and the version of the first one. Without faults at least half of 24 streams that began go on at another VM. The simulated fleet names its keepers, as VMs do.

--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -38,6 +38,7 @@
 // prints bytes by role and kind of frame, and the time in which changes reach the VMs.
 var (
 	simVMs     = flag.Int("sim.vms", 0, "VMs of the simulated fleet; 0 for the size that is checked with every build")
+	simKeepers = flag.Bool("sim.keepers", true, "VMs keep the origins of streams for others, so that hubs name them")
 	simDomains = flag.Int("sim.domains", 3, "failure domains of the simulated fleet")
 )
 
@@ -190,7 +191,7 @@
 	v.revision, v.value, v.changed = 0, nil, make(chan struct{})
 	v.configMu.Unlock()
 	p := &Peers{
-		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores,
+		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores, KeepsOrigins: *simKeepers,
 		Lease: lease, Servers: view, Balancer: &pick.Balancer{Domain: v.nic.domain},
 		Controller: &steer.Controller{
 			Name: address, Servers: view, Table: func() *routes.Table { return nil }, FencingToken: lease.FencingToken, Now: time.Now, Log: zerolog.Nop(), Meter: meter.New(),
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -135,6 +135,10 @@
 	for i := range hotCallers {
 		wait.Go(func() { r.sendHot(loadCtx, "hot", i) })
 	}
+	for i := range takeUpCallers {
+		wait.Go(func() { r.takeStreamsUp(loadCtx, i) })
+	}
+	wait.Go(func() { r.releaseServers(loadCtx) })
 	wait.Go(func() { r.crashServers(loadCtx) })
 	wait.Go(func() { r.injectNotices(loadCtx) })
 	wait.Go(func() { r.slowVMs(loadCtx) })
@@ -348,6 +352,7 @@
 	r.checkRejectLimit(ctx)
 	r.checkSilence(ctx)
 	r.checkCut(ctx)
+	r.checkTakeUps(ctx)
 	r.checkLoweredQuota(ctx)
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
