--- a/soak/versions.go
+++ b/soak/versions.go
@@ -109,6 +109,9 @@
 // checkTakeUps takes streams up while there are no faults and two software versions serve. As new streams begin there,
 // most of them have to go on.
 func (r *run) checkTakeUps(ctx context.Context) {
+	for i, b := range r.site.Backends(demo.SiteModelService) {
+		r.site.ReleaseBackend(b, softwareVersions[i%len(softwareVersions)])
+	}
 	deadline := time.Now().Add(recoveryTimeout)
 	for n := 0; ; n++ {
 		begun, goneOn := 0, 0
