entry, fleet, wire: A run of serve that starts again keeps the software version that wrote its first text

Found in the class: serve runs an idempotent request again at any server with the model when the stream breaks off, and goes on behind the text that the caller has, if the new text begins with it. A server of another version may begin alike and go on otherwise. Resumed runs are not affected: only the process that has the run knows its attempt. Change: server documents may have a software version, and from the first text on only servers of it are candidates; without one left the caller is told at once. Where the platform does not tell versions the texts are compared as before: that is all that is known there. Ruled out: no second run after the first text (the documents at hand have no version, and all such runs would end). Measured: TestRestartedRunKeepsSoftwareVersion (did not compile before: no version anywhere in serve); tests of entry and fleet. Conclusion: the class is closed in serve where versions are known.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -29,11 +29,14 @@
 	sentAt       time.Time
 	modelName    string
 	firstTokenAt time.Time
-	lastTokenAt  time.Time
-	maxTokenGap  time.Duration
-	tokenCount   int
-	replayed     bool
-	response     hibiscuscart.Response
+	// serverVersion is the software version of the server of the current attempt, textVersion that of the one
+	// that wrote the first text. Other versions write other text.
+	serverVersion, textVersion string
+	lastTokenAt                time.Time
+	maxTokenGap                time.Duration
+	tokenCount                 int
+	replayed                   bool
+	response                   hibiscuscart.Response
 }
 
 // Sink writes a response to the caller. WriteText is called for each part of a
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -32,6 +32,7 @@
 // stream breaks.
 func (s *relayStage) runGeneration(ctx context.Context, x *Exchange, c fleet.Candidate, assembly *relay.Assembly) error {
 	assembly.Restart(x.attemptID)
+	x.serverVersion = c.SoftwareVersion
 	err := s.runWithStallTimeout(ctx, x, assembly, func(ctx context.Context, frame frameHandler) error {
 		return s.engines.Generate(ctx, c.Address, x.attemptID, s.newGeneration(x), frame)
 	})
@@ -110,6 +111,7 @@
 	now := s.now()
 	if x.firstTokenAt.IsZero() {
 		x.firstTokenAt = now
+		x.textVersion = x.serverVersion
 	} else {
 		x.maxTokenGap = max(x.maxTokenGap, now.Sub(x.lastTokenAt))
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -132,6 +132,10 @@
 		if ok {
 			return c, nil
 		}
+		if need.SoftwareVersion != "" && !s.fleet.VersionServes(need) {
+			s.meter.AddCounter("relay.version_gone", 1)
+			return c, s.finalFailure(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "no server of the software version that began the text serves any more"))
+		}
 		if s.fleet.Rest(now, need) > 0 {
 			s.meter.AddCounter("relay.refused_resting", 1)
 			return c, s.finalFailure(x, s.withRest(x, hibiscuscart.Fail(hibiscuscart.CauseNoServer, "the servers asked this VM for rest")))
@@ -164,7 +168,7 @@
 
 // requirements returns what a request requires of a server.
 func requirements(x *Exchange) fleet.Requirements {
-	need := fleet.Requirements{Pool: x.profile.Pool(), Model: x.modelName, Adapter: x.request.Adapter, NoModel: x.profile.IsService()}
+	need := fleet.Requirements{Pool: x.profile.Pool(), Model: x.modelName, Adapter: x.request.Adapter, NoModel: x.profile.IsService(), SoftwareVersion: x.textVersion}
 	if !need.NoModel {
 		need.PromptPrefix = x.request.PrefixHash()
 	}
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -140,3 +140,43 @@
 		})
 	}
 }
+
+// A run breaks off in the middle of its text, and other servers could run it again. Guards against text that servers
+// of two software versions wrote, and against a wait for a version of which no server is left.
+func TestRestartedRunKeepsSoftwareVersion(t *testing.T) {
+	tests := map[string]struct {
+		versions map[string]string
+		want     string
+		cause    hibiscuscart.Cause
+	}{
+		"its version serves":          {map[string]string{"a": "v2", "b": "v1", "c": "v2"}, "b", 0},
+		"its version serves no more":  {map[string]string{"a": "v2", "c": "v3"}, "", hibiscuscart.CauseNoServer},
+		"versions are not told there": {map[string]string{"a": "", "c": ""}, "", hibiscuscart.CauseNoServer},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			view := &fleet.View{}
+			var docs []wire.Server
+			for server, version := range tc.versions {
+				docs = append(docs, wire.Server{Name: server, Pool: "desk", Address: "127.0.0.1:1", SoftwareVersion: version})
+			}
+			view.SetServers(docs)
+			s := &relayStage{fleet: view, now: time.Now, meter: meter.New(), selectCandidate: func(all []fleet.Candidate, _ uint64, _ []string) (fleet.Candidate, bool) {
+				return slices.Concat(all, []fleet.Candidate{{}})[0], len(all) > 0
+			}}
+			x := onceOnlyExchange(time.Now().Add(time.Minute))
+			x.profile = hibiscuscart.NewProfile(1, wire.Profile{Pool: "desk", Backend: wire.ProfileBackendService, RunsAllowed: 2, WholeAnswerMs: 60_000})
+			x.request.ArrivedAt, x.serverVersion = time.Now(), "v1"
+			require.NoError(t, s.deliverText(x, "the first text"))
+			x.serverVersion = "v2"
+			require.NoError(t, s.deliverText(x, "more of it"))
+			c, err := s.findServer(t.Context(), x, nil)
+			if tc.want != "" {
+				require.NoError(t, err)
+				require.Equal(t, tc.want, c.Name)
+				return
+			}
+			require.Equal(t, tc.cause, hibiscuscart.AsFailure(err).Cause())
+		})
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -52,6 +52,24 @@
 	Adapter      string
 	NoModel      bool
 	PromptPrefix uint64
+	// SoftwareVersion is the version that the server must run, empty for any.
+	SoftwareVersion string
+}
+
+func (r Requirements) allowsVersion(version string) bool {
+	return r.SoftwareVersion == "" || r.SoftwareVersion == version
+}
+
+// VersionServes reports whether a server of the required pool and software version takes requests, or may soon.
+func (v *View) VersionServes(required Requirements) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.servers {
+		if !s.leaving() && s.doc.Pool == required.Pool && required.allowsVersion(s.doc.SoftwareVersion) {
+			return true
+		}
+	}
+	return false
 }
 
 // Candidate is a server that can serve a request, with its state at the time of the query.
@@ -59,6 +77,8 @@
 	Name    string
 	Address string
 	Domain  string
+	// SoftwareVersion is the version of the server's software, empty if the platform does not tell it.
+	SoftwareVersion string
 	// Load is the reported load, corrected by the VM's own requests. ReportedLoad is the
 	// load as reported.
 	Load         int
@@ -257,7 +277,7 @@
 			continue
 		}
 		c := Candidate{
-			Name: s.doc.Name, Address: s.doc.Address, Domain: s.doc.FailureDomain,
+			Name: s.doc.Name, Address: s.doc.Address, Domain: s.doc.FailureDomain, SoftwareVersion: s.doc.SoftwareVersion,
 			Load: s.load(now), ReportedLoad: s.report.Running + s.report.Queued, Slots: s.report.Slots, PrefixCached: s.cachedPrefixes[required.PromptPrefix],
 			Healthy: !s.ejected(now) && !v.silent(now, s), prefillOnly: s.report.Role == string(wire.OrderRolePrefill),
 		}
@@ -318,7 +338,7 @@
 
 // suits reports whether a server meets the requirements, whether at rest or not.
 func (v *View) suits(now time.Time, s *server, required Requirements) bool {
-	if s.leaving() || s.doc.Pool != required.Pool {
+	if s.leaving() || s.doc.Pool != required.Pool || !required.allowsVersion(s.doc.SoftwareVersion) {
 		return false
 	}
 	if required.NoModel {
--- a/wire/types.go
+++ b/wire/types.go
@@ -957,6 +957,9 @@
 
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
+
+	// Version of the server's software; empty if the platform does not tell it.
+	SoftwareVersion string `json:"software_version,omitempty,omitzero"`
 }
 
 type ServerBackend string
