--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -85,7 +85,7 @@
 	record Record
 }
 
-// Listen opens the socket at the address of this VM.
+// Listen opens the socket at the address of this VM, whose port may be 0 for any.
 func (x *Exchange) Listen() error {
 	conn, err := net.ListenPacket("udp4", x.Address)
 	if err != nil {
@@ -94,6 +94,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn, x.listensSince = conn, x.Now()
+	x.Address = conn.LocalAddr().String()
 	return nil
 }
 
