origin, peers: Keepers are chosen and listed without sorting for each stream and frame

Cause, seen in review: each stream sorted up to 133 keepers with a hash for each, and a controller made and sorted the list of a thousand VMs with each frame of loads, ten times a second. Change: the best three are picked in one pass; a hub's list is made anew only when a link or a report of keepers has changed. A VM that has just started waits 1.5 s at most for its first keepers, as links take some tenths.

--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -23,7 +23,7 @@
 	askTimeout = 300 * time.Millisecond
 	// startGrace is how long after its start a VM may know no keepers yet: it waits for them, as its callers
 	// may have come back to it after a restart. keepersCheckInterval is the interval between looks.
-	startGrace           = 3 * time.Second
+	startGrace           = 1500 * time.Millisecond
 	keepersCheckInterval = 20 * time.Millisecond
 	// socketErrorPause is the pause after a failed read of the socket.
 	socketErrorPause = 10 * time.Millisecond
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -3,12 +3,7 @@
 // keepers, which are chosen by a hash of the attempt's ID, and the VM that is to go on asks them.
 package origin
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Record is what is kept of the attempt that began a stream.
 type Record struct {
@@ -26,29 +21,51 @@
 // began the stream, as callers mostly return to that domain and it may be cut off from all others.
 const keepersPerAttempt = 3
 
+// Load pattern: each VM begins tens of streams a second and knows up to a hundred and more keepers. Sorting them for
+// each stream would cost more than the datagrams.
+
 // KeepersOf returns the addresses of the VMs that keep the origin of an attempt: one in a failure domain, that of
 // the VM that tells or asks, then those that rank first among all others. VMs whose lists differ by few members
 // choose mostly the same ones, as each VM is ranked by itself.
 func KeepersOf(attempt string, all []Keeper, domain, self string) []string {
-	type candidate struct {
-		address string
-		rank    uint64
-		near    bool
-	}
-	list := make([]candidate, 0, len(all))
+	hash := xxhash.New()
+	_, _ = hash.WriteString(attempt)
+	var near ranked
+	var first [keepersPerAttempt]ranked
 	for _, k := range all {
-		if k.Address != self {
-			list = append(list, candidate{k.Address, xxhash.Sum64String(attempt + "\x00" + k.Address), k.Domain == domain})
+		if k.Address == self {
+			continue
+		}
+		own := *hash
+		_, _ = own.WriteString(k.Address)
+		r := ranked{k.Address, own.Sum64()}
+		if k.Domain == domain && r.before(near) {
+			near = r
+		}
+		for i, other := range first {
+			if r.before(other) {
+				first[i], r = r, other
+			}
 		}
-	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
-	if i := slices.IndexFunc(list, func(c candidate) bool { return c.near }); i > 0 {
-		nearest := list[i]
-		list = slices.Insert(slices.Delete(list, i, i+1), 0, nearest)
 	}
 	var addresses []string
-	for _, c := range list[:min(len(list), keepersPerAttempt)] {
-		addresses = append(addresses, c.address)
+	if near.address != "" {
+		addresses = append(addresses, near.address)
+	}
+	for _, r := range first {
+		if r.address != "" && r.address != near.address && len(addresses) < keepersPerAttempt {
+			addresses = append(addresses, r.address)
+		}
 	}
 	return addresses
 }
+
+// ranked is a VM with its rank for an attempt. The zero value ranks last.
+type ranked struct {
+	address string
+	rank    uint64
+}
+
+func (r ranked) before(other ranked) bool {
+	return other.address == "" || r.address != "" && r.rank > other.rank
+}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -105,3 +105,10 @@
 	s.Put(time.Unix(1, 0), "", Record{"s", "v1"})
 	require.Zero(t, s.Len())
 }
+
+func BenchmarkKeepersOf(b *testing.B) {
+	all := fleet(128, 6)
+	for b.Loop() {
+		KeepersOf("0123456789abcdef", all, all[0].Domain, all[0].Address)
+	}
+}
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -95,13 +95,14 @@
 	}
 	// The relays that the first frames announce include the new VM, so that a relay which has just lost
 	// its hub does not find itself replaced.
-	p.links[d] = true
+	p.links[d], p.keepers.subtreeChanged = true, true
 	if p.withholdsState(now, d) {
 		return p.enqueueWithheld(d)
 	}
 	frames, sent, err := p.fullState(loads)
 	if err != nil {
 		delete(p.links, d)
+		p.keepers.subtreeChanged = true
 		return err
 	}
 	for _, frame := range frames {
@@ -177,6 +178,7 @@
 func (p *Peers) removeLink(d *downlink) {
 	p.mu.Lock()
 	delete(p.links, d)
+	p.keepers.subtreeChanged = true
 	relinked := false
 	for other := range p.links {
 		relinked = relinked || other.vm == d.vm
--- a/peers/keepers.go
+++ b/peers/keepers.go
@@ -37,6 +37,9 @@
 	current   []wire.OriginKeeper
 	currentAt time.Time
 	keepers   []origin.Keeper
+	// subtree is the list of this VM's subtree, made anew when subtreeChanged is set.
+	subtree        []wire.OriginKeeper
+	subtreeChanged bool
 }
 
 // known returns the keepers of a list and those that were on it until shortly before now. It is called whenever the
@@ -88,6 +91,10 @@
 
 // subtreeKeepers returns the keepers of this VM's subtree, itself among them. p.mu must be held.
 func (p *Peers) subtreeKeepers() []wire.OriginKeeper {
+	if p.keepers.subtree != nil && !p.keepers.subtreeChanged {
+		return p.keepers.subtree
+	}
+	p.keepers.subtreeChanged = false
 	var list []wire.OriginKeeper
 	if p.KeepsOrigins {
 		list = append(list, wire.OriginKeeper{Address: p.Address, Domain: p.Domain})
@@ -98,7 +105,8 @@
 		}
 		list = append(list, p.subtrees[d.vm].keepers...)
 	}
-	return boundKeepers(list)
+	p.keepers.subtree = boundKeepers(list)
+	return p.keepers.subtree
 }
 
 // boundKeepers returns a list sorted and without duplicates. Of too many keepers those of each domain stay whose
--- a/peers/term.go
+++ b/peers/term.go
@@ -142,7 +142,7 @@
 func (p *Peers) closeLinks() {
 	p.mu.Lock()
 	links := p.links
-	p.links = nil
+	p.links, p.keepers.subtreeChanged = nil, true
 	p.mu.Unlock()
 	for d := range links {
 		d.conn.Close()
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -347,6 +347,8 @@
 	if s.keepers == nil {
 		// A report lists them only when they have changed.
 		s.keepers = last.keepers
+	} else {
+		p.keepers.subtreeChanged = true
 	}
 	if s.relaying != last.relaying || s.withoutPath != last.withoutPath || s.withoutPathBelow != last.withoutPathBelow || !slices.Equal(s.proxies, last.proxies) {
 		p.signalLoads()
