origin, link, pass: One codec for frames and datagrams, and what the linter wishes

Change: origin encodes with the codec of links, which stood there twice; the body of an instance's answer is closed; the results of writes in tests are named. Behaviour is the same.

--- a/link/codec.go
+++ b/link/codec.go
@@ -29,20 +29,31 @@
 }
 
 // Encode returns a frame in CBOR.
-func Encode(m *wire.Message) ([]byte, error) {
+func Encode(m *wire.Message) ([]byte, error) { return Marshal(m) }
+
+// Marshal returns a wire type in CBOR, as frames are encoded.
+func Marshal(v any) ([]byte, error) {
 	var data []byte
-	if err := codec.NewEncoderBytes(&data, cborHandle).Encode(m); err != nil {
+	if err := codec.NewEncoderBytes(&data, cborHandle).Encode(v); err != nil {
 		return nil, fmt.Errorf("encode frame: %w", err)
 	}
 	return data, nil
 }
 
+// Unmarshal parses a wire type that Marshal has encoded. It returns a trace.BadParameter error for other data.
+func Unmarshal(data []byte, v any) error {
+	if err := codec.NewDecoderBytes(data, cborHandle).Decode(v); err != nil {
+		return trace.BadParameter("frame is not CBOR: %v", err)
+	}
+	return nil
+}
+
 // Decode parses a frame from CBOR. It returns a trace.BadParameter error for a frame that
 // does not have exactly one known member.
 func Decode(data []byte) (*wire.Message, error) {
 	m := new(wire.Message)
-	if err := codec.NewDecoderBytes(data, cborHandle).Decode(m); err != nil {
-		return nil, trace.BadParameter("frame is not CBOR: %v", err)
+	if err := Unmarshal(data, m); err != nil {
+		return nil, err
 	}
 	if n := countMembers(m); n != 1 {
 		return nil, trace.BadParameter("frame has %d known members, not one", n)
--- a/origin/datagram.go
+++ b/origin/datagram.go
@@ -6,8 +6,8 @@
 	"fmt"
 
 	"github.com/gravitational/trace"
-	"github.com/ugorji/go/codec"
 
+	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -18,20 +18,11 @@
 	macBytes = 16
 )
 
-// cborHandle encodes frames as arrays without field names.
-var cborHandle = newHandle()
-
-func newHandle() *codec.CborHandle {
-	h := new(codec.CborHandle)
-	h.Canonical, h.StructToArray = true, true
-	return h
-}
-
 // seal returns a datagram with a frame.
 func seal(key string, frame *wire.OriginDatagram) ([]byte, error) {
-	var data []byte
-	if err := codec.NewEncoderBytes(&data, cborHandle).Encode(frame); err != nil {
-		return nil, fmt.Errorf("encode datagram: %w", err)
+	data, err := link.Marshal(frame)
+	if err != nil {
+		return nil, fmt.Errorf("seal datagram: %w", err)
 	}
 	return append(proof(key, data), data...), nil
 }
@@ -51,8 +42,8 @@
 		return nil, trace.AccessDenied("datagram is not sealed with the fleet's key")
 	}
 	frame := new(wire.OriginDatagram)
-	if err := codec.NewDecoderBytes(data, cborHandle).Decode(frame); err != nil {
-		return nil, trace.BadParameter("datagram is not CBOR: %v", err)
+	if err := link.Unmarshal(data, frame); err != nil {
+		return nil, fmt.Errorf("read datagram: %w", err)
 	}
 	return frame, nil
 }
--- a/origin/exchange_test.go
+++ b/origin/exchange_test.go
@@ -69,11 +69,11 @@
 	vms := startVMs(t, 4)
 	vms[0].Tell("a1", Record{"s", "v1"})
 	awaitKept(t, 1, vms...)
-	r, verdict := vms[0].Ask(t.Context(), "a1")
+	_, verdict := vms[0].Ask(t.Context(), "a1")
 	require.Equal(t, Known, verdict)
 	vms[0].Close()
 	for _, v := range vms[1:] {
-		r, verdict = v.Ask(t.Context(), "a1")
+		r, verdict := v.Ask(t.Context(), "a1")
 		require.Equal(t, Known, verdict)
 		require.Equal(t, Record{"s", "v1"}, r)
 	}
--- a/pass/instance.go
+++ b/pass/instance.go
@@ -65,7 +65,7 @@
 		return time.Time{}, err
 	}
 	body, err := conns.ReadAll(resp.Body, maxProbeBytes)
-	if err != nil {
+	if err := errors.Join(err, resp.Body.Close()); err != nil {
 		return time.Time{}, err
 	}
 	if resp.StatusCode != http.StatusOK || resp.Close {
--- a/pass/versions_test.go
+++ b/pass/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -36,7 +37,7 @@
 			resume(w, r)
 			return
 		}
-		fmt.Fprint(w, versionEvents(version, 1, 1))
+		_, _ = io.WriteString(w, versionEvents(version, 1, 1))
 		w.(http.Flusher).Flush()
 		finish(w, r)
 	}))
@@ -54,7 +55,7 @@
 
 // sendRest sends the second and third event of a version.
 func sendRest(version string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, versionEvents(version, 2, 3)) }
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, versionEvents(version, 2, 3)) }
 }
 
 func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
@@ -131,13 +132,13 @@
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == testProbe.Path {
-			fmt.Fprint(w, startedAt)
+			_, _ = fmt.Fprint(w, startedAt)
 			return
 		}
 		w.Header().Set("Attempt", r.Header.Get("Attempt"))
 		w.Header().Set("Stamp", version)
 		w.Header().Set("Content-Type", typeEvents)
-		fmt.Fprint(w, versionEvents(version, 1, 3))
+		_, _ = io.WriteString(w, versionEvents(version, 1, 3))
 	}))
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
