pass: A list of servers that is older than the request does not say that a version serves no more

Seen in review: a VM that learns of a new version's servers a second after the others told a caller, who took a stream of that version up there, that no server of it serves any more, and not to come back. The statement was not true. Change: only a list that is confirmed as of a moment after the request came says so; until then the call waits for a server like any other, and the controller is asked for one of the version. No datagrams for attempts without an ID. Measured: TestServersOfNewVersionNotListedYet fails before, passes; tests of pass.

--- a/pass/origin.go
+++ b/pass/origin.go
@@ -65,9 +65,10 @@
 	return slices.DeleteFunc(serving, func(e backs.Entry) bool { return !c.binding.allows(e) })
 }
 
-// bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain.
+// bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain. A list that is
+// older than the request does not say so: the servers of a new version may not be on it yet.
 func (g *Gateway) bindingGone(now time.Time, c *call) bool {
-	if !c.binding.begun {
+	if !c.binding.begun || !g.Servers.CurrentAt().After(c.arrived) {
 		return false
 	}
 	return !slices.ContainsFunc(g.Servers.All(now), func(e backs.Entry) bool {
@@ -172,7 +173,7 @@
 // tellOrigin has the binding of a stream kept by other VMs, before its first event is passed on. A caller that takes
 // it up names the attempt that began it.
 func (g *Gateway) tellOrigin(now time.Time, c *call) {
-	if g.TellOrigin == nil || !c.route.Repeatable() || c.binding.version == "" || now.Sub(c.toldAt) < tellInterval {
+	if g.TellOrigin == nil || c.id == "" || !c.route.Repeatable() || c.binding.version == "" || now.Sub(c.toldAt) < tellInterval {
 		return
 	}
 	c.toldAt = now
--- a/pass/versions_test.go
+++ b/pass/versions_test.go
@@ -291,3 +291,21 @@
 	sendAborted(g, w, takeUpRequest("a0"))
 	require.Equal(t, origin.Record{Service: "s", Version: "v1"}, told["a0"])
 }
+
+// Guards against a caller that is told that its version serves no more, as this VM does not know the servers of a new
+// version yet.
+func TestServersOfNewVersionNotListedYet(t *testing.T) {
+	g := testGateway(versionServer("a", "v1", startVersionBackend(t, "v1", breakOff, sendRest("v1"))))
+	useResumableRoute(g)
+	g.FindOrigin = func(context.Context, string) (origin.Record, origin.Verdict) {
+		return origin.Record{Service: "s", Version: "v2"}, origin.Known
+	}
+	g.FindServer = func(ctx context.Context, need backs.Need) (string, error) {
+		require.Equal(t, backs.Need{Service: "s", Model: "m", Version: "v2"}, need)
+		g.Servers.Put(clock.Now(), versionServer("b", "v2", startVersionBackend(t, "v2", breakOff, sendRest("v2"))))
+		return "b", nil
+	}
+	w := httptest.NewRecorder()
+	sendAborted(g, w, takeUpRequest("a0"))
+	require.Equal(t, versionEvents("v2", 2, 3), w.Body.String())
+}
