pass, peers: The binding of a call in a file of its own, and names that say what functions do

Read as a newcomer: binding.go has what a begun stream is bound to and which servers may go on, origin.go how a VM finds that out. servingCall is serversFor, failed is refusal, known is update, as it records. No behaviour changes. Measured: tests of pass and peers.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -258,7 +258,7 @@
 		return false
 	}
 	c.excluded = append(c.excluded, a.choice.Server.ID)
-	choice, ok := g.pickServer(now, c, g.servingCall(now, c))
+	choice, ok := g.pickServer(now, c, g.serversFor(now, c))
 	if ok = ok && choice.HasCapacity() && c.takeRetry(now); ok {
 		c.retryReserved = true
 	} else {
--- /dev/null
+++ b/pass/binding.go
@@ -0,0 +1,56 @@
+package pass
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+)
+
+// What servers of two software versions write into one stream does not fit together, and servers do not check
+// it. From its first event on, a stream is bound to the version that began it, whoever goes on with it.
+
+// binding is what binds a begun stream. The zero value is that of a stream that has not begun.
+type binding struct {
+	begun bool
+	// version is the software version that began the stream, empty if it is unknown. Then only server, the
+	// ID of the instance that began it, may go on.
+	version, server string
+}
+
+// bindingAt returns the binding of a stream that begins at a server.
+func bindingAt(e backs.Entry) binding {
+	return binding{begun: true, version: e.SoftwareVersion, server: e.ID}
+}
+
+// allows reports whether a server may go on with the stream.
+func (b binding) allows(e backs.Entry) bool {
+	if !b.begun {
+		return true
+	}
+	if b.version == "" {
+		return e.ID == b.server
+	}
+	return e.SoftwareVersion == b.version
+}
+
+// serversFor returns the servers that may get new requests and may go on with the call's stream. Whatever
+// counts the servers of a call counts these.
+func (g *Gateway) serversFor(now time.Time, c *call) []backs.Entry {
+	serving := g.Servers.Serving(now, c.service.Name)
+	if !c.binding.begun {
+		return serving
+	}
+	return slices.DeleteFunc(serving, func(e backs.Entry) bool { return !c.binding.allows(e) })
+}
+
+// bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain. A list that is
+// older than the request does not say so: the servers of a new version may not be on it yet.
+func (g *Gateway) bindingGone(now time.Time, c *call) bool {
+	if !c.binding.begun || !g.Servers.CurrentAt().After(c.arrived) {
+		return false
+	}
+	return !slices.ContainsFunc(g.Servers.All(now), func(e backs.Entry) bool {
+		return e.Service == c.service.Name && !e.Draining && c.binding.allows(e)
+	})
+}
--- a/pass/call.go
+++ b/pass/call.go
@@ -74,8 +74,8 @@
 	boundBy string
 	// toldAt is when the keepers of the stream's origin were told last.
 	toldAt time.Time
-	// failed is why the call has no server.
-	failed error
+	// refusal is why the call got no server.
+	refusal error
 	// resumes is the attempt that began the stream which the caller takes up, "" for a new request.
 	resumes string
 	// endsByClose is set if the response to the caller ends with its connection.
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -64,7 +64,7 @@
 		}
 		g.beginViaProxies(c)
 		changed := g.Servers.Changed()
-		serving := g.servingCall(now, c)
+		serving := g.serversFor(now, c)
 		if len(serving) == 0 && g.bindingGone(now, c) {
 			g.Meter.AddCounter("pass.version_gone", 1)
 			return pick.Choice{}, errVersionGone
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -244,7 +244,7 @@
 		return
 	}
 	if err := g.bind(ctx, c); err != nil {
-		c.reason, c.failed = err.Error(), err
+		c.reason, c.refusal = err.Error(), err
 		g.fail(ctx, w, c)
 		return
 	}
@@ -263,7 +263,7 @@
 	for {
 		choice, err := g.chooseServerTraced(ctx, c)
 		if err != nil {
-			c.reason, c.failed = err.Error(), err
+			c.reason, c.refusal = err.Error(), err
 			break
 		}
 		done := g.sendAttempt(ctx, w, c, choice)
@@ -334,7 +334,7 @@
 		c.status = http.StatusUnauthorized
 	case !c.mayHaveRun:
 		c.status = http.StatusServiceUnavailable
-		if !endsStream(c.failed) {
+		if !endsStream(c.refusal) {
 			w.Header().Set(headerRetryAfter, g.retryAfter(c.retryAfter))
 		}
 	case ctx.Err() != nil:
@@ -347,8 +347,8 @@
 	if c.blocked && !c.mayHaveRun {
 		text = errBlocked.Error() + "; it was not run, and is not before the time in " + headerRetryAfter
 	}
-	if endsStream(c.failed) && !c.mayHaveRun {
-		text = endedStream(c.failed)
+	if endsStream(c.refusal) && !c.mayHaveRun {
+		text = endedStream(c.refusal)
 	}
 	http.Error(w, text, c.status)
 }
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -8,14 +8,13 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/origin"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
-// What servers of two software versions write into one stream does not fit together, and servers do not check
-// it. From its first event on, a stream is bound to the version that began it, whoever goes on with it.
+// A caller that takes a stream up names the attempt that brought its first event. The VM that it reaches finds out
+// where that stream began, or refuses.
 
 var (
 	// errResumes is returned for a request that does not name one attempt as the one that began its stream.
@@ -26,56 +25,10 @@
 	errOriginUnanswered = errors.New("the VMs that may know which software version began the stream did not answer")
 	// errRouteChanged is returned for a stream that began at a service to which its route no longer leads.
 	errRouteChanged = errors.New("the route no longer leads to the service that began the stream; begin it anew")
+	// errVersionGone is returned for a begun stream of whose software version no server serves any more.
+	errVersionGone = errors.New("no server of the software version that began the stream serves any more; begin it anew")
 )
 
-// errVersionGone is returned for a begun stream of whose software version no server serves any more.
-var errVersionGone = errors.New("no server of the software version that began the stream serves any more; begin it anew")
-
-// binding is what binds a begun stream. The zero value is that of a stream that has not begun.
-type binding struct {
-	begun bool
-	// version is the software version that began the stream, empty if it is unknown. Then only server, the
-	// ID of the instance that began it, may go on.
-	version, server string
-}
-
-// bindingAt returns the binding of a stream that begins at a server.
-func bindingAt(e backs.Entry) binding {
-	return binding{begun: true, version: e.SoftwareVersion, server: e.ID}
-}
-
-// allows reports whether a server may go on with the stream.
-func (o binding) allows(e backs.Entry) bool {
-	if !o.begun {
-		return true
-	}
-	if o.version == "" {
-		return e.ID == o.server
-	}
-	return e.SoftwareVersion == o.version
-}
-
-// servingCall returns the servers that may get new requests and may go on with the call's stream. Whatever
-// counts the servers of a call counts these.
-func (g *Gateway) servingCall(now time.Time, c *call) []backs.Entry {
-	serving := g.Servers.Serving(now, c.service.Name)
-	if !c.binding.begun {
-		return serving
-	}
-	return slices.DeleteFunc(serving, func(e backs.Entry) bool { return !c.binding.allows(e) })
-}
-
-// bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain. A list that is
-// older than the request does not say so: the servers of a new version may not be on it yet.
-func (g *Gateway) bindingGone(now time.Time, c *call) bool {
-	if !c.binding.begun || !g.Servers.CurrentAt().After(c.arrived) {
-		return false
-	}
-	return !slices.ContainsFunc(g.Servers.All(now), func(e backs.Entry) bool {
-		return e.Service == c.service.Name && !e.Draining && c.binding.allows(e)
-	})
-}
-
 // endsStream reports whether a failure means that a begun stream can not go on, however often it is tried.
 func endsStream(err error) bool {
 	return errors.Is(err, errVersionGone) || errors.Is(err, errOriginUnknown) || errors.Is(err, errRouteChanged)
--- a/peers/keepers.go
+++ b/peers/keepers.go
@@ -33,7 +33,7 @@
 	named, sent, reported []wire.OriginKeeper
 	// lostAt is when a keeper was named last, for those that are named no more.
 	lostAt map[wire.OriginKeeper]time.Time
-	// current is what known listed last, at currentAt, and keepers what it returned.
+	// current is the list that update recorded last, at currentAt, and keepers what it returned.
 	current   []wire.OriginKeeper
 	currentAt time.Time
 	keepers   []origin.Keeper
@@ -42,9 +42,9 @@
 	subtreeChanged bool
 }
 
-// known returns the keepers of a list and those that were on it until shortly before now. It is called whenever the
-// list changes.
-func (k *keeperList) known(now time.Time, list []wire.OriginKeeper) []origin.Keeper {
+// update records a list and returns its keepers with those that were on it until shortly before now. It is called
+// whenever the list changes.
+func (k *keeperList) update(now time.Time, list []wire.OriginKeeper) []origin.Keeper {
 	for _, keeper := range k.current {
 		if !slices.Contains(list, keeper) {
 			if k.lostAt == nil {
@@ -77,7 +77,7 @@
 	if since := now.Sub(p.keepers.currentAt); since >= 0 && since < keeperUpdateInterval {
 		return p.keepers.keepers
 	}
-	return p.keepers.known(now, p.fleetKeepers())
+	return p.keepers.update(now, p.fleetKeepers())
 }
 
 // fleetKeepers returns the keepers of the whole fleet as far as this VM knows them: the list of its hub, or that of
@@ -135,7 +135,7 @@
 // last. p.mu must be held.
 func (p *Peers) takeChangedKeepers() []wire.OriginKeeper {
 	list := p.fleetKeepers()
-	p.keepers.known(p.Now(), list)
+	p.keepers.update(p.Now(), list)
 	if slices.Equal(list, p.keepers.sent) {
 		return nil
 	}
--- a/peers/keepers_test.go
+++ b/peers/keepers_test.go
@@ -67,11 +67,11 @@
 	now := time.Unix(1000, 0)
 	a, b := wire.OriginKeeper{Address: "a", Domain: "d"}, wire.OriginKeeper{Address: "b", Domain: "d"}
 	k := &keeperList{}
-	require.Len(t, k.known(now, []wire.OriginKeeper{a, b}), 2)
-	require.Len(t, k.known(now.Add(time.Second), []wire.OriginKeeper{a}), 2)
-	require.Len(t, k.known(now.Add(keeperLinger), []wire.OriginKeeper{a}), 2)
-	require.Equal(t, []origin.Keeper{{Address: "a", Domain: "d"}}, k.known(now.Add(time.Second+keeperLinger), []wire.OriginKeeper{a}))
-	require.Len(t, k.known(now.Add(2*keeperLinger), []wire.OriginKeeper{a, b}), 2)
+	require.Len(t, k.update(now, []wire.OriginKeeper{a, b}), 2)
+	require.Len(t, k.update(now.Add(time.Second), []wire.OriginKeeper{a}), 2)
+	require.Len(t, k.update(now.Add(keeperLinger), []wire.OriginKeeper{a}), 2)
+	require.Equal(t, []origin.Keeper{{Address: "a", Domain: "d"}}, k.update(now.Add(time.Second+keeperLinger), []wire.OriginKeeper{a}))
+	require.Len(t, k.update(now.Add(2*keeperLinger), []wire.OriginKeeper{a, b}), 2)
 	require.Empty(t, k.lostAt)
 }
 
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -307,7 +307,7 @@
 	p.mu.Lock()
 	if len(s.ZStreamKeepers) > 0 {
 		p.keepers.named = s.ZStreamKeepers
-		p.keepers.known(now, s.ZStreamKeepers)
+		p.keepers.update(now, s.ZStreamKeepers)
 	}
 	p.externalLoads = pick.SubtractLoads(loadsOf(s.Loads), up.lastReported())
 	p.reportInterval = time.Duration(s.PauseMs) * time.Millisecond
