steer: Only while several software versions serve are models loaded beside the plan

Change: without another version among the servers that do not drain, a find leaves models to the plan, as before. Measured: a case of TestModelLoadsAtServerOfNeededVersion, which ordered a load before.

--- a/steer/versions.go
+++ b/steer/versions.go
@@ -26,6 +26,9 @@
 func (c *Controller) loadModelForVersion(ctx context.Context, now time.Time, service routes.Service, need backs.Need) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.mixedVersions(service.Name) {
+		return
+	}
 	if c.versionNeeds == nil {
 		c.versionNeeds = make(map[versionNeed]time.Time)
 	}
@@ -70,6 +73,21 @@
 	})
 }
 
+// mixedVersions reports whether servers of several software versions serve. Otherwise the plan alone decides on models.
+func (c *Controller) mixedVersions(service string) bool {
+	version := ""
+	for _, s := range c.serversOf(service) {
+		if s.entry.Draining {
+			continue
+		}
+		if version != "" && s.entry.SoftwareVersion != version {
+			return true
+		}
+		version = s.entry.SoftwareVersion
+	}
+	return false
+}
+
 // modelToYield returns the model that has to be unloaded at a server before another one fits, "" if none has to. It
 // returns false if none may.
 func (c *Controller) modelToYield(now time.Time, s *Server, service routes.Service, m routes.Model) (victim string, ok bool) {
--- a/steer/versions_test.go
+++ b/steer/versions_test.go
@@ -22,6 +22,7 @@
 		"another model yields":     {[]backs.LoadedModel{{Model: "m2"}}, "v2", []Order{{Unload: true, Model: "m2"}}},
 		"it is there":              {both, "v2", nil},
 		"no server of the version": {nil, "v3", nil},
+		"one version serves":       {nil, "v1", nil},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -30,7 +31,13 @@
 			var calls []func()
 			c.Spawn = func(call func()) { calls = append(calls, call) }
 			first := backs.Entry{ID: "a", Service: "s", SoftwareVersion: "v1", Models: both}
+			if name == "one version serves" {
+				first.Models = []backs.LoadedModel{{Model: "m2"}}
+			}
 			second := backs.Entry{ID: "b", Service: "s", SoftwareVersion: "v2", Models: tc.models}
+			if name == "one version serves" {
+				second.SoftwareVersion = "v1"
+			}
 			c.Servers.Replace(now, []backs.Entry{first, second})
 			c.syncServers(now, "s")
 			for _, s := range c.serversOf("s") {
