--- a/trail/line.go
+++ b/trail/line.go
@@ -43,18 +43,21 @@
 	SoftwareVersions []string `json:"software_versions"`
 	Resumes          string   `json:"resumes"`
 	ResumedAfter     string   `json:"resumed_after"`
-	Status           int      `json:"status"`
-	Reason           string   `json:"reason"`
-	Objective        float64  `json:"objective"`
-	PauseLimit       float64  `json:"pause_limit"`
-	Predicted        float64  `json:"predicted"`
-	Running          int      `json:"running"`
-	FirstEvent       float64  `json:"first_event"`
-	LongestPause     float64  `json:"longest_pause"`
-	Events           int      `json:"events"`
-	AdmissionWait    float64  `json:"held"`
-	FindWait         float64  `json:"sought"`
-	Duration         float64  `json:"took"`
+	// BoundVersion is the version that the request was bound to, and BoundBy how that was found out.
+	BoundVersion  string  `json:"bound_version"`
+	BoundBy       string  `json:"bound_by"`
+	Status        int     `json:"status"`
+	Reason        string  `json:"reason"`
+	Objective     float64 `json:"objective"`
+	PauseLimit    float64 `json:"pause_limit"`
+	Predicted     float64 `json:"predicted"`
+	Running       int     `json:"running"`
+	FirstEvent    float64 `json:"first_event"`
+	LongestPause  float64 `json:"longest_pause"`
+	Events        int     `json:"events"`
+	AdmissionWait float64 `json:"held"`
+	FindWait      float64 `json:"sought"`
+	Duration      float64 `json:"took"`
 
 	// ServerLeaving and ServerRetryAfter are what the last response said about its server.
 	ServerLeaving    bool   `json:"server_leaving"`
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -110,6 +110,9 @@
 	if l.ResumedAfter != "" {
 		text += fmt.Sprintf("; request %s takes up attempt %s after event %s", l.Request, cmp.Or(l.Resumes, "(not named)"), l.ResumedAfter)
 	}
+	if l.BoundBy != "" {
+		text += fmt.Sprintf("; bound to %s by %s", l.BoundVersion, l.BoundBy)
+	}
 	return text
 }
 
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -225,7 +225,7 @@
 func TestTimelineNamesSoftwareVersions(t *testing.T) {
 	const lines = `{"vm":"vm-1","request":"r1","server":"s1","software_version":"v1","reason":"read stream: EOF","time":"2026-01-01T00:00:01Z","message":"try failed"}
 {"vm":"vm-1","request":"r1","servers":["s1","s2"],"software_versions":["v1","v2"],"sends":2,"status":599,"time":"2026-01-01T00:00:02Z","message":"request"}
-{"vm":"vm-2","request":"r2","servers":["s3"],"software_versions":["v3"],"resumes":"r1","resumed_after":"7","sends":1,"status":200,"time":"2026-01-01T00:00:03Z","message":"request"}
+{"vm":"vm-2","request":"r2","servers":["s3"],"software_versions":["v3"],"resumes":"r1","resumed_after":"7","bound_by":"record","bound_version":"v3","sends":1,"status":200,"time":"2026-01-01T00:00:03Z","message":"request"}
 `
 	log := &trail.Log{RequestID: "r1"}
 	require.NoError(t, log.Read("lines", strings.NewReader(lines)))
@@ -233,5 +233,5 @@
 	require.NoError(t, log.WriteTimeline(&out))
 	require.Contains(t, out.String(), "s1 (v1) did not answer: read stream: EOF")
 	require.Contains(t, out.String(), "software versions v1, v2")
-	require.Contains(t, out.String(), "software versions v3; request r2 takes up attempt r1 after event 7")
+	require.Contains(t, out.String(), "software versions v3; request r2 takes up attempt r1 after event 7; bound to v3 by record")
 }
