--- a/steer/versions.go
+++ b/steer/versions.go
@@ -33,33 +33,41 @@
 		c.versionNeeds = make(map[versionNeed]time.Time)
 	}
 	c.versionNeeds[versionNeed{service.Name, need.Model, need.Version}] = now
-	model := service.Engine.Models[need.Model]
-	var best *Server
-	victim := ""
+	s, victim := c.serverForModel(now, service, need)
+	switch {
+	case s == nil:
+	case victim != "":
+		s.Reserve(now, need.Model)
+		c.sendAsync(context.WithoutCancel(ctx), s, Order{Unload: true, Model: victim}, 0)
+	default:
+		c.loadModelAt(context.WithoutCancel(ctx), now, s, service, service.Engine.Models[need.Model])
+	}
+}
+
+// serverForModel returns the server of a version at which a model is to be loaded, and the model that has to yield
+// there, "" for none. It returns nil if a server of the version has the model or will have it, or none can take it.
+func (c *Controller) serverForModel(now time.Time, service routes.Service, need backs.Need) (best *Server, victim string) {
 	for _, s := range c.serversOf(service.Name) {
 		if !need.AllowsVersion(s.entry) || !c.reachable(now, s) {
 			continue
 		}
 		if r := s.models[need.Model]; r != nil && r.phase != unloading || s.ReservedFor(now) == need.Model {
-			return
+			return nil, ""
 		}
 		if !s.AcceptsOrders(now) || c.orderInFlight[s.entry.ID] || s.ReservedFor(now) != "" {
 			continue
 		}
-		yields, ok := c.modelToYield(now, s, service, model)
+		yields, ok := c.modelToYield(now, s, service, service.Engine.Models[need.Model])
 		if ok && (best == nil || yields == "" && victim != "") {
 			best, victim = s, yields
 		}
 	}
-	if best == nil {
-		return
-	}
-	if victim != "" {
-		best.Reserve(now, model.Name)
-		c.sendAsync(context.WithoutCancel(ctx), best, Order{Unload: true, Model: victim}, 0)
-		return
-	}
-	loadTime, fromStore := best.loadTime(model)
+	return best, victim
+}
+
+// loadModelAt orders a model to be loaded at a server, unless the weight store allows no further load now.
+func (c *Controller) loadModelAt(ctx context.Context, now time.Time, s *Server, service routes.Service, m routes.Model) {
+	loadTime, fromStore := s.loadTime(m)
 	limiter := c.loadLimiter(service)
 	var start *LoadStart
 	if fromStore {
@@ -68,7 +76,7 @@
 		}
 		start = limiter.Start(now)
 	}
-	c.sendAsyncWithCallback(context.WithoutCancel(ctx), best, Order{Model: model.Name}, loadTime, func(result OrderResult) {
+	c.sendAsyncWithCallback(ctx, s, Order{Model: m.Name}, loadTime, func(result OrderResult) {
 		limiter.RecordResult(c.Now(), start, result)
 	})
 }
@@ -98,7 +106,7 @@
 	demand := c.demand(service.Name)
 	least := 0.0
 	for name, r := range s.models {
-		if r.phase != loaded || free+service.Engine.Models[name].SizeMB < m.SizeMB || c.lastReplica(s, service.Name, name) || c.neededAt(now, s, service.Name, name) {
+		if r.phase != loaded || free+service.Engine.Models[name].SizeMB < m.SizeMB || !c.loadedElsewhere(s, service.Name, name, "") || c.neededAt(now, s, service.Name, name) {
 			continue
 		}
 		if work := demand.Work(now, name); victim == "" || work < least || work == least && name < victim {
@@ -108,11 +116,6 @@
 	return victim, victim != ""
 }
 
-// lastReplica reports whether no other server has a model loaded.
-func (c *Controller) lastReplica(s *Server, service, model string) bool {
-	return !c.loadedElsewhere(s, service, model, "")
-}
-
 // loadedElsewhere reports whether another server of a software version, or of any, has a model loaded.
 func (c *Controller) loadedElsewhere(s *Server, service, model, version string) bool {
 	need := backs.Need{Version: version}
