--- a/pass/call_test.go
+++ b/pass/call_test.go
@@ -18,7 +18,7 @@
 )
 
 var testHeaderNames = &HeaderNames{
-	AttemptID: "Attempt", Resumes: "Resumes", Deadline: "Deadline", ExpectServer: "Expect-Server", ServerStamp: "Stamp", NotExecuted: "Not-Run", Leaving: "Leaving", RejectLimit: "Reject-Limit",
+	AttemptID: "Attempt", Resumes: "Begun-As", Deadline: "Deadline", ExpectServer: "Expect-Server", ServerStamp: "Stamp", NotExecuted: "Not-Run", Leaving: "Leaving", RejectLimit: "Reject-Limit",
 	Model: "Model", TokenUsage: "Usage", PromptPrefix: "Prefix", Priority: "Priority", Key: "Key", Team: "Team", Reserved: []string{"Pin"},
 	ParseModel:      func(s string) (string, string) { m, a, _ := strings.Cut(s, "/"); return m, a },
 	ParseTokenUsage: func(string) (int, int) { return 10, 20 },
--- a/pass/versions_test.go
+++ b/pass/versions_test.go
@@ -196,7 +196,7 @@
 func takeUpRequest(resumes ...string) *http.Request {
 	r := newStreamRequest()
 	r.Header.Set("Last-Event-Id", "1")
-	r.Header["Resumes"] = resumes
+	r.Header[testHeaderNames.Resumes] = resumes
 	return r
 }
 
