pass, retry, trail: Each decision about a repeat is logged, and explain shows who sent the most of them

The lines of a request did not say by which limit a second send was allowed or refused, so the three hypotheses of the incident could not be told apart. New: a line "retry" with what was spent, the requests counted, the limit and the number of VMs; counters pass.retries and pass.retries_refused; in explain the worst window of each service with the repeats of processes that had started within it. No decision changes.

--- a/cmd/hibiscuscart/explain.go
+++ b/cmd/hibiscuscart/explain.go
@@ -32,6 +32,7 @@
 	fs.StringVar(&opts.Model, "model", "", "include only requests for this model")
 	fs.IntVar(&opts.Top, "top", 0, "maximum rows in the tables of causes, models and servers (default 10)")
 	fs.DurationVar(&opts.Window, "window", 0, "time span of each row in the timeline table (default 2s)")
+	fs.DurationVar(&opts.RetryWindow, "retry-window", 0, "window in which repeats are counted, as in [retries] window (default 10s)")
 	plotFile := fs.String("plot", "", "also write a plot to this `FILE`, .svg or .png")
 	if err := fs.Parse(args); err != nil {
 		return err
@@ -44,6 +45,8 @@
 		return usageErrorf("-top must not be negative")
 	case opts.Window < 0 || opts.Window > 0 && opts.Window < time.Millisecond:
 		return usageErrorf("-window must be at least 1ms")
+	case opts.RetryWindow < 0:
+		return usageErrorf("-retry-window must not be negative")
 	case *requestID != "" && (opts.Model != "" || *plotFile != ""):
 		return usageErrorf("-request cannot be combined with -model or -plot")
 	case *spread && (*requestID != "" || opts.Model != "" || *plotFile != ""):
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -65,7 +65,7 @@
 	}
 	// Only requests that reach a server contribute to an overload, so only sends count against the
 	// retry budget, and failed connections do not.
-	if c.sends > 0 && !c.takeRetry(now) {
+	if c.sends > 0 && !g.takeRetry(now, c, server) {
 		c.budgetExhausted = true
 		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, c.reason+"; retry budget exhausted")
@@ -259,7 +259,7 @@
 	}
 	c.excluded = append(c.excluded, a.choice.Server.ID)
 	choice, ok := g.pickServer(now, c, g.serversFor(now, c))
-	if ok = ok && choice.HasCapacity() && c.takeRetry(now); ok {
+	if ok = ok && choice.HasCapacity() && g.takeRetry(now, c, choice.Server.ID); ok {
 		c.retryReserved = true
 	} else {
 		c.excluded = c.excluded[:len(c.excluded)-1]
--- a/pass/call.go
+++ b/pass/call.go
@@ -193,16 +193,6 @@
 	c.eventCount += bytes.Count(events, eventSeparator)
 }
 
-// takeRetry consumes the reserved retry or one of the retry budget, and reports whether there was
-// one.
-func (c *call) takeRetry(now time.Time) bool {
-	if c.retryReserved {
-		c.retryReserved = false
-		return true
-	}
-	return c.retryBudget.Allow(now)
-}
-
 // remaining returns the time until the deadline.
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
--- /dev/null
+++ b/pass/retry.go
@@ -0,0 +1,28 @@
+package pass
+
+import "time"
+
+// takeRetry consumes the reserved retry of a call or one of the retry budget, and reports whether there was
+// one.
+func (g *Gateway) takeRetry(now time.Time, c *call, server string) bool {
+	if c.retryReserved {
+		c.retryReserved = false
+		return true
+	}
+	allowed := c.retryBudget.Allow(now)
+	g.logRetry(now, c, server, allowed)
+	return allowed
+}
+
+// logRetry logs what a retry was allowed or refused by. The lines of all VMs together show whether their parts
+// of the budget add up to more than all of them may send.
+func (g *Gateway) logRetry(now time.Time, c *call, server string, allowed bool) {
+	usage := c.retryBudget.Usage(now)
+	name := "pass.retries_refused"
+	if allowed {
+		name = "pass.retries"
+	}
+	g.Meter.AddCounter(name, 1)
+	g.Log.Info().Str("request", c.id).Str("service", c.service.Name).Str("server", server).Int("sends", c.sends).Bool("allowed", allowed).
+		Int("spent", usage.Retries).Int("requests", usage.Requests).Float64("limit", usage.Limit).Int("vms", g.vmCount()).Msg("retry")
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -59,10 +59,34 @@
 func (w *SlidingWindow) Allow(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	current := w.slot(now)
-	requests, retries := 0.0, 1.0
+	requests, retries := w.sums(now)
+	if w.window <= 0 || retries+1 > w.limit(requests) {
+		return false
+	}
+	w.slot(now).retries++
+	return true
+}
+
+// Usage is what a SlidingWindow holds for the window that ends now.
+type Usage struct {
+	// Requests and Retries are the counts in the window, Limit the number of retries allowed in it.
+	Requests, Retries int
+	Limit             float64
+}
+
+// Usage returns the counts and the limit of the window that ends now.
+func (w *SlidingWindow) Usage(now time.Time) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	requests, retries := w.sums(now)
+	return Usage{Requests: int(requests), Retries: int(retries), Limit: w.limit(requests)}
+}
+
+// sums returns the requests and retries that count for the window that ends now. w.mu is held.
+func (w *SlidingWindow) sums(now time.Time) (requests, retries float64) {
+	current := w.slotIndex(now)
 	for _, s := range w.slots {
-		age := current.index - s.index
+		age := current - s.index
 		if age < windowSlotCount {
 			retries += s.retries
 		}
@@ -70,9 +94,10 @@
 			requests += s.requests
 		}
 	}
-	if w.window <= 0 || retries > w.retriesPerRequest*requests+w.extraRetries {
-		return false
-	}
-	current.retries++
-	return true
+	return requests, retries
+}
+
+// limit returns the number of retries allowed for a number of requests. w.mu is held.
+func (w *SlidingWindow) limit(requests float64) float64 {
+	return w.retriesPerRequest*requests + w.extraRetries
 }
--- a/trail/line.go
+++ b/trail/line.go
@@ -77,6 +77,11 @@
 	Unload          bool   `json:"unload"`
 	OrderResult     int    `json:"verdict"`
 
+	// Allowed and VMs are of a repeat: whether the retry budget allowed it, and the number of VMs that it is
+	// divided among.
+	Allowed bool `json:"allowed"`
+	VMs     int  `json:"vms"`
+
 	Revision int    `json:"revision"`
 	Holder   string `json:"holder"`
 }
--- a/trail/log.go
+++ b/trail/log.go
@@ -82,6 +82,9 @@
 	vms      map[textID]bool
 	requests []Request
 	orders   []order
+	// repeats are the requests sent once more, and starts when each VM's processes started.
+	repeats []repeat
+	starts  map[textID][]int64
 	// failedAttempts counts the failed attempts, by server and reason.
 	failedAttempts map[failedAttempt]int
 	// changes holds when each VM first stated that it knows of a change, and running from when to
@@ -189,6 +192,10 @@
 		l.requests = append(l.requests, l.newRequest(vm, &parsed))
 	case messageAttemptFailed:
 		l.failedAttempts[failedAttempt{l.texts.id(parsed.Server), l.texts.id(normalizeReason(parsed.Reason))}]++
+	case messageRetry:
+		l.addRepeat(vm, &parsed)
+	case messageStarted:
+		l.addStart(vm, parsed.Time.UnixNano())
 	case messageOrder:
 		if parsed.Adapter == "" {
 			l.orders = append(l.orders, order{parsed.Time.UnixNano(), l.texts.id(parsed.Model), l.texts.id(parsed.Server), parsed.Unload, int8(parsed.OrderResult)})
@@ -206,7 +213,7 @@
 func (l *Log) newRequest(vm textID, parsed *logLine) Request {
 	outcome, cause := classify(parsed)
 	r := Request{
-		at: parsed.Time.UnixNano(), vm: vm, route: l.texts.id(parsed.Route), model: l.texts.id(parsed.Model),
+		at: parsed.Time.UnixNano(), vm: vm, route: l.texts.id(parsed.Route), service: l.texts.id(parsed.Service), model: l.texts.id(parsed.Model),
 		outcome: outcome, cause: l.texts.id(cause), attempts: uint8(min(parsed.Attempts, 255)),
 		streamed: parsed.PauseLimit > 0, sentDirectly: parsed.Attempts == 1 && parsed.AdmissionWait == 0 && parsed.FindWait == 0,
 		objective: float32(parsed.Objective), predicted: float32(parsed.Predicted), firstEvent: float32(parsed.FirstEvent),
--- a/trail/request.go
+++ b/trail/request.go
@@ -22,7 +22,7 @@
 // Request holds the data of a request's log line.
 type Request struct {
 	at                                    int64
-	vm, route, model                      textID
+	vm, route, service, model             textID
 	server, cause                         textID
 	outcome                               Outcome
 	attempts                              uint8
--- a/trail/tables.go
+++ b/trail/tables.go
@@ -18,17 +18,23 @@
 	Top int
 	// Window is the time span per row of the table by time; 0 selects two seconds.
 	Window time.Duration
+	// RetryWindow is the window in which repeats are counted; 0 selects ten seconds.
+	RetryWindow time.Duration
 	// Model restricts the report to the requests for a model, unless it is "".
 	Model string
 }
 
 const (
-	defaultTop    = 10
-	defaultWindow = 2 * time.Second
+	defaultTop         = 10
+	defaultWindow      = 2 * time.Second
+	defaultRetryWindow = 10 * time.Second
 )
 
 func (o Options) top() int              { return cmp.Or(o.Top, defaultTop) }
 func (o Options) window() time.Duration { return cmp.Or(o.Window, defaultWindow) }
+func (o Options) retryWindow() time.Duration {
+	return cmp.Or(o.RetryWindow, defaultRetryWindow)
+}
 
 // outcomeCounts counts requests by outcome.
 type outcomeCounts struct{ total, inTime, late, lost int }
@@ -98,6 +104,7 @@
 	l.writeCauses(t, requests, o, Lost, "lost by reason")
 	if o.Model == "" {
 		l.writeModels(t, requests, o)
+		l.writeRepeats(t, o)
 	} else {
 		l.writeOrders(t, o)
 	}
