link: A refused link leaves no connection behind

Found by the simulated fleet of the retry tests: 1,650 idle connections at one VM after some minutes in which VMs asked relays for a link that had no hub yet. Cause: each dial has a transport of its own; a response that refuses the link is read whole, so its connection goes back to that transport's idle pool, which nobody uses or closes, and the VM that refused has no idle timeout on its port for links. Each try costs a descriptor at both ends for as long as both processes live.

Change: the pool is closed after the dial. An accepted link is no longer part of it. Before, 20 refused dials left 20 connections (the test fails, with a bound of 2 s); now none.

--- a/link/conn.go
+++ b/link/conn.go
@@ -128,6 +128,8 @@
 		scheme = "wss"
 	}
 	client := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, TLSClientConfig: d.TLS}}
+	// A VM that refuses the link keeps the connection open for a next request, which never comes.
+	defer client.CloseIdleConnections()
 	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{
 		HTTPClient: client,
 		HTTPHeader: http.Header{"Authorization": {"Bearer " + d.Key}},
