retry, peers: What a process spent of the retries of all VMs is taken as spent, and VMs out of sight keep their parts

What callers saw: services in trouble got more second sends than all VMs together may send, when VMs were killed while servers broke answers (7 VMs: 219 in 10 s where 157 were allowed).

Cause: what was spent lived in the process. Each start had its part of the extra retries anew. The class: what was spent must outlive the spender, or be taken as spent. Looked for elsewhere, the same class showed in these places: - the number of parts was that of the VMs linked to the hub: when others are cut off or dead, those in sight divided by fewer while the others kept theirs (a domain cut off and the others restarted: 240 of 180 in the simulation); - a VM that nobody has counted used an eighth of all, the default; - a changed length of the window in the settings forgot what was spent; - a retry that was reserved for a failover counted when it was reserved, and could be sent seconds later.

Change: retry.Budgets holds the budgets of a VM, retry.Part its part. A process has none before a window has passed since the controller first counted it, and none when it has not been counted for nine minutes. The controller divides by the largest number of VMs of the last ten minutes in each failure domain; VMs in sight divide only what those out of sight do not hold. The lease record tells the next holder. A VM without a part still sends a share of its own requests.

--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,7 @@
 	crashTracker   *poison.Tracker
 	rateLimits     *limit.Limits
 	quotas         *limit.Quotas
+	retries        *retry.Budgets
 	// paths knows whether this VM reaches the servers; pathSuspected wakes the probes.
 	paths         *paths.Tracker
 	origins       *origin.Exchange
@@ -121,10 +122,11 @@
 	// confirmedAt is when the store last confirmed that this VM's data is current, by kind.
 	confirmedAt map[string]time.Time
 	// failedCalls is the number of consecutive store calls that failed, by kind.
-	failedCalls  map[string]int
-	retryBudgets map[string]*retry.SlidingWindow
+	failedCalls map[string]int
 
 	stopping atomic.Bool
+	// retryPartVMs is among how many VMs this one divided the extra retries when it last looked, for the log.
+	retryPartVMs int
 	// readiness is the last answer to a readiness check, for the log.
 	readiness atomic.Value
 	// waitContext is canceled to end the waits of requests for a server.
@@ -144,12 +146,13 @@
 	}
 	n := &Node{
 		config: c, now: c.Now, meter: meter.New(), serverView: &backs.View{Heartbeat: s.Duration("servers", "heartbeat")}, connPool: &conns.Pool{DialFunc: c.DialServer}, rateLimits: &limit.Limits{}, quotas: &limit.Quotas{AlwaysTight: s.Text("quotas", "tokens") == "always"},
-		log:          c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
-		balancer:     &pick.Balancer{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
-		retryBudgets: make(map[string]*retry.SlidingWindow), configChange: make(chan struct{}), confirmedAt: make(map[string]time.Time),
+		log:      c.Log.With().Str("vm", s.Text("vm", "name")).Logger(),
+		balancer: &pick.Balancer{Domain: s.Text("vm", "failure_domain"), Seed: xxhash.Sum64String(s.Text("vm", "name"))},
+		retries:  &retry.Budgets{}, configChange: make(chan struct{}), confirmedAt: make(map[string]time.Time),
 		failedCalls: make(map[string]int), pathSuspected: make(chan struct{}, 1),
 	}
 	n.activeSettings.Store(s)
+	n.retries.Configure(n.now(), retryRules(s))
 	n.paths = &paths.Tracker{OnSuspicion: n.suspectPath, OnChange: n.pathChanged}
 	n.config.Objects = c.Objects.WithResponseObserver(func() { n.serverView.RecordStoreAnswer(n.now()) })
 	n.serverView.OnMissing, n.serverView.OnNotice = n.handleMissing, n.handleNotice
@@ -169,14 +172,14 @@
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, StoreUnreachable: n.storeUnreachable,
-		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, Limits: n.rateLimits, Quotas: n.quotas, EqualQuotas: s.Text("quotas", "tokens") == "equal",
+		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
 		HasPath: func() bool { return !n.paths.Lost() }, KeepsOrigins: true, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
 	n.lease.HasPath = func() bool { return !n.paths.Lost() }
 	n.lease.VersionHistory = func() backs.VersionHistory { return n.serverView.VersionHistory(n.now()) }
 	n.lease.ObserveHistory = func(h backs.VersionHistory) { n.serverView.AddVersionHistory(n.now(), h) }
-	n.lease.CountVMs, n.lease.QuotaLevels = n.peers.VMs, n.peers.StoredLevels
+	n.lease.CountVMs, n.lease.RecordParts, n.lease.QuotaLevels = n.peers.VMs, n.peers.RecordParts, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.origins = &origin.Exchange{
 		Address: s.Text("vm", "peer_listen"), Domain: s.Text("vm", "failure_domain"), Keepers: n.peers.OriginKeepers,
@@ -188,7 +191,7 @@
 		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
-		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, Now: c.Now, Log: n.log, Meter: n.meter,
+		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.PartVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
 }
@@ -205,24 +208,14 @@
 
 // retryBudget returns the retry budget of a service.
 func (n *Node) retryBudget(service string) *retry.SlidingWindow {
-	vms := n.peers.VMs()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	b := n.retryBudgets[service]
-	if b == nil {
-		b = &retry.SlidingWindow{}
-		n.setBudgetLimit(b, vms)
-		n.retryBudgets[service] = b
-	}
-	return b
+	return n.retries.Of(n.now(), service)
 }
 
-// setBudgetLimit sets a budget to this VM's share of the retries of all VMs. Callers must get the
-// number of VMs from n.peers before they lock n.mu, because Peers calls this node's configuration
-// functions with its own lock held.
-func (n *Node) setBudgetLimit(b *retry.SlidingWindow, vms int) {
-	s := n.settings()
-	b.SetLimit(usableBudgetShare*s.Float("retries", "share"), usableBudgetShare*s.Float("retries", "extra")/float64(vms), s.Duration("retries", "window"))
+// retryRules returns the limit on the retries of all VMs in the settings, without what is kept in reserve.
+func retryRules(s *conf.Settings) retry.Rules {
+	return retry.Rules{
+		PerRequest: usableBudgetShare * s.Float("retries", "share"), Extra: usableBudgetShare * s.Float("retries", "extra"), Window: s.Duration("retries", "window"),
+	}
 }
 
 // Start opens the listeners and starts all background work.
@@ -317,8 +310,8 @@
 
 func (n *Node) settings() *conf.Settings { return n.activeSettings.Load() }
 
-// cleanUp removes unused state, reports the dropped log lines and divides the retry budget by the
-// current number of VMs, at intervals.
+// cleanUp removes unused state, reports the dropped log lines and updates the retry budgets, at
+// intervals.
 func (n *Node) cleanUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, cleanupInterval)
@@ -334,12 +327,16 @@
 		if n.config.DroppedLogLines != nil {
 			n.meter.SetGauge("log.dropped", n.config.DroppedLogLines())
 		}
-		vms := n.peers.VMs()
-		n.mu.Lock()
-		for _, b := range n.retryBudgets {
-			n.setBudgetLimit(b, vms)
-		}
-		n.mu.Unlock()
+		n.updateRetries(now)
+	}
+}
+
+// updateRetries applies the settings of the retry budgets, and logs a change of this VM's part.
+func (n *Node) updateRetries(now time.Time) {
+	n.retries.Configure(now, retryRules(n.settings()))
+	if vms := n.retries.PartVMs(now); vms != n.retryPartVMs {
+		n.retryPartVMs = vms
+		n.log.Info().Int("vms", vms).Msg("retry part changed")
 	}
 }
 
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -260,7 +260,7 @@
 	c.excluded = append(c.excluded, a.choice.Server.ID)
 	choice, ok := g.pickServer(now, c, g.serversFor(now, c))
 	if ok = ok && choice.HasCapacity() && g.takeRetry(now, c, choice.Server.ID); ok {
-		c.retryReserved = true
+		c.retryReserved = now
 	} else {
 		c.excluded = c.excluded[:len(c.excluded)-1]
 	}
--- a/pass/call.go
+++ b/pass/call.go
@@ -54,10 +54,10 @@
 	// request was not executed.
 	mayHaveRun bool
 	// retryBudget limits the retries. budgetExhausted is set when it allowed no more, and
-	// retryReserved when the next send is already counted.
+	// retryReserved when the next send was counted, zero if it is not yet.
 	retryBudget     *retry.SlidingWindow
 	budgetExhausted bool
-	retryReserved   bool
+	retryReserved   time.Time
 	// choice is the server selection of the last send. timeToFirstEvent is measured from the
 	// arrival of the request, maxEventGap is the longest time between two reads of events, and
 	// eventCount counts the events forwarded.
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -97,6 +97,9 @@
 	ConfigCurrent func(now time.Time) bool
 	// VMCount returns how many VMs send requests to the same servers. Optional; the default is 1.
 	VMCount func() int
+	// RetryVMs returns among how many VMs this one divides the extra retries, 0 if it has no part of them, for
+	// the log. Optional.
+	RetryVMs func() int
 	// OnReject is called when a server that may not reject many requests has rejected one. Optional.
 	OnReject func()
 	// ReportSuspect reports that a server is unreachable or does not have the model it was listed with.
--- a/pass/quota_test.go
+++ b/pass/quota_test.go
@@ -82,7 +82,7 @@
 			g, quotas := quotaGateway(t, strings.TrimPrefix(backend.URL, "http://"), true)
 			g.TakeQuota = func(context.Context, limit.QuotaRequest) (time.Duration, bool) { return 0, true }
 			budget := &retry.SlidingWindow{}
-			budget.SetLimit(1, 10, time.Second)
+			budget.SetLimit(clock.Now(), 1, 10, time.Second)
 			g.RetryBudget = func(string) *retry.SlidingWindow { return budget }
 			if !tc.tight {
 				quotas.Announce(nil)
--- a/pass/retry.go
+++ b/pass/retry.go
@@ -5,8 +5,9 @@
 // takeRetry consumes the reserved retry of a call or one of the retry budget, and reports whether there was
 // one.
 func (g *Gateway) takeRetry(now time.Time, c *call, server string) bool {
-	if c.retryReserved {
-		c.retryReserved = false
+	if !c.retryReserved.IsZero() {
+		c.retryBudget.Move(c.retryReserved, now)
+		c.retryReserved = time.Time{}
 		return true
 	}
 	allowed := c.retryBudget.Allow(now)
@@ -18,11 +19,15 @@
 // of the budget add up to more than all of them may send.
 func (g *Gateway) logRetry(now time.Time, c *call, server string, allowed bool) {
 	usage := c.retryBudget.Usage(now)
+	vms := 0
+	if g.RetryVMs != nil {
+		vms = g.RetryVMs()
+	}
 	name := "pass.retries_refused"
 	if allowed {
 		name = "pass.retries"
 	}
 	g.Meter.AddCounter(name, 1)
 	g.Log.Info().Str("request", c.id).Str("service", c.service.Name).Str("server", server).Int("sends", c.sends).Bool("allowed", allowed).
-		Int("spent", usage.Retries).Int("requests", usage.Requests).Float64("limit", usage.Limit).Int("vms", g.vmCount()).Msg("retry")
+		Int("spent", usage.Retries).Int("requests", usage.Requests).Float64("limit", usage.Limit).Int("vms", vms).Msg("retry")
 }
--- a/pass/stream_test.go
+++ b/pass/stream_test.go
@@ -79,7 +79,7 @@
 			resume, pausedAt := make(chan struct{}), make(chan string, 1)
 			g := testGateway(server("a", "d", startPausingBackend(t, "a", pausedAt, resume)))
 			useResumableRoute(g)
-			g.RetryBudget("s").SetLimit(0, tc.retries, 10*time.Second)
+			g.RetryBudget("s").SetLimit(clock.Now(), 0, tc.retries, 10*time.Second)
 			go func() {
 				defer close(resume)
 				<-pausedAt
@@ -163,7 +163,7 @@
 	overloaded := server("b", "d", startPausingBackend(t, "b", nil, nil))
 	g := testGateway(server("a", "d", strings.TrimPrefix(s.URL, "http://")), overloaded)
 	useResumableRoute(g)
-	g.RetryBudget("s").SetLimit(0, 10, 10*time.Second)
+	g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, 10*time.Second)
 	g.Balancer.Begin(clock.Now(), pick.Choice{Server: overloaded, PrefillTime: time.Hour}, pick.Work{Model: "m"}, 0)
 	got := sendRequest(g)
 	require.Equal(t, http.StatusOK, got.Code)
--- a/pass/truncation_test.go
+++ b/pass/truncation_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/stand"
@@ -173,7 +174,7 @@
 	route.Targets = []routes.Target{{Service: "s", Weight: 1}}
 	table := routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s", Engine: &routes.Engine{}}}, routes.Limits{})
 	g.Table = func() *routes.Table { return table }
-	g.RetryBudget("s").SetLimit(0, 10, 10*time.Second)
+	g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, 10*time.Second)
 	return g
 }
 
--- a/pass/versions_test.go
+++ b/pass/versions_test.go
@@ -98,7 +98,7 @@
 			}
 			g.Servers.Put(clock.Now(), versionServer("first", "v1", startVersionBackend(t, "v1", began, rejectRest)))
 			useResumableRoute(g)
-			g.RetryBudget("s").SetLimit(0, 100, 10*time.Second)
+			g.RetryBudget("s").SetLimit(clock.Now(), 0, 100, 10*time.Second)
 			w := httptest.NewRecorder()
 			sendAborted(g, w, newStreamRequest())
 			require.Equal(t, tc.want, w.Body.String())
@@ -164,7 +164,7 @@
 			for _, gateway := range []*Gateway{g, proxy} {
 				useResumableRoute(gateway)
 				gateway.InstanceProbe = testProbe
-				gateway.RetryBudget("s").SetLimit(0, 100, 10*time.Second)
+				gateway.RetryBudget("s").SetLimit(clock.Now(), 0, 100, 10*time.Second)
 			}
 			if proxied {
 				losePath(g)
--- a/pass/way.go
+++ b/pass/way.go
@@ -172,7 +172,7 @@
 		c.sentTo = slices.DeleteFunc(c.sentTo, func(id string) bool { return id == a.choice.Server.ID })
 	}
 	if c.sends > 0 {
-		c.retryReserved = true
+		c.retryReserved = a.sent
 	}
 	c.refundRun()
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -148,7 +148,7 @@
 
 func (p *Peers) newFleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.LatestRecord()
-	record.QuotaLevels = nil
+	record.QuotaLevels, record.ZzDomainVms, record.ZzSettledVms = nil, nil, 0
 	return &wire.FleetState{
 		LeaseVersion: version, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
 		Servers: stateList(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{}, TightTeams: p.tightTeams(),
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -63,6 +63,8 @@
 	AcquireDelay time.Duration
 	// CountVMs returns the number of VMs for the record. If nil, the number is unknown.
 	CountVMs func() int
+	// RecordParts adds to the record by which number VMs divide what all share. If nil, it is unknown.
+	RecordParts func(r *wire.ControllerLease)
 	// Poison tracks blocked requests. The record stores them, so that the next holder and VMs
 	// that start also block them. If nil, the record stores none.
 	Poison *poison.Tracker
@@ -329,6 +331,11 @@
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.BootID, DurationMs: next.DurationMs, Renewals: next.Renewals,
 		Address: l.Address, Key: l.key, Vms: vms,
+		ZzDomainVms: previous.ZzDomainVms, ZzPartVms: previous.ZzPartVms, ZzSettledVms: previous.ZzSettledVms,
+	}
+	if l.RecordParts != nil && action == lease.Renew {
+		// A new holder has not counted any VMs in this term, and keeps what the one before has.
+		l.RecordParts(&record)
 	}
 	if l.Poison != nil {
 		record.Blocked = blockedList(l.Poison.Suspects(startedAt))
@@ -383,7 +390,9 @@
 	startedAt := l.Now()
 	next, version := l.keeper.ReleaseRecord()
 	// The next holder needs the address, to wait for the last order of this term, and VMs the key.
-	record := wire.ControllerLease{Renewals: next.Renewals, Address: l.Address, Key: l.key, Vms: l.record.Vms, Blocked: l.record.Blocked, QuotaLevels: l.record.QuotaLevels, ZVersionHistory: l.record.ZVersionHistory}
+	record := l.record
+	record.Holder, record.Boot, record.DurationMs, record.Renewals = "", "", 0, next.Renewals
+	record.Address, record.Key = l.Address, l.key
 	l.mu.Unlock()
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
 	l.mu.Lock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/steer"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -73,6 +74,9 @@
 	Quotas *limit.Quotas
 	// EqualQuotas gives each VM an equal part of all quotas, without a root.
 	EqualQuotas bool
+	// Retries holds the retry budgets, which are told among how many VMs they are divided. If nil, there are
+	// none.
+	Retries *retry.Budgets
 	// Config returns the configuration in force, as stored, and its revision. ConfigChanged
 	// returns a channel that is closed when the configuration changes. ApplyConfig applies a
 	// configuration received from the hub.
@@ -155,8 +159,10 @@
 	// that of the relays or proxies has changed. reportDue does the same for the report to the hub.
 	frameDue, reportDue signal
 	loadsDue            bool
-	// fleet is the size of the fleet for the parts of the quotas.
+	// fleet is the size of the fleet for the parts of the quotas, and parts what this VM has counted as the
+	// controller.
 	fleet fleetSize
+	parts partCount
 	// quotasSeeded is set once this process has its part of the levels in the lease record.
 	quotasSeeded bool
 	// quotaFailedAt is when the hub last failed to answer a quota call.
--- a/peers/quotas.go
+++ b/peers/quotas.go
@@ -24,23 +24,8 @@
 	// and hubPollInterval is the interval at which it looks for it.
 	maxFirstHubWait = 600 * time.Millisecond
 	hubPollInterval = 20 * time.Millisecond
-	// fleetMemory is how long a VM that is no longer heard of keeps its part of the quotas. It may be
-	// cut off and use that part.
-	fleetMemory = 10 * time.Minute
 )
 
-// fleetSize is the largest number of VMs of the last fleetMemory. The zero value is unknown.
-type fleetSize struct {
-	vms    int
-	seenAt time.Time
-}
-
-func (f *fleetSize) observe(now time.Time, vms int) {
-	if vms >= f.vms || now.Sub(f.seenAt) >= fleetMemory {
-		f.vms, f.seenAt = vms, now
-	}
-}
-
 // updateQuotaRole sets whether this VM is the root for the quotas, and the part of its subtree in the
 // fleet. A VM that knows neither a hub nor the lease record does not know the size of
 // the fleet and may grant nothing.
--- a/peers/simnet_test.go
+++ b/peers/simnet_test.go
@@ -15,6 +15,23 @@
 type simNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*simListener
+	// cutDomain is the failure domain that is cut off from the others, "" for none.
+	cutDomain string
+}
+
+// cut cuts a failure domain off from the others, or none if it is "". Connections between them stay open and carry
+// nothing more.
+func (n *simNetwork) cut(domain string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutDomain = domain
+}
+
+// separated reports whether the VMs at two interfaces are cut off from each other.
+func (n *simNetwork) separated(a, b *simInterface) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return a.domain != b.domain && n.cutDomain != "" && (a.domain == n.cutDomain || b.domain == n.cutDomain)
 }
 
 // simInterface is the network interface of a VM.
@@ -120,7 +137,7 @@
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
-	if l == nil {
+	if l == nil || n.separated(from, l.at) {
 		return nil, errSimRefused
 	}
 	latency := simFleetLatency
@@ -130,8 +147,8 @@
 	time.Sleep(2 * latency)
 	client, server := net.Pipe()
 	select {
-	case l.connections <- newSimConn(server, l.at, from, latency):
-		return newSimConn(client, from, l.at, latency), nil
+	case l.connections <- newSimConn(n, server, l.at, from, latency):
+		return newSimConn(n, client, from, l.at, latency), nil
 	case <-l.closed:
 		return nil, errSimRefused
 	case <-ctx.Done():
@@ -146,6 +163,7 @@
 // and arrives after the latency.
 type simConn struct {
 	net.Conn
+	network       *simNetwork
 	local, remote *simInterface
 	latency       time.Duration
 	queue         chan []byte
@@ -153,8 +171,8 @@
 	closeOnce     sync.Once
 }
 
-func newSimConn(c net.Conn, local, remote *simInterface, latency time.Duration) *simConn {
-	s := &simConn{Conn: c, local: local, remote: remote, latency: latency, queue: make(chan []byte, simQueuedWrites), closed: make(chan struct{})}
+func newSimConn(n *simNetwork, c net.Conn, local, remote *simInterface, latency time.Duration) *simConn {
+	s := &simConn{network: n, Conn: c, local: local, remote: remote, latency: latency, queue: make(chan []byte, simQueuedWrites), closed: make(chan struct{})}
 	go s.deliver()
 	return s
 }
@@ -181,6 +199,9 @@
 		sent = received
 	}
 	time.Sleep(sent.Sub(now))
+	if c.network.separated(c.local, c.remote) {
+		return len(data), nil
+	}
 	select {
 	case c.queue <- slices.Clone(data):
 		return len(data), nil
--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/steer"
@@ -127,6 +128,9 @@
 	shared   bool
 	stop     context.CancelFunc
 	listener *simListener
+	// dead is set while the VM has no process, and running counts the parts of one that have not ended.
+	dead     bool
+	running  sync.WaitGroup
 	configMu sync.Mutex
 	revision int
 	value    []byte
@@ -191,7 +195,7 @@
 	v.revision, v.value, v.changed = 0, nil, make(chan struct{})
 	v.configMu.Unlock()
 	p := &Peers{
-		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores, KeepsOrigins: *simKeepers,
+		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Retries: &retry.Budgets{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores, KeepsOrigins: *simKeepers,
 		Lease: lease, Servers: view, Balancer: &pick.Balancer{Domain: v.nic.domain},
 		Controller: &steer.Controller{
 			Name: address, Servers: view, Table: func() *routes.Table { return nil }, FencingToken: lease.FencingToken, Now: time.Now, Log: zerolog.Nop(), Meter: meter.New(),
@@ -200,14 +204,15 @@
 		Dial: func(ctx context.Context, to string) (net.Conn, error) { return v.fleet.network.dial(ctx, v.nic, to) },
 		Now:  time.Now, Log: zerolog.Nop(), Meter: meter.New(),
 	}
-	lease.CountVMs = p.VMs
+	p.Retries.Configure(time.Now(), simRetries)
+	lease.CountVMs, lease.RecordParts = p.VMs, p.RecordParts
 	v.Peers = p
 	v.listener = v.fleet.network.listen(address, v.nic)
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
-	v.fleet.running.Go(func() { _ = server.Serve(v.listener) })
-	v.fleet.running.Go(func() { p.Run(ctx) })
-	v.fleet.running.Go(func() { v.control(ctx) })
-	v.fleet.running.Go(func() {
+	v.run(func() { _ = server.Serve(v.listener) })
+	v.run(func() { p.Run(ctx) })
+	v.run(func() { v.control(ctx) })
+	v.run(func() {
 		<-ctx.Done()
 		_ = server.Close()
 	})
@@ -216,6 +221,15 @@
 	p.Balancer.Begin(time.Now(), pick.Choice{Server: busy, PrefillTime: time.Millisecond}, pick.Work{Model: busy.Models[0].Model, PromptTokens: 9000}, 0)
 }
 
+// run runs a part of the VM's process.
+func (v *simVM) run(part func()) {
+	v.running.Add(1)
+	v.fleet.running.Go(func() {
+		defer v.running.Done()
+		part()
+	})
+}
+
 // control does what a VM does while it holds the lease: it lists the servers, and then reads the
 // heartbeats that they write.
 func (v *simVM) control(ctx context.Context) {
--- a/peers/term.go
+++ b/peers/term.go
@@ -62,11 +62,13 @@
 	}
 }
 
-// startTerm records when the term started and the number of VMs at that time.
+// startTerm records when the term started and the numbers of VMs that the term before has told.
 func (p *Peers) startTerm(now time.Time) {
 	vms := p.VMs()
+	_, record := p.Lease.LatestRecord()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.parts.inherit(now, record)
 	p.termStart, p.inheritedVMs, p.hubProxies, p.keepers.named = now, vms, nil, nil
 	if p.termStarted != nil {
 		close(p.termStarted)
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -252,15 +252,17 @@
 }
 
 // updateVMCount updates the number of VMs. At the start of a term, VMs that have not linked to this
-// controller yet are included. Each VM divides the retry budget by this number, so that a number that
-// is too small would allow too many retries.
+// controller yet are included.
 func (p *Peers) updateVMCount(now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.vms = p.subtreeVMs()
 	if now.Sub(p.termStart) < recountPeriod {
 		p.vms = max(p.vms, p.inheritedVMs)
 	}
+	p.countVMs(now)
+	parts := p.parts.parts()
+	p.mu.Unlock()
+	p.countForRetries(now, parts)
 }
 
 // subtreeVMs returns the number of VMs in this VM's subtree, including itself. p.mu must be held.
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -280,6 +281,7 @@
 	p.mu.Unlock()
 	up.setLeaseVersion(s.LeaseVersion)
 	p.applyLease(s.LeaseVersion, s.Lease)
+	p.countForRetries(now, cmp.Or(s.Lease.ZzPartVms, s.Vms))
 	if p.Lease.Released() && p.hasPath() {
 		// The hub has no path to the servers. Without the link this VM acquires the lease, unless
 		// another one does so first.
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -113,7 +113,7 @@
 		if sim.variant.ExactLoad && i > 0 {
 			v.balancer = sim.vms[0].balancer
 		}
-		v.retryBudget.SetLimit(f.RetriesPerRequest, f.ExtraRetries/float64(f.VMs), 10*time.Second)
+		v.retryBudget.SetLimit(sim.currentTime(), f.RetriesPerRequest, f.ExtraRetries/float64(f.VMs), 10*time.Second)
 		sim.vms = append(sim.vms, v)
 		sim.vmsByDomain[d] = append(sim.vmsByDomain[d], v)
 	}
--- /dev/null
+++ b/retry/budgets_test.go
@@ -0,0 +1,86 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/retry"
+)
+
+var rules = retry.Rules{Extra: 40, Window: 10 * time.Second}
+
+// spend sends all retries that a budget allows within a time, one each 50 ms at the most.
+func spend(b *retry.Budgets, from time.Time, duration time.Duration) (allowed int) {
+	for now := from; now.Before(from.Add(duration)); now = now.Add(50 * time.Millisecond) {
+		if b.Of(now, "s").Allow(now) {
+			allowed++
+		}
+	}
+	return allowed
+}
+
+// Guards against a VM that uses a part which others may use too: before it is counted, right after its start, or long
+// after it was counted last.
+func TestPartOfExtraRetries(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		counted []time.Duration
+		at      time.Duration
+		want    int
+	}{
+		"never counted":                         {nil, 0, 0},
+		"just counted":                          {[]time.Duration{0}, 5 * time.Second, 0},
+		"counted a window ago":                  {[]time.Duration{0}, 10 * time.Second, 10},
+		"counted a window ago, and since":       {[]time.Duration{0, 9 * time.Second}, 10 * time.Second, 10},
+		"out of sight for minutes":              {[]time.Duration{0}, 8 * time.Minute, 10},
+		"out of sight for too long":             {[]time.Duration{0}, 9 * time.Minute, 0},
+		"back after it was out of sight":        {[]time.Duration{0, time.Hour}, time.Hour + 2*time.Second, 0},
+		"back for a window after that":          {[]time.Duration{0, time.Hour}, time.Hour + 10*time.Second, 10},
+		"counted again before its part expires": {[]time.Duration{0, 8 * time.Minute}, 16 * time.Minute, 10},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var b retry.Budgets
+			b.Configure(start, rules)
+			for _, at := range tc.counted {
+				b.Counted(start.Add(at), 4)
+			}
+			require.Equal(t, tc.want, spend(&b, start.Add(tc.at), time.Second))
+		})
+	}
+}
+
+// Guards against a reload of the settings that forgets what was spent.
+func TestChangedWindowKeepsSpentRetries(t *testing.T) {
+	for name, window := range map[string]time.Duration{"shorter": time.Second, "longer": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			var b retry.Budgets
+			b.Configure(start, rules)
+			b.Counted(start.Add(-time.Minute), 1)
+			require.Equal(t, 40, spend(&b, start, 4*time.Second))
+			changed := rules
+			changed.Window = window
+			now := start.Add(4 * time.Second)
+			b.Configure(now, changed)
+			require.Zero(t, spend(&b, now, window))
+			require.NotZero(t, spend(&b, now.Add(window), 2*window))
+		})
+	}
+}
+
+// Guards against a retry that was reserved long before it is sent, and no longer counts when it arrives.
+func TestReservedRetryCountsWhenItIsSent(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var w retry.SlidingWindow
+	w.SetLimit(start, 0, 1, 10*time.Second)
+	require.True(t, w.Allow(start))
+	sent := start.Add(8 * time.Second)
+	w.Move(start, sent)
+	require.False(t, w.Allow(start.Add(12*time.Second)), "a retry was sent four seconds ago")
+	require.True(t, w.Allow(sent.Add(11*time.Second)))
+	w.Move(start, sent.Add(12*time.Second))
+	require.Equal(t, 2, w.Usage(sent.Add(12*time.Second)).Retries, "a retry that has left the window is counted again")
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -27,11 +27,18 @@
 }
 
 // SetLimit sets the limit for any window: retriesPerRequest for each request in it, plus
-// extraRetries.
-func (w *SlidingWindow) SetLimit(retriesPerRequest, extraRetries float64, window time.Duration) {
+// extraRetries. If the length of the window changes, the retries of the last window count as sent now, and
+// its requests no longer count, because the slots do not tell when within them.
+func (w *SlidingWindow) SetLimit(now time.Time, retriesPerRequest, extraRetries float64, window time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.retriesPerRequest, w.extraRetries, w.window = retriesPerRequest, extraRetries, window
+	w.retriesPerRequest, w.extraRetries = retriesPerRequest, extraRetries
+	if window == w.window {
+		return
+	}
+	_, retries := w.sums(now)
+	w.window, w.slots = window, [windowSlotCount]windowSlot{}
+	w.slot(now).retries = retries
 }
 
 // slot returns the slot of a time, and clears it if it holds older counts. w.mu is held.
@@ -67,6 +74,17 @@
 	return true
 }
 
+// Move counts a retry that was allowed earlier as sent now: what was reserved may be sent seconds later.
+func (w *SlidingWindow) Move(allowed, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	index := w.slotIndex(allowed)
+	if s := &w.slots[index%windowSlotCount]; s.index == index && s.retries > 0 {
+		s.retries--
+	}
+	w.slot(now).retries++
+}
+
 // Usage is what a SlidingWindow holds for the window that ends now.
 type Usage struct {
 	// Requests and Retries are the counts in the window, Limit the number of retries allowed in it.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -15,7 +15,7 @@
 func TestWindowAccumulation(t *testing.T) {
 	start := time.Unix(1000, 0)
 	var w retry.SlidingWindow
-	w.SetLimit(0.2, 10, 10*time.Second)
+	w.SetLimit(start, 0.2, 10, 10*time.Second)
 	var allowed []time.Time
 	for ms := 0; ms < 60_000; ms += 50 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
@@ -44,8 +44,8 @@
 
 func TestWindowExpires(t *testing.T) {
 	var w retry.SlidingWindow
-	w.SetLimit(0, 1, 10*time.Second)
 	now := time.Unix(1000, 0)
+	w.SetLimit(now, 0, 1, 10*time.Second)
 	require.True(t, w.Allow(now))
 	require.False(t, w.Allow(now.Add(9*time.Second)))
 	require.True(t, w.Allow(now.Add(11*time.Second)))
--- a/trail/repeats.go
+++ b/trail/repeats.go
@@ -28,7 +28,8 @@
 	start             int64
 	repeats, requests int
 	// young counts the repeats of processes that had started less than the window before, byVM the
-	// repeats by VM, and leastVMs is the smallest number of VMs that a VM divided the budget among.
+	// repeats by VM, and leastVMs is the smallest number of VMs
+	// among which a VM divided the extra retries.
 	young    int
 	byVM     map[textID]int
 	leastVMs int
@@ -104,7 +105,7 @@
 		if l.startedWithin(r.vm, r.at, size) {
 			w.young++
 		}
-		if w.leastVMs == 0 || r.vms < w.leastVMs {
+		if r.vms > 0 && (w.leastVMs == 0 || r.vms < w.leastVMs) {
 			w.leastVMs = r.vms
 		}
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -191,6 +191,27 @@
 	// Software versions that have existed besides those of the listed servers. Its
 	// name sorts behind all others, so that builds without it skip it.
 	ZVersionHistory *VersionHistory `json:"z_version_history,omitempty,omitzero"`
+
+	// Largest number of VMs of the last minutes in each failure domain. VMs that are
+	// no longer heard of may still use their parts of what all VMs share. Not sent on
+	// links. Its name, like those of the next two, sorts behind all others, so that
+	// builds without it skip it.
+	ZzDomainVms []DomainVms `json:"zz_domain_vms,omitempty,omitzero"`
+
+	// Number by which each VM divides what all VMs share.
+	ZzPartVms int `json:"zz_part_vms,omitempty,omitzero"`
+
+	// The number by which they divided when none was out of sight. Not sent on links.
+	ZzSettledVms int `json:"zz_settled_vms,omitempty,omitzero"`
+}
+
+// Number of VMs in a failure domain.
+type DomainVms struct {
+	// FailureDomain corresponds to the JSON schema field "failure_domain".
+	FailureDomain string `json:"failure_domain"`
+
+	// Vms corresponds to the JSON schema field "vms".
+	Vms int `json:"vms"`
 }
 
 // The current controller of a failure domain.
