--- a/bench/bench.go
+++ b/bench/bench.go
@@ -77,6 +77,7 @@
 	{"worst_large", "replay of 195 VMs and 156 servers at their worst-case load", worst("large")},
 	{"quotas", "replay of a team beyond its quota, by way of keeping it, fleet size and fault", quotas},
 	{"origins", "who keeps which software version began a stream: what is taken up after VMs end, and what it costs", origins},
+	{"retries", "replay of processes that are killed while servers break answers, by way of keeping the retries of all VMs", retries},
 	{"repeat", "claims of idempotency keys, batched and with one write each; repeated keys under store faults", repeat},
 }
 
--- a/peers/retries_test.go
+++ b/peers/retries_test.go
@@ -145,6 +145,17 @@
 			l.spend(f, fleetMemory+time.Minute)
 			f.network.cut("")
 		}},
+		"a domain with a relay is cut off and grows": {36, func(f *simFleet, l *retryLog, _ *rand.Rand) {
+			domain := "d0"
+			if c := f.controller(); c != nil && c.nic.domain == domain {
+				domain = "d1"
+			}
+			f.network.cut(domain)
+			l.spend(f, 5*time.Second)
+			f.add(domain, 12)
+			l.spend(f, settle)
+			f.network.cut("")
+		}},
 		"with relays, at random": {36, func(f *simFleet, l *retryLog, rng *rand.Rand) {
 			for range 20 {
 				switch rng.IntN(4) {
