--- a/soak/soak.go
+++ b/soak/soak.go
@@ -320,8 +320,8 @@
 }
 
 // checkRecovery clears all faults. It then checks that all VMs serve, that every model is reachable,
-// that crashing requests are blocked, that the rate limit holds, and that the processes exit on
-// SIGTERM.
+// that crashing requests are blocked, that the rate limit and the limit on retries hold, and that the
+// processes exit on SIGTERM.
 func (r *run) checkRecovery(ctx context.Context) {
 	r.clearFaults()
 	if err := r.waitServing(ctx, recoveryTimeout); err != nil {
@@ -349,6 +349,7 @@
 	wait.Go(func() { r.checkBlocked(ctx) })
 	wait.Go(func() { r.checkLimit(ctx) })
 	wait.Wait()
+	r.checkRetries(ctx)
 	r.checkRejectLimit(ctx)
 	r.checkSilence(ctx)
 	r.checkCut(ctx)
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -401,6 +401,16 @@
 type RunLog struct {
 	mu   sync.Mutex
 	runs map[string][]string
+	// firsts and repeats hold when requests were executed for the first time, and when once more.
+	firsts, repeats []time.Time
+}
+
+// Since returns when requests were executed for the first time since a time, and when once more.
+func (l *RunLog) Since(from time.Time) (firsts, repeats []time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	earlier := func(t time.Time) bool { return t.Before(from) }
+	return slices.DeleteFunc(slices.Clone(l.firsts), earlier), slices.DeleteFunc(slices.Clone(l.repeats), earlier)
 }
 
 // Record records an execution of a request by a server.
@@ -410,6 +420,11 @@
 	if l.runs == nil {
 		l.runs = make(map[string][]string)
 	}
+	if now := time.Now(); len(l.runs[requestID]) == 0 {
+		l.firsts = append(l.firsts, now)
+	} else {
+		l.repeats = append(l.repeats, now)
+	}
 	l.runs[requestID] = append(l.runs[requestID], server)
 }
 
