--- a/demo/backends.go
+++ b/demo/backends.go
@@ -23,6 +23,7 @@
 		}
 		b.AddModels(SiteModels[index%len(SiteModels)])
 	}
+	b.CrashPart = s.options.CrashPart
 	b.CrashBody, b.OnCrash = s.options.CrashBody, func() { s.crashBackend(b) }
 	b.OnChange = func() { s.writeEntry(b) }
 	if err := s.startBackend(b); err != nil {
--- a/demo/site.go
+++ b/demo/site.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -42,6 +43,8 @@
 	// CrashBody is the body of requests that crash the backend server executing them; empty for
 	// none. The server restarts without models and on a different address.
 	CrashBody string
+	// CrashPart is the part of a prompt that does the same, empty for none.
+	CrashPart string
 	// Routes replaces the routes of SiteRoutes.
 	Routes []routes.Route
 	// Teams are the teams of the configuration; without any, requests need no key.
@@ -310,6 +313,8 @@
 type Progress struct {
 	Attempt   string
 	LastEvent int
+	// Prompt lists the parts of the prompt, as ID:TOKENS pairs; empty for one that begins like all others.
+	Prompt string
 }
 
 // CallAfter sends one request to a VM which takes a stream up where the caller's earlier attempts left it.
@@ -331,7 +336,7 @@
 	if model != "" {
 		req.Header.Set(platform.HeaderNames.Model, model)
 		req.Header.Set(platform.HeaderNames.TokenUsage, "100,32")
-		req.Header.Set(platform.HeaderNames.PromptPrefix, "aa:60,"+id+":40")
+		req.Header.Set(platform.HeaderNames.PromptPrefix, cmp.Or(p.Prompt, "aa:60,"+id+":40"))
 	}
 	req.Header.Set(platform.HeaderEntryVM, address)
 	req.Header.Set(platform.HeaderSentAt, strconv.FormatInt(time.Now().UnixNano(), 10))
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -81,6 +81,9 @@
 	// for none. OnCrash, when set, then closes the process's listener and connections.
 	CrashBody string
 	OnCrash   func()
+	// CrashPart is the part of a prompt that crashes the process when it begins to write an answer on it, unless it is
+	// the last one; empty for none.
+	CrashPart string
 	// OnChange, when set, is called after the loaded models or the drain state changed, without the lock.
 	OnChange func()
 
@@ -95,7 +98,7 @@
 	rateLimit   float64
 	rateLimited bool
 	arrivals    []time.Time
-	// crashCount counts the executed requests with CrashBody.
+	// crashCount counts the executed requests with CrashBody or CrashPart.
 	crashCount    int
 	pendingFaults *PendingFaults
 	// softwareVersion is the version of the software, empty for defaultSoftwareVersion.
@@ -355,8 +358,8 @@
 )
 
 // HandleRequest decides how to handle a request for a server, a model and an adapter. It
-// records the execution, if there is one.
-func (b *Backend) HandleRequest(now time.Time, requestID, expectedServer, model, adapter, body string) Action {
+// records the execution, if there is one. parts are the IDs of the parts of its prompt.
+func (b *Backend) HandleRequest(now time.Time, requestID, expectedServer, model, adapter, body string, parts []string) Action {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.rateLimited {
@@ -376,7 +379,7 @@
 	}
 	b.Runs.Record(requestID, b.ID)
 	switch {
-	case b.CrashBody != "" && body == b.CrashBody:
+	case b.CrashBody != "" && body == b.CrashBody, b.crashesOn(parts):
 		b.crashCount++
 		return ActionCrash
 	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.ErrorResponses }):
@@ -397,6 +400,11 @@
 	return ActionRespond
 }
 
+// crashesOn reports whether a prompt has the part that crashes the process.
+func (b *Backend) crashesOn(parts []string) bool {
+	return b.CrashPart != "" && slices.Contains(parts[:max(len(parts)-1, 0)], b.CrashPart)
+}
+
 // RunLog records which backends executed which requests. The zero value is ready for use.
 type RunLog struct {
 	mu   sync.Mutex
