poison, pass, peers: Parts of prompts are suspects when servers crash, and are blocked on the evidence of all VMs

Cause: evidence was kept at the single request, whose fingerprint covers all of it, so different requests never added up. Class: evidence belongs to what requests share, not to one of them.

Change: poison.Parts beside the Tracker of fingerprints. All parts of a prompt but the last are suspected when a server ends while the request is in progress and has not been answered for half a second. A part is blocked when four ended servers have it and no other part has more, a second later; ended servers that a blocked part explains are no evidence against what else was present; of parts with the same evidence those are spared with which prompts only begin. A complete answer, or half a second of a stream, clears a part at all VMs, also after it was blocked. VMs report crashes and survivors to the controller, which judges; a VM that has not heard it for two seconds judges by itself. The lease record keeps the blocked parts. Frames and memory are bounded (512 parts a report, 64 in a frame). New wire fields sort behind all others, so older builds skip them.

Why it works: under the part every server ends, so it is in each crash and no request survives it; sound requests that share the other parts survive these all the time.

--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,7 @@
 	peers          *peers.Peers
 	lease          *peers.Lease
 	crashTracker   *poison.Tracker
+	crashParts     *poison.Parts
 	rateLimits     *limit.Limits
 	quotas         *limit.Quotas
 	retries        *retry.Budgets
@@ -157,10 +158,11 @@
 	n.config.Objects = c.Objects.WithResponseObserver(func() { n.serverView.RecordStoreAnswer(n.now()) })
 	n.serverView.OnMissing, n.serverView.OnNotice = n.handleMissing, n.handleNotice
 	n.crashTracker = &poison.Tracker{CrashLimit: s.Int("poison", "crashes"), BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordCrash, OnBlock: n.recordBlock}
+	n.crashParts = &poison.Parts{BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordPartCrash, OnBlock: n.recordPartBlock}
 	n.balancer.HasIdleConn = n.connPool.HasIdle
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: n.config.Objects,
-		AcquireDelay: acquireDelay(s.Float("limits", "cpu")), Poison: n.crashTracker,
+		AcquireDelay: acquireDelay(s.Float("limits", "cpu")), Poison: n.crashTracker, Parts: n.crashParts,
 		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
 	}
 	n.controller = &steer.Controller{
@@ -172,7 +174,7 @@
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, StoreUnreachable: n.storeUnreachable,
-		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
+		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, Parts: n.crashParts, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
 		HasPath: func() bool { return !n.paths.Lost() }, KeepsOrigins: true, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
@@ -185,10 +187,10 @@
 		Address: s.Text("vm", "peer_listen"), Domain: s.Text("vm", "failure_domain"), Keepers: n.peers.OriginKeepers,
 		Key: n.peers.ProxyKey, AcceptedKeys: n.lease.AcceptedKeys, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
-	n.paths.OnProcessEnded = n.crashTracker.ProcessEnded
+	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
-		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
+		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, Parts: n.crashParts, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.PartVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
--- a/node/servers.go
+++ b/node/servers.go
@@ -45,7 +45,7 @@
 	if m.Kept {
 		message = "entry missing; server kept in use"
 	} else {
-		n.crashTracker.ProcessEnded(n.now(), m.ID)
+		n.processEnded(n.now(), m.ID)
 	}
 	n.log.Info().Str("server", m.ID).Msg(message)
 }
@@ -78,6 +78,28 @@
 	n.log.Warn().Str("fingerprint", string(s.Request)).Int("crashes", s.Crashes).Dur("for", s.BlockedFor).Msg("request blocked")
 }
 
+// processEnded tells those who track crashes that a server process has ended.
+func (n *Node) processEnded(now time.Time, server string) {
+	n.crashTracker.ProcessEnded(now, server)
+	n.crashParts.ProcessEnded(now, server)
+}
+
+// recordPartCrash logs a server that ended under parts of prompts.
+func (n *Node) recordPartCrash(server string, parts int) {
+	n.log.Info().Str("server", server).Int("suspected_parts", parts).Msg("server crashed under prompts")
+}
+
+// recordPartBlock logs and counts a part of prompts that is now blocked on this VM, or cleared.
+func (n *Node) recordPartBlock(s poison.PartSuspect) {
+	if s.BlockedFor == 0 {
+		n.meter.AddCounter("poison.parts_cleared", 1)
+		n.log.Warn().Str("part", string(s.Part)).Msg("part of prompts cleared")
+		return
+	}
+	n.meter.AddCounter("poison.parts_blocked", 1)
+	n.log.Warn().Str("part", string(s.Part)).Int("crashes", s.Crashes).Dur("for", s.BlockedFor).Msg("part of prompts blocked")
+}
+
 func (n *Node) serverChanged(now time.Time, c store.Change) {
 	if c.Deleted {
 		n.serverView.Remove(now, c.Object.Name)
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -113,9 +113,10 @@
 	balancerAttempt *pick.Attempt
 	// firstSendToServer is set if the server has not got the call before.
 	firstSendToServer bool
-	// complete is set when the response was read to its end.
-	complete bool
-	result   pick.Result
+	// complete is set when the response was read to its end, survived when the server has gone on after it began
+	// to write it.
+	complete, survived bool
+	result             pick.Result
 	// err is why the attempt failed.
 	err error
 }
@@ -126,6 +127,9 @@
 	if a.complete && a.result != pick.Refused {
 		a.g.Poison.Answered(now, a.c.fingerprint)
 	}
+	if a.complete && a.result == pick.Succeeded {
+		a.g.recordSurvival(now, a.c.sharedParts())
+	}
 	if a.exchange == nil {
 		a.pool.Discard(a.conn)
 		return
--- a/pass/call.go
+++ b/pass/call.go
@@ -96,8 +96,10 @@
 	quotaRank int
 	// keyRemoved is set when the caller's key is no longer in the configuration.
 	keyRemoved bool
-	// blocked is set when the request is not sent to servers because of earlier crashes.
-	blocked bool
+	// blocked is set when the request is not sent to servers because of earlier crashes, and blockedPart to the part
+	// of its prompt under which they were, "" if they were under the request itself.
+	blocked     bool
+	blockedPart poison.Part
 	// modelWait is how long the request waited for a server with its model or adapter.
 	modelWait time.Duration
 	// errorResponse is an error response of a server; it is forwarded if no later attempt succeeds.
@@ -159,6 +161,18 @@
 	return ok
 }
 
+// sharedParts returns the parts of the prompt that other requests may share.
+func (c *call) sharedParts() []poison.Part { return sharedParts(c.work.PromptParts) }
+
+// sharedParts returns the IDs of all parts but the last, which belongs to the request or its session.
+func sharedParts(prompt []pick.PromptPart) []poison.Part {
+	parts := make([]poison.Part, 0, len(prompt))
+	for _, p := range prompt[:max(len(prompt)-1, 0)] {
+		parts = append(parts, poison.Part(p.ID))
+	}
+	return parts
+}
+
 // failure returns an error if the status of the call is 500 or higher, and nil otherwise.
 func (c *call) failure() error {
 	if c.status < http.StatusInternalServerError {
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -11,20 +11,51 @@
 	"github.com/hibiscuscart/hibiscuscart/poison"
 )
 
-// errBlocked is the reason for refusing a blocked request.
-var errBlocked = errors.New("servers crashed when they ran this request")
+// errBlocked is the reason for refusing a blocked request, errBlockedPart that for one with a blocked part in its
+// prompt.
+var (
+	errBlocked     = errors.New("servers crashed when they ran this request")
+	errBlockedPart = errors.New("servers crashed when they ran requests that share a part of this prompt")
+)
+
+// survivalTime is how long a server goes on writing a response until the request counts as survived. A request that
+// crashes its servers does so when they begin.
+const survivalTime = 500 * time.Millisecond
 
 // blocked reports whether a call's request is blocked, and if so sets the call's reason and
 // remaining block time.
 func (g *Gateway) blocked(now time.Time, c *call) bool {
-	remaining := g.Poison.BlockedFor(now, c.fingerprint)
+	if remaining := g.Poison.BlockedFor(now, c.fingerprint); remaining > 0 {
+		c.blocked, c.reason, c.retryAfter = true, errBlocked.Error(), remaining
+		return true
+	}
+	if g.Parts == nil {
+		return false
+	}
+	part, remaining := g.Parts.BlockedFor(now, c.sharedParts())
 	if remaining == 0 {
 		return false
 	}
-	c.blocked, c.reason, c.retryAfter = true, errBlocked.Error(), remaining
+	c.blocked, c.blockedPart, c.reason, c.retryAfter = true, part, errBlockedPart.Error(), remaining
 	return true
 }
 
+// blockedText is the body of the response to a blocked request.
+func (c *call) blockedText() string {
+	reason := errBlocked
+	if c.blockedPart != "" {
+		reason = errBlockedPart
+	}
+	return reason.Error() + "; it was not run, and is not before the time in " + headerRetryAfter
+}
+
+// recordSurvival records that a server has gone on after it began to answer requests with parts.
+func (g *Gateway) recordSurvival(now time.Time, parts []poison.Part) {
+	if g.Parts != nil {
+		g.Parts.Survived(now, parts)
+	}
+}
+
 // connectionLost marks an attempt as failed by a connection error. If this VM did not close the
 // connection, the server may have crashed, so it is probed with a new connection.
 func (a *attempt) connectionLost(ctx context.Context, reason string, err error) bool {
@@ -37,19 +68,27 @@
 			a.g.Paths.ConnectionFailed(a.g.Now(), a.server, false)
 			fallthrough
 		default:
-			a.g.recordConnectionLost(a.c.fingerprint, a.choice.Server)
+			parts := a.c.sharedParts()
+			if a.survived {
+				parts = nil
+			}
+			a.g.recordConnectionLost(a.c.fingerprint, parts, a.choice.Server)
 		}
 	}
 	return a.failUncertain(ctx, reason)
 }
 
-// recordConnectionLost records that a server broke the connection of a request.
-func (g *Gateway) recordConnectionLost(fingerprint poison.Fingerprint, server backs.Entry) {
+// recordConnectionLost records that a server broke the connection of a request. parts are those of its prompt that
+// may be the cause.
+func (g *Gateway) recordConnectionLost(fingerprint poison.Fingerprint, parts []poison.Part, server backs.Entry) {
 	now := g.Now()
 	if !g.Servers.Usable(now, server.ID) {
 		return
 	}
 	g.Poison.ConnectionLost(now, fingerprint, server.ID)
+	if g.Parts != nil {
+		g.Parts.ConnectionLost(now, parts, server.ID)
+	}
 	if g.Servers.MaySend(now, server.ID) {
 		go g.probeServer(server)
 	}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -54,6 +54,8 @@
 	Paths *paths.Tracker
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
+	// Parts does the same for parts of prompts. Optional.
+	Parts *poison.Parts
 	// RateLimits holds the request rate limits that servers have announced.
 	RateLimits *limit.Limits
 	// RetryBudget returns the retry budget of a service.
@@ -348,7 +350,7 @@
 	}
 	text := errorBodies[c.status]
 	if c.blocked && !c.mayHaveRun {
-		text = errBlocked.Error() + "; it was not run, and is not before the time in " + headerRetryAfter
+		text = c.blockedText()
 	}
 	if endsStream(c.refusal) && !c.mayHaveRun {
 		text = endedStream(c.refusal)
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
@@ -91,6 +92,16 @@
 	r           *http.Request
 	fingerprint poison.Fingerprint
 	entry       backs.Entry
+	// begunAt is when the response began, zero before.
+	begunAt time.Time
+}
+
+// suspectParts returns the parts of the prompt that may have ended the server.
+func (p *proxied) suspectParts() []poison.Part {
+	if !p.begunAt.IsZero() && p.g.Now().Sub(p.begunAt) >= survivalTime {
+		return nil
+	}
+	return sharedParts(p.g.HeaderNames.ParsePromptPrefix(p.r.Header.Get(p.g.HeaderNames.PromptPrefix)))
 }
 
 // refuse answers that the request was not sent.
@@ -159,7 +170,7 @@
 	}
 	p.log(err.Error())
 	if ctx.Err() == nil && conns.ConnectionLost(err) {
-		g.recordConnectionLost(p.fingerprint, p.entry)
+		g.recordConnectionLost(p.fingerprint, p.suspectParts(), p.entry)
 	}
 	// The other VM must not take what it got for a whole response.
 	panic(http.ErrAbortHandler)
@@ -232,6 +243,9 @@
 	for {
 		n, err := p.resp.Body.Read(buffer)
 		if n > 0 {
+			if p.begunAt.IsZero() {
+				p.begunAt = p.g.Now()
+			}
 			p.recordPath()
 			if _, err := p.w.Write(buffer[:n]); err != nil {
 				return fmt.Errorf("write response: %w", err)
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -30,6 +30,10 @@
 			a.g.Paths.Heard(now)
 			a.balancerAttempt.FirstEvent(now)
 			a.c.recordEvents(now, last, complete)
+			if !a.survived && !first.IsZero() && now.Sub(first) >= survivalTime {
+				a.survived = true
+				a.g.recordSurvival(now, a.c.sharedParts())
+			}
 			if last = now; first.IsZero() {
 				first = now
 			}
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -68,6 +68,8 @@
 	// Poison tracks blocked requests. The record stores them, so that the next holder and VMs
 	// that start also block them. If nil, the record stores none.
 	Poison *poison.Tracker
+	// Parts tracks blocked parts of prompts, which the record stores too. If nil, it stores none.
+	Parts *poison.Parts
 	// HasPath reports whether this VM has a path to the backend servers. If nil, it has one.
 	HasPath func() bool
 	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
@@ -289,6 +291,9 @@
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
 	}
+	if l.Parts != nil {
+		l.Parts.MergeSuspects(l.Now(), partSuspectsOf(record.ZzzBlockedParts), false)
+	}
 	l.observeHistory(record.ZVersionHistory)
 	l.keeper.Observe(l.Now(), version, lease.Record{
 		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
@@ -340,6 +345,9 @@
 	if l.Poison != nil {
 		record.Blocked = blockedList(l.Poison.Suspects(startedAt))
 	}
+	if l.Parts != nil {
+		record.ZzzBlockedParts = suspectParts(l.Parts.Suspects(startedAt), true)
+	}
 	if l.QuotaLevels != nil {
 		record.QuotaLevels = l.QuotaLevels()
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -68,6 +68,8 @@
 	Balancer   *pick.Balancer
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
+	// Parts does the same for parts of prompts. If nil, they are not tracked.
+	Parts *poison.Parts
 	// Limits holds the request rate limits that servers have announced.
 	Limits *limit.Limits
 	// Quotas holds the quotas of the teams. If nil, teams have none.
--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -65,3 +65,58 @@
 	}
 	return suspects
 }
+
+// partReportOf returns the part of a VM's report about parts of prompts.
+func partReportOf(r *wire.VMReport) poison.PartReport {
+	report := poison.PartReport{Survived: partsOf(r.ZzzPartsSurvived)}
+	for _, c := range r.ZzzPartCrashes {
+		report.Crashes = append(report.Crashes, poison.PartCrash{Server: c.Server, First: partsOf(c.First), Later: partsOf(c.Later)})
+	}
+	return report
+}
+
+// addPartReport adds what a VM has learned about parts of prompts to its report to the hub.
+func addPartReport(report *wire.VMReport, r poison.PartReport) {
+	report.ZzzPartsSurvived = partNames(r.Survived)
+	for _, c := range r.Crashes {
+		report.ZzzPartCrashes = append(report.ZzzPartCrashes, wire.PartCrash{Server: c.Server, First: partNames(c.First), Later: partNames(c.Later)})
+	}
+}
+
+func partsOf(names []string) []poison.Part {
+	var parts []poison.Part
+	for _, n := range names {
+		parts = append(parts, poison.Part(n))
+	}
+	return parts
+}
+
+func partNames(parts []poison.Part) []string {
+	var names []string
+	for _, p := range parts {
+		names = append(names, string(p))
+	}
+	return names
+}
+
+// suspectParts converts suspected parts to their wire form, at most maxSuspects of them. With blockedOnly, it includes
+// only blocked ones, which come first.
+func suspectParts(suspects []poison.PartSuspect, blockedOnly bool) []wire.SuspectPart {
+	var list []wire.SuspectPart
+	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
+		if blockedOnly && s.BlockedFor == 0 {
+			break
+		}
+		list = append(list, wire.SuspectPart{Part: string(s.Part), Crashes: s.Crashes, LeftMs: int(s.BlockedFor.Milliseconds())})
+	}
+	return list
+}
+
+// partSuspectsOf converts suspected parts from their wire form.
+func partSuspectsOf(list []wire.SuspectPart) []poison.PartSuspect {
+	var suspects []poison.PartSuspect
+	for _, s := range list {
+		suspects = append(suspects, poison.PartSuspect{Part: poison.Part(s.Part), Crashes: s.Crashes, BlockedFor: time.Duration(s.LeftMs) * time.Millisecond})
+	}
+	return suspects
+}
--- a/peers/term.go
+++ b/peers/term.go
@@ -123,6 +123,9 @@
 		// The controller's tracker already merges the reports of all VMs, so its own report is
 		// discarded.
 		p.Poison.TakeReport()
+		if p.Parts != nil {
+			p.Parts.TakeReport()
+		}
 		p.Limits.TakeReport()
 		p.Servers.TakeLeaving()
 		p.collectRejects(now)
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -305,6 +305,9 @@
 		return
 	}
 	p.Poison.MergeSuspects(now, suspectsOf(s.Suspects))
+	if p.Parts != nil {
+		p.Parts.MergeSuspects(now, partSuspectsOf(s.ZzzSuspectParts), !p.Lease.Expired(now))
+	}
 	p.Limits.Merge(now, limitsOf(s.Limits))
 	p.mu.Lock()
 	if len(s.ZStreamKeepers) > 0 {
--- /dev/null
+++ b/poison/partreport.go
@@ -0,0 +1,158 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// AddReport merges another VM's report.
+func (t *Parts) AddReport(now time.Time, report PartReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, r := range report.Crashes {
+		c, _ := t.crash(now, r.Server)
+		added := t.addParts(now, c, r.Later, false)
+		added = t.addParts(now, c, r.First, true) || added
+		if added {
+			c.reported = false
+		}
+	}
+	for _, p := range report.Survived {
+		t.suspect(now, p)
+		t.survive(now, p)
+	}
+}
+
+// TakeReport returns what has not been reported yet, at most maxReportParts parts, and marks it as reported.
+func (t *Parts) TakeReport() PartReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var report PartReport
+	room := maxReportParts
+	for _, p := range slices.Sorted(maps.Keys(t.unreported)) {
+		if room--; room < 0 {
+			break
+		}
+		report.Survived = append(report.Survived, p)
+		delete(t.unreported, p)
+	}
+	for _, server := range slices.Sorted(maps.Keys(t.crashes)) {
+		c := t.crashes[server]
+		if c.reported || len(c.parts) > room {
+			continue
+		}
+		room -= len(c.parts)
+		c.reported = true
+		if len(c.parts) > 0 {
+			report.Crashes = append(report.Crashes, c.report(server))
+		}
+	}
+	return report
+}
+
+func (c *partCrash) report(server string) PartCrash {
+	r := PartCrash{Server: server}
+	for _, p := range slices.Sorted(maps.Keys(c.parts)) {
+		if c.parts[p] {
+			r.First = append(r.First, p)
+		} else {
+			r.Later = append(r.Later, p)
+		}
+	}
+	return r
+}
+
+// MarkUnreported makes all ended servers due for reporting again, as a new controller may not have received earlier
+// reports.
+func (t *Parts) MarkUnreported() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.crashes {
+		c.reported = false
+	}
+}
+
+// Suspects returns the parts that are blocked, were cleared just now or have at least two ended servers: blocked ones
+// first, then by ended servers.
+func (t *Parts) Suspects(now time.Time) []PartSuspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	t.judge(now)
+	var list []PartSuspect
+	for p, until := range t.blocked {
+		if left := until.Sub(now); left > 0 {
+			list = append(list, PartSuspect{Part: p, Crashes: partCrashLimit, BlockedFor: left})
+		}
+	}
+	for p := range t.cleared {
+		list = append(list, PartSuspect{Part: p})
+	}
+	for p, e := range t.unexplained(now) {
+		if len(e.crashes) > 1 && !now.Before(t.blocked[p]) && !now.Before(t.cleared[p]) {
+			list = append(list, PartSuspect{Part: p, Crashes: len(e.crashes)})
+		}
+	}
+	slices.SortFunc(list, func(a, b PartSuspect) int {
+		return cmp.Or(-cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Part, b.Part))
+	})
+	return list
+}
+
+// rank orders suspects: blocked, cleared, then suspected only.
+func (s PartSuspect) rank() int {
+	switch {
+	case s.BlockedFor > 0:
+		return 2
+	case s.Crashes == 0:
+		return 1
+	}
+	return 0
+}
+
+// MergeSuspects merges the controller's suspects, or those of the lease record if told is false.
+func (t *Parts) MergeSuspects(now time.Time, suspects []PartSuspect, told bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if told {
+		t.toldAt = now
+	}
+	for _, s := range suspects {
+		switch {
+		case s.BlockedFor > 0:
+			if until := now.Add(s.BlockedFor); until.After(t.blocked[s.Part]) && len(t.blocked) < maxBlockedParts {
+				t.block(now, s.Part, until, s.Crashes)
+			}
+		case s.Crashes == 0:
+			t.clear(now, s.Part)
+		}
+		t.suspect(now, s.Part)
+		if t.isCleared(now, s.Part) && s.Crashes > 0 {
+			t.survive(now, s.Part)
+		}
+	}
+}
+
+// sweep removes expired state, at most once per sweepInterval. t.mu is held.
+func (t *Parts) sweep(now time.Time) {
+	if since := now.Sub(t.lastSweep); since >= 0 && since < sweepInterval {
+		return
+	}
+	t.lastSweep = now
+	expired := func(_ Part, until time.Time) bool { return !now.Before(until) }
+	for _, m := range []map[Part]time.Time{t.blocked, t.convicted, t.cleared, t.suspected} {
+		maps.DeleteFunc(m, expired)
+	}
+	maps.DeleteFunc(t.survived, func(_ Part, at time.Time) bool { return now.Sub(at) >= survivalMemory })
+	maps.DeleteFunc(t.crashes, func(_ string, c *partCrash) bool { return now.Sub(c.at) >= partMemory })
+	maps.DeleteFunc(t.ended, func(_ string, at time.Time) bool { return now.Sub(at) >= confirmWindow })
+	for server, list := range t.lost {
+		list = slices.DeleteFunc(list, func(l lostParts) bool { return now.Sub(l.at) >= confirmWindow })
+		if t.lost[server] = list; len(list) == 0 {
+			delete(t.lost, server)
+		}
+	}
+}
--- /dev/null
+++ b/poison/parts.go
@@ -0,0 +1,392 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Load pattern: requests that are all different share a part of their prompts, and each server that begins to write an
+// answer on it ends. They come at any VM, among many sound requests that share their other parts. A fingerprint is
+// never seen twice, so the evidence is kept at what the requests share.
+
+const (
+	// partCrashLimit is the number of ended servers at which a part is blocked if no other explains them, and
+	// partSettleTime how long after that. Meanwhile the crashes and survivors that other VMs have seen arrive,
+	// and a part that was merely present falls behind the one that is always there.
+	partCrashLimit = 4
+	partSettleTime = time.Second
+	// survivalMemory is how long a part that a sound request has survived is not suspected.
+	survivalMemory = 10 * time.Second
+	// partMemory is how long ended servers, and parts that were blocked once, are kept as evidence.
+	partMemory = 10 * time.Minute
+	// toldInterval is how recent the word of the controller, which knows what all VMs have seen, must be for this
+	// VM not to judge by itself.
+	toldInterval = 2 * time.Second
+	// clearedNotice is how long the controller tells that a part is not blocked any more.
+	clearedNotice = time.Minute
+
+	// maxPartCrashes bounds the ended servers that are kept, maxCrashParts the parts of each, maxSurvivors the
+	// parts that sound requests have survived, maxSuspectedParts those of which survivors are reported, and
+	// maxBlockedParts the blocked ones.
+	maxPartCrashes    = 256
+	maxCrashParts     = 256
+	maxSurvivors      = 8192
+	maxSuspectedParts = 8192
+	maxBlockedParts   = 64
+	// judgeInterval is the minimum time between two judgements of the evidence.
+	judgeInterval = 100 * time.Millisecond
+	// maxReportParts bounds the parts in one report to another VM.
+	maxReportParts = 512
+)
+
+// Part is the ID of a part of a prompt that requests may share.
+type Part string
+
+// PartCrash is the end of a server process while requests with the parts were in progress on it.
+type PartCrash struct {
+	Server string
+	// First are the parts with which a prompt began, Later all others but the last ones.
+	First, Later []Part
+}
+
+// PartReport holds the changes at a VM since its previous report.
+type PartReport struct {
+	Crashes []PartCrash
+	// Survived are suspected parts that a sound request has survived.
+	Survived []Part
+}
+
+// Empty reports whether there is nothing to report.
+func (r PartReport) Empty() bool { return len(r.Crashes) == 0 && len(r.Survived) == 0 }
+
+// PartSuspect is a part that is blocked or under which at least two servers have ended.
+type PartSuspect struct {
+	Part Part
+	// Crashes is the number of ended servers that no blocked part explains, 0 for a part that is cleared.
+	Crashes int
+	// BlockedFor is the remaining block time, 0 if the part is not blocked.
+	BlockedFor time.Duration
+}
+
+// Parts finds parts of prompts under which servers end, and blocks them. Each VM has one. The controller's merges the
+// reports of the others, and its suspects are distributed to all of them. The zero value is ready to use. It is safe
+// for concurrent use.
+type Parts struct {
+	// BlockDuration is how long a part stays blocked; 0 selects the default.
+	BlockDuration time.Duration
+	// OnCrash is called with the number of suspected parts for each ended server that this VM detects, and
+	// OnBlock for each part that becomes blocked or, with a BlockedFor of 0, is cleared. Both may be nil and are
+	// called with the lock held.
+	OnCrash func(server string, parts int)
+	OnBlock func(PartSuspect)
+
+	mu sync.Mutex
+	// lost holds the parts of requests whose connection to a server was lost, and ended when a server process was
+	// found to have ended, both by the ID of the server instance.
+	lost  map[string][]lostParts
+	ended map[string]time.Time
+	// crashes holds the ended servers, by the ID of the instance.
+	crashes map[string]*partCrash
+	// survived is when a sound request last survived a part.
+	survived map[Part]time.Time
+	// suspected are the parts that others want to know survivors of, and until when.
+	suspected map[Part]time.Time
+	blocked   map[Part]time.Time
+	// convicted is until when a part that was blocked once is blocked again by a single crash.
+	convicted map[Part]time.Time
+	// cleared is until when the controller tells that a part is not blocked any more.
+	cleared map[Part]time.Time
+	// unreported are the parts that were survived and are not reported yet.
+	unreported map[Part]bool
+	toldAt     time.Time
+	// judgedAt is when the evidence was last judged.
+	judgedAt, lastSweep time.Time
+}
+
+type lostParts struct {
+	parts []Part
+	at    time.Time
+}
+
+// partCrash is an ended server. Its parts have true if a prompt began with them. explained is set once one of them was
+// blocked: the crash is no evidence against another one, also after the block.
+type partCrash struct {
+	at                  time.Time
+	parts               map[Part]bool
+	reported, explained bool
+}
+
+// ConnectionLost records that the connection to a server was lost while a request was in progress that the server may
+// have begun to answer. parts are those of its prompt without the last one.
+func (t *Parts) ConnectionLost(now time.Time, parts []Part, server string) {
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	if at, ok := t.ended[server]; ok && now.Sub(at) < confirmWindow {
+		t.addCrash(now, server, parts)
+		return
+	}
+	if t.lost == nil {
+		t.lost = make(map[string][]lostParts)
+	}
+	t.lost[server] = append(t.lost[server], lostParts{parts: parts, at: now})
+}
+
+// ProcessEnded records that the process of the server instance with the given ID has ended.
+func (t *Parts) ProcessEnded(now time.Time, server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	if t.ended == nil {
+		t.ended = make(map[string]time.Time)
+	}
+	t.ended[server] = now
+	for _, l := range t.lost[server] {
+		if now.Sub(l.at) < confirmWindow {
+			t.addCrash(now, server, l.parts)
+		}
+	}
+	delete(t.lost, server)
+}
+
+// addCrash records an ended server with the parts of a request that was in progress on it. t.mu is held.
+func (t *Parts) addCrash(now time.Time, server string, parts []Part) {
+	c, known := t.crash(now, server)
+	added := t.addParts(now, c, parts[:1], true)
+	added = t.addParts(now, c, parts[1:], false) || added
+	if added {
+		c.reported = false
+	}
+	if !known && t.OnCrash != nil {
+		t.OnCrash(server, len(c.parts))
+	}
+}
+
+// crash returns the record of an ended server, which it creates if needed. t.mu is held.
+func (t *Parts) crash(now time.Time, server string) (c *partCrash, known bool) {
+	if c := t.crashes[server]; c != nil {
+		return c, true
+	}
+	if t.crashes == nil {
+		t.crashes = make(map[string]*partCrash)
+	}
+	if len(t.crashes) >= maxPartCrashes {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(t.crashes)), func(a, b string) int {
+			return cmp.Or(t.crashes[a].at.Compare(t.crashes[b].at), cmp.Compare(a, b))
+		})
+		delete(t.crashes, oldest)
+	}
+	c = &partCrash{at: now, parts: make(map[Part]bool)}
+	t.crashes[server] = c
+	return c, false
+}
+
+// addParts adds the parts that no sound request has survived of late. t.mu is held.
+func (t *Parts) addParts(now time.Time, c *partCrash, parts []Part, first bool) (added bool) {
+	for _, p := range parts {
+		if _, known := c.parts[p]; known || t.isCleared(now, p) || len(c.parts) >= maxCrashParts {
+			continue
+		}
+		c.parts[p] = first
+		t.suspect(now, p)
+		added = true
+	}
+	return added
+}
+
+// suspect makes survivors of a part worth reporting. t.mu is held.
+func (t *Parts) suspect(now time.Time, p Part) {
+	if t.suspected == nil {
+		t.suspected = make(map[Part]time.Time)
+	}
+	if _, known := t.suspected[p]; known || len(t.suspected) < maxSuspectedParts {
+		t.suspected[p] = now.Add(partMemory)
+	}
+}
+
+// isCleared reports whether a sound request has survived a part of late. t.mu is held.
+func (t *Parts) isCleared(now time.Time, p Part) bool {
+	at, ok := t.survived[p]
+	return ok && now.Sub(at) < survivalMemory
+}
+
+// Survived records that a server has answered a request with the parts without ending. parts may include the first
+// one, but not the last.
+func (t *Parts) Survived(now time.Time, parts []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, p := range parts {
+		t.survive(now, p)
+	}
+}
+
+func (t *Parts) survive(now time.Time, p Part) {
+	if t.survived == nil {
+		t.survived = make(map[Part]time.Time)
+	}
+	if _, known := t.survived[p]; known || len(t.survived) < maxSurvivors {
+		t.survived[p] = now
+	}
+	if _, suspected := t.suspected[p]; !suspected {
+		return
+	}
+	for _, c := range t.crashes {
+		if _, suspected := c.parts[p]; suspected {
+			delete(c.parts, p)
+			c.explained = false
+		}
+	}
+	if t.unreported == nil {
+		t.unreported = make(map[Part]bool)
+	}
+	t.unreported[p] = true
+	t.clear(now, p)
+}
+
+// clear ends the block of a part. t.mu is held.
+func (t *Parts) clear(now time.Time, p Part) {
+	delete(t.convicted, p)
+	if !now.Before(t.blocked[p]) {
+		return
+	}
+	delete(t.blocked, p)
+	if t.cleared == nil {
+		t.cleared = make(map[Part]time.Time)
+	}
+	t.cleared[p] = now.Add(clearedNotice)
+	if t.OnBlock != nil {
+		t.OnBlock(PartSuspect{Part: p})
+	}
+}
+
+// BlockedFor returns the blocked part with the longest remaining block time among parts, or 0 if none is blocked.
+func (t *Parts) BlockedFor(now time.Time, parts []Part) (blocked Part, remaining time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judge(now)
+	for _, p := range parts {
+		if left := t.blocked[p].Sub(now); left > remaining {
+			blocked, remaining = p, left
+		}
+	}
+	return blocked, remaining
+}
+
+// judge blocks the parts that explain most ended servers, until none is left that explains enough. A VM that hears the
+// controller leaves that to it. t.mu is held.
+func (t *Parts) judge(now time.Time) {
+	if len(t.crashes) == 0 || !t.toldAt.IsZero() && now.Sub(t.toldAt) < toldInterval {
+		return
+	}
+	if since := now.Sub(t.judgedAt); since >= 0 && since < judgeInterval {
+		return
+	}
+	t.judgedAt = now
+	for len(t.blocked) < maxBlockedParts {
+		culprits, servers := t.culprits(now)
+		if len(culprits) == 0 {
+			return
+		}
+		for _, p := range culprits {
+			t.block(now, p, now.Add(t.blockDuration()), servers)
+		}
+	}
+}
+
+// culprits returns the parts that explain the most ended servers, if these are enough to block them. Of parts that
+// explain the same ones, those are left out with which prompts only begin: the requests of an application share them.
+func (t *Parts) culprits(now time.Time) (parts []Part, servers int) {
+	evidence := t.unexplained(now)
+	for p, e := range evidence {
+		limit := partCrashLimit
+		if now.Before(t.convicted[p]) {
+			limit = 1
+		}
+		if len(e.crashes) < limit || len(e.crashes) < servers {
+			continue
+		}
+		slices.SortFunc(e.crashes, time.Time.Compare)
+		if now.Sub(e.crashes[limit-1]) < partSettleTime {
+			continue
+		}
+		if len(e.crashes) > servers {
+			parts, servers = nil, len(e.crashes)
+		}
+		parts = append(parts, p)
+	}
+	if slices.ContainsFunc(parts, func(p Part) bool { return !evidence[p].onlyFirst }) {
+		parts = slices.DeleteFunc(parts, func(p Part) bool { return evidence[p].onlyFirst })
+	}
+	slices.Sort(parts)
+	return parts, servers
+}
+
+// partEvidence is when servers ended under a part. onlyFirst is set if all prompts that hold it begin with it.
+type partEvidence struct {
+	crashes   []time.Time
+	onlyFirst bool
+}
+
+// unexplained returns the evidence against each part by the ended servers that no blocked part explains.
+// t.mu is held.
+func (t *Parts) unexplained(now time.Time) map[Part]*partEvidence {
+	evidence := make(map[Part]*partEvidence)
+	for _, c := range t.crashes {
+		if c.explained = c.explained || t.hasBlocked(now, c); c.explained {
+			continue
+		}
+		for p, first := range c.parts {
+			if t.isCleared(now, p) {
+				continue
+			}
+			e := evidence[p]
+			if e == nil {
+				e = &partEvidence{onlyFirst: true}
+				evidence[p] = e
+			}
+			e.crashes = append(e.crashes, c.at)
+			e.onlyFirst = e.onlyFirst && first
+		}
+	}
+	return evidence
+}
+
+// hasBlocked reports whether a blocked part was in progress on an ended server. t.mu is held.
+func (t *Parts) hasBlocked(now time.Time, c *partCrash) bool {
+	for p := range c.parts {
+		if now.Before(t.blocked[p]) {
+			return true
+		}
+	}
+	return false
+}
+
+// block blocks a part, or extends its block. t.mu is held.
+func (t *Parts) block(now time.Time, p Part, until time.Time, servers int) {
+	if t.blocked == nil {
+		t.blocked, t.convicted = make(map[Part]time.Time), make(map[Part]time.Time)
+	}
+	newlyBlocked := !now.Before(t.blocked[p])
+	t.blocked[p], t.convicted[p] = until, until.Add(partMemory)
+	delete(t.cleared, p)
+	t.suspect(now, p)
+	for _, c := range t.crashes {
+		if _, present := c.parts[p]; present {
+			c.explained = true
+		}
+	}
+	if newlyBlocked && t.OnBlock != nil {
+		t.OnBlock(PartSuspect{Part: p, Crashes: servers, BlockedFor: until.Sub(now)})
+	}
+}
+
+func (t *Parts) blockDuration() time.Duration {
+	return cmp.Or(t.BlockDuration, defaultBlockDuration)
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -203,6 +203,10 @@
 
 	// The number by which they divided when none was out of sight. Not sent on links.
 	ZzSettledVms int `json:"zz_settled_vms,omitempty,omitzero"`
+
+	// Parts of prompts that are blocked, as servers crashed under them. Its name
+	// sorts behind all others, so that builds without it skip it.
+	ZzzBlockedParts []SuspectPart `json:"zzz_blocked_parts,omitempty,omitzero"`
 }
 
 // Number of VMs in a failure domain.
@@ -337,6 +341,10 @@
 	// and when they have changed. Its name sorts behind all others, so that builds
 	// without it skip it.
 	ZStreamKeepers []OriginKeeper `json:"z_stream_keepers,omitempty,omitzero"`
+
+	// Parts of prompts that are blocked, cleared or suspected. Its name sorts behind
+	// all others, so that builds without it skip it.
+	ZzzSuspectParts []SuspectPart `json:"zzz_suspect_parts,omitempty,omitzero"`
 }
 
 // A software version of which a service has no server any more.
@@ -739,6 +747,19 @@
 	Domain string `json:"domain"`
 }
 
+// A server process that ended while requests with parts of prompts were in
+// progress on it.
+type PartCrash struct {
+	// IDs of the parts with which their prompts began.
+	First []string `json:"first,omitempty,omitzero"`
+
+	// IDs of all other parts but the last ones.
+	Later []string `json:"later,omitempty,omitzero"`
+
+	// ID of the server instance.
+	Server string `json:"server"`
+}
+
 // Requests from the controller a permit for one request to a server with a rate
 // limit.
 type PermitCall struct {
@@ -1122,6 +1143,19 @@
 	RetainUntilMs int `json:"retain_until_ms"`
 }
 
+// A part of prompts under which several servers crashed.
+type SuspectPart struct {
+	// Number of server processes that ended; 0 for a part that is not blocked any
+	// more, as a request has survived it.
+	Crashes int `json:"crashes"`
+
+	// Remaining block time in milliseconds; 0 if the part is not blocked.
+	LeftMs int `json:"left_ms"`
+
+	// ID of the part.
+	Part string `json:"part"`
+}
+
 // A request during which several servers crashed.
 type SuspectRequest struct {
 	// Number of server processes that exited during the request.
@@ -1225,6 +1259,14 @@
 	// sent on a new link and when they have changed. Its name sorts behind all
 	// others, so that builds without it skip it.
 	ZzStreamKeepers []OriginKeeper `json:"zz_stream_keepers,omitempty,omitzero"`
+
+	// Servers that ended under parts of prompts since the last report. Its name sorts
+	// behind all others, so that builds without it skip it.
+	ZzzPartCrashes []PartCrash `json:"zzz_part_crashes,omitempty,omitzero"`
+
+	// Suspected parts that a request has survived since the last report. Its name
+	// sorts behind all others, so that builds without it skip it.
+	ZzzPartsSurvived []string `json:"zzz_parts_survived,omitempty,omitzero"`
 }
 
 // Software versions that have existed besides those of the listed servers.
