--- a/pass/call.go
+++ b/pass/call.go
@@ -173,6 +173,15 @@
 	return parts
 }
 
+// partIDs returns the IDs of parts, for the log.
+func partIDs(parts []poison.Part) []string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, string(p))
+	}
+	return ids
+}
+
 // failure returns an error if the status of the call is 500 or higher, and nil otherwise.
 func (c *call) failure() error {
 	if c.status < http.StatusInternalServerError {
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -279,6 +279,18 @@
 	return blocked, remaining
 }
 
+// Explain records that servers have ended under a request that is blocked by itself, so that they are no evidence
+// against the parts of its prompt.
+func (t *Parts) Explain(servers []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, server := range servers {
+		if c := t.crashes[server]; c != nil {
+			c.explained = true
+		}
+	}
+}
+
 // judge blocks the parts that explain most ended servers, until none is left that explains enough. A VM that hears the
 // controller leaves that to it. t.mu is held.
 func (t *Parts) judge(now time.Time) {
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// Guards against blocking an application whose requests crash servers each by itself, and are blocked one by one.
+func TestBlockedRequestsExplainCrashes(t *testing.T) {
+	var p poison.Parts
+	requests := poison.Tracker{OnBlock: func(s poison.Suspect) { p.Explain(s.Servers) }}
+	for i := range 9 {
+		now := start.Add(time.Duration(i) * time.Second)
+		server := fmt.Sprint("s", i)
+		crashUnder(&p, now, server, prompt("app"))
+		requests.ConnectionLost(now, poison.Fingerprint(fmt.Sprint("r", i/3)), server)
+		requests.ProcessEnded(now, server)
+		require.Empty(t, blockedParts(&p, now.Add(900*time.Millisecond)))
+	}
+	require.Empty(t, blockedParts(&p, start.Add(time.Minute)))
+}
+
 // Guards against blocking at once, before the survivors and crashes that other VMs have seen are known.
 func TestPartIsBlockedWhenEvidenceHasSettled(t *testing.T) {
 	var p poison.Parts
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -170,7 +170,7 @@
 
 func (r *run) start(ctx context.Context) error {
 	var err error
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, Teams: teams(1, true), Log: zerolog.Nop()})
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
@@ -320,7 +320,7 @@
 }
 
 // checkRecovery clears all faults. It then checks that all VMs serve, that every model is reachable,
-// that crashing requests are blocked, that the rate limit and the limit on retries hold, and that the
+// that crashing requests and parts of prompts are blocked, that the rate limit and the limit on retries hold, and that the
 // processes exit on SIGTERM.
 func (r *run) checkRecovery(ctx context.Context) {
 	r.clearFaults()
@@ -349,6 +349,7 @@
 	wait.Go(func() { r.checkBlocked(ctx) })
 	wait.Go(func() { r.checkLimit(ctx) })
 	wait.Wait()
+	r.checkParts(ctx)
 	r.checkRetries(ctx)
 	r.checkRejectLimit(ctx)
 	r.checkSilence(ctx)
