poison: A part that many requests have survived, or with which prompts only begin, needs more evidence

A part that is blocked by mistake is not sent any more, so no request can clear it; for the first part of an application's prompts that is an hour without the application.

Change: a part that five requests have survived in ten minutes is blocked at eight ended servers, one with which prompts only begin at six, any other at four. Survivors are kept for ten minutes once there are five, ten seconds before.

--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -146,7 +146,10 @@
 	for _, m := range []map[Part]time.Time{t.blocked, t.convicted, t.cleared, t.suspected} {
 		maps.DeleteFunc(m, expired)
 	}
-	maps.DeleteFunc(t.survived, func(_ Part, at time.Time) bool { return now.Sub(at) >= survivalMemory })
+	maps.DeleteFunc(t.survived, func(_ Part, s survival) bool {
+		age := now.Sub(s.last)
+		return age >= partMemory || age >= survivalMemory && s.count < provenSurvivals
+	})
 	maps.DeleteFunc(t.crashes, func(_ string, c *partCrash) bool { return now.Sub(c.at) >= partMemory })
 	maps.DeleteFunc(t.ended, func(_ string, at time.Time) bool { return now.Sub(at) >= confirmWindow })
 	for server, list := range t.lost {
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -18,6 +18,12 @@
 	// and a part that was merely present falls behind the one that is always there.
 	partCrashLimit = 4
 	partSettleTime = time.Second
+	// firstPartCrashLimit is the limit for a part with which prompts only begin, and provenPartCrashLimit that for
+	// one that provenSurvivals requests have survived: to block it by mistake refuses all requests of an
+	// application, and none of these is left to clear it.
+	firstPartCrashLimit  = 6
+	provenPartCrashLimit = 8
+	provenSurvivals      = 5
 	// survivalMemory is how long a part that a sound request has survived is not suspected.
 	survivalMemory = 10 * time.Second
 	// partMemory is how long ended servers, and parts that were blocked once, are kept as evidence.
@@ -90,8 +96,8 @@
 	ended map[string]time.Time
 	// crashes holds the ended servers, by the ID of the instance.
 	crashes map[string]*partCrash
-	// survived is when a sound request last survived a part.
-	survived map[Part]time.Time
+	// survived holds the parts that sound requests have survived.
+	survived map[Part]survival
 	// suspected are the parts that others want to know survivors of, and until when.
 	suspected map[Part]time.Time
 	blocked   map[Part]time.Time
@@ -106,6 +112,12 @@
 	judgedAt, lastSweep time.Time
 }
 
+// survival is how many sound requests have survived a part, and when the last one did.
+type survival struct {
+	last  time.Time
+	count int
+}
+
 type lostParts struct {
 	parts []Part
 	at    time.Time
@@ -212,8 +224,21 @@
 
 // isCleared reports whether a sound request has survived a part of late. t.mu is held.
 func (t *Parts) isCleared(now time.Time, p Part) bool {
-	at, ok := t.survived[p]
-	return ok && now.Sub(at) < survivalMemory
+	s, ok := t.survived[p]
+	return ok && now.Sub(s.last) < survivalMemory
+}
+
+// limit returns the number of ended servers at which a part is blocked. t.mu is held.
+func (t *Parts) limit(now time.Time, p Part, e *partEvidence) int {
+	switch {
+	case now.Before(t.convicted[p]):
+		return 1
+	case t.survived[p].count >= provenSurvivals:
+		return provenPartCrashLimit
+	case e.onlyFirst:
+		return firstPartCrashLimit
+	}
+	return partCrashLimit
 }
 
 // Survived records that a server has answered a request with the parts without ending. parts may include the first
@@ -229,10 +254,10 @@
 
 func (t *Parts) survive(now time.Time, p Part) {
 	if t.survived == nil {
-		t.survived = make(map[Part]time.Time)
+		t.survived = make(map[Part]survival)
 	}
-	if _, known := t.survived[p]; known || len(t.survived) < maxSurvivors {
-		t.survived[p] = now
+	if s, known := t.survived[p]; known || len(t.survived) < maxSurvivors {
+		t.survived[p] = survival{last: now, count: s.count + 1}
 	}
 	if _, suspected := t.suspected[p]; !suspected {
 		return
@@ -317,10 +342,7 @@
 func (t *Parts) culprits(now time.Time) (parts []Part, servers int) {
 	evidence := t.unexplained(now)
 	for p, e := range evidence {
-		limit := partCrashLimit
-		if now.Before(t.convicted[p]) {
-			limit = 1
-		}
+		limit := t.limit(now, p, e)
 		if len(e.crashes) < limit || len(e.crashes) < servers {
 			continue
 		}
