retry, peers, poison: Allotments of retries and parts of prompts have names of their own

Both were called parts: a reader of peers met p.Parts (prompts) beside p.parts (retries). The retries are divided into allotments now (retry.Allotment, peers/allotments.go, the log line "retry allotment changed"), the tracker of prompts is poison.PartTracker, and a nil one blocks nothing, so callers do not ask. No behaviour changes; the wire field that no landed build has is renamed with it.

--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	peers          *peers.Peers
 	lease          *peers.Lease
 	crashTracker   *poison.Tracker
-	crashParts     *poison.Parts
+	partTracker    *poison.PartTracker
 	rateLimits     *limit.Limits
 	quotas         *limit.Quotas
 	retries        *retry.Budgets
@@ -126,8 +126,8 @@
 	failedCalls map[string]int
 
 	stopping atomic.Bool
-	// retryPartVMs is among how many VMs this one divided the extra retries when it last looked, for the log.
-	retryPartVMs int
+	// retryAllotmentVMs is among how many VMs this one divided the extra retries when it last looked, for the log.
+	retryAllotmentVMs int
 	// readiness is the last answer to a readiness check, for the log.
 	readiness atomic.Value
 	// waitContext is canceled to end the waits of requests for a server.
@@ -158,11 +158,11 @@
 	n.config.Objects = c.Objects.WithResponseObserver(func() { n.serverView.RecordStoreAnswer(n.now()) })
 	n.serverView.OnMissing, n.serverView.OnNotice = n.handleMissing, n.handleNotice
 	n.crashTracker = &poison.Tracker{CrashLimit: s.Int("poison", "crashes"), BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordCrash, OnBlock: n.recordBlock}
-	n.crashParts = &poison.Parts{BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordPartCrash, OnBlock: n.recordPartBlock}
+	n.partTracker = &poison.PartTracker{BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordPartCrash, OnBlock: n.recordPartBlock}
 	n.balancer.HasIdleConn = n.connPool.HasIdle
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: n.config.Objects,
-		AcquireDelay: acquireDelay(s.Float("limits", "cpu")), Poison: n.crashTracker, Parts: n.crashParts,
+		AcquireDelay: acquireDelay(s.Float("limits", "cpu")), Poison: n.crashTracker, PartTracker: n.partTracker,
 		Duration: s.Duration("steering", "lease"), Handover: s.Duration("steering", "handover"), Now: c.Now, Log: n.log,
 	}
 	n.controller = &steer.Controller{
@@ -174,14 +174,14 @@
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, StoreUnreachable: n.storeUnreachable,
-		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, Parts: n.crashParts, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
+		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, PartTracker: n.partTracker, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
 		HasPath: func() bool { return !n.paths.Lost() }, KeepsOrigins: true, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
 	n.lease.HasPath = func() bool { return !n.paths.Lost() }
 	n.lease.VersionHistory = func() backs.VersionHistory { return n.serverView.VersionHistory(n.now()) }
 	n.lease.ObserveHistory = func(h backs.VersionHistory) { n.serverView.AddVersionHistory(n.now(), h) }
-	n.lease.CountVMs, n.lease.RecordParts, n.lease.QuotaLevels = n.peers.VMs, n.peers.RecordParts, n.peers.StoredLevels
+	n.lease.CountVMs, n.lease.RecordAllotments, n.lease.QuotaLevels = n.peers.VMs, n.peers.RecordAllotments, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.origins = &origin.Exchange{
 		Address: s.Text("vm", "peer_listen"), Domain: s.Text("vm", "failure_domain"), Keepers: n.peers.OriginKeepers,
@@ -190,10 +190,10 @@
 	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext,
-		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, Parts: n.crashParts, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
+		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
-		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.PartVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
+		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.AllotmentVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	return n
 }
@@ -333,12 +333,12 @@
 	}
 }
 
-// updateRetries applies the settings of the retry budgets, and logs a change of this VM's part.
+// updateRetries applies the settings of the retry budgets, and logs a change of this VM's allotment.
 func (n *Node) updateRetries(now time.Time) {
 	n.retries.Configure(now, retryRules(n.settings()))
-	if vms := n.retries.PartVMs(now); vms != n.retryPartVMs {
-		n.retryPartVMs = vms
-		n.log.Info().Int("vms", vms).Msg("retry part changed")
+	if vms := n.retries.AllotmentVMs(now); vms != n.retryAllotmentVMs {
+		n.retryAllotmentVMs = vms
+		n.log.Info().Int("vms", vms).Msg("retry allotment changed")
 	}
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -75,14 +75,14 @@
 // recordBlock logs and counts a request that is now blocked on this VM.
 func (n *Node) recordBlock(s poison.Suspect) {
 	n.meter.AddCounter("poison.blocked", 1)
-	n.crashParts.Explain(s.Servers)
+	n.partTracker.Explain(s.Servers)
 	n.log.Warn().Str("fingerprint", string(s.Request)).Int("crashes", s.Crashes).Dur("for", s.BlockedFor).Msg("request blocked")
 }
 
 // processEnded tells those who track crashes that a server process has ended.
 func (n *Node) processEnded(now time.Time, server string) {
 	n.crashTracker.ProcessEnded(now, server)
-	n.crashParts.ProcessEnded(now, server)
+	n.partTracker.ProcessEnded(now, server)
 }
 
 // recordPartCrash logs a server that ended under parts of prompts.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -128,7 +128,7 @@
 		a.g.Poison.Answered(now, a.c.fingerprint)
 	}
 	if a.complete && a.result == pick.Succeeded {
-		a.g.recordSurvival(now, a.c.sharedParts())
+		a.g.PartTracker.Survived(now, a.c.sharedParts())
 	}
 	if a.exchange == nil {
 		a.pool.Discard(a.conn)
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -29,10 +29,7 @@
 		c.blocked, c.reason, c.retryAfter = true, errBlocked.Error(), remaining
 		return true
 	}
-	if g.Parts == nil {
-		return false
-	}
-	part, remaining := g.Parts.BlockedFor(now, c.sharedParts())
+	part, remaining := g.PartTracker.BlockedFor(now, c.sharedParts())
 	if remaining == 0 {
 		return false
 	}
@@ -49,13 +46,6 @@
 	return reason.Error() + "; it was not run, and is not before the time in " + headerRetryAfter
 }
 
-// recordSurvival records that a server has gone on after it began to answer requests with parts.
-func (g *Gateway) recordSurvival(now time.Time, parts []poison.Part) {
-	if g.Parts != nil {
-		g.Parts.Survived(now, parts)
-	}
-}
-
 // connectionLost marks an attempt as failed by a connection error. If this VM did not close the
 // connection, the server may have crashed, so it is probed with a new connection.
 func (a *attempt) connectionLost(ctx context.Context, reason string, err error) bool {
@@ -86,9 +76,7 @@
 		return
 	}
 	g.Poison.ConnectionLost(now, fingerprint, server.ID)
-	if g.Parts != nil {
-		g.Parts.ConnectionLost(now, parts, server.ID)
-	}
+	g.PartTracker.ConnectionLost(now, parts, server.ID)
 	if g.Servers.MaySend(now, server.ID) {
 		go g.probeServer(server)
 	}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -54,8 +54,8 @@
 	Paths *paths.Tracker
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
-	// Parts does the same for parts of prompts. Optional.
-	Parts *poison.Parts
+	// PartTracker does the same for parts of prompts. Optional.
+	PartTracker *poison.PartTracker
 	// RateLimits holds the request rate limits that servers have announced.
 	RateLimits *limit.Limits
 	// RetryBudget returns the retry budget of a service.
@@ -99,7 +99,7 @@
 	ConfigCurrent func(now time.Time) bool
 	// VMCount returns how many VMs send requests to the same servers. Optional; the default is 1.
 	VMCount func() int
-	// RetryVMs returns among how many VMs this one divides the extra retries, 0 if it has no part of them, for
+	// RetryVMs returns among how many VMs this one divides the extra retries, 0 if it has no allotment of them, for
 	// the log. Optional.
 	RetryVMs func() int
 	// OnReject is called when a server that may not reject many requests has rejected one. Optional.
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -32,7 +32,7 @@
 			a.c.recordEvents(now, last, complete)
 			if !a.survived && !first.IsZero() && now.Sub(first) >= survivalTime {
 				a.survived = true
-				a.g.recordSurvival(now, a.c.sharedParts())
+				a.g.PartTracker.Survived(now, a.c.sharedParts())
 			}
 			if last = now; first.IsZero() {
 				first = now
--- a/peers/fleetsize.go
+++ b/peers/allotments.go
@@ -30,22 +30,22 @@
 	f.vms = f.peaks[0].vms
 }
 
-// partCount works out, at the controller, by which number each VM divides what all VMs share. VMs that are out of
+// allotmentCount works out, at the controller, by which number each VM divides what all VMs share. VMs that are out of
 // sight go on using the part that they were told last, so those in sight may only divide the rest. The zero value has
 // counted none.
-type partCount struct {
+type allotmentCount struct {
 	// domains holds the size of the fleet by failure domain: VMs are mostly out of sight together with their domain,
 	// while others may be added elsewhere.
 	domains map[string]*fleetSize
-	// inSight is the number of VMs counted last, settled the number of parts when none was out of sight.
+	// inSight is the number of VMs counted last, settled the divisor when none was out of sight.
 	inSight, settled int
 }
 
-// maxParts stands for no part: those out of sight use all of it.
-const maxParts = 1 << 20
+// maxDivisor leaves VMs in sight nothing: those out of sight use all of it.
+const maxDivisor = 1 << 20
 
 // inherit takes over what the term before has counted.
-func (c *partCount) inherit(now time.Time, record wire.ControllerLease) {
+func (c *allotmentCount) inherit(now time.Time, record wire.ControllerLease) {
 	for _, d := range record.ZzDomainVms {
 		c.observeDomain(now, d.FailureDomain, d.Vms)
 	}
@@ -54,7 +54,7 @@
 	}
 }
 
-func (c *partCount) observeDomain(now time.Time, domain string, vms int) {
+func (c *allotmentCount) observeDomain(now time.Time, domain string, vms int) {
 	if c.domains == nil {
 		c.domains = make(map[string]*fleetSize)
 	}
@@ -65,7 +65,7 @@
 }
 
 // observe records the numbers of VMs in sight, by failure domain.
-func (c *partCount) observe(now time.Time, vms map[string]int) {
+func (c *allotmentCount) observe(now time.Time, vms map[string]int) {
 	c.inSight = 0
 	for domain, n := range vms {
 		c.inSight += n
@@ -81,8 +81,8 @@
 	}
 }
 
-// total returns the number of VMs that have a part, in sight or not.
-func (c *partCount) total() int {
+// total returns the number of VMs that have an allotment, in sight or not.
+func (c *allotmentCount) total() int {
 	n := 0
 	for _, d := range c.domains {
 		n += d.vms
@@ -90,15 +90,15 @@
 	return n
 }
 
-// parts returns the number by which each VM divides.
-func (c *partCount) parts() int {
+// divisor returns the number by which each VM divides.
+func (c *allotmentCount) divisor() int {
 	total := c.total()
 	hidden := total - c.inSight
 	switch {
 	case hidden <= 0:
 		return total
 	case hidden >= c.settled:
-		return maxParts
+		return maxDivisor
 	}
 	left := c.settled - hidden
 	return max(total, (c.inSight*c.settled+left-1)/left)
@@ -106,7 +106,7 @@
 
 // record adds to a lease record what the next holder inherits. A process that goes on with the lease of the one before
 // has counted nothing yet, and keeps what the record says.
-func (c *partCount) record(r *wire.ControllerLease) {
+func (c *allotmentCount) record(r *wire.ControllerLease) {
 	if c.inSight == 0 {
 		return
 	}
@@ -115,14 +115,14 @@
 		r.ZzDomainVms = append(r.ZzDomainVms, wire.DomainVms{FailureDomain: domain, Vms: d.vms})
 	}
 	slices.SortFunc(r.ZzDomainVms, func(a, b wire.DomainVms) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
-	r.ZzPartVms, r.ZzSettledVms = c.parts(), c.settled
+	r.ZzAllotmentVms, r.ZzSettledVms = c.divisor(), c.settled
 }
 
-// RecordParts adds to the lease record of this VM, the controller, by which number VMs divide what all share.
-func (p *Peers) RecordParts(r *wire.ControllerLease) {
+// RecordAllotments adds to the lease record of this VM, the controller, by which number VMs divide what all share.
+func (p *Peers) RecordAllotments(r *wire.ControllerLease) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.parts.record(r)
+	p.allotments.record(r)
 }
 
 // countVMs counts the VMs linked to this controller, directly or through relays, and itself. p.mu must be held.
@@ -131,13 +131,13 @@
 	for d := range p.links {
 		vms[d.hello.FailureDomain] += max(p.subtrees[d.vm].vms, 1)
 	}
-	p.parts.observe(now, vms)
+	p.allotments.observe(now, vms)
 }
 
-// countForRetries records for the retry budgets that this VM is one of those that have a part. Only the controller
-// counts VMs, so a hub that no longer hears it may not know of this VM yet.
-func (p *Peers) countForRetries(now time.Time, parts int) {
-	if p.Retries != nil && parts > 0 && !p.Lease.Expired(now) {
-		p.Retries.Counted(now, parts)
+// countForRetries records for the retry budgets that this VM is one of those that have an allotment, and by which
+// number they divide. Only the controller counts VMs, so a hub that no longer hears it may not know of this VM yet.
+func (p *Peers) countForRetries(now time.Time, divisor int) {
+	if p.Retries != nil && divisor > 0 && !p.Lease.Expired(now) {
+		p.Retries.Counted(now, divisor)
 	}
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -160,9 +160,7 @@
 	state.Loads, state.HasLoads = loads, true
 	state.PauseMs = int(loadInterval(len(p.links), p.vms).Milliseconds())
 	state.Suspects = suspectList(p.Poison.Suspects(p.Now()))
-	if p.Parts != nil {
-		state.ZzzSuspectParts = suspectParts(p.Parts.Suspects(p.Now()), false)
-	}
+	state.ZzzSuspectParts = suspectParts(p.PartTracker.Suspects(p.Now()), false)
 	state.Limits = limitList(p.Limits.Rates())
 	state.Relays = p.chooseRelays()
 	state.VmsWithPath = p.announcedProxies()
@@ -199,9 +197,7 @@
 func (p *Peers) handleMessage(ctx context.Context, d *downlink, m *wire.Message) {
 	if m.VMReport != nil {
 		p.mergeCrashes(m.VMReport)
-		if p.Parts != nil {
-			p.Parts.AddReport(p.Now(), partReportOf(m.VMReport))
-		}
+		p.PartTracker.AddReport(p.Now(), partReportOf(m.VMReport))
 		p.Limits.AddReport(p.Now(), limitsOf(m.VMReport.Limits))
 		p.Servers.AddLeaving(p.Now(), m.VMReport.WillExit)
 		p.applyRejects(m.VMReport.ZRejectLimits, true)
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -63,13 +63,13 @@
 	AcquireDelay time.Duration
 	// CountVMs returns the number of VMs for the record. If nil, the number is unknown.
 	CountVMs func() int
-	// RecordParts adds to the record by which number VMs divide what all share. If nil, it is unknown.
-	RecordParts func(r *wire.ControllerLease)
+	// RecordAllotments adds to the record by which number VMs divide what all share. If nil, it is unknown.
+	RecordAllotments func(r *wire.ControllerLease)
 	// Poison tracks blocked requests. The record stores them, so that the next holder and VMs
 	// that start also block them. If nil, the record stores none.
 	Poison *poison.Tracker
-	// Parts tracks blocked parts of prompts, which the record stores too. If nil, it stores none.
-	Parts *poison.Parts
+	// PartTracker tracks blocked parts of prompts, which the record stores too. If nil, it stores none.
+	PartTracker *poison.PartTracker
 	// HasPath reports whether this VM has a path to the backend servers. If nil, it has one.
 	HasPath func() bool
 	// QuotaLevels returns what is left of each team's quota, for processes that start later. If nil,
@@ -291,9 +291,7 @@
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
 	}
-	if l.Parts != nil {
-		l.Parts.MergeSuspects(l.Now(), partSuspectsOf(record.ZzzBlockedParts), false)
-	}
+	l.PartTracker.MergeSuspects(l.Now(), partSuspectsOf(record.ZzzBlockedParts), false)
 	l.observeHistory(record.ZVersionHistory)
 	l.keeper.Observe(l.Now(), version, lease.Record{
 		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
@@ -336,18 +334,16 @@
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.BootID, DurationMs: next.DurationMs, Renewals: next.Renewals,
 		Address: l.Address, Key: l.key, Vms: vms,
-		ZzDomainVms: previous.ZzDomainVms, ZzPartVms: previous.ZzPartVms, ZzSettledVms: previous.ZzSettledVms,
+		ZzDomainVms: previous.ZzDomainVms, ZzAllotmentVms: previous.ZzAllotmentVms, ZzSettledVms: previous.ZzSettledVms,
 	}
-	if l.RecordParts != nil && action == lease.Renew {
+	if l.RecordAllotments != nil && action == lease.Renew {
 		// A new holder has not counted any VMs in this term, and keeps what the one before has.
-		l.RecordParts(&record)
+		l.RecordAllotments(&record)
 	}
 	if l.Poison != nil {
 		record.Blocked = blockedList(l.Poison.Suspects(startedAt))
 	}
-	if l.Parts != nil {
-		record.ZzzBlockedParts = suspectParts(l.Parts.Suspects(startedAt), true)
-	}
+	record.ZzzBlockedParts = suspectParts(l.PartTracker.Suspects(startedAt), true)
 	if l.QuotaLevels != nil {
 		record.QuotaLevels = l.QuotaLevels()
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -68,8 +68,8 @@
 	Balancer   *pick.Balancer
 	// Poison tracks server crashes by request and blocks requests that cause them.
 	Poison *poison.Tracker
-	// Parts does the same for parts of prompts. If nil, they are not tracked.
-	Parts *poison.Parts
+	// PartTracker does the same for parts of prompts. If nil, they are not tracked.
+	PartTracker *poison.PartTracker
 	// Limits holds the request rate limits that servers have announced.
 	Limits *limit.Limits
 	// Quotas holds the quotas of the teams. If nil, teams have none.
@@ -161,10 +161,10 @@
 	// that of the relays or proxies has changed. reportDue does the same for the report to the hub.
 	frameDue, reportDue signal
 	loadsDue            bool
-	// fleet is the size of the fleet for the parts of the quotas, and parts what this VM has counted as the
+	// fleet is the size of the fleet for the parts of the quotas, and allotments what this VM has counted as the
 	// controller.
-	fleet fleetSize
-	parts partCount
+	fleet      fleetSize
+	allotments allotmentCount
 	// quotasSeeded is set once this process has its part of the levels in the lease record.
 	quotasSeeded bool
 	// quotaFailedAt is when the hub last failed to answer a quota call.
--- a/peers/report.go
+++ b/peers/report.go
@@ -14,9 +14,7 @@
 func (p *Peers) reportToHub(ctx context.Context, up *uplink) {
 	levels := p.quotaLevels()
 	p.Poison.MarkUnreported()
-	if p.Parts != nil {
-		p.Parts.MarkUnreported()
-	}
+	p.PartTracker.MarkUnreported()
 	p.Limits.MarkUnreported(p.Now())
 	p.Servers.MarkLeavingUnreported(p.Now())
 	p.mu.Lock()
@@ -56,9 +54,7 @@
 	report.ZzStreamKeepers = p.takeKeeperReport()
 	p.mu.Unlock()
 	addCrashes(report, p.Poison.TakeReport())
-	if p.Parts != nil {
-		addPartReport(report, p.Parts.TakeReport())
-	}
+	addPartReport(report, p.PartTracker.TakeReport())
 	return report, interval
 }
 
--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -205,7 +205,7 @@
 		Now:  time.Now, Log: zerolog.Nop(), Meter: meter.New(),
 	}
 	p.Retries.Configure(time.Now(), simRetries)
-	lease.CountVMs, lease.RecordParts = p.VMs, p.RecordParts
+	lease.CountVMs, lease.RecordAllotments = p.VMs, p.RecordAllotments
 	v.Peers = p
 	v.listener = v.fleet.network.listen(address, v.nic)
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
--- a/peers/term.go
+++ b/peers/term.go
@@ -68,7 +68,7 @@
 	_, record := p.Lease.LatestRecord()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.parts.inherit(now, record)
+	p.allotments.inherit(now, record)
 	p.termStart, p.inheritedVMs, p.hubProxies, p.keepers.named = now, vms, nil, nil
 	if p.termStarted != nil {
 		close(p.termStarted)
@@ -123,9 +123,7 @@
 		// The controller's tracker already merges the reports of all VMs, so its own report is
 		// discarded.
 		p.Poison.TakeReport()
-		if p.Parts != nil {
-			p.Parts.TakeReport()
-		}
+		p.PartTracker.TakeReport()
 		p.Limits.TakeReport()
 		p.Servers.TakeLeaving()
 		p.collectRejects(now)
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -260,9 +260,9 @@
 		p.vms = max(p.vms, p.inheritedVMs)
 	}
 	p.countVMs(now)
-	parts := p.parts.parts()
+	divisor := p.allotments.divisor()
 	p.mu.Unlock()
-	p.countForRetries(now, parts)
+	p.countForRetries(now, divisor)
 }
 
 // subtreeVMs returns the number of VMs in this VM's subtree, including itself. p.mu must be held.
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -281,7 +281,7 @@
 	p.mu.Unlock()
 	up.setLeaseVersion(s.LeaseVersion)
 	p.applyLease(s.LeaseVersion, s.Lease)
-	p.countForRetries(now, cmp.Or(s.Lease.ZzPartVms, s.Vms))
+	p.countForRetries(now, cmp.Or(s.Lease.ZzAllotmentVms, s.Vms))
 	if p.Lease.Released() && p.hasPath() {
 		// The hub has no path to the servers. Without the link this VM acquires the lease, unless
 		// another one does so first.
@@ -305,9 +305,7 @@
 		return
 	}
 	p.Poison.MergeSuspects(now, suspectsOf(s.Suspects))
-	if p.Parts != nil {
-		p.Parts.MergeSuspects(now, partSuspectsOf(s.ZzzSuspectParts), !p.Lease.Expired(now))
-	}
+	p.PartTracker.MergeSuspects(now, partSuspectsOf(s.ZzzSuspectParts), !p.Lease.Expired(now))
 	p.Limits.Merge(now, limitsOf(s.Limits))
 	p.mu.Lock()
 	if len(s.ZStreamKeepers) > 0 {
--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -8,7 +8,10 @@
 )
 
 // AddReport merges another VM's report.
-func (t *Parts) AddReport(now time.Time, report PartReport) {
+func (t *PartTracker) AddReport(now time.Time, report PartReport) {
+	if t == nil || report.Empty() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -27,7 +30,10 @@
 }
 
 // TakeReport returns what has not been reported yet, at most maxReportParts parts, and marks it as reported.
-func (t *Parts) TakeReport() PartReport {
+func (t *PartTracker) TakeReport() PartReport {
+	if t == nil {
+		return PartReport{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var report PartReport
@@ -67,7 +73,10 @@
 
 // MarkUnreported makes all ended servers due for reporting again, as a new controller may not have received earlier
 // reports.
-func (t *Parts) MarkUnreported() {
+func (t *PartTracker) MarkUnreported() {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.crashes {
@@ -77,7 +86,10 @@
 
 // Suspects returns the parts that are blocked, were cleared just now or have at least two ended servers: blocked ones
 // first, then by ended servers.
-func (t *Parts) Suspects(now time.Time) []PartSuspect {
+func (t *PartTracker) Suspects(now time.Time) []PartSuspect {
+	if t == nil {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -114,7 +126,10 @@
 }
 
 // MergeSuspects merges the controller's suspects, or those of the lease record if told is false.
-func (t *Parts) MergeSuspects(now time.Time, suspects []PartSuspect, told bool) {
+func (t *PartTracker) MergeSuspects(now time.Time, suspects []PartSuspect, told bool) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if told {
@@ -137,7 +152,7 @@
 }
 
 // sweep removes expired state, at most once per sweepInterval. t.mu is held.
-func (t *Parts) sweep(now time.Time) {
+func (t *PartTracker) sweep(now time.Time) {
 	if since := now.Sub(t.lastSweep); since >= 0 && since < sweepInterval {
 		return
 	}
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -77,10 +77,10 @@
 	BlockedFor time.Duration
 }
 
-// Parts finds parts of prompts under which servers end, and blocks them. Each VM has one. The controller's merges the
-// reports of the others, and its suspects are distributed to all of them. The zero value is ready to use. It is safe
-// for concurrent use.
-type Parts struct {
+// PartTracker finds parts of prompts under which servers end, and blocks them. Each VM has one. The controller's merges the
+// reports of the others, and its suspects are distributed to all of them. The zero value is ready to use, and a nil
+// *PartTracker blocks nothing. It is safe for concurrent use.
+type PartTracker struct {
 	// BlockDuration is how long a part stays blocked; 0 selects the default.
 	BlockDuration time.Duration
 	// OnCrash is called with the number of suspected parts for each ended server that this VM detects, and
@@ -133,8 +133,8 @@
 
 // ConnectionLost records that the connection to a server was lost while a request was in progress that the server may
 // have begun to answer. parts are those of its prompt without the last one.
-func (t *Parts) ConnectionLost(now time.Time, parts []Part, server string) {
-	if len(parts) == 0 {
+func (t *PartTracker) ConnectionLost(now time.Time, parts []Part, server string) {
+	if t == nil || len(parts) == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -151,7 +151,7 @@
 }
 
 // ProcessEnded records that the process of the server instance with the given ID has ended.
-func (t *Parts) ProcessEnded(now time.Time, server string) {
+func (t *PartTracker) ProcessEnded(now time.Time, server string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -168,7 +168,7 @@
 }
 
 // addCrash records an ended server with the parts of a request that was in progress on it. t.mu is held.
-func (t *Parts) addCrash(now time.Time, server string, parts []Part) {
+func (t *PartTracker) addCrash(now time.Time, server string, parts []Part) {
 	c, known := t.crash(now, server)
 	added := t.addParts(now, c, parts[:1], true)
 	added = t.addParts(now, c, parts[1:], false) || added
@@ -181,7 +181,7 @@
 }
 
 // crash returns the record of an ended server, which it creates if needed. t.mu is held.
-func (t *Parts) crash(now time.Time, server string) (c *partCrash, known bool) {
+func (t *PartTracker) crash(now time.Time, server string) (c *partCrash, known bool) {
 	if c := t.crashes[server]; c != nil {
 		return c, true
 	}
@@ -200,7 +200,7 @@
 }
 
 // addParts adds the parts that no sound request has survived of late. t.mu is held.
-func (t *Parts) addParts(now time.Time, c *partCrash, parts []Part, first bool) (added bool) {
+func (t *PartTracker) addParts(now time.Time, c *partCrash, parts []Part, first bool) (added bool) {
 	for _, p := range parts {
 		if _, known := c.parts[p]; known || t.isCleared(now, p) || len(c.parts) >= maxCrashParts {
 			continue
@@ -213,7 +213,7 @@
 }
 
 // suspect makes survivors of a part worth reporting. t.mu is held.
-func (t *Parts) suspect(now time.Time, p Part) {
+func (t *PartTracker) suspect(now time.Time, p Part) {
 	if t.suspected == nil {
 		t.suspected = make(map[Part]time.Time)
 	}
@@ -223,13 +223,13 @@
 }
 
 // isCleared reports whether a sound request has survived a part of late. t.mu is held.
-func (t *Parts) isCleared(now time.Time, p Part) bool {
+func (t *PartTracker) isCleared(now time.Time, p Part) bool {
 	s, ok := t.survived[p]
 	return ok && now.Sub(s.last) < survivalMemory
 }
 
 // limit returns the number of ended servers at which a part is blocked. t.mu is held.
-func (t *Parts) limit(now time.Time, p Part, e *partEvidence) int {
+func (t *PartTracker) limit(now time.Time, p Part, e *partEvidence) int {
 	switch {
 	case now.Before(t.convicted[p]):
 		return 1
@@ -243,7 +243,10 @@
 
 // Survived records that a server has answered a request with the parts without ending. parts may include the first
 // one, but not the last.
-func (t *Parts) Survived(now time.Time, parts []Part) {
+func (t *PartTracker) Survived(now time.Time, parts []Part) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -252,7 +255,7 @@
 	}
 }
 
-func (t *Parts) survive(now time.Time, p Part) {
+func (t *PartTracker) survive(now time.Time, p Part) {
 	if t.survived == nil {
 		t.survived = make(map[Part]survival)
 	}
@@ -276,7 +279,7 @@
 }
 
 // clear ends the block of a part. t.mu is held.
-func (t *Parts) clear(now time.Time, p Part) {
+func (t *PartTracker) clear(now time.Time, p Part) {
 	delete(t.convicted, p)
 	if !now.Before(t.blocked[p]) {
 		return
@@ -292,7 +295,10 @@
 }
 
 // BlockedFor returns the blocked part with the longest remaining block time among parts, or 0 if none is blocked.
-func (t *Parts) BlockedFor(now time.Time, parts []Part) (blocked Part, remaining time.Duration) {
+func (t *PartTracker) BlockedFor(now time.Time, parts []Part) (blocked Part, remaining time.Duration) {
+	if t == nil {
+		return "", 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now)
@@ -306,7 +312,7 @@
 
 // Explain records that servers have ended under a request that is blocked by itself, so that they are no evidence
 // against the parts of its prompt.
-func (t *Parts) Explain(servers []string) {
+func (t *PartTracker) Explain(servers []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, server := range servers {
@@ -318,7 +324,7 @@
 
 // judge blocks the parts that explain most ended servers, until none is left that explains enough. A VM that hears the
 // controller leaves that to it. t.mu is held.
-func (t *Parts) judge(now time.Time) {
+func (t *PartTracker) judge(now time.Time) {
 	if len(t.crashes) == 0 || !t.toldAt.IsZero() && now.Sub(t.toldAt) < toldInterval {
 		return
 	}
@@ -339,7 +345,7 @@
 
 // culprits returns the parts that explain the most ended servers, if these are enough to block them. Of parts that
 // explain the same ones, those are left out with which prompts only begin: the requests of an application share them.
-func (t *Parts) culprits(now time.Time) (parts []Part, servers int) {
+func (t *PartTracker) culprits(now time.Time) (parts []Part, servers int) {
 	evidence := t.unexplained(now)
 	for p, e := range evidence {
 		limit := t.limit(now, p, e)
@@ -370,7 +376,7 @@
 
 // unexplained returns the evidence against each part by the ended servers that no blocked part explains.
 // t.mu is held.
-func (t *Parts) unexplained(now time.Time) map[Part]*partEvidence {
+func (t *PartTracker) unexplained(now time.Time) map[Part]*partEvidence {
 	evidence := make(map[Part]*partEvidence)
 	for _, c := range t.crashes {
 		if c.explained = c.explained || t.hasBlocked(now, c); c.explained {
@@ -393,7 +399,7 @@
 }
 
 // hasBlocked reports whether a blocked part was in progress on an ended server. t.mu is held.
-func (t *Parts) hasBlocked(now time.Time, c *partCrash) bool {
+func (t *PartTracker) hasBlocked(now time.Time, c *partCrash) bool {
 	for p := range c.parts {
 		if now.Before(t.blocked[p]) {
 			return true
@@ -403,7 +409,7 @@
 }
 
 // block blocks a part, or extends its block. t.mu is held.
-func (t *Parts) block(now time.Time, p Part, until time.Time, servers int) {
+func (t *PartTracker) block(now time.Time, p Part, until time.Time, servers int) {
 	if t.blocked == nil {
 		t.blocked, t.convicted = make(map[Part]time.Time), make(map[Part]time.Time)
 	}
@@ -421,6 +427,6 @@
 	}
 }
 
-func (t *Parts) blockDuration() time.Duration {
+func (t *PartTracker) blockDuration() time.Duration {
 	return cmp.Or(t.BlockDuration, defaultBlockDuration)
 }
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -11,7 +11,7 @@
 )
 
 // crashUnder records the end of a server while requests with prompts are in progress on it.
-func crashUnder(t *poison.Parts, now time.Time, server string, prompts ...[]poison.Part) {
+func crashUnder(t *poison.PartTracker, now time.Time, server string, prompts ...[]poison.Part) {
 	for _, p := range prompts {
 		t.ConnectionLost(now, p, server)
 	}
@@ -21,7 +21,7 @@
 func prompt(parts ...poison.Part) []poison.Part { return parts }
 
 // blockedParts returns the parts that are blocked at a time.
-func blockedParts(t *poison.Parts, now time.Time) []poison.Part {
+func blockedParts(t *poison.PartTracker, now time.Time) []poison.Part {
 	var parts []poison.Part
 	for _, s := range t.Suspects(now) {
 		if s.BlockedFor > 0 {
@@ -37,35 +37,35 @@
 	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
 	server := func(n int) string { return fmt.Sprint("s", n) }
 	tests := map[string]struct {
-		do   func(p *poison.Parts)
+		do   func(p *poison.PartTracker)
 		want []poison.Part
 	}{
-		"four servers end under one part": {func(p *poison.Parts) {
+		"four servers end under one part": {func(p *poison.PartTracker) {
 			for i := range 4 {
 				crashUnder(p, second(i), server(i), prompt("app", "dead", poison.Part(fmt.Sprint("m", i))))
 			}
 		}, prompt("dead")},
-		"three servers": {func(p *poison.Parts) {
+		"three servers": {func(p *poison.PartTracker) {
 			for i := range 3 {
 				crashUnder(p, second(i), server(i), prompt("app", "dead"))
 			}
 		}, nil},
-		"the same server, seen by several requests": {func(p *poison.Parts) {
+		"the same server, seen by several requests": {func(p *poison.PartTracker) {
 			for i := range 9 {
 				crashUnder(p, second(i), "s", prompt("app", "dead"))
 			}
 		}, nil},
-		"the first part is the only one": {func(p *poison.Parts) {
+		"the first part is the only one": {func(p *poison.PartTracker) {
 			for i := range 6 {
 				crashUnder(p, second(i), server(i), prompt("dead"))
 			}
 		}, prompt("dead")},
-		"the first part, at five servers": {func(p *poison.Parts) {
+		"the first part, at five servers": {func(p *poison.PartTracker) {
 			for i := range 5 {
 				crashUnder(p, second(i), server(i), prompt("app"))
 			}
 		}, nil},
-		"a proven part, at seven servers": {func(p *poison.Parts) {
+		"a proven part, at seven servers": {func(p *poison.PartTracker) {
 			for range 5 {
 				p.Survived(second(-20), prompt("app", "menu"))
 			}
@@ -73,7 +73,7 @@
 				crashUnder(p, second(i), server(i), prompt("app", "menu"))
 			}
 		}, nil},
-		"a proven part, at eight servers": {func(p *poison.Parts) {
+		"a proven part, at eight servers": {func(p *poison.PartTracker) {
 			for range 5 {
 				p.Survived(second(-20), prompt("app", "menu"))
 			}
@@ -81,24 +81,24 @@
 				crashUnder(p, second(i), server(i), prompt("app", "menu"))
 			}
 		}, prompt("menu")},
-		"the first part, and others differ": {func(p *poison.Parts) {
+		"the first part, and others differ": {func(p *poison.PartTracker) {
 			for i := range 6 {
 				crashUnder(p, second(i), server(i), prompt("dead", poison.Part(fmt.Sprint("m", i))))
 			}
 		}, prompt("dead")},
-		"sound requests survive the part before it": {func(p *poison.Parts) {
+		"sound requests survive the part before it": {func(p *poison.PartTracker) {
 			for i := range 6 {
 				p.Survived(second(i), prompt("app", "menu"))
 				crashUnder(p, second(i), server(i), prompt("app", "menu", "dead"))
 			}
 		}, prompt("dead")},
-		"sound requests survive the part": {func(p *poison.Parts) {
+		"sound requests survive the part": {func(p *poison.PartTracker) {
 			for i := range 8 {
 				crashUnder(p, second(i), server(i), prompt("app", "menu"))
 				p.Survived(second(i), prompt("app", "menu"))
 			}
 		}, nil},
-		"a session is present at four of six": {func(p *poison.Parts) {
+		"a session is present at four of six": {func(p *poison.PartTracker) {
 			for i := range 6 {
 				prompts := [][]poison.Part{prompt("app", "dead")}
 				if i < 4 {
@@ -107,7 +107,7 @@
 				crashUnder(p, second(0).Add(time.Duration(i)*200*time.Millisecond), server(i), prompts...)
 			}
 		}, prompt("dead")},
-		"two parts, one after the other": {func(p *poison.Parts) {
+		"two parts, one after the other": {func(p *poison.PartTracker) {
 			for i := range 5 {
 				crashUnder(p, second(i), server(i), prompt("app", "dead"))
 			}
@@ -116,18 +116,18 @@
 				crashUnder(p, second(6).Add(time.Duration(i)*500*time.Millisecond), server(10+i), prompt("app", "grave"))
 			}
 		}, prompt("dead", "grave")},
-		"servers that end without requests of note": {func(p *poison.Parts) {
+		"servers that end without requests of note": {func(p *poison.PartTracker) {
 			for i := range 8 {
 				crashUnder(p, second(i), server(i), prompt("app", poison.Part(fmt.Sprint("m", i))), prompt("app2", poison.Part(fmt.Sprint("n", i))))
 				p.Survived(second(i), prompt("app", "app2"))
 			}
 		}, nil},
-		"servers that live on": {func(p *poison.Parts) {
+		"servers that live on": {func(p *poison.PartTracker) {
 			for i := range 8 {
 				p.ConnectionLost(second(i), prompt("app", "dead"), server(i))
 			}
 		}, nil},
-		"long ago": {func(p *poison.Parts) {
+		"long ago": {func(p *poison.PartTracker) {
 			for i := range 3 {
 				crashUnder(p, second(i-3000), server(i), prompt("app", "dead"))
 			}
@@ -136,7 +136,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			var p poison.Parts
+			var p poison.PartTracker
 			tc.do(&p)
 			require.Equal(t, tc.want, blockedParts(&p, second(9)))
 		})
@@ -145,7 +145,7 @@
 
 // Guards against blocking an application whose requests crash servers each by itself, and are blocked one by one.
 func TestBlockedRequestsExplainCrashes(t *testing.T) {
-	var p poison.Parts
+	var p poison.PartTracker
 	requests := poison.Tracker{OnBlock: func(s poison.Suspect) { p.Explain(s.Servers) }}
 	for i := range 9 {
 		now := start.Add(time.Duration(i) * time.Second)
@@ -160,7 +160,7 @@
 
 // Guards against blocking at once, before the survivors and crashes that other VMs have seen are known.
 func TestPartIsBlockedWhenEvidenceHasSettled(t *testing.T) {
-	var p poison.Parts
+	var p poison.PartTracker
 	for i := range 4 {
 		crashUnder(&p, start, fmt.Sprint("s", i), prompt("app", "dead"))
 	}
@@ -175,14 +175,14 @@
 
 // Guards against a part that stays blocked at some VMs although a sound request has survived it.
 func TestSurvivorClearsBlockedPart(t *testing.T) {
-	var controller, vm, other poison.Parts
+	var controller, vm, other poison.PartTracker
 	for i := range 4 {
 		crashUnder(&vm, start, fmt.Sprint("s", i), prompt("app", "menu"))
 	}
 	controller.AddReport(start, vm.TakeReport())
 	later := start.Add(2 * time.Second)
 	require.Equal(t, prompt("menu"), blockedParts(&controller, later))
-	for _, p := range []*poison.Parts{&vm, &other} {
+	for _, p := range []*poison.PartTracker{&vm, &other} {
 		p.MergeSuspects(later, controller.Suspects(later), true)
 		require.Equal(t, prompt("menu"), blockedParts(p, later))
 	}
@@ -197,7 +197,7 @@
 // Guards against a VM that judges by its own crashes while the controller knows survivors of other VMs, and against
 // one that has lost the controller and never judges.
 func TestControllerJudges(t *testing.T) {
-	var vm poison.Parts
+	var vm poison.PartTracker
 	vm.MergeSuspects(start, nil, true)
 	for i := range 4 {
 		crashUnder(&vm, start, fmt.Sprint("s", i), prompt("app", "menu"))
@@ -209,7 +209,7 @@
 
 // Guards against a survivor that one VM has seen long before the others suspect the part.
 func TestToldSuspectIsCleared(t *testing.T) {
-	var controller, vm poison.Parts
+	var controller, vm poison.PartTracker
 	vm.Survived(start, prompt("app"))
 	for i := range 3 {
 		crashUnder(&controller, start, fmt.Sprint("s", i), prompt("app", "dead"))
@@ -224,9 +224,9 @@
 // Guards against a next controller that knows nothing of crashes that were told to the one before, and against a
 // block that a start or a change of the controller ends.
 func TestEvidenceOutlivesController(t *testing.T) {
-	var next poison.Parts
+	var next poison.PartTracker
 	for i := range 4 {
-		var vm poison.Parts
+		var vm poison.PartTracker
 		crashUnder(&vm, start, fmt.Sprint("s", i), prompt("app", "dead"))
 		vm.TakeReport()
 		vm.MarkUnreported()
@@ -234,7 +234,7 @@
 	}
 	later := start.Add(time.Second)
 	require.Equal(t, prompt("dead"), blockedParts(&next, later))
-	var restarted poison.Parts
+	var restarted poison.PartTracker
 	restarted.MergeSuspects(later, next.Suspects(later), false)
 	_, left := restarted.BlockedFor(later, prompt("app", "dead"))
 	require.Equal(t, time.Hour, left)
@@ -242,7 +242,7 @@
 
 // Guards against an expired block that lets four more servers crash.
 func TestPartBlockIsRenewedByOneCrash(t *testing.T) {
-	p := poison.Parts{BlockDuration: time.Minute}
+	p := poison.PartTracker{BlockDuration: time.Minute}
 	for i := range 4 {
 		crashUnder(&p, start, fmt.Sprint("s", i), prompt("app", "dead"))
 	}
@@ -256,7 +256,7 @@
 // Guards against memory and reports that grow with the number of parts, and against losing the part under which
 // servers end among them.
 func TestManyParts(t *testing.T) {
-	var p poison.Parts
+	var p poison.PartTracker
 	for i := range 300 {
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
 		for j := range 400 {
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -13,15 +13,15 @@
 }
 
 // Budgets holds the retry budgets of one VM, by service. Each VM may send PerRequest retries for each of its own
-// requests, plus its part of Extra. The zero value allows no retries. It is safe for concurrent use.
+// requests, plus its allotment of Extra. The zero value allows no retries. It is safe for concurrent use.
 type Budgets struct {
-	mu       sync.Mutex
-	rules    Rules
-	part     Part
-	services map[string]*SlidingWindow
+	mu        sync.Mutex
+	rules     Rules
+	allotment Allotment
+	services  map[string]*SlidingWindow
 }
 
-// Configure applies the rules. It is to be called at intervals too, as parts begin and expire with time.
+// Configure applies the rules. It is to be called at intervals too, as allotments begin and expire with time.
 func (b *Budgets) Configure(now time.Time, r Rules) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -31,18 +31,18 @@
 	}
 }
 
-// Counted records that this VM is known to be one of a number of VMs that each have a part of Extra.
+// Counted records that this VM is known to be one of a number of VMs that each have an allotment of Extra.
 func (b *Budgets) Counted(now time.Time, vms int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.part.Counted(now, vms)
+	b.allotment.Counted(now, vms)
 }
 
-// PartVMs returns the number of VMs among which this VM divides Extra, or 0 if it has no part.
-func (b *Budgets) PartVMs(now time.Time) int {
+// AllotmentVMs returns the number of VMs among which this VM divides Extra, or 0 if it has no allotment.
+func (b *Budgets) AllotmentVMs(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.part.VMs(now, b.rules.Window)
+	return b.allotment.VMs(now, b.rules.Window)
 }
 
 // Of returns the budget of a service, with its limit as of now.
@@ -64,7 +64,7 @@
 // setLimit sets a budget to this VM's share of the retries of all VMs. b.mu is held.
 func (b *Budgets) setLimit(now time.Time, w *SlidingWindow) {
 	extra := 0.0
-	if vms := b.part.VMs(now, b.rules.Window); vms > 0 {
+	if vms := b.allotment.VMs(now, b.rules.Window); vms > 0 {
 		extra = b.rules.Extra / float64(vms)
 	}
 	w.SetLimit(now, b.rules.PerRequest, extra, b.rules.Window)
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -21,24 +21,24 @@
 	return allowed
 }
 
-// Guards against a VM that uses a part which others may use too: before it is counted, right after its start, or long
+// Guards against a VM that uses an allotment which others may use too: before it is counted, right after its start, or long
 // after it was counted last.
-func TestPartOfExtraRetries(t *testing.T) {
+func TestAllotmentOfExtraRetries(t *testing.T) {
 	start := time.Unix(1000, 0)
 	tests := map[string]struct {
 		counted []time.Duration
 		at      time.Duration
 		want    int
 	}{
-		"never counted":                         {nil, 0, 0},
-		"just counted":                          {[]time.Duration{0}, 5 * time.Second, 0},
-		"counted a window ago":                  {[]time.Duration{0}, 10 * time.Second, 10},
-		"counted a window ago, and since":       {[]time.Duration{0, 9 * time.Second}, 10 * time.Second, 10},
-		"out of sight for minutes":              {[]time.Duration{0}, 8 * time.Minute, 10},
-		"out of sight for too long":             {[]time.Duration{0}, 9 * time.Minute, 0},
-		"back after it was out of sight":        {[]time.Duration{0, time.Hour}, time.Hour + 2*time.Second, 0},
-		"back for a window after that":          {[]time.Duration{0, time.Hour}, time.Hour + 10*time.Second, 10},
-		"counted again before its part expires": {[]time.Duration{0, 8 * time.Minute}, 16 * time.Minute, 10},
+		"never counted":                              {nil, 0, 0},
+		"just counted":                               {[]time.Duration{0}, 5 * time.Second, 0},
+		"counted a window ago":                       {[]time.Duration{0}, 10 * time.Second, 10},
+		"counted a window ago, and since":            {[]time.Duration{0, 9 * time.Second}, 10 * time.Second, 10},
+		"out of sight for minutes":                   {[]time.Duration{0}, 8 * time.Minute, 10},
+		"out of sight for too long":                  {[]time.Duration{0}, 9 * time.Minute, 0},
+		"back after it was out of sight":             {[]time.Duration{0, time.Hour}, time.Hour + 2*time.Second, 0},
+		"back for a window after that":               {[]time.Duration{0, time.Hour}, time.Hour + 10*time.Second, 10},
+		"counted again before its allotment expires": {[]time.Duration{0, 8 * time.Minute}, 16 * time.Minute, 10},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/wire/types.go
+++ b/wire/types.go
@@ -192,15 +192,15 @@
 	// name sorts behind all others, so that builds without it skip it.
 	ZVersionHistory *VersionHistory `json:"z_version_history,omitempty,omitzero"`
 
+	// Number by which each VM divides what all VMs share.
+	ZzAllotmentVms int `json:"zz_allotment_vms,omitempty,omitzero"`
+
 	// Largest number of VMs of the last minutes in each failure domain. VMs that are
 	// no longer heard of may still use their parts of what all VMs share. Not sent on
 	// links. Its name, like those of the next two, sorts behind all others, so that
 	// builds without it skip it.
 	ZzDomainVms []DomainVms `json:"zz_domain_vms,omitempty,omitzero"`
 
-	// Number by which each VM divides what all VMs share.
-	ZzPartVms int `json:"zz_part_vms,omitempty,omitzero"`
-
 	// The number by which they divided when none was out of sight. Not sent on links.
 	ZzSettledVms int `json:"zz_settled_vms,omitempty,omitzero"`
 
