--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -143,7 +143,7 @@
 		selectCandidate: func(c []fleet.Candidate, prefix uint64, tried []string) (fleet.Candidate, bool) {
 			return policy.Choose(rng, c, prefix, tried)
 		},
-		budget: &retry.Budget{RetriesPerRequest: d.config.RetryShare}, backoff: retry.Backoff{Initial: retryInitialBackoff, Max: retryMaxBackoff},
+		budget: &retry.Budget{RetriesPerRequest: d.config.RetryShare, Since: d.now()}, backoff: retry.Backoff{Initial: retryInitialBackoff, Max: retryMaxBackoff},
 		engines: d.engines, plain: d.plain, now: d.now, meter: d.meter, offeredLoads: d.offeredLoads,
 		rng: rng,
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -96,9 +96,9 @@
 	}
 	switch f.Cause() {
 	case hibiscuscart.CauseDialFailed, hibiscuscart.CauseNothingWritten, hibiscuscart.CauseRefused:
-		return s.budget.Allow()
+		return s.budget.Allow(s.now())
 	case hibiscuscart.CauseLostBeforeAnswer, hibiscuscart.CauseLostInStream, hibiscuscart.CauseBackendError:
-		return x.possibleRuns < x.profile.RunsAllowed() && s.budget.Allow()
+		return x.possibleRuns < x.profile.RunsAllowed() && s.budget.Allow(s.now())
 	}
 	return false
 }
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -73,7 +73,7 @@
 // the load that made the servers refuse is multiplied.
 func TestRetryBudget(t *testing.T) {
 	for _, cause := range []hibiscuscart.Cause{hibiscuscart.CauseRefused, hibiscuscart.CauseDialFailed, hibiscuscart.CauseLostBeforeAnswer} {
-		s := &relayStage{budget: &retry.Budget{Reserve: 3}}
+		s := &relayStage{budget: &retry.Budget{Reserve: 3}, now: time.Now}
 		x := &Exchange{profile: hibiscuscart.NewProfile(1, wire.Profile{RunsAllowed: 5})}
 		allowed := 0
 		for range 50 {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -8,7 +8,11 @@
 	"time"
 )
 
-const defaultReserveRetries = 10
+const (
+	defaultReserveRetries = 10
+	// reserveGrowth is longer than a process that crashes again and again lives.
+	reserveGrowth = 10 * time.Second
+)
 
 // Budget limits retries to a share of the requests, plus a reserve for times with few requests.
 // Without it, every request refused by an overloaded server is retried, which increases the
@@ -18,6 +22,9 @@
 	RetriesPerRequest float64
 	// Reserve bounds the retries that can accumulate; 0 means 10.
 	Reserve float64
+	// Since is when the process started. The reserve grows to its full size in reserveGrowth from then on, because
+	// an earlier process may have spent it; with the zero value it is there at once.
+	Since time.Time
 
 	mu     sync.Mutex
 	spent  float64
@@ -41,11 +48,19 @@
 	}
 }
 
+// grown returns the share of the reserve that is there.
+func (b *Budget) grown(now time.Time) float64 {
+	if b.Since.IsZero() {
+		return 1
+	}
+	return min(max(now.Sub(b.Since).Seconds()/reserveGrowth.Seconds(), 0), 1)
+}
+
 // Allow consumes one retry and reports whether one was available.
-func (b *Budget) Allow() bool {
+func (b *Budget) Allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.earned+b.reserve()-b.spent < 1 {
+	if b.earned+b.grown(now)*b.reserve()-b.spent < 1 {
 		return false
 	}
 	b.spent++
