poison: Evidence against parts of prompts is judged only while it changes, and relays pass suspects on

Now it is judged four times a second while evidence comes and once when it has settled, frames take the list of the last judgement, and 128 parts of a crash are kept.

A relay listed the suspects of its own evidence only, so VMs behind it were not asked for survivors of parts that others suspect. It passes on what the controller told (TestRelayPassesSuspectsOn failed before).

--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -103,17 +103,20 @@
 	for p := range t.cleared {
 		list = append(list, PartSuspect{Part: p})
 	}
-	for p, e := range t.unexplained(now) {
-		if len(e.crashes) > 1 && !now.Before(t.blocked[p]) && !now.Before(t.cleared[p]) {
-			list = append(list, PartSuspect{Part: p, Crashes: len(e.crashes)})
+	for _, s := range t.suspects {
+		if !now.Before(t.blocked[s.Part]) && !now.Before(t.cleared[s.Part]) && !t.isCleared(now, s.Part) {
+			list = append(list, s)
 		}
 	}
-	slices.SortFunc(list, func(a, b PartSuspect) int {
-		return cmp.Or(-cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Part, b.Part))
-	})
+	slices.SortFunc(list, comparePartSuspects)
 	return list
 }
 
+// comparePartSuspects orders suspects: blocked, cleared, then the others by ended servers.
+func comparePartSuspects(a, b PartSuspect) int {
+	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Part, b.Part))
+}
+
 // rank orders suspects: blocked, cleared, then suspected only.
 func (s PartSuspect) rank() int {
 	switch {
@@ -133,7 +136,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if told {
-		t.toldAt = now
+		t.toldAt, t.suspects = now, nil
 	}
 	for _, s := range suspects {
 		switch {
@@ -144,6 +147,10 @@
 		case s.Crashes == 0:
 			t.clear(now, s.Part)
 		}
+		if told && s.BlockedFor == 0 && s.Crashes > 0 {
+			// A relay passes them on, so that the VMs behind it report survivors.
+			t.suspects = append(t.suspects, s)
+		}
 		t.suspect(now, s.Part)
 		if t.isCleared(now, s.Part) && s.Crashes > 0 {
 			t.survive(now, s.Part)
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -38,12 +38,12 @@
 	// parts that sound requests have survived, maxSuspectedParts those of which survivors are reported, and
 	// maxBlockedParts the blocked ones.
 	maxPartCrashes    = 256
-	maxCrashParts     = 256
+	maxCrashParts     = 128
 	maxSurvivors      = 8192
 	maxSuspectedParts = 8192
 	maxBlockedParts   = 64
-	// judgeInterval is the minimum time between two judgements of the evidence.
-	judgeInterval = 100 * time.Millisecond
+	// judgeInterval is the minimum time between two judgements of the evidence, which go through all of it.
+	judgeInterval = 250 * time.Millisecond
 	// maxReportParts bounds the parts in one report to another VM.
 	maxReportParts = 512
 )
@@ -108,8 +108,10 @@
 	// unreported are the parts that were survived and are not reported yet.
 	unreported map[Part]bool
 	toldAt     time.Time
-	// judgedAt is when the evidence was last judged.
-	judgedAt, lastSweep time.Time
+	// suspects are the parts with at least two ended servers as last judged, or as the controller has told.
+	suspects []PartSuspect
+	// changedAt is when evidence last came, judgedAt when it was last judged.
+	changedAt, judgedAt, lastSweep time.Time
 }
 
 // survival is how many sound requests have survived a part, and when the last one did.
@@ -207,7 +209,7 @@
 		}
 		c.parts[p] = first
 		t.suspect(now, p)
-		added = true
+		added, t.changedAt = true, now
 	}
 	return added
 }
@@ -268,7 +270,7 @@
 	for _, c := range t.crashes {
 		if _, suspected := c.parts[p]; suspected {
 			delete(c.parts, p)
-			c.explained = false
+			c.explained, t.changedAt = false, now
 		}
 	}
 	if t.unreported == nil {
@@ -328,10 +330,12 @@
 	if len(t.crashes) == 0 || !t.toldAt.IsZero() && now.Sub(t.toldAt) < toldInterval {
 		return
 	}
-	if since := now.Sub(t.judgedAt); since >= 0 && since < judgeInterval {
+	settled := now.Sub(t.changedAt) >= partSettleTime
+	if t.judgedAt.Sub(t.changedAt) >= partSettleTime || !settled && now.Sub(t.judgedAt) < judgeInterval {
 		return
 	}
 	t.judgedAt = now
+	defer t.listSuspects(now)
 	for len(t.blocked) < maxBlockedParts {
 		culprits, servers := t.culprits(now)
 		if len(culprits) == 0 {
@@ -343,6 +347,18 @@
 	}
 }
 
+// listSuspects lists the parts with at least two ended servers that no blocked part explains. t.mu is held.
+func (t *PartTracker) listSuspects(now time.Time) {
+	t.suspects = nil
+	for p, e := range t.unexplained(now) {
+		if len(e.crashes) > 1 {
+			t.suspects = append(t.suspects, PartSuspect{Part: p, Crashes: len(e.crashes)})
+		}
+	}
+	slices.SortFunc(t.suspects, comparePartSuspects)
+	t.suspects = t.suspects[:min(len(t.suspects), maxBlockedParts)]
+}
+
 // culprits returns the parts that explain the most ended servers, if these are enough to block them. Of parts that
 // explain the same ones, those are left out with which prompts only begin: the requests of an application share them.
 func (t *PartTracker) culprits(now time.Time) (parts []Part, servers int) {
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -280,3 +280,21 @@
 	require.NotEmpty(t, blockedParts(&p, start.Add(5*time.Second)))
 	require.LessOrEqual(t, len(blockedParts(&p, start.Add(5*time.Second))), 64)
 }
+
+// Guards against VMs behind a relay that are not asked for survivors of a part, as the relay has seen none of the
+// crashes.
+func TestRelayPassesSuspectsOn(t *testing.T) {
+	var controller, relay, leaf poison.PartTracker
+	for i := range 3 {
+		crashUnder(&controller, start, fmt.Sprint("s", i), prompt("app", "menu"))
+	}
+	leaf.Survived(start, prompt("menu"))
+	relay.MergeSuspects(start, controller.Suspects(start), true)
+	leaf.MergeSuspects(start, relay.Suspects(start), true)
+	report := leaf.TakeReport()
+	require.Equal(t, prompt("menu"), report.Survived)
+	relay.AddReport(start, report)
+	controller.AddReport(start, relay.TakeReport())
+	crashUnder(&controller, start, "s9", prompt("app", "menu"))
+	require.Empty(t, blockedParts(&controller, start.Add(2*time.Second)))
+}
