retry, node, demo: A process earns a fifth of its share of retries in its first window

A process may spend in its last second what requests of the ten seconds before had earned; the next one earns anew, so a window that spans both holds nearly two shares.

Change: Rules.FirstPerRequest takes the place of PerRequest in the first window of a process, and is what the usable share leaves: 0.04 beside 0.16 of 0.2. Demo and soak VMs, whose retries are to be unlimited, have a window of 100 ms.

--- a/demo/settings.go
+++ b/demo/settings.go
@@ -28,6 +28,7 @@
 [retries]
 share = 1
 extra = 1000
+window = 100ms
 [quotas]
 window = 2s
 slack = 20
--- a/node/node.go
+++ b/node/node.go
@@ -216,7 +216,7 @@
 // retryRules returns the limit on the retries of all VMs in the settings, without what is kept in reserve.
 func retryRules(s *conf.Settings) retry.Rules {
 	return retry.Rules{
-		PerRequest: usableBudgetShare * s.Float("retries", "share"), Extra: usableBudgetShare * s.Float("retries", "extra"), Window: s.Duration("retries", "window"),
+		PerRequest: usableBudgetShare * s.Float("retries", "share"), FirstPerRequest: (1 - usableBudgetShare) * s.Float("retries", "share"), Extra: usableBudgetShare * s.Float("retries", "extra"), Window: s.Duration("retries", "window"),
 	}
 }
 
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -9,14 +9,19 @@
 // the service, plus Extra. The zero value allows none.
 type Rules struct {
 	PerRequest, Extra float64
-	Window            time.Duration
+	// FirstPerRequest takes the place of PerRequest in the first Window of a process. An earlier one may have spent,
+	// right before its end, what requests before this window had earned.
+	FirstPerRequest float64
+	Window          time.Duration
 }
 
 // Budgets holds the retry budgets of one VM, by service. Each VM may send PerRequest retries for each of its own
 // requests, plus its allotment of Extra. The zero value allows no retries. It is safe for concurrent use.
 type Budgets struct {
-	mu        sync.Mutex
-	rules     Rules
+	mu    sync.Mutex
+	rules Rules
+	// startedAt is when the process began to use the budgets.
+	startedAt time.Time
 	allotment Allotment
 	services  map[string]*SlidingWindow
 }
@@ -26,6 +31,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.rules = r
+	if b.startedAt.IsZero() {
+		b.startedAt = now
+	}
 	for _, w := range b.services {
 		b.setLimit(now, w)
 	}
@@ -67,5 +75,9 @@
 	if vms := b.allotment.VMs(now, b.rules.Window); vms > 0 {
 		extra = b.rules.Extra / float64(vms)
 	}
-	w.SetLimit(now, b.rules.PerRequest, extra, b.rules.Window)
+	perRequest := b.rules.PerRequest
+	if now.Sub(b.startedAt) < b.rules.Window {
+		perRequest = b.rules.FirstPerRequest
+	}
+	w.SetLimit(now, perRequest, extra, b.rules.Window)
 }
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -84,3 +84,35 @@
 	w.Move(start, sent.Add(12*time.Second))
 	require.Equal(t, 2, w.Usage(sent.Add(12*time.Second)).Retries, "a retry that has left the window is counted again")
 }
+
+// Guards against processes that each earn retries by their requests of one window, while an earlier one has spent what
+// it earned in the window before: together they would send nearly twice the share.
+func TestEarnedRetriesOfRestartedProcess(t *testing.T) {
+	start := time.Unix(1000, 0)
+	shares := retry.Rules{PerRequest: 0.16, FirstPerRequest: 0.04, Window: 10 * time.Second}
+	var sent []time.Time
+	var b retry.Budgets
+	for i := range 600 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		age := now.Sub(start)
+		if i == 0 || age == 31*time.Second || age == 33*time.Second {
+			b = retry.Budgets{}
+			b.Configure(now, shares)
+		}
+		w := b.Of(now, "s")
+		w.RecordRequest(now)
+		if age >= 30*time.Second && w.Allow(now) {
+			sent = append(sent, now)
+		}
+	}
+	for i, from := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) < shares.Window {
+				n++
+			}
+		}
+		require.LessOrEqual(t, n, 20, "of 100 requests, in the window from %v", from.Sub(start))
+	}
+	require.GreaterOrEqual(t, len(sent), 30, "a process that has run for a window sends its share")
+}
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -28,7 +28,7 @@
 	settingsDelay = 2 * time.Second
 )
 
-var wideRetries = []byte("[retries]\nshare = 1\nextra = 1000\n")
+var wideRetries = []byte("[retries]\nshare = 1\nextra = 1000\nwindow = 100ms\n")
 
 // checkRetries lowers the limit on the retries of all VMs, makes the plain servers fail all requests and kills all VMs
 // again and again, and counts what the servers get beyond the first send of each request. It guards against processes
