poison: Of parts with the same evidence the last is blocked, and blocked requests are evidence too

With three servers that end all the time no sound request survived the part before the one that crashes them, so both had the same evidence and both were blocked. Now the last of them in the prompts is ("no sound request survives the part before it" in TestBlockedParts); crash reports carry the places of parts. The logs of a failing play: a request sent to three servers blocks its own fingerprint, which explained the three crashes, so that they did not count against the part. The test of three VMs lets a VM end three servers more before it must refuse, as the rule says; it asked for none.

--- a/demo/parts_test.go
+++ b/demo/parts_test.go
@@ -103,6 +103,9 @@
 				if status == 0 {
 					continue // The VM is down.
 				}
+				if !strings.Contains(body, blockedPartText) && i < maxLaterPartCrashes*len(s.VMAddresses()) {
+					continue // At most maxLaterPartCrashes requests may still end servers.
+				}
 				require.Equal(t, http.StatusServiceUnavailable, status, body)
 				require.Contains(t, body, blockedPartText)
 				wait, err := strconv.ParseFloat(retryAfter, 64)
--- a/link/older_test.go
+++ b/link/older_test.go
@@ -83,10 +83,10 @@
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f66090f6f6816161f6f6f6f4f602818560616d036000f6f4f4f6f6f6",
 			message: wire.Message{VMReport: &report},
 			extend: func(m *wire.Message) {
-				m.VMReport.ZzzPartCrashes = []wire.PartCrash{{Server: "s", First: []string{"f"}, Later: []string{"l"}}}
+				m.VMReport.ZzzPartCrashes = []wire.PartCrash{{Server: "s", Parts: []string{"f", "l"}, Depths: []int{0, 1}}}
 				m.VMReport.ZzzPartsSurvived = []string{"p"}
 			},
-			newer: "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f66092f6f6816161f6f6f6f4f602818560616d036000f6f4f4f6f6f6818381616681616c6173816170",
+			newer: "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f66092f6f6816161f6f6f6f4f602818560616d036000f6f4f4f6f6f68183820001826166616c6173816170",
 		},
 		"fleet state without allotments and parts of prompts": {
 			older:   "94f6f6f6f6f6f6f69207f5f4008a60f660006060f60000f600f6f600f4f6f6f681617403f6f6f6f6f6f6f6f6f6f6f6f6f660f6",
--- a/node/servers.go
+++ b/node/servers.go
@@ -75,7 +75,6 @@
 // recordBlock logs and counts a request that is now blocked on this VM.
 func (n *Node) recordBlock(s poison.Suspect) {
 	n.meter.AddCounter("poison.blocked", 1)
-	n.partTracker.Explain(s.Servers)
 	n.log.Warn().Str("fingerprint", string(s.Request)).Int("crashes", s.Crashes).Dur("for", s.BlockedFor).Msg("request blocked")
 }
 
--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -70,7 +70,7 @@
 func partReportOf(r *wire.VMReport) poison.PartReport {
 	report := poison.PartReport{Survived: partsOf(r.ZzzPartsSurvived)}
 	for _, c := range r.ZzzPartCrashes {
-		report.Crashes = append(report.Crashes, poison.PartCrash{Server: c.Server, First: partsOf(c.First), Later: partsOf(c.Later)})
+		report.Crashes = append(report.Crashes, poison.PartCrash{Server: c.Server, Parts: partsOf(c.Parts), Depths: c.Depths})
 	}
 	return report
 }
@@ -79,7 +79,7 @@
 func addPartReport(report *wire.VMReport, r poison.PartReport) {
 	report.ZzzPartsSurvived = partNames(r.Survived)
 	for _, c := range r.Crashes {
-		report.ZzzPartCrashes = append(report.ZzzPartCrashes, wire.PartCrash{Server: c.Server, First: partNames(c.First), Later: partNames(c.Later)})
+		report.ZzzPartCrashes = append(report.ZzzPartCrashes, wire.PartCrash{Server: c.Server, Parts: partNames(c.Parts), Depths: c.Depths})
 	}
 }
 
--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -17,10 +17,8 @@
 	t.sweep(now)
 	for _, r := range report.Crashes {
 		c, _ := t.crash(now, r.Server)
-		added := t.addParts(now, c, r.Later, false)
-		added = t.addParts(now, c, r.First, true) || added
-		if added {
-			c.reported = false
+		for i, p := range r.Parts[:min(len(r.Parts), len(r.Depths))] {
+			t.addPart(now, c, p, r.Depths[i])
 		}
 	}
 	for _, p := range report.Survived {
@@ -62,11 +60,7 @@
 func (c *partCrash) report(server string) PartCrash {
 	r := PartCrash{Server: server}
 	for _, p := range slices.Sorted(maps.Keys(c.parts)) {
-		if c.parts[p] {
-			r.First = append(r.First, p)
-		} else {
-			r.Later = append(r.Later, p)
-		}
+		r.Parts, r.Depths = append(r.Parts, p), append(r.Depths, c.parts[p])
 	}
 	return r
 }
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -54,8 +54,10 @@
 // PartCrash is the end of a server process while requests with the parts were in progress on it.
 type PartCrash struct {
 	Server string
-	// First are the parts with which a prompt began, Later all others but the last ones.
-	First, Later []Part
+	// Parts are the suspected parts, and Depths their places in their prompts: 0 for a part with which prompts
+	// begin.
+	Parts  []Part
+	Depths []int
 }
 
 // PartReport holds the changes at a VM since its previous report.
@@ -125,11 +127,11 @@
 	at    time.Time
 }
 
-// partCrash is an ended server. Its parts have true if a prompt began with them. explained is set once one of them was
+// partCrash is an ended server. Its parts have their greatest places in prompts. explained is set once one of them was
 // blocked: the crash is no evidence against another one, also after the block.
 type partCrash struct {
 	at                  time.Time
-	parts               map[Part]bool
+	parts               map[Part]int
 	reported, explained bool
 }
 
@@ -172,10 +174,8 @@
 // addCrash records an ended server with the parts of a request that was in progress on it. t.mu is held.
 func (t *PartTracker) addCrash(now time.Time, server string, parts []Part) {
 	c, known := t.crash(now, server)
-	added := t.addParts(now, c, parts[:1], true)
-	added = t.addParts(now, c, parts[1:], false) || added
-	if added {
-		c.reported = false
+	for depth, p := range parts {
+		t.addPart(now, c, p, depth)
 	}
 	if !known && t.OnCrash != nil {
 		t.OnCrash(server, len(c.parts))
@@ -196,22 +196,19 @@
 		})
 		delete(t.crashes, oldest)
 	}
-	c = &partCrash{at: now, parts: make(map[Part]bool)}
+	c = &partCrash{at: now, parts: make(map[Part]int)}
 	t.crashes[server] = c
 	return c, false
 }
 
-// addParts adds the parts that no sound request has survived of late. t.mu is held.
-func (t *PartTracker) addParts(now time.Time, c *partCrash, parts []Part, first bool) (added bool) {
-	for _, p := range parts {
-		if _, known := c.parts[p]; known || t.isCleared(now, p) || len(c.parts) >= maxCrashParts {
-			continue
-		}
-		c.parts[p] = first
-		t.suspect(now, p)
-		added, t.changedAt = true, now
+// addPart adds a part to an ended server, unless a sound request has survived it of late. t.mu is held.
+func (t *PartTracker) addPart(now time.Time, c *partCrash, p Part, depth int) {
+	known, present := c.parts[p]
+	if present && known >= depth || !present && (t.isCleared(now, p) || len(c.parts) >= maxCrashParts) {
+		return
 	}
-	return added
+	c.parts[p], c.reported, t.changedAt = depth, false, now
+	t.suspect(now, p)
 }
 
 // suspect makes survivors of a part worth reporting. t.mu is held.
@@ -237,7 +234,7 @@
 		return 1
 	case t.survived[p].count >= provenSurvivals:
 		return provenPartCrashLimit
-	case e.onlyFirst:
+	case e.depth == 0:
 		return firstPartCrashLimit
 	}
 	return partCrashLimit
@@ -312,18 +309,6 @@
 	return blocked, remaining
 }
 
-// Explain records that servers have ended under a request that is blocked by itself, so that they are no evidence
-// against the parts of its prompt.
-func (t *PartTracker) Explain(servers []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, server := range servers {
-		if c := t.crashes[server]; c != nil {
-			c.explained = true
-		}
-	}
-}
-
 // judge blocks the parts that explain most ended servers, until none is left that explains enough. A VM that hears the
 // controller leaves that to it. t.mu is held.
 func (t *PartTracker) judge(now time.Time) {
@@ -360,7 +345,8 @@
 }
 
 // culprits returns the parts that explain the most ended servers, if these are enough to block them. Of parts that
-// explain the same ones, those are left out with which prompts only begin: the requests of an application share them.
+// explain the same ones, the last in the prompts is blocked: while servers end all the time, no sound request may survive
+// the parts before it, which more requests share.
 func (t *PartTracker) culprits(now time.Time) (parts []Part, servers int) {
 	evidence := t.unexplained(now)
 	for p, e := range evidence {
@@ -377,17 +363,19 @@
 		}
 		parts = append(parts, p)
 	}
-	if slices.ContainsFunc(parts, func(p Part) bool { return !evidence[p].onlyFirst }) {
-		parts = slices.DeleteFunc(parts, func(p Part) bool { return evidence[p].onlyFirst })
+	deepest := 0
+	for _, p := range parts {
+		deepest = max(deepest, evidence[p].depth)
 	}
+	parts = slices.DeleteFunc(parts, func(p Part) bool { return evidence[p].depth < deepest })
 	slices.Sort(parts)
 	return parts, servers
 }
 
-// partEvidence is when servers ended under a part. onlyFirst is set if all prompts that hold it begin with it.
+// partEvidence is when servers ended under a part, and its greatest place in a prompt.
 type partEvidence struct {
-	crashes   []time.Time
-	onlyFirst bool
+	crashes []time.Time
+	depth   int
 }
 
 // unexplained returns the evidence against each part by the ended servers that no blocked part explains.
@@ -398,17 +386,17 @@
 		if c.explained = c.explained || t.hasBlocked(now, c); c.explained {
 			continue
 		}
-		for p, first := range c.parts {
+		for p, depth := range c.parts {
 			if t.isCleared(now, p) {
 				continue
 			}
 			e := evidence[p]
 			if e == nil {
-				e = &partEvidence{onlyFirst: true}
+				e = &partEvidence{}
 				evidence[p] = e
 			}
 			e.crashes = append(e.crashes, c.at)
-			e.onlyFirst = e.onlyFirst && first
+			e.depth = max(e.depth, depth)
 		}
 	}
 	return evidence
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -98,6 +98,11 @@
 				p.Survived(second(i), prompt("app", "menu"))
 			}
 		}, nil},
+		"no sound request survives the part before it": {func(p *poison.PartTracker) {
+			for i := range 4 {
+				crashUnder(p, second(i), server(i), prompt("app", "menu", "dead"), prompt("app", "menu"))
+			}
+		}, prompt("dead")},
 		"a session is present at four of six": {func(p *poison.PartTracker) {
 			for i := range 6 {
 				prompts := [][]poison.Part{prompt("app", "dead")}
@@ -143,19 +148,19 @@
 	}
 }
 
-// Guards against blocking an application whose requests crash servers each by itself, and are blocked one by one.
-func TestBlockedRequestsExplainCrashes(t *testing.T) {
+// Guards against repeats of one request, which is blocked by itself after three crashes, that hide the part under which
+// all of its servers ended.
+func TestBlockedRequestsAreEvidence(t *testing.T) {
 	var p poison.PartTracker
-	requests := poison.Tracker{OnBlock: func(s poison.Suspect) { p.Explain(s.Servers) }}
-	for i := range 9 {
-		now := start.Add(time.Duration(i) * time.Second)
+	var requests poison.Tracker
+	for i := range 6 {
 		server := fmt.Sprint("s", i)
-		crashUnder(&p, now, server, prompt("app"))
-		requests.ConnectionLost(now, poison.Fingerprint(fmt.Sprint("r", i/3)), server)
-		requests.ProcessEnded(now, server)
-		require.Empty(t, blockedParts(&p, now.Add(900*time.Millisecond)))
+		crashUnder(&p, start, server, prompt("app", "dead"))
+		requests.ConnectionLost(start, poison.Fingerprint(fmt.Sprint("r", i/3)), server)
+		requests.ProcessEnded(start, server)
 	}
-	require.Empty(t, blockedParts(&p, start.Add(time.Minute)))
+	require.NotZero(t, requests.BlockedFor(start, "r0"))
+	require.Equal(t, prompt("dead"), blockedParts(&p, start.Add(time.Second)))
 }
 
 // Guards against blocking at once, before the survivors and crashes that other VMs have seen are known.
@@ -273,7 +278,7 @@
 	for r := p.TakeReport(); !r.Empty(); r = p.TakeReport() {
 		n := len(r.Survived)
 		for _, c := range r.Crashes {
-			n += len(c.First) + len(c.Later)
+			n += len(c.Parts)
 		}
 		require.LessOrEqual(t, n, 512)
 	}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -51,8 +50,6 @@
 	Crashes int
 	// BlockedFor is the remaining block time, 0 if the request is not blocked.
 	BlockedFor time.Duration
-	// Servers are the IDs of those server instances, as far as this VM knows them. Only OnBlock gets them.
-	Servers []string
 }
 
 // Tracker counts server crashes by the request in progress and blocks requests that reach
@@ -284,7 +281,7 @@
 	newlyBlocked := !r.blocked(now)
 	r.blockedUntil = until
 	if newlyBlocked && t.OnBlock != nil {
-		t.OnBlock(Suspect{Request: request, Crashes: r.crashes(), BlockedFor: until.Sub(now), Servers: slices.Sorted(maps.Keys(r.servers))})
+		t.OnBlock(Suspect{Request: request, Crashes: r.crashes(), BlockedFor: until.Sub(now)})
 	}
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -750,11 +750,12 @@
 // A server process that ended while requests with parts of prompts were in
 // progress on it.
 type PartCrash struct {
-	// IDs of the parts with which their prompts began.
-	First []string `json:"first,omitempty,omitzero"`
+	// Places of the parts in their prompts, in the same order; 0 for a part with
+	// which prompts begin.
+	Depths []int `json:"depths,omitempty,omitzero"`
 
-	// IDs of all other parts but the last ones.
-	Later []string `json:"later,omitempty,omitzero"`
+	// IDs of the suspected parts.
+	Parts []string `json:"parts,omitempty,omitzero"`
 
 	// ID of the server instance.
 	Server string `json:"server"`
