--- a/peers/retries_test.go
+++ b/peers/retries_test.go
@@ -177,6 +177,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newSimFleet(tc.vms)
 				f.start()
