pass, trail, docs: The line of a request names the servers that it left while they were silent

The line request has left_silent, the counter pass.left_silent counts, and explain tells it. Nothing that decides has changed.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -269,6 +269,10 @@
 		c.excluded = c.excluded[:len(c.excluded)-1]
 	}
 	g.Meter.AddCounter("pass.silent", 1)
+	if ok {
+		c.leftSilent = append(c.leftSilent, a.choice.Server.ID)
+		g.Meter.AddCounter("pass.left_silent", 1)
+	}
 	g.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("started", c.headSent).Bool("given_up", ok).
 		Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Msg("server silent")
 	return ok
--- a/pass/call.go
+++ b/pass/call.go
@@ -102,6 +102,8 @@
 	blockedPart poison.Part
 	// modelWait is how long the request waited for a server with its model or adapter.
 	modelWait time.Duration
+	// leftSilent lists the servers that the call left because they were silent.
+	leftSilent []string
 	// errorResponse is an error response of a server; it is forwarded if no later attempt succeeds.
 	errorResponse *response
 	// serverLeaving and serverRetryAfter are what the last response said about its server: that it will
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -225,7 +225,7 @@
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.sentTo).Strs("software_versions", c.versions).Str("resumes", c.resumes).Str("bound_by", c.boundBy).Str("bound_version", c.binding.version).Str("resumed_after", c.request.Header.Get(headerLastEvent)).Int("sends", c.sends).Int("status", c.status).
 		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
-		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Strs("parts", partIDs(c.sharedParts())).Str("blocked_part", string(c.blockedPart)).Str("reason", c.reason).
+		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Strs("parts", partIDs(c.sharedParts())).Str("blocked_part", string(c.blockedPart)).Strs("left_silent", c.leftSilent).Str("reason", c.reason).
 		Dur("objective", c.route.Objective).Dur("pause_limit", c.route.MaxEventGap).Int("prompt", c.work.PromptTokens).Int("output", c.work.MaxOutputTokens).
 		Dur("predicted", c.choice.PredictedTime).Dur("queue", c.choice.QueueTime).Int("missing", c.choice.UncachedTokens).
 		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.KVTokens).
--- a/trail/line.go
+++ b/trail/line.go
@@ -59,6 +59,9 @@
 	FindWait      float64 `json:"sought"`
 	Duration      float64 `json:"took"`
 
+	// LeftSilent lists the servers that the request left because they were silent.
+	LeftSilent []string `json:"left_silent"`
+
 	// ServerLeaving and ServerRetryAfter are what the last response said about its server.
 	ServerLeaving    bool   `json:"server_leaving"`
 	ServerRetryAfter string `json:"server_retry_after"`
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -76,6 +76,9 @@
 		}
 		text += fmt.Sprintf("; first event %.0f ms, predicted %.0f, objective %.0f", l.FirstEvent, l.Predicted, l.Objective)
 		text += describeVersions(l)
+		if len(l.LeftSilent) > 0 {
+			text += fmt.Sprintf("; left %v, which were silent", l.LeftSilent)
+		}
 		if l.Team != "" {
 			text += "; team " + l.Team
 		}
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -235,3 +235,14 @@
 	require.Contains(t, out.String(), "software versions v1, v2")
 	require.Contains(t, out.String(), "software versions v3; request r2 takes up attempt r1 after event 7; bound to v3 by record")
 }
+
+// Guards against a lost answer whose timeline does not tell that its server was only silent when it was left.
+func TestTimelineNamesSilentServers(t *testing.T) {
+	const lines = `{"vm":"vm-1","request":"r1","servers":["s1","s2"],"left_silent":["s1"],"sends":2,"status":599,"reason":"refused with 503","time":"2026-01-01T00:00:02Z","message":"request"}
+`
+	log := &trail.Log{RequestID: "r1"}
+	require.NoError(t, log.Read("lines", strings.NewReader(lines)))
+	var out strings.Builder
+	require.NoError(t, log.WriteTimeline(&out))
+	require.Contains(t, out.String(), "left [s1], which were silent")
+}
