pass, conns: A request keeps its silent server until another one has begun to answer

Callers got a cut stream, a 502 or another server's 5xx though the server of their answer was only silent for a moment and went on. Cause: make after break. A silent server's connection was closed first and the next server asked then; once that had refused, broken off or failed, neither was left.

Change: after the same silence as before the request is also sent to another server (a hedge, which takes its retry and a permit as before) and the first connection stays. Whichever server first brings something that can be forwarded (a whole event, all of a plain answer) goes on, and the other connection is closed at once, so that no two servers go on with one request. An error of the hedge's server does not end the wait for the first one. If the first one breaks, the hedge is all the call has, and is hedged itself. A hedge that is silent as well gives way to a further server.

Changed test: TestSilentServerFailover let the first server go on in the moment in which the next was asked, and wanted the next one's answer. Both may now go on first; in that case the first server stays silent, and the answer must still come from the other one.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
@@ -28,9 +29,34 @@
 	maxForeignBodyBytes = 1 << 20
 )
 
-// sendAttempt sends a call to a server and forwards its response. It returns true if the caller has
-// received its final response. Otherwise it has updated the state of c for the next attempt.
+// sendAttempt sends a call to a server, and to others while that is silent, and forwards the response of the first one
+// that goes on. It returns true if the caller has received its final response. Otherwise it has updated the state of c
+// for the next attempt.
 func (g *Gateway) sendAttempt(ctx context.Context, w http.ResponseWriter, c *call, choice pick.Choice) bool {
+	for a := g.tryServer(ctx, c, choice); a != nil; {
+		done := a.deliver(ctx, w)
+		next := a.end()
+		if done {
+			return true
+		}
+		a = next
+	}
+	return false
+}
+
+// tryServer sends a call to a server and reads the beginning of its response. It returns the attempt whose response
+// can be forwarded, which may be one at another server if this one was silent, or nil.
+func (g *Gateway) tryServer(ctx context.Context, c *call, choice pick.Choice) *attempt {
+	a := g.openAttempt(ctx, c, choice)
+	if a == nil || a.begin(ctx) {
+		return a
+	}
+	return a.end()
+}
+
+// openAttempt opens the way to a server and decides whether the call may be sent there. If not, it returns nil and has
+// updated the state of c for the next attempt.
+func (g *Gateway) openAttempt(ctx context.Context, c *call, choice pick.Choice) *attempt {
 	server := choice.Server.ID
 	c.attempts++
 	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
@@ -39,11 +65,11 @@
 	c.proxy = way.proxy
 	if err != nil {
 		g.connectFailed(c, choice, err)
-		return false
+		return nil
 	}
 	if err := g.checkServer(c, way, choice.Server); err != nil {
 		g.logFailedAttempt(c, choice, err.Error())
-		return false
+		return nil
 	}
 	// While the connection was opened or this VM was suspended, the server may have started
 	// draining or asked for rest, or the request deadline may have passed.
@@ -51,17 +77,17 @@
 	if callerDisconnected(c.request) {
 		c.disconnected = true
 		way.pool.PutUnused(now, way.conn)
-		return false
+		return nil
 	}
 	if !g.Servers.MaySend(now, server) || c.remaining(now) <= 0 {
 		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, "server unavailable or at rest, or deadline passed before the send")
 		c.excluded = append(c.excluded, server)
-		return false
+		return nil
 	}
 	if g.blocked(now, c) || !g.recheckKey(c) {
 		way.pool.PutUnused(now, way.conn)
-		return false
+		return nil
 	}
 	// Only requests that reach a server contribute to an overload, so only sends count against the
 	// retry budget, and failed connections do not.
@@ -69,24 +95,33 @@
 		c.budgetExhausted = true
 		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, c.reason+"; retry budget exhausted")
-		return false
+		return nil
 	}
 	c.choice = choice
-	balancerAttempt := g.Balancer.Begin(now, choice, c.work, g.kvCacheTokens(c))
 	a := &attempt{
-		reply: reply{g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(), requestID: c.id, server: server}, c: c, choice: choice, pool: way.pool, balancerAttempt: balancerAttempt,
+		reply: reply{g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(), requestID: c.id, server: server}, c: c, choice: choice, pool: way.pool,
+		balancerAttempt: g.Balancer.Begin(now, choice, c.work, g.kvCacheTokens(c)),
 	}
-	ctx, span := spans.Start(ctx, "attempt", attribute.String("server", server), attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
-	defer func() { spans.End(span, a.err) }()
-	stop := context.AfterFunc(ctx, way.conn.Close)
+	_, a.span = spans.Start(ctx, "attempt", attribute.String("server", server), attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
+	a.stopClosing = context.AfterFunc(ctx, way.conn.Close)
 	g.proxyLoads.add(way.proxy, 1)
-	done := a.run(ctx, w, now)
-	g.proxyLoads.add(way.proxy, -1)
-	if !stop() && a.complete {
+	return a
+}
+
+// end releases what an attempt holds, and returns the attempt that continues the call, nil for none.
+func (a *attempt) end() *attempt {
+	a.dropHedge()
+	a.conn.SetStallTimeout(0, nil)
+	a.g.proxyLoads.add(a.proxy, -1)
+	if !a.stopClosing() && a.complete {
 		a.complete = false
 	}
 	a.finish()
-	return done
+	spans.End(a.span, a.err)
+	if a.release != nil {
+		a.release()
+	}
+	return a.successor
 }
 
 func (g *Gateway) reportSuspect(server string) {
@@ -113,10 +148,25 @@
 	balancerAttempt *pick.Attempt
 	// firstSendToServer is set if the server has not got the call before.
 	firstSendToServer bool
+	// sendIndex is the index of the send among those of the call.
+	sendIndex int
 	// complete is set when the response was read to its end, survived when the server has gone on after it began
 	// to write it.
 	complete, survived bool
 	result             pick.Result
+	// events reads the response if it is a stream, whole is the response otherwise.
+	events *eventReader
+	whole  *response
+	// hedge is the attempt at another server while this one is silent, nil for none. successor is the attempt that
+	// continues the call after this one.
+	hedge     *hedge
+	successor *attempt
+	// hedgeOf is the hedge that this attempt belongs to, nil for none, and release frees its context.
+	hedgeOf *hedge
+	release func()
+	// stopClosing ends the closing of the connection with the context of the call, and reports whether it was in time.
+	stopClosing func() bool
+	span        trace.Span
 	// err is why the attempt failed.
 	err error
 }
@@ -145,16 +195,18 @@
 		// The caller disconnected or the deadline passed. A server that had sent nothing by the
 		// deadline counts as failed, a server whose response had started does not.
 		a.result = pick.Neutral
-		if a.c.request.Context().Err() == nil && a.resp == nil {
+		if a.c.request.Context().Err() == nil && a.resp == nil && !hedgeDropped(ctx) {
 			a.result = pick.Failed
 		}
 	}
 	return a.fail(reason)
 }
 
-// fail records why an attempt failed and excludes its server for now.
+// fail records why an attempt failed and excludes its server for now. If another server has been asked, the call waits
+// for that one.
 func (a *attempt) fail(reason string) bool {
 	a.err = errors.New(reason)
+	a.awaitHedge()
 	a.c.excluded = append(a.c.excluded, a.choice.Server.ID)
 	a.g.logFailedAttempt(a.c, a.choice, reason)
 	return false
@@ -163,14 +215,17 @@
 // failNotRun records the failure of an attempt that the server provably did not execute.
 func (a *attempt) failNotRun(reason string) bool {
 	a.result = pick.Refused
+	a.awaitHedge()
 	a.c.refundRun()
 	return a.fail(reason)
 }
 
-func (a *attempt) run(ctx context.Context, w http.ResponseWriter, now time.Time) bool {
+// begin sends the call and reads the beginning of the response. It reports whether the response can be forwarded.
+func (a *attempt) begin(ctx context.Context) bool {
 	c, g := a.c, a.g
-	server := a.choice.Server.ID
+	now, server := g.Now(), a.choice.Server.ID
 	c.sends++
+	a.sendIndex = len(c.versions)
 	c.versions = append(c.versions, a.choice.Server.SoftwareVersion)
 	g.chargeRun(c)
 	if a.firstSendToServer = !slices.Contains(c.sentTo, server); a.firstSendToServer {
@@ -182,7 +237,7 @@
 	if err != nil {
 		return a.connectionLost(ctx, "send request: "+err.Error(), err)
 	}
-	a.limitSilence(a.startTimeout())
+	a.limitSilence(ctx, a.startTimeout())
 	err = a.readHead()
 	c.serverLeaving, c.serverRetryAfter = a.leaving, a.retryAfter
 	if err != nil {
@@ -197,85 +252,7 @@
 		a.conn.SetStallTimeout(0, nil)
 		return a.handleRefusal()
 	}
-	return a.forward(ctx, w)
-}
-
-const (
-	// startTimeoutObjectives is the timeout for the first event of a resumable stream, or for each part of
-	// another repeatable response, in latency objectives. After it, another server is tried. A slow but
-	// healthy server nearly always responds sooner. The head alone is no sign of that: a server can fall
-	// silent right after it.
-	startTimeoutObjectives = 3
-	// eventTimeoutGaps is the event timeout of a resumable stream, in maximum event gaps of its
-	// route, and minEventTimeout is its lower bound: after a preemption, a server recomputes the
-	// prompt in some hundred milliseconds.
-	eventTimeoutGaps = 4
-	minEventTimeout  = 900 * time.Millisecond
-)
-
-// pathCheckInterval is how often a request that waits for a server checks whether this VM has lost its path
-// to all of them.
-const pathCheckInterval = 400 * time.Millisecond
-
-// limitSilence moves the call to another server when its server is silent for a time, if that is possible.
-// A limit of 0 waits for the request deadline.
-func (a *attempt) limitSilence(limit time.Duration) {
-	interval := pathCheckInterval
-	if limit > 0 {
-		checks := (limit + pathCheckInterval - 1) / pathCheckInterval
-		interval = limit / checks
-	}
-	a.conn.SetStallTimeout(interval, func(waited time.Duration) bool {
-		now := a.g.Now()
-		a.g.Paths.Silent(now, now.Add(-waited))
-		return limit > 0 && waited >= limit && a.reserveFailover()
-	})
-}
-
-// startTimeout returns how long to wait for the response to begin, or 0 if only the request deadline
-// applies.
-func (a *attempt) startTimeout() time.Duration {
-	if !a.c.route.Repeatable() || a.c.sends >= a.c.route.MaxServers || a.c.route.Objective == 0 {
-		return 0
-	}
-	return max(startTimeoutObjectives*a.c.route.Objective, 2*a.choice.PredictedTime+a.c.route.Objective)
-}
-
-// eventTimeout returns how long to wait for the event after the one with an ID, or 0 if only the request
-// deadline applies. A stream whose events have no IDs can not be resumed.
-func (a *attempt) eventTimeout(lastID string) time.Duration {
-	if !a.c.route.Repeatable() || a.c.sends >= a.c.route.MaxServers || lastID == a.c.request.Header.Get(headerLastEvent) {
-		return 0
-	}
-	return max(eventTimeoutGaps*a.c.route.MaxEventGap, minEventTimeout)
-}
-
-// reserveFailover reports whether a call should move from its silent server to another one. That
-// requires a retry from the budget, which it reserves, another server with capacity, and enough time
-// before the deadline. If any of the three is missing, failing over would abort the response,
-// although the silent server may still complete it: usually it has preempted the request and is
-// recomputing its prompt.
-func (a *attempt) reserveFailover() bool {
-	c, g := a.c, a.g
-	now := g.Now()
-	if c.remaining(now) <= c.route.Objective || c.request.Context().Err() != nil {
-		return false
-	}
-	c.excluded = append(c.excluded, a.choice.Server.ID)
-	choice, ok := g.pickServer(now, c, g.serversFor(now, c))
-	if ok = ok && choice.HasCapacity() && g.takeRetry(now, c, choice.Server.ID); ok {
-		c.retryReserved = now
-	} else {
-		c.excluded = c.excluded[:len(c.excluded)-1]
-	}
-	g.Meter.AddCounter("pass.silent", 1)
-	if ok {
-		c.leftSilent = append(c.leftSilent, a.choice.Server.ID)
-		g.Meter.AddCounter("pass.left_silent", 1)
-	}
-	g.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("started", c.headSent).Bool("given_up", ok).
-		Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Msg("server silent")
-	return ok
+	return a.readBeginning(ctx)
 }
 
 func (a *attempt) notRun() bool { return a.g.provesNotRun(a.resp) }
@@ -301,39 +278,55 @@
 	return a.g.proxyHeaders(a.c, a.choice.Server)
 }
 
-// forward forwards the response to the caller.
-func (a *attempt) forward(ctx context.Context, w http.ResponseWriter) bool {
+// readBeginning reads as much of the response as must have come before anything of it is forwarded: the first events
+// of a stream, all of another response.
+func (a *attempt) readBeginning(ctx context.Context) bool {
 	resp := a.resp
 	if resp.Header.Get(headerEncoding) != "" || resp.Header.Get(a.g.HeaderNames.ServerStamp) == "" {
 		return a.failUncertain(ctx, "response is not from the expected server: status "+strconv.Itoa(resp.StatusCode))
 	}
 	if a.c.route.Kind == "stream" && resp.StatusCode < 300 && strings.HasPrefix(resp.Header.Get(headerType), typeEvents) {
-		return a.forwardStream(ctx, w)
+		return a.readFirstEvents(ctx)
 	}
 	if a.c.headSent {
 		return a.failUncertain(ctx, "resume stream: status "+strconv.Itoa(resp.StatusCode))
 	}
-	return a.forwardBuffered(ctx, w)
+	return a.readWhole(ctx)
+}
+
+// deliver forwards the response to the caller. It reports whether that was the final response.
+func (a *attempt) deliver(ctx context.Context, w http.ResponseWriter) bool {
+	if a.whole != nil {
+		a.g.writeResponse(w, a.c, a.whole)
+		return true
+	}
+	return a.forwardStream(ctx, w)
 }
 
-// forwardBuffered reads the whole response before forwarding it, so that a truncated response can
-// still be replaced by a retry.
-func (a *attempt) forwardBuffered(ctx context.Context, w http.ResponseWriter) bool {
+// mayBeReplaced reports whether another server may still answer in place of one that responded with an error.
+func (a *attempt) mayBeReplaced() bool {
+	return a.hedgeOf != nil && !a.hedgeOf.leads.Load() || a.c.route.Repeatable() && a.c.sends < a.c.route.MaxServers
+}
+
+// readWhole reads the whole response, so that a truncated one can still be replaced by a retry.
+func (a *attempt) readWhole(ctx context.Context) bool {
 	body, err := conns.ReadAll(a.resp.Body, maxResponseBytes)
 	if err != nil {
 		return a.connectionLost(ctx, err.Error(), err)
 	}
-	a.conn.SetStallTimeout(0, nil)
 	a.complete = true
 	a.result = pick.Succeeded
+	whole := &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body, framing: httpx.FramingOf(a.resp)}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		a.result = pick.Failed
-		if a.c.route.Repeatable() && a.c.sends < a.c.route.MaxServers && ctx.Err() == nil {
-			a.c.errorResponse = &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body, framing: a.c.framing}
+		if a.mayBeReplaced() && ctx.Err() == nil {
+			a.c.errorResponse = whole
 			return a.failUncertain(ctx, "server error: status "+strconv.Itoa(a.resp.StatusCode))
 		}
 	}
-	a.g.writeResponse(w, a.c, &response{status: a.resp.StatusCode, header: a.responseHeaders(), body: body, framing: a.c.framing})
+	a.dropHedge()
+	a.conn.SetStallTimeout(0, nil)
+	a.whole = whole
 	return true
 }
 
--- a/pass/framing.go
+++ b/pass/framing.go
@@ -35,14 +35,13 @@
 	return httpx.FramedByChunks
 }
 
-// endStream decides what the end of a server's stream means, and ends the caller's stream if it is complete.
-// gotEvents reports whether the attempt has brought any.
-func (a *attempt) endStream(ctx context.Context, w http.ResponseWriter, gotEvents bool) bool {
-	byClose := a.c.framing == httpx.FramedByClose
+// checkStreamEnd decides what the end of a server's stream means. It reports whether the stream is complete.
+func (a *attempt) checkStreamEnd(ctx context.Context) bool {
+	byClose := httpx.FramingOf(a.resp) == httpx.FramedByClose
 	switch {
-	case a.c.partialEventBytes > 0:
+	case len(a.events.splitter.partial) > 0:
 		return a.connectionLost(ctx, "read stream: ended inside an event", io.ErrUnexpectedEOF)
-	case byClose && !gotEvents:
+	case byClose && !a.events.begun:
 		return a.connectionLost(ctx, "read stream: connection closed before an event", io.ErrUnexpectedEOF)
 	case byClose && a.c.headSent && !a.c.endsByClose:
 		// An earlier server's framing is the caller's, whose last chunk would state that the stream is
@@ -51,12 +50,18 @@
 		a.c.mayHaveRun = true
 		return a.fail("read stream: connection closed after an event, in place of a last chunk")
 	}
+	a.dropHedge()
+	a.conn.SetStallTimeout(0, nil)
+	a.complete = true
+	a.result = pick.Succeeded
+	return true
+}
+
+// endStream ends the caller's stream, which is complete.
+func (a *attempt) endStream(w http.ResponseWriter) bool {
 	a.writeHead(w)
 	if err := a.c.completeByClose(w); err != nil {
 		a.c.reason = "caller disconnected"
 	}
-	a.conn.SetStallTimeout(0, nil)
-	a.complete = true
-	a.result = pick.Succeeded
 	return true
 }
--- /dev/null
+++ b/pass/hedge.go
@@ -0,0 +1,167 @@
+package pass
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+// hedge is an attempt at another server that begins while the server of a call is silent. Both go on until one of them
+// brings a part of the response that can be forwarded; the other one is then closed. Servers stop working on a
+// request when its connection is closed, so that no two of them go on with it.
+type hedge struct {
+	// call is the hedge's copy of the call, which nothing else uses until done is closed.
+	call      *call
+	server    string
+	startedAt time.Time
+	cancel    context.CancelCauseFunc
+	// leads is set once the attempt that began the hedge has failed, so that the hedge is all that the call has.
+	leads atomic.Bool
+	// settled is set once attempt, if there is one, can be forwarded. Then done is closed.
+	settled atomic.Bool
+	done    chan struct{}
+	attempt *attempt
+}
+
+// errHedgeDropped is the cause for ending an attempt whose response is not needed.
+var errHedgeDropped = errors.New("another server has gone on")
+
+// hedgeDropped reports whether ctx ended because the response of its attempt is not needed.
+func hedgeDropped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errHedgeDropped) }
+
+// startHedge sends the call to another server as well, if there is one and the retry budget allows it.
+func (a *attempt) startHedge(ctx context.Context, now time.Time) {
+	c, g := a.c, a.g
+	choice, ok := a.chooseOther(now)
+	if ok = ok && a.mayHedge() && g.takeRetry(now, c, choice.Server.ID); ok {
+		c.retryReserved = now
+	}
+	g.Meter.AddCounter("pass.silent", 1)
+	g.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("started", c.headSent).Bool("hedged", ok).
+		Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Msg("server silent")
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	h := &hedge{call: c.clone(), server: choice.Server.ID, startedAt: now, cancel: cancel, done: make(chan struct{})}
+	h.call.excluded = append(h.call.excluded, a.choice.Server.ID)
+	c.retryReserved = time.Time{}
+	a.hedge = h
+	go func() {
+		h.run(ctx, g, choice)
+		h.settled.Store(true)
+		a.conn.CheckStall()
+		close(h.done)
+	}()
+}
+
+// run makes the attempt of a hedge.
+func (h *hedge) run(ctx context.Context, g *Gateway, choice pick.Choice) {
+	if !g.acquirePermit(ctx, choice.Server.ID) {
+		return
+	}
+	if a := g.openAttempt(ctx, h.call, choice); a != nil {
+		a.hedgeOf = h
+		if h.attempt = a; !a.begin(ctx) {
+			h.attempt = a.end()
+		}
+	}
+}
+
+// replacesHedge drops a hedge whose server has been silent for the limit as well, if there is a further server. It
+// reports whether it did.
+func (a *attempt) replacesHedge(now time.Time, limit time.Duration) bool {
+	h := a.hedge
+	if now.Sub(h.startedAt) < limit || a.c.sends+1 >= min(a.c.route.MaxServers, maxSends) {
+		return false
+	}
+	if _, ok := a.chooseOther(now, h.server); !ok {
+		return false
+	}
+	a.dropHedge()
+	a.c.excluded = append(a.c.excluded, h.server)
+	return true
+}
+
+// awaitHedge waits for the hedge of an attempt that can not go on, and makes its attempt the successor.
+func (a *attempt) awaitHedge() {
+	h := a.hedge
+	if h == nil {
+		return
+	}
+	a.hedge = nil
+	h.leads.Store(true)
+	<-h.done
+	a.c.absorb(h.call)
+	a.c.excluded, a.c.unreachable = h.call.excluded, h.call.unreachable
+	if a.successor = h.attempt; a.successor == nil {
+		h.cancel(nil)
+		return
+	}
+	a.c.recordLast(h.call)
+	a.successor.c = a.c
+	a.successor.release = joinReleases(a.successor.release, func() { h.cancel(nil) })
+}
+
+// joinReleases returns a function that calls both of those that are not nil.
+func joinReleases(first, second func()) func() {
+	return func() {
+		if first != nil {
+			first()
+		}
+		second()
+	}
+}
+
+// dropHedge ends the hedge of an attempt whose own server goes on.
+func (a *attempt) dropHedge() {
+	h := a.hedge
+	if h == nil {
+		return
+	}
+	a.hedge = nil
+	h.cancel(errHedgeDropped)
+	<-h.done
+	if h.attempt != nil {
+		h.attempt.end()
+	}
+	a.c.absorb(h.call)
+}
+
+// clone returns a copy of the call for a hedge.
+func (c *call) clone() *call {
+	copied := *c
+	copied.sentTo, copied.versions = slices.Clone(c.sentTo), slices.Clone(c.versions)
+	copied.excluded, copied.unreachable = slices.Clone(c.excluded), slices.Clone(c.unreachable)
+	copied.leftSilent = slices.Clone(c.leftSilent)
+	return &copied
+}
+
+// absorb takes over what a hedge has counted and found out in its copy of the call.
+func (c *call) absorb(h *call) {
+	c.attempts, c.sends, c.sentTo, c.versions, c.quota = h.attempts, h.sends, h.sentTo, h.versions, h.quota
+	c.retryReserved, c.budgetExhausted = h.retryReserved, h.budgetExhausted
+	c.leftSilent = h.leftSilent
+	c.mayHaveRun = c.mayHaveRun || h.mayHaveRun
+	c.viaProxies = c.viaProxies || h.viaProxies
+	c.withoutPath = c.withoutPath || h.withoutPath
+	c.disconnected = c.disconnected || h.disconnected
+	c.keyRemoved = c.keyRemoved || h.keyRemoved
+	if h.blocked {
+		c.blocked, c.blockedPart, c.retryAfter = true, h.blockedPart, h.retryAfter
+	}
+	if h.errorResponse != nil {
+		c.errorResponse = h.errorResponse
+	}
+}
+
+// recordLast takes over what a hedge's copy of the call says of its last attempt and response.
+func (c *call) recordLast(h *call) {
+	c.choice, c.proxy, c.reason = h.choice, h.proxy, h.reason
+	c.framing, c.partialEventBytes = h.framing, h.partialEventBytes
+	c.serverLeaving, c.serverRetryAfter = h.serverLeaving, h.serverRetryAfter
+}
--- a/pass/silence_test.go
+++ b/pass/silence_test.go
@@ -27,8 +27,11 @@
 	sentBefore int
 	// onSilence is called when the first request has met the silence.
 	onSilence func()
-	goOn      chan struct{}
-	once      sync.Once
+	// onLeft, if not nil, is called when the request is left before the server goes on.
+	onLeft  func()
+	goOn    chan struct{}
+	once    sync.Once
+	gateway *Gateway
 }
 
 func (s *silentServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -47,6 +50,9 @@
 	select {
 	case <-s.goOn:
 	case <-r.Context().Done():
+		if s.onLeft != nil {
+			s.onLeft()
+		}
 		return
 	}
 	_, _ = io.WriteString(w, body[max(s.sentBefore, 0):])
@@ -192,6 +198,71 @@
 	}
 }
 
+// Guards against two servers that go on with one request: once one of them brings a part of the answer, the connection
+// to the other one is closed.
+func TestHedgeEndsAtTheOtherServer(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
+		for name, firstGoesOn := range map[string]bool{"first server goes on": true, "next server answers": false} {
+			t.Run(string(kind)+", "+name, func(t *testing.T) {
+				t.Parallel()
+				left := make(chan struct{})
+				first := &silentServer{eventType: kind == routes.Stream, sentBefore: 0}
+				if !firstGoesOn {
+					first.onLeft = func() { close(left) }
+				}
+				g := silenceGateway(t, first, func(wentOn func()) string {
+					s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if firstGoesOn {
+							wentOn()
+							<-r.Context().Done()
+							close(left)
+							return
+						}
+						whole := &silentServer{eventType: kind == routes.Stream, sentBefore: -1, onSilence: func() {}, goOn: make(chan struct{})}
+						close(whole.goOn)
+						whole.ServeHTTP(w, r)
+					}))
+					t.Cleanup(s.Close)
+					return strings.TrimPrefix(s.URL, "http://")
+				}, kind, 1)
+				requireWholeAnswer(t, g, kind)
+				<-left
+				require.Equal(t, 1, g.RetryBudget("s").Usage(clock.Now()).Retries)
+				for server, load := range g.Balancer.LocalLoads() {
+					require.Zero(t, load.Running, server)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a request that waits for two silent servers while a third one would answer.
+func TestHedgeAtSilentServerIsReplaced(t *testing.T) {
+	first := &silentServer{eventType: true, sentBefore: len("id: 1\ndata: a\n\n")}
+	g := silenceGateway(t, first, func(func()) string {
+		silent := &silentServer{eventType: true, sentBefore: -1, goOn: make(chan struct{})}
+		s := httptest.NewServer(silent)
+		t.Cleanup(s.Close)
+		third := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Attempt", r.Header.Get("Attempt"))
+			w.Header().Set("Stamp", "third")
+			w.Header().Set("Content-Type", typeEvents)
+			_, _ = io.WriteString(w, threeEvents)
+		}))
+		t.Cleanup(third.Close)
+		silent.onSilence = func() {
+			first.gateway.Servers.Put(clock.Now(), server("third", "d", strings.TrimPrefix(third.URL, "http://")))
+		}
+		return strings.TrimPrefix(s.URL, "http://")
+	}, routes.Stream, 10)
+	first.gateway = g
+	route := silentRoute(routes.Stream)
+	route.MaxServers = 3
+	table := routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s", Engine: &routes.Engine{}}}, routes.Limits{})
+	g.Table = func() *routes.Table { return table }
+	requireWholeAnswer(t, g, routes.Stream)
+}
+
 // requireWholeAnswer sends a request and requires the whole answer of a server.
 func requireWholeAnswer(t *testing.T, g *Gateway, kind routes.Kind) {
 	t.Helper()
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,23 +14,73 @@
 // streamBufferBytes is the size of one read from a stream, enough for some events.
 const streamBufferBytes = 4 << 10
 
-// forwardStream forwards events as they arrive. Events that are ready at the same time are written
-// together.
+// eventReader reads the whole events of a stream.
+type eventReader struct {
+	attempt  *attempt
+	splitter *eventSplitter
+	buffer   []byte
+	// events are those that were read last, at readAt, and err is the error that followed them.
+	events []byte
+	readAt time.Time
+	err    error
+	// begun is set once an event was read.
+	begun bool
+}
+
+func (a *attempt) newEventReader() *eventReader {
+	splitter := &eventSplitter{lastID: a.c.lastEventID}
+	if a.c.headSent {
+		splitter.skipThrough, _ = strconv.ParseInt(a.c.lastEventID, 10, 64)
+	}
+	return &eventReader{attempt: a, splitter: splitter, buffer: make([]byte, streamBufferBytes)}
+}
+
+// read reads until events are whole or the stream ends. Events that are ready at the same time are read together.
+func (r *eventReader) read(ctx context.Context) {
+	a := r.attempt
+	for r.events = nil; len(r.events) == 0 && r.err == nil; {
+		if a.c.headSent {
+			a.limitSilence(ctx, a.eventTimeout(r.splitter.lastID))
+		}
+		var n int
+		if n, r.err = a.resp.Body.Read(r.buffer); a.successor != nil {
+			// The other server began before what was read here, and sends it itself.
+			return
+		}
+		r.events = r.splitter.add(r.buffer[:n])
+		a.c.partialEventBytes = len(r.splitter.partial)
+	}
+	if len(r.events) == 0 {
+		return
+	}
+	a.dropHedge()
+	r.begun, r.readAt = true, a.g.Now()
+	a.g.Paths.Heard(r.readAt)
+	a.balancerAttempt.FirstEvent(r.readAt)
+}
+
+// readFirstEvents reads the first events of a stream. It reports whether they, or the end of a stream that has none
+// left, can be forwarded.
+func (a *attempt) readFirstEvents(ctx context.Context) bool {
+	a.events = a.newEventReader()
+	a.events.read(ctx)
+	switch {
+	case len(a.events.events) > 0:
+		return true
+	case errors.Is(a.events.err, io.EOF):
+		return a.checkStreamEnd(ctx)
+	}
+	return a.connectionLost(ctx, "read stream: "+a.events.err.Error(), a.events.err)
+}
+
+// forwardStream forwards events as they arrive.
 func (a *attempt) forwardStream(ctx context.Context, w http.ResponseWriter) bool {
-	splitter := a.newSplitter()
-	buffer := make([]byte, streamBufferBytes)
 	controller := http.NewResponseController(w)
 	var first, last time.Time
-	for {
-		if a.c.headSent {
-			a.limitSilence(a.eventTimeout(splitter.lastID))
-		}
-		n, err := a.resp.Body.Read(buffer)
-		if complete := splitter.add(buffer[:n]); len(complete) > 0 {
-			now := a.g.Now()
-			a.g.Paths.Heard(now)
-			a.balancerAttempt.FirstEvent(now)
-			a.c.recordEvents(now, last, complete)
+	for r := a.events; ; r.read(ctx) {
+		if len(r.events) > 0 {
+			now := r.readAt
+			a.c.recordEvents(now, last, r.events)
 			if !a.survived && !first.IsZero() && now.Sub(first) >= survivalTime {
 				a.survived = true
 				a.g.PartTracker.Survived(now, a.c.sharedParts())
@@ -37,32 +88,23 @@
 			if last = now; first.IsZero() {
 				first = now
 			}
-			if !a.writeEvents(w, controller, complete) {
+			if !a.writeEvents(w, controller, r.events) {
 				a.c.reason = "caller disconnected"
 				return true
 			}
-			a.c.lastEventID = splitter.lastID
+			a.c.lastEventID = r.splitter.lastID
 		}
-		a.c.partialEventBytes = len(splitter.partial)
-		if err == io.EOF {
-			done := a.endStream(ctx, w, !first.IsZero())
+		switch {
+		case errors.Is(r.err, io.EOF):
+			done := a.checkStreamEnd(ctx) && a.endStream(w)
 			if done && a.c.sends == 1 {
 				a.balancerAttempt.StreamCompleted(a.c.eventCount, last.Sub(first))
 			}
 			return done
+		case r.err != nil:
+			return a.connectionLost(ctx, "read stream: "+r.err.Error(), r.err)
 		}
-		if err != nil {
-			return a.connectionLost(ctx, "read stream: "+err.Error(), err)
-		}
-	}
-}
-
-func (a *attempt) newSplitter() *eventSplitter {
-	s := &eventSplitter{lastID: a.c.lastEventID}
-	if a.c.headSent {
-		s.skipThrough, _ = strconv.ParseInt(a.c.lastEventID, 10, 64)
 	}
-	return s
 }
 
 // writeEvents writes events to the caller, preceded by the response head if it was not sent.
@@ -88,7 +130,7 @@
 	for name, values := range a.responseHeaders() {
 		w.Header()[name] = values
 	}
-	if a.c.callerFraming(a.c.framing) == httpx.FramedByClose {
+	if a.c.callerFraming(httpx.FramingOf(a.resp)) == httpx.FramedByClose {
 		a.c.endByClose(w.Header())
 	}
 	w.WriteHeader(a.resp.StatusCode)
--- a/pass/stream_test.go
+++ b/pass/stream_test.go
@@ -67,11 +67,13 @@
 	tests := map[string]struct {
 		retries     float64
 		otherServer bool
-		want        string
+		// goesOn is set if the first server goes on.
+		goesOn bool
+		want   string
 	}{
 		"retry and other server": {retries: 10, otherServer: true, want: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: b\n\n"},
-		"no retry":               {otherServer: true, want: "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\n"},
-		"no other server":        {retries: 10, want: "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\n"},
+		"no retry":               {otherServer: true, goesOn: true, want: "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\n"},
+		"no other server":        {retries: 10, goesOn: true, want: "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: a\n\n"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -81,7 +83,9 @@
 			useResumableRoute(g)
 			g.RetryBudget("s").SetLimit(clock.Now(), 0, tc.retries, 10*time.Second)
 			go func() {
-				defer close(resume)
+				if tc.goesOn {
+					defer close(resume)
+				}
 				<-pausedAt
 				if tc.otherServer {
 					g.Servers.Put(clock.Now(), server("b", "d", startPausingBackend(t, "b", nil, nil)))
--- a/pass/way.go
+++ b/pass/way.go
@@ -145,6 +145,7 @@
 	reason := a.resp.Header.Get(headerProxyRefusal)
 	_, err := conns.ReadAll(a.resp.Body, maxForeignBodyBytes)
 	a.complete = err == nil
+	a.awaitHedge()
 	a.takeBackSend()
 	a.g.Meter.AddCounter("pass.proxy_refusals", 1)
 	switch reason {
@@ -167,7 +168,7 @@
 func (a *attempt) takeBackSend() {
 	c := a.c
 	c.sends--
-	c.versions = c.versions[:c.sends]
+	c.versions = slices.Delete(c.versions, a.sendIndex, a.sendIndex+1)
 	if a.firstSendToServer {
 		c.sentTo = slices.DeleteFunc(c.sentTo, func(id string) bool { return id == a.choice.Server.ID })
 	}
