--- /dev/null
+++ b/conns/silence_test.go
@@ -0,0 +1,167 @@
+package conns_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
+)
+
+// silence is that of a host which goes on afterwards: it begins a time after the last byte that the connection has
+// carried, which decides where it lies among the keep-alive probes.
+type silence struct{ begins, lasts time.Duration }
+
+var silences = map[string]silence{
+	"a moment, right before a probe":            {950 * time.Millisecond, 100 * time.Millisecond},
+	"a second, right after a byte":              {0, 1100 * time.Millisecond},
+	"a second, right before a probe":            {950 * time.Millisecond, 1100 * time.Millisecond},
+	"a second and a half, right after a byte":   {0, 1500 * time.Millisecond},
+	"a second and a half, before a probe":       {500 * time.Millisecond, 1500 * time.Millisecond},
+	"a second and a half, right before a probe": {950 * time.Millisecond, 1500 * time.Millisecond},
+}
+
+// A host falls silent while a request is under way, and goes on. Guards against a kernel that then ends the
+// connection, and with it a request whose server is sound.
+func TestRequestSurvivesSilence(t *testing.T) {
+	const long = 512 << 10
+	situations := map[string]situation{
+		"waits for the response":       {},
+		"request is sent":              {sends: 1},
+		"long request is sent":         {sends: long},
+		"response begins":              {receives: 1},
+		"long request is not read yet": {sends: long, acknowledged: true},
+	}
+	for name, tc := range situations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			failures := make(chan error, len(silences))
+			for name, s := range silences {
+				client, server := exchangeByte(t)
+				go func() {
+					err := tc.survive(client, server, s)
+					if err != nil {
+						err = fmt.Errorf("silent for %s: %w", name, err)
+					}
+					failures <- err
+				}()
+			}
+			var err error
+			for range silences {
+				err = errors.Join(err, <-failures)
+			}
+			require.NoError(t, err)
+		})
+	}
+}
+
+// situation is what is under way on a connection when a silence begins: how many bytes its client sends and receives.
+type situation struct {
+	sends, receives int
+	// acknowledged is set if the server's host goes on and only its process reads nothing.
+	acknowledged bool
+}
+
+// survive returns an error unless both ends get all bytes in spite of a silence.
+func (x situation) survive(client, server net.Conn, s silence) error {
+	time.Sleep(s.begins)
+	if err := setSilent(server, !x.acknowledged); err != nil {
+		return err
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := client.Write(make([]byte, x.sends))
+		written <- err
+	}()
+	_, err := server.Write(make([]byte, x.receives))
+	if err != nil {
+		return fmt.Errorf("send response: %w", err)
+	}
+	time.Sleep(s.lasts)
+	if err := setSilent(server, false); err != nil {
+		return err
+	}
+	// A kernel that ends the connection does so at a probe or when it sends again.
+	time.Sleep(afterSilence)
+	_, err = io.ReadFull(server, make([]byte, x.sends))
+	err = errors.Join(err, <-written)
+	if err != nil {
+		return fmt.Errorf("request: %w", err)
+	}
+	if _, err := server.Write([]byte("x")); err != nil {
+		return fmt.Errorf("send rest of response: %w", err)
+	}
+	if _, err := io.ReadFull(client, make([]byte, x.receives+1)); err != nil {
+		return fmt.Errorf("response: %w", err)
+	}
+	return nil
+}
+
+// afterSilence is longer than the interval between probes.
+const afterSilence = 1500 * time.Millisecond
+
+// A host is gone without a word. Guards against requests that wait for it until their deadline.
+func TestGoneHostEndsRequest(t *testing.T) {
+	for name, unacknowledged := range map[string]int{"waits for the response": 0, "request is sent": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client, server := exchangeByte(t)
+			require.NoError(t, setSilent(server, true))
+			_, err := client.Write(make([]byte, unacknowledged))
+			require.NoError(t, err)
+			require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Minute)))
+			_, err = client.Read(make([]byte, 1))
+			require.ErrorIs(t, err, unix.ETIMEDOUT)
+			require.True(t, conns.ConnectionLost(err))
+		})
+	}
+}
+
+// exchangeByte returns both ends of a connection that has just carried a byte.
+func exchangeByte(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	address, accepted := listen(t)
+	client, err := conns.Dial(context.Background(), address)
+	require.NoError(t, err)
+	server = <-accepted
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = server.Close()
+	})
+	_, err = client.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(server, make([]byte, 1))
+	require.NoError(t, err)
+	return client, server
+}
+
+// setSilent makes the kernel drop all that arrives for a connection, so that it is neither acknowledged nor
+// delivered, or ends that.
+func setSilent(c net.Conn, silent bool) error {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return fmt.Errorf("get raw connection: %w", err)
+	}
+	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		if silent {
+			optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
+			return
+		}
+		if optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0); errors.Is(optErr, unix.ENOENT) {
+			optErr = nil // It was not silent.
+		}
+	})
+	if err := errors.Join(err, optErr); err != nil {
+		return fmt.Errorf("set socket filter: %w", err)
+	}
+	return nil
+}
