--- a/conns/pool.go
+++ b/conns/pool.go
@@ -37,14 +37,21 @@
 	// network delay of the server's close and of a request that crosses it.
 	idleTimeoutMargin = 500 * time.Millisecond
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the
-	// kernel aborts the connection. Without it a request to a server that lost
-	// power or is partitioned hangs for minutes. A sound server can be silent for
-	// a second or so, and its requests must survive that; idle connections end
-	// after two seconds in any case.
-	tcpUserTimeout = 1900 * time.Millisecond
+	// kernel aborts the connection, and how old the last acknowledgement may be
+	// at a keep-alive probe that follows an unanswered one. Without it a request
+	// to a server that lost power or is partitioned hangs for minutes. A sound
+	// server can be silent for up to two seconds, and its requests must survive
+	// that: a silence that begins right before the first probe must end before
+	// the third, and one that hits a request before the kernel sends it for the
+	// last time.
+	tcpUserTimeout = 3900 * time.Millisecond
+	// unansweredLimit is the age of the last acknowledgement from which an idle
+	// connection with an unanswered probe gets no request. A new connection
+	// tells sooner whether the server is there.
+	unansweredLimit = 1900 * time.Millisecond
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe
-	// and the interval between probes. An unanswered probe aborts the connection
-	// once it has been idle for tcpUserTimeout, whatever the count of probes.
+	// and the interval between probes. Their count does not matter, because
+	// tcpUserTimeout decides.
 	keepAliveInterval = time.Second
 )
 
@@ -192,9 +199,11 @@
 	}
 }
 
-// isReusable reports whether the connection is open and holds no unread bytes;
-// those would belong to no request.
-func (c *Conn) isReusable() bool { return c.reader.Buffered() == 0 && peekSocket(c.net) == socketIdle }
+// isReusable reports whether the connection is open, its peer acknowledges, and
+// it holds no unread bytes; those would belong to no request.
+func (c *Conn) isReusable() bool {
+	return c.reader.Buffered() == 0 && peekSocket(c.net) == socketIdle && !unanswered(c.net)
+}
 
 // socketState is the state of a connection that the kernel reports without
 // blocking.
@@ -240,6 +249,25 @@
 	return observed
 }
 
+// unanswered reports whether the peer of an idle connection has acknowledged
+// nothing for unansweredLimit, although a keep-alive probe asked it to.
+func unanswered(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	err = raw.Control(func(fd uintptr) { info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || info == nil {
+		return false
+	}
+	return info.Probes > 0 && time.Duration(info.Last_ack_recv)*time.Millisecond >= unansweredLimit
+}
+
 // Pool keeps idle connections by key. A key identifies one instance of one
 // backend server. The zero value is ready to use.
 type Pool struct {
--- a/conns/silence_test.go
+++ b/conns/silence_test.go
@@ -124,6 +124,44 @@
 	}
 }
 
+// A host is gone, and the kernel has not ended its idle connections yet. Guards against a request that may run once
+// and is sent into such a connection, instead of over a new one that fails or works at once.
+func TestGetSkipsUnansweredConnections(t *testing.T) {
+	const silent = 2 * time.Second
+	tests := map[string]struct{ silent, reusable bool }{"answers": {false, true}, "silent": {true, false}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, accepted := listen(t)
+			var raw net.Conn
+			p := conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+				var err error
+				raw, err = conns.Dial(ctx, address)
+				return raw, err
+			}}
+			c, err := p.Dial(context.Background(), "k", address)
+			require.NoError(t, err)
+			p.Put(now, c, time.Minute)
+			require.NoError(t, setSilent(<-accepted, tc.silent))
+			time.Sleep(silent)
+			require.Eventually(t, func() bool { return !tc.silent || lastAck(t, raw) >= silent }, 10*time.Second, time.Millisecond)
+			require.Equal(t, tc.reusable, p.Get(now, "k", true) != nil)
+		})
+	}
+}
+
+// lastAck returns the time since the peer of a connection last acknowledged anything.
+func lastAck(t *testing.T, conn net.Conn) time.Duration {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var info *unix.TCPInfo
+	var optErr error
+	require.NoError(t, raw.Control(func(fd uintptr) { info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }))
+	require.NoError(t, optErr)
+	return time.Duration(info.Last_ack_recv) * time.Millisecond
+}
+
 // exchangeByte returns both ends of a connection that has just carried a byte.
 func exchangeByte(t *testing.T) (client, server net.Conn) {
 	t.Helper()
--- a/stand/path.go
+++ b/stand/path.go
@@ -31,7 +31,7 @@
 
 // silentConnTimeout is the time after which the kernel aborts a connection that has gone silent, as the
 // options of package conns tell it to.
-const silentConnTimeout = 2200 * time.Millisecond
+const silentConnTimeout = 4 * time.Second
 
 // Path is the network path from one VM to all backend servers. The zero value is open. It is safe for
 // concurrent use.
