pass: A caller that has closed its side of the connection gets no answer made up

What callers saw: a caller that closes its sending side after its request, and reads on, got "200 OK" with an empty body and no server's stamp.

Cause: the handler returned without having written, and net/http then writes an empty success.

Ruled out: that the request was lost while its caller waited. A close of the sending side can not be told from one of the whole connection until something is written, and servers must stop working for callers that have left, so such a caller still counts as gone.

Change: such a request ends with its connection, after it has been counted and logged as before.

Conclusion: no success is written that no server gave.

--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -184,6 +184,11 @@
 	g.Meter.RecordDuration("pass.request", g.Now().Sub(c.arrived))
 	g.Meter.AddCounter("pass.status."+strconv.Itoa(c.status), 1)
 	g.logRequest(c)
+	if c.status == statusCallerClosed {
+		// The HTTP server answers with an empty success when a handler returns without having written. A caller that
+		// has closed only its sending side would take it for the answer.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // awaitTable returns the configuration in force. A VM that has just started has none for some tenths of
