pass: A test for the timeout of a request whose body comes slowly, which fails

What callers saw: nothing was reported. Found by reading: the deadline that a server gets counts from the arrival of the request, but the VM's own wait for the answer begins anew when the body has been read (or the first configuration has come), and lasts the route's whole timeout from there.

Measured: with nearly all of the timeout used by the body, there is no answer within 15 s where 0.2 s are left.

--- a/pass/config_test.go
+++ b/pass/config_test.go
@@ -284,3 +284,31 @@
 		require.Equal(t, want.body, got.body)
 	}
 }
+
+// Guards against a request whose body came slowly and that is answered only when its route's timeout has passed again
+// after that.
+func TestTimeoutRunsWhileBodyArrives(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(silent.Close)
+	u := newUnderWay(t, configKinds["idempotent"])
+	u.list("a", strings.TrimPrefix(silent.URL, "http://"))
+	// While the body arrives, nearly the whole timeout of an hour passes on the VM's clock.
+	var passed atomic.Int64
+	u.g.Now = func() time.Time { return clock.Now().Add(time.Duration(passed.Load())) }
+	conn, err := net.Dial("tcp", serveGateway(t, u.g).Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	sendUnderWay(t, conn, "half")
+	<-u.matched
+	passed.Store(int64(underWayRoute(u.kind).Timeout - 200*time.Millisecond))
+	_, err = io.WriteString(conn, " of it")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(15*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "no answer")
+	// 503 if the machine is so busy that the rest has passed before the send.
+	require.Contains(t, []int{http.StatusGatewayTimeout, http.StatusServiceUnavailable}, resp.StatusCode)
+}
