pass: The timeout of a request runs from its arrival also while its body is read

What callers saw: a request whose body came slowly was answered later than its route's timeout, by as much as the body had taken.

Cause: the context of a request was made after its body had been read, and given the whole time from its arrival.

Ruled out: that the server works for longer. It is told what is left, counted from the arrival.

Change: the context ends when what is left at its making has passed.

Conclusion: mended for every request that a VM has read in full. One whose body is not whole at its timeout is still waited for.

--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -240,7 +240,7 @@
 
 // serveCall sends a call to servers until one responds or no further attempt is allowed.
 func (g *Gateway) serveCall(w http.ResponseWriter, c *call) {
-	ctx, cancel := c.context(c.arrived)
+	ctx, cancel := c.context(g.Now())
 	defer cancel()
 	ctx, span := spans.Start(spans.Extract(ctx, c.request.Header.Get(headerTrace)), "request",
 		attribute.String("request", c.id), attribute.String("route", c.route.Name), attribute.String("service", c.service.Name))
