pass: A test for a route that becomes public as teams are introduced, which fails

What callers saw: nothing was reported of it. Found by reading: a request that waits for a server, or whose server breaks off, is checked for its key again when the configuration has changed, by the teams in force but by the route of its arrival. A route that becomes public in the version that introduces teams wants a key in neither version, and its requests under way are refused with 401, or their streams cut.

--- a/pass/config_test.go
+++ b/pass/config_test.go
@@ -76,6 +76,14 @@
 	"models removed": func(r routes.Route) []*routes.Table {
 		return one(configOf(2, &routes.Engine{Models: map[string]routes.Model{"other": {Name: "other"}}}, []string{"s"}, r))
 	},
+	"teams introduced, route public": func(r routes.Route) []*routes.Table {
+		r.Public = true
+		table, err := configOf(2, &routes.Engine{}, []string{"s"}, r).WithTeams([]routes.Team{{Name: "a", Keys: []string{testKey}}})
+		if err != nil {
+			panic(err)
+		}
+		return one(table)
+	},
 	"several in a row": func(r routes.Route) []*routes.Table {
 		var list []*routes.Table
 		for version := range 20 {
