pass: A request under way needs no key if its route has become public

What callers saw: requests on a route that becomes public in the version that introduces teams were refused with 401 while they waited for a server, and resumable streams were cut when their server broke off, though neither version wants a key of them.

Cause: the key was looked up again in the teams in force, but whether one is needed by the route of the arrival.

Ruled out: a key that was removed. What the table in force demands still decides, also for requests that wait. A route that is no longer public goes on being so for the requests that arrived before.

Change: if the configuration in force has a public route for the request, it needs no key.

--- a/pass/key.go
+++ b/pass/key.go
@@ -27,13 +27,18 @@
 }
 
 // recheckKey looks up the call's key in the configuration now in force and reports whether the call
-// may be sent. The key may have been removed, or moved to another team, while the call waited.
+// may be sent. The key may have been removed, or moved to another team, while the call waited. It needs none if
+// its route has become public.
 func (g *Gateway) recheckKey(c *call) bool {
 	table := g.Table()
 	if table == nil || table.Version() == c.configVersion {
 		return true
 	}
-	team, ok := table.Authenticate(c.route, c.request.Header.Values(g.HeaderNames.Key))
+	route := c.route
+	if current, ok := table.Match(c.request.Host, c.request.URL.EscapedPath()); ok && current.Public {
+		route = current
+	}
+	team, ok := table.Authenticate(route, c.request.Header.Values(g.HeaderNames.Key))
 	if !ok {
 		c.keyRemoved, c.reason = true, errUnknownKey.Error()
 		return false
