steer: A model that the configuration has dropped keeps its memory until it is unloaded

When a configuration drops a model that servers hold, the controller orders loads into its memory; a server that is ordered to load more than fits crashes, and all its requests are lost.

Cause: the sizes of models were looked up in the configuration in force, where a dropped model has none and counts as 0 MB. For the same reason such a model could never be the one that yields, and would have been ordered to unload without a name.

Ruled out: that a dropped model is unloaded under its requests. It yields only where another model wants its memory, like any other: the last replica when nobody has asked for it for some time, and an unload waits for what runs.

Change: when another configuration takes the place of the last one, the controller keeps the sizes that the models at the servers had in it. A model of which no size is known, because the process began after it was dropped, counts as the whole memory of its server, so that nothing is loaded beside it until it has yielded.

Open: at a server that holds a model of unknown size, adapters are not loaded until that model has yielded.

--- a/steer/controller.go
+++ b/steer/controller.go
@@ -72,6 +72,8 @@
 	Meter *meter.Registry
 
 	mu sync.Mutex
+	// lastTable is the configuration of the last step.
+	lastTable *routes.Table
 	// fencingToken is the lease's fencing token in the current term. predecessorEnd is the latest
 	// time at which the previous controller may have sent an order.
 	fencingToken   int
@@ -176,6 +178,7 @@
 	if table == nil {
 		return
 	}
+	c.rememberSizes(table)
 	_, leading := c.FencingToken(now)
 	fencingToken, held := c.currentTerm(now)
 	if held && fencingToken != c.fencingToken {
--- a/steer/models.go
+++ b/steer/models.go
@@ -66,12 +66,47 @@
 func (s *Server) usedMB(e *routes.Engine) float64 {
 	mb := 0.0
 	for name, r := range s.models {
-		m := e.Models[name]
+		m := s.modelOf(e, name)
 		mb += m.SizeMB + m.AdapterSizeMB*float64(len(r.adapters))
 	}
 	return mb
 }
 
+// modelOf returns the sizes of a model that the server holds. A model stays loaded when it is dropped from the
+// configuration, and keeps the sizes that it had there. One of unknown size counts as the whole memory: a server that
+// is ordered to load more than fits crashes.
+func (s *Server) modelOf(e *routes.Engine, name string) routes.Model {
+	if m, ok := e.Models[name]; ok {
+		return m
+	}
+	if r := s.models[name]; r != nil && r.configured.Name != "" {
+		return r.configured
+	}
+	return routes.Model{Name: name, SizeMB: e.WeightMemoryMB}
+}
+
+// rememberSizes keeps the sizes of the models that the servers hold when another configuration, which may drop them,
+// takes the place of that of the last step.
+func (c *Controller) rememberSizes(next *routes.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.lastTable
+	if c.lastTable = next; last == nil || last == next {
+		return
+	}
+	for _, s := range c.servers {
+		service, _ := last.Service(s.entry.Service)
+		if service.Engine == nil {
+			continue
+		}
+		for name, r := range s.models {
+			if m, ok := service.Engine.Models[name]; ok {
+				r.configured = m
+			}
+		}
+	}
+}
+
 // loadTime returns how long the server takes to load a model, and whether the load comes from the
 // weight store.
 func (s *Server) loadTime(m routes.Model) (time.Duration, bool) {
--- a/steer/option.go
+++ b/steer/option.go
@@ -76,7 +76,7 @@
 	var best option
 	found := false
 	for victim, r := range s.models {
-		if r.phase != loaded || s.usedMemoryMB-p.Engine.Models[victim].SizeMB+m.SizeMB > p.Engine.WeightMemoryMB {
+		if r.phase != loaded || s.usedMemoryMB-s.modelOf(p.Engine, victim).SizeMB+m.SizeMB > p.Engine.WeightMemoryMB {
 			continue
 		}
 		if p.Needed != nil && p.Needed(s.Server, victim) {
@@ -146,7 +146,7 @@
 		p.replicasInDomain[domainModel{domain, o.victim}]--
 		p.planned.add(o.step.Model.Name, o.candidate)
 		p.replicasInDomain[domainModel{domain, o.step.Model.Name}]++
-		return Step{Server: o.step.Server, Unload: true, Model: p.Engine.Models[o.victim], ReplacedBy: o.step.Model.Name}, true
+		return Step{Server: o.step.Server, Unload: true, Model: o.step.Server.modelOf(p.Engine, o.victim), ReplacedBy: o.step.Model.Name}, true
 	}
 	if !p.startLoad(&o.step) {
 		return Step{}, false
--- a/steer/server.go
+++ b/steer/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // phase is the loading state of a model at a server.
@@ -22,6 +23,8 @@
 	phase    phase
 	since    time.Time
 	adapters map[string]adapterSlot
+	// configured is the model as the last configuration had it that had it at all, without a name if there was none.
+	configured routes.Model
 }
 
 // adapterSlot is an adapter's slot: when the adapter is usable, and whether it is unloading. An
