peers: A test for requests of a team whose quota a configuration takes away, which fails

What callers saw: nothing was reported. Found by reading: a VM whose configuration has a quota asks the root for each request of a tight team. The root, which has the next configuration first, has no quota for the team any more, and answers "not granted", so that the caller gets 429 for a limit that no longer exists.

--- a/peers/quotas_test.go
+++ b/peers/quotas_test.go
@@ -110,3 +110,26 @@
 	}
 	require.Len(t, p.StoredLevels(), 1)
 }
+
+// A configuration takes a team's quota away, and reaches the root before the other VMs. Guards against refusing the
+// requests that these still ask the root for.
+func TestNoQuotaRefusesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newUnlinkedVM(&now)
+	p.vms = 4
+	request := limit.QuotaRequest{Team: "a", Tokens: 1_000_000_000}
+	for name, tc := range map[string]struct {
+		quotas  []limit.Quota
+		granted bool
+	}{
+		"without a quota": {nil, true},
+		"with a quota":    {[]limit.Quota{testQuota}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.Quotas = &limit.Quotas{}
+			p.Quotas.Configure(now, limit.QuotaRules{}, tc.quotas)
+			_, granted := p.TakeQuota(t.Context(), request)
+			require.Equal(t, tc.granted, granted)
+		})
+	}
+}
