peers: A team whose quota the root no longer has is not refused

What callers saw: 429 for a quota that the newest configuration has taken away, from VMs that got it after the root.

Cause: the root's "no such quota" was taken for "no tokens".

Ruled out: that such a request ends without an answer. A request that waits for tokens, or is charged or settled, when the quotas change is counted for a team that is not there, which does nothing.

Change: a team without a quota at the VM that is asked is not limited there, as it is not for the VM's own requests.

The other way round, a root that gets a new quota later than another VM grants that VM's requests until it has it.

--- a/peers/quotas.go
+++ b/peers/quotas.go
@@ -84,7 +84,7 @@
 
 // TakeQuota takes the tokens of a request from its team's quota, at the root of the tree of VMs. If
 // granted is set, the request may be sent after wait; otherwise its caller should retry after wait. If
-// the hub does not answer, the tokens are taken from the part of this VM's subtree.
+// the hub does not answer, the tokens are taken from the part of this VM's subtree. A team without a quota is not limited.
 func (p *Peers) TakeQuota(ctx context.Context, r limit.QuotaRequest) (wait time.Duration, granted bool) {
 	p.awaitFirstHub(ctx, min(4*r.Patience, maxFirstHubWait))
 	if up := p.quotaHub(p.Now()); up != nil {
@@ -96,8 +96,9 @@
 	}
 	now := p.Now()
 	p.updateQuotaRole(now)
-	wait, granted, _ = p.Quotas.Take(now, r)
-	return wait, granted
+	wait, granted, known := p.Quotas.Take(now, r)
+	// A VM that asks may have another configuration, in which the team has a quota.
+	return wait, granted || !known
 }
 
 // awaitFirstHub waits until a VM that has just started has linked to a hub, or for a time. Its own part
