--- a/node/node.go
+++ b/node/node.go
@@ -22,7 +22,6 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
-	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/origin"
@@ -39,12 +38,6 @@
 )
 
 const (
-	// headerTimeout and idleTimeout apply to callers' connections. They are longer than the limits
-	// in the operators' configuration, which callers respect. Closing a connection earlier could
-	// reject a request that is already in transit.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
 	// heapMemoryShare is the share of the VM's memory to which the garbage collector limits the
 	// heap. The rest is for stacks, kernel buffers and the binary.
 	heapMemoryShare = 0.6
@@ -224,17 +217,14 @@
 func (n *Node) Start(ctx context.Context) error {
 	n.applySettings()
 	ctx, n.stopBackground = context.WithCancel(ctx)
-	n.callerServer = &http.Server{
-		Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: httpx.WithConn,
-	}
+	n.callerServer = newCallerServer(http.HandlerFunc(n.serveCaller))
 	listeners := []struct {
 		key    string
 		server *http.Server
 	}{
 		{"listen", n.callerServer},
 		{"ready_listen", &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{"peer_listen", &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: httpx.WithConn}},
+		{"peer_listen", newPeerServer(n.peerHandler())},
 		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, l := range listeners {
