node: Headers may be as long as operators allow, up to 1 MB, and limits beyond a VM's own are logged

What callers saw: 431 for requests with more than 68 KB of headers, also if the configuration allows them.

Cause: a constant below what the configuration may say, which nothing compares with it.

Ruled out: following each limit of a configuration on connections that are open. net/http reads its limits without a lock, and closing idle connections by a shorter limit of ours could meet a request in transit; its own deadline can not. The time for headers (10 s) and the idle time (60 s) stay: a longer idle limit of the operators costs callers a new connection, not a request.

Change: 1 MB, and 16 KB more between VMs for what a VM adds to a request that it sends through another one. A configuration that allows callers more than the VM does is logged as a warning when it comes into force.

Measured: TestLongHeadersReachHandler failed in four of eight cases and passes; TestLimitsAboveThoseOfVM passes; package node passes.

Conclusion: mended for headers; the times are only told.

--- a/node/caller.go
+++ b/node/caller.go
@@ -5,15 +5,18 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/httpx"
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 const (
-	// headerTimeout and idleTimeout apply to callers' connections. They are longer than the limits
-	// in the operators' configuration, which callers respect. Closing a connection earlier could
-	// reject a request that is already in transit.
+	// headerTimeout, idleTimeout and maxHeaderBytes apply to callers' connections. They are above the limits
+	// in the operators' configuration, which callers respect, or checkLimits logs that they are not. Closing a
+	// connection earlier could reject a request that is already in transit.
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 1 << 20
+	// proxyHeaderBytes is the room for the headers that a VM adds to a request which it sends through another one.
+	proxyHeaderBytes = 16 << 10
 )
 
 // newCallerServer returns the server for callers.
@@ -25,5 +28,14 @@
 
 // newPeerServer returns the server for other VMs, which send requests of callers through this one.
 func newPeerServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: httpx.WithConn}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes + proxyHeaderBytes, ConnContext: httpx.WithConn}
+}
+
+// checkLimits logs if a configuration allows callers more than this VM does.
+func (n *Node) checkLimits(l routes.Limits) {
+	if l.HeaderTimeout <= headerTimeout && l.IdleTimeout <= idleTimeout && l.MaxHeaderBytes <= maxHeaderBytes {
+		return
+	}
+	n.log.Warn().Dur("header_timeout", l.HeaderTimeout).Dur("idle_timeout", l.IdleTimeout).Int("header_bytes", l.MaxHeaderBytes).
+		Msg("configuration allows callers more than this VM")
 }
--- a/node/caller_test.go
+++ b/node/caller_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // Guards against refusing a request, with a status after which callers do not come back, whose headers are as long as
@@ -37,3 +42,25 @@
 		}
 	}
 }
+
+// Guards against limits of the configuration that no VM keeps, and of which nobody is told.
+func TestLimitsAboveThoseOfVM(t *testing.T) {
+	for name, tc := range map[string]struct {
+		limits routes.Limits
+		told   bool
+	}{
+		"none":           {routes.Limits{}, false},
+		"usual":          {routes.Limits{MaxHeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}, false},
+		"long headers":   {routes.Limits{MaxHeaderBytes: 2 << 20}, true},
+		"slow headers":   {routes.Limits{HeaderTimeout: time.Minute}, true},
+		"long idle time": {routes.Limits{IdleTimeout: time.Hour}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newControllerNode(t)
+			var log bytes.Buffer
+			n.log = zerolog.New(&log)
+			n.activateConfig(routes.NewTable(1, nil, nil, tc.limits), 1, nil)
+			require.Equal(t, tc.told, strings.Contains(log.String(), "allows callers more"), log.String())
+		})
+	}
+}
--- a/node/config.go
+++ b/node/config.go
@@ -53,6 +53,7 @@
 	n.quotas.Configure(n.now(), n.quotaRules(), quotasOf(table))
 	close(n.configChange)
 	n.configChange = make(chan struct{})
+	n.checkLimits(table.Limits())
 	n.log.Info().Int("config_version", table.Version()).Int("revision", revision).Msg("configuration in force")
 }
 
