pass, steer: Waits for a quota or an origin, and servers of a service that is dropped, outlast a configuration

Suspected: that a request which waits for its team's tokens, or for who began its stream, ends without an answer when the configuration takes away its team, key, quota, route or service; and that the controller unloads the models of a service, or of an engine, that a configuration has dropped, under the requests that run there.

Refuted: such requests are answered, refused with 429 or 503, or get 401 if their key was removed and nothing has run. Servers of a dropped service, a dropped engine or an engine without models get no order at all; a search for one of these models ends at once with "the service has no such model".

No code changed.

--- a/pass/config_test.go
+++ b/pass/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/limit"
+	"github.com/hibiscuscart/hibiscuscart/origin"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
@@ -320,3 +323,80 @@
 	// 503 if the machine is so busy that the rest has passed before the send.
 	require.Contains(t, []int{http.StatusGatewayTimeout, http.StatusServiceUnavailable}, resp.StatusCode)
 }
+
+// teamTable returns a configuration with one team, its key or none, and its quota or none.
+func teamTable(t *testing.T, version int, keys []string, quota routes.Quota) *routes.Table {
+	t.Helper()
+	return withTeams(t, version, routes.Team{Name: "a", Keys: keys, Quota: quota})
+}
+
+// Guards against a request that waits for its team's tokens, or for what began its stream, and that a configuration
+// leaves without an answer. What the configuration in force says of its key decides.
+func TestConfigChangeWhileQuotaIsAwaited(t *testing.T) {
+	quota := routes.Quota{Unit: routes.UnitToken, PerSecond: 1, Burst: 30}
+	lowered := routes.Quota{Unit: routes.UnitToken, PerSecond: 0.001, Burst: 1}
+	for name, tc := range map[string]struct {
+		next    *routes.Table
+		granted bool
+		status  int
+	}{
+		"no teams any more":         {configOf(2, &routes.Engine{}, []string{"s"}), true, http.StatusOK},
+		"no teams, not granted":     {configOf(2, &routes.Engine{}, []string{"s"}), false, http.StatusTooManyRequests},
+		"quota taken away":          {teamTable(t, 2, []string{testKey}, routes.Quota{}), true, http.StatusOK},
+		"quota lowered":             {teamTable(t, 2, []string{testKey}, lowered), true, http.StatusOK},
+		"quota lowered, no tokens":  {teamTable(t, 2, []string{testKey}, lowered), false, http.StatusTooManyRequests},
+		"key removed":               {teamTable(t, 2, nil, quota), true, http.StatusUnauthorized},
+		"key removed, not granted":  {teamTable(t, 2, nil, quota), false, http.StatusTooManyRequests},
+		"team removed, other teams": {withTeams(t, 2, routes.Team{Name: "b"}), true, http.StatusUnauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, quotas := quotaGateway(t, startBackend(t, http.StatusOK))
+			var table atomic.Pointer[routes.Table]
+			table.Store(g.Table())
+			g.Table = table.Load
+			g.TakeQuota = func(context.Context, limit.QuotaRequest) (time.Duration, bool) {
+				table.Store(tc.next)
+				var list []limit.Quota
+				for _, team := range tc.next.Teams() {
+					if team.Quota.Limited() {
+						list = append(list, limit.Quota{Team: team.Name, PerSecond: team.Quota.PerSecond, Burst: team.Quota.Burst})
+					}
+				}
+				quotas.Configure(clock.Now(), limit.QuotaRules{}, list)
+				return 0, tc.granted
+			}
+			require.Equal(t, tc.status, sendWithKey(g, testKey).Code)
+		})
+	}
+}
+
+// Guards against a stream that its caller takes up and that a configuration leaves without an answer while the VM asks
+// where it began.
+func TestConfigChangeWhileOriginIsAwaited(t *testing.T) {
+	began := map[string]string{"its service": "s", "another service": "t"}
+	for name, tables := range configChanges {
+		for where, service := range began {
+			t.Run(name+"/"+where, func(t *testing.T) {
+				t.Parallel()
+				u := newUnderWay(t, configKinds["resumable stream"])
+				u.list("b", u.serve("b", false))
+				u.g.FindOrigin = func(context.Context, string) (origin.Record, origin.Verdict) {
+					u.change(tables(underWayRoute(u.kind)))
+					return origin.Record{Service: service, Version: "v1"}, origin.Known
+				}
+				r := httptest.NewRequest(http.MethodPost, "http://h/x/y/1", strings.NewReader("body"))
+				for header, value := range map[string]string{"Attempt": "a2", "Model": "m", "Begun-As": "a1", headerLastEvent: "1"} {
+					r.Header.Set(header, value)
+				}
+				w := httptest.NewRecorder()
+				u.g.ServeHTTP(w, r)
+				if service == "s" {
+					require.Equal(t, http.StatusOK, w.Code)
+					require.Equal(t, "id: 2\ndata: x\n\nid: 3\ndata: x\n\n", w.Body.String())
+					return
+				}
+				require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			})
+		}
+	}
+}
--- a/steer/config_test.go
+++ b/steer/config_test.go
@@ -77,3 +77,39 @@
 		})
 	}
 }
+
+// Guards against a configuration that drops a service, or its engine, making the controller unload or load models at
+// servers whose requests run on.
+func TestRemovedServiceGetsNoOrders(t *testing.T) {
+	for name, tc := range map[string]struct {
+		next    *routes.Table
+		ordered bool
+	}{
+		"service removed": {routes.NewTable(2, nil, nil, routes.Limits{}), false},
+		"engine removed":  {routes.NewTable(2, nil, []routes.Service{{Name: "s"}}, routes.Limits{}), false},
+		"no models":       {modelsOf(2, 20, nil), false},
+		"unchanged":       {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := testController(func(time.Time) (int, bool) { return 5, true })
+			c.Spawn = func(func()) {}
+			start := c.Now()
+			c.Step(t.Context(), start)
+			reportedAt := start.Add(time.Minute)
+			c.servers["a"].ApplyReport(reportedAt, reportedAt, Report{Models: []backs.LoadedModel{{Model: "m1"}}, Sequence: 7})
+			if tc.next != nil {
+				c.Table = func() *routes.Table { return tc.next }
+			}
+			for second := range 20 {
+				now := reportedAt.Add(time.Duration(second) * time.Second)
+				c.RecordVMReport(now, "vm", nil, []ModelDemand{{Service: "s", Model: "m2", Requests: 100, ServerTime: time.Second}})
+				c.Step(t.Context(), now)
+			}
+			require.Equal(t, tc.ordered, len(c.orderInFlight) > 0)
+			if !tc.ordered {
+				_, err := c.Find(t.Context(), backs.Need{Service: "s", Model: "m1"})
+				require.ErrorIs(t, err, errUnknownModel)
+			}
+		})
+	}
+}
