cmd/hibiscuscart: SIGHUP is handled before the settings are read

What callers saw: none of it was reported. A VM that starts beside a change of its settings could be ended by the signal that announces the change.

Cause: the handler was set up after the settings had been read.

Ruled out: a SIGHUP later on. The handler stays until the process has stopped, so that one in the grace time does nothing, and a reload changes limits and budgets, no connection (TestConfigChangesBesideLoad).

Change: the handler comes first. A signal meanwhile makes the VM read its settings again once it has started.

Conclusion: mended but for the time from the start of the process to its first statements.

--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -39,15 +39,15 @@
 	if err := rejectArguments(fs); err != nil {
 		return err
 	}
-	settings, err := conf.LoadNode(*file)
-	if err != nil {
-		return err
-	}
-	// SIGHUP is handled before the start, so that it does not terminate a
+	// SIGHUP is handled before the settings are read, so that it does not terminate a
 	// starting process.
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
 	defer signal.Stop(sighup)
+	settings, err := conf.LoadNode(*file)
+	if err != nil {
+		return err
+	}
 	flush, err := setUpTraces(ctx, settings, settings.Text("vm", "name"))
 	if err != nil {
 		return err
