pass: Requests that wait for capacity keep the configuration of their arrival, too

The seventh point at which a request is held when the configuration changes: its only server has a long queue, which ends after the change.

No code changed.

--- a/pass/config_test.go
+++ b/pass/config_test.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/origin"
+	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
@@ -33,7 +34,7 @@
 
 // underWayRoute returns the route of the request under way, and keptRoute one that no change concerns.
 func underWayRoute(kind routes.Route) routes.Route {
-	kind.Name, kind.Host, kind.PathPrefix, kind.Timeout, kind.MaxServers = "r", "h", "/x/", time.Hour, 2
+	kind.Name, kind.Host, kind.PathPrefix, kind.Timeout, kind.Objective, kind.MaxServers = "r", "h", "/x/", time.Hour, time.Hour, 2
 	kind.Targets = []routes.Target{{Service: "s", Weight: 1}}
 	return kind
 }
@@ -199,6 +200,16 @@
 		change()
 		u.list("b", u.serve("b", false))
 	}},
+	"waits for capacity": {false, func(u *underWay, conn net.Conn, change func()) {
+		u.list("b", u.serve("b", false))
+		full := u.g.Balancer.Begin(clock.Now(), pick.Choice{Server: server("b", "d", ""), PrefillTime: 24 * time.Hour}, pick.Work{Model: "m"}, 0)
+		sendUnderWay(u.t, conn, "whole body")
+		for u.g.Meter.CounterValue("pass.held") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		change()
+		full.End(clock.Now(), pick.Neutral)
+	}},
 	"sends its body": {false, func(u *underWay, conn net.Conn, change func()) {
 		u.list("b", u.serve("b", false))
 		sendUnderWay(u.t, conn, "half")
