--- a/node/caller_test.go
+++ b/node/caller_test.go
@@ -28,7 +28,7 @@
 				require.NoError(t, err)
 				s := server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
 				go func() { _ = s.Serve(l) }()
-				defer s.Close()
+				defer func() { _ = s.Close() }()
 				conn, err := net.Dial("tcp", l.Addr().String())
 				require.NoError(t, err)
 				defer conn.Close()
