pass: A failing test of a hedge that is refused while the first server never goes on

What callers see: no answer until the request's deadline (504) though another server would serve it. A repeatable request is sent to its silent server, hedged to the only other one, and that one has no room just then (a refusal that says it did not run). The first server never goes on. The refused send counts as one of the servers of the route (mayHedge: sends < MaxServers), and the server stays excluded, so that nothing more is tried.

Ruled out: the retry budget (10) and the time (20 s).

--- /dev/null
+++ b/pass/hedge_test.go
@@ -0,0 +1,80 @@
+package pass
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// hedgeServer starts a server and returns its address. Its connections are closed when the test ends.
+func hedgeServer(t *testing.T, serve http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(serve)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// wholeAnswer answers with all that follows the last event that the request names.
+func wholeAnswer(kind routes.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set("Stamp", "server")
+		body := plainBody
+		if kind == routes.Stream {
+			w.Header().Set("Content-Type", typeEvents)
+			body = eventsAfter(r.Header.Get(headerLastEvent))
+		}
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// eventsAfter returns those of threeEvents that follow the one with an ID.
+func eventsAfter(id string) string {
+	_, rest, found := strings.Cut(threeEvents, "id: "+id+"\n")
+	if id == "" || !found {
+		return threeEvents
+	}
+	_, rest, _ = strings.Cut(rest, "\n\n")
+	return rest
+}
+
+// hedgeTable is the configuration of a service with one route.
+func hedgeTable(route routes.Route) *routes.Table {
+	return routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s", Engine: &routes.Engine{}}}, routes.Limits{})
+}
+
+// Guards against a request that waits for a server which never goes on, because the only other one had no room when it
+// was asked first.
+func TestSilentServerAfterHedgeWasRefused(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			var asked atomic.Int64
+			next := hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if asked.Add(1) == 1 {
+					rejectRest(w, r)
+					return
+				}
+				wholeAnswer(kind)(w, r)
+			})
+			g := testGateway()
+			g.Table = func() *routes.Table { return hedgeTable(silentRoute(kind)) }
+			g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, time.Hour)
+			g.Servers.Put(clock.Now(), server("first", "d", hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+				g.Servers.Put(clock.Now(), server("next", "d", next))
+				fallSilent(w, r)
+			})))
+			requireWholeAnswer(t, g, kind)
+		})
+	}
+}
