pass: A failing test of a hedge that is dropped for a third server before that one has begun to answer

What callers see: no answer until the request's deadline (504). The first server never goes on, the second one is silent for a second as a sound server may be, and a third one is listed. The hedge at the second server is closed (replacesHedge) before anything is known of the third: whether the budget has a retry for it, whether it can be reached, takes the request or answers.

Ruled out: that it needs a bad third server (without a retry the second one is closed and no other one is asked), and a larger budget.

--- a/pass/hedge_test.go
+++ b/pass/hedge_test.go
@@ -24,6 +24,17 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// silentForASecond is a sound server that is silent for a second, and then answers unless it was left.
+func silentForASecond(answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(time.Second):
+			answer(w, r)
+		case <-r.Context().Done():
+		}
+	}
+}
+
 // wholeAnswer answers with all that follows the last event that the request names.
 func wholeAnswer(kind routes.Kind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -78,3 +89,40 @@
 		})
 	}
 }
+
+// Guards against a request that leaves the second of two silent servers before a third one has begun to answer: the
+// third one can not be asked, refuses or breaks off, and the second one would have gone on.
+func TestSecondSilentServerIsNotLeftForNothing(t *testing.T) {
+	tests := map[string]struct {
+		retries float64
+		third   http.HandlerFunc
+	}{
+		"no retry is left":      {retries: 1, third: wholeAnswer(routes.Idempotent)},
+		"third server refuses":  {retries: 10, third: rejectRest},
+		"third server is reset": {retries: 10, third: http.HandlerFunc(nextServers["is reset"])},
+		"third not reached":     {retries: 10},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := testGateway()
+			route := silentRoute(routes.Idempotent)
+			route.MaxServers = 3
+			g.Table = func() *routes.Table { return hedgeTable(route) }
+			g.RetryBudget("s").SetLimit(clock.Now(), 0, tc.retries, time.Hour)
+			third := "dead:1"
+			if tc.third != nil {
+				third = hedgeServer(t, tc.third)
+			}
+			second := hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+				g.Servers.Put(clock.Now(), server("third", "d", third))
+				silentForASecond(wholeAnswer(routes.Idempotent))(w, r)
+			})
+			g.Servers.Put(clock.Now(), server("first", "d", hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+				g.Servers.Put(clock.Now(), server("second", "d", second))
+				fallSilent(w, r)
+			})))
+			requireWholeAnswer(t, g, routes.Idempotent)
+		})
+	}
+}
