pass: A failing test of a stream that is cut because its VM had no path at an earlier moment of silence

What callers see: a stream that is cut though another server would go on with it. The VM loses its path to the servers for a moment, a stream's server is silent meanwhile, and no other VM takes the request: the hedge finds no way, and its finding (withoutPath) stays with the call for good. The path comes back, the server goes on, and later breaks off. The call is then not sent again (mayRetry), and not hedged again either (mayHedge).

Ruled out: the retry budget (10) and a path that is still lost (it works again before the server goes on). A hedge that is dropped while it waits for a proxy counts as without a path, too; that is the order in the test.

--- a/pass/hedge_test.go
+++ b/pass/hedge_test.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
@@ -126,3 +129,50 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut when its server breaks off, because this VM had no path at a moment of silence
+// that is long over.
+func TestHedgeWithoutPathIsForgotten(t *testing.T) {
+	g := testGateway()
+	g.Table = func() *routes.Table { return hedgeTable(silentRoute(routes.Stream)) }
+	g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, time.Hour)
+	events := strings.SplitAfter(threeEvents, "\n\n")
+	goOn := make(chan struct{})
+	wentOn := sync.OnceFunc(func() { close(goOn) })
+	g.ProxyVMs = func() []string {
+		g.Paths.ConnectionWorked(clock.Now())
+		wentOn()
+		return nil
+	}
+	next := hedgeServer(t, wholeAnswer(routes.Stream))
+	g.Servers.Put(clock.Now(), server("first", "d", hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set("Stamp", "first")
+		w.Header().Set("Content-Type", typeEvents)
+		controller := http.NewResponseController(w)
+		_, _ = io.WriteString(w, events[0])
+		_ = controller.Flush()
+		g.Servers.Put(clock.Now(), server("next", "d", next))
+		select {
+		case <-goOn:
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = io.WriteString(w, events[1])
+		_ = controller.Flush()
+		if conn, _, err := controller.Hijack(); err == nil {
+			_ = conn.Close()
+		}
+	})))
+	resp := openResponse(t, serveGateway(t, g), "HTTP/1.1", 20*time.Second)
+	_, err := io.CopyN(io.Discard, resp.Body, int64(len(events[0])))
+	require.NoError(t, err)
+	// A connection that failed less than a second after one that worked says nothing of the path.
+	for _, id := range []string{"v", "w", "x", "y", "z"} {
+		g.Paths.ConnectionFailed(clock.Now().Add(2*time.Second), id, false)
+	}
+	require.True(t, g.Paths.Lost())
+	rest := readCallerView(resp)
+	require.Equal(t, events[1]+events[2], rest.body)
+	require.False(t, rest.broken)
+}
