pass: A hedge that is dropped leaves nothing behind at its server

Callers saw nothing of it at once: a hedge whose first server went on while it was connecting made its own server suspect and counted as a failed connection of its failure domain; one that waited for a permit kept the whole VM from the server for the wait that the cancelled call returned; one with a permit and a kept connection was sent all the same, for nobody.

Cause: the checks before a send asked whether the caller had gone, and took every other end of the context for news of the server. Change: what a dropped hedge meets says nothing of its server, and it is not sent. What must hold right before a send is in a function of its own (maySend).

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -57,55 +57,66 @@
 // openAttempt opens the way to a server and decides whether the call may be sent there. If not, it returns nil and has
 // updated the state of c for the next attempt.
 func (g *Gateway) openAttempt(ctx context.Context, c *call, choice pick.Choice) *attempt {
-	server := choice.Server.ID
 	c.attempts++
 	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
 	now := g.Now()
 	way, err := g.openWay(ctx, now, choice.Server, !c.route.Repeatable())
 	c.proxy = way.proxy
 	if err != nil {
+		if hedgeDropped(ctx) {
+			return nil
+		}
 		g.connectFailed(c, choice, err)
 		return nil
 	}
+	stopClosing := context.AfterFunc(ctx, way.conn.Close)
 	if err := g.checkServer(c, way, choice.Server); err != nil {
+		stopClosing()
 		g.logFailedAttempt(c, choice, err.Error())
 		return nil
 	}
-	// While the connection was opened or this VM was suspended, the server may have started
-	// draining or asked for rest, or the request deadline may have passed.
+	if hedgeDropped(ctx) || !g.maySend(c, choice) {
+		stopClosing()
+		way.pool.PutUnused(g.Now(), way.conn)
+		return nil
+	}
 	now = g.Now()
+	c.choice = choice
+	a := &attempt{
+		reply: reply{g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(), requestID: c.id, server: choice.Server.ID}, c: c, choice: choice, pool: way.pool,
+		balancerAttempt: g.Balancer.Begin(now, choice, c.work, g.kvCacheTokens(c)),
+	}
+	_, a.span = spans.Start(ctx, "attempt", attribute.String("server", a.server), attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
+	a.stopClosing = stopClosing
+	g.proxyLoads.add(way.proxy, 1)
+	return a
+}
+
+// maySend decides whether a call may be sent to a server to which a way is open. While that was opened or this VM was
+// suspended, the server may have started draining or asked for rest, the request deadline may have passed, and the
+// configuration or the blocked requests may have changed.
+func (g *Gateway) maySend(c *call, choice pick.Choice) bool {
+	now, server := g.Now(), choice.Server.ID
 	if callerDisconnected(c.request) {
 		c.disconnected = true
-		way.pool.PutUnused(now, way.conn)
-		return nil
+		return false
 	}
 	if !g.Servers.MaySend(now, server) || c.remaining(now) <= 0 {
-		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, "server unavailable or at rest, or deadline passed before the send")
 		c.excluded = append(c.excluded, server)
-		return nil
+		return false
 	}
 	if g.blocked(now, c) || !g.recheckKey(c) {
-		way.pool.PutUnused(now, way.conn)
-		return nil
+		return false
 	}
 	// Only requests that reach a server contribute to an overload, so only sends count against the
 	// retry budget, and failed connections do not.
 	if c.sends > 0 && !g.takeRetry(now, c, server) {
 		c.budgetExhausted = true
-		way.pool.PutUnused(now, way.conn)
 		g.logFailedAttempt(c, choice, c.reason+"; retry budget exhausted")
-		return nil
+		return false
 	}
-	c.choice = choice
-	a := &attempt{
-		reply: reply{g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(), requestID: c.id, server: server}, c: c, choice: choice, pool: way.pool,
-		balancerAttempt: g.Balancer.Begin(now, choice, c.work, g.kvCacheTokens(c)),
-	}
-	_, a.span = spans.Start(ctx, "attempt", attribute.String("server", server), attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
-	a.stopClosing = context.AfterFunc(ctx, way.conn.Close)
-	g.proxyLoads.add(way.proxy, 1)
-	return a
+	return true
 }
 
 // end releases what an attempt holds, and returns the attempt that continues the call, nil for none.
@@ -164,6 +175,8 @@
 	// hedgeOf is the hedge that this attempt belongs to, nil for none, and release frees its context.
 	hedgeOf *hedge
 	release func()
+	// silenceLogged is set once a silence of the server was logged.
+	silenceLogged bool
 	// stopClosing ends the closing of the connection with the context of the call, and reports whether it was in time.
 	stopClosing func() bool
 	span        trace.Span
--- a/pass/limit.go
+++ b/pass/limit.go
@@ -32,6 +32,10 @@
 	}
 	g.setBackoff(server, permitCallBackoff)
 	wait := g.RequestPermit(ctx, server)
+	if hedgeDropped(ctx) {
+		g.setBackoff(server, 0)
+		return false
+	}
 	g.setBackoff(server, wait)
 	if wait > 0 {
 		g.Meter.AddCounter("pass.permits_refused", 1)
