pass: What kept a hedge from being sent is found out anew at the next send

Found by the review: callers got a stream that was cut though another server would have gone on with it. A hedge had found no path to the servers at a moment of silence, and its finding stayed with the call; when the first server broke off later, with the path back, the call was neither sent nor hedged again. The same held for a removed key, a block and a caller who seemed gone.

Change: a call takes over from a hedge only what it counted. A hedge that was not sent is tried again at the next check of the silence, not at once.

--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -141,19 +141,12 @@
 	return &copied
 }
 
-// absorb takes over what a hedge has counted and found out in its copy of the call.
+// absorb takes over what a hedge has counted in its copy of the call. What kept the hedge from being sent is found out
+// anew at the next send.
 func (c *call) absorb(h *call) {
 	c.attempts, c.sends, c.sentTo, c.versions, c.quota = h.attempts, h.sends, h.sentTo, h.versions, h.quota
-	c.retryReserved, c.budgetExhausted = h.retryReserved, h.budgetExhausted
-	c.leftSilent = h.leftSilent
+	c.retryReserved, c.leftSilent = h.retryReserved, h.leftSilent
 	c.mayHaveRun = c.mayHaveRun || h.mayHaveRun
-	c.viaProxies = c.viaProxies || h.viaProxies
-	c.withoutPath = c.withoutPath || h.withoutPath
-	c.disconnected = c.disconnected || h.disconnected
-	c.keyRemoved = c.keyRemoved || h.keyRemoved
-	if h.blocked {
-		c.blocked, c.blockedPart, c.retryAfter = true, h.blockedPart, h.retryAfter
-	}
 	if h.errorResponse != nil {
 		c.errorResponse = h.errorResponse
 	}
--- a/pass/silence.go
+++ b/pass/silence.go
@@ -72,11 +72,16 @@
 	now := a.g.Now()
 	a.g.Paths.Silent(now, now.Add(-waited))
 	if a.hedge != nil && a.hedge.settled.Load() {
+		sends := a.c.sends
 		a.awaitHedge()
 		if a.successor != nil {
 			a.leave()
 			return true
 		}
+		if a.c.sends == sends {
+			// It was not sent, and would not be now.
+			return false
+		}
 	}
 	if limit == 0 || waited < limit || a.hedgeOf != nil && !a.hedgeOf.leads.Load() {
 		return false
