pass: A hedge is hedged itself, and one that was refused is not the last

Change: each attempt hedges for itself when its own server is silent, so that all are kept until one brings a part of the answer; servers in use are not chosen again. What bounds a call are its sends (4), its servers (MaxServers), its budget and its attempts, as without hedges; servers that refused may be chosen again when no other is left, at the next check of the silence. A silence is logged once, and again with each hedge.

--- a/pass/call.go
+++ b/pass/call.go
@@ -102,6 +102,8 @@
 	blockedPart poison.Part
 	// modelWait is how long the request waited for a server with its model or adapter.
 	modelWait time.Duration
+	// inUse lists the servers of the call's attempts that a hedge is to stand in for.
+	inUse []string
 	// leftSilent lists the servers that the call left because they were silent.
 	leftSilent []string
 	// errorResponse is an error response of a server; it is forwarded if no later attempt succeeds.
--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -15,10 +15,8 @@
 // request when its connection is closed, so that no two of them go on with it.
 type hedge struct {
 	// call is the hedge's copy of the call, which nothing else uses until done is closed.
-	call      *call
-	server    string
-	startedAt time.Time
-	cancel    context.CancelCauseFunc
+	call   *call
+	cancel context.CancelCauseFunc
 	// leads is set once the attempt that began the hedge has failed, so that the hedge is all that the call has.
 	leads atomic.Bool
 	// settled is set once attempt, if there is one, can be forwarded. Then done is closed.
@@ -37,18 +35,21 @@
 func (a *attempt) startHedge(ctx context.Context, now time.Time) {
 	c, g := a.c, a.g
 	choice, ok := a.chooseOther(now)
-	if ok = ok && a.mayHedge() && g.takeRetry(now, c, choice.Server.ID); ok {
+	if ok = ok && g.takeRetry(now, c, choice.Server.ID); ok {
 		c.retryReserved = now
 	}
-	g.Meter.AddCounter("pass.silent", 1)
-	g.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("started", c.headSent).Bool("hedged", ok).
-		Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Msg("server silent")
+	if ok || !a.silenceLogged {
+		a.silenceLogged = true
+		g.Meter.AddCounter("pass.silent", 1)
+		g.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("started", c.headSent).Bool("hedged", ok).
+			Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Msg("server silent")
+	}
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	h := &hedge{call: c.clone(), server: choice.Server.ID, startedAt: now, cancel: cancel, done: make(chan struct{})}
-	h.call.excluded = append(h.call.excluded, a.choice.Server.ID)
+	h := &hedge{call: c.clone(), cancel: cancel, done: make(chan struct{})}
+	h.call.inUse = append(h.call.inUse, a.choice.Server.ID)
 	c.retryReserved = time.Time{}
 	a.hedge = h
 	go func() {
@@ -59,7 +60,7 @@
 	}()
 }
 
-// run makes the attempt of a hedge.
+// run makes the attempt of a hedge, which is hedged itself if its server is silent too.
 func (h *hedge) run(ctx context.Context, g *Gateway, choice pick.Choice) {
 	if !g.acquirePermit(ctx, choice.Server.ID) {
 		return
@@ -72,21 +73,6 @@
 	}
 }
 
-// replacesHedge drops a hedge whose server has been silent for the limit as well, if there is a further server. It
-// reports whether it did.
-func (a *attempt) replacesHedge(now time.Time, limit time.Duration) bool {
-	h := a.hedge
-	if now.Sub(h.startedAt) < limit || a.c.sends+1 >= min(a.c.route.MaxServers, maxSends) {
-		return false
-	}
-	if _, ok := a.chooseOther(now, h.server); !ok {
-		return false
-	}
-	a.dropHedge()
-	a.c.excluded = append(a.c.excluded, h.server)
-	return true
-}
-
 // awaitHedge waits for the hedge of an attempt that can not go on, and makes its attempt the successor.
 func (a *attempt) awaitHedge() {
 	h := a.hedge
@@ -137,7 +123,7 @@
 	copied := *c
 	copied.sentTo, copied.versions = slices.Clone(c.sentTo), slices.Clone(c.versions)
 	copied.excluded, copied.unreachable = slices.Clone(c.excluded), slices.Clone(c.unreachable)
-	copied.leftSilent = slices.Clone(c.leftSilent)
+	copied.inUse, copied.leftSilent = slices.Clone(c.inUse), slices.Clone(c.leftSilent)
 	return &copied
 }
 
--- a/pass/silence.go
+++ b/pass/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -42,7 +43,7 @@
 // startTimeout returns how long to wait for the response to begin, or 0 if only the request deadline
 // applies.
 func (a *attempt) startTimeout() time.Duration {
-	if !a.mayHedge() || a.c.route.Objective == 0 {
+	if !a.c.route.Repeatable() || a.c.route.Objective == 0 {
 		return 0
 	}
 	return max(startTimeoutObjectives*a.c.route.Objective, 2*a.choice.PredictedTime+a.c.route.Objective)
@@ -51,21 +52,12 @@
 // eventTimeout returns how long to wait for the event after the one with an ID, or 0 if only the request
 // deadline applies. A stream whose events have no IDs can not be resumed.
 func (a *attempt) eventTimeout(lastID string) time.Duration {
-	if !a.mayHedge() || lastID == a.c.request.Header.Get(headerLastEvent) {
+	if !a.c.route.Repeatable() || lastID == a.c.request.Header.Get(headerLastEvent) {
 		return 0
 	}
 	return max(eventTimeoutGaps*a.c.route.MaxEventGap, minEventTimeout)
 }
 
-// mayHedge reports whether the call may be sent to one server more than it was.
-func (a *attempt) mayHedge() bool {
-	c := a.c
-	if c.blocked || c.keyRemoved || c.disconnected || c.withoutPath {
-		return false
-	}
-	return c.route.Repeatable() && c.sends < min(c.route.MaxServers, maxSends)
-}
-
 // checkSilence is called while the server is silent, at intervals and when a hedge has settled. It reports whether
 // the call leaves the server, because another one has begun to answer.
 func (a *attempt) checkSilence(ctx context.Context, limit, waited time.Duration) bool {
@@ -83,13 +75,9 @@
 			return false
 		}
 	}
-	if limit == 0 || waited < limit || a.hedgeOf != nil && !a.hedgeOf.leads.Load() {
-		return false
-	}
-	if a.hedge != nil && !a.replacesHedge(now, limit) {
-		return false
+	if limit > 0 && waited >= limit && a.hedge == nil {
+		a.startHedge(ctx, now)
 	}
-	a.startHedge(ctx, now)
 	return false
 }
 
@@ -102,15 +90,17 @@
 
 // chooseOther returns a server with capacity that a call may be sent to while its server is silent. Without one, and
 // without enough time before the deadline, nothing would be gained: usually the silent server has preempted the
-// request and is recomputing its prompt.
-func (a *attempt) chooseOther(now time.Time, excluded ...string) (pick.Choice, bool) {
+// request and is recomputing its prompt. Servers that refused the call may be chosen again once no other is left.
+func (a *attempt) chooseOther(now time.Time) (pick.Choice, bool) {
 	c := a.c
-	if c.remaining(now) <= c.route.Objective || c.request.Context().Err() != nil || c.attempts >= maxAttempts {
+	if c.sends >= maxSends || c.attempts >= maxAttempts || c.remaining(now) <= c.route.Objective || c.request.Context().Err() != nil {
 		return pick.Choice{}, false
 	}
-	known := len(c.excluded)
-	c.excluded = append(append(c.excluded, a.choice.Server.ID), excluded...)
+	excluded := c.excluded
+	c.excluded = slices.Concat(excluded, c.inUse, []string{a.choice.Server.ID})
 	choice, ok := a.g.pickServer(now, c, a.g.serversFor(now, c))
-	c.excluded = c.excluded[:known]
+	if c.excluded = excluded; !ok {
+		c.excluded = nil
+	}
 	return choice, ok && choice.HasCapacity()
 }
--- a/pass/silence_test.go
+++ b/pass/silence_test.go
@@ -237,7 +237,7 @@
 }
 
 // Guards against a request that waits for two silent servers while a third one would answer.
-func TestHedgeAtSilentServerIsReplaced(t *testing.T) {
+func TestThirdServerAnswersForTwoSilentOnes(t *testing.T) {
 	first := &silentServer{eventType: true, sentBefore: len("id: 1\ndata: a\n\n")}
 	g := silenceGateway(t, first, func(func()) string {
 		silent := &silentServer{eventType: true, sentBefore: -1, goOn: make(chan struct{})}
