pass: A failing test of a server that counts as busy and sound after it has broken a hedged request

What is seen: the first server breaks the connection while the hedge is under way. The attempt waits for the hedge (awaitHedge) before it ends, so that the balancer counts the request as running at the first server, knows nothing of its failure, and a refused one keeps its connection out of the pool, for as long as the hedge's server is silent: up to the request's deadline. Other requests of the VM go on choosing that server. The call itself is answered.

Ruled out: that it is a matter of scheduling (the second server waits three seconds for the load to be released).

--- a/pass/hedgeend_test.go
+++ b/pass/hedgeend_test.go
@@ -275,3 +275,26 @@
 		})
 	}
 }
+
+// Guards against a server that counts as busy with a request, and not as failed, for as long as the hedge of that
+// request is silent.
+func TestFailedServerIsReleasedBeforeItsHedge(t *testing.T) {
+	asked := make(chan struct{})
+	released := make(chan bool, 1)
+	var g *Gateway
+	g = hedgedGateway(t, silentRoute(routes.Idempotent), 1, func(w http.ResponseWriter, r *http.Request) {
+		<-asked
+		http.HandlerFunc(nextServers["is closed"])(w, r)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		close(asked)
+		busy := true
+		for waited := time.Duration(0); busy && waited < 3*time.Second; waited += 10 * time.Millisecond {
+			time.Sleep(10 * time.Millisecond)
+			busy = g.Balancer.LocalLoads()["first"].Running > 0
+		}
+		released <- !busy
+		wholeAnswer(routes.Idempotent)(w, r)
+	})
+	requireWholeAnswer(t, g, routes.Idempotent)
+	require.True(t, <-released)
+}
