pass: The failing test of a hedge that is refused also has hedges that break off or find no server

TestSilentServerAfterHedgeWasRefused is now the case "refuses" of TestSilentServerAfterHedgeFailed, unchanged; the other cases are new: the other server closes or resets the connection, or can not be reached, when it is asked first, and serves from then on. Same cause: after one failed hedge nothing more is tried, as its server stays excluded (not reached) or the route's servers count as used up by sends (the others).

--- a/pass/hedge_test.go
+++ b/pass/hedge_test.go
@@ -1,7 +1,9 @@
 package pass
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -67,29 +69,40 @@
 	return routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s", Engine: &routes.Engine{}}}, routes.Limits{})
 }
 
-// Guards against a request that waits for a server which never goes on, because the only other one had no room when it
-// was asked first.
-func TestSilentServerAfterHedgeWasRefused(t *testing.T) {
+// Guards against a request that waits for a server which never goes on, because the only other one had no room, broke off
+// or could not be reached when it was asked first.
+func TestSilentServerAfterHedgeFailed(t *testing.T) {
 	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
-		t.Run(string(kind), func(t *testing.T) {
-			t.Parallel()
-			var asked atomic.Int64
-			next := hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
-				if asked.Add(1) == 1 {
-					rejectRest(w, r)
-					return
+		for name, failOnce := range map[string]nextServer{
+			"refuses": nextServers["refuses"], "is closed": nextServers["is closed"], "is reset": nextServers["is reset"], "not reached": nil,
+		} {
+			t.Run(string(kind)+", "+name, func(t *testing.T) {
+				t.Parallel()
+				var asked, dialled atomic.Int64
+				next := hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+					if asked.Add(1) == 1 && failOnce != nil {
+						failOnce(w, r)
+						return
+					}
+					wholeAnswer(kind)(w, r)
+				})
+				g := testGateway()
+				dial := g.Pool.DialFunc
+				g.Pool.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
+					if address == next && dialled.Add(1) == 1 && failOnce == nil {
+						return nil, errConnectionRefused
+					}
+					return dial(ctx, address)
 				}
-				wholeAnswer(kind)(w, r)
+				g.Table = func() *routes.Table { return hedgeTable(silentRoute(kind)) }
+				g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, time.Hour)
+				g.Servers.Put(clock.Now(), server("first", "d", hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+					g.Servers.Put(clock.Now(), server("next", "d", next))
+					fallSilent(w, r)
+				})))
+				requireWholeAnswer(t, g, kind)
 			})
-			g := testGateway()
-			g.Table = func() *routes.Table { return hedgeTable(silentRoute(kind)) }
-			g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, time.Hour)
-			g.Servers.Put(clock.Now(), server("first", "d", hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
-				g.Servers.Put(clock.Now(), server("next", "d", next))
-				fallSilent(w, r)
-			})))
-			requireWholeAnswer(t, g, kind)
-		})
+		}
 	}
 }
 
