pass: Tests of a hedge beside a shutdown and beside a proxy that takes the first send back

Each guards something that no test guarded: an answer beside SIGTERM while a hedge is under way, whichever server brings it, and a first send that its proxy takes back (the server can not be reached) while the hedge goes on.

--- a/pass/hedgeend_test.go
+++ b/pass/hedgeend_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
@@ -298,3 +299,62 @@
 	requireWholeAnswer(t, g, routes.Idempotent)
 	require.True(t, <-released)
 }
+
+// Guards against an answer that is cut or refused because its VM begins to shut down while a hedge is under way.
+func TestShutdownBesideHedge(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
+		for name, firstGoesOn := range map[string]bool{"first goes on": true, "second answers": false} {
+			t.Run(string(kind)+", "+name, func(t *testing.T) {
+				t.Parallel()
+				shutdown, stop := context.WithCancel(t.Context())
+				g := hedgedGateway(t, silentRoute(kind), 1, func(w http.ResponseWriter, r *http.Request) {
+					if !firstGoesOn {
+						fallSilent(w, r)
+						return
+					}
+					<-shutdown.Done()
+					wholeAnswer(kind)(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) {
+					if stop(); firstGoesOn {
+						fallSilent(w, r)
+						return
+					}
+					wholeAnswer(kind)(w, r)
+				})
+				g.ShutdownContext = shutdown
+				requireWholeAnswer(t, g, kind)
+			})
+		}
+	}
+}
+
+// Guards against a send that a proxy takes back while a hedge through it is under way, and that still counts among those
+// of the call.
+func TestProxyTakesBackFirstOfHedge(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			asked := make(chan struct{})
+			next := hedgeServer(t, func(w http.ResponseWriter, r *http.Request) {
+				close(asked)
+				wholeAnswer(kind)(w, r)
+			})
+			g, proxy := testGateway(), testGateway()
+			proxy.Servers = g.Servers
+			proxy.Pool.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
+				if address != "lost:1" {
+					return conns.Dial(ctx, address)
+				}
+				g.Servers.Put(clock.Now(), server("next", "d", next))
+				<-asked
+				return nil, errConnectionRefused
+			}
+			useProxies(g, serveAsProxy(t, proxy))
+			g.Table = func() *routes.Table { return hedgeTable(silentRoute(kind)) }
+			g.RetryBudget("s").SetLimit(clock.Now(), 0, 1, time.Hour)
+			g.Servers.Put(clock.Now(), server("lost", "d", "lost:1"))
+			requireWholeAnswer(t, g, kind)
+			requireNothingHeld(t, g, true)
+		})
+	}
+}
