pass: A server that failed is released before its hedge is waited for

Found by the review: while a call waited for the hedge of a server that had already broken off or refused, the balancer counted the request as running there and knew nothing of the failure, for as long as the hedge's server was silent, and other requests of the VM went on choosing it. The call itself was answered.

Change: a failed attempt releases server and connection first (failOver), then waits. From then on its hedge has nothing to tell it: the connection may be in use by another request (lead, settle).

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -119,14 +119,9 @@
 	return true
 }
 
-// end releases what an attempt holds, and returns the attempt that continues the call, nil for none.
+// end ends an attempt, and returns the one that continues the call, nil for none.
 func (a *attempt) end() *attempt {
 	a.dropHedge()
-	a.conn.SetStallTimeout(0, nil)
-	a.g.proxyLoads.add(a.proxy, -1)
-	if !a.stopClosing() && a.complete {
-		a.complete = false
-	}
 	a.finish()
 	spans.End(a.span, a.err)
 	if a.release != nil {
@@ -177,6 +172,7 @@
 	release func()
 	// silenceLogged is set once a silence of the server was logged.
 	silenceLogged bool
+	finished      bool
 	// stopClosing ends the closing of the connection with the context of the call, and reports whether it was in time.
 	stopClosing func() bool
 	span        trace.Span
@@ -184,8 +180,18 @@
 	err error
 }
 
+// finish releases the server and the connection of an attempt. No hedge uses the connection any more.
 func (a *attempt) finish() {
+	if a.finished {
+		return
+	}
+	a.finished = true
 	now := a.g.Now()
+	a.conn.SetStallTimeout(0, nil)
+	a.g.proxyLoads.add(a.proxy, -1)
+	if !a.stopClosing() {
+		a.complete = false
+	}
 	a.balancerAttempt.End(now, a.result)
 	if a.complete && a.result != pick.Refused {
 		a.g.Poison.Answered(now, a.c.fingerprint)
@@ -219,7 +225,7 @@
 // for that one.
 func (a *attempt) fail(reason string) bool {
 	a.err = errors.New(reason)
-	a.awaitHedge()
+	a.failOver()
 	a.c.excluded = append(a.c.excluded, a.choice.Server.ID)
 	a.g.logFailedAttempt(a.c, a.choice, reason)
 	return false
@@ -228,7 +234,7 @@
 // failNotRun records the failure of an attempt that the server provably did not execute.
 func (a *attempt) failNotRun(reason string) bool {
 	a.result = pick.Refused
-	a.awaitHedge()
+	a.failOver()
 	a.c.refundRun()
 	return a.fail(reason)
 }
@@ -318,7 +324,7 @@
 
 // mayBeReplaced reports whether another server may still answer in place of one that responded with an error.
 func (a *attempt) mayBeReplaced() bool {
-	return a.hedgeOf != nil && !a.hedgeOf.leads.Load() || a.c.route.Repeatable() && a.c.sends < a.c.route.MaxServers
+	return a.hedgeOf != nil && !a.hedgeOf.isLeading() || a.c.route.Repeatable() && a.c.sends < a.c.route.MaxServers
 }
 
 // readWhole reads the whole response, so that a truncated one can still be replaced by a retry.
--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 )
 
@@ -18,7 +20,10 @@
 	call   *call
 	cancel context.CancelCauseFunc
 	// leads is set once the attempt that began the hedge has failed, so that the hedge is all that the call has.
-	leads atomic.Bool
+	// firstConn, nil from then on, is the connection of that attempt.
+	mu        sync.Mutex
+	leads     bool
+	firstConn *conns.Conn
 	// settled is set once attempt, if there is one, can be forwarded. Then done is closed.
 	settled atomic.Bool
 	done    chan struct{}
@@ -48,15 +53,13 @@
 		return
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	h := &hedge{call: c.clone(), cancel: cancel, done: make(chan struct{})}
+	h := &hedge{call: c.clone(), cancel: cancel, firstConn: a.conn, done: make(chan struct{})}
 	h.call.inUse = append(h.call.inUse, a.choice.Server.ID)
 	c.retryReserved = time.Time{}
 	a.hedge = h
 	go func() {
 		h.run(ctx, g, choice)
-		h.settled.Store(true)
-		a.conn.CheckStall()
-		close(h.done)
+		h.settle()
 	}()
 }
 
@@ -73,14 +76,46 @@
 	}
 }
 
-// awaitHedge waits for the hedge of an attempt that can not go on, and makes its attempt the successor.
-func (a *attempt) awaitHedge() {
-	h := a.hedge
-	if h == nil {
+// settle tells the first attempt that the hedge has settled, if it still waits for its server.
+func (h *hedge) settle() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settled.Store(true)
+	if h.firstConn != nil {
+		h.firstConn.CheckStall()
+	}
+	close(h.done)
+}
+
+// lead records that the hedge is all that its call has.
+func (h *hedge) lead() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leads, h.firstConn = true, nil
+}
+
+func (h *hedge) isLeading() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leads
+}
+
+// failOver leaves the call of a failed attempt to its hedge, if it has one. The server is released first: the hedge may
+// take long.
+func (a *attempt) failOver() {
+	if a.hedge == nil {
 		return
 	}
+	a.hedge.lead()
+	a.finish()
+	a.awaitHedge()
+}
+
+// awaitHedge waits until the hedge of an attempt has settled, and makes its attempt the successor.
+func (a *attempt) awaitHedge() {
+	h := a.hedge
 	a.hedge = nil
-	h.leads.Store(true)
+	h.lead()
 	<-h.done
 	a.c.absorb(h.call)
 	a.c.excluded, a.c.unreachable = h.call.excluded, h.call.unreachable
--- a/pass/hedgeend_test.go
+++ b/pass/hedgeend_test.go
@@ -73,7 +73,7 @@
 				if deadline < time.Second {
 					r.Header.Set("Deadline", "500")
 				}
-				g.ServeHTTP(httptest.NewRecorder(), r)
+				sendAborted(g, httptest.NewRecorder(), r)
 				ended.Wait()
 				requireNothingHeld(t, g, false)
 			})
--- a/pass/way.go
+++ b/pass/way.go
@@ -145,7 +145,7 @@
 	reason := a.resp.Header.Get(headerProxyRefusal)
 	_, err := conns.ReadAll(a.resp.Body, maxForeignBodyBytes)
 	a.complete = err == nil
-	a.awaitHedge()
+	a.failOver()
 	a.takeBackSend()
 	a.g.Meter.AddCounter("pass.proxy_refusals", 1)
 	switch reason {
