stand, demo, conns: The hosts of a deployment's servers can fall silent and go on

Guards against what callers saw: a request that may run once and gets neither its answer nor a refusal, as its sound server was silent for a moment.

Change: a listener of the stand-ins drops what arrives, by a socket filter, and ends that; the kernels at both ends do the rest. The test of conns uses the same filter. VMs of a demo reach the servers over connections of conns, with its socket options.

--- a/conns/silence_test.go
+++ b/conns/silence_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 // silence is that of a host which goes on afterwards: it begins a time after the last byte that the connection has
@@ -70,9 +71,9 @@
 }
 
 // survive returns an error unless both ends get all bytes in spite of a silence.
-func (x situation) survive(client, server net.Conn, s silence) error {
+func (x situation) survive(client net.Conn, server *net.TCPConn, s silence) error {
 	time.Sleep(s.begins)
-	if err := setSilent(server, !x.acknowledged); err != nil {
+	if err := stand.SetSilent(server, !x.acknowledged); err != nil {
 		return err
 	}
 	written := make(chan error, 1)
@@ -85,7 +86,7 @@
 		return fmt.Errorf("send response: %w", err)
 	}
 	time.Sleep(s.lasts)
-	if err := setSilent(server, false); err != nil {
+	if err := stand.SetSilent(server, false); err != nil {
 		return err
 	}
 	// A kernel that ends the connection does so at a probe or when it sends again.
@@ -113,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			client, server := exchangeByte(t)
-			require.NoError(t, setSilent(server, true))
+			require.NoError(t, stand.SetSilent(server, true))
 			_, err := client.Write(make([]byte, unacknowledged))
 			require.NoError(t, err)
 			require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Minute)))
@@ -142,7 +143,7 @@
 			c, err := p.Dial(context.Background(), "k", address)
 			require.NoError(t, err)
 			p.Put(now, c, time.Minute)
-			require.NoError(t, setSilent(<-accepted, tc.silent))
+			require.NoError(t, stand.SetSilent((<-accepted).(*net.TCPConn), tc.silent))
 			time.Sleep(silent)
 			require.Eventually(t, func() bool { return !tc.silent || lastAck(t, raw) >= silent }, 10*time.Second, time.Millisecond)
 			require.Equal(t, tc.reusable, p.Get(now, "k", true) != nil)
@@ -163,12 +164,12 @@
 }
 
 // exchangeByte returns both ends of a connection that has just carried a byte.
-func exchangeByte(t *testing.T) (client, server net.Conn) {
+func exchangeByte(t *testing.T) (client net.Conn, server *net.TCPConn) {
 	t.Helper()
 	address, accepted := listen(t)
 	client, err := conns.Dial(context.Background(), address)
 	require.NoError(t, err)
-	server = <-accepted
+	server = (<-accepted).(*net.TCPConn)
 	t.Cleanup(func() {
 		_ = client.Close()
 		_ = server.Close()
@@ -179,27 +180,3 @@
 	require.NoError(t, err)
 	return client, server
 }
-
-// setSilent makes the kernel drop all that arrives for a connection, so that it is neither acknowledged nor
-// delivered, or ends that.
-func setSilent(c net.Conn, silent bool) error {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return fmt.Errorf("get raw connection: %w", err)
-	}
-	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		if silent {
-			optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-			return
-		}
-		if optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0); errors.Is(optErr, unix.ENOENT) {
-			optErr = nil // It was not silent.
-		}
-	})
-	if err := errors.Join(err, optErr); err != nil {
-		return fmt.Errorf("set socket filter: %w", err)
-	}
-	return nil
-}
--- a/demo/backends.go
+++ b/demo/backends.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -13,10 +14,11 @@
 // and, for a model server, the model that is loaded at the start.
 func (s *Site) AddBackend(service string, index int) (*stand.Backend, error) {
 	b := &stand.Backend{
-		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Domain: fmt.Sprintf("domain-%d", index%siteDefaultCount), Slots: 8, ProcessingTime: siteWorkTime, Runs: s.Runs, Teams: s.Teams,
+		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Domain: fmt.Sprintf("domain-%d", index%siteDefaultCount), Slots: 8, ProcessingTime: cmp.Or(s.options.WorkTime, siteWorkTime), Runs: s.Runs, Teams: s.Teams,
 	}
 	if service == SiteModelService {
 		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.StreamEvents = siteMemoryMB, 4, siteLoadTime, siteStreamEvents
+		b.ProcessingTime = cmp.Or(s.options.WorkTime/siteStreamEvents, siteWorkTime)
 		b.ModelSizeMB = make(map[string]float64)
 		for _, m := range SiteModels {
 			b.ModelSizeMB[m] = siteModelMB
@@ -38,10 +40,11 @@
 
 // startBackend serves a backend server on a new address.
 func (s *Site) startBackend(b *stand.Backend) error {
-	server, address, err := s.serve(platform.NewBackendHandler(b))
+	server, l, err := s.serve(platform.NewBackendHandler(b))
 	if err != nil {
 		return fmt.Errorf("start backend server: %w", err)
 	}
+	address := l.Addr().String()
 	if s.options.RegisteredAddress != nil {
 		if address, err = s.options.RegisteredAddress(b.ID, address); err != nil {
 			return fmt.Errorf("get registered address of backend server: %w", err)
@@ -49,10 +52,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.backendAddresses[b.ID], s.backendServers[b.ID] = address, server
+	s.backendAddresses[b.ID], s.backendServers[b.ID], s.backendListeners[b.ID] = address, server, l
 	return nil
 }
 
+// SetSilent makes the host of a backend server silent: it acknowledges, receives and accepts nothing, or goes on as
+// if nothing had been.
+func (s *Site) SetSilent(b *stand.Backend, silent bool) error {
+	s.mu.Lock()
+	l := s.backendListeners[b.ID]
+	s.mu.Unlock()
+	return l.SetSilent(silent)
+}
+
 // ReleaseBackend replaces the process of a backend server with one of another software version, which comes back under
 // its ID.
 func (s *Site) ReleaseBackend(b *stand.Backend, version string) {
--- a/demo/site.go
+++ b/demo/site.go
@@ -29,11 +29,17 @@
 	SitePlainService = "ledger"
 )
 
+// CallDeadline is the time that callers of a Site give a request.
+const CallDeadline = 6 * time.Second
+
 // SiteOptions configures a Site.
 type SiteOptions struct {
 	// VMs is the number of VMs, and Backends the number of backend servers of each of the two
 	// services. 0 means three.
 	VMs, Backends int
+	// WorkTime is how long backend servers take for a request or a whole stream; 0 means siteWorkTime for a
+	// request or an event.
+	WorkTime time.Duration
 	// NoVMs starts only the store and the backend servers; the test or tool runs the VMs itself.
 	NoVMs bool
 	// RegisteredAddress returns the address to register for a backend server, such as that of a proxy.
@@ -68,9 +74,11 @@
 	backendAddresses map[string]string
 	// backendServers holds the HTTP server of each running backend server, by the backend's ID.
 	backendServers map[string]*http.Server
-	httpServers    []*http.Server
-	vms            []*siteVM
-	closed         bool
+	// backendListeners holds its listener.
+	backendListeners map[string]*stand.SilentListener
+	httpServers      []*http.Server
+	vms              []*siteVM
+	closed           bool
 }
 
 // siteVM is a VM with the settings that a restart of it uses.
@@ -133,7 +141,7 @@
 	if o.Routes == nil {
 		o.Routes = SiteRoutes()
 	}
-	s := &Site{Objects: &stand.ObjectStore{}, Runs: &stand.RunLog{}, Teams: &stand.TeamLog{}, options: o, backendAddresses: make(map[string]string), backendServers: make(map[string]*http.Server)}
+	s := &Site{Objects: &stand.ObjectStore{}, Runs: &stand.RunLog{}, Teams: &stand.TeamLog{}, options: o, backendAddresses: make(map[string]string), backendServers: make(map[string]*http.Server), backendListeners: make(map[string]*stand.SilentListener)}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -184,17 +192,20 @@
 }
 
 func (s *Site) listen(h http.Handler) (string, error) {
-	_, address, err := s.serve(h)
-	return address, err
+	_, l, err := s.serve(h)
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), nil
 }
 
 var errSiteClosed = errors.New("deployment is closed")
 
 // serve serves a handler on a free loopback port.
-func (s *Site) serve(h http.Handler) (*http.Server, string, error) {
-	l, err := net.Listen("tcp", anyLoopbackPort)
+func (s *Site) serve(h http.Handler) (*http.Server, *stand.SilentListener, error) {
+	l, err := stand.ListenSilent(context.Background(), anyLoopbackPort)
 	if err != nil {
-		return nil, "", fmt.Errorf("listen: %w", err)
+		return nil, nil, fmt.Errorf("serve: %w", err)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	s.mu.Lock()
@@ -202,11 +213,11 @@
 	if s.closed {
 		// A delayed restart of a backend server must not open a listener after Close.
 		_ = l.Close()
-		return nil, "", errSiteClosed
+		return nil, nil, errSiteClosed
 	}
 	s.httpServers = append(s.httpServers, server)
 	go func() { _ = server.Serve(l) }()
-	return server, l.Addr().String(), nil
+	return server, l, nil
 }
 
 func (s *Site) addVM(ctx context.Context, i int) error {
@@ -325,7 +336,7 @@
 	}
 	req.Host = SiteHost
 	req.Header.Set(platform.HeaderNames.AttemptID, id)
-	req.Header.Set(platform.HeaderNames.Deadline, "6000")
+	req.Header.Set(platform.HeaderNames.Deadline, strconv.FormatInt(CallDeadline.Milliseconds(), 10))
 	if len(s.options.Teams) > 0 {
 		req.Header.Set(platform.HeaderNames.Key, s.options.Teams[0].Keys[0])
 	}
--- a/stand/path.go
+++ b/stand/path.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
 )
 
 // PathState is the state of the network path from a VM to the backend servers.
@@ -71,7 +73,7 @@
 	return p.dials
 }
 
-// Dial opens a connection to a backend server over the path.
+// Dial opens a connection to a backend server over the path, as conns.Dial does.
 func (p *Path) Dial(ctx context.Context, address string) (net.Conn, error) {
 	p.mu.Lock()
 	p.dials++
@@ -84,13 +86,11 @@
 	case PathRefused, PathNoNewConns:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := conns.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	c := &pathConn{TCPConn: raw.(*net.TCPConn), path: p}
-	_ = c.SetLinger(0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
