demo: Requests at a silent server are served while the others refuse or break off, and while their VM stops

Guards against what callers saw: an answer that a server's silence ended, or a stop of a VM beside it.

Change: TestRequestsAtSilentServerAreServed has a server at work on requests of each kind fall silent for 1.3 s, while all others refuse what they get or break off. TestGracefulStopDuringSilence stops a VM at the beginning of such a silence. Both use kernels that drop packets, so that connections, probes and timeouts are the real ones.

Ruled out: the grace time of a stop; requests at a silent server count as at work.

--- a/demo/silence_test.go
+++ b/demo/silence_test.go
@@ -88,3 +88,103 @@
 		})
 	}
 }
+
+// A VM stops while servers at work on its requests are silent, and go on. Guards against a stop that takes a silent
+// server for one that is gone.
+func TestGracefulStopDuringSilence(t *testing.T) {
+	const workTime, silence, requests = 500 * time.Millisecond, 1300 * time.Millisecond, 8
+	s, ctx := startSite(t, demo.SiteOptions{WorkTime: workTime})
+	results := make(chan callResult, requests)
+	for i := range requests {
+		go func() {
+			results <- call(ctx, s, s.VMAddresses()[0], fmt.Sprint("stop-", i), http.MethodPost, "/book/x", "")
+		}()
+	}
+	require.Eventually(t, func() bool {
+		for i := range requests {
+			if len(s.Runs.Servers(fmt.Sprint("stop-", i))) == 0 {
+				return false
+			}
+		}
+		return true
+	}, testTimeout, time.Millisecond)
+	for _, b := range s.Backends(demo.SitePlainService) {
+		require.NoError(t, s.SetSilent(b, true))
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.StopNode(0) }()
+	pause.For(ctx, silence)
+	for _, b := range s.Backends(demo.SitePlainService) {
+		require.NoError(t, s.SetSilent(b, false))
+	}
+	for range requests {
+		got := <-results
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	require.NoError(t, <-stopped)
+}
+
+// A sound server at work on requests is silent for 1.3 s and goes on, while all others refuse what they get or break
+// off. Guards against a request that leaves its server for one that does not answer it.
+func TestRequestsAtSilentServerAreServed(t *testing.T) {
+	const workTime, begins, silence, requests = 2500 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond, 12
+	others := map[string]stand.BackendFaults{"refuse": {Rejections: 1 << 20}, "break off": {LostResponses: 1 << 20}}
+	all := demo.SiteRoutes()
+	for i := range all {
+		// A silence is longer than the routes' requests wait for a server alone.
+		all[i].Timeout, all[i].Objective, all[i].MaxEventGap = testTimeout, 300*time.Millisecond, 100*time.Millisecond
+	}
+	models := map[string]string{"draft": "m1", "batch": "m2"}
+	for _, kind := range demo.SiteRequestKinds {
+		for name, faults := range others {
+			t.Run(kind.Name+", others "+name, func(t *testing.T) {
+				t.Parallel()
+				s, ctx := startSite(t, demo.SiteOptions{Backends: 2 * len(demo.SiteModels), WorkTime: workTime, Routes: all})
+				service := demo.SitePlainService
+				if kind.Stream {
+					service = demo.SiteModelService
+				}
+				id := func(i int) string { return fmt.Sprint(kind.Name, "-", i) }
+				results := make([]chan callResult, requests)
+				for i := range requests {
+					results[i] = make(chan callResult, 1)
+					go func() {
+						results[i] <- call(ctx, s, s.VMAddresses()[i%len(s.VMAddresses())], id(i), kind.Method, kind.Path, models[kind.Name])
+					}()
+				}
+				first := make(map[string]string)
+				require.Eventually(t, func() bool {
+					for i := range requests {
+						if servers := s.Runs.Servers(id(i)); len(servers) > 0 {
+							first[id(i)] = servers[0]
+						}
+					}
+					return len(first) == requests
+				}, testTimeout, time.Millisecond)
+				silent := first[id(0)]
+				pause.For(ctx, begins)
+				for _, b := range s.Backends(service) {
+					if b.ID == silent {
+						require.NoError(t, s.SetSilent(b, true))
+						defer func() { require.NoError(t, s.SetSilent(b, false)) }()
+						time.AfterFunc(silence, func() { _ = s.SetSilent(b, false) })
+						continue
+					}
+					b.SetPendingFaults(stand.NewPendingFaults(faults))
+				}
+				for i := range requests {
+					got := <-results[i]
+					if first[id(i)] != silent {
+						continue
+					}
+					require.NoError(t, got.err, id(i))
+					require.Equal(t, http.StatusOK, got.status, "%s: %s, ran on %v", id(i), got.body, s.Runs.Servers(id(i)))
+					if kind.Stream {
+						require.Equal(t, completeStream(id(i)), got.body)
+					}
+				}
+			})
+		}
+	}
+}
