entry: A test that limits on callers end no answer in which the engine is silent

An engine of serve is silent before or inside an answer for four times as long as callers have to send a request (read_timeout) and to take a frame (write_timeout), and the connection is used again afterwards, also for a refusal.

The HTTP server clears both deadlines: the first once it has read the request, the second after each response.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -370,3 +370,43 @@
 		})
 	}
 }
+
+// An engine is silent inside an answer, or its caller takes the whole of it late, for longer than callers have to send
+// a request or to take a frame. Guards against limits on those that end an answer.
+func TestSilenceExceedsCallerTimeouts(t *testing.T) {
+	const callerTimeout = 100 * time.Millisecond
+	deployment := startDeployment(t, func(c *entry.Config) {
+		c.Limits.ReadTimeout, c.Limits.WriteTimeout = callerTimeout, callerTimeout
+	})
+	for position, silentBefore := range map[string]int{"before the answer": 1, "inside the answer": 4} {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stream %v", position, stream), func(t *testing.T) {
+				for _, e := range engines(deployment) {
+					e.DisconnectBefore = func(_ string, sequence int) bool {
+						if sequence == silentBefore {
+							time.Sleep(4 * callerTimeout)
+						}
+						return false
+					}
+				}
+				id := fmt.Sprint("slow", silentBefore, stream)
+				body := completion("issue/n", id, 8)
+				if stream {
+					body = strings.Replace(body, "{", `{"stream":true,`, 1)
+				}
+				// The connection is kept: what one answer leaves there must not end the next.
+				for n := range 2 {
+					id := fmt.Sprint(id, "-", n)
+					r := post(t, deployment, "one-1", "/v1/completions", strings.Replace(body, "slow", fmt.Sprint(n, "slow"), 1), entry.HeaderIdempotencyKey, id)
+					require.Equal(t, http.StatusOK, r.status, r.body)
+					if stream {
+						_, complete := r.streamText()
+						require.True(t, complete, r.body)
+					}
+					refused := post(t, deployment, "one-1", "/v1/completions", "{", entry.HeaderIdempotencyKey, id)
+					require.Equal(t, http.StatusBadRequest, refused.status, refused.body)
+				}
+			})
+		}
+	}
+}
