soak, demo: The error of a VM that does not serve says whether its process runs, with the end of its output

The logs of the VMs go with the test's folder, an exit of a process was noticed only when something waited for it, and the error of the request was dropped. A VM whose process has exited is given up at once: nothing starts it again meanwhile, as waitServing is called only while no VM is restarted. Outcome has the error of its request. Conclusion: the next such failure names its cause.

--- a/demo/check.go
+++ b/demo/check.go
@@ -46,6 +46,8 @@
 	// EndsByClose is set if the response ended with its connection, and ServerEndsByClose if that of the
 	// server did.
 	EndsByClose, ServerEndsByClose bool
+	// Err is why there was no response, or only a part of it.
+	Err error
 }
 
 // Succeeded reports whether the caller received a complete successful response.
@@ -60,11 +62,12 @@
 	outcome := Outcome{ID: id, Kind: kind}
 	resp, err := s.Call(ctx, client, address, id, kind.Method, kind.Path, model, "body of "+id)
 	if err != nil {
-		outcome.Incomplete = true
+		outcome.Incomplete, outcome.Err = true, err
 		return outcome
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	outcome.Err = err
 	outcome.EndsByClose, outcome.ServerEndsByClose = httpx.FramingOf(resp) == httpx.FramedByClose, resp.Header.Get(platform.HeaderEndsByClose) != ""
 	outcome.Status, outcome.ServerStamp, outcome.Body, outcome.Incomplete = resp.StatusCode, ServerStamp(resp), string(body), err != nil
 	return outcome
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,6 +6,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -241,7 +242,7 @@
 	}
 	v.command, v.exited = c, make(chan struct{})
 	go func(ended chan struct{}) {
-		// The exit status is ignored: the code that ends the process checks that it exits in time.
+		// The exit status is kept in c: the code that ends the process checks that it exits in time.
 		_ = c.Wait()
 		close(ended)
 	}(v.exited)
@@ -299,7 +300,8 @@
 	}
 }
 
-// waitServing waits until every VM has served a request.
+// waitServing waits until every VM has served a request. Its error says what is known of the VM that has not. It must
+// not be called while VMs are restarted.
 func (r *run) waitServing(ctx context.Context, limit time.Duration) error {
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	deadline := time.Now().Add(limit)
@@ -310,8 +312,8 @@
 			if o.Succeeded() {
 				break
 			}
-			if time.Now().After(deadline) || ctx.Err() != nil {
-				return fmt.Errorf("wait for VM %d: request not served, status %d", i, o.Status)
+			if v.hasExited() || time.Now().After(deadline) || ctx.Err() != nil {
+				return fmt.Errorf("wait for VM %d: request not served: %w; %s", i, cmp.Or(o.Err, fmt.Errorf("status %d", o.Status)), v.describe())
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,46 @@
 	}
 }
 
+// Guards against a VM that does not serve without a word about its process in the error.
+func TestRunDescribesVMThatDoesNotServe(t *testing.T) {
+	tests := map[string]struct {
+		script string
+		runs   bool
+		want   []string
+	}{
+		"process exits": {"echo starts; echo cannot listen >&2; exit 3", false, []string{"connection refused", "process has exited: exit status 3", "starts\ncannot listen"}},
+		"process runs":  {"echo starts; exec sleep 600", true, []string{"connection refused", "process runs", "starts"}},
+	}
+	for name, tt := range tests {
+		dir := t.TempDir()
+		program := filepath.Join(dir, "program")
+		// Written before any process starts: one that inherits the open file would keep it from being executed.
+		require.NoError(t, os.WriteFile(program, []byte("#!/bin/sh\n"+tt.script+"\n"), 0o700))
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if tt.runs {
+				go cancelAfterOutput(ctx, cancel, filepath.Join(dir, "vm-0.log"))
+			}
+			_, err := soak.Run(ctx, soak.Options{Program: program, Dir: dir})
+			for _, text := range tt.want {
+				require.ErrorContains(t, err, text)
+			}
+		})
+	}
+}
+
+// cancelAfterOutput cancels ctx once a log has a line.
+func cancelAfterOutput(ctx context.Context, cancel func(), log string) {
+	for ctx.Err() == nil {
+		if text, err := os.ReadFile(log); err == nil && strings.Contains(string(text), "\n") {
+			cancel()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // failedSeeds returns the seeds that have failed in the past. The file has one seed per line, followed
 // by the cause of its failure.
 func failedSeeds(t *testing.T) []uint64 {
