demo: A port for a VM is tried without listening, so that no process that starts meanwhile keeps it

Seen: TestSoak/7 and TestSoak/1031 failed once each at their start, as a VM's process ended with "address already in use". Ruled out: holding syscall.ForkLock around the trial. 1 of 20 runs of the test still failed; Go's first start of a process clones once without that lock (only suspected to be what failed then). Change: checkFree binds a socket with SO_REUSEADDR and does not listen. A bound socket that another process still holds does not keep a VM from listening.

--- a/demo/settings.go
+++ b/demo/settings.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hibiscuscart/hibiscuscart/conf"
 )
 
@@ -64,18 +66,34 @@
 		if err != nil {
 			continue
 		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
+		if err := checkFree(port); err != nil {
 			_ = reservation.Close()
 			continue
 		}
-		_ = l.Close()
 		reservedPorts.Store(address, reservation)
 		return address, nil
 	}
 	return "", fmt.Errorf("find a port for a VM: no free port from %d on", firstPort)
 }
 
+// checkFree returns an error if a socket keeps a VM from listening on a port of 127.0.0.1. It binds a socket without
+// listening: a process that starts meanwhile inherits the socket and holds it until it runs its program. That may be
+// after the VM has started, which a listening socket would keep from its port.
+func checkFree(port int) error {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("open socket: %w", err)
+	}
+	defer func() { _ = unix.Close(fd) }()
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return fmt.Errorf("set reuse of addresses: %w", err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	return nil
+}
+
 // VMSettings returns the settings file of the i-th VM of a Site with the store at storeAddress. The
 // VM listens on ports that are currently free.
 func VMSettings(i int, storeAddress string) ([]byte, error) {
