pass, docs: A hedge that panics ends itself only

It now ends as a hedge that could not be sent, with a line `hedge panicked`. The counter pass.hedges counts what is sent for silences. TestPanicOfHedge ended the test's process before and passes; tests of hedges and silences pass with the race detector.

--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,7 +16,8 @@
 
 // hedge is an attempt at another server that begins while the server of a call is silent. Both go on until one of them
 // brings a part of the response that can be forwarded; the other one is then closed. Servers stop working on a
-// request when its connection is closed, so that no two of them go on with it.
+// request when its connection is closed, so that no two of them go on with it. A hedge is under way only while its
+// attempt reads, which is what keeps the call to one goroutine at a time.
 type hedge struct {
 	// call is the hedge's copy of the call, which nothing else uses until done is closed.
 	call   *call
@@ -52,6 +55,7 @@
 	if !ok {
 		return
 	}
+	g.Meter.AddCounter("pass.hedges", 1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	h := &hedge{call: c.clone(), cancel: cancel, firstConn: a.conn, done: make(chan struct{})}
 	h.call.inUse = append(h.call.inUse, a.choice.Server.ID)
@@ -65,6 +69,7 @@
 
 // run makes the attempt of a hedge, which is hedged itself if its server is silent too.
 func (h *hedge) run(ctx context.Context, g *Gateway, choice pick.Choice) {
+	defer h.recoverPanic(g)
 	if !g.acquirePermit(ctx, choice.Server.ID) {
 		return
 	}
@@ -76,6 +81,20 @@
 	}
 }
 
+// recoverPanic ends a hedge that panics. The HTTP server recovers the panics of its own goroutines only, and this one
+// would end the process with all its requests.
+func (h *hedge) recoverPanic(g *Gateway) {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	g.Log.Error().Str("request", h.call.id).Str("reason", fmt.Sprint(reason)).Bytes("stack", debug.Stack()).Msg("hedge panicked")
+	if h.attempt != nil {
+		h.attempt.finish()
+		h.attempt = nil
+	}
+}
+
 // settle tells the first attempt that the hedge has settled, if it still waits for its server.
 func (h *hedge) settle() {
 	h.mu.Lock()
--- a/pass/silence_test.go
+++ b/pass/silence_test.go
@@ -263,6 +263,21 @@
 	requireWholeAnswer(t, g, routes.Stream)
 }
 
+// Guards against a process that ends with all its requests because a hedge panics.
+func TestPanicOfHedge(t *testing.T) {
+	first := &silentServer{eventType: true, sentBefore: len("id: 1\ndata: a\n\n")}
+	g := silenceGateway(t, first, func(func()) string { return "next:1" }, routes.Stream, 1)
+	dial := g.Pool.DialFunc
+	g.Pool.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
+		if address != "next:1" {
+			return dial(ctx, address)
+		}
+		defer close(first.goOn)
+		panic("no such address")
+	}
+	requireWholeAnswer(t, g, routes.Stream)
+}
+
 // requireWholeAnswer sends a request and requires the whole answer of a server.
 func requireWholeAnswer(t *testing.T, g *Gateway, kind routes.Kind) {
 	t.Helper()
