soak, stand: Servers fall silent while the others are sound, refuse or break off, under all kinds of requests

Guards against what callers saw: a request that was lost, or ended without an answer, as its sound server fell silent for a second and its VM left it.

Change: checkSilence covered requests that may run once, one second, a process that is silent and servers that are sound. Now one server of each service is silent for 1 to 1.5 s, by its process or by its host, three times: while the others are sound, refuse, and break off. Its VMs send all kinds of requests of that service, which take long enough that some are at the silent server. One that has run there must be served; one that may run once must be served or refused unless another server broke it off. This replaces the check before, which is the first of the three cases.

--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -22,8 +22,6 @@
 	// how long that is then checked.
 	cutBound     = 3 * time.Second
 	cutCheckTime = 4 * time.Second
-	// silence is how long a sound server is silent.
-	silence = time.Second
 )
 
 // cut cuts a VM off from all servers until the returned function is called.
@@ -125,34 +123,3 @@
 		r.checks.AddViolation("VMs that were cut off from the servers served %d of %d requests at the first attempt, the others %d of %d", cut.served, cut.sent, others.served, others.sent)
 	}
 }
-
-// checkSilence makes the servers silent for a moment, one after the other, and checks that no request that may run
-// once is lost. It guards against VMs that give up a sound server, which goes on.
-func (r *run) checkSilence(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	var wait sync.WaitGroup
-	client := &http.Client{Timeout: callTimeout}
-	defer client.CloseIdleConnections()
-	for n, v := range r.vms {
-		wait.Go(func() {
-			rng := rand.New(rand.NewPCG(r.options.Seed, uint64(n)+600))
-			for i := 0; ctx.Err() == nil; i++ {
-				o := r.site.SendRequest(context.Background(), client, v.listenAddress, fmt.Sprintf("silence-%d-%d-%d", r.options.Seed, n, i), demo.SiteRequestKinds[1], rng)
-				r.checks.CheckOutcome(o)
-				if !o.Succeeded() && o.Status != http.StatusServiceUnavailable {
-					r.checks.AddViolation("%s %s: lost while its server was silent for %v, status %d", o.Kind.Name, o.ID, silence, o.Status)
-				}
-			}
-		})
-	}
-	for _, b := range r.site.Backends(demo.SitePlainService) {
-		r.mu.Lock()
-		p := r.proxyByServerID[b.ID]
-		r.mu.Unlock()
-		p.SetMode(Stall)
-		pause.For(ctx, silence)
-		p.SetMode(Forward)
-	}
-	cancel()
-	wait.Wait()
-}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 // ProxyMode selects how a Proxy handles the bytes that it receives.
@@ -32,7 +35,7 @@
 
 // Proxy forwards TCP connections to a target and injects network faults.
 type Proxy struct {
-	listener net.Listener
+	listener *stand.SilentListener
 
 	mu     sync.Mutex
 	target string
@@ -45,9 +48,9 @@
 
 // NewProxy starts a proxy on a free loopback port. The caller must call Close.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := stand.ListenSilent(context.Background(), "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("start proxy: %w", err)
 	}
 	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]string), cut: make(map[string]bool)}
 	go p.accept()
@@ -72,6 +75,10 @@
 	p.mode = mode
 }
 
+// SetSilent makes the host of the target silent for clients: it acknowledges, receives and accepts nothing, or goes on
+// as if nothing had been. In mode Stall only its process is silent.
+func (p *Proxy) SetSilent(silent bool) error { return p.listener.SetSilent(silent) }
+
 // Reset closes all connections with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -106,6 +106,8 @@
 	// startedAt is the start time of the current instance; zero before the first restart.
 	startedAt time.Time
 	rejects   rejectLimit
+	// slowed replaces ProcessingTime if it is not 0.
+	slowed time.Duration
 	// leaving is set while responses say that the server leaves. retryAfter is the Retry-After value
 	// with which it refuses everything, empty for none, and rest the time that it asks for.
 	leaving    bool
--- a/stand/rejects.go
+++ b/stand/rejects.go
@@ -1,6 +1,9 @@
 package stand
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // rejectGrace is how long after a backend server has set its rejection limit it still lets as many requests wait
 // as before. Its clients have that time to learn of the limit.
@@ -94,7 +97,21 @@
 	if b.rejects.perSecond > 0 {
 		return b.rejects.processing
 	}
-	return b.ProcessingTime
+	return cmp.Or(b.slowed, b.ProcessingTime)
+}
+
+// EventTime returns how long an event of a stream takes now.
+func (b *Backend) EventTime() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return cmp.Or(b.slowed, b.ProcessingTime)
+}
+
+// SetSlowed replaces ProcessingTime, or ends that if it is 0.
+func (b *Backend) SetSlowed(processing time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slowed = processing
 }
 
 // Work waits for as long as the execution of a request takes.
