stand, platform: The stand-in of the store comes back from a copy

What callers saw: configurations that the store had acknowledged after it came back from a copy were not in force; no stand-in of ours could show it.

Change: a stand-in store can be copied and restored. What was written since is lost, the era rises by one and is in all its responses, revisions are given out again, and watches from revisions that it does not have get 410. Nothing of the program changes; without a restore the era is 0 and versions are revisions.

Conclusion: tests can show what a restore does to the program.

--- a/stand/objects.go
+++ b/stand/objects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -24,11 +25,16 @@
 // ObjectStore is a stand-in for the platform's object store: one revision counter,
 // conditional changes and long-poll watches over a history. It implements no wire
 // protocol; another package exposes it over HTTP. The zero value is ready for use.
+//
+// What it returns has versions (see store.VersionOf). Conditions and watches name versions
+// too, but as on the platform only their revisions count.
 type ObjectStore struct {
 	mu       sync.Mutex
+	era      int
 	revision int
-	objects  map[string]map[string]store.Object
-	history  []objectChange
+	// objects holds each object with the revision of its last change as its version.
+	objects map[string]map[string]store.Object
+	history []objectChange
 	// compactedRevision is the last revision that is no longer in history.
 	compactedRevision int
 	faults            ObjectStoreFaults
@@ -36,6 +42,12 @@
 	calls             int
 }
 
+// Copy is a copy of what an ObjectStore held at some revision.
+type Copy struct {
+	revision int
+	objects  map[string]map[string]store.Object
+}
+
 type objectChange struct {
 	kind     string
 	change   store.Change
@@ -108,13 +120,53 @@
 	o.notifyWatches()
 }
 
+// Copy returns a copy of what the store holds.
+func (o *ObjectStore) Copy() Copy {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return Copy{revision: o.revision, objects: cloneObjects(o.objects)}
+}
+
+// Restore makes the store come back from a copy. What was written since is lost, the era rises by
+// one, and the revisions after that of the copy are given out again. No history is left: watches from
+// any other revision than that of the copy get a GoneError, until the store gives it out again.
+func (o *ObjectStore) Restore(c Copy) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.era++
+	o.revision, o.objects = c.revision, cloneObjects(c.objects)
+	o.history, o.compactedRevision = nil, c.revision
+	o.notifyWatches()
+}
+
+// Era returns how often the store came back from a copy.
+func (o *ObjectStore) Era() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.era
+}
+
+func cloneObjects(objects map[string]map[string]store.Object) map[string]map[string]store.Object {
+	clone := make(map[string]map[string]store.Object, len(objects))
+	for kind, byName := range objects {
+		clone[kind] = maps.Clone(byName)
+	}
+	return clone
+}
+
+// versioned returns an object with its version in the present era. o.mu must be held.
+func (o *ObjectStore) versioned(obj store.Object) store.Object {
+	obj.Version = store.VersionOf(o.era, obj.Version)
+	return obj
+}
+
 // List returns the objects of a kind, sorted by name.
 func (o *ObjectStore) List(kind string) store.Listing {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := store.Listing{Version: o.revision}
+	l := store.Listing{Version: store.VersionOf(o.era, o.revision)}
 	for _, obj := range o.objects[kind] {
-		l.Items = append(l.Items, obj)
+		l.Items = append(l.Items, o.versioned(obj))
 	}
 	sort.Slice(l.Items, func(i, j int) bool { return l.Items[i].Name < l.Items[j].Name })
 	return l
@@ -128,20 +180,23 @@
 	if !ok {
 		return store.Object{}, trace.NotFound("%s/%s does not exist", kind, name)
 	}
-	return obj, nil
+	return o.versioned(obj), nil
 }
 
-// Put writes an object if its current version is ifVersion. An object that does
+// Put writes an object if its current revision is that of ifVersion. An object that does
 // not exist has version 0; a negative ifVersion matches any version.
 func (o *ObjectStore) Put(kind, name string, ifVersion int, value json.RawMessage) (store.Object, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	old := o.objects[kind][name]
-	if ifVersion >= 0 && old.Version != ifVersion {
+	old, exists := o.objects[kind][name]
+	if _, revision := store.SplitVersion(ifVersion); ifVersion >= 0 && old.Version != revision {
+		if exists {
+			old = o.versioned(old)
+		}
 		return old, &store.ConflictError{Current: old.Version}
 	}
 	if string(old.Value) == string(value) {
-		return old, nil
+		return o.versioned(old), nil
 	}
 	o.revision++
 	obj := store.Object{Kind: kind, Name: name, Version: o.revision, Value: value}
@@ -153,7 +208,7 @@
 	}
 	o.objects[kind][name] = obj
 	o.recordChange(kind, store.Change{Object: obj})
-	return obj, nil
+	return o.versioned(obj), nil
 }
 
 // Delete removes an object.
@@ -181,11 +236,12 @@
 	}
 }
 
-// Watch returns the changes of a kind after a revision, and the latest revision.
+// Watch returns the changes of a kind after the revision of a version, and the latest version.
 // It waits up to timeout for the first change.
-func (o *ObjectStore) Watch(ctx context.Context, kind string, revision int, timeout time.Duration) ([]store.Change, int, error) {
+func (o *ObjectStore) Watch(ctx context.Context, kind string, version int, timeout time.Duration) ([]store.Change, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	_, revision := store.SplitVersion(version)
 	for {
 		changes, latest, changed, err := o.changesAfter(kind, revision)
 		if err != nil || len(changes) > 0 {
@@ -202,17 +258,17 @@
 func (o *ObjectStore) changesAfter(kind string, revision int) ([]store.Change, int, <-chan struct{}, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if revision < o.compactedRevision {
-		return nil, revision, nil, &store.GoneError{}
+	if revision < o.compactedRevision || revision > o.revision {
+		return nil, store.VersionOf(o.era, o.revision), nil, &store.GoneError{}
 	}
 	var changes []store.Change
 	for _, h := range o.history {
 		if h.kind == kind && h.revision > revision {
-			changes = append(changes, h.change)
+			changes = append(changes, store.Change{Object: o.versioned(h.change.Object), Deleted: h.change.Deleted})
 		}
 	}
 	if o.changed == nil {
 		o.changed = make(chan struct{})
 	}
-	return changes, o.revision, o.changed, nil
+	return changes, store.VersionOf(o.era, o.revision), o.changed, nil
 }
