--- a/stand/objects_test.go
+++ b/stand/objects_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a stand-in that keeps what a restored store has lost, or that goes on as if nothing had been lost.
-func TestStoreComesBackFromCopy(t *testing.T) {
+func TestRestoreOfObjectStore(t *testing.T) {
 	o := &stand.ObjectStore{}
 	put := func(name, value string, ifVersion int) store.Object {
 		got, err := o.Put("k", name, ifVersion, json.RawMessage(value))
