platform, stand: Versions of the store are of the era of its responses

What callers saw: after the store came back from a copy, changes were missed and revisions of lost objects matched new ones.

Cause: the store gives out revisions again, so a revision alone neither orders nor identifies what it holds.

A write whose condition names a revision of another era may have replaced what its caller has not read, and counts as one whose response was lost.

--- a/stand/objects.go
+++ b/stand/objects.go
@@ -94,7 +94,8 @@
 }
 
 // Client returns a store client for callers in the same process, without a wire
-// protocol.
+// protocol. A write that expected a version of an earlier era may have taken effect, as its revision may have
+// been given out again, but counts as one whose response was lost.
 func (o *ObjectStore) Client() store.Objects {
 	return store.Objects{
 		Get: func(_ context.Context, kind, name string) (store.Object, error) { return o.Get(kind, name) },
@@ -104,7 +105,9 @@
 				return 0, fmt.Errorf("encode %s/%s: %w", kind, name, err)
 			}
 			got, err := o.Put(kind, name, ifVersion, data)
-			if err == nil && o.DropResponse() {
+			era, _ := store.SplitVersion(got.Version)
+			expectedEra, _ := store.SplitVersion(ifVersion)
+			if err == nil && (o.DropResponse() || ifVersion > 0 && era != expectedEra) {
 				return 0, &store.ResponseLostError{}
 			}
 			return got.Version, err
