node, demo: The operators' own version orders configurations

What callers saw: after the store came back from a copy, requests were handled by a configuration that operators had replaced seconds before; newer ones had lower revisions than one that was lost.

Cause: a VM took a configuration only if its revision was higher than that of the one in force.

Ruled out: ordering by era and revision alone.

Change: the operators' version, which only rises, decides whatever revision it comes with. Where it is used twice for different texts, the later one by the store's version, or by a hub's number, applies. TestConfigurationChange said that the latest write applies regardless of its version but checked only that the store takes it; it now checks that no VM goes back to it, which is stricter.

Conclusion: a VM that reads the store itself takes each newer configuration and never an older one.

--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -208,7 +208,13 @@
 		}, testTimeout, 10*time.Millisecond)
 		require.Equal(t, 404, call(ctx, s, address, fmt.Sprintf("o%d", i), "GET", "/look/", "").status)
 	}
-	require.NoError(t, s.Configure(4, demo.SiteRoutes()), "the latest write applies, regardless of its version number")
+	require.NoError(t, s.Configure(4, demo.SiteRoutes()), "the store takes any write")
+	for round := range 20 {
+		for i, address := range s.VMAddresses() {
+			require.Equal(t, 200, call(ctx, s, address, fmt.Sprintf("p%d-%d", round, i), "GET", "/seen/", "").status, "no VM goes back to an older version")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 // Guards against failed requests while the store is unavailable, and against VMs that miss later
--- a/node/config.go
+++ b/node/config.go
@@ -9,8 +9,7 @@
 	"github.com/hibiscuscart/hibiscuscart/store"
 )
 
-// configWatcher returns the watcher that applies the newest configuration. A lower revision never
-// replaces a higher one.
+// configWatcher returns the watcher that applies the newest configuration.
 func (n *Node) configWatcher() watcher {
 	return watcher{
 		kind: n.config.ConfigKind,
@@ -42,19 +41,21 @@
 	return now.Sub(n.confirmedAt[n.config.ConfigKind]) < maxConfigAge
 }
 
-func (n *Node) activateConfig(table *routes.Table, revision int, value []byte) {
+// showConfig puts a configuration that the store or a hub shows in force, unless that in force is newer.
+func (n *Node) showConfig(table *routes.Table, shown inForce) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if revision <= n.configRevision {
+	replaced := n.inForce.replacedBy(shown)
+	n.inForce = n.inForce.after(shown)
+	if !replaced {
 		return
 	}
-	n.configRevision, n.storedConfig = revision, value
 	n.table.Store(table)
 	n.quotas.Configure(n.now(), n.quotaRules(), quotasOf(table))
 	close(n.configChange)
 	n.configChange = make(chan struct{})
 	n.checkLimits(table.Limits())
-	n.log.Info().Int("config_version", table.Version()).Int("revision", revision).Msg("configuration in force")
+	n.log.Info().Int("config_version", shown.version).Int("revision", shown.number).Msg("configuration in force")
 }
 
 func (n *Node) quotaRules() limit.QuotaRules {
@@ -73,11 +74,11 @@
 	return list
 }
 
-// currentConfig returns the configuration in force, as stored, and its revision.
+// currentConfig returns the configuration in force, as stored, and the number of frames with it.
 func (n *Node) currentConfig() (int, []byte) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.configRevision, n.storedConfig
+	return n.inForce.number, n.inForce.value
 }
 
 func (n *Node) configChanged() <-chan struct{} {
@@ -96,19 +97,24 @@
 	}
 }
 
-// applyHubConfig applies a configuration received from the controller.
-func (n *Node) applyHubConfig(revision int, value []byte) {
-	n.applyConfigObject(store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Version: revision, Value: value})
+// applyHubConfig applies a configuration received from the hub in a frame with a number.
+func (n *Node) applyHubConfig(number int, value []byte) {
+	n.applyConfig(store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Value: value}, number)
 }
 
+// applyConfigObject applies a configuration that the store shows.
 func (n *Node) applyConfigObject(o store.Object) {
-	if o.Name != n.config.ConfigName {
-		return
+	if o.Name == n.config.ConfigName {
+		_, revision := store.SplitVersion(o.Version)
+		n.applyConfig(o, revision)
 	}
+}
+
+func (n *Node) applyConfig(o store.Object, number int) {
 	table, err := n.config.DecodeTable(o)
 	if err != nil {
-		n.log.Error().Err(err).Int("version", o.Version).Msg("cannot decode configuration; keeping the one in force")
+		n.log.Error().Err(err).Int("version", number).Msg("cannot decode configuration; keeping the one in force")
 		return
 	}
-	n.activateConfig(table, o.Version, o.Value)
+	n.showConfig(table, inForce{version: table.Version(), storeVersion: o.Version, number: number, value: o.Value})
 }
--- /dev/null
+++ b/node/inforce.go
@@ -0,0 +1,44 @@
+package node
+
+import "bytes"
+
+// inForce is a configuration that a VM applies, or that the store or a hub shows it.
+type inForce struct {
+	// version is that of the operators. It only rises.
+	version int
+	// storeVersion is the highest version at which the store showed it, 0 if only a hub did.
+	storeVersion int
+	// number is that of frames with it.
+	number int
+	// value is the configuration as stored, nil if there is none.
+	value []byte
+}
+
+// replacedBy reports whether a VM applies a shown configuration instead. A store that came back from a copy shows an
+// older one first, and a VM that took it would handle requests as operators no longer want; what they write then has
+// lower revisions than what was lost. The operators' version is right in both cases. If they use one twice, the later
+// of the two applies.
+func (c inForce) replacedBy(shown inForce) bool {
+	switch {
+	case c.value == nil:
+		return true
+	case shown.version != c.version:
+		return shown.version > c.version
+	case bytes.Equal(shown.value, c.value):
+		return false
+	case shown.storeVersion > 0:
+		return shown.storeVersion > c.storeVersion
+	}
+	return shown.number > c.number
+}
+
+// after returns what a VM applies after it was shown a configuration.
+func (c inForce) after(shown inForce) inForce {
+	if c.replacedBy(shown) {
+		return shown
+	}
+	if shown.version == c.version {
+		c.storeVersion = max(c.storeVersion, shown.storeVersion)
+	}
+	return c
+}
--- a/node/node.go
+++ b/node/node.go
@@ -108,11 +108,9 @@
 	table         atomic.Pointer[routes.Table]
 
 	mu sync.Mutex
-	// configRevision and storedConfig are the configuration in force, as stored. configChange is
-	// closed when it changes.
-	configRevision int
-	storedConfig   []byte
-	configChange   chan struct{}
+	// inForce is the configuration in force. configChange is closed when it changes.
+	inForce      inForce
+	configChange chan struct{}
 	// confirmedAt is when the store last confirmed that this VM's data is current, by kind.
 	confirmedAt map[string]time.Time
 	// failedCalls is the number of consecutive store calls that failed, by kind.
