node: Frames number configurations so that each is taken once it is in force

What callers saw: as before, at VMs that are linked to a hub: requests handled by a configuration that had been replaced, as the hub did not send the newer one.

Cause: a hub sends a configuration if its revision is higher than the last one sent, and VMs of older builds take a frame by the same rule; after a restore the revision is lower.

Ruled out: versions with the era in frames. An older build that had taken such a number would take nothing from the store any more once it reads it itself.

Change: the number of frames is the revision if it can be, but one more than the last for each configuration that comes into force, and never lower than a number that a hub has told.

Conclusion: linked VMs, of older builds too, take what a hub takes from a restored store. An older build that was told a higher number by an earlier hub waits, behind a hub that has just started, until revisions pass it.

--- a/node/inforce.go
+++ b/node/inforce.go
@@ -8,7 +8,8 @@
 	version int
 	// storeVersion is the highest version at which the store showed it, 0 if only a hub did.
 	storeVersion int
-	// number is that of frames with it.
+	// number is that of frames with it. VMs of older builds take a frame only if its number is higher than
+	// that of the last, which was the revision.
 	number int
 	// value is the configuration as stored, nil if there is none.
 	value []byte
@@ -32,13 +33,18 @@
 	return shown.number > c.number
 }
 
-// after returns what a VM applies after it was shown a configuration.
+// after returns what a VM applies after it was shown a configuration. Its number is the revision if it can be, but
+// rises with each configuration that is applied, and is never lower than one that a hub has told.
 func (c inForce) after(shown inForce) inForce {
 	if c.replacedBy(shown) {
+		shown.number = max(shown.number, c.number+1)
 		return shown
 	}
 	if shown.version == c.version {
 		c.storeVersion = max(c.storeVersion, shown.storeVersion)
 	}
+	if shown.storeVersion == 0 {
+		c.number = max(c.number, shown.number)
+	}
 	return c
 }
