--- a/node/config.go
+++ b/node/config.go
@@ -55,7 +55,13 @@
 	close(n.configChange)
 	n.configChange = make(chan struct{})
 	n.checkLimits(table.Limits())
-	n.log.Info().Int("config_version", shown.version).Int("revision", shown.number).Msg("configuration in force")
+	line := n.log.Info().Int("config_version", shown.version).Int("revision", shown.number)
+	if shown.storeVersion > 0 {
+		// A hub's frame does not tell the era.
+		era, _ := store.SplitVersion(shown.storeVersion)
+		line = line.Int("era", era)
+	}
+	line.Msg("configuration in force")
 }
 
 func (n *Node) quotaRules() limit.QuotaRules {
--- a/node/follow.go
+++ b/node/follow.go
@@ -78,9 +78,10 @@
 			version, err = n.listOnce(ctx, w)
 		}
 		if err == nil {
+			n.recordEra(w.kind, version)
 			synced = true
 			if n.resetFailures(w.kind) >= outageFailures {
-				n.log.Info().Str("kind", w.kind).Int("version", version).Msg("store reachable again")
+				n.log.Info().Str("kind", w.kind).EmbedObject(loggedVersion(version)).Msg("store reachable again")
 			}
 			continue
 		}
@@ -89,18 +90,18 @@
 		}
 		if store.IsGone(err) {
 			synced = false
-			n.log.Info().Str("kind", w.kind).Int("version", version).Msg("watch version expired; listing again")
+			n.log.Info().Str("kind", w.kind).EmbedObject(loggedVersion(version)).Msg("watch version expired; listing again")
 			continue
 		}
 		n.config.CloseIdleStoreConns()
 		failures := n.recordFailure(w.kind)
 		if failures < outageFailures {
-			n.log.Info().Str("kind", w.kind).Int("version", version).Err(err).Msg("store call failed; retrying")
+			n.log.Info().Str("kind", w.kind).EmbedObject(loggedVersion(version)).Err(err).Msg("store call failed; retrying")
 			pause.For(ctx, rand.N(maxFirstRetryDelay))
 			continue
 		}
 		if failures == outageFailures {
-			n.log.Warn().Str("kind", w.kind).Int("version", version).Err(err).Msg("store unreachable")
+			n.log.Warn().Str("kind", w.kind).EmbedObject(loggedVersion(version)).Err(err).Msg("store unreachable")
 		}
 		n.serverView.MarkStoreUnreachable()
 		pause.For(ctx, time.Duration(n.peers.PollIntervalFactor()*float64(storeRetryDelay/2+rand.N(storeRetryDelay))))
--- a/node/node.go
+++ b/node/node.go
@@ -111,6 +111,9 @@
 	// inForce is the configuration in force. configChange is closed when it changes.
 	inForce      inForce
 	configChange chan struct{}
+	// storeEra is the era of the versions last read from the store. storeRead is set once there are any.
+	storeEra  int
+	storeRead bool
 	// confirmedAt is when the store last confirmed that this VM's data is current, by kind.
 	confirmedAt map[string]time.Time
 	// failedCalls is the number of consecutive store calls that failed, by kind.
--- a/node/servers.go
+++ b/node/servers.go
@@ -32,7 +32,7 @@
 func (n *Node) decodeEntry(o store.Object) (backs.Entry, bool) {
 	e, err := n.config.DecodeEntry(o)
 	if err != nil {
-		n.log.Error().Err(err).Int("version", o.Version).Msg("ignoring invalid server entry")
+		n.log.Error().Err(err).EmbedObject(loggedVersion(o.Version)).Msg("ignoring invalid server entry")
 		return backs.Entry{}, false
 	}
 	return e, true
@@ -103,7 +103,7 @@
 func (n *Node) serverChanged(now time.Time, c store.Change) {
 	if c.Deleted {
 		n.serverView.Remove(now, c.Object.Name)
-		n.log.Info().Str("server", c.Object.Name).Int("version", c.Object.Version).Msg("server removed")
+		n.log.Info().Str("server", c.Object.Name).EmbedObject(loggedVersion(c.Object.Version)).Msg("server removed")
 		return
 	}
 	e, ok := n.decodeEntry(c.Object)
@@ -113,5 +113,5 @@
 	}
 	n.serverView.Put(now, e)
 	n.log.Info().Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Str("software_version", e.SoftwareVersion).Bool("draining", e.Draining).
-		Int("models", len(e.Models)).Int("version", c.Object.Version).Msg("server changed")
+		Int("models", len(e.Models)).EmbedObject(loggedVersion(c.Object.Version)).Msg("server changed")
 }
--- a/trail/line.go
+++ b/trail/line.go
@@ -85,8 +85,9 @@
 	Allowed bool `json:"allowed"`
 	VMs     int  `json:"vms"`
 
-	Revision int    `json:"revision"`
-	Holder   string `json:"holder"`
+	// ConfigVersion is the operators' version of the configuration in force.
+	ConfigVersion int    `json:"config_version"`
+	Holder        string `json:"holder"`
 }
 
 // Errors of lines that are skipped.
--- a/trail/spread.go
+++ b/trail/spread.go
@@ -27,7 +27,7 @@
 
 var changeKindNames = map[changeKind]string{configChange: "configuration", serverGone: "server gone", holderChange: "lease holder"}
 
-// change identifies a change: a revision of the configuration, a server, or the holder of the lease.
+// change identifies a change: the operators' version of the configuration, a server, or the holder of the lease.
 type change struct {
 	kind changeKind
 	name textID
@@ -42,7 +42,7 @@
 	var c change
 	switch parsed.Message {
 	case messageConfigInForce:
-		c = change{configChange, l.texts.id(fmt.Sprint("revision ", parsed.Revision))}
+		c = change{configChange, l.texts.id(fmt.Sprint("version ", parsed.ConfigVersion))}
 	case messageServerUnused:
 		c = change{serverGone, l.texts.id(parsed.Server)}
 	case messageLeaseHolder:
@@ -121,7 +121,7 @@
 	return delays[n-1]
 }
 
-// WriteSpread writes how long each change took to reach the VMs: revisions of the configuration, servers
+// WriteSpread writes how long each change took to reach the VMs: versions of the configuration, servers
 // that are gone, and holders of the controller lease. Only VMs that log at that time count. It returns
 // an error if no line states a change.
 func (l *Log) WriteSpread(w io.Writer) error {
--- a/trail/spread_test.go
+++ b/trail/spread_test.go
@@ -30,18 +30,18 @@
 	for i := range 10 {
 		vm := fmt.Sprint("vm-", i)
 		lines = append(lines, spreadLine(vm, 0, "started", ""), spreadLine(vm, 20000, "stopped", ""),
-			spreadLine(vm, 1000+10*i, "configuration in force", `,"revision":7`),
+			spreadLine(vm, 1000+10*i, "configuration in force", fmt.Sprintf(`,"config_version":7,"revision":%d`, 90+i)),
 			spreadLine(vm, 5000+i, "controller lease has another holder", `,"holder":"vm-3"`))
 		if i < 9 {
 			lines = append(lines, spreadLine(vm, 3000+100*i, "entry missing; server no longer used", `,"server":"i-1"`))
 		}
 	}
 	// A VM that starts later and one that has ended do not count, although they state the change.
-	lines = append(lines, spreadLine("late", 9000, "started", ""), spreadLine("late", 9100, "configuration in force", `,"revision":7`),
+	lines = append(lines, spreadLine("late", 9000, "started", ""), spreadLine("late", 9100, "configuration in force", `,"config_version":7,"revision":88`),
 		spreadLine("ended", 0, "started", ""), spreadLine("ended", 500, "stopped", ""), `{"vm":"vm-1","time":"2026-`+"\n")
 	got, err := writeSpread(t, lines...)
 	require.NoError(t, err)
-	require.Contains(t, got, "configuration revision 7 03:01:01.000 11 10 40 90 90")
+	require.Contains(t, got, "configuration version 7 03:01:01.000 11 10 40 90 90")
 	require.Contains(t, got, "server gone i-1 03:01:03.000 9 10 400 never never")
 	require.Contains(t, got, "lease holder vm-3 03:01:05.000 10 10 4 9 9")
 	require.Contains(t, got, "1 lines were not read, the first: log line")
