--- a/node/config.go
+++ b/node/config.go
@@ -105,22 +105,25 @@
 
 // applyHubConfig applies a configuration received from the hub in a frame with a number.
 func (n *Node) applyHubConfig(number int, value []byte) {
-	n.applyConfig(store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Value: value}, number)
+	o := store.Object{Kind: n.config.ConfigKind, Name: n.config.ConfigName, Version: number, Value: value}
+	n.applyConfig(o, inForce{number: number})
 }
 
 // applyConfigObject applies a configuration that the store shows.
 func (n *Node) applyConfigObject(o store.Object) {
 	if o.Name == n.config.ConfigName {
 		_, revision := store.SplitVersion(o.Version)
-		n.applyConfig(o, revision)
+		n.applyConfig(o, inForce{storeVersion: o.Version, number: revision})
 	}
 }
 
-func (n *Node) applyConfig(o store.Object, number int) {
+// applyConfig decodes and applies a configuration, of which shown has what the object does not tell.
+func (n *Node) applyConfig(o store.Object, shown inForce) {
 	table, err := n.config.DecodeTable(o)
 	if err != nil {
-		n.log.Error().Err(err).Int("version", number).Msg("cannot decode configuration; keeping the one in force")
+		n.log.Error().Err(err).Int("version", shown.number).Msg("cannot decode configuration; keeping the one in force")
 		return
 	}
-	n.showConfig(table, inForce{version: table.Version(), storeVersion: o.Version, number: number, value: o.Value})
+	shown.version, shown.value = table.Version(), o.Value
+	n.showConfig(table, shown)
 }
