--- a/node/follow.go
+++ b/node/follow.go
@@ -78,7 +78,6 @@
 			version, err = n.listOnce(ctx, w)
 		}
 		if err == nil {
-			n.recordEra(w.kind, version)
 			synced = true
 			if n.resetFailures(w.kind) >= outageFailures {
 				n.log.Info().Str("kind", w.kind).EmbedObject(loggedVersion(version)).Msg("store reachable again")
@@ -159,6 +158,8 @@
 	if err != nil {
 		return 0, err
 	}
+	// A watch in a later era than that of its position fails, so that lists show each new era first.
+	n.recordEra(w.kind, listing.Version)
 	now := n.now()
 	n.recordConfirmation(now, w.kind)
 	w.onCurrent(now)
