node: What the store showed before does not replace a later text of the same version from a hub

Cause: a configuration from a hub had no version of the store, so that any text that the store showed passed for later.

Change: the configuration in force keeps the highest version at which the store has shown it or one before it.

Measured: the 13 sequences of TestConfigurationOrder and TestFramesNumberConfigurations pass, and the other tests of package node.

--- a/node/inforce.go
+++ b/node/inforce.go
@@ -6,7 +6,8 @@
 type inForce struct {
 	// version is that of the operators. It only rises.
 	version int
-	// storeVersion is the highest version at which the store showed it, 0 if only a hub did.
+	// storeVersion is the version at which the store shows it, 0 if a hub does. Of the configuration in force it is
+	// the highest at which the store has shown this one or one before it.
 	storeVersion int
 	// number is that of frames with it. VMs of older builds take a frame only if its number is higher than
 	// that of the last, which was the revision.
@@ -37,7 +38,7 @@
 // rises with each configuration that is applied, and is never lower than one that a hub has told.
 func (c inForce) after(shown inForce) inForce {
 	if c.replacedBy(shown) {
-		shown.number = max(shown.number, c.number+1)
+		shown.number, shown.storeVersion = max(shown.number, c.number+1), max(shown.storeVersion, c.storeVersion)
 		return shown
 	}
 	if shown.version == c.version {
