soak, demo: The store comes back from copies

What callers saw: requests handled by a configuration that had been replaced, after the store had come back from a copy. The soak had no such fault.

Change: the fault store_restored, beside all others: the store is away for up to a second and comes back from a copy up to 1.5 s old, with the next era; servers write their entries again. After the faults, the store loses 1,000 changes and a configuration while one VM is killed; 3 s after the next configuration was written, no VM may answer as if it were not there, and before that none may go back.

--- a/demo/backends.go
+++ b/demo/backends.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/platform"
@@ -112,6 +113,16 @@
 	}
 }
 
+// WriteEntries writes the entries of all backend servers again, as servers do when the store has come back from a copy.
+func (s *Site) WriteEntries() {
+	s.mu.Lock()
+	list := slices.Clone(s.backends)
+	s.mu.Unlock()
+	for _, b := range list {
+		s.writeEntry(b)
+	}
+}
+
 // Backends returns the backend servers of a service.
 func (s *Site) Backends(service string) []*stand.Backend {
 	s.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -144,6 +144,7 @@
 	wait.Go(func() { r.injectNotices(loadCtx) })
 	wait.Go(func() { r.slowVMs(loadCtx) })
 	wait.Go(func() { r.cutVMs(loadCtx) })
+	wait.Go(func() { r.restoreStore(loadCtx) })
 	r.injectFaults(loadCtx)
 	wait.Wait()
 	r.checkQuota(1, time.Time{})
@@ -322,8 +323,8 @@
 }
 
 // checkRecovery clears all faults. It then checks that all VMs serve, that every model is reachable,
-// that crashing requests and parts of prompts are blocked, that the rate limit and the limit on retries hold, and that the
-// processes exit on SIGTERM.
+// that crashing requests and parts of prompts are blocked, that the rate limit and the limit on retries hold, that a
+// restored store's configurations come into force, and that the processes exit on SIGTERM.
 func (r *run) checkRecovery(ctx context.Context) {
 	r.clearFaults()
 	if err := r.waitServing(ctx, recoveryTimeout); err != nil {
@@ -357,6 +358,7 @@
 	r.checkSilence(ctx)
 	r.checkCut(ctx)
 	r.checkTakeUps(ctx)
+	r.checkRestored(ctx)
 	r.checkLoweredQuota(ctx)
 	for i, v := range r.vms {
 		v.signal(syscall.SIGTERM)
