--- a/node/caller_test.go
+++ b/node/caller_test.go
@@ -59,7 +59,7 @@
 			n, _ := newControllerNode(t)
 			var log bytes.Buffer
 			n.log = zerolog.New(&log)
-			n.activateConfig(routes.NewTable(1, nil, nil, tc.limits), 1, nil)
+			n.showConfig(routes.NewTable(1, nil, nil, tc.limits), inForce{version: 1, storeVersion: 1, number: 1})
 			require.Equal(t, tc.told, strings.Contains(log.String(), "allows callers more"), log.String())
 		})
 	}
