lease, peers, wire: A holder whose record the store has lost and one that a copy names do not order at the same time

Backend servers got orders of two VMs at once after the store had come back from a copy (three of six cases of TestHandoverAfterRestore, 0 s between them). Cause: a VM that finds its own record acquires at once and without a handover; the keeper takes a record that the copy brought back for the last one written.

Ruled out: that the versions alone show it. A copy's record has a version of the new era as soon as it is read, and a process that starts then has nothing to compare it with.

Change: a record says in which era it was written (zzzz_era, behind all fields that older builds know). One of another era than its version is no VM's own: whoever finds it waits for a lease that may be lost to expire, and then for the handover. The first record of a deployment no longer counts as that if a record was there before: the history of versions would have been claimed complete.

A record of an older build has no era and is treated the same in a store with eras: at most some seconds without orders when a fleet is updated.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,13 +1,22 @@
 // Package lease decides when a VM may acquire, must renew or has lost a lease that is
 // stored in an object of the platform. It does no I/O and reads no clock.
 //
+// The store may come back from a copy and begin a new era, see package store. It then lacks the
+// last renewals or names an earlier holder, while the holder that it lost counts on its lease. A
+// record that was not written in the era of its version is therefore no VM's own: whoever finds it
+// waits as if another VM had just renewed, unless it holds the lease itself.
+//
 // A lease only avoids duplicate work: it keeps two VMs from doing the same job. It
 // guarantees no mutual exclusion. A holder that was paused may act on a lease that another
 // VM has acquired since, so its writes must be guarded by a conditional update or a fencing
 // token.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/store"
+)
 
 // Record is the lease as stored.
 type Record struct {
@@ -18,6 +27,8 @@
 	DurationMs int `json:"duration_ms"`
 	// Renewals counts the renewals, so that each one changes the object.
 	Renewals int `json:"renewals"`
+	// Era is the era of the version on which the write was conditional.
+	Era int `json:"era,omitempty"`
 }
 
 // Action is the next step of a Keeper.
@@ -51,6 +62,8 @@
 	renewedAt time.Time
 	held      bool
 	observed  bool
+	// restored is set if the record observed last may lack later ones, see Restored.
+	restored bool
 }
 
 func (k *Keeper) drift() time.Duration {
@@ -70,17 +83,50 @@
 		return
 	}
 	k.observed = true
+	k.restored = isRestored(version, r) || version == 0 && (k.version != 0 || k.restored)
 	k.version, k.record, k.observedAt = version, r, now
 	if r.Holder != k.Name || r.BootID != k.BootID {
 		k.held = false
 	}
 }
 
+// isRestored reports whether a record was written in an earlier era of the store than that of its
+// version.
+func isRestored(version int, r Record) bool {
+	era, _ := store.SplitVersion(version)
+	return version != 0 && r.Era != era
+}
+
+// Restored reports whether the store has come back from a copy that may lack later records than the
+// one last observed. Another VM may have held the lease until shortly before then.
+func (k *Keeper) Restored() bool { return k.restored }
+
+// nextRestored is Next after Restored. A VM that holds the lease acquires it in the new era: what it
+// is sure of does not depend on the store. All others wait until any lost lease has expired.
+func (k *Keeper) nextRestored(now time.Time) Action {
+	wait := k.longestLost()
+	if k.record.Holder != k.Name || k.record.BootID != k.BootID {
+		wait += k.drift()
+	}
+	if k.Held(now) || now.Sub(k.observedAt) >= wait {
+		return Acquire
+	}
+	return Wait
+}
+
+// longestLost returns how long a lease may last of which the store has lost the record.
+func (k *Keeper) longestLost() time.Duration {
+	return max(k.Duration, time.Duration(k.record.DurationMs)*time.Millisecond)
+}
+
 // Next returns the action due now.
 func (k *Keeper) Next(now time.Time) Action {
 	if !k.observed {
 		return Wait
 	}
+	if k.restored {
+		return k.nextRestored(now)
+	}
 	if k.held {
 		if now.Sub(k.renewedAt) >= k.Duration/3 {
 			return Renew
@@ -104,19 +150,21 @@
 // NextRecord returns the record to write for Acquire or Renew, and the version on which the
 // write is conditional.
 func (k *Keeper) NextRecord() (Record, int) {
-	r := Record{Holder: k.Name, BootID: k.BootID, DurationMs: int(k.Duration.Milliseconds()), Renewals: k.record.Renewals + 1}
+	era, _ := store.SplitVersion(k.version)
+	r := Record{Holder: k.Name, BootID: k.BootID, DurationMs: int(k.Duration.Milliseconds()), Renewals: k.record.Renewals + 1, Era: era}
 	return r, k.version
 }
 
 // ReleaseRecord returns the record that releases the lease, and the version on which the
 // write is conditional.
 func (k *Keeper) ReleaseRecord() (Record, int) {
-	return Record{DurationMs: 0, Renewals: k.record.Renewals + 1}, k.version
+	era, _ := store.SplitVersion(k.version)
+	return Record{DurationMs: 0, Renewals: k.record.Renewals + 1, Era: era}, k.version
 }
 
 // UpdateSucceeded records that the update started at the given time succeeded.
 func (k *Keeper) UpdateSucceeded(startedAt time.Time, version int, r Record) {
-	k.observed = true
+	k.observed, k.restored = true, false
 	k.version, k.record = version, r
 	k.observedAt, k.renewedAt = startedAt, startedAt
 	k.held = r.Holder == k.Name && r.BootID == k.BootID
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -42,10 +42,6 @@
 
 var errStaleNotFound = errors.New("stale read found no lease record")
 
-// orderTimeout covers an order that the previous holder sent right before its lease ended. It may be in
-// flight until its call times out.
-const orderTimeout = 400 * time.Millisecond
-
 // Lease is the controller's lease, the right to send orders to servers. Its record is in the store.
 // Each write is conditional on the version that was read, so that only one of two concurrent writes
 // succeeds. The version written on acquisition is the fencing token of the term.
@@ -97,16 +93,14 @@
 	releasing bool
 	// staleReads counts the stale reads made.
 	staleReads int
-	// previousTermEnd is the latest time at which the previous holder may have sent an order.
-	// ordersFrom is when this VM may send its first order.
-	previousTermEnd, ordersFrom time.Time
+	handover   handover
 }
 
 // FencingToken returns the fencing token, and whether this VM may send orders.
 func (l *Lease) FencingToken(now time.Time) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fencingToken, l.keeper.Held(now) && !l.releasing && !now.Before(l.ordersFrom)
+	return l.fencingToken, l.keeper.Held(now) && !l.releasing && !now.Before(l.handover.ordersFrom)
 }
 
 // Term returns the fencing token, and whether this VM holds the lease. It may hold the lease before it
@@ -121,7 +115,7 @@
 func (l *Lease) PreviousTermEnd() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.previousTermEnd
+	return l.handover.previousTermEnd
 }
 
 // Held reports whether this VM holds the lease.
@@ -294,7 +288,7 @@
 	l.PartTracker.MergeSuspects(l.Now(), partSuspectsOf(record.ZzzBlockedParts), false)
 	l.observeHistory(record.ZVersionHistory)
 	l.keeper.Observe(l.Now(), version, lease.Record{
-		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals,
+		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals, Era: record.ZzzzEra,
 	})
 }
 
@@ -329,11 +323,11 @@
 	l.mu.Lock()
 	startedAt := l.Now()
 	next, version := l.keeper.NextRecord()
-	previous, previousChangedAt := l.record, l.keeper.ObservedAt()
+	previous, found := l.record, l.foundRecord(version)
 	l.mu.Unlock()
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.BootID, DurationMs: next.DurationMs, Renewals: next.Renewals,
-		Address: l.Address, Key: l.key, Vms: vms,
+		Address: l.Address, Key: l.key, Vms: vms, ZzzzEra: next.Era,
 		ZzDomainVms: previous.ZzDomainVms, ZzAllotmentVms: previous.ZzAllotmentVms, ZzSettledVms: previous.ZzSettledVms,
 	}
 	if l.RecordAllotments != nil && action == lease.Renew {
@@ -359,28 +353,18 @@
 	}
 	l.keeper.UpdateSucceeded(startedAt, newVersion, next)
 	l.setRecord(record)
-	if version == 0 {
+	if version == 0 && !found.restored {
 		l.observeFirstTerm()
 	}
 	if action == lease.Acquire {
-		l.recordAcquisition(startedAt, newVersion, previous, previousChangedAt)
+		l.fencingToken = newVersion
+		l.handover.acquire(startedAt, found)
+		l.Log.Info().Int("fence", l.fencingToken).Str("before", previous.Holder).Bool("restored", found.restored).Time("begun", startedAt).Msg("controller lease acquired")
 	}
+	l.handover.recordHeld(startedAt, newVersion)
 	return nil
 }
 
-// recordAcquisition records that this VM acquired the lease. The previous holder sent its last order
-// before its lease expired, which is at most one lease duration after this VM observed its last
-// renewal. This VM sends its first order one handover time later. l.mu must be held.
-func (l *Lease) recordAcquisition(startedAt time.Time, version int, previous wire.ControllerLease, previousChangedAt time.Time) {
-	l.fencingToken, l.previousTermEnd = version, startedAt
-	if previous.Address != "" && previous.Address != l.Address {
-		duration := time.Duration(previous.DurationMs) * time.Millisecond
-		l.previousTermEnd = previousChangedAt.Add(duration + orderTimeout)
-		l.ordersFrom = l.previousTermEnd.Add(l.Handover)
-	}
-	l.Log.Info().Int("fence", version).Str("before", previous.Holder).Time("begun", startedAt).Msg("controller lease acquired")
-}
-
 // Release gives the lease up, so that another VM can acquire it at once.
 func (l *Lease) Release(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
@@ -390,12 +374,12 @@
 		l.mu.Unlock()
 		return nil
 	}
-	l.releasing = true
+	l.releasing, l.handover.heldAt = true, time.Time{}
 	startedAt := l.Now()
 	next, version := l.keeper.ReleaseRecord()
 	// The next holder needs the address, to wait for the last order of this term, and VMs the key.
 	record := l.record
-	record.Holder, record.Boot, record.DurationMs, record.Renewals = "", "", 0, next.Renewals
+	record.Holder, record.Boot, record.DurationMs, record.Renewals, record.ZzzzEra = "", "", 0, next.Renewals, next.Era
 	record.Address, record.Key = l.Address, l.key
 	l.mu.Unlock()
 	newVersion, err := l.Objects.Put(ctx, leaseKind, leaseName, version, record)
--- a/wire/types.go
+++ b/wire/types.go
@@ -207,6 +207,12 @@
 	// Parts of prompts that are blocked, as servers crashed under them. Its name
 	// sorts behind all others, so that builds without it skip it.
 	ZzzBlockedParts []SuspectPart `json:"zzz_blocked_parts,omitempty,omitzero"`
+
+	// Era of the store of the version on which the write of this record was
+	// conditional; 0 if there was none. A record of another era than its version
+	// comes from a copy, which may lack later ones. Its name sorts behind all others,
+	// so that builds without it skip it.
+	ZzzzEra int `json:"zzzz_era,omitempty,omitzero"`
 }
 
 // Number of VMs in a failure domain.
