peers: Tests of fencing tokens across eras and beside older builds

The fencing token of a term is the version written on acquisition. With an era in the version it is above 2^40 from the first era on, and a VM of an older build, whose token is the revision, sends a lower one after it: TestTokensAreRevisionsInOneEra. With the plain revision, tokens would fall when the store comes back from a copy: TestTokensRiseAfterRestore asks for both, a rise and no era.

--- a/peers/restore_test.go
+++ b/peers/restore_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/peers"
 	"github.com/hibiscuscart/hibiscuscart/store"
+	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
 // copiedStore holds one object and comes back from copies of itself, each time in its next era. It compares revisions
@@ -80,11 +81,14 @@
 	clock testClock
 	store copiedStore
 	vms   map[string]*peers.Lease
-	// sender is the VM that may send orders or did so last, until lastAt.
+	// sender is the VM that may send orders or did so last, until lastAt and with the given token.
 	sender string
 	lastAt time.Time
-	// shortestTurn is the shortest time between orders of two VMs.
+	token  int
+	// shortestTurn is the shortest time between orders of two VMs, loweredToken set if a token was no higher than one
+	// that another VM used before.
 	shortestTurn time.Duration
+	loweredToken bool
 }
 
 const restoredHandover = 3 * time.Second
@@ -122,13 +126,16 @@
 func (f *restoredFleet) observe() {
 	now := f.clock.Now()
 	for name, vm := range f.vms {
-		if !maySendOrders(vm, now) {
+		token, ok := vm.FencingToken(now)
+		if !ok {
 			continue
 		}
 		if name != f.sender && f.sender != "" {
 			f.shortestTurn = min(f.shortestTurn, now.Sub(f.lastAt))
+			f.loweredToken = f.loweredToken || token <= f.token
 		}
-		f.sender, f.lastAt = name, now
+		f.loweredToken = f.loweredToken || token < f.token
+		f.sender, f.lastAt, f.token = name, now, token
 	}
 }
 
@@ -218,6 +225,17 @@
 	}
 }
 
+// Guards against a fencing token that another VM has used, or a lower one, because the store gives out revisions again.
+func TestTokensRiseAfterRestore(t *testing.T) {
+	for name, c := range restoreCases {
+		t.Run(name, func(t *testing.T) {
+			f := c.run(t)
+			require.False(t, f.loweredToken)
+			require.Less(t, f.token, 1<<31, "a token has no era, and servers may keep it in 32 bits")
+		})
+	}
+}
+
 // playRandomly restores the store at random while VMs stall and lose the store.
 func playRandomly(t *testing.T, seed uint64) *restoredFleet {
 	r := rand.New(rand.NewPCG(seed, 0))
@@ -247,5 +265,30 @@
 	for seed := range uint64(200) {
 		f := playRandomly(t, seed)
 		require.GreaterOrEqual(t, f.shortestTurn, restoredHandover, "seed %d", seed)
+		require.False(t, f.loweredToken, "seed %d", seed)
 	}
 }
+
+// Guards against tokens that older builds in the fleet, whose tokens are revisions, can not follow while the store has
+// lost nothing.
+func TestTokensAreRevisionsInOneEra(t *testing.T) {
+	f := newRestoredFleet("a", "b")
+	f.run(t, time.Second, "a", "b")
+	f.run(t, 8*time.Second, "b")
+	require.LessOrEqual(t, f.token, f.store.object.revision)
+	f.clock.advance(2 * time.Second)
+	f.writeOlder(t)
+	f.run(t, 8*time.Second, "a")
+	require.Equal(t, "a", f.sender)
+	require.False(t, f.loweredToken)
+	require.LessOrEqual(t, f.token, f.store.object.revision)
+}
+
+// writeOlder lets a VM of an older build acquire the lease.
+func (f *restoredFleet) writeOlder(t *testing.T) {
+	data, err := json.Marshal(wire.ControllerLease{Holder: "older", Boot: "o", Address: "o", DurationMs: 1000, Renewals: 99, Key: "k"})
+	require.NoError(t, err)
+	f.store.revision += 10
+	f.store.write(data)
+	f.sender, f.token, f.lastAt = "older", f.store.object.revision, f.clock.Now()
+}
