peers, wire: Fencing tokens are revisions, and rise over those that the store has lost

With an era in the version, the token of a term was above 2^40 from the first era on, and VMs of older builds, whose tokens are revisions, sent lower ones after it. Plain revisions would fall after the store has come back from a copy, and two holders could have the same.

Change: the token is the revision written on acquisition, or the next number after all that the VM knows of if that is higher. The record has the least token of its term (zzzz_least_token, behind what older builds know). For each era that began since a record was written or since a VM last saw the store, what is lost counts as 2^20 tokens.

Weighed: the era in the token (above; servers may also keep 32 bits); tokens from the clock (VMs whose clocks are set differently would fall behind each other); the highest token that a server reports (they tell none). A record of an older build has no era, and a process that starts after a restore adds nothing to it: it could not know that there was one, and tokens above the revisions would lock the older builds out.

The bytes of frames of this build have one more field.

--- a/peers/lease.go
+++ b/peers/lease.go
@@ -44,7 +44,8 @@
 
 // Lease is the controller's lease, the right to send orders to servers. Its record is in the store.
 // Each write is conditional on the version that was read, so that only one of two concurrent writes
-// succeeds. The version written on acquisition is the fencing token of the term.
+// succeeds. The revision written on acquisition is the fencing token of the term, or a higher one if the
+// store has lost revisions.
 type Lease struct {
 	// Name is the name of this VM. Address is where it accepts links.
 	Name, Address string
@@ -89,6 +90,7 @@
 	startRecord  *wire.ControllerLease
 	key          string
 	fencingToken int
+	tokens       knownTokens
 	// releasing is set while the lease is being released; no orders are sent from then on.
 	releasing bool
 	// staleReads counts the stale reads made.
@@ -282,6 +284,7 @@
 		l.Log.Info().Str("holder", record.Holder).Int("version", version).Str("before", l.record.Holder).Msg("controller lease has another holder")
 	}
 	l.setRecord(record)
+	l.tokens.observe(version, record)
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
 	}
@@ -324,10 +327,14 @@
 	startedAt := l.Now()
 	next, version := l.keeper.NextRecord()
 	previous, found := l.record, l.foundRecord(version)
+	leastToken := l.fencingToken
+	if action == lease.Acquire {
+		leastToken = l.tokens.next(version)
+	}
 	l.mu.Unlock()
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.BootID, DurationMs: next.DurationMs, Renewals: next.Renewals,
-		Address: l.Address, Key: l.key, Vms: vms, ZzzzEra: next.Era,
+		Address: l.Address, Key: l.key, Vms: vms, ZzzzEra: next.Era, ZzzzLeastToken: leastToken,
 		ZzDomainVms: previous.ZzDomainVms, ZzAllotmentVms: previous.ZzAllotmentVms, ZzSettledVms: previous.ZzSettledVms,
 	}
 	if l.RecordAllotments != nil && action == lease.Renew {
@@ -353,11 +360,13 @@
 	}
 	l.keeper.UpdateSucceeded(startedAt, newVersion, next)
 	l.setRecord(record)
+	l.tokens.observe(newVersion, record)
 	if version == 0 && !found.restored {
 		l.observeFirstTerm()
 	}
 	if action == lease.Acquire {
-		l.fencingToken = newVersion
+		_, revision := store.SplitVersion(newVersion)
+		l.fencingToken = max(leastToken, revision)
 		l.handover.acquire(startedAt, found)
 		l.Log.Info().Int("fence", l.fencingToken).Str("before", previous.Holder).Bool("restored", found.restored).Time("begun", startedAt).Msg("controller lease acquired")
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -213,6 +213,11 @@
 	// comes from a copy, which may lack later ones. Its name sorts behind all others,
 	// so that builds without it skip it.
 	ZzzzEra int `json:"zzzz_era,omitempty,omitzero"`
+
+	// Least fencing token of the holder's term. The token is this or the revision
+	// written on acquisition, whichever is higher; renewals have the token itself.
+	// Its name sorts behind all others, so that builds without it skip it.
+	ZzzzLeastToken int `json:"zzzz_least_token,omitempty,omitzero"`
 }
 
 // Number of VMs in a failure domain.
