peers: A test shows a process that starts again and cuts a handover short

Found by the random test once processes restart in it; it needs no restore. A VM acquires the lease after another and is to leave the servers alone for the handover. Its process ends and starts again at the same address, finds its own record, acquires at once and sends orders: 1.4 s after those of the holder before, not 3 s.

--- a/peers/restore_test.go
+++ b/peers/restore_test.go
@@ -236,7 +236,7 @@
 	}
 }
 
-// playRandomly restores the store at random while VMs stall and lose the store.
+// playRandomly restores the store at random while VMs stall, restart and lose the store.
 func playRandomly(t *testing.T, seed uint64) *restoredFleet {
 	r := rand.New(rand.NewPCG(seed, 0))
 	names := []string{"a", "b", "c"}
@@ -244,7 +244,7 @@
 	f.run(t, time.Second, names...)
 	f.store.copy()
 	for range 60 {
-		switch r.IntN(5) {
+		switch r.IntN(6) {
 		case 0:
 			f.store.copy()
 		case 1:
@@ -252,6 +252,8 @@
 		case 2:
 			f.store.unreachable = map[string]bool{names[r.IntN(3)]: true}
 		case 3:
+			f.start(names[r.IntN(3)])
+		case 4:
 			f.store.revision += r.IntN(30)
 		}
 		r.Shuffle(3, func(i, j int) { names[i], names[j] = names[j], names[i] })
@@ -284,6 +286,20 @@
 	require.LessOrEqual(t, f.token, f.store.object.revision)
 }
 
+// Guards against a process that starts again at the address of a new holder and does not know how long that one was to
+// leave the servers alone.
+func TestRestartKeepsHandover(t *testing.T) {
+	f := newRestoredFleet("a", "b")
+	f.run(t, time.Second, "a", "b")
+	f.run(t, 2*time.Second, "b")
+	require.True(t, f.vms["b"].Held(f.clock.Now()))
+	f.start("b")
+	f.run(t, 8*time.Second, "b")
+	require.Equal(t, "b", f.sender)
+	require.GreaterOrEqual(t, f.shortestTurn, restoredHandover)
+	require.Less(t, f.shortestTurn, restoredHandover+3*time.Second)
+}
+
 // writeOlder lets a VM of an older build acquire the lease.
 func (f *restoredFleet) writeOlder(t *testing.T) {
 	data, err := json.Marshal(wire.ControllerLease{Holder: "older", Boot: "o", Address: "o", DurationMs: 1000, Renewals: 99, Key: "k"})
