peers, wire: A process that starts again leaves the servers alone for the rest of the handover

Backend servers got orders of two VMs within 1.4 s, where 3 s are due: a process that ended during the handover and started again at the same address found its own record and sent orders at once. The exemption for one's own record is right only for a holder that had begun to send orders.

Change: the record says for how long its holder is to send none from the renewal on (zzzz_handover_ms). A process that goes on with its own record keeps to that, counted from when it observed the record, which is later. The end of the term before, from which the loads of others are counted, is no longer set back to the start of the write meanwhile.

The bytes of frames of this build have one more field.

--- a/peers/lease.go
+++ b/peers/lease.go
@@ -95,7 +95,8 @@
 	releasing bool
 	// staleReads counts the stale reads made.
 	staleReads int
-	handover   handover
+	// handover is what this VM knows of the orders of other holders.
+	handover handover
 }
 
 // FencingToken returns the fencing token, and whether this VM may send orders.
@@ -327,14 +328,15 @@
 	startedAt := l.Now()
 	next, version := l.keeper.NextRecord()
 	previous, found := l.record, l.foundRecord(version)
-	leastToken := l.fencingToken
+	leastToken, term := l.fencingToken, l.handover
 	if action == lease.Acquire {
-		leastToken = l.tokens.next(version)
+		leastToken, term = l.tokens.next(version), l.handover.acquired(startedAt, found)
 	}
 	l.mu.Unlock()
 	record := wire.ControllerLease{
 		Holder: next.Holder, Boot: next.BootID, DurationMs: next.DurationMs, Renewals: next.Renewals,
-		Address: l.Address, Key: l.key, Vms: vms, ZzzzEra: next.Era, ZzzzLeastToken: leastToken,
+		Address: l.Address, Key: l.key, Vms: vms,
+		ZzzzEra: next.Era, ZzzzHandoverMs: term.leftMs(startedAt), ZzzzLeastToken: leastToken,
 		ZzDomainVms: previous.ZzDomainVms, ZzAllotmentVms: previous.ZzAllotmentVms, ZzSettledVms: previous.ZzSettledVms,
 	}
 	if l.RecordAllotments != nil && action == lease.Renew {
@@ -367,10 +369,9 @@
 	if action == lease.Acquire {
 		_, revision := store.SplitVersion(newVersion)
 		l.fencingToken = max(leastToken, revision)
-		l.handover.acquire(startedAt, found)
 		l.Log.Info().Int("fence", l.fencingToken).Str("before", previous.Holder).Bool("restored", found.restored).Time("begun", startedAt).Msg("controller lease acquired")
 	}
-	l.handover.recordHeld(startedAt, newVersion)
+	l.handover = term.held(startedAt, newVersion)
 	return nil
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -214,6 +214,11 @@
 	// so that builds without it skip it.
 	ZzzzEra int `json:"zzzz_era,omitempty,omitzero"`
 
+	// Time in milliseconds from this renewal to the first order that its holder may
+	// send, 0 if it may send orders. Its name sorts behind all others, so that builds
+	// without it skip it.
+	ZzzzHandoverMs int `json:"zzzz_handover_ms,omitempty,omitzero"`
+
 	// Least fencing token of the holder's term. The token is this or the revision
 	// written on acquisition, whichever is higher; renewals have the token itself.
 	// Its name sorts behind all others, so that builds without it skip it.
