--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -279,8 +279,7 @@
 		}
 	}
 	p.mu.Unlock()
-	up.setLeaseVersion(s.LeaseVersion)
-	p.applyLease(s.LeaseVersion, s.Lease)
+	p.applyLeaseState(up, s)
 	p.countForRetries(now, cmp.Or(s.Lease.ZzAllotmentVms, s.Vms))
 	if p.Lease.Released() && p.hasPath() {
 		// The hub has no path to the servers. Without the link this VM acquires the lease, unless
@@ -323,6 +322,12 @@
 	p.applyRelays(root, now, up, s.Relays)
 }
 
+// applyLeaseState applies the lease record in a frame of the hub.
+func (p *Peers) applyLeaseState(up *uplink, s *wire.FleetState) {
+	up.setLeaseVersion(s.LeaseVersion)
+	p.applyLease(s.LeaseVersion, s.Lease)
+}
+
 // applyLease applies the lease record received from the hub. A relay forwards a renewal at once.
 func (p *Peers) applyLease(version int, record wire.ControllerLease) {
 	before, _ := p.Lease.LatestRecord()
