peers, wire: Frames tell the revision and the era of the lease record apart

With the era in lease_version, VMs of older builds took every announcement for newer than anything that they read in the store, and VMs of this build took those of older hubs for old (four of nine cases of TestAnnouncedVersions).

Change: lease_version is the revision again, zzzz_lease_era behind all other fields has the era, and whoever gets a frame puts them together. A hub that tells no era is taken to be in the era that the VM has observed last. Weighed: era 0 for it; but VMs behind an older hub would then see the lease expired for as long as it lives, and count no retries. What is left: behind a hub of an older build that has not yet seen a restore, a VM takes a lost record for the newest until a write of its own conflicts or the revisions catch up; it can not act on it, as its write is conditional.

Measured: go test ./link ./peers pass. Frames of the fleet's state have one byte more.

--- a/link/older_test.go
+++ b/link/older_test.go
@@ -52,7 +52,7 @@
 			older:   "94f6f6f6f6f6f6f69100f4f4008960f660006060f6000000f6f600f4f6818d616100006164f4f400818280616d616e6173617608f4f6f603f6f6f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FleetState: &servers},
 			extend:  func(m *wire.Message) { m.FleetState.Servers[0].Version = "v" },
-			newer:   "94f6f6f6f6f6f6f69300f4f4009160f660006060f60000f600f600f600000000f6f600f4f6818e616100006164f4f400818280616d616e6173617608f46176f6f603f6f6f6f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer:   "94f6f6f6f6f6f6f69400f4f4009160f660006060f60000f600f600f600000000f6f600f4f6818e616100006164f4f400818280616d616e6173617608f46176f6f603f6f6f6f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"find call": {
 			older:   "94f6f6f684616101616d6173f6f6f6f6f6f6f6f6f6f6f6f6f6f660f6",
@@ -72,7 +72,7 @@
 			extend: func(m *wire.Message) {
 				m.FleetState.ZStreamKeepers = []wire.OriginKeeper{{Address: "a", Domain: "d"}}
 			},
-			newer: "94f6f6f6f6f6f6f69307f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69407f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"report without keepers": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608ff6f6816161f6f6f6f4f602818560616d036000f6f4f4f6f6",
@@ -98,13 +98,13 @@
 				m.FleetState.Lease.ZzAllotmentVms = 9
 				m.FleetState.ZzzSuspectParts = []wire.SuspectPart{{Part: "p", Crashes: 4, LeftMs: 7}}
 			},
-			newer: "94f6f6f6f6f6f6f69307f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818304076170f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69407f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f681830407617000f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"fleet state without the era of the lease": {
 			older:   "94f6f6f6f6f6f6f69307f5f4008e60f660006060f60000f609f600f600f6f600f4f6f6f681617403f6f6f6818304076170f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FleetState: &parts},
-			extend:  func(m *wire.Message) { m.FleetState.Lease.ZzzzEra = 2 },
-			newer:   "94f6f6f6f6f6f6f69307f5f4009160f660006060f60000f609f600f602000000f6f600f4f6f6f681617403f6f6f6818304076170f6f6f6f6f6f6f6f6f6f660f6",
+			extend:  func(m *wire.Message) { m.FleetState.Lease.ZzzzEra, m.FleetState.ZzzzLeaseEra = 2, 3 },
+			newer:   "94f6f6f6f6f6f6f69407f5f4009160f660006060f60000f609f600f602000000f6f600f4f6f6f681617403f6f6f681830407617003f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"hello": {
 			older:   "94f6f6f6f6f6f6f6f6f687616161626164190190616e05f5f6f6f6f6f6f6f6f660f6",
@@ -119,7 +119,7 @@
 				m.FleetState.VmsWithPath = []string{"p"}
 				m.FleetState.ZRejectLimits = []wire.RejectLimit{{Server: "z", PerSecond: 2, Rejected: true}}
 			},
-			newer: "94f6f6f6f6f6f6f69307f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f6816174038161708183fb4000000000000000f5617af6f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69407f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f6816174038161708183fb4000000000000000f5617af6f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 	}
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/spans"
+	"github.com/hibiscuscart/hibiscuscart/store"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -149,8 +150,9 @@
 func (p *Peers) newFleetState(states []backs.State) *wire.FleetState {
 	version, record := p.Lease.LatestRecord()
 	record.QuotaLevels, record.ZzDomainVms, record.ZzSettledVms = nil, nil, 0
+	era, revision := store.SplitVersion(version)
 	return &wire.FleetState{
-		LeaseVersion: version, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
+		LeaseVersion: revision, ZzzzLeaseEra: era, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
 		Servers: stateList(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{}, TightTeams: p.tightTeams(),
 	}
 }
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -4,6 +4,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -309,6 +310,18 @@
 	l.observe(version, record)
 }
 
+// announcedVersion returns the version of the record that a hub announces. A hub of an older build tells no
+// era and is taken to be in the one that this VM has observed last: right after a restore it may not be, but
+// it would never be again if it counted as older.
+func (l *Lease) announcedVersion(era, revision int) int {
+	if revision == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return store.VersionOf(cmp.Or(era, l.tokens.era), revision)
+}
+
 // LatestRecord returns the record last observed or written, and its version.
 func (l *Lease) LatestRecord() (version int, record wire.ControllerLease) {
 	l.mu.Lock()
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -324,8 +324,9 @@
 
 // applyLeaseState applies the lease record in a frame of the hub.
 func (p *Peers) applyLeaseState(up *uplink, s *wire.FleetState) {
-	up.setLeaseVersion(s.LeaseVersion)
-	p.applyLease(s.LeaseVersion, s.Lease)
+	version := p.Lease.announcedVersion(s.ZzzzLeaseEra, s.LeaseVersion)
+	up.setLeaseVersion(version)
+	p.applyLease(version, s.Lease)
 }
 
 // applyLease applies the lease record received from the hub. A relay forwards a renewal at once.
--- a/wire/types.go
+++ b/wire/types.go
@@ -311,7 +311,7 @@
 	// Lease corresponds to the JSON schema field "lease".
 	Lease ControllerLease `json:"lease"`
 
-	// Version of the lease object in the platform at the controller's last renewal.
+	// Revision of the lease object in the platform at the controller's last renewal.
 	LeaseVersion int `json:"lease_version"`
 
 	// All rate limits of servers; included with the loads.
@@ -361,6 +361,10 @@
 	// Parts of prompts that are blocked, cleared or suspected. Its name sorts behind
 	// all others, so that builds without it skip it.
 	ZzzSuspectParts []SuspectPart `json:"zzz_suspect_parts,omitempty,omitzero"`
+
+	// Era of the store of lease_version; 0 if unknown. Its name sorts behind all
+	// others, so that builds without it skip it.
+	ZzzzLeaseEra int `json:"zzzz_lease_era,omitempty,omitzero"`
 }
 
 // A software version of which a service has no server any more.
