backs: Servers that a restored store lacks are kept until they have written their entries again

A server that registered in the seconds that the store lost, or whose process started again then, was removed with the first list, and for four seconds after it had written its entry again it got no requests. The grace for entries that expire was given only after an outage of two heartbeats; a restore may take no time at all.

Change: MarkRestored begins the grace. A list from another VM ends it no sooner: a hub that started after the restore has had its list for long enough to be believed, but its list lacks the same servers.

--- a/backs/contact.go
+++ b/backs/contact.go
@@ -52,7 +52,3 @@
 		v.recoveredAt, v.scannedAt = now, time.Time{}
 	}
 }
-
-// MarkRestored records that the store has come back from a copy and may lack what was written in the last seconds. It
-// is called before the first list of the new era is applied. It has no effect yet.
-func (v *View) MarkRestored(time.Time) {}
--- a/backs/history.go
+++ b/backs/history.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// VersionHistory returns what this view knows beyond the servers that are listed.
+// VersionHistory returns what this view knows beyond the servers that are listed. A server that is kept although it is
+// not listed counts as one that has just gone.
 func (v *View) VersionHistory(now time.Time) VersionHistory {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -88,9 +89,14 @@
 		return VersionHistory{}
 	}
 	h := VersionHistory{CompleteFor: min(now.Sub(v.history.since), historyRetention)}
-	seen := v.versionsSeen(now)
-	for key, at := range seen {
-		if at.Before(now) {
+	kept := make(map[serviceVersion]bool)
+	for _, r := range v.records {
+		if !r.missingSince.IsZero() {
+			kept[serviceVersion{r.entry.Service, r.entry.SoftwareVersion}] = true
+		}
+	}
+	for key, at := range v.versionsSeen(now) {
+		if at.Before(now) || kept[key] {
 			h.Gone = append(h.Gone, GoneVersion{Service: key.service, Version: key.version, Ago: now.Sub(at)})
 		}
 	}
--- a/backs/update.go
+++ b/backs/update.go
@@ -71,8 +71,9 @@
 // have expired during a store outage, and a sender that started during the outage lists
 // only the servers whose entries have reappeared. If the view was out of date for longer
 // than the sender has had a complete list, omitted servers are therefore treated as in
-// Remove. Otherwise they are removed at once: a sender with a complete list throughout
-// keeps servers with expired entries itself.
+// Remove, and so they are while the store has just come back from a copy. Otherwise they are
+// removed at once: a sender with a complete list throughout keeps servers with expired
+// entries itself.
 func (v *View) Merge(now time.Time, update Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -85,7 +86,7 @@
 		v.mergeState(now, s)
 	}
 	if update.Full {
-		v.removeUnlisted(now, listed, senderWasSynced)
+		v.removeUnlisted(now, listed, senderWasSynced && !v.restoring(now))
 		v.markSynced(now)
 	}
 	if v.revision != revision || update.Full {
--- a/backs/view.go
+++ b/backs/view.go
@@ -93,6 +93,8 @@
 	// ended that was long enough for entries to expire.
 	storeUnreachable bool
 	recoveredAt      time.Time
+	// restoredAt is when the store was last found to have come back from a copy.
+	restoredAt time.Time
 	// currentAt is when the view was last confirmed as current, syncedAt when the first
 	// full list arrived.
 	currentAt, syncedAt time.Time
