backs: Servers that only the copy of a restored store lists again get no requests before their entries expire

A server that was removed in the seconds that the store lost is listed again. Requests went to it four seconds later, which is less than the three heartbeats after which the store removes its entry again where a heartbeat takes over 1.3 s: at 14.5 s in the test, whose heartbeat of 5 s lets the entry expire at 25 s.

Change: a server that this VM has removed before it found the store restored, and that is on a list within three heartbeats of that, waits until their end before the delay for entries that reappear begins. Price: a server that was cut off from the store just then and is alive waits as long.

--- a/backs/restore.go
+++ b/backs/restore.go
@@ -1,6 +1,9 @@
 package backs
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // A store that comes back from a copy lacks what was written in the last seconds. Servers write their entries again
 // within about two seconds, as after an outage in which they expired. Until then a list may lack servers, and have
@@ -18,3 +21,24 @@
 func (v *View) restoring(now time.Time) bool {
 	return !v.restoredAt.IsZero() && now.Before(v.restoredAt.Add(expiryGrace))
 }
+
+// expiryTime is the number of heartbeats without a write after which the store removes an entry.
+const expiryTime = 3
+
+// putListed applies an entry of a full list, and counts the change. The list may be that of a copy: if this view has
+// removed the server before, it gets no requests until the store would have removed the entry of a server that has left.
+func (v *View) putListed(now time.Time, e Entry) {
+	before, known := v.sharedStateOf(e.ID), record{}
+	if r := v.records[e.ID]; r != nil {
+		known = *r
+	}
+	r := v.apply(now, e)
+	if r == nil {
+		return
+	}
+	expiry := v.restoredAt.Add(expiryTime * cmp.Or(v.Heartbeat, defaultHeartbeat))
+	if !known.removedAt.IsZero() && known.removedAt.Before(v.restoredAt) && expiry.After(now) {
+		r.reappearedAt = expiry
+	}
+	v.bumpIfChanged(r, before)
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -47,7 +47,8 @@
 	removedAt time.Time
 	// missingSince is when the entry was found missing during or just after a store outage.
 	missingSince time.Time
-	// reappearedAt is when the entry reappeared after its removal.
+	// reappearedAt is when the entry reappeared after its removal. It may be in the future if only the copy
+	// of a store has brought the entry back.
 	reappearedAt time.Time
 	// unreadable is set while the stored entry describes no valid server.
 	unreadable bool
@@ -293,7 +294,7 @@
 	listed := make(map[string]bool, len(entries)+len(unreadable))
 	for _, e := range entries {
 		listed[e.ID] = true
-		v.put(now, e)
+		v.putListed(now, e)
 	}
 	for _, name := range unreadable {
 		listed[v.instanceIDs[name]] = true
