backs: Models that the copy of a restored store lists do not replace newer ones

A server's models of some seconds ago took the place of those known: requests went to it for a model that it had unloaded, none for one that it had loaded, until it wrote its entry again, some two seconds later. The controller's knowledge of placement got the old ones too.

Change: models of a list within two seconds of a restore that differ from the stored ones are set aside. If the server writes its entry again, that counts; if not, the list was right after all and counts then. A server whose entry changes in nothing but its sequence may cause no event, so that what is set aside can not simply be dropped.

--- a/backs/restore.go
+++ b/backs/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -26,7 +27,8 @@
 const expiryTime = 3
 
 // putListed applies an entry of a full list, and counts the change. The list may be that of a copy: if this view has
-// removed the server before, it gets no requests until the store would have removed the entry of a server that has left.
+// removed the server before, it gets no requests until the store would have removed the entry of a server that has left,
+// and models that differ count only once the server has had time to write its entry again.
 func (v *View) putListed(now time.Time, e Entry) {
 	before, known := v.sharedStateOf(e.ID), record{}
 	if r := v.records[e.ID]; r != nil {
@@ -40,5 +42,23 @@
 	if !known.removedAt.IsZero() && known.removedAt.Before(v.restoredAt) && expiry.After(now) {
 		r.reappearedAt = expiry
 	}
+	if known.entry.ID == e.ID && v.restoring(now) && !slices.EqualFunc(known.stored.Models, e.Models, LoadedModel.equal) {
+		r.copied = &e
+		r.stored.Models, r.entry.Models = known.stored.Models, known.entry.Models
+	}
 	v.bumpIfChanged(r, before)
 }
+
+// applyCopied applies the entries whose models did not count because the servers might have written them again, and
+// have not.
+func (v *View) applyCopied(now time.Time) {
+	if v.restoring(now) {
+		return
+	}
+	for _, r := range v.records {
+		if r.copied != nil && r.removedAt.IsZero() {
+			v.put(now, *r.copied)
+			v.notify()
+		}
+	}
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -43,6 +43,8 @@
 	// draining is never reset: a draining server is only replaced by a new instance, and a
 	// late heartbeat may report otherwise.
 	draining bool
+	// copied is the entry in the store while its models may be those of a copy, and older than the ones known.
+	copied *Entry
 	// removedAt is when the entry was removed, zero while it exists.
 	removedAt time.Time
 	// missingSince is when the entry was found missing during or just after a store outage.
@@ -190,7 +192,7 @@
 	r.missingSince, r.unreadable = time.Time{}, false
 	r.draining = r.draining || e.Draining || v.leaving[e.ID] != nil
 	e.Draining = r.draining
-	r.stored, r.receivedAt = e, now
+	r.stored, r.receivedAt, r.copied = e, now, nil
 	if now.Sub(r.controllerAt) < controllerPrecedence {
 		e.Models = mergeControllerModels(e.Models, r.entry.Models)
 	}
@@ -326,6 +328,7 @@
 	}
 	v.scannedAt = now
 	v.forgetNotices(now)
+	v.applyCopied(now)
 	for id, r := range v.records {
 		if !r.missingSince.IsZero() && !v.storeUnreachable && !now.Before(v.recoveredAt.Add(expiryGrace)) {
 			v.markRemoved(now, r)
