peers: A lease record that a copy brought back is used for what is still true of it

A process that started after a restore seeded its quotas with what was left some seconds before and took an incomplete history of versions for a complete one; VMs that ran on blocked cleared parts of prompts again, and divided the retries by fewer.

Change: of a record that was written in an earlier era than its version, a process that starts uses no levels of quotas, and the history says of no time that it is complete; what it blocks is blocked. A VM that has known other records keeps its own knowledge of blocks and the larger divisor.

Not mended: a block learned in the lost seconds is unknown to a process that starts until a hub tells it; a part cleared in the lost seconds is blocked again if all VMs start anew; a VM that was counted for the first time in the lost seconds and is cut off at once is not in the divisor of a new controller. A VM has no allotment for its first window, so that the last takes a cut of over ten seconds.

--- a/peers/lease.go
+++ b/peers/lease.go
@@ -246,7 +246,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.startRecord == nil {
-		l.startRecord = &record
+		start := startRecord(obj.Version, record)
+		l.startRecord = &start
 	}
 	l.observe(obj.Version, record)
 	return nil
@@ -285,6 +286,7 @@
 	if record.Holder != "" && record.Address != l.record.Address {
 		l.Log.Info().Str("holder", record.Holder).Int("version", version).Str("before", l.record.Holder).Msg("controller lease has another holder")
 	}
+	record = l.withKnown(version, record)
 	l.setRecord(record)
 	l.tokens.observe(version, record)
 	if l.Poison != nil {
--- a/peers/tokens.go
+++ b/peers/tokens.go
@@ -27,7 +27,7 @@
 		t.highest += (era - t.era) * lostTokens
 	}
 	recorded := max(revision, record.ZzzzLeastToken)
-	if record.ZzzzEra > 0 && era > record.ZzzzEra {
+	if isCopied(version, record) {
 		recorded += (era - record.ZzzzEra) * lostTokens
 	}
 	t.highest, t.era = max(t.highest, recorded), max(t.era, era)
