peers: A test that a VM which learns of a restore from its hub is told

Only a VM that lists the servers itself sees that the store came back from a copy. One behind a hub that started after the restore gets a list without the servers that have not written their entries again, and removes them. It learns the era from the lease record. Two of six cases fail: OnRestored is not called yet.

--- a/peers/announce_test.go
+++ b/peers/announce_test.go
@@ -56,3 +56,28 @@
 		})
 	}
 }
+
+// Guards against a VM behind a hub that is not told that the store came back from a copy, and removes servers that the
+// list of a new hub lacks.
+func TestRestoreNoticed(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []int
+		restores int
+	}{
+		"renewals":       {versions: []int{store.VersionOf(1, 5), store.VersionOf(1, 6)}},
+		"restore":        {versions: []int{store.VersionOf(1, 94), store.VersionOf(2, 67), store.VersionOf(2, 68)}, restores: 1},
+		"hub lags":       {versions: []int{store.VersionOf(2, 67), store.VersionOf(1, 95), store.VersionOf(2, 68)}},
+		"two restores":   {versions: []int{store.VersionOf(1, 94), store.VersionOf(2, 67), store.VersionOf(3, 50)}, restores: 2},
+		"later process":  {versions: []int{store.VersionOf(4, 1)}},
+		"store has none": {versions: []int{5, 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			restores := 0
+			l := &Lease{Name: "vm", Address: "vm:1", Duration: time.Second, Now: time.Now, Log: zerolog.Nop(), OnRestored: func() { restores++ }}
+			for _, v := range c.versions {
+				l.ObserveAnnounced(v, wire.ControllerLease{Holder: "h", Address: "h:1", DurationMs: 1000})
+			}
+			require.Equal(t, c.restores, restores)
+		})
+	}
+}
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -77,8 +77,11 @@
 	// ObserveHistory gets what the record says of them. If nil, the record has none.
 	VersionHistory func() backs.VersionHistory
 	ObserveHistory func(h backs.VersionHistory)
-	Now            func() time.Time
-	Log            zerolog.Logger
+	// OnRestored is called when the store is found to have come back from a copy, but not for a process that has not
+	// known it before. It must not call the Lease. It is not called yet.
+	OnRestored func()
+	Now        func() time.Time
+	Log        zerolog.Logger
 
 	mu sync.Mutex
 	// expiredSince is when this VM first observed that the lease had expired.
