peers, node: A VM learns from the lease record that the store came back from a copy

A VM behind a hub took the list of a hub that had started after the restore for complete, and removed the servers that had not written their entries again. Change: a lease record of a later era than all that the VM has observed, read or announced, begins the grace in its view of the servers, as the first list of an era does.

--- a/node/node.go
+++ b/node/node.go
@@ -175,6 +175,7 @@
 	n.lease.HasPath = func() bool { return !n.paths.Lost() }
 	n.lease.VersionHistory = func() backs.VersionHistory { return n.serverView.VersionHistory(n.now()) }
 	n.lease.ObserveHistory = func(h backs.VersionHistory) { n.serverView.AddVersionHistory(n.now(), h) }
+	n.lease.OnRestored = func() { n.serverView.MarkRestored(n.now()) }
 	n.lease.CountVMs, n.lease.RecordAllotments, n.lease.QuotaLevels = n.peers.VMs, n.peers.RecordAllotments, n.peers.StoredLevels
 	n.waitContext, n.cancelWaits = context.WithCancel(context.Background())
 	n.origins = &origin.Exchange{
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -78,7 +78,7 @@
 	VersionHistory func() backs.VersionHistory
 	ObserveHistory func(h backs.VersionHistory)
 	// OnRestored is called when the store is found to have come back from a copy, but not for a process that has not
-	// known it before. It must not call the Lease. It is not called yet.
+	// known it before. It must not call the Lease.
 	OnRestored func()
 	Now        func() time.Time
 	Log        zerolog.Logger
@@ -291,7 +291,9 @@
 	}
 	record = l.withKnown(version, record)
 	l.setRecord(record)
-	l.tokens.observe(version, record)
+	if l.tokens.observe(version, record) && l.OnRestored != nil {
+		l.OnRestored()
+	}
 	if l.Poison != nil {
 		l.Poison.MergeSuspects(l.Now(), suspectsOf(record.Blocked))
 	}
--- a/peers/tokens.go
+++ b/peers/tokens.go
@@ -20,10 +20,12 @@
 
 // observe records the token of the term of a record with a version. The record may be that of a copy, which lacks
 // the terms that followed it in the eras since, and so may what is known from earlier eras. Of a record without an
-// era, of an older build, nothing is assumed: its revisions would never catch up.
-func (t *knownTokens) observe(version int, record wire.ControllerLease) {
+// era, of an older build, nothing is assumed: its revisions would never catch up. It reports whether the version is
+// of a later era than all before.
+func (t *knownTokens) observe(version int, record wire.ControllerLease) (restored bool) {
 	era, revision := store.SplitVersion(version)
-	if t.era > 0 && era > t.era {
+	restored = t.era > 0 && era > t.era
+	if restored {
 		t.highest += (era - t.era) * lostTokens
 	}
 	recorded := max(revision, record.ZzzzLeastToken)
@@ -31,6 +33,7 @@
 		recorded += (era - record.ZzzzEra) * lostTokens
 	}
 	t.highest, t.era = max(t.highest, recorded), max(t.era, era)
+	return restored
 }
 
 // next returns the least token of a term that begins with a write on a version. A record that is no longer there
