peers, wire: Era 0 is an era: the first restore counts like the others

Where a platform tells no era before its first restore, tokens did not rise over what that lost, a process that started then used the copied record's levels and history, and VMs behind a hub did not learn of it. Cause: era 0 stood for "unknown".

Change: whether a VM has observed a version, and whether a record is of an older build, is known from other things (a version was observed; records of this build have a least token). The first record of a deployment, conditional on no version, is not taken for a copy: all would otherwise raise the tokens at the start of each deployment. Frames tell the era plus one, so that a hub in era 0 differs from one of an older build.

Price: if a platform begins to tell eras while VMs run, they take that for a restore.

--- a/peers/copied.go
+++ b/peers/copied.go
@@ -6,10 +6,11 @@
 )
 
 // isCopied reports whether a record was written in an earlier era of the store than that of its version, so that it is
-// some seconds old. Of a record without an era, of an older build, that is not known.
+// some seconds old. That is not known of a record of an older build, which has no least token, and of the first one of a
+// deployment, which was conditional on no version.
 func isCopied(version int, record wire.ControllerLease) bool {
 	era, _ := store.SplitVersion(version)
-	return record.ZzzzEra > 0 && record.ZzzzEra < era
+	return record.ZzzzLeastToken > 0 && record.Renewals > 1 && record.ZzzzEra < era
 }
 
 // startRecord returns what a process that starts may use of the first record that it reads: of a copied one not what was
@@ -33,7 +34,7 @@
 		incomplete.CompleteMs = 0
 		record.ZVersionHistory = &incomplete
 	}
-	if l.tokens.era > 0 {
+	if l.tokens.observed {
 		record.Blocked, record.ZzzBlockedParts = nil, nil
 		record.ZzAllotmentVms = max(record.ZzAllotmentVms, l.record.ZzAllotmentVms)
 	}
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -152,7 +152,7 @@
 	record.QuotaLevels, record.ZzDomainVms, record.ZzSettledVms = nil, nil, 0
 	era, revision := store.SplitVersion(version)
 	return &wire.FleetState{
-		LeaseVersion: revision, ZzzzLeaseEra: era, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
+		LeaseVersion: revision, ZzzzLeaseEra: era + 1, Lease: record, KnownMs: int(p.Servers.SyncedFor(p.Now()).Milliseconds()),
 		Servers: stateList(states), Loads: []wire.ServerLoad{}, Relays: []wire.Relay{}, TightTeams: p.tightTeams(),
 	}
 }
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -317,16 +317,16 @@
 	l.observe(version, record)
 }
 
-// announcedVersion returns the version of the record that a hub announces. A hub of an older build tells no
+// announcedVersion returns the version of the record in a hub's frame. A hub of an older build tells no
 // era and is taken to be in the one that this VM has observed last: right after a restore it may not be, but
 // it would never be again if it counted as older.
-func (l *Lease) announcedVersion(era, revision int) int {
-	if revision == 0 {
+func (l *Lease) announcedVersion(s *wire.FleetState) int {
+	if s.LeaseVersion == 0 {
 		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return store.VersionOf(cmp.Or(era, l.tokens.era), revision)
+	return store.VersionOf(cmp.Or(s.ZzzzLeaseEra, l.tokens.era+1)-1, s.LeaseVersion)
 }
 
 // LatestRecord returns the record last observed or written, and its version.
--- a/peers/tokens.go
+++ b/peers/tokens.go
@@ -14,17 +14,18 @@
 // is higher, so that VMs of builds whose tokens are revisions can follow, else the next number. The zero value
 // knows none.
 type knownTokens struct {
-	// highest is no lower than the token of any term known, era the latest era of the store observed.
+	// highest is no lower than the token of any term known, era the latest era of the store observed, if any was.
 	highest, era int
+	observed     bool
 }
 
 // observe records the token of the term of a record with a version. The record may be that of a copy, which lacks
-// the terms that followed it in the eras since, and so may what is known from earlier eras. Of a record without an
-// era, of an older build, nothing is assumed: its revisions would never catch up. It reports whether the version is
+// the terms that followed it in the eras since, and so may what is known from earlier eras. Of a record of an older
+// build, which tells no era, nothing is assumed: its revisions would never catch up. It reports whether the version is
 // of a later era than all before.
 func (t *knownTokens) observe(version int, record wire.ControllerLease) (restored bool) {
 	era, revision := store.SplitVersion(version)
-	restored = t.era > 0 && era > t.era
+	restored = t.observed && era > t.era
 	if restored {
 		t.highest += (era - t.era) * lostTokens
 	}
@@ -32,7 +33,7 @@
 	if isCopied(version, record) {
 		recorded += (era - record.ZzzzEra) * lostTokens
 	}
-	t.highest, t.era = max(t.highest, recorded), max(t.era, era)
+	t.highest, t.era, t.observed = max(t.highest, recorded), max(t.era, era), t.observed || version != 0
 	return restored
 }
 
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -324,7 +324,7 @@
 
 // applyLeaseState applies the lease record in a frame of the hub.
 func (p *Peers) applyLeaseState(up *uplink, s *wire.FleetState) {
-	version := p.Lease.announcedVersion(s.ZzzzLeaseEra, s.LeaseVersion)
+	version := p.Lease.announcedVersion(s)
 	up.setLeaseVersion(version)
 	p.applyLease(version, s.Lease)
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -209,9 +209,9 @@
 	ZzzBlockedParts []SuspectPart `json:"zzz_blocked_parts,omitempty,omitzero"`
 
 	// Era of the store of the version on which the write of this record was
-	// conditional; 0 if there was none. A record of another era than its version
-	// comes from a copy, which may lack later ones. Its name sorts behind all others,
-	// so that builds without it skip it.
+	// conditional, 0 for the first record of a deployment. A record of another era
+	// than its version comes from a copy, which may lack later ones. Its name sorts
+	// behind all others, so that builds without it skip it.
 	ZzzzEra int `json:"zzzz_era,omitempty,omitzero"`
 
 	// Time in milliseconds from this renewal to the first order that its holder may
@@ -362,8 +362,8 @@
 	// all others, so that builds without it skip it.
 	ZzzSuspectParts []SuspectPart `json:"zzz_suspect_parts,omitempty,omitzero"`
 
-	// Era of the store of lease_version; 0 if unknown. Its name sorts behind all
-	// others, so that builds without it skip it.
+	// Era of the store of lease_version, plus one; 0 if the sender knows no eras. Its
+	// name sorts behind all others, so that builds without it skip it.
 	ZzzzLeaseEra int `json:"zzzz_lease_era,omitempty,omitzero"`
 }
 
