peers: A dial of the simulated network that fails closes the end that was to be accepted

Only test code changes. Change: dial closes that end when the listener closes or the caller gives up, which ends its deliver. Ruled out: a wait of deliver for anything else; a write to a closed pipe returns.

--- a/peers/simnet_test.go
+++ b/peers/simnet_test.go
@@ -150,14 +150,18 @@
 	}
 	time.Sleep(2 * latency)
 	client, server := net.Pipe()
+	accepted := newSimConn(n, server, l.at, from, latency)
+	var err error
 	select {
-	case l.connections <- newSimConn(n, server, l.at, from, latency):
+	case l.connections <- accepted:
 		return newSimConn(n, client, from, l.at, latency), nil
 	case <-l.closed:
-		return nil, errSimRefused
+		err = errSimRefused
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		err = ctx.Err()
 	}
+	_ = accepted.Close()
+	return nil, err
 }
 
 // simQueuedWrites is how many writes a connection buffers.
