peers: A test of a stale read that returns a lease record which the store has lost

A weak VM that starts finds the controller's address with a read that may be seconds old. After a restore that can be a record that the store no longer has, under a revision that the new era has not reached. The VM then ignores what it reads later as older, and after the duration of a lease writes on that revision: if the live holder has just written the same one, it takes the lease away from it.

--- a/peers/copied_test.go
+++ b/peers/copied_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/peers"
 	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/store"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -101,3 +103,19 @@
 	_, record := r.lease.LatestRecord()
 	require.Equal(t, 9, record.ZzAllotmentVms)
 }
+
+// Guards against a weak VM that starts with a stale read, gets a record that the store has lost, and takes all that it reads
+// later for older: it would acquire the lease of a live holder once that writes the same revision again.
+func TestStaleReadOfLostRecord(t *testing.T) {
+	r := newRestoredReader(t, 2, copiedRecord(1))
+	r.lease.AcquireDelay = time.Second
+	lost := store.Object{Version: store.VersionOf(2, 95), Value: r.store.object.value}
+	r.lease.Objects.GetCached = func(context.Context, string, string) (store.Object, error) { return lost, nil }
+	for range 2 {
+		r.lease.Step(t.Context())
+		address, _ := r.lease.OtherHolder()
+		require.Equal(t, "other:1", address)
+	}
+	version, _ := r.lease.LatestRecord()
+	require.Equal(t, store.VersionOf(2, r.store.object.revision), version)
+}
