peers: A stale read of the lease record only names the controller

It may return a record that the store has lost in the meantime, under a revision that another record gets later. Change: such a read no longer counts as an observation of the keeper, so that the first consistent read or announcement decides who may acquire the lease. As before a VM makes one stale read that finds a record, and up to three that find none.

Measured: TestStaleReadOfLostRecord, TestStaleLeaseReads and go test ./peers ./node pass.

--- a/peers/lease.go
+++ b/peers/lease.go
@@ -252,6 +252,11 @@
 		start := startRecord(obj.Version, record)
 		l.startRecord = &start
 	}
+	if stale {
+		// It may have been lost since, and tells nothing about who may acquire the lease.
+		l.learn(obj.Version, record)
+		return nil
+	}
 	l.observe(obj.Version, record)
 	return nil
 }
@@ -274,7 +279,7 @@
 func (l *Lease) recordReader() (get func(ctx context.Context, kind, name string) (store.Object, error), stale bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.Objects.GetCached == nil || l.AcquireDelay < minStaleReadDelay || l.staleReads >= maxStaleReads || l.keeper.Observed() {
+	if l.Objects.GetCached == nil || l.AcquireDelay < minStaleReadDelay || l.staleReads >= maxStaleReads || l.startRecord != nil {
 		return l.Objects.Get, false
 	}
 	l.staleReads++
@@ -283,6 +288,14 @@
 
 // observe applies a record that was read or received. l.mu must be held.
 func (l *Lease) observe(version int, record wire.ControllerLease) {
+	l.learn(version, record)
+	l.keeper.Observe(l.Now(), version, lease.Record{
+		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals, Era: record.ZzzzEra,
+	})
+}
+
+// learn applies what a record says besides who may acquire the lease. l.mu must be held.
+func (l *Lease) learn(version int, record wire.ControllerLease) {
 	if version != 0 && record.Renewals != l.record.Renewals {
 		l.expiredSince = time.Time{}
 	}
@@ -299,9 +312,6 @@
 	}
 	l.PartTracker.MergeSuspects(l.Now(), partSuspectsOf(record.ZzzBlockedParts), false)
 	l.observeHistory(record.ZVersionHistory)
-	l.keeper.Observe(l.Now(), version, lease.Record{
-		Holder: record.Holder, BootID: record.Boot, DurationMs: record.DurationMs, Renewals: record.Renewals, Era: record.ZzzzEra,
-	})
 }
 
 // ObserveAnnounced applies the record last announced by the holder. A VM that loses its link then
