--- a/peers/peers.go
+++ b/peers/peers.go
@@ -79,9 +79,9 @@
 	// Retries holds the retry budgets, which are told among how many VMs they are divided. If nil, there are
 	// none.
 	Retries *retry.Budgets
-	// Config returns the configuration in force, as stored, and its revision. ConfigChanged
-	// returns a channel that is closed when the configuration changes. ApplyConfig applies a
-	// configuration received from the hub.
+	// Config returns the configuration in force, as stored, and the number of frames with it, which
+	// rises when it changes. ConfigChanged returns a channel that is closed when the configuration
+	// changes. ApplyConfig applies a configuration received from the hub.
 	Config        func() (revision int, value []byte)
 	ConfigChanged func() <-chan struct{}
 	ApplyConfig   func(revision int, value []byte)
--- a/wire/types.go
+++ b/wire/types.go
@@ -150,7 +150,9 @@
 
 // The active configuration, sent to the VMs linked to the controller.
 type ConfigState struct {
-	// Revision of the configuration object in the store.
+	// Number of the frame: the revision of the configuration object in the store, or
+	// a higher one, as it rises with each configuration of a hub. Older builds take a
+	// frame only if it is higher than that of the last.
 	Revision int `json:"revision"`
 
 	// Value of the object, compressed with DEFLATE.
