node: A VM that reads the store keeps the servers that a copy lacks

What callers would see: for some four seconds after the store came back from a copy, requests are refused that a sound server would take whose entry was written in the lost seconds. backs.View keeps such servers when it is told of the restore (MarkRestored); VMs behind a hub learned of it from the lease record, but the controller, which lists the servers for all, did not before it applied the list of the new era. The follower now tells the view first. A response of an earlier era that comes late no longer counts as another restore.

--- a/node/era.go
+++ b/node/era.go
@@ -15,15 +15,17 @@
 	e.Int("era", era).Int("version", revision)
 }
 
-// recordEra logs that the store has come back from a copy if a version that it shows is of another era than the
-// versions that this VM read before.
+// recordEra records the era of a version that the store shows. If it is later than those of the versions that this VM
+// read before, the store has come back from a copy.
 func (n *Node) recordEra(kind string, version int) {
 	era, revision := store.SplitVersion(version)
 	n.mu.Lock()
-	before, known := n.storeEra, n.storeRead
-	n.storeEra, n.storeRead = era, true
+	before, restored := n.storeEra, n.storeRead && era > n.storeEra
+	n.storeEra, n.storeRead = max(era, before), true
 	n.mu.Unlock()
-	if known && era != before {
-		n.log.Warn().Str("kind", kind).Int("era_before", before).Int("era", era).Int("version", revision).Msg("store came back from a copy")
+	if !restored {
+		return
 	}
+	n.serverView.MarkRestored(n.now())
+	n.log.Warn().Str("kind", kind).Int("era_before", before).Int("era", era).Int("version", revision).Msg("store came back from a copy")
 }
