--- a/soak/silence.go
+++ b/soak/silence.go
@@ -31,15 +31,16 @@
 // silenceFaults are what the other servers do while one is silent. A server without faults is sound.
 var silenceFaults = []stand.BackendFaults{{}, {Rejections: 1 << 20}, {LostResponses: 1 << 20}}
 
-// checkSilence makes one server of each service silent for a moment, while the others are sound, refuse or break off,
-// and checks that no request is lost that is at the silent one. It guards against VMs that give up a sound server, which
-// goes on, or leave it for one that does not answer.
+// checkSilence makes the servers silent for a moment, one after the other, while those of the same service are sound,
+// refuse or break off, and checks that no request is lost that is at the silent one. It guards against VMs that give up
+// a sound server, which goes on, or leave it for one that does not answer.
 func (r *run) checkSilence(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, 600))
 	for _, service := range []string{demo.SitePlainService, demo.SiteModelService} {
+		servers := r.site.Backends(service)
+		first := rng.IntN(len(servers))
 		for n, faults := range silenceFaults {
-			servers := r.site.Backends(service)
-			r.checkSilenceOf(ctx, rng, servers[rng.IntN(len(servers))], faults, fmt.Sprintf("silence-%d-%s-%d", r.options.Seed, service, n))
+			r.checkSilenceOf(ctx, rng, servers[(first+n)%len(servers)], faults, fmt.Sprintf("silence-%d-%s-%d", r.options.Seed, service, n))
 		}
 	}
 }
