demo: Requests outlast a silent store, and a path to the servers that seems lost

Guards against the same loss in two more ways.

Change: the store of a deployment can fall silent; TestRequestsThatMayRunOnceSurviveSilence has that case. TestRequestsSurvivePathThatSeemsLost makes all servers silent for 1.9 s while requests are under way, and sends more that need new connections, so that the VMs count their paths as lost.

--- a/demo/silence_test.go
+++ b/demo/silence_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,21 +18,22 @@
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
-// Sound servers are silent for up to 1.6 s, one, all of a service, or all, and go on. Guards against a request that may run
-// once and gets neither its answer nor a refusal, or is refused and has run.
+// Sound servers are silent for up to 1.6 s, one, all of a service, or all, or the store is, and go on. Guards against a
+// request that may run once and gets neither its answer nor a refusal, or is refused and has run.
 func TestRequestsThatMayRunOnceSurviveSilence(t *testing.T) {
 	// A request waits for longer than the kernel does before it asks, twice, whether the server is there.
 	const workTime, callersPerVM = 2500 * time.Millisecond, 4
 	silences := []time.Duration{200 * time.Millisecond, time.Second, 1300 * time.Millisecond, 1600 * time.Millisecond}
-	silent := map[string]func(*demo.Site) []*stand.Backend{
-		"one server":        func(s *demo.Site) []*stand.Backend { return s.Backends(demo.SitePlainService)[:1] },
-		"all of a service":  func(s *demo.Site) []*stand.Backend { return s.Backends(demo.SitePlainService) },
-		"all model servers": func(s *demo.Site) []*stand.Backend { return s.Backends(demo.SiteModelService) },
-		"all servers": func(s *demo.Site) []*stand.Backend {
+	silent := map[string]func(*demo.Site, bool) error{
+		"one server":        ofServers(func(s *demo.Site) []*stand.Backend { return s.Backends(demo.SitePlainService)[:1] }),
+		"all of a service":  ofServers(func(s *demo.Site) []*stand.Backend { return s.Backends(demo.SitePlainService) }),
+		"all model servers": ofServers(func(s *demo.Site) []*stand.Backend { return s.Backends(demo.SiteModelService) }),
+		"all servers": ofServers(func(s *demo.Site) []*stand.Backend {
 			return append(s.Backends(demo.SitePlainService), s.Backends(demo.SiteModelService)...)
-		},
+		}),
+		"the store": (*demo.Site).SetStoreSilent,
 	}
-	for name, servers := range silent {
+	for name, setSilent := range silent {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			all := demo.SiteRoutes()
@@ -73,13 +76,9 @@
 			}
 			for _, silence := range silences {
 				pause.For(ctx, 900*time.Millisecond)
-				for _, b := range servers(s) {
-					require.NoError(t, s.SetSilent(b, true))
-				}
+				require.NoError(t, setSilent(s, true))
 				pause.For(ctx, silence)
-				for _, b := range servers(s) {
-					require.NoError(t, s.SetSilent(b, false))
-				}
+				require.NoError(t, setSilent(s, false))
 			}
 			stop()
 			wait.Wait()
@@ -89,6 +88,16 @@
 	}
 }
 
+// ofServers returns a function that makes some servers of a deployment silent, or ends that.
+func ofServers(choose func(*demo.Site) []*stand.Backend) func(*demo.Site, bool) error {
+	return func(s *demo.Site, silent bool) (err error) {
+		for _, b := range choose(s) {
+			err = errors.Join(err, s.SetSilent(b, silent))
+		}
+		return err
+	}
+}
+
 // A VM stops while servers at work on its requests are silent, and go on. Guards against a stop that takes a silent
 // server for one that is gone.
 func TestGracefulStopDuringSilence(t *testing.T) {
@@ -188,3 +197,63 @@
 		}
 	}
 }
+
+// All servers are silent for a moment while many requests arrive that need new connections, so that VMs take their path
+// to the servers for lost. Guards against a request that is under way, or that arrives then, and gets neither its answer
+// nor a refusal.
+func TestRequestsSurvivePathThatSeemsLost(t *testing.T) {
+	const workTime, silence, underWay, burst = 2500 * time.Millisecond, 1900 * time.Millisecond, 8, 40
+	s, ctx := startSite(t, demo.SiteOptions{Backends: 6, WorkTime: workTime})
+	servers := append(s.Backends(demo.SitePlainService), s.Backends(demo.SiteModelService)...)
+	var wait sync.WaitGroup
+	var checks demo.Checks
+	var refused atomic.Int64
+	send := func(id string, vm int, mayRefuse bool) {
+		wait.Go(func() {
+			sent := time.Now()
+			got := call(ctx, s, s.VMAddresses()[vm], id, http.MethodPost, "/book/x", "")
+			ran := s.Runs.Servers(id)
+			switch {
+			case got.err == nil && got.status == http.StatusOK:
+			case mayRefuse && got.err == nil && got.status == http.StatusServiceUnavailable && len(ran) == 0:
+				refused.Add(1)
+			case time.Since(sent) < demo.CallDeadline/2:
+				checks.AddViolation("%s: status %d, %v, ran on %v", id, got.status, got.err, ran)
+			}
+		})
+	}
+	for vm := range s.VMAddresses() {
+		for i := range underWay {
+			send(fmt.Sprintf("under-way-%d-%d", vm, i), vm, false)
+		}
+	}
+	require.Eventually(t, func() bool {
+		for vm := range s.VMAddresses() {
+			for i := range underWay {
+				if len(s.Runs.Servers(fmt.Sprintf("under-way-%d-%d", vm, i))) == 0 {
+					return false
+				}
+			}
+		}
+		return true
+	}, testTimeout, time.Millisecond)
+	for _, b := range servers {
+		require.NoError(t, s.SetSilent(b, true))
+	}
+	for vm := range s.VMAddresses() {
+		for i := range burst {
+			send(fmt.Sprintf("burst-%d-%d", vm, i), vm, true)
+		}
+	}
+	pause.For(ctx, silence)
+	for _, b := range servers {
+		require.NoError(t, s.SetSilent(b, false))
+	}
+	wait.Wait()
+	lost := int64(0)
+	for vm := range s.VMAddresses() {
+		lost += s.Node(vm).Metrics().CounterValue("path.changes")
+	}
+	t.Log("refused", refused.Load(), "path changes", lost)
+	require.Empty(t, checks.Violations())
+}
--- a/demo/site.go
+++ b/demo/site.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conf"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/node"
 	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/routes"
@@ -68,7 +69,7 @@
 	Teams *stand.TeamLog
 
 	options          SiteOptions
-	storeAddress     string
+	storeListener    *stand.SilentListener
 	mu               sync.Mutex
 	backends         []*stand.Backend
 	backendAddresses map[string]string
@@ -151,7 +152,7 @@
 
 func (s *Site) start(ctx context.Context) error {
 	var err error
-	if s.storeAddress, err = s.listen(platform.NewStoreHandler(s.Objects)); err != nil {
+	if s.storeListener, err = s.listen(platform.NewStoreHandler(s.Objects)); err != nil {
 		return fmt.Errorf("start store: %w", err)
 	}
 	if err := s.Configure(1, s.options.Routes, s.options.Teams...); err != nil {
@@ -177,7 +178,10 @@
 }
 
 // StoreAddress returns the address on which the store listens.
-func (s *Site) StoreAddress() string { return s.storeAddress }
+func (s *Site) StoreAddress() string { return s.storeListener.Addr().String() }
+
+// SetStoreSilent makes the host of the store silent, or ends that, as SetSilent does for a backend server.
+func (s *Site) SetStoreSilent(silent bool) error { return s.storeListener.SetSilent(silent) }
 
 // Configure writes the routes, services, limits and teams to the store, as an operator does.
 func (s *Site) Configure(version int, all []routes.Route, teams ...routes.Team) error {
@@ -191,12 +195,9 @@
 	return nil
 }
 
-func (s *Site) listen(h http.Handler) (string, error) {
+func (s *Site) listen(h http.Handler) (*stand.SilentListener, error) {
 	_, l, err := s.serve(h)
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), nil
+	return l, err
 }
 
 var errSiteClosed = errors.New("deployment is closed")
@@ -221,7 +222,7 @@
 }
 
 func (s *Site) addVM(ctx context.Context, i int) error {
-	text, err := VMSettings(i, s.storeAddress)
+	text, err := VMSettings(i, s.StoreAddress())
 	if err != nil {
 		return err
 	}
@@ -239,7 +240,7 @@
 // StartNode starts the i-th VM. It also restarts a VM after StopNode or KillNode.
 func (s *Site) StartNode(ctx context.Context, i int) error {
 	vm := s.vms[i]
-	client := &http.Client{Transport: &http.Transport{}}
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return conns.Dial(ctx, address) }}}
 	serverClient := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return vm.path.Dial(ctx, address) }}}
 	vm.closeIdleConnections = func() {
 		client.CloseIdleConnections()
@@ -247,7 +248,7 @@
 	}
 	vm.node = node.New(node.Config{
 		Settings: vm.settings, HeaderNames: &platform.HeaderNames, InstanceProbe: &platform.InstanceProbe,
-		Objects: platform.NewStoreClient(client, s.storeAddress), ServerClient: platform.NewServerClient(serverClient), DialServer: vm.path.Dial,
+		Objects: platform.NewStoreClient(client, s.StoreAddress()), ServerClient: platform.NewServerClient(serverClient), DialServer: vm.path.Dial,
 		ConfigKind: platform.ConfigKind, ConfigName: platform.ConfigName, ServerKind: platform.ServerKind,
 		DecodeTable: platform.DecodeTable, DecodeEntry: platform.DecodeEntry, CloseIdleStoreConns: client.CloseIdleConnections, Now: clock.Now, Log: s.options.Log,
 	})
