poison: One type matches lost connections with ended processes

For readers: the tracker of requests and that of parts of prompts each kept the lost connections and the ended processes of the last five seconds, matched them in either order and removed the old ones, line for line the same but for what they keep of a request. No fault of callers. Change: confirmations, generic over what is kept of a request, holds both maps and does the three steps, in confirm.go with the time limit. The trackers hold one each and record the crashes that it confirms, under their locks and in the order as before. Ruled out: one tracker for both. What they conclude from a crash, report and take back differs.

--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -167,11 +167,5 @@
 		return age >= partMemory || age >= survivalMemory && s.count < provenSurvivals
 	})
 	maps.DeleteFunc(t.crashes, func(_ string, c *partCrash) bool { return now.Sub(c.at) >= partMemory })
-	maps.DeleteFunc(t.ended, func(_ string, at time.Time) bool { return now.Sub(at) >= confirmWindow })
-	for server, list := range t.lost {
-		list = slices.DeleteFunc(list, func(l lostParts) bool { return now.Sub(l.at) >= confirmWindow })
-		if t.lost[server] = list; len(list) == 0 {
-			delete(t.lost, server)
-		}
-	}
+	t.confirmations.sweep(now)
 }
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -92,10 +92,8 @@
 	OnBlock func(PartSuspect)
 
 	mu sync.Mutex
-	// lost holds the parts of requests whose connection to a server was lost, and ended when a server process was
-	// found to have ended, both by the ID of the server instance.
-	lost  map[string][]lostParts
-	ended map[string]time.Time
+	// confirmations finds the parts of requests that were in progress on servers that ended.
+	confirmations confirmations[[]Part]
 	// crashes holds the ended servers, by the ID of the instance.
 	crashes map[string]*partCrash
 	// survived holds the parts that sound requests have survived.
@@ -122,11 +120,6 @@
 	count int
 }
 
-type lostParts struct {
-	parts []Part
-	at    time.Time
-}
-
 // partCrash is an ended server. Its parts have their greatest places in prompts. explained is set once one of them was
 // blocked: the crash is no evidence against another one, also after the block.
 type partCrash struct {
@@ -144,14 +137,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	if at, ok := t.ended[server]; ok && now.Sub(at) < confirmWindow {
+	if t.confirmations.connectionLost(now, parts, server) {
 		t.addCrash(now, server, parts)
-		return
-	}
-	if t.lost == nil {
-		t.lost = make(map[string][]lostParts)
 	}
-	t.lost[server] = append(t.lost[server], lostParts{parts: parts, at: now})
 }
 
 // ProcessEnded records that the process of the server instance with the given ID has ended.
@@ -159,16 +147,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	if t.ended == nil {
-		t.ended = make(map[string]time.Time)
-	}
-	t.ended[server] = now
-	for _, l := range t.lost[server] {
-		if now.Sub(l.at) < confirmWindow {
-			t.addCrash(now, server, l.parts)
-		}
+	for _, parts := range t.confirmations.processEnded(now, server) {
+		t.addCrash(now, server, parts)
 	}
-	delete(t.lost, server)
 }
 
 // addCrash records an ended server with the parts of a request that was in progress on it. t.mu is held.
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -14,9 +14,6 @@
 	defaultCrashLimit = 3
 	// defaultBlockDuration is how long a blocked request is not sent to servers.
 	defaultBlockDuration = time.Hour
-	// confirmWindow is the maximum time between the loss of a connection and the notice that the
-	// server process ended. Store entries expire a few seconds after their last heartbeat.
-	confirmWindow = 5 * time.Second
 	// maxRecords bounds the tracked requests, as the loss of a failure domain can interrupt
 	// thousands at once.
 	maxRecords = 4096
@@ -70,10 +67,8 @@
 
 	mu      sync.Mutex
 	records map[Fingerprint]*record
-	// lostConnections holds the requests whose connection to a server was lost, and endedAt when
-	// a server process was found to have ended, both by the ID of the server instance.
-	lostConnections map[string][]lostConnection
-	endedAt         map[string]time.Time
+	// confirmations finds the requests that were in progress on servers that ended.
+	confirmations confirmations[Fingerprint]
 	// answered are the requests with a complete response, for the next report.
 	answered  []Fingerprint
 	lastSweep time.Time
@@ -98,12 +93,6 @@
 
 func (r *record) blocked(now time.Time) bool { return now.Before(r.blockedUntil) }
 
-// lostConnection is a request whose connection to a server was lost before the response ended.
-type lostConnection struct {
-	request Fingerprint
-	at      time.Time
-}
-
 // ConnectionLost records that the connection to a server was lost while a request was in
 // progress. It counts as a crash if ProcessEnded is called for the server within confirmWindow,
 // before or after.
@@ -111,14 +100,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	if at, ok := t.endedAt[server]; ok && now.Sub(at) < confirmWindow {
+	if t.confirmations.connectionLost(now, request, server) {
 		t.addLocalCrash(now, Crash{Request: request, Server: server})
-		return
 	}
-	if t.lostConnections == nil {
-		t.lostConnections = make(map[string][]lostConnection)
-	}
-	t.lostConnections[server] = append(t.lostConnections[server], lostConnection{request: request, at: now})
 }
 
 // ProcessEnded records that the process of the server instance with the given ID has ended.
@@ -126,16 +110,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	if t.endedAt == nil {
-		t.endedAt = make(map[string]time.Time)
-	}
-	t.endedAt[server] = now
-	for _, l := range t.lostConnections[server] {
-		if now.Sub(l.at) < confirmWindow {
-			t.addLocalCrash(now, Crash{Request: l.request, Server: server})
-		}
+	for _, request := range t.confirmations.processEnded(now, server) {
+		t.addLocalCrash(now, Crash{Request: request, Server: server})
 	}
-	delete(t.lostConnections, server)
 }
 
 // Answered records that a server responded to a request completely without crashing.
@@ -334,15 +311,5 @@
 			delete(t.records, request)
 		}
 	}
-	for server, at := range t.endedAt {
-		if now.Sub(at) >= confirmWindow {
-			delete(t.endedAt, server)
-		}
-	}
-	for server, list := range t.lostConnections {
-		list = slices.DeleteFunc(list, func(l lostConnection) bool { return now.Sub(l.at) >= confirmWindow })
-		if t.lostConnections[server] = list; len(list) == 0 {
-			delete(t.lostConnections, server)
-		}
-	}
+	t.confirmations.sweep(now)
 }
