demo: The tests of blocked requests and of blocked parts share their table of events

For readers: TestBlockSurvivesFailures and TestCrashingPartBlocked each had the same four events (none, the controller killed, all VMs restarted, the store unavailable), so that one could drift from the other. No fault of callers. Change: blockEvents, beside the first of them, is the table of both. Cases, their names and all assertions stay. Ruled out: one loop for both tests. What they require of answers and crashes differs.

--- a/demo/parts_test.go
+++ b/demo/parts_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
-	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 const (
@@ -70,27 +69,7 @@
 // Guards against servers that end one after the other under requests that are all different and share a part of
 // their prompts, and against blocking sound requests that share their other parts.
 func TestCrashingPartBlocked(t *testing.T) {
-	tests := map[string]func(ctx context.Context, t *testing.T, s *demo.Site){
-		"no event": func(context.Context, *testing.T, *demo.Site) {},
-		"the controller is killed": func(_ context.Context, t *testing.T, s *demo.Site) {
-			i := controllerIndex(t, s)
-			s.KillNode(i)
-			require.Eventually(t, func() bool { return s.Node((i+1)%3).Leading() || s.Node((i+2)%3).Leading() }, testTimeout, 5*time.Millisecond)
-		},
-		"all VMs are restarted": func(ctx context.Context, t *testing.T, s *demo.Site) {
-			for i := range s.VMAddresses() {
-				s.KillNode(i)
-			}
-			for i := range s.VMAddresses() {
-				require.NoError(t, s.StartNode(ctx, i))
-			}
-			require.NoError(t, s.WaitReady(ctx))
-		},
-		"the store is unavailable": func(_ context.Context, _ *testing.T, s *demo.Site) {
-			s.Objects.SetFaults(stand.ObjectStoreFaults{UnavailableTo: []string{"*"}})
-		},
-	}
-	for name, event := range tests {
+	for name, event := range blockEvents {
 		t.Run(name, func(t *testing.T) {
 			s, ctx := startSite(t, demo.SiteOptions{CrashPart: crashingPart})
 			crashByPart(ctx, t, s)
--- a/demo/poison_test.go
+++ b/demo/poison_test.go
@@ -79,31 +79,33 @@
 	}
 }
 
+// blockEvents are the failures that a block must survive, by name.
+var blockEvents = map[string]func(ctx context.Context, t *testing.T, s *demo.Site){
+	"no event": func(context.Context, *testing.T, *demo.Site) {},
+	"the controller is killed": func(_ context.Context, t *testing.T, s *demo.Site) {
+		i := controllerIndex(t, s)
+		s.KillNode(i)
+		require.Eventually(t, func() bool { return s.Node((i+1)%3).Leading() || s.Node((i+2)%3).Leading() }, testTimeout, 5*time.Millisecond)
+	},
+	"all VMs are restarted": func(ctx context.Context, t *testing.T, s *demo.Site) {
+		for i := range s.VMAddresses() {
+			s.KillNode(i)
+		}
+		for i := range s.VMAddresses() {
+			require.NoError(t, s.StartNode(ctx, i))
+		}
+		require.NoError(t, s.WaitReady(ctx))
+	},
+	"the store is unavailable": func(_ context.Context, _ *testing.T, s *demo.Site) {
+		s.Objects.SetFaults(stand.ObjectStoreFaults{UnavailableTo: []string{"*"}})
+	},
+}
+
 // Guards against a blocked request reaching servers again after a change of controller, a restart
 // of all VMs or a store outage, and against a refusal without status 503 or the remaining block
 // time.
 func TestBlockSurvivesFailures(t *testing.T) {
-	tests := map[string]func(ctx context.Context, t *testing.T, s *demo.Site){
-		"no event": func(context.Context, *testing.T, *demo.Site) {},
-		"the controller is killed": func(_ context.Context, t *testing.T, s *demo.Site) {
-			i := controllerIndex(t, s)
-			s.KillNode(i)
-			require.Eventually(t, func() bool { return s.Node((i+1)%3).Leading() || s.Node((i+2)%3).Leading() }, testTimeout, 5*time.Millisecond)
-		},
-		"all VMs are restarted": func(ctx context.Context, t *testing.T, s *demo.Site) {
-			for i := range s.VMAddresses() {
-				s.KillNode(i)
-			}
-			for i := range s.VMAddresses() {
-				require.NoError(t, s.StartNode(ctx, i))
-			}
-			require.NoError(t, s.WaitReady(ctx))
-		},
-		"the store is unavailable": func(_ context.Context, _ *testing.T, s *demo.Site) {
-			s.Objects.SetFaults(stand.ObjectStoreFaults{UnavailableTo: []string{"*"}})
-		},
-	}
-	for name, event := range tests {
+	for name, event := range blockEvents {
 		t.Run(name, func(t *testing.T) {
 			s, ctx := startSite(t, demo.SiteOptions{CrashBody: crashingBody})
 			crashServers(ctx, t, s)
