pass: The lines of the log about a request read field by field

For readers: the statements that log a request, a failed attempt and a proxied request ran to 265 columns, and the first two repeated the five fields about the last response. No fault of callers. The literal and the span of an attempt, and the line of a proxied request, are broken in rows too. Ruled out: one function for the lines of a request and of an attempt. Conclusion: no statement of gateway.go or attempt.go is wider than 160 columns.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -83,10 +83,15 @@
 	now = g.Now()
 	c.choice = choice
 	a := &attempt{
-		reply: reply{g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(), requestID: c.id, server: choice.Server.ID}, c: c, choice: choice, pool: way.pool,
+		reply: reply{
+			g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(),
+			requestID: c.id, server: choice.Server.ID,
+		},
+		c: c, choice: choice, pool: way.pool,
 		balancerAttempt: g.Balancer.Begin(now, choice, c.work, g.kvCacheTokens(c)),
 	}
-	_, a.span = spans.Start(ctx, "attempt", attribute.String("server", a.server), attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
+	_, a.span = spans.Start(ctx, "attempt", attribute.String("server", a.server),
+		attribute.Int64("predicted_ms", choice.PredictedTime.Milliseconds()))
 	a.stopClosing = stopClosing
 	g.proxyLoads.add(way.proxy, 1)
 	return a
@@ -136,15 +141,6 @@
 	}
 }
 
-// logFailedAttempt logs why an attempt got no response that can be forwarded.
-func (g *Gateway) logFailedAttempt(c *call, choice pick.Choice, reason string) {
-	c.reason = reason
-	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("server", choice.Server.ID).Str("address", choice.Server.Address).Str("software_version", choice.Server.SoftwareVersion).
-		Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).
-		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
-		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Str("reason", reason).Msg("try failed")
-}
-
 // attempt is one send of a call to one server.
 type attempt struct {
 	reply
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -225,19 +225,6 @@
 	http.Error(w, reason, status)
 }
 
-func (g *Gateway) logRequest(c *call) {
-	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).Str("route", c.route.Name).Str("team", c.teamName()).Int("config_version", c.configVersion).
-		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
-		Strs("servers", c.sentTo).Strs("software_versions", c.versions).Str("resumes", c.resumes).Str("bound_by", c.boundBy).Str("bound_version", c.binding.version).Str("resumed_after", c.request.Header.Get(headerLastEvent)).Int("sends", c.sends).Int("status", c.status).
-		Bool("may_have_run", c.mayHaveRun).Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
-		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).Str("proxy", c.proxy).Strs("parts", partIDs(c.sharedParts())).Str("blocked_part", string(c.blockedPart)).Strs("left_silent", c.leftSilent).Str("reason", c.reason).
-		Dur("objective", c.route.Objective).Dur("pause_limit", c.route.MaxEventGap).Int("prompt", c.work.PromptTokens).Int("output", c.work.MaxOutputTokens).
-		Dur("predicted", c.choice.PredictedTime).Dur("queue", c.choice.QueueTime).Int("missing", c.choice.UncachedTokens).
-		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.KVTokens).
-		Dur("first_event", c.timeToFirstEvent).Dur("longest_pause", c.maxEventGap).Int("events", c.eventCount).Dur("held", c.admissionWait).Dur("sought", c.modelWait).Dur("quota_wait", c.quota.wait).
-		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
-}
-
 // serveCall sends a call to servers until one responds or no further attempt is allowed.
 func (g *Gateway) serveCall(w http.ResponseWriter, c *call) {
 	ctx, cancel := c.context(g.Now())
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -117,8 +117,9 @@
 	if p.resp != nil {
 		status, framing = p.resp.StatusCode, httpx.FramingOf(p.resp)
 	}
-	p.g.Log.Info().Str("request", p.requestID).Str("server", p.server).Str("software_version", p.entry.SoftwareVersion).Str("from", p.r.RemoteAddr).Int("status", status).
-		Str("framing", framing.String()).Str("result", result).Msg("request proxied")
+	p.g.Log.Info().Str("request", p.requestID).
+		Str("server", p.server).Str("software_version", p.entry.SoftwareVersion).
+		Str("from", p.r.RemoteAddr).Int("status", status).Str("framing", framing.String()).Str("result", result).Msg("request proxied")
 }
 
 func (p *proxied) serve() {
