pass: Choosing a server reads as pick, wait for a listed one, wait for another

For readers: chooseServer had 63 lines, in which the three waits for a listed server repeated the same three-way branch; serveCall asked twice whether an attempt was done; newCall had eight parameters on one line, two of them single letters. No fault of callers. Change: awaitServing holds the refusal of a call whose servers are all at rest and the three waits, in their order. serveCall returns when an attempt is done and breaks when no further one may follow. newCall breaks its parameters and says what they are. Ruled out: a record for the parameters of newCall. It has one caller besides tests, and would move the list, not shorten it. Conclusion: chooseServer has 49 lines.

--- a/pass/call.go
+++ b/pass/call.go
@@ -129,20 +129,27 @@
 	framing httpx.Framing
 }
 
-// newCall parses the headers that routing depends on. The request body must have been read.
-func newCall(now time.Time, n *HeaderNames, r *http.Request, body []byte, t *routes.Table, route routes.Route, team *routes.Team, resumes string) *call {
+// newCall returns the call of a request that arrived now, with its body, the route and the team that the table has for
+// it, nil for none, and the attempt that began the stream which it takes up, "" for none. It parses the headers that
+// routing depends on.
+func newCall(
+	now time.Time, names *HeaderNames, r *http.Request, body []byte,
+	table *routes.Table, route routes.Route, team *routes.Team, resumes string,
+) *call {
 	c := &call{
-		id: r.Header.Get(n.AttemptID), fingerprint: poison.FingerprintOf(r, body), request: r, body: body, route: route, team: team, configVersion: t.Version(),
-		arrived: now, lastEventID: r.Header.Get(headerLastEvent), resumes: resumes,
+		id: r.Header.Get(names.AttemptID), fingerprint: poison.FingerprintOf(r, body),
+		request: r, body: body, arrived: now,
+		route: route, team: team, configVersion: table.Version(),
+		lastEventID: r.Header.Get(headerLastEvent), resumes: resumes,
 	}
-	c.deadline = now.Add(requestTimeout(n, r, route))
+	c.deadline = now.Add(requestTimeout(names, r, route))
 	c.firstEventDeadline = c.deadline
 	if firstEventDeadline := now.Add(route.EventTimeout); route.EventTimeout > 0 && firstEventDeadline.Before(c.deadline) {
 		c.firstEventDeadline = firstEventDeadline
 	}
 	c.work.Objective = route.Objective
 	// A stream that is taken up goes to the service that began it.
-	c.setService(n, t, route.PickService(xxhash.Sum64String(cmp.Or(resumes, c.id))))
+	c.setService(names, table, route.PickService(xxhash.Sum64String(cmp.Or(resumes, c.id))))
 	return c
 }
 
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -81,21 +81,7 @@
 			}
 			continue
 		}
-		if g.allResting(now, c, serving) && !g.mayWaitOutRest(c) {
-			g.Meter.AddCounter("pass.refused_resting", 1)
-			return pick.Choice{}, errResting
-		}
-		if waited, err := g.awaitRoom(waitCtx, now, deadline, c, serving); err != nil {
-			return pick.Choice{}, err
-		} else if waited {
-			continue
-		}
-		if waited, err := g.awaitPermit(waitCtx, now, deadline, c, serving); err != nil {
-			return pick.Choice{}, err
-		} else if waited {
-			continue
-		}
-		if again, err := g.nextRound(waitCtx, now, c, serving); err != nil {
+		if again, err := g.awaitServing(waitCtx, now, deadline, c, serving); err != nil {
 			return pick.Choice{}, err
 		} else if again {
 			continue
@@ -108,6 +94,23 @@
 	}
 }
 
+// awaitServing waits until one of the serving servers, none of which can be picked now, may take the call: once it has
+// room, its backoff has ended or the next round begins. It reports whether to choose again, and returns an error if the
+// call is to be refused.
+func (g *Gateway) awaitServing(ctx context.Context, now, deadline time.Time, c *call, serving []backs.Entry) (again bool, err error) {
+	if g.allResting(now, c, serving) && !g.mayWaitOutRest(c) {
+		g.Meter.AddCounter("pass.refused_resting", 1)
+		return false, errResting
+	}
+	if waited, err := g.awaitRoom(ctx, now, deadline, c, serving); waited || err != nil {
+		return waited, err
+	}
+	if waited, err := g.awaitPermit(ctx, now, deadline, c, serving); waited || err != nil {
+		return waited, err
+	}
+	return g.nextRound(ctx, now, c, serving)
+}
+
 // nextRound begins another pass over the candidates if every one was tried. A server that refused may accept
 // the request after a pause. An unreachable server is skipped until the last round, while the controller
 // loads its model elsewhere. It reports whether to choose again, and returns an error if no pass is left.
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -263,11 +263,10 @@
 			c.reason, c.refusal = err.Error(), err
 			break
 		}
-		done := g.sendAttempt(ctx, w, c, choice)
-		if done || !g.mayRetry(ctx, c) {
-			if done {
-				return
-			}
+		if done := g.sendAttempt(ctx, w, c, choice); done {
+			return
+		}
+		if !g.mayRetry(ctx, c) {
 			break
 		}
 	}
