limit, docs: The quotas of teams, taking from them and who is tight stand in files of their own

No fault of callers. Change: quotatake.go has what takes tokens and reports them, quotatight.go what makes a team tight, each with its constants; quota.go keeps the comment on the load, the types, the roles and the bucket. Nothing but places changed, except the line breaks of two comments and a block of one constant. Ruled out: a package for quotas. They share the longest wait with the limits of servers. Measured: the sorted lines before and after differ only in package clauses, imports, the form of constants and these comments.

--- a/limit/quota.go
+++ b/limit/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -25,29 +24,9 @@
 // of the bucket when the subtree links again. So the parts of all roots add up to one quota, whoever is
 // cut off, and a process that starts brings an empty bucket.
 
-const (
-	// toleranceShare is the share of a quota's tolerance by which a bucket may be overdrawn, so that
-	// large requests are not starved by small ones. The rest of the tolerance is for late reports.
-	toleranceShare = 0.5
-	// tightLevel is the share of its capacity below which a team's bucket is tight, and relaxedLevel
-	// the share that it must keep for relaxAfter to be no longer tight.
-	tightLevel   = 0.5
-	relaxedLevel = 0.9
-	relaxAfter   = 2 * time.Second
-	// rankReserve is the share of the capacity that a request must leave per step of its rank, so
-	// that the most urgent requests of a team get the last tokens. maxReserve bounds it.
-	rankReserve = 0.15
-	maxReserve  = 0.6
-	// maxDebt is how far a bucket may be below zero, as a multiple of its capacity. A subtree with more
-	// than its part of a team's requests would otherwise refuse them all for long after it has lost
-	// the root.
-	maxDebt = 2
-	// overdrawnLevel is the level, as a multiple of its capacity, below which the bucket of a VM with a
-	// root makes the team tight in its subtree until it is no longer below zero. The root may not
-	// get the reports: a lost link is noticed after a second, in which a team could use several
-	// times its quota.
-	overdrawnLevel = -1
-)
+// maxDebt is how far a bucket may be below zero, as a multiple of its capacity. A subtree with more than its part of a
+// team's requests would otherwise refuse them all for long after it has lost the root.
+const maxDebt = 2
 
 // Quota is the limit of a team for all VMs together, in units per second and units.
 type Quota struct {
@@ -236,145 +215,6 @@
 	return q.teams[team] != nil
 }
 
-// Tight reports whether a request of a team must take its tokens from the root before it is sent.
-func (q *Quotas) Tight(now time.Time, team string) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	t := q.teams[team]
-	if t == nil {
-		return false
-	}
-	q.refill(now, t)
-	q.updateTight(now, t)
-	return q.AlwaysTight || q.root || q.tightBelow(t)
-}
-
-// tightBelow reports whether a team is tight for the VMs linked to this one. q.mu must be held.
-func (q *Quotas) tightBelow(t *teamQuota) bool {
-	return t.tight || !q.root && (!q.announced || t.overdrawn)
-}
-
-// Take takes the tokens of a request from this VM's bucket, which at a VM with a root is a substitute
-// for an answer of the root. If granted is set, the request may be sent
-// after wait; otherwise its caller should retry after wait. known is false if the team has no quota
-// here.
-func (q *Quotas) Take(now time.Time, r QuotaRequest) (wait time.Duration, granted, known bool) {
-	q.mu.Lock()
-	t := q.teams[r.Team]
-	if t == nil {
-		q.mu.Unlock()
-		return 0, false, false
-	}
-	q.refill(now, t)
-	wait, granted = q.take(now, t, r)
-	if granted && !q.root {
-		t.unreported += r.Tokens
-	}
-	becameTight := q.updateTight(now, t)
-	q.mu.Unlock()
-	q.notifyTight(becameTight)
-	return wait, granted, true
-}
-
-// take grants or refuses a request. q.mu must be held.
-func (q *Quotas) take(now time.Time, t *teamQuota, r QuotaRequest) (wait time.Duration, granted bool) {
-	capacity, rate := q.capacity(t), q.share*t.quota.PerSecond
-	required := max(min(rankReserve*float64(r.Rank), maxReserve)*capacity, float64(r.Tokens)-q.overdraft(t))
-	if t.level > required {
-		t.level -= float64(r.Tokens)
-		return 0, true
-	}
-	if required >= capacity || rate <= 0 {
-		return maxWait, false
-	}
-	wait = durationOf((required-t.level)/rate) + time.Microsecond
-	if wait <= r.Patience {
-		t.level -= float64(r.Tokens)
-		return wait, true
-	}
-	// Each refused caller is told a time at which there are tokens for it, after those told before.
-	at := now.Add(wait)
-	if t.promisedUntil.After(at) {
-		at = t.promisedUntil
-	}
-	t.promisedUntil = at.Add(min(durationOf(float64(r.Tokens)/rate), maxWait))
-	return min(at.Sub(now), maxWait), false
-}
-
-// Spend records the use, or with a negative number the return, of a team's tokens that were taken
-// without asking, and are to be reported to the root.
-func (q *Quotas) Spend(now time.Time, team string, tokens int) { q.record(now, team, tokens, true) }
-
-// Granted records the use of tokens that the root has granted to this VM's subtree.
-func (q *Quotas) Granted(now time.Time, team string, tokens int) { q.record(now, team, tokens, false) }
-
-func (q *Quotas) record(now time.Time, team string, tokens int, report bool) {
-	q.mu.Lock()
-	t := q.teams[team]
-	if t == nil {
-		q.mu.Unlock()
-		return
-	}
-	q.refill(now, t)
-	t.level -= float64(tokens)
-	q.clamp(t)
-	if report && !q.root {
-		t.unreported += tokens
-	}
-	becameTight := q.updateTight(now, t)
-	q.mu.Unlock()
-	q.notifyTight(becameTight)
-}
-
-// TakeReport returns the uses that are to be reported to the root, sorted by team.
-func (q *Quotas) TakeReport() []Spend {
-	return q.list(func(t *teamQuota) int {
-		unreported := t.unreported
-		t.unreported = 0
-		return unreported
-	})
-}
-
-// TightTeams returns the names of the tight teams, as determined at the root or as announced by it,
-// sorted.
-func (q *Quotas) TightTeams(now time.Time) []string {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var list []string
-	for team, t := range q.teams {
-		q.refill(now, t)
-		q.updateTight(now, t)
-		if q.tightBelow(t) {
-			list = append(list, team)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
-// Announce applies the root's list of tight teams and reports whether it changed.
-func (q *Quotas) Announce(teams []string) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.root {
-		return false
-	}
-	changed := !q.announced
-	q.announced = true
-	for team, t := range q.teams {
-		tight := slices.Contains(teams, team)
-		changed = changed || tight != t.tight
-		t.tight = tight
-	}
-	return changed
-}
-
-func (q *Quotas) notifyTight(becameTight bool) {
-	if becameTight && q.OnTight != nil {
-		q.OnTight()
-	}
-}
-
 // refill adds the tokens earned since the last call. q.mu must be held.
 func (q *Quotas) refill(now time.Time, t *teamQuota) {
 	if elapsed := now.Sub(t.at); elapsed > 0 {
@@ -388,40 +228,5 @@
 	t.level = min(max(t.level, -maxDebt*q.capacity(t)), q.capacity(t))
 }
 
-// updateTight updates whether a team is tight at the root, or overdrawn elsewhere, and reports whether
-// it has become so. q.mu must be held.
-func (q *Quotas) updateTight(now time.Time, t *teamQuota) (became bool) {
-	capacity := q.capacity(t)
-	if !q.root {
-		was := t.overdrawn
-		t.overdrawn = t.level < overdrawnLevel*capacity || was && t.level < 0
-		return t.overdrawn && !was
-	}
-	if t.level < relaxedLevel*capacity {
-		t.full = time.Time{}
-	} else if t.full.IsZero() {
-		t.full = now
-	}
-	switch {
-	case t.level < tightLevel*capacity && !t.tight:
-		t.tight = true
-		return true
-	case t.tight && !t.full.IsZero() && now.Sub(t.full) >= relaxAfter:
-		t.tight = false
-	}
-	return false
-}
-
 // capacity returns the number of tokens that a team's bucket holds at most. q.mu must be held.
 func (q *Quotas) capacity(t *teamQuota) float64 { return q.share * max(t.quota.Burst, 1) }
-
-// overdraft returns the number of tokens by which one request may overdraw a team's bucket. q.mu must
-// be held.
-func (q *Quotas) overdraft(t *teamQuota) float64 {
-	perWindow := q.rules.Window.Seconds()*t.quota.PerSecond + t.quota.Burst
-	return q.share * toleranceShare * (q.rules.Overshoot*perWindow + q.rules.Slack)
-}
-
-func durationOf(seconds float64) time.Duration {
-	return time.Duration(math.Min(seconds*float64(time.Second), float64(time.Hour)))
-}
