trail: The tables of a report are apart from how cells are counted and written

No fault of callers. Change: outcomeCounts.shares returns the three. counts.go has the counts of outcomes, durations.go the percentiles, table.go the columns; tables.go keeps the options and the tables. Texts and columns of the report stay. Ruled out: one function for the rows by route, model and server. Each sorts, cuts and ends its rows in its own way. Measured: the sorted lines before and after the moves differ only in package clauses and imports. `explain` of the recorded log writes the same bytes before and after, in four forms (-top, -window, -spread and none).

--- a/trail/log.go
+++ b/trail/log.go
@@ -198,7 +198,9 @@
 		l.addStart(vm, parsed.Time.UnixNano())
 	case messageOrder:
 		if parsed.Adapter == "" {
-			l.orders = append(l.orders, order{parsed.Time.UnixNano(), l.texts.id(parsed.Model), l.texts.id(parsed.Server), parsed.Unload, int8(parsed.OrderResult)})
+			l.orders = append(l.orders, order{
+				parsed.Time.UnixNano(), l.texts.id(parsed.Model), l.texts.id(parsed.Server), parsed.Unload, int8(parsed.OrderResult),
+			})
 		}
 	}
 }
@@ -213,11 +215,14 @@
 func (l *Log) newRequest(vm textID, parsed *logLine) Request {
 	outcome, cause := classify(parsed)
 	r := Request{
-		at: parsed.Time.UnixNano(), vm: vm, route: l.texts.id(parsed.Route), service: l.texts.id(parsed.Service), model: l.texts.id(parsed.Model),
+		at: parsed.Time.UnixNano(), vm: vm,
+		route: l.texts.id(parsed.Route), service: l.texts.id(parsed.Service), model: l.texts.id(parsed.Model),
 		outcome: outcome, cause: l.texts.id(cause), attempts: uint8(min(parsed.Attempts, 255)),
-		streamed: parsed.PauseLimit > 0, sentDirectly: parsed.Attempts == 1 && parsed.AdmissionWait == 0 && parsed.FindWait == 0,
-		objective: float32(parsed.Objective), predicted: float32(parsed.Predicted), firstEvent: float32(parsed.FirstEvent),
-		pauseLimit: float32(parsed.PauseLimit), longestPause: float32(parsed.LongestPause), admissionWait: float32(parsed.AdmissionWait), duration: float32(parsed.Duration),
+		streamed:     parsed.PauseLimit > 0,
+		sentDirectly: parsed.Attempts == 1 && parsed.AdmissionWait == 0 && parsed.FindWait == 0,
+		objective:    float32(parsed.Objective), predicted: float32(parsed.Predicted), firstEvent: float32(parsed.FirstEvent),
+		pauseLimit: float32(parsed.PauseLimit), longestPause: float32(parsed.LongestPause),
+		admissionWait: float32(parsed.AdmissionWait), duration: float32(parsed.Duration),
 	}
 	if len(parsed.Servers) > 0 {
 		r.server = l.texts.id(parsed.Servers[len(parsed.Servers)-1])
--- a/trail/repeats.go
+++ b/trail/repeats.go
@@ -130,9 +130,11 @@
 		return
 	}
 	t.writeRow()
-	t.writeRow("most repeats in "+o.retryWindow().String(), "from", "repeats", "requests", "refused", "VMs", "by young processes", "most by one VM", "least VMs divided by")
+	t.writeRow("most repeats in "+o.retryWindow().String(), "from", "repeats", "requests", "refused", "VMs",
+		"by young processes", "most by one VM", "least VMs divided by")
 	for _, w := range list[:min(len(list), o.top())] {
 		vm, n := w.busiest()
-		t.writeRow(l.texts.text(w.service), formatTime(w.start), w.repeats, w.requests, w.refused, len(w.byVM), w.young, l.texts.text(vm)+" "+strconv.Itoa(n), w.leastVMs)
+		t.writeRow(l.texts.text(w.service), formatTime(w.start), w.repeats, w.requests, w.refused, len(w.byVM),
+			w.young, l.texts.text(vm)+" "+strconv.Itoa(n), w.leastVMs)
 	}
 }
--- a/trail/spread.go
+++ b/trail/spread.go
@@ -132,7 +132,8 @@
 	t := newTable(w)
 	t.writeRow("change", "", "first at", "VMs", "of", "ms to half", "0.99", "all")
 	for _, s := range list {
-		t.writeRow(changeKindNames[s.kind], l.texts.text(s.name), formatTime(s.first), s.known, s.running, formatDelay(s.half), formatDelay(s.most), formatDelay(s.all))
+		t.writeRow(changeKindNames[s.kind], l.texts.text(s.name), formatTime(s.first), s.known, s.running,
+			formatDelay(s.half), formatDelay(s.most), formatDelay(s.all))
 	}
 	l.writeBadLines(t)
 	return t.close()
--- a/trail/tables.go
+++ b/trail/tables.go
@@ -6,10 +6,7 @@
 	"io"
 	"maps"
 	"slices"
-	"text/tabwriter"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Options select the content of a report. The zero value is ready to use.
@@ -36,64 +33,6 @@
 	return cmp.Or(o.RetryWindow, defaultRetryWindow)
 }
 
-// outcomeCounts counts requests by outcome.
-type outcomeCounts struct{ total, inTime, late, lost int }
-
-func (c *outcomeCounts) add(r *Request) {
-	c.total++
-	switch r.outcome {
-	case InTime:
-		c.inTime++
-	case Late:
-		c.late++
-	case Lost:
-		c.lost++
-	}
-}
-
-func (c *outcomeCounts) lateOrLost() int { return c.late + c.lost }
-
-func formatShare(n, total int) string {
-	if total == 0 {
-		return "-"
-	}
-	return fmt.Sprintf("%.1f%%", 100*float64(n)/float64(total))
-}
-
-// table writes aligned columns and retains the first write error.
-type table struct {
-	out *tabwriter.Writer
-	err error
-}
-
-func newTable(w io.Writer) *table { return &table{out: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)} }
-
-func (t *table) writeRow(cells ...any) {
-	for i, c := range cells {
-		if i > 0 {
-			t.writeText("\t")
-		}
-		t.writeText(fmt.Sprint(c))
-	}
-	t.writeText("\n")
-}
-
-func (t *table) writeText(text string) {
-	if t.err == nil {
-		_, t.err = io.WriteString(t.out, text)
-	}
-}
-
-func (t *table) close() error {
-	if t.err != nil {
-		return fmt.Errorf("write the report: %w", t.err)
-	}
-	if err := t.out.Flush(); err != nil {
-		return fmt.Errorf("write the report: %w", err)
-	}
-	return nil
-}
-
 // Report writes the tables selected by o.
 func (l *Log) Report(w io.Writer, o Options) error {
 	requests := l.selectRequests(o.Model)
@@ -143,31 +82,8 @@
 	for _, r := range requests {
 		all.add(r)
 	}
-	t.writeRow(fmt.Sprintf("%d requests: %s in time, %s late, %s lost", all.total, formatShare(all.inTime, all.total), formatShare(all.late, all.total), formatShare(all.lost, all.total)))
-}
-
-func formatTime(at int64) string {
-	if at == 0 {
-		return "-"
-	}
-	return time.Unix(0, at).UTC().Format("15:04:05.000")
-}
-
-// groupRequests counts requests by a key, and returns the keys in descending order of late and lost
-// requests.
-func groupRequests(list []*Request, key func(*Request) textID) (map[textID]*outcomeCounts, []textID) {
-	groups := make(map[textID]*outcomeCounts)
-	for _, r := range list {
-		k := key(r)
-		if groups[k] == nil {
-			groups[k] = &outcomeCounts{}
-		}
-		groups[k].add(r)
-	}
-	keys := slices.SortedFunc(maps.Keys(groups), func(a, b textID) int {
-		return cmp.Or(cmp.Compare(groups[b].lateOrLost(), groups[a].lateOrLost()), cmp.Compare(groups[b].total, groups[a].total), cmp.Compare(a, b))
-	})
-	return groups, keys
+	inTime, late, lost := all.shares()
+	t.writeRow(fmt.Sprintf("%d requests: %s in time, %s late, %s lost", all.total, inTime, late, lost))
 }
 
 func (l *Log) writeRoutes(t *table, requests []*Request) {
@@ -186,7 +102,9 @@
 			}
 		}
 		c := groups[route]
-		t.writeRow(l.texts.text(route), c.total, formatShare(c.inTime, c.total), formatShare(c.late, c.total), formatShare(c.lost, c.total), first.atPercentile(50), first.atPercentile(95), pause.atPercentile(95))
+		inTime, late, lost := c.shares()
+		t.writeRow(l.texts.text(route), c.total, inTime, late, lost,
+			first.atPercentile(50), first.atPercentile(95), pause.atPercentile(95))
 	}
 }
 
@@ -253,7 +171,8 @@
 	t.writeRow("model", "asked", "in time", "late", "lost", "loads", "unloads")
 	for _, m := range models[:min(len(models), o.top())] {
 		c := groups[m]
-		t.writeRow(l.texts.text(m), c.total, formatShare(c.inTime, c.total), formatShare(c.late, c.total), formatShare(c.lost, c.total), loads[m], unloads[m])
+		inTime, late, lost := c.shares()
+		t.writeRow(l.texts.text(m), c.total, inTime, late, lost, loads[m], unloads[m])
 	}
 }
 
@@ -293,7 +212,8 @@
 	t.writeRow("server", "last attempts", "in time", "late", "lost", "attempts without an answer", "most common reason")
 	for _, s := range servers[:min(len(servers), o.top())] {
 		c := groups[s]
-		t.writeRow(l.texts.text(s), c.total, formatShare(c.inTime, c.total), formatShare(c.late, c.total), formatShare(c.lost, c.total), failed[s], l.commonFailure(s))
+		inTime, late, lost := c.shares()
+		t.writeRow(l.texts.text(s), c.total, inTime, late, lost, failed[s], l.commonFailure(s))
 	}
 }
 
@@ -384,39 +304,7 @@
 		if w.count.total+w.loads+w.unloads == 0 {
 			continue
 		}
-		t.writeRow(formatTime(w.start), w.count.total, formatShare(w.count.inTime, w.count.total), formatShare(w.count.late, w.count.total), formatShare(w.count.lost, w.count.total), w.loads, w.unloads)
-	}
-}
-
-// durations records durations in milliseconds for percentiles.
-type durations struct {
-	hist *hdrhistogram.Histogram
-	n    int
-}
-
-const (
-	// maxDurationMicros is an hour, which exceeds the duration of any request by far.
-	// significantDigits is the precision of the percentiles.
-	maxDurationMicros = int64(time.Hour / time.Microsecond)
-	significantDigits = 3
-)
-
-func newDurations() *durations {
-	return &durations{hist: hdrhistogram.New(1, maxDurationMicros, significantDigits)}
-}
-
-func (d *durations) record(ms float32) {
-	d.n++
-	// Values outside the histogram's range count as its bounds.
-	us := min(max(int64(ms*1000), 1), maxDurationMicros)
-	if err := d.hist.RecordValue(us); err != nil {
-		d.n--
-	}
-}
-
-func (d *durations) atPercentile(percentile float64) string {
-	if d.n == 0 {
-		return "-"
+		inTime, late, lost := w.count.shares()
+		t.writeRow(formatTime(w.start), w.count.total, inTime, late, lost, w.loads, w.unloads)
 	}
-	return fmt.Sprintf("%.0f", float64(d.hist.ValueAtPercentile(percentile))/1000)
 }
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -61,7 +61,8 @@
 func describe(l *logLine) string {
 	switch l.Message {
 	case messageAttemptFailed:
-		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)", serverWithVersion(l), normalizeReason(l.Reason), l.Predicted, l.Running) + describeResponse(l)
+		return fmt.Sprintf("%s did not answer: %s (predicted %.0f ms, %d running)",
+			serverWithVersion(l), normalizeReason(l.Reason), l.Predicted, l.Running) + describeResponse(l)
 	case messageServerSilent:
 		return fmt.Sprintf("%s was silent", l.Server)
 	case messageProxied:
