steer: Finding a server, the list of servers and the placement of models stand in files of their own

No fault of callers. Change: find.go, listed.go and place.go take these, with their constants. Nothing but places changed. Ruled out: types of their own for searches and placement. They share the lock and the servers of the controller.

--- a/steer/controller.go
+++ b/steer/controller.go
@@ -1,9 +1,7 @@
 package steer
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,14 +30,6 @@
 	// reportRetryInterval is the time between two reports while a server's state is uncertain or
 	// an order is due to end.
 	reportRetryInterval = 200 * time.Millisecond
-	// startupListingTime is how long the controller waits for the other servers of a service after
-	// the first one was listed: servers that start together write their entries within two
-	// heartbeats, some 2.5 s. Until then the models of unlisted servers seem to have no replica.
-	// Loading them at once replaced half the replicas of the busiest model, moments before its
-	// requests began.
-	startupListingTime = 4 * time.Second
-	// defaultWindow is the default window of the weight store's load limit.
-	defaultWindow = 5 * time.Second
 )
 
 // Controller places models and adapters on the servers while it holds the lease. All fields but
@@ -236,177 +226,5 @@
 	c.Log.Info().Dur("since_last_order", now.Sub(c.predecessorEnd)).Int("fence", fencingToken).Msg("lease term started")
 }
 
-// syncServers applies the entries of a service's servers and removes the servers that are no
-// longer listed.
-func (c *Controller) syncServers(now time.Time, service string) {
-	entries := c.Servers.StoredEntries(now)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.servers == nil {
-		c.sortedServers = make(map[string][]*Server)
-		c.servers, c.orderInFlight, c.lastReportRequest = make(map[string]*Server), make(map[string]bool), make(map[string]time.Time)
-		c.firstListed, c.lastReplicaSeen = make(map[string]time.Time), make(map[string]time.Time)
-	}
-	listedIDs, previous := make(map[string]bool), len(c.sortedServers[service])
-	added := 0
-	for _, e := range entries {
-		if e.Service != service {
-			continue
-		}
-		listedIDs[e.ID] = true
-		s := c.servers[e.ID]
-		if s == nil {
-			s = NewServer(e.ReceivedAt, e.Entry)
-			c.servers[e.ID] = s
-			added++
-		}
-		s.ApplyEntry(now, e.ReceivedAt, e.Entry)
-		s.SetRest(now, e.Rest)
-		if e.Unreadable {
-			s.RequireReport()
-		}
-	}
-	for id, s := range c.servers {
-		if s.entry.Service == service && !listedIDs[id] {
-			c.blockRestarted(now, s)
-			delete(c.servers, id)
-			delete(c.lastReportRequest, id)
-		}
-	}
-	if added > 0 || len(listedIDs) != previous {
-		c.sortServers(service)
-	}
-	if c.firstListed[service].IsZero() && len(listedIDs) > 0 {
-		c.firstListed[service] = now
-	}
-	c.notifyChanged()
-}
-
-// blockRestarted blocks orders to the next instance of a removed server while an unanswered order
-// to the removed one may still be executed. c.mu is held.
-func (c *Controller) blockRestarted(now time.Time, previous *Server) {
-	for _, s := range c.servers {
-		if s != previous && s.entry.PlatformName() == previous.entry.PlatformName() {
-			s.BlockAfterRestart(now, previous)
-		}
-	}
-}
-
-// serversOf returns the servers of a service sorted by ID. Callers must not change the list.
-func (c *Controller) serversOf(service string) []*Server { return c.sortedServers[service] }
-
-// sortServers sorts the servers of a service by ID, so that the same state leads to the same
-// decisions.
-func (c *Controller) sortServers(service string) {
-	var list []*Server
-	for _, s := range c.servers {
-		if s.entry.Service == service {
-			list = append(list, s)
-		}
-	}
-	slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
-	c.sortedServers[service] = list
-}
-
-func (c *Controller) loadLimiter(service routes.Service) *LoadLimiter {
-	if c.loadLimiters == nil {
-		c.loadLimiters = make(map[string]*LoadLimiter)
-	}
-	loadLimiter := c.loadLimiters[service.Name]
-	if loadLimiter == nil {
-		window := c.Window
-		if window == 0 {
-			window = defaultWindow
-		}
-		loadLimiter = &LoadLimiter{Window: window}
-		c.loadLimiters[service.Name] = loadLimiter
-	}
-	loadLimiter.PerSecond = service.Engine.StoreLoadsPerSecond
-	return loadLimiter
-}
-
-// recordReplicas records which models have a replica now. c.mu is held.
-func (c *Controller) recordReplicas(now time.Time, service string) {
-	for _, s := range c.serversOf(service) {
-		if !s.Placeable(now) || c.Contended != nil && c.Contended(s.entry.ID) {
-			continue
-		}
-		for name, r := range s.models {
-			if r.phase != unloading {
-				c.lastReplicaSeen[service+"/"+name] = now
-			}
-		}
-	}
-}
-
-// timeWithoutReplica returns how long a model has been without a replica. c.mu is held.
-func (c *Controller) timeWithoutReplica(now time.Time, service, model string) time.Duration {
-	last, ok := c.lastReplicaSeen[service+"/"+model]
-	if !ok {
-		last = c.firstListed[service]
-	}
-	return now.Sub(last)
-}
-
-// sinceRequested returns how long ago a model was last requested. The requests before this VM's term are
-// unknown, and may have been sent just before it. c.mu is held.
-func (c *Controller) sinceRequested(now time.Time, demand *Demand, model string) time.Duration {
-	last := demand.Last(model)
-	if last.Before(c.termBegunAt) {
-		last = c.termBegunAt
-	}
-	return now.Sub(last)
-}
-
-func (c *Controller) placeModels(ctx context.Context, now time.Time, service routes.Service) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	demand, limiter := c.demand(service.Name), c.loadLimiter(service)
-	limiter.Unanswered, limiter.Inherited = 0, 0
-	c.recordReplicas(now, service.Name)
-	for _, s := range c.serversOf(service.Name) {
-		if s.HasUnansweredLoad(now) {
-			limiter.Unanswered++
-		}
-		limiter.Inherited += s.InheritedLoads(limiter.PredecessorEnd.Add(-limiter.Window))
-	}
-	planner := &Planner{
-		Engine: service.Engine, Servers: c.serversOf(service.Name), Now: now,
-		Work:   func(model string) float64 { return demand.Work(now, model) / meanAge(demandHalfLife) },
-		StdErr: func(model string) float64 { return demand.StdErr(now, model) / meanAge(demandHalfLife) },
-		Forecast: func(model string, horizon time.Duration) (future, mean float64) {
-			future, mean = demand.Forecast(now, model, horizon)
-			return future / meanAge(demandHalfLife), mean / meanAge(demandHalfLife)
-		},
-		Contended:          c.Contended,
-		Needed:             func(s *Server, model string) bool { return c.neededAt(now, s, service.Name, model) },
-		TimeWithoutReplica: func(model string) time.Duration { return c.timeWithoutReplica(now, service.Name, model) },
-		SinceRequested:     func(model string) (time.Duration, bool) { return c.sinceRequested(now, demand, model), true },
-		MayBeUnlisted: func(model string) bool {
-			return now.Sub(c.firstListed[service.Name]) < startupListingTime && demand.Last(model).IsZero()
-		},
-		// Counts each planned load at once: one plan may contain many, and each must count the
-		// ones before it.
-		StartStoreLoad: func() *LoadStart {
-			if !limiter.Allow(now) {
-				return nil
-			}
-			return limiter.Start(now)
-		},
-	}
-	for _, step := range planner.Steps() {
-		if c.orderInFlight[step.Server.entry.ID] {
-			limiter.Release(step.LoadStart)
-			continue
-		}
-		if step.ReplacedBy != "" {
-			step.Server.Reserve(now, step.ReplacedBy)
-		}
-		c.sendAsyncWithCallback(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.LoadTime, func(result OrderResult) {
-			limiter.RecordResult(c.Now(), step.LoadStart, result)
-		})
-	}
-}
-
 // runningRequests returns how many requests all VMs together have at a server.
 func (c *Controller) runningRequests(id string) int { return c.totalLoads[id].Running }
