steer: Whether an adapter fits at a server, and what work makes a model busy, have names

No fault of callers. Change: Server.fitsAdapter, requestedAt, busyWork and tooSmall are the parts of these conditions. Ruled out: fitsAdapter in bestAdapterServer. Its caller has counted the slots, with orders that are not sent yet. The tests of steer pass, also with the race detector; vet, staticcheck and golangci-lint find nothing in it.

--- a/steer/adapters.go
+++ b/steer/adapters.go
@@ -62,7 +62,7 @@
 // loadAdapterAt orders an adapter at a server. Without a free slot or memory it orders the
 // unloading of an adapter that had no recent requests instead.
 func (c *Controller) loadAdapterAt(ctx context.Context, now time.Time, s *Server, service routes.Service, model, adapter string) {
-	if s.UsedAdapterSlots() < service.Engine.AdapterSlots && s.usedMB(service.Engine)+service.Engine.Models[model].AdapterSizeMB <= service.Engine.WeightMemoryMB {
+	if s.fitsAdapter(service.Engine, model) {
 		c.sendAsync(context.WithoutCancel(ctx), s, Order{Model: model, Adapter: adapter}, adapterLoadTime)
 		return
 	}
@@ -145,7 +145,8 @@
 	for _, model := range c.busyModels(now, service) {
 		for i := range model.AdapterCount {
 			adapter := adapterID(i)
-			if present[model.Name+"/"+adapter] || now.Sub(c.adapterDemand.Last(adapterKey(service.Name, model.Name, adapter))) > recentRequestTime {
+			requestedAt := c.adapterDemand.Last(adapterKey(service.Name, model.Name, adapter))
+			if present[model.Name+"/"+adapter] || now.Sub(requestedAt) > recentRequestTime {
 				continue
 			}
 			candidates[model.Name] = slices.DeleteFunc(candidates[model.Name], func(s *Server) bool {
@@ -190,9 +191,12 @@
 	defer c.mu.Unlock()
 	o.ExpectedSequence = s.sequence
 	r := s.models[o.Model]
-	fits := s.UsedAdapterSlots() < service.Engine.AdapterSlots &&
-		s.usedMB(service.Engine)+service.Engine.Models[o.Model].AdapterSizeMB <= service.Engine.WeightMemoryMB
-	return o, r != nil && r.phase == loaded && fits && s.AcceptsOrders(c.Now())
+	return o, r != nil && r.phase == loaded && s.fitsAdapter(service.Engine, o.Model) && s.AcceptsOrders(c.Now())
+}
+
+// fitsAdapter reports whether a server has a free slot and enough memory for one more adapter of a model.
+func (s *Server) fitsAdapter(e *routes.Engine, model string) bool {
+	return s.UsedAdapterSlots() < e.AdapterSlots && s.usedMB(e)+e.Models[model].AdapterSizeMB <= e.WeightMemoryMB
 }
 
 // adapterID returns the name of a model's adapter by its index, which starts at 0.
@@ -249,9 +253,10 @@
 func (c *Controller) busyModels(now time.Time, service routes.Service) []routes.Model {
 	demand := c.demand(service.Name)
 	total := demand.Total(now)
+	busyWork := busyShare * total / float64(max(1, len(service.Engine.Models)/busyModels))
 	var list []routes.Model
 	for name, m := range service.Engine.Models {
-		if m.AdapterCount > 0 && total > 0 && demand.Work(now, name) >= busyShare*total/float64(max(1, len(service.Engine.Models)/busyModels)) {
+		if m.AdapterCount > 0 && total > 0 && demand.Work(now, name) >= busyWork {
 			list = append(list, m)
 		}
 	}
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -106,7 +106,8 @@
 	demand := c.demand(service.Name)
 	least := 0.0
 	for name, r := range s.models {
-		if r.phase != loaded || free+s.modelOf(service.Engine, name).SizeMB < m.SizeMB || !c.loadedElsewhere(s, service.Name, name, "") || c.neededAt(now, s, service.Name, name) {
+		tooSmall := free+s.modelOf(service.Engine, name).SizeMB < m.SizeMB
+		if r.phase != loaded || tooSmall || !c.loadedElsewhere(s, service.Name, name, "") || c.neededAt(now, s, service.Name, name) {
 			continue
 		}
 		if work := demand.Work(now, name); victim == "" || work < least || work == least && name < victim {
