entry: Gossip, the demand of other VMs and the state of the fleet stand in files of their own

No fault of callers. Change: gossip.go, peerdemand.go and fleetstatus.go take the last three; peers.go keeps the list and the links' frames. Three literals of up to 185 columns, there and in admission.go and relay.go, are broken in rows. Nothing else changed. Ruled out: types of their own for these. They share the list of VMs and its lock. Measured: before the literals were broken, the sorted lines before and after differed only in package clauses and imports.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -51,7 +51,10 @@
 }
 
 func newAdmissionStage(d *Daemon) *admissionStage {
-	return &admissionStage{now: d.now, concurrencyShare: d.peers.concurrencyShare, freeSlots: d.freeSlots, queues: make(map[string]*admissionQueue), waiters: make(map[uint64]chan error)}
+	return &admissionStage{
+		now: d.now, concurrencyShare: d.peers.concurrencyShare, freeSlots: d.freeSlots,
+		queues: make(map[string]*admissionQueue), waiters: make(map[uint64]chan error),
+	}
 }
 
 // runExpiry refuses waiting requests that cannot be answered in time, until
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,8 +10,6 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/hibiscuscart/hibiscuscart"
-	"github.com/hibiscuscart/hibiscuscart/admit"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/member"
 	"github.com/hibiscuscart/hibiscuscart/pause"
@@ -67,7 +65,10 @@
 		list: member.List{Name: d.config.Name, Domain: d.config.FailureDomain, DeadAfter: d.config.DeadAfter, Fanout: d.config.Fanout},
 	}
 	p.remoteDemand.Store(&remoteDemand{})
-	p.dialer = &link.Dialer{Hello: p.hello, Key: d.config.LinkKeys.Peer, TLS: d.config.TLS, MaxFrameBytes: d.config.MaxFrameBytes, DialContext: d.config.PeerDial, CountBytes: p.countBytes}
+	p.dialer = &link.Dialer{
+		Hello: p.hello, Key: d.config.LinkKeys.Peer, TLS: d.config.TLS, MaxFrameBytes: d.config.MaxFrameBytes,
+		DialContext: d.config.PeerDial, CountBytes: p.countBytes,
+	}
 	return p
 }
 
@@ -121,110 +122,6 @@
 	p.list.MergePlatformList(p.d.now(), vms)
 }
 
-// gossipRound sends one round of heartbeats.
-func (p *peers) gossipRound(ctx context.Context) {
-	demand, models, hash := p.d.admission.demand(), p.d.offeredLoads.snapshot(p.d.now()), p.d.activeConfig.Hash()
-	now := p.d.now()
-	state := wire.HeartbeatStateAlive
-	if p.d.stopping.Load() {
-		state = wire.HeartbeatStateLeaving
-	}
-	p.mu.Lock()
-	p.list.BeginRound(now, wire.Heartbeat{
-		Node: p.d.config.Name, FailureDomain: p.d.config.FailureDomain, PeerAddress: p.d.peerAddr,
-		Incarnation: p.incarnation, State: state, ConfigHash: hash, Demand: demand, Models: models,
-	})
-	targets := p.list.GossipTargets(now, p.rng)
-	message := &wire.Message{Gossip: &wire.Gossip{Heartbeats: p.list.Batch(p.gossipBytes(), heartbeatBytes)}}
-	p.remoteDemand.Store(p.sumRemoteDemand(now))
-	p.closeIdle(now)
-	p.mu.Unlock()
-	for _, address := range targets {
-		go p.sendMessage(ctx, address, message)
-	}
-}
-
-// defaultGossipBytes bounds the heartbeats in one frame.
-const defaultGossipBytes = 700
-
-func (p *peers) gossipBytes() int {
-	if n := p.d.config.GossipBytes; n > 0 {
-		return n
-	}
-	return defaultGossipBytes
-}
-
-// heartbeatBytes estimates the encoded size of a heartbeat to within a few
-// bytes.
-func heartbeatBytes(h wire.Heartbeat) int {
-	const fixedFieldBytes = 40
-	n := fixedFieldBytes + len(h.Node) + len(h.FailureDomain) + len(h.PeerAddress)
-	for _, d := range h.Demand {
-		n += 6 + len(d.Name)
-	}
-	for _, m := range h.Models {
-		n += 8 + len(m.Model)
-	}
-	return n
-}
-
-// announceLeaving notifies other VMs at once that this VM is leaving.
-func (p *peers) announceLeaving(ctx context.Context) { p.gossipRound(ctx) }
-
-// concurrencyShare returns this VM's share of a profile's fleet-wide limit.
-func (p *peers) concurrencyShare(profile hibiscuscart.Profile, localDemand int) int {
-	others := p.remoteDemand.Load()
-	return admit.Share(profile.ConcurrencyLimit(), others.vms+1, localDemand, []int{others.requests[profile.Name()]})
-}
-
-// remoteDemand is the demand at the other VMs, as of the last gossip round.
-type remoteDemand struct {
-	vms      int
-	requests map[string]int
-}
-
-// sumRemoteDemand adds up the demand at the other VMs. A silent VM counts as a
-// VM, as it may still be serving. The caller holds p.mu.
-func (p *peers) sumRemoteDemand(now time.Time) *remoteDemand {
-	others := &remoteDemand{requests: make(map[string]int)}
-	for _, h := range p.list.Heartbeats() {
-		if h.State == wire.HeartbeatStateDead || h.Incarnation == 0 {
-			continue
-		}
-		others.vms++
-		if !p.list.Alive(now, h.Node) {
-			continue
-		}
-		for _, demand := range h.Demand {
-			others.requests[demand.Name] += demand.Requests
-		}
-	}
-	return others
-}
-
-// modelDemand returns the offered load of each model, by the failure domain of
-// the VMs that received the requests, including this VM.
-func (p *peers) modelDemand() map[string]map[string]float64 {
-	demand := make(map[string]map[string]float64)
-	add := func(domain string, models []wire.ModelDemand) {
-		if demand[domain] == nil {
-			demand[domain] = make(map[string]float64)
-		}
-		for _, m := range models {
-			demand[domain][m.Model] += float64(m.Load) / loadScale
-		}
-	}
-	add(p.d.config.FailureDomain, p.d.offeredLoads.snapshot(p.d.now()))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, h := range p.list.Heartbeats() {
-		if p.list.Alive(p.d.now(), h.Node) {
-			add(h.FailureDomain, h.Models)
-		}
-	}
-	return demand
-}
-
 // activeVMs returns this VM and the others that are alive and not leaving.
 func (p *peers) activeVMs() []string {
 	p.mu.Lock()
@@ -240,14 +137,6 @@
 	return p.list.Elected(p.d.now(), job, count)
 }
 
-// urgentTargets returns the addresses of the peers that receive an urgent
-// update.
-func (p *peers) urgentTargets() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.list.UrgentTargets(p.d.now(), p.rng)
-}
-
 // serve handles a link that a peer or an operator opened, until the link ends
 // or the VM stops. The HTTP server does not close such connections.
 func (p *peers) serve(ctx context.Context, conn *link.Conn) {
@@ -308,101 +197,3 @@
 	}
 	return nil
 }
-
-// offerInterval is the minimum time between two offers to one VM.
-const offerInterval = time.Second
-
-// mergeHeartbeats merges received heartbeats. When the sender has another
-// configuration than this VM, the VM offers its versions for comparison.
-func (p *peers) mergeHeartbeats(ctx context.Context, conn *link.Conn, g *wire.Gossip) error {
-	now := p.d.now()
-	p.mu.Lock()
-	p.list.Merge(now, g.Heartbeats)
-	offer := false
-	if len(g.Heartbeats) > 0 && g.Heartbeats[0].ConfigHash != p.d.activeConfig.Hash() {
-		from := g.Heartbeats[0].Node
-		offer = now.Sub(p.lastOfferAt[from]) >= offerInterval
-		if offer {
-			p.lastOfferAt[from] = now
-		}
-	}
-	p.mu.Unlock()
-	if !offer {
-		p.d.markSynced(len(g.Heartbeats) > 0)
-		return nil
-	}
-	return conn.Send(ctx, &wire.Message{Offer: &wire.Offer{Versions: p.d.activeConfig.Versions()}})
-}
-
-// compareVersions pushes the documents whose local version is higher than the
-// offered one, and pulls those whose offered version is higher.
-func (p *peers) compareVersions(ctx context.Context, conn *link.Conn, offer *wire.Offer) error {
-	newer, older := p.d.activeConfig.Compare(offer.Versions)
-	if err := p.pushDocuments(ctx, conn, newer); err != nil {
-		return err
-	}
-	if len(older) == 0 {
-		return nil
-	}
-	return conn.Send(ctx, &wire.Message{Pull: &wire.Pull{Names: older}})
-}
-
-func (p *peers) pushDocuments(ctx context.Context, conn *link.Conn, names []string) error {
-	for _, name := range names {
-		push, ok := p.d.activeConfig.Document(name)
-		if !ok {
-			continue
-		}
-		if err := conn.Send(ctx, &wire.Message{Push: push}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// broadcast sends a document to peers at once, so that a change need not wait
-// for the next gossip rounds.
-func (p *peers) broadcast(ctx context.Context, name string) {
-	push, ok := p.d.activeConfig.Document(name)
-	if !ok {
-		return
-	}
-	for _, address := range p.urgentTargets() {
-		go p.sendMessage(ctx, address, &wire.Message{Push: push})
-	}
-}
-
-// fleetStatus returns the state of the fleet as this VM observes it.
-func (p *peers) fleetStatus(servers bool) *wire.FleetReply {
-	own := wire.NodeStatus{
-		Node: p.d.config.Name, FailureDomain: p.d.config.FailureDomain, PeerAddress: p.d.peerAddr,
-		State: wire.NodeStatusStateLive, Versions: p.d.activeConfig.Versions(),
-	}
-	if p.d.stopping.Load() {
-		own.State = wire.NodeStatusStateLeaving
-	}
-	reply := &wire.FleetReply{Node: p.d.config.Name, Nodes: []wire.NodeStatus{own}, Servers: []wire.ServerStatus{}}
-	now := p.d.now()
-	p.mu.Lock()
-	for _, h := range p.list.Heartbeats() {
-		reply.Nodes = append(reply.Nodes, wire.NodeStatus{
-			Node: h.Node, FailureDomain: h.FailureDomain, PeerAddress: h.PeerAddress,
-			State: nodeState(h, p.list.Alive(now, h.Node)), Versions: []wire.ProfileVersion{},
-		})
-	}
-	p.mu.Unlock()
-	if servers {
-		reply.Servers = p.d.fleet.Status(now)
-	}
-	return reply
-}
-
-func nodeState(h wire.Heartbeat, alive bool) wire.NodeStatusState {
-	switch {
-	case !alive:
-		return wire.NodeStatusStateUnknown
-	case h.State == wire.HeartbeatStateLeaving:
-		return wire.NodeStatusStateLeaving
-	}
-	return wire.NodeStatusStateLive
-}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -168,7 +168,10 @@
 
 // requirements returns what a request requires of a server.
 func requirements(x *Exchange) fleet.Requirements {
-	need := fleet.Requirements{Pool: x.profile.Pool(), Model: x.modelName, Adapter: x.request.Adapter, NoModel: x.profile.IsService(), SoftwareVersion: x.textVersion}
+	need := fleet.Requirements{
+		Pool: x.profile.Pool(), Model: x.modelName, Adapter: x.request.Adapter,
+		NoModel: x.profile.IsService(), SoftwareVersion: x.textVersion,
+	}
 	if !need.NoModel {
 		need.PromptPrefix = x.request.PrefixHash()
 	}
