replay: A replay of retries kills and sends in functions of their own, and patterns have a row for each subject

For readers: RunRetries had 62 lines, with the kill of processes and the way of a request nested four deep; the patterns of fleets were rows of up to 253 columns, as were some literals of the simulation. No fault of callers. Change: retryReplay holds the state of a replay of retries; killProcesses and sendRequest are its two events. The rest is broken in rows. Random numbers are drawn in the same order. Ruled out: breaking the two tables of models, with six rows of 164 to 167 columns. They read as tables. Conclusion: RunRetries has 26 lines.

--- a/replay/retries.go
+++ b/replay/retries.go
@@ -64,66 +64,90 @@
 
 // RunRetries replays a pattern with a method. Equal seeds give equal results.
 func RunRetries(p RetryPattern, method RetryMethod, seed uint64) RetryResult {
-	rng := rand.New(rand.NewPCG(seed, 1))
 	start := time.Unix(1_000_000, 0)
-	vms := make([]*retryVM, p.VMs)
-	for i := range vms {
-		vms[i] = &retryVM{}
-		vms[i].begin(start.Add(-time.Minute), p)
-	}
-	var result RetryResult
-	var requests, sent []time.Time
-	var pool retry.SlidingWindow
-	pool.SetLimit(start, 0, p.Rules.Extra, p.Rules.Window)
-	poolFrom := start
+	x := &retryReplay{
+		pattern: p, method: method, rng: rand.New(rand.NewPCG(seed, 1)),
+		vms: make([]*retryVM, p.VMs), poolFrom: start,
+	}
+	for i := range x.vms {
+		x.vms[i] = &retryVM{}
+		x.vms[i].begin(start.Add(-time.Minute), p)
+	}
+	x.pool.SetLimit(start, 0, p.Rules.Extra, p.Rules.Window)
 	kills := p.KillAt
 	for at := time.Duration(0); at < p.Length; at += retryTick {
 		now := start.Add(at)
 		if len(kills) > 0 && at >= kills[0] {
 			kills = kills[1:]
-			for i, v := range vms {
-				controller := i == 0
-				if controller && !p.ControllerToo || !controller && rng.Float64() >= p.Killed {
-					continue
-				}
-				v.kill(now, p, method, p.ControllerToo)
-			}
-			if p.ControllerToo {
-				poolFrom = now.Add(p.Rules.Window)
-			}
+			x.killProcesses(now)
 		}
-		for n := poisson(rng, p.PerSecond*retryTick.Seconds()); n > 0; n-- {
-			v := vms[rng.IntN(len(vms))]
-			requests = append(requests, now)
-			if now.Before(v.downUntil) {
-				continue
-			}
-			v.budgets.Of(now, "s").RecordRequest(now)
-			if rng.Float64() >= p.Failing {
-				continue
-			}
-			counted := at >= p.KillAt[0] && at < p.KillAt[len(p.KillAt)-1]+p.Rules.Window
-			if counted {
-				result.Wanted++
-			}
-			allowed := v.allow(now, p, method)
-			if !allowed && method == RetryPermits && !now.Before(poolFrom) && !now.Before(vms[0].downUntil) {
-				if counted {
-					result.Messages++
-				}
-				allowed = pool.Allow(now)
-			}
-			if !allowed {
-				continue
-			}
-			sent = append(sent, now)
-			if counted {
-				result.Sent++
-			}
+		counted := at >= p.KillAt[0] && at < p.KillAt[len(p.KillAt)-1]+p.Rules.Window
+		for n := poisson(x.rng, p.PerSecond*retryTick.Seconds()); n > 0; n-- {
+			x.sendRequest(now, counted)
+		}
+	}
+	x.result.Most = mostRetries(p.Rules, x.requests, x.sent)
+	return x.result
+}
+
+// retryReplay is the state of a retry replay.
+type retryReplay struct {
+	pattern RetryPattern
+	method  RetryMethod
+	rng     *rand.Rand
+	vms     []*retryVM
+	// pool is the controller's budget for permits, which it grants from poolFrom on.
+	pool     retry.SlidingWindow
+	poolFrom time.Time
+	// requests and sent hold when requests came and when retries were sent.
+	requests, sent []time.Time
+	result         RetryResult
+}
+
+// killProcesses kills the processes that one kill of the pattern hits.
+func (x *retryReplay) killProcesses(now time.Time) {
+	p := x.pattern
+	for i, v := range x.vms {
+		controller := i == 0
+		if controller && !p.ControllerToo || !controller && x.rng.Float64() >= p.Killed {
+			continue
 		}
+		v.kill(now, p, x.method, p.ControllerToo)
+	}
+	if p.ControllerToo {
+		x.poolFrom = now.Add(p.Rules.Window)
+	}
+}
+
+// sendRequest sends a request through a random VM, and again if it fails and a retry is allowed. The result counts it if
+// counted is set.
+func (x *retryReplay) sendRequest(now time.Time, counted bool) {
+	v := x.vms[x.rng.IntN(len(x.vms))]
+	x.requests = append(x.requests, now)
+	if now.Before(v.downUntil) {
+		return
+	}
+	v.budgets.Of(now, "s").RecordRequest(now)
+	if x.rng.Float64() >= x.pattern.Failing {
+		return
+	}
+	if counted {
+		x.result.Wanted++
+	}
+	allowed := v.allow(now, x.pattern, x.method)
+	if !allowed && x.method == RetryPermits && !now.Before(x.poolFrom) && !now.Before(x.vms[0].downUntil) {
+		if counted {
+			x.result.Messages++
+		}
+		allowed = x.pool.Allow(now)
+	}
+	if !allowed {
+		return
+	}
+	x.sent = append(x.sent, now)
+	if counted {
+		x.result.Sent++
 	}
-	result.Most = mostRetries(p.Rules, requests, sent)
-	return result
 }
 
 // begin starts a process that was first counted at a time.
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -94,11 +94,16 @@
 func (sim *simulation) build(seed uint64) {
 	f := &sim.pattern.Fleet
 	sim.engine = &routes.Engine{
-		Slots: f.ServerSpec.Slots, KVCacheTokens: f.ServerSpec.KVCacheTokens, TokensPerEvent: f.ServerSpec.TokensPerEvent, WeightMemoryMB: f.WeightMemoryMB,
-		HostCacheMB: f.HostCacheMB, DiskCacheMB: f.DiskCacheMB, AdapterSlots: f.AdapterSlots, StoreLoadsPerSecond: f.StoreLoadsPerSecond, Models: make(map[string]routes.Model),
+		Slots: f.ServerSpec.Slots, KVCacheTokens: f.ServerSpec.KVCacheTokens, TokensPerEvent: f.ServerSpec.TokensPerEvent,
+		WeightMemoryMB: f.WeightMemoryMB, HostCacheMB: f.HostCacheMB, DiskCacheMB: f.DiskCacheMB,
+		AdapterSlots: f.AdapterSlots, StoreLoadsPerSecond: f.StoreLoadsPerSecond, Models: make(map[string]routes.Model),
 	}
 	for i, m := range f.Models {
-		sim.engine.Models[modelName(i)] = routes.Model{Name: modelName(i), SizeMB: m.SizeMB, LoadTime: m.LoadTime, DiskLoadTime: m.DiskLoadTime, MemoryLoadTime: m.MemoryLoadTime, AdapterCount: m.AdapterCount, AdapterSizeMB: f.AdapterSizeMB}
+		sim.engine.Models[modelName(i)] = routes.Model{
+			Name: modelName(i), SizeMB: m.SizeMB,
+			LoadTime: m.LoadTime, DiskLoadTime: m.DiskLoadTime, MemoryLoadTime: m.MemoryLoadTime,
+			AdapterCount: m.AdapterCount, AdapterSizeMB: f.AdapterSizeMB,
+		}
 		sim.engine.LargestModelMB = max(sim.engine.LargestModelMB, m.SizeMB)
 	}
 	sim.vmsByDomain = make([][]*vm, f.Domains)
@@ -106,8 +111,8 @@
 		d := i % f.Domains
 		v := &vm{
 			sim: sim, name: fmt.Sprintf("v%04d", i), index: i, domain: d, rng: rand.New(rand.NewPCG(seed, uint64(1000+i))),
-			retryBudget: &retry.SlidingWindow{}, waitingRequests: make(map[string]int), demand: make(map[string]*steer.ModelDemand), openConnections: make(map[string]bool),
-			pending: make(map[*request]*attempt),
+			retryBudget: &retry.SlidingWindow{}, waitingRequests: make(map[string]int), demand: make(map[string]*steer.ModelDemand),
+			openConnections: make(map[string]bool), pending: make(map[*request]*attempt),
 		}
 		v.balancer = &pick.Balancer{Domain: domainName(d), Seed: seed*1e6 + uint64(i), HasIdleConn: func(id string) bool { return v.openConnections[id] }}
 		if sim.variant.ExactLoad && i > 0 {
@@ -220,7 +225,11 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(a.request.arrivedAt, b.request.arrivedAt), cmp.Compare(a.request.vm.index, b.request.vm.index), cmp.Compare(a.request.promptTokens, b.request.promptTokens))
+		return cmp.Or(
+			cmp.Compare(a.request.arrivedAt, b.request.arrivedAt),
+			cmp.Compare(a.request.vm.index, b.request.vm.index),
+			cmp.Compare(a.request.promptTokens, b.request.promptTokens),
+		)
 	})
 	return list
 }
@@ -293,7 +302,9 @@
 
 // findServer requests a server with a request's model and adapter from the controller.
 func (sim *simulation) findServer(r *request) {
-	_, err := sim.controller.TryFind(context.Background(), sim.currentTime(), routes.Service{Name: serviceName, Engine: sim.engine}, backs.Need{Service: serviceName, Model: r.work.Model, Adapter: r.work.Adapter})
+	service := routes.Service{Name: serviceName, Engine: sim.engine}
+	need := backs.Need{Service: serviceName, Model: r.work.Model, Adapter: r.work.Adapter}
+	_, err := sim.controller.TryFind(context.Background(), sim.currentTime(), service, need)
 	if err != nil {
 		panic(fmt.Sprintf("find a server for %s: %v", r.work.Model, err))
 	}
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -199,7 +199,10 @@
 		latency += dialTime
 	}
 	r.attempts++
-	a := &attempt{request: r, server: s, choice: choice, batchRequest: &batch.Request{OutputTokens: r.outputTokens, Priority: r.class.Priority, TimeFactor: v.sim.pattern.Fleet.Models[r.model].TokenTimeFactor}}
+	a := &attempt{request: r, server: s, choice: choice, batchRequest: &batch.Request{
+		OutputTokens: r.outputTokens, Priority: r.class.Priority,
+		TimeFactor: v.sim.pattern.Fleet.Models[r.model].TokenTimeFactor,
+	}}
 	a.tracker = v.balancer.Begin(now, choice, r.work, v.sim.pattern.Fleet.ServerSpec.KVCacheTokens)
 	v.pending[r] = a
 	v.sim.scheduleAfter(latency, func() { v.arriveAtServer(a) })
