ctrl: The parameters of Reconcile stand in rows

For readers: the signatures of Reconcile and reconcileHolding took 185 and 180 columns. No fault of callers. Change: only line breaks. Ruled out: a record for the parameters. Each is used by another step of the reconciliation.

--- a/ctrl/reconciler.go
+++ b/ctrl/reconciler.go
@@ -187,7 +187,10 @@
 // unwanted holdings for unloading where mayRemove allows it. It reports whether
 // the ledger must be written. A new controller always writes it, which raises
 // the fencing token.
-func (r *Reconciler) Reconcile(now time.Time, report wire.LoadReport, wanted []Artifact, mayRemove func(Artifact) bool, quota *LoadQuota, newOrderID func() string) (wire.Ledger, bool) {
+func (r *Reconciler) Reconcile(
+	now time.Time, report wire.LoadReport, wanted []Artifact,
+	mayRemove func(Artifact) bool, quota *LoadQuota, newOrderID func() string,
+) (wire.Ledger, bool) {
 	next := wire.Ledger{Server: r.Server.Name, Holdings: []wire.Holding{}}
 	changed := r.fencingToken == 0
 	for _, h := range r.ledger.Holdings {
@@ -220,7 +223,9 @@
 // reconcileHolding returns the holding with the outcome of its order, if the
 // report shows one, and reports whether the holding changed and whether it stays
 // in the ledger.
-func (r *Reconciler) reconcileHolding(now time.Time, h wire.Holding, report wire.LoadReport, wanted []Artifact, newOrderID func() string) (next wire.Holding, modified, keep bool) {
+func (r *Reconciler) reconcileHolding(
+	now time.Time, h wire.Holding, report wire.LoadReport, wanted []Artifact, newOrderID func() string,
+) (next wire.Holding, modified, keep bool) {
 	state, present := residentState(report, h)
 	absent := !present && r.sinceChange(now, h) >= r.MaxReportAge
 	switch h.State {
