bench, load, origin: Literals and printed lines stand in rows

For readers: eleven statements took 162 to 222 columns. No fault of callers. Change: only line breaks; the printed line of broken promises is written in two calls. Ruled out: a default for the times of engines in trials. Each trial states its own load.

--- a/bench/control.go
+++ b/bench/control.go
@@ -150,7 +150,10 @@
 		})
 	}
 	t := trial{
-		spec:     deploymentSpec{domains: 2, vmsPerDomain: 2, engines: 4, slots: placementSlots, firstToken: placementFirstToken, betweenTokens: placementBetweenTokens, orderLateness: 2 * time.Second},
+		spec: deploymentSpec{
+			domains: 2, vmsPerDomain: 2, engines: 4, slots: placementSlots,
+			firstToken: placementFirstToken, betweenTokens: placementBetweenTokens, orderLateness: 2 * time.Second,
+		},
 		profiles: []wire.Profile{profile}, classes: classes, duration: duration,
 		setUp: func(deployment *demo.Deployment) {
 			for _, doc := range deployment.Servers() {
@@ -167,7 +170,10 @@
 	if err != nil {
 		return nil, err
 	}
-	report := lateOrdersReport{CommonReport: t.commonReport("late_orders", o, result), Moves: result.deployment.LoadsAndUnloads(), Attainment: result.summary.Total.Attainment}
+	report := lateOrdersReport{
+		CommonReport: t.commonReport("late_orders", o, result),
+		Moves:        result.deployment.LoadsAndUnloads(), Attainment: result.summary.Total.Attainment,
+	}
 	// The crash of the killed VM cuts off the responses in progress, which does not
 	// violate the guarantee for a shutdown.
 	report.LostAnswers = 0
--- a/bench/flood.go
+++ b/bench/flood.go
@@ -43,7 +43,10 @@
 	floodClass := class("flood", floodKey, 10)
 	floodClass.BurstFactor, floodClass.BurstStart, floodClass.BurstEnd = 800, 2*time.Second, 2500*time.Millisecond
 	t := trial{
-		spec:     deploymentSpec{domains: 2, vmsPerDomain: 1, engines: floodEngines, slots: floodSlots, firstToken: 20 * time.Millisecond, betweenTokens: 5 * time.Millisecond},
+		spec: deploymentSpec{
+			domains: 2, vmsPerDomain: 1, engines: floodEngines, slots: floodSlots,
+			firstToken: 20 * time.Millisecond, betweenTokens: 5 * time.Millisecond,
+		},
 		profiles: []wire.Profile{profile},
 		classes:  []load.Class{class("quiet", quietKey, 20), class("steady", steadyKey, 150), floodClass},
 		duration: duration,
--- a/bench/origins.go
+++ b/bench/origins.go
@@ -67,7 +67,8 @@
 			report.Rows = append(report.Rows, row)
 			report.FaultsInjected++
 			report.Requests += originsStreams
-			fmt.Fprintf(o.Out, "%3d VMs, %.2f ended: taken up keepers %.3f hub %.3f first VM %.3f; busiest keeper %.2f of the mean\n", vms, ended, row.Keepers, row.Hub, row.FirstVM, row.BusiestKeeper)
+			fmt.Fprintf(o.Out, "%3d VMs, %.2f ended: taken up keepers %.3f hub %.3f first VM %.3f; busiest keeper %.2f of the mean\n",
+				vms, ended, row.Keepers, row.Hub, row.FirstVM, row.BusiestKeeper)
 		}
 	}
 	cost, err := measureOrigins(ctx)
@@ -76,7 +77,8 @@
 	}
 	report.Cost = cost
 	perVM := originsRate * cost.BytesTold
-	fmt.Fprintf(o.Out, "first event +%v, taken up +%v (99 in 100: %v), %.0f bytes a stream told, %.0f taken up, %.0f bytes kept\n", cost.Tell, cost.TakeUp, cost.TakeUp99, cost.BytesTold, cost.BytesTakenUp, cost.MemoryPerKept)
+	fmt.Fprintf(o.Out, "first event +%v, taken up +%v (99 in 100: %v), %.0f bytes a stream told, %.0f taken up, %.0f bytes kept\n",
+		cost.Tell, cost.TakeUp, cost.TakeUp99, cost.BytesTold, cost.BytesTakenUp, cost.MemoryPerKept)
 	fmt.Fprintf(o.Out, "at 985 VMs with %d streams a second each: %.1f KB/s sent by a VM, %.0f KB/s received by a hub that kept all, %.2f MB kept by a VM\n",
 		originsRate, perVM/1e3, perVM/3*985/1e3, originsRate*3*origin.Retention.Seconds()*cost.MemoryPerKept/1e6)
 	return report, nil
--- a/bench/quotas.go
+++ b/bench/quotas.go
@@ -67,5 +67,6 @@
 	if fault != "none" {
 		r.FaultsInjected++
 	}
-	fmt.Fprintf(o.Out, "%3d VMs %7.0f/s x%.0f %-15s %-6s served %.2f most %.2f calls %.1f\n", row.VMs, row.PerSecond, row.Times, row.Fault, row.Method, row.Served, row.Most, row.Calls)
+	fmt.Fprintf(o.Out, "%3d VMs %7.0f/s x%.0f %-15s %-6s served %.2f most %.2f calls %.1f\n",
+		row.VMs, row.PerSecond, row.Times, row.Fault, row.Method, row.Served, row.Most, row.Calls)
 }
--- a/bench/repeat.go
+++ b/bench/repeat.go
@@ -138,7 +138,9 @@
 }
 
 // runRepeatPhase runs workers against a new platform.
-func runRepeatPhase(ctx context.Context, duration time.Duration, faults *int, newWorkers func(*store.Client) *claimWorkers) (*claimWorkers, time.Duration, int64) {
+func runRepeatPhase(
+	ctx context.Context, duration time.Duration, faults *int, newWorkers func(*store.Client) *claimWorkers,
+) (*claimWorkers, time.Duration, int64) {
 	platform := &stand.Platform{WritesPerSecond: 400}
 	platform.SetFaults(stand.PlatformFaults{DelayMs: storeDelayMs})
 	server := httptest.NewServer(platform.Handler())
--- a/bench/storm.go
+++ b/bench/storm.go
@@ -29,7 +29,10 @@
 	profile.ConcurrencyLimit, profile.QueueLimit = stormEngines*16, 4096
 	duration := o.duration(12 * time.Second)
 	t := trial{
-		spec:     deploymentSpec{domains: 2, vmsPerDomain: 1, engines: stormEngines, slots: 16, firstToken: 20 * time.Millisecond, betweenTokens: 5 * time.Millisecond},
+		spec: deploymentSpec{
+			domains: 2, vmsPerDomain: 1, engines: stormEngines, slots: 16,
+			firstToken: 20 * time.Millisecond, betweenTokens: 5 * time.Millisecond,
+		},
 		profiles: []wire.Profile{profile},
 		classes:  []load.Class{{Name: "label", Profile: profile, Rate: 420, MaxTokens: 40}},
 		duration: duration,
--- a/load/summary.go
+++ b/load/summary.go
@@ -239,14 +239,18 @@
 	for _, class := range append(s.Classes, s.Total) {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.4f\t%.1f/%.1f/%.1f\t%.1f/%.1f/%.1f\t%.1f/%.1f/%.1f\t\n",
 			class.Class, class.Sent, class.Complete, class.NotRun, class.Unknown, class.Attainment,
-			class.FirstTokenP50, class.FirstTokenP95, class.FirstTokenP99, class.TokenIntervalP50, class.TokenIntervalP95, class.TokenIntervalP99, class.ResponseP50, class.ResponseP95, class.ResponseP99)
+			class.FirstTokenP50, class.FirstTokenP95, class.FirstTokenP99,
+			class.TokenIntervalP50, class.TokenIntervalP95, class.TokenIntervalP99,
+			class.ResponseP50, class.ResponseP95, class.ResponseP99)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
 	}
 	violations := s.Violations
-	fmt.Fprintf(out, "broken promises: overcommits %d, double_runs %d, lost_answers %d, wrong_answers %d, false_not_run %d, unreachable_models %d, cut_off_in_shutdown %d, config_reverts %d\n",
-		violations.Overcommits, violations.DoubleRuns, violations.LostAnswers, violations.WrongAnswers, violations.FalseNotRun, violations.UnreachableModels, violations.CutOffInShutdown, violations.ConfigReverts)
+	fmt.Fprintf(out, "broken promises: overcommits %d, double_runs %d, lost_answers %d, wrong_answers %d, ",
+		violations.Overcommits, violations.DoubleRuns, violations.LostAnswers, violations.WrongAnswers)
+	fmt.Fprintf(out, "false_not_run %d, unreachable_models %d, cut_off_in_shutdown %d, config_reverts %d\n",
+		violations.FalseNotRun, violations.UnreachableModels, violations.CutOffInShutdown, violations.ConfigReverts)
 	for code, n := range s.Failures {
 		fmt.Fprintf(out, "failures: %s %d\n", code, n)
 	}
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -138,7 +138,10 @@
 		x.store.Put(x.Now(), frame.Attempt, Record{Service: frame.Service, Version: frame.Version})
 	case wire.OriginDatagramKindAsk:
 		r, known := x.store.Get(x.Now(), frame.Attempt)
-		x.send(from, &wire.OriginDatagram{Kind: wire.OriginDatagramKindAnswer, Attempt: frame.Attempt, Call: frame.Call, Known: known, Service: r.Service, Version: r.Version})
+		x.send(from, &wire.OriginDatagram{
+			Kind: wire.OriginDatagramKindAnswer, Attempt: frame.Attempt, Call: frame.Call,
+			Known: known, Service: r.Service, Version: r.Version,
+		})
 	case wire.OriginDatagramKindAnswer:
 		x.mu.Lock()
 		q := x.questions[frame.Call]
