poison: A failing test of an innocent part that stays blocked with the guilty one

A way, not built: while parts with the same evidence are blocked together, let one request with just one of them pass at intervals; it clears or convicts it at the price of one server at most.

--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -303,3 +303,35 @@
 	crashUnder(&controller, start, "s9", prompt("app", "menu"))
 	require.Empty(t, blockedParts(&controller, start.Add(2*time.Second)))
 }
+
+// Guards against an innocent part that stays blocked with the guilty one, because the two change places in the prompts
+// that crash servers and no sound request came before: all requests with the innocent part are refused, and none is left
+// to clear it.
+func TestInnocentPartBesideGuiltyOneIsCleared(t *testing.T) {
+	const crashes, soundRequests = 8, 24
+	var p poison.PartTracker
+	now := start
+	for i := range crashes {
+		pair := prompt("guilty", "innocent")
+		if i%2 == 0 {
+			pair = prompt("innocent", "guilty")
+		}
+		if part, _ := p.BlockedFor(now, pair); part == "" {
+			crashUnder(&p, now, fmt.Sprint("s", i), append(prompt("app"), pair...))
+		}
+		now = now.Add(time.Second)
+	}
+	require.Contains(t, blockedParts(&p, now), poison.Part("guilty"))
+	refused := 0
+	for range soundRequests {
+		now = now.Add(time.Second)
+		sound := prompt("app", "innocent")
+		if part, _ := p.BlockedFor(now, sound); part != "" {
+			refused++
+			continue
+		}
+		p.Survived(now, sound)
+	}
+	require.Less(t, refused, soundRequests)
+	require.NotContains(t, blockedParts(&p, now), poison.Part("innocent"))
+}
