--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -167,5 +167,6 @@
 		return age >= partMemory || age >= survivalMemory && s.count < provenSurvivals
 	})
 	maps.DeleteFunc(t.crashes, func(_ string, c *partCrash) bool { return now.Sub(c.at) >= partMemory })
+	t.sweepTies(now)
 	t.confirmations.sweep(now)
 }
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -101,6 +101,8 @@
 	// suspected are the parts that others want to know survivors of, and until when.
 	suspected map[Part]time.Time
 	blocked   map[Part]time.Time
+	// ties holds the parts that each blocked part is blocked with, itself among them, if it is not blocked alone.
+	ties map[Part][]Part
 	// convicted is until when a part that was blocked once is blocked again by a single crash.
 	convicted map[Part]time.Time
 	// cleared is until when the controller tells that a part is not blocked any more.
@@ -154,6 +156,7 @@
 
 // addCrash records an ended server with the parts of a request that was in progress on it. t.mu is held.
 func (t *PartTracker) addCrash(now time.Time, server string, parts []Part) {
+	t.blockAlone(parts)
 	c, known := t.crash(now, server)
 	for depth, p := range parts {
 		t.addPart(now, c, p, depth)
@@ -261,6 +264,7 @@
 // clear ends the block of a part. t.mu is held.
 func (t *PartTracker) clear(now time.Time, p Part) {
 	delete(t.convicted, p)
+	t.untie(p)
 	if !now.Before(t.blocked[p]) {
 		return
 	}
@@ -283,7 +287,7 @@
 	defer t.mu.Unlock()
 	t.judge(now)
 	for _, p := range parts {
-		if left := t.blocked[p].Sub(now); left > remaining {
+		if left := t.blocked[p].Sub(now); left > remaining && !t.excused(p, parts) {
 			blocked, remaining = p, left
 		}
 	}
@@ -307,6 +311,7 @@
 		if len(culprits) == 0 {
 			return
 		}
+		t.tie(culprits)
 		for _, p := range culprits {
 			t.block(now, p, now.Add(t.blockDuration()), servers)
 		}
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -333,5 +333,49 @@
 		p.Survived(now, sound)
 	}
 	require.Less(t, refused, soundRequests)
-	require.NotContains(t, blockedParts(&p, now), poison.Part("innocent"))
+	require.Equal(t, prompt("guilty"), blockedParts(&p, now))
+	part, _ := p.BlockedFor(now, prompt("app", "guilty"))
+	require.Equal(t, poison.Part("guilty"), part)
+}
+
+// Guards against a guilty part that goes on crashing servers because it is blocked only together with an innocent one.
+func TestTiedPartIsBlockedAloneAfterOneCrash(t *testing.T) {
+	const crashes = 8
+	var p poison.PartTracker
+	now := start
+	for i := range crashes {
+		pair := prompt("guilty", "innocent")
+		if i%2 == 0 {
+			pair = prompt("innocent", "guilty")
+		}
+		crashUnder(&p, now, fmt.Sprint("s", i), append(prompt("app"), pair...))
+		now = now.Add(time.Second)
+	}
+	part, _ := p.BlockedFor(now, prompt("app", "guilty", "innocent"))
+	require.NotEmpty(t, part)
+	alone := prompt("app", "guilty", "other")
+	part, _ = p.BlockedFor(now, alone)
+	require.Empty(t, part)
+	crashUnder(&p, now, "alone", alone)
+	part, _ = p.BlockedFor(now, alone)
+	require.Equal(t, poison.Part("guilty"), part)
+	part, _ = p.BlockedFor(now, prompt("app", "innocent"))
+	require.Empty(t, part)
+}
+
+// Guards against a part that goes on because it was blocked at the same moment as another one, under which other servers
+// ended.
+func TestPartsWithOtherCrashesAreBlockedAlone(t *testing.T) {
+	const crashes = 4
+	var p poison.PartTracker
+	now := start
+	for i := range crashes {
+		crashUnder(&p, now, fmt.Sprint("a", i), prompt("shop", "first"))
+		crashUnder(&p, now, fmt.Sprint("b", i), prompt("desk", "second"))
+	}
+	now = now.Add(10 * time.Second)
+	for _, guilty := range []poison.Part{"first", "second"} {
+		part, _ := p.BlockedFor(now, prompt("app", guilty))
+		require.Equal(t, guilty, part)
+	}
 }
