pass: An attempt at a silent server that was left says so

Read in the diff: what a left connection still held was dropped, and the attempt then ended with whatever the read had returned, 'i/o timeout' in the log; a reader that returned no error with it would have ended the handler with a nil error. The attempt now ends with a reason of its own. Tests of pass, with the race detector, pass.

--- a/pass/silence.go
+++ b/pass/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -81,6 +82,9 @@
 	return false
 }
 
+// errServerLeft is why an attempt ends at a silent server that the call has left.
+var errServerLeft = errors.New("the server was silent, and another one has begun to answer")
+
 // leave records that the call leaves its silent server for another one, which has begun to answer.
 func (a *attempt) leave() {
 	a.c.leftSilent = append(a.c.leftSilent, a.choice.Server.ID)
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -45,6 +45,7 @@
 		var n int
 		if n, r.err = a.resp.Body.Read(r.buffer); a.successor != nil {
 			// The other server began before what was read here, and sends it itself.
+			r.err = errServerLeft
 			return
 		}
 		r.events = r.splitter.add(r.buffer[:n])
