--- a/demo/backends.go
+++ b/demo/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -73,6 +74,25 @@
 	s.crashBackend(b)
 }
 
+// RemoveBackend lets a backend server that drains leave: it ends once its requests have ended, and its entry goes.
+func (s *Site) RemoveBackend(b *stand.Backend) error {
+	s.mu.Lock()
+	server := s.backendServers[b.ID]
+	delete(s.backendServers, b.ID)
+	s.backends = slices.DeleteFunc(s.backends, func(other *stand.Backend) bool { return other == b })
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for the requests of server %s: %w", b.ID, err)
+	}
+	s.Objects.Delete(platform.ServerKind, b.ID)
+	return nil
+}
+
+// removeTimeout is how long the requests of a backend server that leaves may last.
+const removeTimeout = 30 * time.Second
+
 // crashBackend closes the listener and connections of a backend server and restarts it after
 // siteRestartDelay.
 func (s *Site) crashBackend(b *stand.Backend) {
--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
@@ -33,7 +32,6 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	o.Log = zerolog.Nop()
 	s, err := demo.StartSite(ctx, o)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
