demo: A proxy that stops cuts requests of a VM that stays (known red)

A VM without a path to the servers sends its requests through another one, its proxy. When that one gets SIGTERM it takes such requests until the notice time is over, as it does those of callers, and closes all connections when the grace time is: what lasts longer is cut. The VM of the callers is not told to stop, so nothing excuses the loss: a stream ends inside, and any other request gets 502, may have run.

The test has a proxy with a grace time of 1.5 s, a notice of 600 ms, and requests of 2 s that arrive 300 ms after SIGTERM.

--- a/demo/planned_test.go
+++ b/demo/planned_test.go
@@ -331,3 +331,25 @@
 	}
 	return cut
 }
+
+// A VM that sends requests of others stops. Guards against a request that reaches it after SIGTERM, lasts longer than its
+// grace time and is cut, though its caller's VM stays.
+func TestProxyThatStopsTakesOnlyWhatItCanFinish(t *testing.T) {
+	const arrival = 300 * time.Millisecond
+	for _, kind := range demo.SiteRequestKinds {
+		t.Run(kind.Name, func(t *testing.T) {
+			t.Parallel()
+			s, ctx := startSite(t, demo.SiteOptions{Backends: 2 * len(demo.SiteModels), WorkTime: plannedWorkTime, Routes: plannedRoutes()})
+			settings := changedSettings(t, s, "grace = 5s\nnotice = 50ms", "grace = 1500ms\nnotice = 600ms")
+			p := &planned{site: s, kind: kind, vms: requireProxied(ctx, t, s, 0, 1), results: make(map[string]plannedResult)}
+			s.Node(2).Reload(settings)
+			time.AfterFunc(arrival, func() {
+				for i := range plannedRequests {
+					p.send(ctx, fmt.Sprint(kind.Name, "-arriving-", i), p.vms[i%len(p.vms)], false)
+				}
+			})
+			stopVM(t, s, 2)
+			p.check(t)
+		})
+	}
+}
