--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,14 +6,10 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -21,7 +17,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
-	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 // Options configures a run.
@@ -83,36 +78,6 @@
 	faults          map[string]int
 }
 
-// vm is one VM process with the proxy between it and the store.
-type vm struct {
-	settingsPath, listenAddress string
-	// source is the IP address from which the VM connects to the servers.
-	source     string
-	storeProxy *Proxy
-	logFile    *os.File
-
-	mu      sync.Mutex
-	command *exec.Cmd
-	exited  chan struct{}
-	// reserved is set while the process is being restarted.
-	reserved bool
-}
-
-// reserve reserves the process for a restart. It reports false if it was already reserved.
-func (v *vm) reserve() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	free := !v.reserved
-	v.reserved = true
-	return free
-}
-
-func (v *vm) release() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.reserved = false
-}
-
 // Run starts the system, injects the faults of one seed under load, and checks the guarantees. A
 // violated guarantee is reported in the Result, not as an error.
 func Run(ctx context.Context, o Options) (Result, error) {
@@ -205,85 +170,6 @@
 	return p.Address(), nil
 }
 
-func (r *run) addVM(i int) error {
-	store, err := NewProxy(r.site.StoreAddress())
-	if err != nil {
-		return fmt.Errorf("start proxy for the store: %w", err)
-	}
-	v := &vm{storeProxy: store, settingsPath: filepath.Join(r.options.Dir, fmt.Sprintf("vm-%d.ini", i))}
-	r.vms = append(r.vms, v)
-	text, err := demo.VMSettings(i, store.Address())
-	if err != nil {
-		return err
-	}
-	if !r.options.NoCuts {
-		v.source = fmt.Sprintf("127.0.0.%d", firstSource+i)
-		text = fmt.Appendf(text, "[servers]\nsource = %s\n", v.source)
-	}
-	if err := os.WriteFile(v.settingsPath, text, 0o600); err != nil {
-		return fmt.Errorf("write settings: %w", err)
-	}
-	if v.listenAddress, err = demo.ListenAddress(text); err != nil {
-		return err
-	}
-	if v.logFile, err = os.Create(filepath.Join(r.options.Dir, fmt.Sprintf("vm-%d.log", i))); err != nil {
-		return fmt.Errorf("create log: %w", err)
-	}
-	return v.start(r.options.Program)
-}
-
-// start starts the VM process.
-func (v *vm) start(program string) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	c := exec.Command(program, "node", "-settings", v.settingsPath)
-	c.Stdout, c.Stderr = v.logFile, v.logFile
-	if err := c.Start(); err != nil {
-		return fmt.Errorf("start VM: %w", err)
-	}
-	v.command, v.exited = c, make(chan struct{})
-	go func(ended chan struct{}) {
-		// The exit status is kept in c: the code that ends the process checks that it exits in time.
-		_ = c.Wait()
-		close(ended)
-	}(v.exited)
-	return nil
-}
-
-// signal sends a signal to the process that this run started.
-func (v *vm) signal(s syscall.Signal) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	// The error is ignored: the process may have exited already.
-	_ = v.command.Process.Signal(s)
-}
-
-// waitExit waits for a process that was signaled to exit, and reports whether it exited within
-// exitTimeout. Otherwise the process logs its goroutines on SIGQUIT and is then killed.
-func (v *vm) waitExit() bool {
-	if v.waitFor(exitTimeout) {
-		return true
-	}
-	v.signal(syscall.SIGQUIT)
-	if !v.waitFor(stackDumpTimeout) {
-		v.signal(syscall.SIGKILL)
-		v.waitFor(exitTimeout)
-	}
-	return false
-}
-
-func (v *vm) waitFor(limit time.Duration) bool {
-	v.mu.Lock()
-	ended := v.exited
-	v.mu.Unlock()
-	select {
-	case <-ended:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
 // sendRequests sends requests as one caller, one at a time. It reuses its connection to a VM until
 // the VM closes it.
 func (r *run) sendRequests(ctx context.Context, n int) {
@@ -301,88 +187,6 @@
 	}
 }
 
-// waitServing waits until every VM has served a request. Its error says what is known of the VM that has not. It must
-// not be called while VMs are restarted.
-func (r *run) waitServing(ctx context.Context, limit time.Duration) error {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	deadline := time.Now().Add(limit)
-	rng := rand.New(rand.NewPCG(1, 1))
-	for i, v := range r.vms {
-		for n := 0; ; n++ {
-			o := r.site.SendRequest(context.Background(), client, v.listenAddress, fmt.Sprintf("await-%d-%d-%d", i, time.Now().UnixNano(), n), demo.SiteRequestKinds[0], rng)
-			if o.Succeeded() {
-				break
-			}
-			if v.hasExited() || time.Now().After(deadline) || ctx.Err() != nil {
-				return fmt.Errorf("wait for VM %d: request not served: %w; %s", i, cmp.Or(o.Err, fmt.Errorf("status %d", o.Status)), v.describe())
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
-	}
-	return nil
-}
-
-// checkRecovery clears all faults. It then checks that all VMs serve, that every model is reachable,
-// that crashing requests and parts of prompts are blocked, that the rate limit and the limit on retries hold, that a
-// restored store's configurations come into force, and that the processes exit on SIGTERM.
-func (r *run) checkRecovery(ctx context.Context) {
-	r.clearFaults()
-	if err := r.waitServing(ctx, recoveryTimeout); err != nil {
-		r.checks.AddViolation("no recovery after the last fault: %v", err)
-		return
-	}
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	deadline := time.Now().Add(recoveryTimeout)
-	for _, model := range demo.SiteModels {
-		k := demo.RequestKind{Name: "draft", Method: http.MethodPost, Path: "/draft/x", Stream: true, Models: []string{model}}
-		for n := 0; ; n++ {
-			o := r.site.SendRequest(context.Background(), client, r.vms[0].listenAddress, fmt.Sprintf("reach-%s-%d-%d", model, r.options.Seed, n), k, rand.New(rand.NewPCG(1, 1)))
-			r.checks.CheckOutcome(o)
-			if o.Succeeded() {
-				break
-			}
-			if time.Now().After(deadline) {
-				r.checks.AddViolation("model %s is not reachable", model)
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
-	var wait sync.WaitGroup
-	wait.Go(func() { r.checkBlocked(ctx) })
-	wait.Go(func() { r.checkLimit(ctx) })
-	wait.Wait()
-	r.checkParts(ctx)
-	r.checkRetries(ctx)
-	r.checkRejectLimit(ctx)
-	r.checkSilence(ctx)
-	r.checkCut(ctx)
-	r.checkTakeUps(ctx)
-	r.checkRestored(ctx)
-	r.checkLoweredQuota(ctx)
-	for i, v := range r.vms {
-		v.signal(syscall.SIGTERM)
-		if !v.waitExit() {
-			r.checks.AddViolation("VM %d did not exit after SIGTERM", i)
-		}
-	}
-}
-
-// clearFaults clears all injected faults and resumes paused processes.
-func (r *run) clearFaults() {
-	r.site.Objects.SetFaults(stand.ObjectStoreFaults{})
-	for _, b := range append(r.site.Backends(demo.SiteModelService), r.site.Backends(demo.SitePlainService)...) {
-		b.SetPendingFaults(nil)
-	}
-	for _, p := range r.serverProxies {
-		p.SetMode(Forward)
-	}
-	for _, v := range r.vms {
-		v.storeProxy.SetMode(Forward)
-		v.signal(syscall.SIGCONT)
-	}
-}
-
 // close kills the processes and closes the proxies and the site that this run started.
 func (r *run) close() {
 	for _, v := range r.vms {
