--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,6 +1,6 @@
-// Command soak runs the soak test with fault injection against a built hibiscuscart program, once per
-// seed, and prints one JSON object per seed. It exits with status 1 if a guarantee was violated or a
-// run failed.
+// Command soak runs the soak test against a built hibiscuscart program, for each seed once with fault
+// injection and once with planned work only, and prints one JSON object for each run. It exits with
+// status 1 if a guarantee was violated or a run failed.
 package main
 
 import (
@@ -24,16 +24,18 @@
 	duration := flag.Duration("for", 6*time.Second, "duration of faults and load for each seed")
 	concurrency := flag.Int("jobs", 2, "number of seeds to run concurrently")
 	noCuts := flag.Bool("no-cuts", false, "do not cut single VMs off from the servers, for builds without the setting that this needs")
+	planned := flag.Bool("planned", false, "only run with planned work, not with fault injection")
 	flag.Parse()
-	if err := run(*program, *dir, *firstSeed, *seedCount, *concurrency, *duration, *noCuts); err != nil {
+	o := soak.Options{Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned}
+	if err := run(o, *dir, *firstSeed, *seedCount, *concurrency); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
-func run(program, dir string, firstSeed uint64, seedCount, concurrency int, duration time.Duration, noCuts bool) error {
-	program, err := filepath.Abs(program)
-	if err != nil {
+func run(o soak.Options, dir string, firstSeed uint64, seedCount, concurrency int) error {
+	var err error
+	if o.Program, err = filepath.Abs(o.Program); err != nil {
 		return fmt.Errorf("resolve path of program: %w", err)
 	}
 	if dir == "" {
@@ -48,7 +50,14 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			ok := runSeed(program, filepath.Join(dir, fmt.Sprint(firstSeed+uint64(i))), firstSeed+uint64(i), duration, noCuts)
+			o := o
+			o.Seed = firstSeed + uint64(i)
+			o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
+			ok := runSeed(o)
+			if !o.Planned {
+				o.Planned, o.Dir = true, o.Dir+"-planned"
+				ok = runSeed(o) && ok
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			if !ok {
@@ -64,14 +73,14 @@
 }
 
 // runSeed runs one seed and reports whether the run succeeded without a violated guarantee.
-func runSeed(program, dir string, seed uint64, duration time.Duration, noCuts bool) bool {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+func runSeed(o soak.Options) bool {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return false
 	}
-	res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: dir, Seed: seed, Duration: duration, NoCuts: noCuts})
+	res, err := soak.Run(context.Background(), o)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", seed, err)
+		fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", o.Seed, err)
 		return false
 	}
 	line, err := json.Marshal(res)
@@ -84,7 +93,7 @@
 		return false
 	}
 	// The logs of a successful run are not kept.
-	if err := os.RemoveAll(dir); err != nil {
+	if err := os.RemoveAll(o.Dir); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 	}
 	return true
--- a/soak/recovery.go
+++ b/soak/recovery.go
@@ -16,9 +16,9 @@
 
 // waitServing waits until every VM has served a request. Its error says what is known of the VM that has not. It must
 // not be called while VMs are restarted.
-func (r *run) waitServing(ctx context.Context, limit time.Duration) error {
+func (r *run) waitServing(ctx context.Context) error {
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	deadline := time.Now().Add(limit)
+	deadline := time.Now().Add(recoveryTimeout)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for i, v := range r.vms {
 		for n := 0; ; n++ {
@@ -40,7 +40,7 @@
 // restored store's configurations come into force, and that the processes exit on SIGTERM.
 func (r *run) checkRecovery(ctx context.Context) {
 	r.clearFaults()
-	if err := r.waitServing(ctx, recoveryTimeout); err != nil {
+	if err := r.waitServing(ctx); err != nil {
 		r.checks.AddViolation("no recovery after the last fault: %v", err)
 		return
 	}
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -61,7 +61,7 @@
 	if err := r.changeSettings(narrow, wideRetries); err != nil {
 		r.checks.AddViolation("raise the limit on retries: %v", err)
 	}
-	if err := r.waitServing(ctx, recoveryTimeout); err != nil {
+	if err := r.waitServing(ctx); err != nil {
 		r.checks.AddViolation("no recovery after the check of retries: %v", err)
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,8 @@
 	// NoCuts leaves out the cuts between single VMs and all servers. They need a setting that builds from
 	// before the proxy VMs do not know.
 	NoCuts bool
+	// Planned leaves out all faults and their checks: only planned work is done, beside sound servers that are silent.
+	Planned bool
 	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
 	VMs, Callers int
 }
@@ -49,8 +51,7 @@
 const (
 	defaultVMs     = 3
 	defaultCallers = 12
-	startTimeout   = 30 * time.Second
-	// recoveryTimeout is the time within which all VMs must serve after the last fault, and
+	// recoveryTimeout is the time within which all VMs must serve after their start and the last fault, and
 	// exitTimeout the time within which a process must exit after SIGTERM.
 	recoveryTimeout = 30 * time.Second
 	exitTimeout     = 20 * time.Second
@@ -92,6 +93,10 @@
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
 	}
+	if o.Planned {
+		r.checkPlanned(ctx)
+		return r.result(), nil
+	}
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -146,7 +151,7 @@
 			return err
 		}
 	}
-	return r.waitServing(ctx, startTimeout)
+	return r.waitServing(ctx)
 }
 
 // proxyAddress returns the address of the proxy that forwards to a backend server at address. A
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,11 +18,18 @@
 // testDuration is the duration of faults and load for each seed.
 const testDuration = 4 * time.Second
 
-// TestSoak runs the real program with one fixed seed and with every seed that has ever failed.
-func TestSoak(t *testing.T) {
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "hibiscuscart")
 	out, err := exec.Command("go", "build", "-o", program, "../cmd/hibiscuscart").CombinedOutput()
 	require.NoError(t, err, string(out))
+	return program
+}
+
+// TestSoak runs the real program with one fixed seed and with every seed that has ever failed.
+func TestSoak(t *testing.T) {
+	program := buildProgram(t)
 	for _, seed := range append([]uint64{7}, failedSeeds(t)...) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
@@ -35,6 +42,18 @@
 	}
 }
 
+// Guards against answers that are cut beside planned work alone, as VMs stop while sound servers are silent.
+func TestSoakPlannedWork(t *testing.T) {
+	t.Parallel()
+	res, err := soak.Run(context.Background(), soak.Options{Program: buildProgram(t), Dir: t.TempDir(), Seed: 7, Duration: testDuration, Planned: true})
+	require.NoError(t, err)
+	require.Empty(t, res.Violations)
+	require.NotZero(t, res.Served)
+	for _, fault := range []string{"planned_stop", "planned_reload", "planned_change", "planned_silence"} {
+		require.NotZero(t, res.Faults[fault], fault)
+	}
+}
+
 // Guards against a VM that does not serve without a word about its process in the error.
 func TestRunDescribesVMThatDoesNotServe(t *testing.T) {
 	tests := map[string]struct {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -120,3 +121,13 @@
 		return false
 	}
 }
+
+// serves reports whether the VM accepts connections from callers.
+func (v *vm) serves() bool {
+	conn, err := net.DialTimeout("tcp", v.listenAddress, callTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
