soak: One silence for each stream, and no request held without an answer, beside planned work

A request whose connection ends without a byte now breaks the check also if it has not run, when that is half a second or more after it was sent: a VM that only crosses it with its close answers or closes sooner.

--- a/soak/planned.go
+++ b/soak/planned.go
@@ -32,6 +32,8 @@
 	maxReloadGap = 900 * time.Millisecond
 	// plannedConfig is the first version of the configurations.
 	plannedConfig = 2
+	// crossingTime is how long a request that no VM has read may be under way when its connection ends.
+	crossingTime = 500 * time.Millisecond
 	// refusedPause is how long a caller waits after its VM has not accepted its connection.
 	refusedPause = 50 * time.Millisecond
 )
@@ -57,8 +59,8 @@
 
 // checkPlanned stops the VMs one after the other and starts them again, for the duration of the run, while their settings are reloaded, the
 // configuration changes and one server after the other is silent for a moment. It guards against answers that a VM ends
-// though its server is sound and the caller waits, and against requests that have run and whose connection ended without
-// a byte.
+// though its server is sound and the caller waits, and against requests that have run, or that a VM has held, and whose
+// connection ended without a byte.
 func (r *run) checkPlanned(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, 700))
 	if err := r.changeSettings(usualDrain, plannedDrain); err != nil {
@@ -122,11 +124,13 @@
 	wait.Wait()
 }
 
-// silenceInTurn makes one server after the other silent until ctx ends, its process or its host.
+// silenceInTurn makes one server after the other silent until ctx ends, its process or its host. A stream meets one
+// silence of its server at most.
 func (r *run) silenceInTurn(ctx context.Context, rng *rand.Rand) {
 	servers := append(r.site.Backends(demo.SitePlainService), r.site.Backends(demo.SiteModelService)...)
-	for ctx.Err() == nil {
-		b, ofHost := servers[rng.IntN(len(servers))], rng.IntN(2) == 0
+	rng.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	for n := 0; ctx.Err() == nil; n++ {
+		b, ofHost := servers[n%len(servers)], rng.IntN(2) == 0
 		if err := r.setSilent(b, ofHost, true); err != nil {
 			r.checks.AddViolation("make server %s silent: %v", b.ID, err)
 		}
@@ -208,7 +212,8 @@
 		r.outcomes = append(r.outcomes, a.Outcome)
 		statuses[a.Status]++
 		ran := r.site.Runs.Servers(a.ID)
-		if !a.Incomplete || a.Status == 0 && len(ran) == 0 || p.excused(a) {
+		crossed := a.Status == 0 && len(ran) == 0 && a.ended.Sub(a.sent) < crossingTime
+		if !a.Incomplete || crossed || p.excused(a) {
 			continue
 		}
 		r.checks.AddViolation("%s %s: cut beside planned work: status %d, %q, %v, sent %v after SIGTERM and ended after %v, ran on %v",
