stand, demo, soak: Sound servers that fall silent by themselves now and then

Silences were made by single tests and by two phases of the soak; nothing else met one. stand.Backend.SetSilences makes a server silent for 1 to 1.5 s by itself, before its answer or between two events, in intervals that a seed decides.

--- a/demo/backends.go
+++ b/demo/backends.go
@@ -5,9 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
@@ -27,6 +30,9 @@
 		}
 		b.AddModels(SiteModels[index%len(SiteModels)])
 	}
+	if s.options.SilenceInterval > 0 {
+		b.SetSilences(s.options.SilenceInterval, rand.New(rand.NewPCG(s.options.Seed, xxhash.Sum64String(b.ID))))
+	}
 	b.CrashPart = s.options.CrashPart
 	b.CrashBody, b.OnCrash = s.options.CrashBody, func() { s.crashBackend(b) }
 	b.OnChange = func() { s.writeEntry(b) }
--- a/demo/drive.go
+++ b/demo/drive.go
@@ -15,11 +15,13 @@
 	loadCallers   = 8
 	callerPause   = 10 * time.Millisecond
 	callerTimeout = 10 * time.Second
+	// loadSilenceInterval is the average time between two silences of a server.
+	loadSilenceInterval = 10 * time.Second
 )
 
-// RunSite runs a Site with its default options and returns the number of violated guarantees.
+// RunSite runs a Site whose servers are silent now and then, and returns the number of violated guarantees.
 func RunSite(ctx context.Context, o RunOptions) (int, error) {
-	s, err := StartSite(ctx, SiteOptions{Log: o.Log})
+	s, err := StartSite(ctx, SiteOptions{SilenceInterval: loadSilenceInterval, Seed: o.Seed, Log: o.Log})
 	if err != nil {
 		return 0, fmt.Errorf("start deployment: %w", err)
 	}
--- a/demo/site.go
+++ b/demo/site.go
@@ -41,6 +41,10 @@
 	// WorkTime is how long backend servers take for a request or a whole stream; 0 means siteWorkTime for a
 	// request or an event.
 	WorkTime time.Duration
+	// SilenceInterval is the average time between two silences of a backend server, which is sound and goes on; 0 means
+	// none. Seed decides when they begin.
+	SilenceInterval time.Duration
+	Seed            uint64
 	// NoVMs starts only the store and the backend servers; the test or tool runs the VMs itself.
 	NoVMs bool
 	// RegisteredAddress returns the address to register for a backend server, such as that of a proxy.
--- a/soak/recovery.go
+++ b/soak/recovery.go
@@ -83,6 +83,7 @@
 
 // clearFaults clears all injected faults and resumes paused processes.
 func (r *run) clearFaults() {
+	r.setSilences(0)
 	r.site.Objects.SetFaults(stand.ObjectStoreFaults{})
 	for _, b := range append(r.site.Backends(demo.SiteModelService), r.site.Backends(demo.SitePlainService)...) {
 		b.SetPendingFaults(nil)
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -18,6 +18,8 @@
 	// minSilence and maxSilence bound how long a sound server is silent.
 	minSilence = time.Second
 	maxSilence = 1500 * time.Millisecond
+	// silenceInterval is the average time between two silences of a server beside the faults.
+	silenceInterval = 10 * time.Second
 	// silenceWorkTime is how long servers take for a request meanwhile, so that some are at the silent one, and
 	// silenceEventTime how long for an event.
 	silenceWorkTime  = 800 * time.Millisecond
@@ -91,6 +93,13 @@
 	}
 }
 
+// setSilences makes all servers silent now and then, in intervals of an average length, or ends that if it is 0.
+func (r *run) setSilences(interval time.Duration) {
+	for i, b := range append(r.site.Backends(demo.SitePlainService), r.site.Backends(demo.SiteModelService)...) {
+		b.SetSilences(interval, rand.New(rand.NewPCG(r.options.Seed, uint64(i)+800)))
+	}
+}
+
 // setSilent makes the process of a server silent, or its host, or ends that.
 func (r *run) setSilent(b *stand.Backend, host, silent bool) error {
 	r.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -97,6 +97,7 @@
 		r.checkPlanned(ctx)
 		return r.result(), nil
 	}
+	r.setSilences(silenceInterval)
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	var wait sync.WaitGroup
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -107,7 +107,8 @@
 	startedAt time.Time
 	rejects   rejectLimit
 	// slowed replaces ProcessingTime if it is not 0.
-	slowed time.Duration
+	slowed   time.Duration
+	silences silences
 	// leaving is set while responses say that the server leaves. retryAfter is the Retry-After value
 	// with which it refuses everything, empty for none, and rest the time that it asks for.
 	leaving    bool
--- a/stand/rejects.go
+++ b/stand/rejects.go
@@ -97,14 +97,20 @@
 	if b.rejects.perSecond > 0 {
 		return b.rejects.processing
 	}
-	return cmp.Or(b.slowed, b.ProcessingTime)
+	return b.workTimeLocked()
 }
 
 // EventTime returns how long an event of a stream takes now.
 func (b *Backend) EventTime() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return cmp.Or(b.slowed, b.ProcessingTime)
+	return b.workTimeLocked()
+}
+
+// workTimeLocked returns how long a request or an event takes now, or the silence of the server if that lasts longer.
+// The caller holds b.mu.
+func (b *Backend) workTimeLocked() time.Duration {
+	return max(cmp.Or(b.slowed, b.ProcessingTime), b.silences.rest(time.Now()))
 }
 
 // SetSlowed replaces ProcessingTime, or ends that if it is 0.
--- a/stand/silence.go
+++ b/stand/silence.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -101,3 +103,54 @@
 	}
 	return c, nil
 }
+
+const (
+	// minSilence and maxSilence bound how long a sound server is silent by itself.
+	minSilence = time.Second
+	maxSilence = 1500 * time.Millisecond
+)
+
+// silences are the silences of a sound server that begin by themselves.
+type silences struct {
+	interval    time.Duration
+	random      *rand.Rand
+	from, until time.Time
+	// count is the number of silences that have begun.
+	count int
+}
+
+// SetSilences makes the server silent by itself, for one to one and a half seconds, in intervals of which random decides,
+// on average the given one; 0 ends that. It keeps its requests, sends neither a head nor an event meanwhile, and goes on.
+func (b *Backend) SetSilences(interval time.Duration, random *rand.Rand) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silences = silences{interval: interval, random: random, count: b.silences.count}
+}
+
+// Silences returns how many silences have begun by themselves.
+func (b *Backend) Silences() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.silences.count
+}
+
+// rest returns how much longer the server is silent.
+func (s *silences) rest(now time.Time) time.Duration {
+	switch {
+	case s.interval == 0:
+		return 0
+	case s.from.IsZero():
+		s.plan(now)
+	case !now.Before(s.from):
+		// It begins with a request, so that it concerns one.
+		s.until = now.Add(minSilence + time.Duration(s.random.Int64N(int64(maxSilence-minSilence))))
+		s.count++
+		s.plan(s.until)
+	}
+	return max(0, s.until.Sub(now))
+}
+
+// plan chooses when the next silence begins, after a time.
+func (s *silences) plan(after time.Time) {
+	s.from = after.Add(time.Duration(s.random.Int64N(2 * int64(s.interval))))
+}
