pass, pick, node: A VM that stops refuses what would be under way as it exits

Callers saw answers end inside: a VM takes requests for the notice after SIGTERM, as the load balancer still sends some, and cuts at the end of the grace time whatever is under way then. Ruled out as the cause: the drain's own order (requests in progress do get all of the grace time).

Now a request whose first send would fall after SIGTERM is refused as not run, 503 with the least Retry-After and Connection: close, unless its deadline or the expected end of its answer, with room for one silence of a server, comes before the exit. The same holds for one whose model would have to be loaded first, and for one that arrived after SIGTERM and that servers have rejected so far. What a server may be running is never refused, nor what was sent before SIGTERM, so that retries, hedges and resumed streams go on. The expected end is the predicted first event and the tokens at a pace, each as mean and two mean deviations (pick/finish.go): with the averages that the balancer has for its cost, half of the streams would end later than expected, and its pace is that of the fastest. Node.Stop and the decision use one exit time. The request's line has stops_in and expected, pass.refused_stopping counts.

It works because nothing is sent any more that the exit would cut, and a refusal that says "not run" lets the caller go to another VM.

--- a/demo/site.go
+++ b/demo/site.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -45,6 +46,9 @@
 	// none. Seed decides when they begin.
 	SilenceInterval time.Duration
 	Seed            uint64
+	// Grace is how long VMs take at most to stop, and Notice how long they take requests then; 0 means those of the
+	// settings of each VM.
+	Grace, Notice time.Duration
 	// NoVMs starts only the store and the backend servers; the test or tool runs the VMs itself.
 	NoVMs bool
 	// RegisteredAddress returns the address to register for a backend server, such as that of a proxy.
@@ -230,6 +234,7 @@
 	if err != nil {
 		return err
 	}
+	text = s.options.withDrain(text)
 	settings, err := conf.ParseNode(text)
 	if err != nil {
 		return fmt.Errorf("parse settings of a VM: %w", err)
@@ -241,6 +246,17 @@
 	return s.StartNode(ctx, i)
 }
 
+// withDrain returns the settings of a VM with the drain times of the options.
+func (o SiteOptions) withDrain(text []byte) []byte {
+	if o.Grace > 0 {
+		text = bytes.Replace(text, []byte("grace = 5s"), fmt.Appendf(nil, "grace = %s", o.Grace), 1)
+	}
+	if o.Notice > 0 {
+		text = bytes.Replace(text, []byte("notice = 50ms"), fmt.Appendf(nil, "notice = %s", o.Notice), 1)
+	}
+	return text
+}
+
 // StartNode starts the i-th VM. It also restarts a VM after StopNode or KillNode.
 func (s *Site) StartNode(ctx context.Context, i int) error {
 	vm := s.vms[i]
--- a/node/node.go
+++ b/node/node.go
@@ -44,8 +44,6 @@
 	// cleanupInterval is the interval between removals of idle connections and of the state of
 	// removed servers.
 	cleanupInterval = time.Second
-	// exitReserve is the part of the grace time reserved for the process to exit by itself.
-	exitReserve = 400 * time.Millisecond
 	// restartLeaseDuration is the duration of the lease of a VM that stops. A process restarts
 	// within one to two seconds.
 	restartLeaseDuration = 2500 * time.Millisecond
@@ -119,7 +117,8 @@
 	// failedCalls is the number of consecutive store calls that failed, by kind.
 	failedCalls map[string]int
 
-	stopping atomic.Bool
+	// exitsAt is when this VM exits, nil before it has been told to stop.
+	exitsAt atomic.Pointer[time.Time]
 	// retryAllotmentVMs is among how many VMs this one divided the extra retries when it last looked, for the log.
 	retryAllotmentVMs int
 	// readiness is the last answer to a readiness check, for the log.
@@ -184,8 +183,8 @@
 	}
 	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = &pass.Gateway{
-		ShutdownContext: n.waitContext,
-		HeaderNames:     c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
+		ShutdownContext: n.waitContext, StopsAt: n.exitTime,
+		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.AllotmentVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
@@ -274,15 +273,6 @@
 func (n *Node) followConfig(ctx context.Context)  { n.follow(ctx, n.configWatcher()) }
 func (n *Node) followServers(ctx context.Context) { n.follow(ctx, n.serverWatcher()) }
 
-// serveCaller serves a caller's request. While the VM stops, each response closes its connection, so
-// that the caller moves to another VM.
-func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if n.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	n.gateway.ServeHTTP(w, r)
-}
-
 // Reload applies changed settings: the limits on threads and memory, the retry budget, the drain
 // times and the wait of store watches. Addresses and all other settings change when the process
 // restarts.
@@ -334,31 +324,6 @@
 	}
 }
 
-// Stop shuts the VM down gracefully. It becomes unready immediately, accepts new requests until the
-// load balancer has moved the callers, and lets running requests complete within the grace time.
-func (n *Node) Stop() error {
-	startedAt := n.now()
-	n.stopping.Store(true)
-	n.log.Info().Msg("stopping")
-	background := context.Background()
-	pause.For(background, n.settings().Duration("drain", "notice"))
-	n.cancelWaits()
-	remaining := n.settings().Duration("drain", "grace") - exitReserve - n.now().Sub(startedAt)
-	ctx, cancel := context.WithTimeout(background, remaining)
-	defer cancel()
-	err := n.callerServer.Shutdown(ctx)
-	n.gateway.AwaitProxied(ctx)
-	// No background renewal of the lease may follow the final renewal below.
-	n.stopBackground()
-	n.lease.Extend(background, restartLeaseDuration)
-	n.Kill()
-	n.log.Info().Err(err).Msg("stopped")
-	if err != nil {
-		return fmt.Errorf("requests were cut off: %w", err)
-	}
-	return nil
-}
-
 // Kill stops the VM immediately and closes all connections.
 func (n *Node) Kill() {
 	n.stopBackground()
--- a/node/ready.go
+++ b/node/ready.go
@@ -17,7 +17,7 @@
 		return "no configuration"
 	case !n.serverView.Synced():
 		return "no list of servers"
-	case n.stopping.Load():
+	case n.stopping():
 		return "stopping"
 	case n.paths.Lost() && len(n.peers.ProxyVMs()) == 0:
 		return "path to the servers lost, and no other VM to send through"
--- a/pass/call.go
+++ b/pass/call.go
@@ -106,6 +106,10 @@
 	inUse []string
 	// leftSilent lists the servers that the call left because they were silent.
 	leftSilent []string
+	// arrivedStopping is set if the VM was stopping when the request arrived, and stopsIn how long before its exit that
+	// was. expected is how long the whole answer was then expected to take.
+	arrivedStopping   bool
+	stopsIn, expected time.Duration
 	// errorResponse is an error response of a server; it is forwarded if no later attempt succeeds.
 	errorResponse *response
 	// serverLeaving and serverRetryAfter are what the last response said about its server: that it will
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -70,6 +70,9 @@
 			return pick.Choice{}, errVersionGone
 		}
 		if choice, ok := g.pickServer(now, c, serving); ok {
+			if err := g.refuseUnfinished(now, c, choice, 0); err != nil {
+				return pick.Choice{}, err
+			}
 			if g.mayAdmit(now, c, choice) {
 				if !g.acquirePermit(waitCtx, choice.Server.ID) {
 					continue
@@ -81,6 +84,9 @@
 			}
 			continue
 		}
+		if err := g.refuseUnfinishedWait(now, c, serving); err != nil {
+			return pick.Choice{}, err
+		}
 		if again, err := g.awaitServing(waitCtx, now, deadline, c, serving); err != nil {
 			return pick.Choice{}, err
 		} else if again {
@@ -140,6 +146,7 @@
 func (g *Gateway) refuseAfterWait(now time.Time, c *call, serving []backs.Entry, err error) error {
 	switch {
 	case g.stopping():
+		c.retryAfter = 0
 		return errStopping
 	case errors.Is(err, errResting):
 		// Other VMs can send requests to the server, so the caller need not wait for the end of the rest.
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -86,6 +86,8 @@
 	// ShutdownContext ends when the VM starts to shut down: from then on, requests without a server are
 	// refused. Optional.
 	ShutdownContext context.Context
+	// StopsAt returns when this VM exits, once it has been told to stop. Optional; if nil, it never is.
+	StopsAt func() (exit time.Time, stopping bool)
 	// AwaitConfig waits for a change of the configuration for at most limit. Optional; if nil, requests
 	// do not wait for the first configuration.
 	AwaitConfig func(ctx context.Context, limit time.Duration)
@@ -180,6 +182,7 @@
 		return
 	}
 	c := newCall(now, g.HeaderNames, r, body, table, route, team, resumes)
+	g.recordStop(c)
 	g.serveCall(w, c)
 	g.Meter.RecordDuration("pass.request", g.Now().Sub(c.arrived))
 	g.Meter.AddCounter("pass.status."+strconv.Itoa(c.status), 1)
--- /dev/null
+++ b/pass/stop.go
@@ -0,0 +1,63 @@
+package pass
+
+import (
+	"errors"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+// A VM that stops still gets requests: the load balancer sends some for up to two seconds, and callers use the
+// connections that they have kept. What is under way as the process exits ends inside its answer. So a request that
+// can not be expected to be whole by then is refused as not run, and its caller goes to another VM.
+
+// errStopsTooSoon is returned for a request that would be under way as the VM exits.
+var errStopsTooSoon = errors.New("this VM is shutting down and would exit before the end of the answer")
+
+// silenceRoom is the time left for one silence of a sound server when it is decided whether an answer will be whole.
+const silenceRoom = 1500 * time.Millisecond
+
+// endsBefore reports whether a request that is sent now can be expected to have ended before the VM exits: its answer,
+// which takes at most the expected time if no server is silent, or its deadline.
+func endsBefore(now, exit, deadline time.Time, expected time.Duration) bool {
+	return !deadline.After(exit) || !now.Add(expected+silenceRoom).After(exit)
+}
+
+// exitTime returns when this VM exits, and whether it stops.
+func (g *Gateway) exitTime() (exit time.Time, stopping bool) {
+	if g.StopsAt == nil {
+		return time.Time{}, false
+	}
+	return g.StopsAt()
+}
+
+// recordStop records in a call whether it arrived while this VM stops.
+func (g *Gateway) recordStop(c *call) {
+	if exit, stopping := g.exitTime(); stopping {
+		c.arrivedStopping, c.stopsIn = true, exit.Sub(c.arrived)
+	}
+}
+
+// refuseUnfinished returns an error if a call is to be refused because it would be under way as this VM exits. wait is
+// how long it has to wait until it can be sent to the chosen server. A call that a server may be running is not
+// refused, and one that was sent before this VM began to stop is not either.
+func (g *Gateway) refuseUnfinished(now time.Time, c *call, choice pick.Choice, wait time.Duration) error {
+	exit, stopping := g.exitTime()
+	if !stopping || c.mayHaveRun || c.headSent || len(c.inUse) > 0 || c.sends > 0 && !c.arrivedStopping {
+		return nil
+	}
+	c.expected = wait + g.Balancer.ExpectedDuration(choice, c.work)
+	if endsBefore(now, exit, c.deadline, c.expected) {
+		return nil
+	}
+	g.Meter.AddCounter("pass.refused_stopping", 1)
+	// Other VMs can serve the request at once.
+	c.retryAfter = 0
+	return errStopsTooSoon
+}
+
+// refuseUnfinishedWait does the same for a call that no server can take now.
+func (g *Gateway) refuseUnfinishedWait(now time.Time, c *call, serving []backs.Entry) error {
+	return g.refuseUnfinished(now, c, pick.Choice{Server: backs.Entry{Service: c.service.Name}}, g.remainingLoadTime(now, c, serving))
+}
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -62,6 +62,8 @@
 	// model.
 	outputShares map[string]float64
 	tokenTimes   map[string]time.Duration
+	// outputSpreads and tokenSpreads are the same with their deviations, and without the preference for fast responses.
+	outputSpreads, tokenSpreads map[string]spread
 }
 
 func (b *Balancer) serverState(id string) *serverState {
--- /dev/null
+++ b/pick/finish_test.go
@@ -0,0 +1,56 @@
+package pick_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+// Guards against a VM that stops and takes streams which end after its exit, as the expected duration is that of an average
+// one, or refuses nearly all, as it is that of the longest possible.
+func TestExpectedDuration(t *testing.T) {
+	const predicted, tokenTime = 40 * time.Millisecond, 8 * time.Millisecond
+	server := backs.Entry{ID: "a", Service: "s", Slots: 8}
+	choice := pick.Choice{Server: server, PredictedTime: predicted}
+	work := pick.Work{Route: "r", Model: "m", Slots: 8, TokensPerEvent: 2, PromptTokens: 100, MaxOutputTokens: 200}
+	longest := predicted + 200*tokenTime
+	for name, tc := range map[string]struct {
+		// share returns the output of the i-th of the measured streams as a share of the maximum.
+		share    func(rng *rand.Rand) float64
+		measured int
+		change   func(*pick.Work)
+		min, max time.Duration
+	}{
+		"no model":              {change: func(w *pick.Work) { *w = pick.Work{} }, min: predicted, max: predicted},
+		"output not known":      {change: func(w *pick.Work) { w.MaxOutputTokens = 0 }, min: predicted + time.Millisecond, max: predicted + time.Second},
+		"nothing measured":      {min: predicted + 200*5*time.Millisecond, max: predicted + 2*200*5*time.Millisecond},
+		"same output each time": {share: func(*rand.Rand) float64 { return 0.25 }, measured: 200, min: predicted + 50*tokenTime, max: predicted + 60*tokenTime},
+		"all that is allowed":   {share: func(*rand.Rand) float64 { return 1 }, measured: 200, min: longest, max: longest + longest/10},
+		"output varies":         {share: func(r *rand.Rand) float64 { return 0.2 + 0.4*r.Float64() }, measured: 200, min: predicted + 2*50*tokenTime, max: predicted + 2*75*tokenTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			b := &pick.Balancer{}
+			now := time.Unix(1000, 0)
+			for range tc.measured {
+				events := int(tc.share(rng) * float64(work.MaxOutputTokens) / float64(work.TokensPerEvent))
+				a := b.Begin(now, choice, work, 0)
+				a.FirstEvent(now)
+				a.StreamCompleted(events, time.Duration((events-1)*work.TokensPerEvent)*tokenTime)
+				a.End(now, pick.Succeeded)
+			}
+			w := work
+			if tc.change != nil {
+				tc.change(&w)
+			}
+			got := b.ExpectedDuration(choice, w)
+			require.GreaterOrEqual(t, got, tc.min)
+			require.LessOrEqual(t, got, tc.max)
+		})
+	}
+}
--- a/trail/line.go
+++ b/trail/line.go
@@ -62,6 +62,11 @@
 	// LeftSilent lists the servers that the request left because they were silent.
 	LeftSilent []string `json:"left_silent"`
 
+	// StopsIn is how long before the exit of its VM a request arrived, 0 if the VM was not stopping, and Expected how
+	// long its whole answer was expected to take then.
+	StopsIn  float64 `json:"stops_in"`
+	Expected float64 `json:"expected"`
+
 	// ServerLeaving and ServerRetryAfter are what the last response said about its server.
 	ServerLeaving    bool   `json:"server_leaving"`
 	ServerRetryAfter string `json:"server_retry_after"`
--- a/trail/timeline.go
+++ b/trail/timeline.go
@@ -80,6 +80,9 @@
 		if len(l.LeftSilent) > 0 {
 			text += fmt.Sprintf("; left %v, which were silent", l.LeftSilent)
 		}
+		if l.StopsIn != 0 {
+			text += fmt.Sprintf("; arrived %.0f ms before its VM exits, expected to take %.0f ms", l.StopsIn, l.Expected)
+		}
 		if l.Team != "" {
 			text += "; team " + l.Team
 		}
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -246,3 +246,14 @@
 	require.NoError(t, log.WriteTimeline(&out))
 	require.Contains(t, out.String(), "left [s1], which were silent")
 }
+
+// Guards against a request refused by a VM that stops whose timeline does not tell when the VM exits.
+func TestTimelineNamesStop(t *testing.T) {
+	const lines = `{"vm":"vm-1","request":"r1","servers":[],"sends":0,"status":503,"stops_in":6400,"expected":9000,"reason":"this VM is shutting down and would exit before the end of the answer","time":"2026-01-01T00:00:02Z","message":"request"}
+`
+	log := &trail.Log{RequestID: "r1"}
+	require.NoError(t, log.Read("lines", strings.NewReader(lines)))
+	var out strings.Builder
+	require.NoError(t, log.WriteTimeline(&out))
+	require.Contains(t, out.String(), "arrived 6400 ms before its VM exits, expected to take 9000 ms")
+}
