node: Kept connections of a VM that stops stay open while requests are in progress

Callers saw requests without any answer: a caller had sent one on a kept connection, and the VM closed that as idle. The cause is http.Server.Shutdown: it closes each idle connection at once, whatever waits in the kernel, and once it has begun the server drops a request that it has just read without an answer (net/http, the check after readRequest). It began at the end of the notice, while callers still used their connections: the load balancer's readiness moves new connections only, and "Connection: close" stood only in answers whose request had arrived after SIGTERM. Ruled out: a longer notice, which only moves the moment.

Now only the listener is closed then. Each answer whose head is written after SIGTERM closes its connection, and a kept connection takes one more request as long as others are in progress, until 0.1 s before the exit. Once none has been in progress for 0.2 s, connections are ended by a deadline for their next byte, which spares a request that the server has begun to read, and not at all if bytes wait in the kernel. A VM that has had no request for 0.2 s stops as early as before. New connections count as in use for five seconds, as with Shutdown.

It works because a connection is left to its caller until an answer has told it to move, or until nothing comes.

--- a/conns/socket.go
+++ b/conns/socket.go
@@ -27,6 +27,10 @@
 // connection.
 func PeerClosed(c net.Conn) bool { return peekSocket(c) == socketClosed }
 
+// HasUnread reports whether the kernel has received bytes of a connection that
+// have not been read.
+func HasUnread(c net.Conn) bool { return peekSocket(c) == socketReadable }
+
 // peekSocket returns the state of a connection without consuming bytes. A
 // connection without a system call interface counts as idle.
 func peekSocket(c net.Conn) socketState {
--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -1,15 +1,50 @@
 package demo_test
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/demo"
+	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/platform"
 )
 
+// heldRequest is a request whose body has not been sent to its end, so that it is in progress at its VM.
+type heldRequest struct {
+	conn net.Conn
+	id   string
+}
+
+// holdRequest begins a request that may run once.
+func holdRequest(t *testing.T, address, id string) *heldRequest {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	h := platform.HeaderNames
+	_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 6000\r\nContent-Length: 4\r\n\r\nbo", demo.SiteHost, h.AttemptID, id, h.Deadline)
+	require.NoError(t, err)
+	return &heldRequest{conn: conn, id: id}
+}
+
+// finish sends the rest of the request and returns the response.
+func (h *heldRequest) finish() (*http.Response, error) {
+	if _, err := io.WriteString(h.conn, "dy"); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(bufio.NewReader(h.conn), nil)
+}
+
 // startStop begins to stop a VM, and waits until it is unready. The result of the stop is sent on stopped.
 func startStop(t *testing.T, s *demo.Site, vm int) (stopped chan error) {
 	t.Helper()
@@ -19,6 +54,46 @@
 	return stopped
 }
 
+// awaitNoticeEnd waits until a VM that stops takes no connections any more.
+func awaitNoticeEnd(t *testing.T, address string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, testTimeout, 5*time.Millisecond)
+}
+
+// A VM stops with a request in progress, and a caller uses a connection that it has kept. Guards against a kept
+// connection that is closed, or a request on it that is dropped, while the request is under way.
+func TestKeptConnectionOfStoppingVM(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{})
+	address := s.VMAddresses()[0]
+	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer kept.CloseIdleConnections()
+	send := func(id string) *http.Response {
+		resp, err := s.Call(ctx, kept, address, id, http.MethodGet, "/look/x", "", "")
+		require.NoError(t, err, id)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err, id)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode, id)
+		return resp
+	}
+	require.False(t, send("before").Close)
+	held := holdRequest(t, address, "held")
+	stopped := startStop(t, s, 0)
+	awaitNoticeEnd(t, address)
+	require.True(t, send("after").Close, "the answer does not say that its connection is closed")
+	resp, err := held.finish()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.NoError(t, <-stopped)
+}
+
 // A VM takes requests after SIGTERM that take its servers longer than until its exit. Guards against answers that are
 // cut there: the requests must be refused as not run.
 func TestRequestLongerThanStop(t *testing.T) {
@@ -48,3 +123,119 @@
 		})
 	}
 }
+
+// keptCallers are callers that send one request after the other, each on the connection that it has kept, and move to
+// another VM when a response says that the connection closes.
+type keptCallers struct {
+	site     *demo.Site
+	mu       sync.Mutex
+	ready    []int
+	at       map[int]int
+	statuses map[string]int
+	checks   demo.Checks
+}
+
+// moveTo returns the VM for a caller that leaves one.
+func (k *keptCallers) moveTo(from int, rng *rand.Rand) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	to := k.ready[rng.IntN(len(k.ready))]
+	k.at[from]--
+	k.at[to]++
+	return to
+}
+
+func (k *keptCallers) callersAt(vm int) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.at[vm]
+}
+
+func (k *keptCallers) setReady(vms ...int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ready = vms
+}
+
+// run sends the requests of one caller until sendCtx ends.
+func (k *keptCallers) run(ctx, sendCtx context.Context, firstVM, n int, maxPause time.Duration) {
+	rng, vm := rand.New(rand.NewPCG(uint64(firstVM), uint64(n))), firstVM
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for i := 0; sendCtx.Err() == nil; i++ {
+		kind := demo.SiteRequestKinds[rng.IntN(len(demo.SiteRequestKinds))]
+		id := fmt.Sprintf("kept-%d-%d-%d", firstVM, n, i)
+		resp, err := k.site.Call(ctx, client, k.site.VMAddresses()[vm], id, kind.Method, kind.Path, modelOf(kind, rng), "body of "+id)
+		status, closes := 0, true
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			status, closes = resp.StatusCode, resp.Close
+		}
+		refused := status == http.StatusServiceUnavailable && len(k.site.Runs.Servers(id)) == 0
+		if err != nil || status != http.StatusOK && !refused {
+			k.checks.AddViolation("%s: %s at VM %d: status %d, %v, ran on %v", id, kind.Name, vm, status, err, k.site.Runs.Servers(id))
+		}
+		k.mu.Lock()
+		k.statuses[fmt.Sprint(kind.Name, " ", status)]++
+		k.mu.Unlock()
+		if closes {
+			vm = k.moveTo(vm, rng)
+		}
+		pause.For(sendCtx, time.Duration(rng.Int64N(int64(maxPause))))
+	}
+}
+
+func modelOf(kind demo.RequestKind, rng *rand.Rand) string {
+	if len(kind.Models) == 0 {
+		return ""
+	}
+	return kind.Models[rng.IntN(len(kind.Models))]
+}
+
+// VMs stop in turn and start again while many callers use connections that they have kept. Guards against answers that
+// are cut, and connections that end with a request unanswered.
+func TestVMsStopInTurn(t *testing.T) {
+	const callersPerVM, workTime, maxPause, rounds = 12, 150 * time.Millisecond, 300 * time.Millisecond, 2
+	all := demo.SiteRoutes()
+	for i := range all {
+		all[i].Timeout = testTimeout
+	}
+	s, ctx := startSite(t, demo.SiteOptions{WorkTime: workTime, Routes: all, Grace: 30 * time.Second})
+	vms := []int{0, 1, 2}
+	for _, vm := range vms {
+		requireServing(ctx, t, s, vm, "before")
+	}
+	k := &keptCallers{site: s, ready: vms, at: make(map[int]int), statuses: make(map[string]int)}
+	sendCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wait sync.WaitGroup
+	for _, vm := range vms {
+		k.at[vm] = callersPerVM
+		for n := range callersPerVM {
+			wait.Go(func() { k.run(ctx, sendCtx, vm, n, maxPause) })
+		}
+	}
+	for round := range rounds {
+		for _, vm := range vms {
+			address := s.VMAddresses()[vm]
+			// Without a request in progress a VM closes its kept connections.
+			held := holdRequest(t, address, fmt.Sprintf("held-%d-%d", round, vm))
+			k.setReady((vm+1)%3, (vm+2)%3)
+			stopped := startStop(t, s, vm)
+			awaitNoticeEnd(t, address)
+			require.Eventually(t, func() bool { return k.callersAt(vm) == 0 }, testTimeout, time.Millisecond)
+			resp, err := held.finish()
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.NoError(t, <-stopped)
+			require.NoError(t, s.StartNode(ctx, vm))
+			require.NoError(t, s.WaitReady(ctx))
+			k.setReady(vms...)
+		}
+	}
+	stop()
+	wait.Wait()
+	t.Log(k.statuses)
+	require.Empty(t, k.checks.Violations())
+}
--- /dev/null
+++ b/node/conns.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
+)
+
+// newConnTime is how long a connection on which nothing has arrived counts as one whose first request is under way. It
+// is that of http.Server.Shutdown.
+const newConnTime = 5 * time.Second
+
+// callerConns are the open connections of callers. The zero value is ready to use.
+type callerConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]connState
+	// running counts the connections with a request in progress, and idleSince is when it became 0.
+	running   int
+	idleSince time.Time
+}
+
+// connState is the state of a connection, and since when it has it.
+type connState struct {
+	state http.ConnState
+	since time.Time
+}
+
+// record records a change of a connection's state. It is for the ConnState of an HTTP server.
+func (c *callerConns) record(now time.Time, conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns == nil {
+		c.conns = make(map[net.Conn]connState)
+	}
+	before := c.conns[conn].state == http.StateActive
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(c.conns, conn)
+	} else {
+		c.conns[conn] = connState{state: s, since: now}
+	}
+	switch active := s == http.StateActive; {
+	case active && !before:
+		c.running++
+	case before && !active:
+		if c.running--; c.running == 0 {
+			c.idleSince = now
+		}
+	}
+}
+
+// active returns the number of connections with a request in progress.
+func (c *callerConns) active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running
+}
+
+// quiet returns for how long no request has been in progress.
+func (c *callerConns) quiet(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running > 0 {
+		return 0
+	}
+	return now.Sub(c.idleSince)
+}
+
+// closeUnused ends the connections on which no request is under way, as far as this VM can know, and returns the number
+// of open connections. It ends them by a deadline for the next byte: a request that the HTTP server has begun to read
+// goes on.
+func (c *callerConns) closeUnused(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.conns {
+		unused := s.state == http.StateIdle || s.state == http.StateNew && now.Sub(s.since) >= newConnTime
+		if unused && !conns.HasUnread(conn) {
+			// An error means that the connection is closed.
+			_ = conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	return len(c.conns)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,8 @@
 	cancelWaits    context.CancelFunc
 	httpServers    []*http.Server
 	callerServer   *http.Server
+	callerConns    callerConns
+	callerListener net.Listener
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
 }
@@ -219,6 +221,7 @@
 	n.applySettings()
 	ctx, n.stopBackground = context.WithCancel(ctx)
 	n.callerServer = newCallerServer(http.HandlerFunc(n.serveCaller))
+	n.callerServer.ConnState = func(c net.Conn, s http.ConnState) { n.callerConns.record(n.now(), c, s) }
 	listeners := []struct {
 		key    string
 		server *http.Server
@@ -261,9 +264,12 @@
 	if err != nil {
 		return err
 	}
+	if s == n.callerServer {
+		n.callerListener = l
+	}
 	n.httpServers = append(n.httpServers, s)
 	n.background.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.Error().Err(err).Str("address", address).Msg("listener failed")
 		}
 	})
--- a/node/stop.go
+++ b/node/stop.go
@@ -9,8 +9,16 @@
 	"github.com/hibiscuscart/hibiscuscart/pause"
 )
 
-// exitReserve is the part of the grace time reserved for the process to exit by itself.
-const exitReserve = 400 * time.Millisecond
+const (
+	// exitReserve is the part of the grace time reserved for the process to exit by itself.
+	exitReserve = 400 * time.Millisecond
+	// quietTime is how long no request may have been in progress before the kept connections of callers are closed,
+	// and drainCheckInterval the interval between looks.
+	quietTime          = 200 * time.Millisecond
+	drainCheckInterval = 10 * time.Millisecond
+	// lastCallTime is how long before the exit kept connections are closed while requests are in progress.
+	lastCallTime = 100 * time.Millisecond
+)
 
 // exitTime returns when this VM exits, and whether it has been told to stop.
 func (n *Node) exitTime() (exit time.Time, stopping bool) {
@@ -22,13 +30,37 @@
 
 func (n *Node) stopping() bool { return n.exitsAt.Load() != nil }
 
-// serveCaller serves a caller's request. While the VM stops, each response closes its connection, so
-// that the caller moves to another VM.
+// serveCaller serves a caller's request.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if n.stopping() {
+	n.gateway.ServeHTTP(&callerWriter{ResponseWriter: w, stopping: n.stopping}, r)
+}
+
+// callerWriter writes a response. While the VM stops, each response closes its connection, so that the caller moves to
+// another VM.
+type callerWriter struct {
+	http.ResponseWriter
+	stopping    func() bool
+	headWritten bool
+}
+
+// Unwrap is for http.ResponseController.
+func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader writes the head of the response.
+func (w *callerWriter) WriteHeader(status int) {
+	w.headWritten = true
+	if w.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	n.gateway.ServeHTTP(w, r)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the head.
+func (w *callerWriter) Write(data []byte) (int, error) {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
 }
 
 // Stop shuts the VM down gracefully. It becomes unready immediately, accepts new requests until the
@@ -37,21 +69,40 @@
 	startedAt := n.now()
 	exit := startedAt.Add(n.settings().Duration("drain", "grace") - exitReserve)
 	n.exitsAt.Store(&exit)
-	n.log.Info().Dur("exits_in", exit.Sub(startedAt)).Msg("stopping")
+	n.log.Info().Dur("exits_in", exit.Sub(startedAt)).Int("in_progress", n.callerConns.active()).Msg("stopping")
 	background := context.Background()
 	pause.For(background, n.settings().Duration("drain", "notice"))
 	n.cancelWaits()
 	ctx, cancel := context.WithTimeout(background, exit.Sub(n.now()))
 	defer cancel()
-	err := n.callerServer.Shutdown(ctx)
+	n.drainCallers(ctx, exit)
 	n.gateway.AwaitProxied(ctx)
 	// No background renewal of the lease may follow the final renewal below.
 	n.stopBackground()
 	n.lease.Extend(background, restartLeaseDuration)
+	cut := n.callerConns.active()
 	n.Kill()
-	n.log.Info().Err(err).Msg("stopped")
-	if err != nil {
-		return fmt.Errorf("requests were cut off: %w", err)
+	n.log.Info().Int("cut", cut).Msg("stopped")
+	if cut > 0 {
+		return fmt.Errorf("%d requests were cut off", cut)
 	}
 	return nil
 }
+
+// drainCallers waits until no request of a caller is in progress, or ctx ends, and closes the connections of callers.
+// http.Server.Shutdown would close kept connections at once, and drop without an answer what callers have sent on them
+// meanwhile. Here a kept connection takes one more request as long as others are in progress.
+func (n *Node) drainCallers(ctx context.Context, exit time.Time) {
+	if n.callerListener != nil {
+		_ = n.callerListener.Close()
+	}
+	for ctx.Err() == nil {
+		now := n.now()
+		if n.callerConns.quiet(now) >= quietTime || exit.Sub(now) <= lastCallTime {
+			if n.callerConns.closeUnused(now) == 0 {
+				return
+			}
+		}
+		pause.For(ctx, drainCheckInterval)
+	}
+}
