pass: A VM that stops takes no more requests of other VMs

A VM without a path to the servers sends its requests through others. One of those that had got SIGTERM took them until the end of its notice, and cut what was under way at its exit; the caller's VM then could not tell whether it had run. It can choose another proxy at once, so a proxied request is now refused from SIGTERM on. Those under way go on (AwaitProxied).

Checked at the other side: a refusal takes the send back, and neither retry budget nor quota is touched, but it counted as one of ten attempts, and the proxy was chosen again after 0.5 s. With ten proxies told to stop the request would have been refused while another one could send it. A refusal of a proxy that stops no longer counts as an attempt, and the proxy is left alone for two seconds; it is the only reason that many proxies give at once, and each gives it once.

--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/platform"
+	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
 // heldRequest is a request whose body has not been sent to its end, so that it is in progress at its VM.
@@ -124,6 +125,25 @@
 	}
 }
 
+// A VM reaches no server, and one of the two that send its requests is told to stop. Guards against requests that are cut
+// off because a VM that stops goes on taking those of others.
+func TestStoppingVMSendsForNoOther(t *testing.T) {
+	s, ctx := startSite(t, demo.SiteOptions{Notice: 2 * time.Second})
+	controller := controllerOf(ctx, t, s)
+	cut, stops := (controller+1)%3, (controller+2)%3
+	requireServing(ctx, t, s, cut, "before")
+	s.Path(cut).SetState(stand.PathFailures["refused"])
+	requireServing(ctx, t, s, cut, "cut")
+	stopped := startStop(t, s, stops)
+	sent := func() int64 { return s.Node(stops).Metrics().CounterValue("proxy.sent") }
+	before := sent()
+	for i := range 5 {
+		require.True(t, servedAtFirst(ctx, s, cut, fmt.Sprint("stopping-", i)))
+	}
+	require.Equal(t, before, sent())
+	require.NoError(t, <-stopped)
+}
+
 // keptCallers are callers that send one request after the other, each on the connection that it has kept, and move to
 // another VM when a response says that the connection closes.
 type keptCallers struct {
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -67,7 +67,7 @@
 	switch running := g.proxiedRunning.Add(1); {
 	case g.AcceptsProxyKey == nil || !g.AcceptsProxyKey(key):
 		p.refuse(refusalKey)
-	case g.stopping():
+	case g.toldToStop():
 		p.refuse(refusalStopping)
 	case running > int64(g.MaxProxied):
 		p.refuse(refusalBusy)
--- a/pass/proxy_test.go
+++ b/pass/proxy_test.go
@@ -131,6 +131,7 @@
 		"without a path too": {func(_, proxy *Gateway) { useProxies(proxy, "127.0.0.1:1") }, refusalNoPath},
 		"wrong key":          {func(g, _ *Gateway) { g.ProxyKey = func() string { return "other" } }, refusalKey},
 		"does not serve":     {func(_, proxy *Gateway) { proxy.AcceptsProxyKey = nil }, refusalKey},
+		"stops":              {func(_, proxy *Gateway) { proxy.StopsAt = func() (time.Time, bool) { return clock.Now(), true } }, refusalStopping},
 		"server not known":   {func(_, proxy *Gateway) { proxy.Servers.Remove(clock.Now(), "0") }, refusalUnavailable},
 	}
 	for name, tc := range tests {
--- a/pass/proxyloads.go
+++ b/pass/proxyloads.go
@@ -12,6 +12,8 @@
 	// within some tens of milliseconds. If all proxies counted as busy for longer, requests would be refused
 	// which they could send.
 	busyProxyAvoidTime = 100 * time.Millisecond
+	// stoppingProxyAvoidTime is the same for a proxy that shuts down.
+	stoppingProxyAvoidTime = 2 * time.Second
 )
 
 // proxyLoads spreads the requests of a VM over its proxies. The zero value is ready to use.
--- a/pass/stop.go
+++ b/pass/stop.go
@@ -61,3 +61,9 @@
 func (g *Gateway) refuseUnfinishedWait(now time.Time, c *call, serving []backs.Entry) error {
 	return g.refuseUnfinished(now, c, pick.Choice{Server: backs.Entry{Service: c.service.Name}}, g.remainingLoadTime(now, c, serving))
 }
+
+// toldToStop reports whether this VM stops, even if it still takes requests of callers.
+func (g *Gateway) toldToStop() bool {
+	_, stopping := g.exitTime()
+	return stopping || g.stopping()
+}
--- a/pass/stop_test.go
+++ b/pass/stop_test.go
@@ -175,3 +175,22 @@
 	require.Equal(t, int64(1), rejects.Load())
 	require.Zero(t, got.Load())
 }
+
+// A VM sends its requests through others, most of which have been told to stop. Guards against a request that is
+// refused, sent twice or counted as a retry because of them.
+func TestStoppingProxies(t *testing.T) {
+	address, got := startRecorder(t)
+	g := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, address)
+	var proxies []string
+	for range 2 * maxAttempts {
+		proxy := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, address)
+		proxy.StopsAt = func() (time.Time, bool) { return clock.Now().Add(testExit), true }
+		proxies = append(proxies, serveAsProxy(t, proxy))
+	}
+	proxies = append(proxies, serveAsProxy(t, truncationGateway(routes.Route{Kind: routes.AtMostOnce}, address)))
+	useProxies(g, proxies...)
+	require.Equal(t, http.StatusOK, callGateway(t, g, longDeadline).status)
+	require.Len(t, got.requests, 1)
+	require.Equal(t, int64(2*maxAttempts), g.Meter.CounterValue("pass.proxy_refusals"))
+	require.Zero(t, g.RetryBudget("s").Usage(clock.Now()).Retries)
+}
--- a/pass/way.go
+++ b/pass/way.go
@@ -156,6 +156,10 @@
 		a.c.excluded = append(a.c.excluded, a.choice.Server.ID)
 	case refusalBusy:
 		a.g.proxyLoads.avoid(a.g.Now(), a.proxy, busyProxyAvoidTime)
+	case refusalStopping:
+		// It takes none until it has started again. Many VMs may stop at a time, so that the attempt does not count.
+		a.c.attempts--
+		a.g.proxyLoads.avoid(a.g.Now(), a.proxy, stoppingProxyAvoidTime)
 	default:
 		a.g.proxyLoads.avoid(a.g.Now(), a.proxy, proxyAvoidTime)
 	}
