pass, node: A request that the exit of its VM cuts off says so

The line of a request that was cut at the exit had status 599 with "use of closed network connection", or, if its answer had not begun or was just being written, 499 or 200 with "caller disconnected": the HTTP server cancels requests in the same way for both. Whether a stop was the cause had to be guessed from times. Now it is 599 with "cut off as this VM exits", counted by pass.cut_at_exit; Node.Stop counts what it cuts of callers and of other VMs, logs and returns it, and waits up to 0.1 s of its reserve for the lines of those requests.

Measured: before, pass TestRequestCutAtExit counted none, and demo TestStopNamesWhatItCuts had "requests were cut off: context deadline exceeded". Both pass now. A caller that disconnects in the same moment is taken for cut off, which is what it would have been.

--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -125,6 +125,22 @@
 	}
 }
 
+// A request from before SIGTERM takes longer than the VM has to stop. Guards against a stop that cuts it off and does
+// not say so.
+func TestStopNamesWhatItCuts(t *testing.T) {
+	all := demo.SiteRoutes()
+	for i := range all {
+		all[i].Timeout = testTimeout
+	}
+	s, ctx := startSite(t, demo.SiteOptions{WorkTime: 2500 * time.Millisecond, Grace: time.Second, Routes: all})
+	result := make(chan callResult, 1)
+	go func() { result <- call(ctx, s, s.VMAddresses()[0], "long", http.MethodPost, "/book/x", "") }()
+	require.Eventually(t, func() bool { return len(s.Runs.Servers("long")) > 0 }, testTimeout, time.Millisecond)
+	require.ErrorContains(t, s.StopNode(0), "1 requests of callers and 0 of other VMs were cut off")
+	require.Error(t, (<-result).err)
+	require.Eventually(t, func() bool { return s.Node(0).Metrics().CounterValue("pass.cut_at_exit") == 1 }, testTimeout, time.Millisecond)
+}
+
 // A VM reaches no server, and one of the two that send its requests is told to stop. Guards against requests that are cut
 // off because a VM that stops goes on taking those of others.
 func TestStoppingVMSendsForNoOther(t *testing.T) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -18,6 +18,8 @@
 	drainCheckInterval = 10 * time.Millisecond
 	// lastCallTime is how long before the exit kept connections are closed while requests are in progress.
 	lastCallTime = 100 * time.Millisecond
+	// cutLogTime is how long the process waits for the log lines of the requests that it has cut off.
+	cutLogTime = 100 * time.Millisecond
 )
 
 // exitTime returns when this VM exits, and whether it has been told to stop.
@@ -80,11 +82,15 @@
 	// No background renewal of the lease may follow the final renewal below.
 	n.stopBackground()
 	n.lease.Extend(background, restartLeaseDuration)
-	cut := n.callerConns.active()
+	cut, proxiedCut := n.callerConns.active(), n.gateway.Proxied()
 	n.Kill()
-	n.log.Info().Int("cut", cut).Msg("stopped")
-	if cut > 0 {
-		return fmt.Errorf("%d requests were cut off", cut)
+	// What was cut off still has to be logged.
+	for waited := time.Duration(0); n.callerConns.active() > 0 && waited < cutLogTime; waited += drainCheckInterval {
+		pause.For(background, drainCheckInterval)
+	}
+	n.log.Info().Int("cut", cut).Int("proxied_cut", proxiedCut).Dur("took", n.now().Sub(startedAt)).Msg("stopped")
+	if cut+proxiedCut > 0 {
+		return fmt.Errorf("%d requests of callers and %d of other VMs were cut off", cut, proxiedCut)
 	}
 	return nil
 }
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -363,7 +363,7 @@
 		err = c.completeByClose(w)
 	}
 	if err != nil {
-		c.reason = "caller disconnected"
+		g.recordWriteFailed(c)
 	}
 }
 
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -187,7 +187,7 @@
 	g.Meter.RecordDuration("pass.request", g.Now().Sub(c.arrived))
 	g.Meter.AddCounter("pass.status."+strconv.Itoa(c.status), 1)
 	g.logRequest(c)
-	if c.status == statusCallerClosed {
+	if c.status == statusCallerClosed || c.status == statusStreamAborted {
 		// The HTTP server answers with an empty success when a handler returns without having written. A caller that
 		// has closed only its sending side would take it for the answer.
 		panic(http.ErrAbortHandler)
@@ -307,6 +307,10 @@
 // states that the request was not executed only if no server can have executed it.
 func (g *Gateway) fail(ctx context.Context, w http.ResponseWriter, c *call) {
 	c.disconnected = c.disconnected || c.request.Context().Err() != nil
+	if c.disconnected && g.exits(g.Now()) {
+		g.recordCut(c)
+		return
+	}
 	if c.headSent {
 		// The response head has been sent. Only an aborted connection indicates to the caller that
 		// the stream is incomplete.
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// Proxied returns the number of requests that this VM sends for others.
+func (g *Gateway) Proxied() int { return int(g.proxiedRunning.Load()) }
+
 // proxied is a request of another VM.
 type proxied struct {
 	reply
--- a/pass/stop.go
+++ b/pass/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
@@ -15,6 +16,9 @@
 // errStopsTooSoon is returned for a request that would be under way as the VM exits.
 var errStopsTooSoon = errors.New("this VM is shutting down and would exit before the end of the answer")
 
+// errCutAtExit is why a request that is under way as its VM exits has no whole answer.
+var errCutAtExit = errors.New("cut off as this VM exits")
+
 // silenceRoom is the time left for one silence of a sound server when it is decided whether an answer will be whole.
 const silenceRoom = 1500 * time.Millisecond
 
@@ -32,6 +36,28 @@
 	return g.StopsAt()
 }
 
+// exits reports whether this VM exits, and closes the connections of requests that are under way.
+func (g *Gateway) exits(now time.Time) bool {
+	exit, stopping := g.exitTime()
+	return stopping && !now.Before(exit)
+}
+
+// recordCut records that a call ends because this VM exits.
+func (g *Gateway) recordCut(c *call) {
+	c.status = statusStreamAborted
+	c.reason = strings.TrimSuffix(errCutAtExit.Error()+"; "+c.reason, "; ")
+	g.Meter.AddCounter("pass.cut_at_exit", 1)
+}
+
+// recordWriteFailed records that a part of the response could not be written to the caller.
+func (g *Gateway) recordWriteFailed(c *call) {
+	if g.exits(g.Now()) {
+		g.recordCut(c)
+		return
+	}
+	c.reason = "caller disconnected"
+}
+
 // recordStop records in a call whether it arrived while this VM stops.
 func (g *Gateway) recordStop(c *call) {
 	if exit, stopping := g.exitTime(); stopping {
--- a/pass/stop_test.go
+++ b/pass/stop_test.go
@@ -194,3 +194,51 @@
 	require.Equal(t, int64(2*maxAttempts), g.Meter.CounterValue("pass.proxy_refusals"))
 	require.Zero(t, g.RetryBudget("s").Usage(clock.Now()).Retries)
 }
+
+// A VM exits while a request is under way. Guards against a log that blames the caller for the end of its connection.
+func TestRequestCutAtExit(t *testing.T) {
+	for name, begun := range map[string]bool{"before the answer": false, "inside the answer": true} {
+		t.Run(name, func(t *testing.T) {
+			ctx, closeConnection := context.WithCancel(t.Context())
+			var stop func(time.Duration)
+			g, _, stop := stoppableGateway(t, shortOutput, nil)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if begun {
+					w.Header().Set("Attempt", r.Header.Get("Attempt"))
+					w.Header().Set("Stamp", "server")
+					w.Header().Set("Content-Type", typeEvents)
+					_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+					_ = http.NewResponseController(w).Flush()
+				}
+				stop(-time.Second)
+				if !begun {
+					closeConnection()
+				}
+				<-r.Context().Done()
+			}))
+			t.Cleanup(s.Close)
+			g.Servers.Remove(clock.Now(), "0")
+			g.Servers.Put(clock.Now(), server("1", "d", strings.TrimPrefix(s.URL, "http://")))
+			r := httptest.NewRequestWithContext(ctx, http.MethodGet, "http://h/x", nil)
+			r.Header.Set("Attempt", "a1")
+			r.Header.Set("Model", "m")
+			w := &onFirstWrite{ResponseWriter: httptest.NewRecorder(), call: closeConnection}
+			require.PanicsWithValue(t, http.ErrAbortHandler, func() { g.ServeHTTP(w, r) })
+			require.Equal(t, int64(1), g.Meter.CounterValue("pass.cut_at_exit"))
+			require.Equal(t, int64(1), g.Meter.CounterValue("pass.status.599"))
+		})
+	}
+}
+
+// onFirstWrite is a ResponseWriter that calls a function once something is written.
+type onFirstWrite struct {
+	http.ResponseWriter
+	call func()
+}
+
+func (w *onFirstWrite) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *onFirstWrite) Write(data []byte) (int, error) {
+	defer w.call()
+	return w.ResponseWriter.Write(data)
+}
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -90,7 +90,7 @@
 				first = now
 			}
 			if !a.writeEvents(w, controller, r.events) {
-				a.c.reason = "caller disconnected"
+				a.g.recordWriteFailed(a.c)
 				return true
 			}
 			a.c.lastEventID = r.splitter.lastID
