pick, pass: A VM that stops goes by how long its streams take, also by those in progress

Now the time of such a stream is that of its route, mean and two mean deviations of complete responses. Streams in progress that have taken longer than the mean count as well: the complete ones are the short ones while servers become slower. The first measurement replaces what was assumed. If nothing tells, the stream is refused unless its deadline comes before the exit: the caller goes to another VM at once, while a cut stream is lost. Ruled out: refusing all streams of unknown length, most of which fit.

In TestExpectedDuration the case of a response of unknown length had the average of the service as its bound; it is three cases now, nothing known (so said), measured once, and varied.

--- a/pass/stop.go
+++ b/pass/stop.go
@@ -73,7 +73,11 @@
 	if !stopping || c.mayHaveRun || c.headSent || len(c.inUse) > 0 || c.sends > 0 && !c.arrivedStopping {
 		return nil
 	}
-	c.expected = wait + g.Balancer.ExpectedDuration(choice, c.work)
+	expected, known := g.Balancer.ExpectedDuration(now, choice, c.work)
+	if !known {
+		expected = c.remaining(now)
+	}
+	c.expected = wait + expected
 	if endsBefore(now, exit, c.deadline, c.expected) {
 		return nil
 	}
--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -34,6 +34,7 @@
 		load:       Load{Running: 1, PrefillTime: c.PrefillTime, KVTokens: w.PromptTokens + w.MaxOutputTokens/2},
 	}
 	s.local = s.local.Add(a.load)
+	b.addRunning(a)
 	s.addAdapterUse(w, 1)
 	if w.Model != "" {
 		s.cache.add(now, w, w.prefixKeys(), int(prefixCacheShare*float64(kvTokens)))
@@ -90,6 +91,7 @@
 		return
 	}
 	a.ended = true
+	delete(a.balancer.running, a)
 	a.endPrefill()
 	s := a.balancer.serverState(a.serverID)
 	s.addAdapterUse(a.work, -1)
@@ -102,6 +104,7 @@
 	}
 	if result == Succeeded && a.work.Model != "" {
 		a.balancer.recordModelResponse(a.service, now.Sub(a.started))
+		a.balancer.recordResponseSpread(a.work, now.Sub(a.started))
 	}
 	if result == Succeeded {
 		took := now.Sub(a.started)
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -64,6 +64,10 @@
 	tokenTimes   map[string]time.Duration
 	// outputSpreads and tokenSpreads are the same with their deviations, and without the preference for fast responses.
 	outputSpreads, tokenSpreads map[string]spread
+	// responseSpreads holds how long the complete responses of model servers take, by route.
+	responseSpreads map[string]spread
+	// running holds the attempts in progress.
+	running map[*Attempt]struct{}
 }
 
 func (b *Balancer) serverState(id string) *serverState {
--- a/pick/finish_test.go
+++ b/pick/finish_test.go
@@ -25,9 +25,12 @@
 		measured int
 		change   func(*pick.Work)
 		min, max time.Duration
+		unknown  bool
 	}{
 		"no model":              {change: func(w *pick.Work) { *w = pick.Work{} }, min: predicted, max: predicted},
-		"output not known":      {change: func(w *pick.Work) { w.MaxOutputTokens = 0 }, min: predicted + time.Millisecond, max: predicted + time.Second},
+		"nothing known":         {change: func(w *pick.Work) { w.MaxOutputTokens = 0 }, unknown: true, min: predicted, max: predicted},
+		"measured, not known":   {share: func(*rand.Rand) float64 { return 1 }, measured: 1, change: func(w *pick.Work) { w.MaxOutputTokens = 0 }, min: predicted + 198*tokenTime, max: predicted + 2*200*tokenTime},
+		"varies, not known":     {share: func(r *rand.Rand) float64 { return 0.2 + 0.4*r.Float64() }, measured: 200, change: func(w *pick.Work) { w.MaxOutputTokens = 0 }, min: predicted + 100*tokenTime, max: predicted + 150*tokenTime},
 		"nothing measured":      {min: predicted + 200*5*time.Millisecond, max: predicted + 2*200*5*time.Millisecond},
 		"same output each time": {share: func(*rand.Rand) float64 { return 0.25 }, measured: 200, min: predicted + 50*tokenTime, max: predicted + 60*tokenTime},
 		"all that is allowed":   {share: func(*rand.Rand) float64 { return 1 }, measured: 200, min: longest, max: longest + longest/10},
@@ -41,16 +44,50 @@
 				events := int(tc.share(rng) * float64(work.MaxOutputTokens) / float64(work.TokensPerEvent))
 				a := b.Begin(now, choice, work, 0)
 				a.FirstEvent(now)
-				a.StreamCompleted(events, time.Duration((events-1)*work.TokensPerEvent)*tokenTime)
-				a.End(now, pick.Succeeded)
+				took := time.Duration((events-1)*work.TokensPerEvent) * tokenTime
+				a.StreamCompleted(events, took)
+				a.End(now.Add(took), pick.Succeeded)
 			}
 			w := work
 			if tc.change != nil {
 				tc.change(&w)
 			}
-			got := b.ExpectedDuration(choice, w)
+			got, known := b.ExpectedDuration(now, choice, w)
+			require.Equal(t, !tc.unknown, known)
 			require.GreaterOrEqual(t, got, tc.min)
 			require.LessOrEqual(t, got, tc.max)
 		})
 	}
 }
+
+// Guards against a VM that stops and takes streams which end after its exit, because all that it has seen complete came
+// before its servers became slower.
+func TestRunningStreamsLengthenExpectedDuration(t *testing.T) {
+	const fast, slow = 20 * time.Millisecond, 3 * time.Second
+	b := &pick.Balancer{}
+	choice := pick.Choice{Server: backs.Entry{ID: "a", Service: "s", Slots: 8}}
+	work := pick.Work{Route: "r", Model: "m", Slots: 8, PromptTokens: 100}
+	now := time.Unix(1000, 0)
+	for range 20 {
+		b.Begin(now, choice, work, 0).End(now.Add(fast), pick.Succeeded)
+	}
+	expected := func() time.Duration {
+		d, known := b.ExpectedDuration(now, choice, work)
+		require.True(t, known)
+		return d
+	}
+	require.Less(t, expected(), 2*fast)
+	var running []*pick.Attempt
+	for range 6 {
+		running = append(running, b.Begin(now, choice, work, 0))
+	}
+	other := work
+	other.Route = "other"
+	b.Begin(now, choice, other, 0)
+	now = now.Add(slow)
+	require.Greater(t, expected(), slow)
+	for _, a := range running {
+		a.End(now, pick.Neutral)
+	}
+	require.Less(t, expected(), 2*fast)
+}
