pass: A stream goes back to the server that it left before it asks the broken one again

Callers saw a stream cut with status 599 and left_silent in its line: its server was silent for a second, another one began to answer, the first, sound one was closed, and the other one broke off. With ten retries left no check refuses the way back: both servers are excluded as failed, the next pass forgets that, and the server that has just broken off is usually chosen again, as it has the idle connection of its probe. With two retries that spends the last one. With ten the fourth and last of its sends is the one at the first server; if the third is, and that server is still silent, the hedge takes the fourth for the broken one, which begins, so that the sound one is left a second time, and breaks.

Now the servers that a call left because they were silent are candidates before those that failed it, after those that it has not asked, and a hedge does not use the last send for a server that has failed the call. Each send counts against the budget as before. Ruled out: MaxServers (a server that has had the call stays eligible), the resume of the caller and the test's first server, which answers further connections.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -166,9 +166,9 @@
 	// hedgeOf is the hedge that this attempt belongs to, nil for none, and release frees its context.
 	hedgeOf *hedge
 	release func()
-	// silenceLogged is set once a silence of the server was logged.
-	silenceLogged bool
-	finished      bool
+	// silenceLogged is set once a silence of the server was logged, left once the call has left it for that.
+	silenceLogged, left bool
+	finished            bool
 	// stopClosing ends the closing of the connection with the context of the call, and reports whether it was in time.
 	stopClosing func() bool
 	span        trace.Span
@@ -223,6 +223,9 @@
 	a.err = errors.New(reason)
 	a.failOver()
 	a.c.excluded = append(a.c.excluded, a.choice.Server.ID)
+	if a.result == pick.Failed && !a.left {
+		a.c.brokeOff = append(a.c.brokeOff, a.choice.Server.ID)
+	}
 	a.g.logFailedAttempt(a.c, a.choice, reason)
 	return false
 }
--- a/pass/call.go
+++ b/pass/call.go
@@ -104,12 +104,13 @@
 	modelWait time.Duration
 	// inUse lists the servers of the call's attempts that a hedge is to stand in for.
 	inUse []string
-	// leftSilent lists the servers that the call left because they were silent.
-	leftSilent []string
 	// arrivedStopping is set if the VM was stopping when the request arrived, and stopsIn how long before its exit that
 	// was. expected is how long the whole answer was then expected to take.
 	arrivedStopping   bool
 	stopsIn, expected time.Duration
+	// leftSilent lists the servers that the call left because they were silent, setAside those of them that it has not
+	// asked since. brokeOff lists the servers that failed the call.
+	leftSilent, setAside, brokeOff []string
 	// errorResponse is an error response of a server; it is forwarded if no later attempt succeeds.
 	errorResponse *response
 	// serverLeaving and serverRetryAfter are what the last response said about its server: that it will
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -124,6 +124,9 @@
 	if len(c.excluded) == 0 || c.attempts <= c.roundStartAttempts && g.replacementExpected(now, c) {
 		return false, nil
 	}
+	if c.recallLeft() {
+		return true, nil
+	}
 	c.roundStartAttempts = c.attempts
 	c.rounds++
 	if g.isolated(now, c) {
--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -178,6 +178,7 @@
 	copied.sentTo, copied.versions = slices.Clone(c.sentTo), slices.Clone(c.versions)
 	copied.excluded, copied.unreachable = slices.Clone(c.excluded), slices.Clone(c.unreachable)
 	copied.inUse, copied.leftSilent = slices.Clone(c.inUse), slices.Clone(c.leftSilent)
+	copied.setAside, copied.brokeOff = slices.Clone(c.setAside), slices.Clone(c.brokeOff)
 	return &copied
 }
 
@@ -185,7 +186,7 @@
 // anew at the next send.
 func (c *call) absorb(h *call) {
 	c.attempts, c.sends, c.sentTo, c.versions, c.quota = h.attempts, h.sends, h.sentTo, h.versions, h.quota
-	c.retryReserved, c.leftSilent = h.retryReserved, h.leftSilent
+	c.retryReserved, c.leftSilent, c.setAside, c.brokeOff = h.retryReserved, h.leftSilent, h.setAside, h.brokeOff
 	c.mayHaveRun = c.mayHaveRun || h.mayHaveRun
 	if h.errorResponse != nil {
 		c.errorResponse = h.errorResponse
--- /dev/null
+++ b/pass/hedgebreak_test.go
@@ -0,0 +1,165 @@
+package pass
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/routes"
+)
+
+// streamServer is a server of streams with a number of events, which goes on after the last event that a request names.
+type streamServer struct {
+	events int
+	// silentAt is the event before which the server is silent for a time, after so many bytes of the event, or without
+	// even a head if that is negative; 0 for never. Then its other requests wait for the same moment.
+	silentAt, silentAfter int
+	silentFor             time.Duration
+	onSilence             func()
+	// breaksAfter is how many events of each request come before it breaks off, after so many bytes of the next one;
+	// negative for never.
+	breaksAfter, breaksInside int
+
+	once sync.Once
+	goOn chan struct{}
+}
+
+// awaitEnd waits for the end of the silence, and reports whether the request was not left by then.
+func (s *streamServer) awaitEnd(r *http.Request) bool {
+	s.once.Do(func() {
+		s.onSilence()
+		time.AfterFunc(s.silentFor, func() { close(s.goOn) })
+	})
+	select {
+	case <-s.goOn:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *streamServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Attempt", r.Header.Get("Attempt"))
+	w.Header().Set("Stamp", "server")
+	w.Header().Set("Content-Type", typeEvents)
+	last, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	for id := last + 1; id <= s.events; id++ {
+		whole := event(id)
+		sent := 0
+		if s.silentAt > 0 && id >= s.silentAt {
+			if sent = max(s.silentAfter, 0); s.silentAfter >= 0 {
+				_, _ = io.WriteString(w, whole[:sent])
+				_ = http.NewResponseController(w).Flush()
+			}
+			if !s.awaitEnd(r) {
+				return
+			}
+		}
+		if s.breaksAfter >= 0 && id == last+1+s.breaksAfter {
+			_, _ = io.WriteString(w, whole[:s.breaksInside])
+			_ = http.NewResponseController(w).Flush()
+			breakOff(w, r)
+		}
+		_, _ = io.WriteString(w, whole[sent:])
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// brokenHedge is a gateway whose stream leaves a server that is silent for a time, and goes on at one that breaks off.
+type brokenHedge struct {
+	first, second streamServer
+	// third is set if there is a sound third server.
+	third      bool
+	maxServers int
+	retries    float64
+	window     time.Duration
+	log        strings.Builder
+}
+
+func (b *brokenHedge) gateway(t *testing.T) *Gateway {
+	t.Helper()
+	const events = 8
+	g := testGateway()
+	g.Log = zerolog.New(&b.log)
+	route := silentRoute(routes.Stream)
+	route.MaxServers = b.maxServers
+	g.Table = func() *routes.Table { return hedgeTable(route) }
+	g.RetryBudget("s").SetLimit(clock.Now(), 0, b.retries, b.window)
+	b.first.events, b.first.breaksAfter, b.first.goOn = events, -1, make(chan struct{})
+	b.second.events = events
+	second, third := hedgeServer(t, b.second.ServeHTTP), hedgeServer(t, (&streamServer{events: events, breaksAfter: -1}).ServeHTTP)
+	b.first.onSilence = func() {
+		g.Servers.Put(clock.Now(), server("second", "d", second))
+		if b.third {
+			time.AfterFunc(400*time.Millisecond, func() { g.Servers.Put(clock.Now(), server("third", "d", third)) })
+		}
+	}
+	g.Servers.Put(clock.Now(), server("first", "d", hedgeServer(t, b.first.ServeHTTP)))
+	return g
+}
+
+// requireWhole requires that the caller of a broken hedge gets the whole stream.
+func (b *brokenHedge) requireWhole(t *testing.T) {
+	t.Helper()
+	got := callGateway(t, b.gateway(t), 20*time.Second)
+	require.Equal(t, http.StatusOK, got.status, b.log.String())
+	require.Equal(t, events(1, b.first.events), got.body, b.log.String())
+	require.False(t, got.broken)
+}
+
+// silentServers are the moments at which the first server of a broken hedge is silent, brokenServers those at which the
+// second one breaks off.
+var (
+	silentServers = map[string]*streamServer{
+		"before the head":      {silentAt: 1, silentAfter: -1, silentFor: 1500 * time.Millisecond},
+		"after the head":       {silentAt: 1, silentFor: 1500 * time.Millisecond},
+		"between events":       {silentAt: 3, silentFor: time.Second},
+		"inside a later event": {silentAt: 3, silentAfter: 4, silentFor: time.Second},
+	}
+	brokenServers = map[string]*streamServer{
+		"before an event":         {},
+		"inside the second event": {breaksAfter: 1, breaksInside: 4},
+		"after three events":      {breaksAfter: 3},
+	}
+)
+
+// forEachBrokenHedge runs a test for each moment of the silence and of the break.
+func forEachBrokenHedge(t *testing.T, test func(t *testing.T, b *brokenHedge)) {
+	t.Helper()
+	for silence, first := range silentServers {
+		for end, second := range brokenServers {
+			t.Run("silent "+silence+", breaks "+end, func(t *testing.T) {
+				t.Parallel()
+				test(t, &brokenHedge{
+					first:  streamServer{silentAt: first.silentAt, silentAfter: first.silentAfter, silentFor: first.silentFor},
+					second: streamServer{breaksAfter: second.breaksAfter, breaksInside: second.breaksInside},
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream that is cut because it left a sound server that was silent for a second, and the server at
+// which it went on breaks off each time: no retry or no send is left for the way back, or the sound server is left again.
+func TestServerOfHedgeBreaksOff(t *testing.T) {
+	for _, maxServers := range []int{2, 3} {
+		for _, retries := range []float64{2, 10} {
+			t.Run(fmt.Sprintf("%d servers, %v retries", maxServers, retries), func(t *testing.T) {
+				t.Parallel()
+				forEachBrokenHedge(t, func(t *testing.T, b *brokenHedge) {
+					b.maxServers, b.third, b.retries, b.window = maxServers, maxServers == 3, retries, time.Hour
+					b.requireWhole(t)
+				})
+			})
+		}
+	}
+}
--- a/pass/silence.go
+++ b/pass/silence.go
@@ -87,14 +87,28 @@
 
 // leave records that the call leaves its silent server for another one, which has begun to answer.
 func (a *attempt) leave() {
+	a.left = true
 	a.c.leftSilent = append(a.c.leftSilent, a.choice.Server.ID)
+	a.c.setAside = append(a.c.setAside, a.choice.Server.ID)
 	a.g.Meter.AddCounter("pass.left_silent", 1)
 	a.g.Log.Info().Str("request", a.c.id).Str("server", a.choice.Server.ID).Str("instead", a.successor.choice.Server.ID).Msg("silent server left")
 }
 
+// recallLeft makes the servers that the call left because they were silent candidates again, and reports whether there
+// are any. The server that it went on at has failed since, so that a sound one is likelier among those.
+func (c *call) recallLeft() bool {
+	if len(c.setAside) == 0 {
+		return false
+	}
+	c.excluded = slices.DeleteFunc(c.excluded, func(id string) bool { return slices.Contains(c.setAside, id) })
+	c.setAside = nil
+	return true
+}
+
 // chooseOther returns a server with capacity that a call may be sent to while its server is silent. Without one, and
 // without enough time before the deadline, nothing would be gained: usually the silent server has preempted the
-// request and is recomputing its prompt. Servers that refused the call may be chosen again once no other is left.
+// request and is recomputing its prompt. Servers that refused or failed the call may be chosen again once no other is
+// left, but the last send does not go to one that has failed it: if it did again, no send would be left for the way back.
 func (a *attempt) chooseOther(now time.Time) (pick.Choice, bool) {
 	c := a.c
 	if c.sends >= maxSends || c.attempts >= maxAttempts || c.remaining(now) <= c.route.Objective || c.request.Context().Err() != nil {
@@ -102,6 +116,9 @@
 	}
 	excluded := c.excluded
 	c.excluded = slices.Concat(excluded, c.inUse, []string{a.choice.Server.ID})
+	if c.sends == maxSends-1 {
+		c.excluded = append(c.excluded, c.brokeOff...)
+	}
 	choice, ok := a.g.pickServer(now, c, a.g.serversFor(now, c))
 	if c.excluded = excluded; !ok {
 		c.excluded = nil
