pass, retry: A retry that was taken for a hedge that is not sent is given back

A hedge takes its retry before it connects. If no connection could be opened, or the silent server went on first, the retry stayed spent though nothing had arrived anywhere: on a VM with two retries in ten seconds the next silence had none. The call keeps the reserved retry for its next send, as before, and gives it back when it ends without one; so does one whose send a proxy took back. The window forgets it in the slot in which it was allowed, as a move does, so that a retry which has left the window is not given back a second time.

TestRetryOfUnsentHedgeIsGivenBack failed before with one retry spent, for both kinds of routes; TestReturnedRetryDoesNotCount is the rule of the window.

--- a/pass/admission.go
+++ b/pass/admission.go
@@ -65,8 +65,10 @@
 
 func admissionKey(c *call) string { return c.service.Name + "/" + c.work.Model }
 
-// finishCall removes a call that has ended from the waiting calls.
+// finishCall removes a call that has ended from the waiting calls, and gives back the retry that it reserved and did
+// not need.
 func (g *Gateway) finishCall(c *call) {
+	c.returnRetry()
 	now := g.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pass/hedgebreak_test.go
+++ b/pass/hedgebreak_test.go
@@ -1,8 +1,10 @@
 package pass
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -163,3 +165,26 @@
 		}
 	}
 }
+
+// Guards against a retry that stays spent though the hedge that it was taken for was not sent.
+func TestRetryOfUnsentHedgeIsGivenBack(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			var unreachable func()
+			g := silenceGateway(t, &silentServer{eventType: kind == routes.Stream, sentBefore: 0}, func(wentOn func()) string {
+				unreachable = wentOn
+				return "dead:1"
+			}, kind, 1)
+			dial := g.Pool.DialFunc
+			g.Pool.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
+				if address == "dead:1" {
+					unreachable()
+				}
+				return dial(ctx, address)
+			}
+			requireWholeAnswer(t, g, kind)
+			require.Zero(t, g.RetryBudget("s").Usage(clock.Now()).Retries)
+		})
+	}
+}
--- a/pass/retry.go
+++ b/pass/retry.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// returnRetry gives back the reserved retry of a call that has ended.
+func (c *call) returnRetry() {
+	if !c.retryReserved.IsZero() {
+		c.retryBudget.Return(c.retryReserved)
+		c.retryReserved = time.Time{}
+	}
+}
+
 // takeRetry consumes the reserved retry of a call or one of the retry budget, and reports whether there was
 // one.
 func (g *Gateway) takeRetry(now time.Time, c *call, server string) bool {
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -116,3 +116,22 @@
 	}
 	require.GreaterOrEqual(t, len(sent), 30, "a process that has run for a window sends its share")
 }
+
+// Guards against a retry that was reserved, not sent and given back, and still keeps others from being sent, or is given
+// back once it no longer counts.
+func TestReturnedRetryDoesNotCount(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var w retry.SlidingWindow
+	w.SetLimit(start, 0, 1, 10*time.Second)
+	require.True(t, w.Allow(start))
+	require.False(t, w.Allow(start.Add(time.Second)))
+	w.Return(start)
+	later := start.Add(time.Second)
+	require.True(t, w.Allow(later))
+	w.Return(start)
+	require.Equal(t, 1, w.Usage(later).Retries)
+	next := start.Add(12 * time.Second)
+	require.True(t, w.Allow(next))
+	w.Return(later)
+	require.Equal(t, 1, w.Usage(next).Retries)
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -78,11 +78,23 @@
 func (w *SlidingWindow) Move(allowed, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.forget(allowed)
+	w.slot(now).retries++
+}
+
+// Return gives back a retry that was allowed earlier and not sent.
+func (w *SlidingWindow) Return(allowed time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget(allowed)
+}
+
+// forget takes a retry out of the slot in which it was allowed. w.mu is held.
+func (w *SlidingWindow) forget(allowed time.Time) {
 	index := w.slotIndex(allowed)
 	if s := &w.slots[index%windowSlotCount]; s.index == index && s.retries > 0 {
 		s.retries--
 	}
-	w.slot(now).retries++
 }
 
 // Usage is what a SlidingWindow holds for the window that ends now.
