pass: A stream that left a silent server waits for the retry for its way back

Callers saw a stream cut with "retry budget exhausted" and left_silent: its only retry was spent on leaving a server that was silent for a second, and the one that it went on at broke off. On a VM of 91 the budget is about two retries in ten seconds, but one that was spent counts no more soon, and requests earn others. Such a stream now waits for a retry for half of its remaining time at most, and logs it ("waits for a retry", counter pass.retry_waits). Every send still counts, and streams whose server broke off without a silence before are cut at once as before: their callers can take them up.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -41,6 +41,7 @@
 		}
 		a = next
 	}
+	g.awaitRetry(ctx, c)
 	return false
 }
 
--- a/pass/hedgebreak_test.go
+++ b/pass/hedgebreak_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// testLog is a log that is read while it is written.
+type testLog struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (l *testLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(p)
+}
+
+func (l *testLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.String()
+}
+
 // brokenHedge is a gateway whose stream leaves a server that is silent for a time, and goes on at one that breaks off.
 type brokenHedge struct {
 	first, second streamServer
@@ -84,7 +102,7 @@
 	maxServers int
 	retries    float64
 	window     time.Duration
-	log        strings.Builder
+	log        testLog
 }
 
 func (b *brokenHedge) gateway(t *testing.T) *Gateway {
@@ -166,6 +184,30 @@
 	}
 }
 
+// Guards against a stream that is cut because its VM has spent its retries on leaving a sound server, though more are
+// allowed soon, and against one that goes on with more sends than the budget allows.
+func TestStreamThatLeftSilentServerWaitsForRetry(t *testing.T) {
+	for name, window := range map[string]time.Duration{"one is allowed soon": 2 * time.Second, "none is allowed": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forEachBrokenHedge(t, func(t *testing.T, b *brokenHedge) {
+				b.maxServers, b.retries, b.window = 2, 1, window
+				if window < time.Minute || b.second.breaksAfter == 0 {
+					b.requireWhole(t)
+					return
+				}
+				g := b.gateway(t)
+				got := callGateway(t, g, 3*time.Second)
+				sent := max(b.first.silentAt-1, 0) + b.second.breaksAfter
+				require.True(t, got.broken)
+				require.Equal(t, events(1, sent), got.body)
+				require.Equal(t, 1, g.RetryBudget("s").Usage(clock.Now()).Retries)
+				require.Equal(t, 1, strings.Count(b.log.String(), `"message":"waits for a retry"`))
+			})
+		})
+	}
+}
+
 // Guards against a retry that stays spent though the hedge that it was taken for was not sent.
 func TestRetryOfUnsentHedgeIsGivenBack(t *testing.T) {
 	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
--- a/pass/retry.go
+++ b/pass/retry.go
@@ -1,6 +1,41 @@
 package pass
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/pause"
+)
+
+// retryPollInterval is the interval between looks at the budget of a call that waits for a retry.
+const retryPollInterval = 100 * time.Millisecond
+
+// awaitRetry takes the retry for the next send of a stream that left a silent server, and waits if the budget has none.
+// The server may have been sound, and the retry for leaving it was spent without need, so that the stream is not cut
+// for want of another one.
+func (g *Gateway) awaitRetry(ctx context.Context, c *call) {
+	if !c.headSent || len(c.leftSilent) == 0 || !c.retryReserved.IsZero() || !g.mayRetry(ctx, c) {
+		return
+	}
+	start := g.Now()
+	end := start.Add(c.maxServerWait(start))
+	for now, logged := start, false; ; now = g.Now() {
+		if c.retryBudget.Allow(now) {
+			c.retryReserved = now
+			g.logRetry(now, c, "", true)
+			return
+		}
+		if !logged {
+			logged = true
+			g.Meter.AddCounter("pass.retry_waits", 1)
+			g.Log.Info().Str("request", c.id).Str("service", c.service.Name).Strs("left_silent", c.leftSilent).Msg("waits for a retry")
+		}
+		if !now.Before(end) || ctx.Err() != nil || callerDisconnected(c.request) {
+			return
+		}
+		pause.For(ctx, retryPollInterval)
+	}
+}
 
 // returnRetry gives back the reserved retry of a call that has ended.
 func (c *call) returnRetry() {
