pass: An answer that is too long has its own counter and reason

An answer of more than 16 MB became a 502 whose reason was "body is longer than allowed", with no counter, and counted as a failure of its server in the choice of servers. Its server is sound, and so the attempt is neutral there now; the reason says that the response was too long, and pass.responses_too_long counts it. By reading, it did not count as a lost connection that may have been a crash, as the table in docs/incidents/silence.md says: conns.ConnectionLost does not take it for one. The answer is still replaced by a 502, and a repeatable request is still sent to another server if the budget allows it. TestTooLongResponse failed before at the counter, for both kinds of routes.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -330,6 +330,11 @@
 // readWhole reads the whole response, so that a truncated one can still be replaced by a retry.
 func (a *attempt) readWhole(ctx context.Context) bool {
 	body, err := conns.ReadAll(a.resp.Body, maxResponseBytes)
+	if errors.Is(err, conns.ErrBodyTooLarge) {
+		a.g.Meter.AddCounter("pass.responses_too_long", 1)
+		a.c.mayHaveRun, a.result = true, pick.Neutral
+		return a.fail("response is longer than " + strconv.Itoa(maxResponseBytes) + " bytes")
+	}
 	if err != nil {
 		return a.connectionLost(ctx, err.Error(), err)
 	}
