conns: A VM that stood still takes none of its servers for silent before it has read what they sent

A VM that stands still for a second (its share of a core is used up, it applies a long configuration, it is suspended) called servers silent whose bytes lay in its own socket. The Go runtime ends a read whose deadline has passed before it looks for bytes, and the first thing that runs after a standstill are the timers. The request was then sent to a second server, which takes one of the few retries that a VM of a large deployment has, and the silence counted towards the suspicion that the VM has lost its path.

After a stall timeout the read now looks for bytes first, and returns them. A timer that fires 150 ms late or more says that the VM itself stood still, so that the wait begins anew, once for each read: after a standstill of the whole machine the servers have yet to send again what was lost, and a VM that is late each time must still notice a server that is gone. The decision is a function of its own. Ruled out: to set another short deadline and read again, which fails in the same way if the VM stands still in between.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -26,6 +26,8 @@
 	// waits for as long as the connection lasts.
 	stallTimeout time.Duration
 	abortOnStall func(waited time.Duration) bool
+	// ownDelay is described at OwnDelay. Only the reader uses it.
+	ownDelay time.Duration
 
 	stallMu sync.Mutex
 	// stallDue is set if a read is to call abortOnStall before its stall timeout ends.
--- a/conns/stall.go
+++ b/conns/stall.go
@@ -9,7 +9,9 @@
 // SetStallTimeout makes each read that waits for longer than timeout call abort with the time that it has waited, and
 // again after every further timeout. The read fails only when abort returns true: a silent server may still respond,
 // and a request should abandon it only when another server is available. The readers of net/http cannot continue after
-// a failed read, so they must not see the deadline. A timeout of 0 disables the check.
+// a failed read, so they must not see the deadline. A timeout of 0 disables the check. While this process stood still
+// its peer may have sent, so abort is not called if there is something to read, and the wait begins anew once after
+// the process stood still.
 func (c *Conn) SetStallTimeout(timeout time.Duration, abort func(waited time.Duration) bool) {
 	c.stallTimeout, c.abortOnStall = timeout, abort
 	if timeout > 0 {
@@ -30,12 +32,12 @@
 	_ = c.net.SetReadDeadline(time.Unix(0, 1))
 }
 
-// beginWait sets the deadline of a read, and reports whether CheckStall was called before it.
-func (c *Conn) beginWait() (checkDue bool) {
+// beginWait sets the deadline of a read that begins at now, and reports whether CheckStall was called before it.
+func (c *Conn) beginWait(now time.Time) (checkDue bool) {
 	c.stallMu.Lock()
 	defer c.stallMu.Unlock()
 	checkDue, c.stallDue = c.stallDue, false
-	_ = c.net.SetReadDeadline(time.Now().Add(c.stallTimeout))
+	_ = c.net.SetReadDeadline(now.Add(c.stallTimeout))
 	return checkDue
 }
 
@@ -53,19 +55,29 @@
 
 // Read implements io.Reader.
 func (r stallReader) Read(p []byte) (int, error) {
-	for waited := time.Duration(0); ; {
-		if r.stallTimeout > 0 && r.beginWait() && r.abortOnStall(waited) {
+	for w := (stallWait{}); ; {
+		began := time.Now()
+		if r.stallTimeout > 0 && r.beginWait(began) && r.abortOnStall(w.waited) {
 			return 0, os.ErrDeadlineExceeded
 		}
 		n, err := r.net.Read(p)
+		ended := time.Now()
 		if n > 0 || r.stallTimeout == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		if !r.takeStallDue() {
-			waited += r.stallTimeout
+			silent := w.add(r.stallTimeout, ended.Sub(began), peekSocket(r.net) != socketIdle)
+			r.ownDelay = w.late
+			if !silent {
+				continue
+			}
 		}
-		if r.abortOnStall(waited) {
+		if r.abortOnStall(w.waited) {
 			return n, err
 		}
 	}
 }
+
+// OwnDelay returns for how long this process stood still during the wait that the abort function of SetStallTimeout is
+// called for, as far as its timers tell. Only that function may call it.
+func (c *Conn) OwnDelay() time.Duration { return c.ownDelay }
--- /dev/null
+++ b/conns/standstill_test.go
@@ -0,0 +1,95 @@
+package conns_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
+)
+
+// standstill is a connection whose VM stands still in one of its reads, from before the read deadline until after it.
+type standstill struct {
+	*net.TCPConn
+	// meanwhile is what the peer does while the VM stands still, nil once it has happened.
+	meanwhile func()
+}
+
+func (c *standstill) Read(p []byte) (int, error) {
+	if c.meanwhile != nil {
+		_ = c.SetReadDeadline(time.Unix(0, 1))
+		c.meanwhile()
+		c.meanwhile = nil
+	}
+	return c.TCPConn.Read(p)
+}
+
+// A VM stands still for longer than its stall timeout while its server sends. The timer of the read fires before what
+// lies in the socket is read. Guards against a server that counts as silent, or is left, though it has answered.
+func TestBytesThatCameWhileVMStoodStill(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	tests := map[string]struct {
+		sent  string
+		close bool
+	}{
+		"whole response":               {sent: response},
+		"part of the head":             {sent: response[:20]},
+		"whole response and the close": {sent: response, close: true},
+		"close":                        {close: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, accepted := listen(t)
+			var vm *standstill
+			p := conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+				c, err := conns.Dial(ctx, address)
+				if err != nil {
+					return nil, err
+				}
+				vm = &standstill{TCPConn: c.(*net.TCPConn)}
+				return vm, nil
+			}}
+			c, err := p.Dial(context.Background(), "k", address)
+			require.NoError(t, err)
+			server := <-accepted
+			x, err := c.Send(http.MethodGet, []byte("GET / HTTP/1.1\r\n\r\n"), nil)
+			require.NoError(t, err)
+			vm.meanwhile = func() {
+				_, _ = fmt.Fprint(server, tc.sent)
+				if tc.close {
+					require.NoError(t, server.Close())
+				}
+				awaitReadable(t, vm.TCPConn)
+				go func() { _, _ = fmt.Fprint(server, response[len(tc.sent):]) }()
+			}
+			c.SetStallTimeout(time.Hour, func(time.Duration) bool {
+				t.Error("the server counts as silent")
+				return true
+			})
+			_, err = x.ReadResponse()
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.Equal(t, tc.sent == "", err != nil)
+		})
+	}
+}
+
+// awaitReadable waits until the kernel holds bytes or a close that a connection has not read.
+func awaitReadable(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		readable := false
+		err := raw.Control(func(fd uintptr) {
+			_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			readable = err == nil
+		})
+		return err == nil && readable
+	}, 10*time.Second, time.Millisecond)
+}
