conns: A dial during which the VM stood still is made once more

A dial has 250 ms. If the VM stands still for longer in that time, the dial ends by its deadline, though the server has accepted the connection meanwhile: the deadline is looked at before the socket. The server then counted as unreachable for the request and was reported to the controller, its failure domain's standing fell, and the VM probed whether it had lost its path. A request whose model has one server was refused.

A dial that ends 150 ms or more after its deadline says that the VM itself stood still, and is made once more with a time of its own. This covers the connections of requests, those to proxies, and the probes of servers, paths and domains. The decision is the one that the reads use. Ruled out: a longer timeout, which would delay requests at each server that is gone.

Before: TestVMThatStoodStillDialsAgain got 503 in place of 200. It passes with the change.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -122,6 +122,24 @@
 	return c, nil
 }
 
+// DialWithin opens a new connection within timeout. A dial during which this process stood still fails although the
+// server has accepted the connection, so that it is made once more.
+func (p *Pool) DialWithin(ctx context.Context, timeout time.Duration, key, address string) (*Conn, error) {
+	began := time.Now()
+	c, err := p.dialOnce(ctx, timeout, key, address)
+	ended := time.Now()
+	if err == nil || ctx.Err() != nil || !stoodStill(timeout, ended.Sub(began)) {
+		return c, err
+	}
+	return p.dialOnce(ctx, timeout, key, address)
+}
+
+func (p *Pool) dialOnce(ctx context.Context, timeout time.Duration, key, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return p.Dial(ctx, key, address)
+}
+
 // OpenConnections returns how many connections of a key are open.
 func (p *Pool) OpenConnections(key string) int {
 	p.mu.Lock()
--- a/conns/wait.go
+++ b/conns/wait.go
@@ -6,6 +6,9 @@
 // its share of a core is not run for some tens of milliseconds, many times a second.
 const minOwnDelay = 150 * time.Millisecond
 
+// stoodStill reports whether this process stood still during a wait of timeout that took longer or not.
+func stoodStill(timeout, took time.Duration) bool { return took-timeout >= minOwnDelay }
+
 // stallWait is the wait of a read for its peer.
 type stallWait struct {
 	// waited is how long the peer has been silent while this process ran, late how late its timers fired together.
@@ -19,14 +22,14 @@
 // a standstill of the whole machine the peer has yet to send them again, so that neither the timer nor an empty socket
 // tells of the peer. The wait begins anew once only: a VM that is late each time still notices a server that is gone.
 func (w *stallWait) add(timeout, took time.Duration, readable bool) (silent bool) {
-	late := max(0, took-timeout)
-	if late >= minOwnDelay {
-		w.late += late
+	late := stoodStill(timeout, took)
+	if late {
+		w.late += took - timeout
 	}
 	switch {
 	case readable:
 		return false
-	case late >= minOwnDelay && !w.begunAnew:
+	case late && !w.begunAnew:
 		w.waited, w.begunAnew = 0, true
 		return false
 	}
--- a/node/path.go
+++ b/node/path.go
@@ -71,9 +71,7 @@
 // probeByPath probes one server. The connection counts, and that it is not broken as soon as it is used: the
 // health check itself waits for a slot like any other request.
 func (n *Node) probeByPath(ctx context.Context, e backs.Entry) {
-	ctx, cancel := context.WithTimeout(ctx, pathProbeTimeout)
-	defer cancel()
-	conn, err := n.connPool.Dial(ctx, e.ID, e.Address)
+	conn, err := n.connPool.DialWithin(ctx, pathProbeTimeout, e.ID, e.Address)
 	if err != nil {
 		n.paths.ConnectionFailed(n.now(), e.ID, errors.Is(err, syscall.ECONNREFUSED))
 		return
--- a/node/probe.go
+++ b/node/probe.go
@@ -45,9 +45,7 @@
 }
 
 func (n *Node) probeServer(ctx context.Context, e backs.Entry) {
-	ctx, cancel := context.WithTimeout(ctx, probeDialTimeout)
-	defer cancel()
-	conn, err := n.connPool.Dial(ctx, e.ID, e.Address)
+	conn, err := n.connPool.DialWithin(ctx, probeDialTimeout, e.ID, e.Address)
 	if err != nil {
 		n.balancer.ConnectFailed(n.now(), e)
 		return
--- a/pass/crash.go
+++ b/pass/crash.go
@@ -89,9 +89,7 @@
 		return
 	}
 	defer g.endProbe(server.ID)
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	conn, err := g.Pool.Dial(ctx, server.ID, server.Address)
+	conn, err := g.Pool.DialWithin(context.Background(), dialTimeout, server.ID, server.Address)
 	if err != nil {
 		g.connectionFailed(server.ID, err)
 		return
--- a/pass/standstill_test.go
+++ b/pass/standstill_test.go
@@ -89,3 +89,26 @@
 		})
 	}
 }
+
+// A VM stands still while it opens a connection to its only server, and the dial ends by its deadline. Guards against a
+// sound server that counts as unreachable, and against a path that is suspected, for what the VM itself did not do.
+func TestVMThatStoodStillDialsAgain(t *testing.T) {
+	g := testGateway(server("a", "d", startBackend(t, http.StatusOK)))
+	var suspects []string
+	g.ReportSuspect = func(server string) { suspects = append(suspects, server) }
+	suspicions := 0
+	g.Paths.OnSuspicion = func() { suspicions++ }
+	dials := 0
+	g.Pool.DialFunc = func(ctx context.Context, address string) (net.Conn, error) {
+		if dials++; dials > 1 {
+			return conns.Dial(ctx, address)
+		}
+		<-ctx.Done()
+		time.Sleep(time.Second)
+		return nil, ctx.Err()
+	}
+	require.Equal(t, http.StatusOK, sendWithDeadline(g, "20000").Code)
+	require.Empty(t, suspects)
+	require.Zero(t, suspicions)
+	require.Equal(t, 2, dials)
+}
--- a/pass/way.go
+++ b/pass/way.go
@@ -51,10 +51,8 @@
 	if conn := g.Pool.Get(now, server, avoidStale); conn != nil {
 		return conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	g.Meter.AddCounter("pass.dials", 1)
-	return g.Pool.Dial(ctx, server, address)
+	return g.Pool.DialWithin(ctx, dialTimeout, server, address)
 }
 
 const (
@@ -96,10 +94,8 @@
 	if conn := g.proxyPool.Get(g.Now(), address, avoidStale); conn != nil {
 		return conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	g.Meter.AddCounter("pass.proxy_dials", 1)
-	return g.proxyPool.Dial(ctx, address, address)
+	return g.proxyPool.DialWithin(ctx, dialTimeout, address, address)
 }
 
 // CloseExpiredProxyConns closes the connections to proxies that have been idle for too long.
