node, pause: A VM counts how often it stood still

When many servers of one VM seemed silent in the same moment, nothing told whether the VM itself had stood still: operators saw the silence of sound servers, and looked for the fault there. Shorter delays are no standstill: a VM with little CPU time has them many times a second.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -13,6 +13,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/pause"
 )
 
 const (
@@ -128,7 +130,7 @@
 	began := time.Now()
 	c, err := p.dialOnce(ctx, timeout, key, address)
 	ended := time.Now()
-	if err == nil || ctx.Err() != nil || !stoodStill(timeout, ended.Sub(began)) {
+	if err == nil || ctx.Err() != nil || pause.Standstill(timeout, ended.Sub(began)) == 0 {
 		return c, err
 	}
 	return p.dialOnce(ctx, timeout, key, address)
--- a/conns/wait.go
+++ b/conns/wait.go
@@ -1,13 +1,10 @@
 package conns
 
-import "time"
+import (
+	"time"
 
-// minOwnDelay is how late a timer fires at least if the process is taken to have stood still. A process that has used up
-// its share of a core is not run for some tens of milliseconds, many times a second.
-const minOwnDelay = 150 * time.Millisecond
-
-// stoodStill reports whether this process stood still during a wait of timeout that took longer or not.
-func stoodStill(timeout, took time.Duration) bool { return took-timeout >= minOwnDelay }
+	"github.com/hibiscuscart/hibiscuscart/pause"
+)
 
 // stallWait is the wait of a read for its peer.
 type stallWait struct {
@@ -22,14 +19,12 @@
 // a standstill of the whole machine the peer has yet to send them again, so that neither the timer nor an empty socket
 // tells of the peer. The wait begins anew once only: a VM that is late each time still notices a server that is gone.
 func (w *stallWait) add(timeout, took time.Duration, readable bool) (silent bool) {
-	late := stoodStill(timeout, took)
-	if late {
-		w.late += took - timeout
-	}
+	late := pause.Standstill(timeout, took)
+	w.late += late
 	switch {
 	case readable:
 		return false
-	case late && !w.begunAnew:
+	case late > 0 && !w.begunAnew:
 		w.waited, w.begunAnew = 0, true
 		return false
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -246,7 +246,7 @@
 		return err
 	}
 	n.background.Go(n.origins.Serve)
-	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.controller.Run, n.cleanUp, n.probeDomains, n.watchPath} {
+	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.controller.Run, n.cleanUp, n.probeDomains, n.watchPath, n.watchStandstills} {
 		n.background.Go(func() { job(ctx) })
 	}
 	n.log.Info().Str("listen", n.settings().Text("vm", "listen")).Str("store", n.settings().Text("store", "address")).Msg("started")
