--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -50,7 +50,7 @@
 		a.silenceLogged = true
 		g.Meter.AddCounter("pass.silent", 1)
 		g.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("started", c.headSent).Bool("hedged", ok).
-			Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Msg("server silent")
+			Str("instead", choice.Server.ID).Dur("predicted", choice.PredictedTime).Int("running", choice.Load.Running).Int64("late_ms", a.conn.OwnDelay().Milliseconds()).Msg("server silent")
 	}
 	if !ok {
 		return
