peers: A hub compresses a configuration once, and not for each VM that links

After a change of the controller all VMs link to the new one, and each is first sent the configuration. The hub compressed it for each of them under the lock that requests need to learn how many VMs there are and to take from a quota, and a second time for links that had fallen behind. The hub now keeps the frame of the configuration that it sent last, by its revision and bytes. Ruled out as too large a part: the fleet state beside it, which differs from link to link.

Before: TestConfigurationIsCompressedOnce got two frames for one configuration.

--- a/peers/hub.go
+++ b/peers/hub.go
@@ -123,7 +123,7 @@
 func (p *Peers) fullState(loads []wire.ServerLoad) (frames [][]byte, sent sentRevisions, err error) {
 	revision, value := p.Config()
 	if revision > 0 {
-		frame, err := configFrame(revision, value)
+		frame, err := p.configFrames.of(revision, value)
 		if err != nil {
 			return nil, sentRevisions{}, err
 		}
@@ -356,7 +356,7 @@
 }
 
 func (p *Peers) broadcastConfig(revision int, value []byte) {
-	frame, err := configFrame(revision, value)
+	frame, err := p.configFrames.of(revision, value)
 	if err != nil {
 		p.Log.Error().Err(err).Msg("encoding the configuration failed")
 		return
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -101,6 +101,9 @@
 	Log   zerolog.Logger
 	Meter *meter.Registry
 
+	// configFrames has a lock of its own.
+	configFrames configFrames
+
 	mu sync.Mutex
 	// demand and unverified are not yet reported to the controller.
 	demand     map[demandKey]*steer.ModelDemand
