peers: A link to a hub outlasts a standstill of the VM

A VM that stood still for over 1.2 s gave its link to the hub up: the timer of the read fired before the frames that lay in the socket were read, and the end of its context closes the link. The VM then counted its relay as lost, forgot the load of the other VMs, linked anew, and was sent the whole state and configuration once more, which costs the smallest VMs a part of a second in which they do nothing else.

The limit is now checked by a goroutine of its own. A check that comes 150 ms or more after the limit says that the VM itself stood still, and the wait begins anew, once for each frame, so that a VM which is late each time still finds a link that is broken after at most twice the limit. A hub that is silent is left after 1.2 s, as before. While a frame is applied the limit does not run, as before.

Before: TestLinkOutlastsStandstillOfVM, in simulated time, lost the link after 1.2 s in the three cases of a VM that stands still (the one that ran first ended the test). Ruled out: reading once more after the end of the context, as the WebSocket library closes the connection then.

--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -41,6 +41,7 @@
 	reported map[string]pick.Load
 
 	calls calls
+	idle  idleWait
 }
 
 func (u *uplink) close() {
@@ -217,10 +218,13 @@
 
 // receiveFrames receives and applies the hub's frames until the link fails. root outlives the link.
 func (p *Peers) receiveFrames(ctx, root context.Context, up *uplink) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go p.closeIdle(ctx, up)
 	for {
-		receiveCtx, cancel := context.WithTimeout(ctx, linkIdleTimeout)
-		m, err := up.conn.Receive(receiveCtx)
-		cancel()
+		up.idle.begin(p.Now())
+		m, err := up.conn.Receive(ctx)
+		up.idle.end()
 		if err != nil {
 			return err
 		}
