conns: A reset that came while a VM stood still is not taken for the end of an answer

Callers could get an answer as whole that its server had broken off: one that ends with its connection, whose server was reset while the VM waited.

TestResetWhileVMStoodStill is the same without the race: it failed with no error before, and passes. The look now returns the error, and the read fails with it. Other looks (idle connections before use, callers' connections) close what has an error and read nothing more from it.

--- a/conns/socket.go
+++ b/conns/socket.go
@@ -1,6 +1,8 @@
 package conns
 
 import (
+	"cmp"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -34,15 +36,23 @@
 // peekSocket returns the state of a connection without consuming bytes. A
 // connection without a system call interface counts as idle.
 func peekSocket(c net.Conn) socketState {
+	state, _ := peek(c)
+	return state
+}
+
+// peek is peekSocket that also returns the error of the connection, such as a
+// reset. The kernel reports an error once: reads that follow see an end of the
+// stream in its place.
+func peek(c net.Conn) (socketState, error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return socketIdle
+		return socketIdle, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return socketClosed
+		return socketClosed, fmt.Errorf("look for unread bytes: %w", err)
 	}
-	observed := socketClosed
+	observed, failure := socketClosed, error(nil)
 	// Read of the raw connection would wait for a concurrent reader; Control
 	// does not.
 	err = raw.Control(func(fd uintptr) {
@@ -51,14 +61,16 @@
 		switch {
 		case err == unix.EAGAIN || err == unix.EINTR:
 			observed = socketIdle
-		case err == nil && n > 0:
+		case err != nil:
+			failure = err
+		case n > 0:
 			observed = socketReadable
 		}
 	})
-	if err != nil {
-		return socketClosed
+	if err = cmp.Or(err, failure); err != nil {
+		return socketClosed, fmt.Errorf("look for unread bytes: %w", err)
 	}
-	return observed
+	return observed, nil
 }
 
 // unanswered reports whether the peer of an idle connection has acknowledged
--- a/conns/stall.go
+++ b/conns/stall.go
@@ -66,7 +66,11 @@
 			return n, err
 		}
 		if !r.takeStallDue() {
-			silent := w.add(r.stallTimeout, ended.Sub(began), peekSocket(r.net) != socketIdle)
+			state, err := peek(r.net)
+			if err != nil {
+				return 0, err
+			}
+			silent := w.add(r.stallTimeout, ended.Sub(began), state != socketIdle)
 			r.ownDelay = w.late
 			if !silent {
 				continue
--- a/conns/standstill_test.go
+++ b/conns/standstill_test.go
@@ -1,8 +1,10 @@
 package conns_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -93,3 +95,56 @@
 		return err == nil && readable
 	}, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a response that ends with its connection and looks whole though the connection was reset: the kernel
+// reports a reset once, and a look for bytes after a stall timeout would be told of it in place of the read.
+func TestResetWhileVMStoodStill(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of"
+	address, accepted := listen(t)
+	var vm *standstill
+	p := conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := conns.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		vm = &standstill{TCPConn: c.(*net.TCPConn)}
+		return vm, nil
+	}}
+	c, err := p.Dial(context.Background(), "k", address)
+	require.NoError(t, err)
+	server := <-accepted
+	x, err := c.Send(http.MethodGet, []byte("GET / HTTP/1.1\r\n\r\n"), nil)
+	require.NoError(t, err)
+	_, err = bufio.NewReader(server).ReadString('\n')
+	require.NoError(t, err)
+	_, err = fmt.Fprint(server, part)
+	require.NoError(t, err)
+	c.SetStallTimeout(time.Hour, func(time.Duration) bool {
+		t.Error("the server counts as silent")
+		return true
+	})
+	resp, err := x.ReadResponse()
+	require.NoError(t, err)
+	read := make([]byte, len("half of"))
+	_, err = io.ReadFull(resp.Body, read)
+	require.NoError(t, err)
+	vm.meanwhile = func() {
+		require.NoError(t, server.(*net.TCPConn).SetLinger(0))
+		require.NoError(t, server.Close())
+		awaitReset(t, vm.TCPConn)
+	}
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, unix.ECONNRESET)
+	require.True(t, conns.ConnectionLost(err))
+}
+
+// awaitReset waits until the kernel has received the reset of a connection, without being told of it.
+func awaitReset(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		var info *unix.TCPInfo
+		err := raw.Control(func(fd uintptr) { info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+		return err == nil && info != nil && info.State == unix.BPF_TCP_CLOSE
+	}, 10*time.Second, time.Millisecond)
+}
