--- a/demo/site.go
+++ b/demo/site.go
@@ -49,6 +49,8 @@
 	// Grace is how long VMs take at most to stop, and Notice how long they take requests then; 0 means those of the
 	// settings of each VM.
 	Grace, Notice time.Duration
+	// TokensPerEvent is the number of tokens in an event of a stream, 0 if it is not configured.
+	TokensPerEvent int
 	// NoVMs starts only the store and the backend servers; the test or tool runs the VMs itself.
 	NoVMs bool
 	// RegisteredAddress returns the address to register for a backend server, such as that of a proxy.
@@ -126,7 +128,7 @@
 // SiteModels lists the models that the model servers of a Site can load.
 var SiteModels = []string{"m1", "m2", "m3", "m4"}
 
-func siteServices() []routes.Service {
+func (s *Site) services() []routes.Service {
 	models := make(map[string]routes.Model)
 	for _, m := range SiteModels {
 		models[m] = routes.Model{Name: m, SizeMB: siteModelMB, LoadTime: siteLoadTime, MemoryLoadTime: siteLoadTime, DiskLoadTime: siteLoadTime, AdapterCount: 4}
@@ -134,7 +136,7 @@
 	return []routes.Service{
 		{Name: SitePlainService, HealthPath: platform.HealthPath, MaxConns: 100},
 		{Name: SiteModelService, HealthPath: platform.HealthPath, MaxConns: 100, Engine: &routes.Engine{
-			Slots: 8, KVCacheTokens: 100_000, WeightMemoryMB: siteMemoryMB, AdapterSlots: 4, StoreLoadsPerSecond: 20, Models: models,
+			Slots: 8, KVCacheTokens: 100_000, TokensPerEvent: s.options.TokensPerEvent, WeightMemoryMB: siteMemoryMB, AdapterSlots: 4, StoreLoadsPerSecond: 20, Models: models,
 		}},
 	}
 }
@@ -193,7 +195,7 @@
 
 // Configure writes the routes, services, limits and teams to the store, as an operator does.
 func (s *Site) Configure(version int, all []routes.Route, teams ...routes.Team) error {
-	value, err := platform.EncodeTable(version, all, siteServices(), routes.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20}, teams...)
+	value, err := platform.EncodeTable(version, all, s.services(), routes.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20}, teams...)
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -22,11 +22,14 @@
 	plannedGrace     = 5 * time.Second
 	// graceTail is the last part of the grace time, in which a request that was there before SIGTERM may be cut.
 	graceTail = plannedGrace / 6
-	// plannedCallersPerVM is how many callers send requests to each VM. plannedLead is how long they do before the first
-	// SIGTERM, and maxStopGap bounds the time between two.
+	// plannedCallersPerVM is how many callers send requests to each VM. They do for plannedLead before the first SIGTERM,
+	// or for measuredLead, in which VMs measure the pace of streams; maxStopGap bounds the time between two.
 	plannedCallersPerVM = 6
 	plannedLead         = time.Second
+	measuredLead        = 8 * time.Second
 	maxStopGap          = 2500 * time.Millisecond
+	// plannedTokensPerEvent is the number of tokens of an event where VMs know it. The callers ask for 32.
+	plannedTokensPerEvent = 4
 	// maxChangeGap bounds the time between two configurations, maxReloadGap that between two reloads.
 	maxChangeGap = 700 * time.Millisecond
 	maxReloadGap = 900 * time.Millisecond
@@ -74,12 +77,12 @@
 	for n := range plannedCallersPerVM * len(r.vms) {
 		callers.Go(func() { r.sendBesidePlanned(workCtx, p, r.vms[n%len(r.vms)], n) })
 	}
-	pause.For(ctx, plannedLead)
 	seeds := [3]uint64{rng.Uint64(), rng.Uint64(), rng.Uint64()}
 	work.Go(func() { r.silenceInTurn(workCtx, rand.New(rand.NewPCG(seeds[0], 1))) })
 	work.Go(func() { r.changeInTurn(workCtx, rand.New(rand.NewPCG(seeds[1], 2))) })
 	work.Go(func() { r.reloadInTurn(workCtx, rand.New(rand.NewPCG(seeds[2], 3))) })
 	for end := time.Now().Add(r.options.Duration); ; {
+		pause.For(ctx, r.plannedLead())
 		r.stopInTurn(ctx, p, rng)
 		if ctx.Err() != nil || time.Now().After(end) {
 			break
@@ -99,6 +102,17 @@
 	p.check(r)
 }
 
+// measured reports whether VMs can measure the pace of streams in a run with planned work, as they know how many tokens
+// an event has.
+func (r *run) measured() bool { return r.options.Planned && r.options.Seed%2 == 0 }
+
+func (r *run) plannedLead() time.Duration {
+	if r.measured() {
+		return measuredLead
+	}
+	return plannedLead
+}
+
 // slowServers sets how long servers take for a request and for an event, as usual if it is 0.
 func (r *run) slowServers(work, event time.Duration) {
 	for _, b := range r.site.Backends(demo.SitePlainService) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,7 +29,8 @@
 	// NoCuts leaves out the cuts between single VMs and all servers. They need a setting that builds from
 	// before the proxy VMs do not know.
 	NoCuts bool
-	// Planned leaves out all faults and their checks: only planned work is done, beside sound servers that are silent.
+	// Planned leaves out all faults and their checks: only planned work is done, beside sound servers that are silent. In
+	// runs with an even seed VMs know how many tokens an event has, so that they can measure the pace of streams.
 	Planned bool
 	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
 	VMs, Callers int
@@ -143,7 +144,11 @@
 
 func (r *run) start(ctx context.Context) error {
 	var err error
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
+	tokensPerEvent := 0
+	if r.measured() {
+		tokensPerEvent = plannedTokensPerEvent
+	}
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,15 +42,21 @@
 	}
 }
 
-// Guards against answers that are cut beside planned work alone, as VMs stop while sound servers are silent.
+// Guards against answers that are cut beside planned work alone, as VMs stop while sound servers are silent, and whether
+// or not the VMs have been able to measure how long streams last.
 func TestSoakPlannedWork(t *testing.T) {
-	t.Parallel()
-	res, err := soak.Run(context.Background(), soak.Options{Program: buildProgram(t), Dir: t.TempDir(), Seed: 7, Duration: testDuration, Planned: true})
-	require.NoError(t, err)
-	require.Empty(t, res.Violations)
-	require.NotZero(t, res.Served)
-	for _, fault := range []string{"planned_stop", "planned_reload", "planned_change", "planned_silence"} {
-		require.NotZero(t, res.Faults[fault], fault)
+	program := buildProgram(t)
+	for name, seed := range map[string]uint64{"pace not known": 7, "pace measured": 8} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: t.TempDir(), Seed: seed, Duration: testDuration, Planned: true})
+			require.NoError(t, err)
+			require.Empty(t, res.Violations)
+			require.NotZero(t, res.Served)
+			for _, fault := range []string{"planned_stop", "planned_reload", "planned_change", "planned_silence"} {
+				require.NotZero(t, res.Faults[fault], fault)
+			}
+		})
 	}
 }
 
