demo: Requests that are refused are replaced before planned work begins

TestStopOfVMThatOthersNeed waits until nine requests are under way. With the race detector and other work on the machine a VM without a path refused one of them as not run, which is allowed, and the case waited for it to its timeout (book, VM that uses a proxy; once in four runs). Another request now takes the place of one that is refused; still nine have to be under way, and a refused one must not have run.

--- a/demo/planned_test.go
+++ b/demo/planned_test.go
@@ -65,22 +65,30 @@
 	})
 }
 
-// begin sends requests to the VMs in turn and returns the server of the first one once all are under way.
+// begin sends requests to the VMs in turn and returns the server of the first one once all are under way. One that is
+// refused is replaced by another.
 func (p *planned) begin(ctx context.Context, t *testing.T) *stand.Backend {
 	t.Helper()
-	id := func(i int) string { return fmt.Sprint(p.kind.Name, "-begun-", i) }
-	for i := range plannedRequests {
-		p.send(ctx, id(i), p.vms[i%len(p.vms)], true)
+	ids, sends := make([]string, plannedRequests), 0
+	send := func(i int) {
+		ids[i] = fmt.Sprint(p.kind.Name, "-begun-", sends)
+		sends++
+		p.send(ctx, ids[i], p.vms[i%len(p.vms)], true)
+	}
+	for i := range ids {
+		send(i)
 	}
 	require.Eventually(t, func() bool {
-		for i := range plannedRequests {
-			if len(p.site.Runs.Servers(id(i))) == 0 {
-				return false
+		all := true
+		for i, id := range ids {
+			if p.refused(id) {
+				send(i)
 			}
+			all = all && len(p.site.Runs.Servers(id)) > 0
 		}
-		return true
+		return all
 	}, testTimeout, time.Millisecond)
-	first := p.site.Runs.Servers(id(0))[0]
+	first := p.site.Runs.Servers(ids[0])[0]
 	for _, b := range append(p.site.Backends(demo.SitePlainService), p.site.Backends(demo.SiteModelService)...) {
 		if b.ID == first {
 			return b
@@ -90,6 +98,19 @@
 	return nil
 }
 
+// refused reports whether a request was refused as not run, and no longer counts it as under way.
+func (p *planned) refused(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	got, ended := p.results[id]
+	refused := ended && got.underWay && got.status == http.StatusServiceUnavailable
+	if refused {
+		got.underWay = false
+		p.results[id] = got
+	}
+	return refused
+}
+
 // sendMore sends further requests until ctx ends.
 func (p *planned) sendMore(ctx, sendCtx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
