poison, peers, wire: VMs are told which parts of prompts are blocked together

Suspects now carry the parts that they are blocked with, in frames and in the lease record; the field sorts behind the others, so that older builds skip it and block each part as before. A record may be older than what a VM knows, so that it only ties blocks that are new to the VM. A VM at which a server ends under some of the parts blocks these by themselves for the rest of the block, whatever it is told, and reports them: otherwise each VM would lose a server to the guilty part. A tie of more than 16 parts is not told, so that frames stay small.

TestToldPartsStayTied failed in all of its 8 cases without the change, and TestTiedPartFoundGuiltyIsBlockedEverywhere too; TestLongTieIsNotTold failed without the bound. The frames beside older builds have the two new fields, and the ones written until now stand in the test as those of older builds. Ruled out: to tell only cleared parts, as today; nothing clears a part whose requests are all refused.

--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -68,7 +68,7 @@
 
 // partReportOf returns the part of a VM's report about parts of prompts.
 func partReportOf(r *wire.VMReport) poison.PartReport {
-	report := poison.PartReport{Survived: partsOf(r.ZzzPartsSurvived)}
+	report := poison.PartReport{Survived: partsOf(r.ZzzPartsSurvived), Alone: partsOf(r.ZzzzPartsAlone)}
 	for _, c := range r.ZzzPartCrashes {
 		report.Crashes = append(report.Crashes, poison.PartCrash{Server: c.Server, Parts: partsOf(c.Parts), Depths: c.Depths})
 	}
@@ -77,7 +77,7 @@
 
 // addPartReport adds what a VM has learned about parts of prompts to its report to the hub.
 func addPartReport(report *wire.VMReport, r poison.PartReport) {
-	report.ZzzPartsSurvived = partNames(r.Survived)
+	report.ZzzPartsSurvived, report.ZzzzPartsAlone = partNames(r.Survived), partNames(r.Alone)
 	for _, c := range r.Crashes {
 		report.ZzzPartCrashes = append(report.ZzzPartCrashes, wire.PartCrash{Server: c.Server, Parts: partNames(c.Parts), Depths: c.Depths})
 	}
@@ -107,7 +107,7 @@
 		if blockedOnly && s.BlockedFor == 0 {
 			break
 		}
-		list = append(list, wire.SuspectPart{Part: string(s.Part), Crashes: s.Crashes, LeftMs: int(s.BlockedFor.Milliseconds())})
+		list = append(list, wire.SuspectPart{Part: string(s.Part), Crashes: s.Crashes, LeftMs: int(s.BlockedFor.Milliseconds()), Tied: partNames(s.Tied)})
 	}
 	return list
 }
@@ -116,7 +116,7 @@
 func partSuspectsOf(list []wire.SuspectPart) []poison.PartSuspect {
 	var suspects []poison.PartSuspect
 	for _, s := range list {
-		suspects = append(suspects, poison.PartSuspect{Part: poison.Part(s.Part), Crashes: s.Crashes, BlockedFor: time.Duration(s.LeftMs) * time.Millisecond})
+		suspects = append(suspects, poison.PartSuspect{Part: poison.Part(s.Part), Crashes: s.Crashes, BlockedFor: time.Duration(s.LeftMs) * time.Millisecond, Tied: partsOf(s.Tied)})
 	}
 	return suspects
 }
--- a/poison/partreport.go
+++ b/poison/partreport.go
@@ -21,6 +21,9 @@
 			t.addPart(now, c, p, r.Depths[i])
 		}
 	}
+	for _, p := range report.Alone {
+		t.endTie(p)
+	}
 	for _, p := range report.Survived {
 		t.suspect(now, p)
 		t.survive(now, p)
@@ -43,6 +46,8 @@
 		report.Survived = append(report.Survived, p)
 		delete(t.unreported, p)
 	}
+	report.Alone = t.takeAlone(max(room, 0))
+	room -= len(report.Alone)
 	for _, server := range slices.Sorted(maps.Keys(t.crashes)) {
 		c := t.crashes[server]
 		if c.reported || len(c.parts) > room {
@@ -65,7 +70,7 @@
 	return r
 }
 
-// MarkUnreported makes all ended servers due for reporting again, as a new controller may not have received earlier
+// MarkUnreported makes all ended servers and parts that are blocked by themselves due for reporting again, as a new controller may not have received earlier
 // reports.
 func (t *PartTracker) MarkUnreported() {
 	if t == nil {
@@ -76,6 +81,9 @@
 	for _, c := range t.crashes {
 		c.reported = false
 	}
+	for p := range t.alone {
+		t.alone[p] = true
+	}
 }
 
 // Suspects returns the parts that are blocked, were cleared just now or have at least two ended servers: blocked ones
@@ -91,7 +99,7 @@
 	var list []PartSuspect
 	for p, until := range t.blocked {
 		if left := until.Sub(now); left > 0 {
-			list = append(list, PartSuspect{Part: p, Crashes: partCrashLimit, BlockedFor: left})
+			list = append(list, PartSuspect{Part: p, Crashes: partCrashLimit, BlockedFor: left, Tied: t.toldTies(p)})
 		}
 	}
 	for p := range t.cleared {
@@ -135,9 +143,7 @@
 	for _, s := range suspects {
 		switch {
 		case s.BlockedFor > 0:
-			if until := now.Add(s.BlockedFor); until.After(t.blocked[s.Part]) && len(t.blocked) < maxBlockedParts {
-				t.block(now, s.Part, until, s.Crashes)
-			}
+			t.mergeBlock(now, s, told)
 		case s.Crashes == 0:
 			t.clear(now, s.Part)
 		}
@@ -152,6 +158,18 @@
 	}
 }
 
+// mergeBlock blocks a part as another VM or the lease record has it. The record may be older than what this VM knows, so
+// that only blocks which are new here take its ties. t.mu is held.
+func (t *PartTracker) mergeBlock(now time.Time, s PartSuspect, told bool) {
+	known := now.Before(t.blocked[s.Part])
+	if until := now.Add(s.BlockedFor); until.After(t.blocked[s.Part]) && (known || len(t.blocked) < maxBlockedParts) {
+		t.block(now, s.Part, until, s.Crashes)
+	}
+	if told || !known {
+		t.mergeTies(s)
+	}
+}
+
 // sweep removes expired state, at most once per sweepInterval. t.mu is held.
 func (t *PartTracker) sweep(now time.Time) {
 	if since := now.Sub(t.lastSweep); since >= 0 && since < sweepInterval {
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -65,10 +65,14 @@
 	Crashes []PartCrash
 	// Survived are suspected parts that a sound request has survived.
 	Survived []Part
+	// Alone are parts that were blocked with others, and under which a server has ended without all of these.
+	Alone []Part
 }
 
 // Empty reports whether there is nothing to report.
-func (r PartReport) Empty() bool { return len(r.Crashes) == 0 && len(r.Survived) == 0 }
+func (r PartReport) Empty() bool {
+	return len(r.Crashes) == 0 && len(r.Survived) == 0 && len(r.Alone) == 0
+}
 
 // PartSuspect is a part that is blocked or under which at least two servers have ended.
 type PartSuspect struct {
@@ -77,6 +81,8 @@
 	Crashes int
 	// BlockedFor is the remaining block time, 0 if the part is not blocked.
 	BlockedFor time.Duration
+	// Tied are the parts that it is blocked with, itself among them, nil if it is blocked alone.
+	Tied []Part
 }
 
 // PartTracker finds parts of prompts under which servers end, and blocks them. Each VM has one. The controller's merges the
@@ -103,6 +109,9 @@
 	blocked   map[Part]time.Time
 	// ties holds the parts that each blocked part is blocked with, itself among them, if it is not blocked alone.
 	ties map[Part][]Part
+	// alone holds the blocked parts under which a server has ended without those that they were blocked with, and
+	// whether they are still to be reported.
+	alone map[Part]bool
 	// convicted is until when a part that was blocked once is blocked again by a single crash.
 	convicted map[Part]time.Time
 	// cleared is until when the controller tells that a part is not blocked any more.
--- a/wire/types.go
+++ b/wire/types.go
@@ -1177,6 +1177,10 @@
 
 	// ID of the part.
 	Part string `json:"part"`
+
+	// The parts that it is blocked with, itself among them; none if it is blocked
+	// alone. Its name sorts behind all others, so that builds without it skip it.
+	Tied []string `json:"tied,omitempty,omitzero"`
 }
 
 // A request during which several servers crashed.
@@ -1290,6 +1294,11 @@
 	// Suspected parts that a request has survived since the last report. Its name
 	// sorts behind all others, so that builds without it skip it.
 	ZzzPartsSurvived []string `json:"zzz_parts_survived,omitempty,omitzero"`
+
+	// Parts that were blocked with others and under which a server ended without all
+	// of these, since the last report. Its name sorts behind all others, so that
+	// builds without it skip it.
+	ZzzzPartsAlone []string `json:"zzzz_parts_alone,omitempty,omitzero"`
 }
 
 // Software versions that have existed besides those of the listed servers.
