pass: A request whose only server was not reached once tries it again

A request whose model stands on one server was held for half of its time and then refused, though the server was there: one connection had failed, as its host was silent for a moment or the VM was short of processor time, and a server to which a call could not connect is not tried again while the controller is expected to load the model elsewhere. The controller reaches the server, and loads nothing.

Now such servers are candidates again a second after the last failed connection, as long as the call has no server; at most ten attempts, as before. Ruled out: trying the server that the controller names at once, which opens a connection in each tenth of a second to a host that is gone.

--- a/pass/call.go
+++ b/pass/call.go
@@ -49,6 +49,8 @@
 	// excluded lists the servers that are not selected for now, unreachable those to which no
 	// connection could be opened.
 	excluded, unreachable []string
+	// notReachedAt is when the call last failed to connect to a server.
+	notReachedAt time.Time
 	// mayHaveRun is set once a server may have executed the request. A later refusal proves nothing
 	// about the earlier send, so from then on the response to the caller does not state that the
 	// request was not executed.
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -29,6 +29,9 @@
 	maxRounds = 4
 	// roundInterval is the pause between two passes.
 	roundInterval = 40 * time.Millisecond
+	// unreachableRetryInterval is how long after a failed connection a request that still has no server tries the same
+	// one again: its host may only have been silent for a moment, and then nobody loads the model elsewhere.
+	unreachableRetryInterval = time.Second
 	// findRetryInterval is the pause after a failed call to the controller.
 	findRetryInterval = 150 * time.Millisecond
 	// serverRecheckInterval is the interval between checks for a usable server while the list of
@@ -121,6 +124,9 @@
 // the request after a pause. An unreachable server is skipped until the last round, while the controller
 // loads its model elsewhere. It reports whether to choose again, and returns an error if no pass is left.
 func (g *Gateway) nextRound(ctx context.Context, now time.Time, c *call, serving []backs.Entry) (again bool, err error) {
+	if c.recallUnreachable(now) {
+		return true, nil
+	}
 	if len(c.excluded) == 0 || c.attempts <= c.roundStartAttempts && g.replacementExpected(now, c) {
 		return false, nil
 	}
@@ -144,6 +150,17 @@
 	return ok || !g.replacementExpected(now, c), nil
 }
 
+// recallUnreachable makes the servers that the call could not connect to candidates again after a time, and reports whether
+// there are any.
+func (c *call) recallUnreachable(now time.Time) bool {
+	if len(c.unreachable) == 0 || now.Sub(c.notReachedAt) < unreachableRetryInterval {
+		return false
+	}
+	c.excluded = slices.DeleteFunc(c.excluded, func(id string) bool { return slices.Contains(c.unreachable, id) })
+	c.unreachable = nil
+	return true
+}
+
 // refuseAfterWait returns the reason for refusing a call whose wait for a server ended with err, and sets
 // the call's retryAfter.
 func (g *Gateway) refuseAfterWait(now time.Time, c *call, serving []backs.Entry, err error) error {
--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -137,7 +137,7 @@
 	h.lead()
 	<-h.done
 	a.c.absorb(h.call)
-	a.c.excluded, a.c.unreachable = h.call.excluded, h.call.unreachable
+	a.c.excluded, a.c.unreachable, a.c.notReachedAt = h.call.excluded, h.call.unreachable, h.call.notReachedAt
 	if a.successor = h.attempt; a.successor == nil {
 		h.cancel(nil)
 		return
--- a/pass/instance.go
+++ b/pass/instance.go
@@ -90,7 +90,7 @@
 		w.pool.Discard(w.conn)
 		c.excluded = append(c.excluded, server.ID)
 		if !errors.Is(err, errOtherInstance) && !slices.Contains(c.unreachable, server.ID) {
-			c.unreachable = append(c.unreachable, server.ID)
+			c.unreachable, c.notReachedAt = append(c.unreachable, server.ID), g.Now()
 		}
 	}
 	return err
--- a/pass/way.go
+++ b/pass/way.go
@@ -128,7 +128,7 @@
 func (g *Gateway) serverUnreachable(c *call, server string) {
 	g.reportSuspect(server)
 	c.excluded = append(c.excluded, server)
-	c.unreachable = append(c.unreachable, server)
+	c.unreachable, c.notReachedAt = append(c.unreachable, server), g.Now()
 }
 
 // refusedByProxy reports whether a response says that the proxy did not send the request.
