pick: A VM that stops expects a response to take as long as those of its route, not the product of two high estimates

The expected time was the product of a high estimate of the output and a high estimate of the pace.

Now it is the mean and two mean deviations of the whole time of responses to the same route, for each token that the caller wants at most, or as it is where callers state none. Without any measurement all tokens at the assumed pace count. The two spreads for output and pace are gone.

--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -62,10 +62,8 @@
 	// model.
 	outputShares map[string]float64
 	tokenTimes   map[string]time.Duration
-	// outputSpreads and tokenSpreads are the same with their deviations, and without the preference for fast responses.
-	outputSpreads, tokenSpreads map[string]spread
-	// responseSpreads holds how long the complete responses of model servers take, by route.
-	responseSpreads map[string]spread
+	// responseSpreads holds how long the complete responses of model servers take.
+	responseSpreads map[workClass]spread
 	// running holds the attempts in progress.
 	running map[*Attempt]struct{}
 }
--- a/pick/cost.go
+++ b/pick/cost.go
@@ -82,14 +82,11 @@
 	if !ok {
 		share = defaultOutputShare
 	}
-	output := float64(events*w.TokensPerEvent) / float64(w.MaxOutputTokens)
-	b.outputShares[w.Route] = share + outputShareWeight*(output-share)
+	b.outputShares[w.Route] = share + outputShareWeight*(float64(events*w.TokensPerEvent)/float64(w.MaxOutputTokens)-share)
 	if events < 2 {
-		b.recordSpread(w, output, 0)
 		return
 	}
 	observed := took / time.Duration((events-1)*w.TokensPerEvent)
-	b.recordSpread(w, output, observed)
 	weight := fasterTokenTimeWeight
 	if observed > b.tokenTime(w) {
 		weight = slowerTokenTimeWeight
--- a/pick/finish.go
+++ b/pick/finish.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -37,42 +36,41 @@
 // high returns a value that few are above.
 func (s spread) high() float64 { return s.mean + deviations*s.deviation }
 
+// workClass groups work whose responses take similarly long.
+type workClass struct {
+	route string
+	// limited is set if the callers state how many tokens they want at most. The times are for each such token then.
+	limited bool
+}
+
+func classOf(w Work) workClass { return workClass{route: w.Route, limited: w.MaxOutputTokens > 0} }
+
+// normalized returns a time of a response for each token that its caller wants at most, or the time itself if the caller
+// states none.
+func (w Work) normalized(took time.Duration) float64 {
+	return float64(took) / float64(max(w.MaxOutputTokens, 1))
+}
+
 // ExpectedDuration returns the time within which a whole response of the chosen server is expected, counted from the
-// send. Nearly all responses take less. It reports false if nothing tells.
+// send. Most responses take less. It reports false if nothing tells.
 func (b *Balancer) ExpectedDuration(now time.Time, c Choice, w Work) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if w.Model == "" {
 		return c.PredictedTime, true
 	}
-	if _, measured := b.tokenSpreads[w.Model]; !measured || w.MaxOutputTokens <= 0 {
-		if took := b.responseSpread(now, w); took != (spread{}) || w.MaxOutputTokens <= 0 {
-			return c.PredictedTime + time.Duration(took.high()), took != spread{}
-		}
-	}
-	share := cmp.Or(b.outputSpreads[w.Route], newSpread(defaultOutputShare))
-	pace := cmp.Or(b.tokenSpreads[w.Model], newSpread(float64(b.tokenTime(w))))
-	return c.PredictedTime + time.Duration(min(share.high(), 1)*float64(w.MaxOutputTokens)*pace.high()), true
-}
-
-// recordSpread records the output of a response as a share of the maximum and, if it is not 0, the time of a token.
-// b.mu is held.
-func (b *Balancer) recordSpread(w Work, share float64, tokenTime time.Duration) {
-	if b.outputSpreads == nil {
-		b.outputSpreads, b.tokenSpreads = make(map[string]spread), make(map[string]spread)
-	}
-	b.outputSpreads[w.Route] = b.outputSpreads[w.Route].add(share)
-	if tokenTime > 0 {
-		b.tokenSpreads[w.Model] = b.tokenSpreads[w.Model].add(float64(tokenTime))
+	if s := b.responseSpread(now, w); s != (spread{}) {
+		return c.PredictedTime + time.Duration(s.high()*float64(max(w.MaxOutputTokens, 1))), true
 	}
+	return c.PredictedTime + time.Duration(w.MaxOutputTokens)*b.tokenTime(w), w.MaxOutputTokens > 0
 }
 
 // recordResponseSpread records how long a complete response of a model server took. b.mu is held.
 func (b *Balancer) recordResponseSpread(w Work, took time.Duration) {
 	if b.responseSpreads == nil {
-		b.responseSpreads = make(map[string]spread)
+		b.responseSpreads = make(map[workClass]spread)
 	}
-	b.responseSpreads[w.Route] = b.responseSpreads[w.Route].add(float64(took))
+	b.responseSpreads[classOf(w)] = b.responseSpreads[classOf(w)].add(w.normalized(took))
 }
 
 // addRunning adds an attempt to those in progress. b.mu is held.
@@ -83,13 +81,14 @@
 	b.running[a] = struct{}{}
 }
 
-// responseSpread returns how long responses to work of a route take, zero if none is known. Attempts in progress that have taken longer than the
-// mean count like complete ones: when responses become slower, the first complete ones come late. b.mu is held.
+// responseSpread returns how long responses to work of a class take, zero if none is known. Attempts in progress that have
+// taken longer than the mean count like complete ones: when responses become slower, the first complete ones come late.
+// b.mu is held.
 func (b *Balancer) responseSpread(now time.Time, w Work) spread {
-	s := b.responseSpreads[w.Route]
+	s := b.responseSpreads[classOf(w)]
 	var ages []float64
 	for a := range b.running {
-		if age := float64(now.Sub(a.started)); a.work.Route == w.Route && age > s.mean {
+		if age := a.work.normalized(now.Sub(a.started)); classOf(a.work) == classOf(w) && age > s.mean {
 			ages = append(ages, age)
 		}
 	}
