node: A request whose head was read as its connection was taken for unused keeps its body

What callers saw: a request whose head a stopping VM had read, and whose body was on its way, ended with neither an answer nor a refusal. net/http reports a connection as active only after it has read the whole head. Until then callerConns has it as idle or new, nothing is unread in the kernel, and closeUnused sets a deadline in the past: the read of the body fails, and the handler aborts. The hook that reports the connection waits for the lock that closeUnused holds, so that the time is that of a whole look, and longer on a VM whose CPU share is used up inside it. Ruled out: a request without a body, or whose body came with its head; net/http takes the deadline away when it begins to look for the caller's end.

Change: a connection that becomes active after it was taken for unused has its deadline taken away, under the same lock and before the handler runs. The server for callers has no read timeout that this would undo.

Before: TestBodyArrivesWhileUnusedAreClosed failed in 2 of 2 cases with an unexpected EOF. After: passed 3 of 3 times with -race. Still open: a head that has arrived in part only ends with its connection, as with http.Server.Shutdown.

--- a/node/conns.go
+++ b/node/conns.go
@@ -22,10 +22,11 @@
 	idleSince time.Time
 }
 
-// connState is the state of a connection, and since when it has it.
+// connState is the state of a connection, since when it has it, and whether it was taken for unused in it.
 type connState struct {
-	state http.ConnState
-	since time.Time
+	state  http.ConnState
+	since  time.Time
+	unused bool
 }
 
 // record records a change of a connection's state. It is for the ConnState of an HTTP server.
@@ -35,7 +36,12 @@
 	if c.conns == nil {
 		c.conns = make(map[net.Conn]connState)
 	}
-	before := c.conns[conn].state == http.StateActive
+	last := c.conns[conn]
+	before := last.state == http.StateActive
+	if last.unused && s == http.StateActive {
+		// The head of a request was read as the connection was taken for unused. Its body follows, without a deadline.
+		_ = conn.SetReadDeadline(time.Time{})
+	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(c.conns, conn)
 	} else {
@@ -69,8 +75,8 @@
 }
 
 // closeUnused ends the connections on which no request is under way, as far as this VM can know, and returns the number
-// of open connections. It ends them by a deadline for the next byte: a request that the HTTP server has begun to read
-// goes on.
+// of open connections. It ends them by a deadline for the next byte: a request whose head the HTTP server has
+// read goes on.
 func (c *callerConns) closeUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,6 +85,8 @@
 		if unused && !conns.HasUnread(conn) {
 			// An error means that the connection is closed.
 			_ = conn.SetReadDeadline(time.Unix(1, 0))
+			s.unused = true
+			c.conns[conn] = s
 		}
 	}
 	return len(c.conns)
--- /dev/null
+++ b/node/unused_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+)
+
+// The HTTP server of a VM that stops has read the head of a request, and the VM looks for unused connections before it
+// knows that. Guards against ending a connection on which the body is on its way.
+func TestBodyArrivesWhileUnusedAreClosed(t *testing.T) {
+	const body = "body"
+	for name, earlier := range map[string]int{"new connection": 0, "kept connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			var c callerConns
+			headRead := make(chan struct{}, earlier+1)
+			s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				got, err := io.ReadAll(r.Body)
+				if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = w.Write(got)
+			}))
+			s.ConnState = func(conn net.Conn, state http.ConnState) {
+				if state == http.StateActive {
+					c.closeUnused(clock.Now().Add(newConnTime))
+				}
+				c.record(clock.Now(), conn, state)
+				if state == http.StateActive {
+					headRead <- struct{}{}
+				}
+			}
+			server := httptest.NewUnstartedServer(nil)
+			server.Config = s
+			server.Start()
+			t.Cleanup(server.Close)
+			caller, err := net.Dial("tcp", server.Listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = caller.Close() })
+			answers := bufio.NewReader(caller)
+			for range earlier + 1 {
+				_, err := fmt.Fprintf(caller, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+				require.NoError(t, err)
+				<-headRead
+				_, err = io.WriteString(caller, body)
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(answers, nil)
+				require.NoError(t, err)
+				got, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, body, string(got))
+			}
+		})
+	}
+}
