pass: The test of a request cut at the exit of its VM does not race with the exit

The server of the test flushed its event and then had the VM exit; the gateway could pass the event on, and the test close the caller's connection, before that. The line then rightly says that the caller left. The server now has the VM exit before it flushes, so that the order is the one that the test is about; what it requires is unchanged.

--- a/pass/stop_test.go
+++ b/pass/stop_test.go
@@ -203,15 +203,15 @@
 			var stop func(time.Duration)
 			g, _, stop := stoppableGateway(t, shortOutput, nil)
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				// The VM exits before the gateway has the event, whose write ends the connection.
+				stop(-time.Second)
 				if begun {
 					w.Header().Set("Attempt", r.Header.Get("Attempt"))
 					w.Header().Set("Stamp", "server")
 					w.Header().Set("Content-Type", typeEvents)
 					_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
 					_ = http.NewResponseController(w).Flush()
-				}
-				stop(-time.Second)
-				if !begun {
+				} else {
 					closeConnection()
 				}
 				<-r.Context().Done()
