pass: A request that was rejected before SIGTERM is refused too if its answer would be cut

What callers saw: a request that arrived shortly before SIGTERM and was rejected by its server was sent again after SIGTERM, although its answer was expected to take longer than until the exit, and ended with neither an answer nor a refusal. refuseUnfinished left out every call that had been sent before and had arrived before SIGTERM. That condition was meant for calls that a server may be running, but those have mayHaveRun set by failUncertain, whatever their route; what it added were only calls all of whose sends were refused as not run. For these the refusal "not run" is true, and another VM can take them at once. A stream from before SIGTERM that breaks off and goes on elsewhere is still not refused (TestStreamFromBeforeSIGTERM). A call's line keeps stops_in; the field that only the condition read is gone.

Before: TestRequestRejectedBeforeSIGTERM failed, the request was sent a second time and ended with 504 at its deadline.

--- a/pass/stop.go
+++ b/pass/stop.go
@@ -58,19 +58,19 @@
 	c.reason = "caller disconnected"
 }
 
-// recordStop records in a call whether it arrived while this VM stops.
+// recordStop records in a call how long before the exit of this VM it arrived, if this VM stops.
 func (g *Gateway) recordStop(c *call) {
 	if exit, stopping := g.exitTime(); stopping {
-		c.arrivedStopping, c.stopsIn = true, exit.Sub(c.arrived)
+		c.stopsIn = exit.Sub(c.arrived)
 	}
 }
 
 // refuseUnfinished returns an error if a call is to be refused because it would be under way as this VM exits. wait is
 // how long it has to wait until it can be sent to the chosen server. A call that a server may be running is not
-// refused, and one that was sent before this VM began to stop is not either.
+// refused.
 func (g *Gateway) refuseUnfinished(now time.Time, c *call, choice pick.Choice, wait time.Duration) error {
 	exit, stopping := g.exitTime()
-	if !stopping || c.mayHaveRun || c.headSent || len(c.inUse) > 0 || c.sends > 0 && !c.arrivedStopping {
+	if !stopping || c.mayHaveRun || c.headSent || len(c.inUse) > 0 {
 		return nil
 	}
 	expected, known := g.Balancer.ExpectedDuration(now, choice, c.work)
--- /dev/null
+++ b/pass/stoprefused_test.go
@@ -0,0 +1,37 @@
+package pass
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
+)
+
+// The only server of a request that arrived before SIGTERM rejects it, SIGTERM comes, and the server has room again.
+// Guards against sending it then although its answer takes longer than until the exit, and is cut there: it has not run.
+func TestRequestRejectedBeforeSIGTERM(t *testing.T) {
+	var stop func(time.Duration)
+	var rejects, taken atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if rejects.Add(1) > 1 {
+			taken.Add(1)
+			return
+		}
+		stop(testExit)
+		rejectRest(w, r)
+	}))
+	t.Cleanup(s.Close)
+	g, _, stop := stoppableGateway(t, longOutput, nil)
+	g.Servers.Remove(clock.Now(), "0")
+	g.Servers.Put(clock.Now(), server("1", "d", strings.TrimPrefix(s.URL, "http://")))
+	require.Equal(t, http.StatusServiceUnavailable, callGateway(t, g, longDeadline).status)
+	require.Equal(t, int64(1), rejects.Load())
+	require.Zero(t, taken.Load())
+	require.Equal(t, int64(1), g.Meter.CounterValue("pass.refused_stopping"))
+}
