pass: A request that arrives as its VM exits does not wait for its team's quota first

What callers saw: a request of a team with a tight quota that arrived on a kept connection in the last moments of a stopping VM waited for the root of the quotas and for its tokens, up to a quarter of its objective, before the VM decided whether it would be whole; the exit could come first, and the request ended with neither an answer nor a refusal. The decision that was made before each send, with an expected time of 0, is now made once at the arrival as well: what would be refused then whichever server is chosen is refused at once.

Before: TestQuotaOfRequestAtExit failed, the tokens were taken (1 in place of 0). After: passed 2 of 2 times with -race, with the tests of stops, refusals, quotas and versions of the package.

--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -243,7 +243,11 @@
 		g.fail(ctx, w, c)
 		return
 	}
-	if err := g.bind(ctx, c); err != nil {
+	err := g.refuseLate(c)
+	if err == nil {
+		err = g.bind(ctx, c)
+	}
+	if err != nil {
 		c.reason, c.refusal = err.Error(), err
 		g.fail(ctx, w, c)
 		return
--- a/pass/stop.go
+++ b/pass/stop.go
@@ -81,6 +81,19 @@
 	if endsBefore(now, exit, c.deadline, c.expected) {
 		return nil
 	}
+	return g.stopsTooSoon(c)
+}
+
+// refuseLate does the same for a call that has just arrived, before it waits for anything: a server that could be chosen
+// would take some time too.
+func (g *Gateway) refuseLate(c *call) error {
+	if exit, stopping := g.exitTime(); !stopping || endsBefore(c.arrived, exit, c.deadline, 0) {
+		return nil
+	}
+	return g.stopsTooSoon(c)
+}
+
+func (g *Gateway) stopsTooSoon(c *call) error {
 	g.Meter.AddCounter("pass.refused_stopping", 1)
 	// Other VMs can serve the request at once.
 	c.retryAfter = 0
--- a/pass/stoprefused_test.go
+++ b/pass/stoprefused_test.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/limit"
 )
 
 // The only server of a request that arrived before SIGTERM rejects it, SIGTERM comes, and the server has room again.
@@ -35,3 +37,21 @@
 	require.Zero(t, taken.Load())
 	require.Equal(t, int64(1), g.Meter.CounterValue("pass.refused_stopping"))
 }
+
+// A request of a team whose quota is tight arrives so late that its answer can not be expected to be whole. Guards against
+// a request that waits for its team's tokens while its VM exits.
+func TestQuotaOfRequestAtExit(t *testing.T) {
+	address, got := startRecorder(t)
+	g, quotas := quotaGateway(t, address, true)
+	quotas.Spend(clock.Now(), "a", 1000)
+	taken := 0
+	g.TakeQuota = func(context.Context, limit.QuotaRequest) (time.Duration, bool) {
+		taken++
+		return 0, true
+	}
+	g.StopsAt = func() (time.Time, bool) { return clock.Now().Add(silenceRoom / 2), true }
+	w := sendWithKey(g, testKey)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Zero(t, taken)
+	require.Empty(t, got.requests)
+}
