pick, pass: A VM that stops goes by how long the requests of a route without a model take

What callers saw: a request of a service without models, on a route whose answers take long, was taken by a stopping VM shortly before its exit, and ended with neither an answer nor a refusal; if it may run once, nobody can tell whether it did. For such services ExpectedDuration was the predicted time, which is the average of the server over all routes: with forty short answers after a long one, 20 ms for a route of 3 s. Services with models go by the mean and deviation of the route. Now both do: complete answers and those in progress count by route, and the longer of this and the predicted time is expected. The work of a call without a model names its route, which it did not. A route of which nothing is known goes by the predicted time as before.

Before: TestExpectedDurationByRouteWithoutModel and TestLongRequestWithoutModelAfterSIGTERM failed (20ms for a route of 3 s; 200 in place of 503).

--- a/pass/call.go
+++ b/pass/call.go
@@ -166,12 +166,13 @@
 	c.service = service
 	c.urgency = t.Urgency(c.route, c.team, c.service.Name)
 	c.quotaRank = c.route.Priority - t.TopPriority(c.service.Name)
+	c.work.Route = c.route.Name
 	if c.service.Engine == nil {
 		return ok
 	}
 	header := c.request.Header
 	c.work.Model, c.work.Adapter = n.ParseModel(header.Get(n.Model))
-	c.work.Route, c.work.RelativeModelSize = c.route.Name, c.service.Engine.RelativeSize(c.work.Model)
+	c.work.RelativeModelSize = c.service.Engine.RelativeSize(c.work.Model)
 	c.work.Slots, c.work.TokensPerEvent = c.service.Engine.Slots, c.service.Engine.TokensPerEvent
 	c.work.PromptTokens, c.work.MaxOutputTokens = n.ParseTokenUsage(header.Get(n.TokenUsage))
 	c.work.PromptParts = n.ParsePromptPrefix(header.Get(n.PromptPrefix))
--- a/pass/stoprefused_test.go
+++ b/pass/stoprefused_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/limit"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // The only server of a request that arrived before SIGTERM rejects it, SIGTERM comes, and the server has room again.
@@ -55,3 +57,29 @@
 	require.Zero(t, taken)
 	require.Empty(t, got.requests)
 }
+
+// A stopping VM has seen that requests of a route without a model take long. Guards against taking one more of them as its
+// exit is near, and against refusing one of another route of the same service.
+func TestLongRequestWithoutModelAfterSIGTERM(t *testing.T) {
+	for name, tc := range map[string]struct{ sent, status int }{
+		"long route": {0, http.StatusServiceUnavailable}, "other route": {1, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, got := startRecorder(t)
+			g := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, address)
+			route, ok := g.Table().Match("h", "/")
+			require.True(t, ok)
+			table := routes.NewTable(1, []routes.Route{route}, []routes.Service{{Name: "s"}}, routes.Limits{})
+			g.Table = func() *routes.Table { return table }
+			work := pick.Work{Route: []string{route.Name, "other"}[tc.sent]}
+			now, choice := clock.Now(), pick.Choice{Server: server("9", "d", "")}
+			g.Balancer.Begin(now, choice, work, 0).End(now.Add(testExit), pick.Succeeded)
+			for range 40 {
+				g.Balancer.Begin(now, choice, pick.Work{Route: "short"}, 0).End(now.Add(time.Millisecond), pick.Succeeded)
+			}
+			g.StopsAt = func() (time.Time, bool) { return clock.Now().Add(testExit), true }
+			require.Equal(t, tc.status, callGateway(t, g, longDeadline).status)
+			require.Len(t, got.requests, tc.sent)
+		})
+	}
+}
--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -104,10 +104,10 @@
 	}
 	if result == Succeeded && a.work.Model != "" {
 		a.balancer.recordModelResponse(a.service, now.Sub(a.started))
-		a.balancer.recordResponseSpread(a.work, now.Sub(a.started))
 	}
 	if result == Succeeded {
 		took := now.Sub(a.started)
+		a.balancer.recordResponseSpread(a.work, took)
 		if a.balancer.responseTimes == nil {
 			a.balancer.responseTimes = make(map[string]time.Duration)
 		}
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -62,7 +62,7 @@
 	// model.
 	outputShares map[string]float64
 	tokenTimes   map[string]time.Duration
-	// responseSpreads holds how long the complete responses of model servers take.
+	// responseSpreads holds how long complete responses take.
 	responseSpreads map[workClass]spread
 	// running holds the attempts in progress.
 	running map[*Attempt]struct{}
--- a/pick/finish.go
+++ b/pick/finish.go
@@ -57,7 +57,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if w.Model == "" {
-		return c.PredictedTime, true
+		// The predicted time is the average of a server, whose routes may differ.
+		return max(c.PredictedTime, time.Duration(b.responseSpread(now, w).high())), true
 	}
 	if s := b.responseSpread(now, w); s != (spread{}) {
 		return c.PredictedTime + time.Duration(s.high()*float64(max(w.MaxOutputTokens, 1))), true
@@ -65,7 +66,7 @@
 	return c.PredictedTime + time.Duration(w.MaxOutputTokens)*b.tokenTime(w), w.MaxOutputTokens > 0
 }
 
-// recordResponseSpread records how long a complete response of a model server took. b.mu is held.
+// recordResponseSpread records how long a complete response took. b.mu is held.
 func (b *Balancer) recordResponseSpread(w Work, took time.Duration) {
 	if b.responseSpreads == nil {
 		b.responseSpreads = make(map[workClass]spread)
--- a/pick/finish_test.go
+++ b/pick/finish_test.go
@@ -91,3 +91,28 @@
 	}
 	require.Less(t, expected(), 2*fast)
 }
+
+// Requests of one route of a service without models take long, those of another are short. Guards against a VM that stops
+// and takes one that ends after its exit, because the average of the service is short, and against refusing short ones.
+func TestExpectedDurationByRouteWithoutModel(t *testing.T) {
+	const short, long = 20 * time.Millisecond, 3 * time.Second
+	b := &pick.Balancer{}
+	choice := pick.Choice{Server: backs.Entry{ID: "a", Service: "s"}, PredictedTime: short}
+	now := time.Unix(1000, 0)
+	b.Begin(now, choice, pick.Work{Route: "slow"}, 0).End(now.Add(long), pick.Succeeded)
+	for range 40 {
+		b.Begin(now, choice, pick.Work{Route: "fast"}, 0).End(now.Add(short), pick.Succeeded)
+	}
+	for route, tc := range map[string]struct{ min, max time.Duration }{
+		"slow":        {long, 3 * long},
+		"fast":        {short, 2 * short},
+		"not yet met": {short, short},
+	} {
+		t.Run(route, func(t *testing.T) {
+			got, known := b.ExpectedDuration(now, choice, pick.Work{Route: route})
+			require.True(t, known)
+			require.GreaterOrEqual(t, got, tc.min)
+			require.LessOrEqual(t, got, tc.max)
+		})
+	}
+}
