node: A VM that stops exits once its responses to other VMs have been sent

A VM without a path answered 502, may have run, for a request that no server had run, as the VM that sent its requests was told to stop (demo TestStopOfVMThatOthersNeed, once in five runs with the race detector beside a soak). A stopping VM refuses such requests and waits until none is in progress; but a request counted as done when its handler returned, and net/http sends a short response, or the end of a longer one, only after that. The exit then closed the connection with the refusal in it.

The connections of other VMs are now followed like those of callers, and the exit waits until none has a response under way, or the grace time is over.

--- a/node/conns.go
+++ b/node/conns.go
@@ -13,8 +13,8 @@
 // is that of http.Server.Shutdown.
 const newConnTime = 5 * time.Second
 
-// callerConns are the open connections of callers. The zero value is ready to use.
-type callerConns struct {
+// openConns are the open connections of an HTTP server. The zero value is ready to use.
+type openConns struct {
 	mu    sync.Mutex
 	conns map[net.Conn]connState
 	// running counts the connections with a request in progress, and idleSince is when it became 0.
@@ -30,7 +30,7 @@
 }
 
 // record records a change of a connection's state. It is for the ConnState of an HTTP server.
-func (c *callerConns) record(now time.Time, conn net.Conn, s http.ConnState) {
+func (c *openConns) record(now time.Time, conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns == nil {
@@ -58,14 +58,14 @@
 }
 
 // active returns the number of connections with a request in progress.
-func (c *callerConns) active() int {
+func (c *openConns) active() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.running
 }
 
 // quiet returns for how long no request has been in progress.
-func (c *callerConns) quiet(now time.Time) time.Duration {
+func (c *openConns) quiet(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running > 0 {
@@ -77,7 +77,7 @@
 // closeUnused ends the connections on which no request is under way, as far as this VM can know, and returns the number
 // of open connections. It ends them by a deadline for the next byte: a request whose head the HTTP server has
 // read goes on.
-func (c *callerConns) closeUnused(now time.Time) int {
+func (c *openConns) closeUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.conns {
--- a/node/conns_test.go
+++ b/node/conns_test.go
@@ -49,7 +49,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			vm, caller := connPair(t)
-			var c callerConns
+			var c openConns
 			for _, s := range tc.states {
 				c.record(now, vm, s)
 			}
@@ -76,7 +76,7 @@
 	now := time.Unix(1000, 0)
 	first, _ := connPair(t)
 	second, _ := connPair(t)
-	var c callerConns
+	var c openConns
 	require.GreaterOrEqual(t, c.quiet(now), quietTime, "a VM without requests")
 	c.record(now, first, http.StateNew)
 	c.record(now, first, http.StateActive)
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,8 @@
 	cancelWaits    context.CancelFunc
 	httpServers    []*http.Server
 	callerServer   *http.Server
-	callerConns    callerConns
+	callerConns    openConns
+	peerConns      openConns
 	callerListener net.Listener
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
@@ -222,13 +223,15 @@
 	ctx, n.stopBackground = context.WithCancel(ctx)
 	n.callerServer = newCallerServer(http.HandlerFunc(n.serveCaller))
 	n.callerServer.ConnState = func(c net.Conn, s http.ConnState) { n.callerConns.record(n.now(), c, s) }
+	peerServer := newPeerServer(n.peerHandler())
+	peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.record(n.now(), c, s) }
 	listeners := []struct {
 		key    string
 		server *http.Server
 	}{
 		{"listen", n.callerServer},
 		{"ready_listen", &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{"peer_listen", newPeerServer(n.peerHandler())},
+		{"peer_listen", peerServer},
 		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, l := range listeners {
--- a/node/stop.go
+++ b/node/stop.go
@@ -79,6 +79,7 @@
 	defer cancel()
 	n.drainCallers(ctx, exit)
 	n.gateway.AwaitProxied(ctx)
+	n.awaitPeerResponses(ctx)
 	// No background renewal of the lease may follow the final renewal below.
 	n.stopBackground()
 	n.lease.Extend(background, restartLeaseDuration)
@@ -95,6 +96,14 @@
 	return nil
 }
 
+// awaitPeerResponses waits until the responses to other VMs have been sent, or ctx ends. The HTTP server sends the end of a
+// response, or a short one, only after its handler has returned.
+func (n *Node) awaitPeerResponses(ctx context.Context) {
+	for ctx.Err() == nil && n.peerConns.active() > 0 {
+		pause.For(ctx, drainCheckInterval)
+	}
+}
+
 // drainCallers waits until no request of a caller is in progress, or ctx ends, and closes the connections of callers.
 // http.Server.Shutdown would close kept connections at once, and drop without an answer what callers have sent on them
 // meanwhile. Here a kept connection takes one more request as long as others are in progress.
--- a/node/unused_test.go
+++ b/node/unused_test.go
@@ -20,7 +20,7 @@
 	const body = "body"
 	for name, earlier := range map[string]int{"new connection": 0, "kept connection": 1} {
 		t.Run(name, func(t *testing.T) {
-			var c callerConns
+			var c openConns
 			headRead := make(chan struct{}, earlier+1)
 			s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				got, err := io.ReadAll(r.Body)
