node: A request whose head has arrived in part is not answered with 400 as its VM stops

What callers saw: a whole, sound request on a kept connection of a stopping VM got "400 Bad Request". Its head came in two parts; net/http reports the connection as idle until the whole head is read, so closeUnused set a deadline in the past while the first part had been read and nothing was unread. net/http then takes the part of a line that it has for a malformed header. http.Server.Shutdown would have closed the connection instead, which the caller may repeat; 400 it may not.

Change: connections of callers count the bytes that are read from them, and one from which something has been read since it became idle or new is not taken for unused. Only the moment between the return of a read and its count is left. The connections embed *net.TCPConn, so that all else of them stays; httpx finds SetLinger by its method in place of the type. Ruled out: the deadline alone (the 400), closing the connection (no answer), a deadline in the near future (the look after would set it again inside the head). A head that never becomes whole ends with net/http's limit for heads, or at the exit.

--- a/httpx/byclose.go
+++ b/httpx/byclose.go
@@ -57,7 +57,7 @@
 
 func setResetOnClose(ctx context.Context, reset bool) {
 	conn, _ := CallerConn(ctx)
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := conn.(interface{ SetLinger(sec int) error })
 	if !ok {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -268,6 +268,7 @@
 		return err
 	}
 	if s == n.callerServer {
+		l = countedListener{l}
 		n.callerListener = l
 	}
 	n.httpServers = append(n.httpServers, s)
--- a/node/unused_test.go
+++ b/node/unused_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 )
 
 // The HTTP server of a VM that stops has read the head of a request, and the VM looks for unused connections before it
@@ -62,3 +64,45 @@
 		})
 	}
 }
+
+// A VM that stops looks for unused connections while a part of the head of a kept connection's next request has been read.
+// Guards against a request that is whole and gets "400 Bad Request", or no answer.
+func TestPartOfHeadReadWhileUnusedAreClosed(t *testing.T) {
+	var c openConns
+	idle := make(chan net.Conn, 2)
+	s := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		c.record(clock.Now(), conn, state)
+		if state == http.StateIdle {
+			idle <- conn
+		}
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = s
+	server.Listener = countedListener{server.Listener}
+	server.Start()
+	t.Cleanup(server.Close)
+	caller, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	answers := bufio.NewReader(caller)
+	const head, rest = "GET / HTTP/1.1\r\nHo", "st: h\r\n\r\n"
+	_, err = io.WriteString(caller, head+rest)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	vm := <-idle
+	_, err = io.WriteString(caller, head)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !conns.HasUnread(vm) }, time.Minute, 20*time.Millisecond)
+	for range 5 {
+		c.closeUnused(clock.Now())
+		time.Sleep(drainCheckInterval)
+	}
+	_, err = io.WriteString(caller, rest)
+	require.NoError(t, err)
+	resp, err = http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
