conns: The tests of a VM that stood still share how they send their request

Both tests opened a connection that can stand still, and sent a request on it, in the same sixteen lines. What they require is unchanged: without the error of the look for bytes TestResetWhileVMStoodStill still fails, and without the look itself so does TestBytesThatCameWhileVMStoodStill (tried, and taken back).

--- a/conns/standstill_test.go
+++ b/conns/standstill_test.go
@@ -33,6 +33,31 @@
 	return c.TCPConn.Read(p)
 }
 
+// sendFromStandstill sends a request to a new server over a connection whose VM can stand still in a read. A server that
+// counts as silent is an error.
+func sendFromStandstill(t *testing.T) (vm *standstill, server net.Conn, x *conns.Exchange) {
+	t.Helper()
+	address, accepted := listen(t)
+	p := conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := conns.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		vm = &standstill{TCPConn: c.(*net.TCPConn)}
+		return vm, nil
+	}}
+	c, err := p.Dial(context.Background(), "k", address)
+	require.NoError(t, err)
+	server = <-accepted
+	x, err = c.Send(http.MethodGet, []byte("GET / HTTP/1.1\r\n\r\n"), nil)
+	require.NoError(t, err)
+	c.SetStallTimeout(time.Hour, func(time.Duration) bool {
+		t.Error("the server counts as silent")
+		return true
+	})
+	return vm, server, x
+}
+
 // A VM stands still for longer than its stall timeout while its server sends. The timer of the read fires before what
 // lies in the socket is read. Guards against a server that counts as silent, or is left, though it has answered.
 func TestBytesThatCameWhileVMStoodStill(t *testing.T) {
@@ -48,21 +73,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			address, accepted := listen(t)
-			var vm *standstill
-			p := conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
-				c, err := conns.Dial(ctx, address)
-				if err != nil {
-					return nil, err
-				}
-				vm = &standstill{TCPConn: c.(*net.TCPConn)}
-				return vm, nil
-			}}
-			c, err := p.Dial(context.Background(), "k", address)
-			require.NoError(t, err)
-			server := <-accepted
-			x, err := c.Send(http.MethodGet, []byte("GET / HTTP/1.1\r\n\r\n"), nil)
-			require.NoError(t, err)
+			vm, server, x := sendFromStandstill(t)
 			vm.meanwhile = func() {
 				_, _ = fmt.Fprint(server, tc.sent)
 				if tc.close {
@@ -71,11 +82,7 @@
 				awaitReadable(t, vm.TCPConn)
 				go func() { _, _ = fmt.Fprint(server, response[len(tc.sent):]) }()
 			}
-			c.SetStallTimeout(time.Hour, func(time.Duration) bool {
-				t.Error("the server counts as silent")
-				return true
-			})
-			_, err = x.ReadResponse()
+			_, err := x.ReadResponse()
 			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 			require.Equal(t, tc.sent == "", err != nil)
 		})
@@ -100,29 +107,11 @@
 // reports a reset once, and a look for bytes after a stall timeout would be told of it in place of the read.
 func TestResetWhileVMStoodStill(t *testing.T) {
 	const part = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of"
-	address, accepted := listen(t)
-	var vm *standstill
-	p := conns.Pool{DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
-		c, err := conns.Dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		vm = &standstill{TCPConn: c.(*net.TCPConn)}
-		return vm, nil
-	}}
-	c, err := p.Dial(context.Background(), "k", address)
-	require.NoError(t, err)
-	server := <-accepted
-	x, err := c.Send(http.MethodGet, []byte("GET / HTTP/1.1\r\n\r\n"), nil)
-	require.NoError(t, err)
-	_, err = bufio.NewReader(server).ReadString('\n')
+	vm, server, x := sendFromStandstill(t)
+	_, err := bufio.NewReader(server).ReadString('\n')
 	require.NoError(t, err)
 	_, err = fmt.Fprint(server, part)
 	require.NoError(t, err)
-	c.SetStallTimeout(time.Hour, func(time.Duration) bool {
-		t.Error("the server counts as silent")
-		return true
-	})
 	resp, err := x.ReadResponse()
 	require.NoError(t, err)
 	read := make([]byte, len("half of"))
