pick: The first measurement of a response time reads as what it is

The spread of response times had a constructor for assumed values, which nothing assumes any more. No behaviour changes; the tests of expected durations and of stops pass.

--- a/pick/finish.go
+++ b/pick/finish.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// deviations is how many mean deviations above the mean a response is expected to end at the latest.
+	// deviations is how many mean deviations above the mean a response is expected to take at most.
 	deviations = 2
-	// defaultDeviation is the mean deviation as a share of the mean until several responses have been measured.
-	defaultDeviation = 0.5
+	// firstDeviation is the mean deviation after the first response, as a share of its time.
+	firstDeviation = 0.5
 	// spreadWeight is the weight of one response in a mean and its deviation.
 	spreadWeight = 0.1
 )
@@ -17,15 +17,10 @@
 // spread is the moving mean of a value and its mean deviation.
 type spread struct{ mean, deviation float64 }
 
-// newSpread returns the spread of a value that was assumed or measured once.
-func newSpread(value float64) spread {
-	return spread{mean: value, deviation: defaultDeviation * value}
-}
-
-// add returns the spread with one more measurement. The first one replaces what was assumed.
+// add returns the spread with one more measurement.
 func (s spread) add(value float64) spread {
 	if s == (spread{}) {
-		return newSpread(value)
+		return spread{mean: value, deviation: firstDeviation * value}
 	}
 	difference := value - s.mean
 	s.mean += spreadWeight * difference
@@ -36,10 +31,10 @@
 // high returns a value that few are above.
 func (s spread) high() float64 { return s.mean + deviations*s.deviation }
 
-// workClass groups work whose responses take similarly long.
+// workClass groups work whose responses take similarly long. limited is set for work whose callers state how many tokens
+// they want at most; the times of its responses are kept for each such token.
 type workClass struct {
-	route string
-	// limited is set if the callers state how many tokens they want at most. The times are for each such token then.
+	route   string
 	limited bool
 }
 
