--- a/wire/types.go
+++ b/wire/types.go
@@ -367,6 +367,11 @@
 	// Era of the store of lease_version, plus one; 0 if the sender knows no eras. Its
 	// name sorts behind all others, so that builds without it skip it.
 	ZzzzLeaseEra int `json:"zzzz_lease_era,omitempty,omitzero"`
+
+	// Paces of servers that have changed since they were last sent, all of them in a
+	// full state. Its name sorts behind all others, so that builds without it skip
+	// it.
+	ZzzzzServerPaces []ServerPace `json:"zzzzz_server_paces,omitempty,omitzero"`
 }
 
 // A software version of which a service has no server any more.
@@ -769,6 +774,26 @@
 	Domain string `json:"domain"`
 }
 
+// What a group of VMs has learned of a backend server's pace since its last
+// report: sums, so that reports can be added.
+type PaceSamples struct {
+	// Sum of what it said, in hundredths of the usual time.
+	ReadingPct int `json:"reading_pct"`
+
+	// Number of responses in which the server said how long work takes.
+	Readings int `json:"readings"`
+
+	// Sum of their times, in hundredths of the predicted time.
+	ResponsePct int `json:"response_pct"`
+
+	// Number of responses whose time was compared with the time predicted at the
+	// usual pace.
+	Responses int `json:"responses"`
+
+	// ID of the server process; changes at each start.
+	Server string `json:"server"`
+}
+
 // A server process that ended while requests with parts of prompts were in
 // progress on it.
 type PartCrash struct {
@@ -1061,6 +1086,20 @@
 
 	// Memory that the requests need, in tokens.
 	Tokens int `json:"tokens"`
+
+	// Parts of reading_us by the priority of the requests at the server, the most
+	// urgent first; zeros at the end are left out. Empty if the sender does not
+	// divide it. Its name sorts behind all others, so that builds without it skip it.
+	ZzPrefillUs []int `json:"zz_prefill_us,omitempty,omitzero"`
+}
+
+// How long work takes at a backend server.
+type ServerPace struct {
+	// Time that work takes, in hundredths of the usual time.
+	PacePct int `json:"pace_pct"`
+
+	// ID of the server process; changes at each start.
+	Server string `json:"server"`
 }
 
 // State of a backend server as recorded by the controller.
@@ -1299,6 +1338,10 @@
 	// of these, since the last report. Its name sorts behind all others, so that
 	// builds without it skip it.
 	ZzzzPartsAlone []string `json:"zzzz_parts_alone,omitempty,omitzero"`
+
+	// What the VMs of the subtree have learned of the pace of servers since the last
+	// report. Its name sorts behind all others, so that builds without it skip it.
+	ZzzzzPaceSamples []PaceSamples `json:"zzzzz_pace_samples,omitempty,omitzero"`
 }
 
 // Software versions that have existed besides those of the listed servers.
