pick: Prefill and token times by the pace of each server

Cause: one prefill rate for servers that differ by 2.2 times; the slow ones got as many requests as the fast ones. Change: Balancer.Pace scales prefill, token and response times and the share of a server; measurements that train the rates are divided by it, and Balancer.Observed reports their ratios from servers with little other work. Measured: go test ./pick ./replay pass.

--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -1,6 +1,9 @@
 package pick
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Attempt is one send of a request to one server.
 type Attempt struct {
@@ -12,9 +15,14 @@
 	work     Work
 	started  time.Time
 	// uncachedTokens is the number of prompt tokens that the server had to
-	// prefill. serverIdle is set when it had nearly no other work.
-	uncachedTokens   int
-	serverIdle       bool
+	// prefill. serverIdle is set when it had nearly no other work, serverQuiet when
+	// it had too little to delay the tokens of a stream.
+	uncachedTokens          int
+	serverIdle, serverQuiet bool
+	// pace is the pace of the server at the start, eventPace that at the first event, which
+	// came at firstEventAt.
+	pace, eventPace  float64
+	firstEventAt     time.Time
 	prefilled, ended bool
 }
 
@@ -30,8 +38,8 @@
 	s := b.serverState(c.Server.ID)
 	a := &Attempt{
 		balancer: b, serverID: c.Server.ID, domain: c.Server.Domain, service: c.Server.Service, work: w, started: now, uncachedTokens: c.UncachedTokens,
-		serverIdle: c.Load.PrefillTime == 0 && c.Load.Running <= maxIdleRunning,
-		load:       Load{Running: 1, PrefillTime: c.PrefillTime, KVTokens: w.PromptTokens + w.MaxOutputTokens/2},
+		serverIdle: c.Load.PrefillTime == 0 && c.Load.Running <= maxIdleRunning, serverQuiet: quiet(c.Load, c.Server, w), pace: cmp.Or(c.Pace, 1),
+		load: Load{Running: 1, PrefillTime: c.PrefillTime, KVTokens: w.PromptTokens + w.MaxOutputTokens/2},
 	}
 	s.local = s.local.Add(a.load)
 	b.addRunning(a)
@@ -46,8 +54,13 @@
 func (a *Attempt) FirstEvent(now time.Time) {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
+	if !a.prefilled {
+		// The head of the response has reported the pace during the prefill.
+		a.eventPace, a.firstEventAt = a.balancer.pace(now, a.serverID), now
+	}
 	if a.serverIdle && !a.prefilled && !a.ended {
-		a.balancer.updatePrefillRate(a.work, a.uncachedTokens, now.Sub(a.started))
+		a.observePrefill(now)
+		a.balancer.updatePrefillRate(a.work, a.uncachedTokens, now.Sub(a.started), a.eventPace)
 	}
 	a.endPrefill()
 }
@@ -102,17 +115,19 @@
 	if f := a.balancer.domainFailureRate(a.domain); result == Succeeded || f.rate > 0 {
 		f.record(now, result)
 	}
-	if result == Succeeded && a.work.Model != "" {
-		a.balancer.recordModelResponse(a.service, now.Sub(a.started))
-	}
 	if result == Succeeded {
 		took := now.Sub(a.started)
-		a.balancer.recordResponseSpread(a.work, took)
+		usual := scale(took, 2/(a.pace+a.balancer.pace(now, a.serverID)))
+		if a.work.Model != "" {
+			a.balancer.recordModelResponse(a.service, usual)
+		}
+		a.observeResponse(now, took)
+		a.balancer.recordResponseSpread(a.work, usual)
 		if a.balancer.responseTimes == nil {
 			a.balancer.responseTimes = make(map[string]time.Duration)
 		}
 		s.responseTime = movingAverage(s.responseTime, took)
-		a.balancer.responseTimes[a.service] = movingAverage(a.balancer.responseTimes[a.service], took)
+		a.balancer.responseTimes[a.service] = movingAverage(a.balancer.responseTimes[a.service], usual)
 	}
 }
 
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -41,6 +41,11 @@
 	// HasIdleConn reports whether an idle connection to a server is open; nil
 	// means always.
 	HasIdleConn func(id string) bool
+	// Pace returns how long work sent now takes on a server, 1 as usual; nil means 1 for all. Observed is called with the time
+	// of a response divided by the time predicted at a pace of 1, for responses that other work on the server disturbs
+	// little; nil means that it is not. Neither may call the Balancer.
+	Pace     func(now time.Time, server string) float64
+	Observed func(now time.Time, server string, ratio float64)
 
 	mu      sync.Mutex
 	servers map[string]*serverState
@@ -49,10 +54,11 @@
 	remoteLoadsAt  time.Time
 	randomKeys     uint64
 	domainFailures map[string]*failureRate
-	// prefillRates is the prefill rate of each model in tokens per millisecond,
-	// measured on idle servers.
+	// prefillRates is the prefill rate of each model in tokens per millisecond at a
+	// pace of 1, measured on idle servers.
 	prefillRates map[string]float64
-	// responseTimes is the average response time of each service.
+	// responseTimes is the average response time of each service. This and the other
+	// times are those at a pace of 1.
 	responseTimes map[string]time.Duration
 	// modelResponseTimes is the average time of a complete response of each
 	// service that runs models.
@@ -90,8 +96,9 @@
 	// cache, and PrefillTime their prefill time.
 	UncachedTokens int
 	PrefillTime    time.Duration
-	// Load is the load of the server that the prediction assumed.
+	// Load is the load of the server that the prediction assumed, Pace its pace.
 	Load Load
+	Pace float64
 }
 
 // Choose returns the candidate with the lowest predicted cost, except those in
@@ -130,7 +137,8 @@
 		if slices.Contains(excluded, e.ID) {
 			continue
 		}
-		c := candidate{server: e, queueTime: b.queueTime(now, e) + b.slotBacklog(e) + b.penalty(now, e, w, kvTokens)}
+		pace := b.pace(now, e.ID)
+		c := candidate{server: e, pace: pace, queueTime: b.queueTime(now, e) + scale(b.slotBacklog(e), pace) + b.extraPrefill(w, pace) + b.penalty(now, e, w, kvTokens)}
 		if !b.hasIdleConn(e) {
 			c.queueTime += connCost
 		}
--- a/pick/cost.go
+++ b/pick/cost.go
@@ -1,6 +1,9 @@
 package pick
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Load pattern: demand moves between models, some of which run four times as fast as
 // others, and prompts are short or long. The number of requests or tokens does not
@@ -32,8 +35,7 @@
 func (b *Balancer) Cost(w Work) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	uncached := max(float64(w.PromptTokens)-assumedPrefixShare*float64(sharedPrefixTokens(w)), 1)
-	prefill := time.Duration(uncached / b.prefillRate(w) * float64(time.Millisecond))
+	prefill := time.Duration(b.unsharedPrefillMs(w) * float64(time.Millisecond))
 	return prefill + b.decodeTime(w)/time.Duration(max(w.Slots, 1))
 }
 
@@ -68,9 +70,15 @@
 func (a *Attempt) StreamCompleted(events int, took time.Duration) {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	a.balancer.recordStream(a.work, events, took)
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = a.started
+	}
+	end := a.firstEventAt.Add(took)
+	a.observeStream(end, events, took)
+	a.balancer.recordStream(a.work, events, scale(took, 2/(cmp.Or(a.eventPace, a.pace)+a.balancer.pace(end, a.serverID))))
 }
 
+// recordStream records the output and the token time of a stream; took is its time at a pace of 1. b.mu is held.
 func (b *Balancer) recordStream(w Work, events int, took time.Duration) {
 	if w.MaxOutputTokens <= 0 || w.TokensPerEvent <= 0 || events <= 0 {
 		return
--- a/pick/finish.go
+++ b/pick/finish.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -51,17 +52,18 @@
 func (b *Balancer) ExpectedDuration(now time.Time, c Choice, w Work) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	pace := cmp.Or(c.Pace, 1)
 	if w.Model == "" {
 		// The predicted time is the average of a server, whose routes may differ.
-		return max(c.PredictedTime, time.Duration(b.responseSpread(now, w).high())), true
+		return max(c.PredictedTime, scale(time.Duration(b.responseSpread(now, w).high()), pace)), true
 	}
 	if s := b.responseSpread(now, w); s != (spread{}) {
-		return c.PredictedTime + time.Duration(s.high()*float64(max(w.MaxOutputTokens, 1))), true
+		return c.PredictedTime + time.Duration(pace*s.high()*float64(max(w.MaxOutputTokens, 1))), true
 	}
-	return c.PredictedTime + time.Duration(w.MaxOutputTokens)*b.tokenTime(w), w.MaxOutputTokens > 0
+	return c.PredictedTime + scale(time.Duration(w.MaxOutputTokens)*b.tokenTime(w), pace), w.MaxOutputTokens > 0
 }
 
-// recordResponseSpread records how long a complete response took. b.mu is held.
+// recordResponseSpread records how long a complete response took at a pace of 1. b.mu is held.
 func (b *Balancer) recordResponseSpread(w Work, took time.Duration) {
 	if b.responseSpreads == nil {
 		b.responseSpreads = make(map[workClass]spread)
@@ -84,7 +86,7 @@
 	s := b.responseSpreads[classOf(w)]
 	var ages []float64
 	for a := range b.running {
-		if age := a.work.normalized(now.Sub(a.started)); classOf(a.work) == classOf(w) && age > s.mean {
+		if age := a.work.normalized(scale(now.Sub(a.started), 1/a.pace)); classOf(a.work) == classOf(w) && age > s.mean {
 			ages = append(ages, age)
 		}
 	}
--- a/pick/predict.go
+++ b/pick/predict.go
@@ -87,18 +87,19 @@
 // cached a part of the prompt's shared prefix for other VMs.
 func (b *Balancer) predict(now time.Time, e backs.Entry, w Work, prefixKeys []uint64, assumeShared bool) Choice {
 	s := b.serverState(e.ID)
-	load := s.local.Add(s.remote)
+	load, pace := s.local.Add(s.remote), b.pace(now, e.ID)
 	if w.Model == "" {
-		return Choice{Server: e, PredictedTime: s.predictResponseTime(b.responseTimes[e.Service], load, e.Slots), Load: load}
+		serviceAverage := scale(cmp.Or(b.responseTimes[e.Service], defaultResponseTime), pace)
+		return Choice{Server: e, PredictedTime: s.predictResponseTime(serviceAverage, load, e.Slots), Load: load, Pace: pace}
 	}
 	cachedTokens := s.cache.hitTokens(w, prefixKeys)
 	if assumeShared {
 		cachedTokens = max(cachedTokens, int(assumedPrefixShare*float64(sharedPrefixTokens(w))))
 	}
 	uncached := max(w.PromptTokens-cachedTokens, 1)
-	prefill := time.Duration(float64(uncached) / b.prefillRate(w) * float64(time.Millisecond))
+	prefill := time.Duration(pace * float64(uncached) / b.prefillRate(w) * float64(time.Millisecond))
 	queueTime := b.queueTime(now, e)
-	return Choice{Server: e, UncachedTokens: uncached, QueueTime: queueTime, PrefillTime: prefill, Load: load, PredictedTime: queueTime + prefill}
+	return Choice{Server: e, UncachedTokens: uncached, QueueTime: queueTime, PrefillTime: prefill, Load: load, Pace: pace, PredictedTime: queueTime + prefill}
 }
 
 // prefillRate returns the prefill rate of the work's model in tokens per
@@ -115,9 +116,9 @@
 }
 
 // updatePrefillRate updates a model's prefill rate with a measurement: the time in
-// which an idle server prefilled a number of prompt tokens.
-func (b *Balancer) updatePrefillRate(w Work, tokens int, took time.Duration) {
-	if took -= firstEventOverhead; tokens < minPrefillSampleTokens || took <= 0 {
+// which an idle server with a pace prefilled a number of prompt tokens.
+func (b *Balancer) updatePrefillRate(w Work, tokens int, took time.Duration, pace float64) {
+	if took = scale(took-firstEventOverhead, 1/pace); tokens < minPrefillSampleTokens || took <= 0 {
 		return
 	}
 	if b.prefillRates == nil {
@@ -138,15 +139,12 @@
 
 // predictResponseTime predicts the response time of a service without models: the
 // number of rounds of requests ahead of this one times the average response time.
-// A server without responses gets the average of the service, so that it is tried.
+// A server without responses gets the average of the service at its pace, so that it is tried.
 func (s *serverState) predictResponseTime(serviceAverage time.Duration, load Load, slots int) time.Duration {
 	took := s.responseTime
 	if took == 0 {
 		took = serviceAverage
 	}
-	if took == 0 {
-		took = defaultResponseTime
-	}
 	rounds := float64(load.Running+1) / float64(max(slots, 1))
 	return time.Duration(float64(took) * math.Max(1, rounds) * (1 + 0.2*rounds))
 }
--- a/pick/rendezvous.go
+++ b/pick/rendezvous.go
@@ -37,8 +37,9 @@
 type candidate struct {
 	server backs.Entry
 	// queueTime is the queue in front of the request plus the server's
-	// penalties.
+	// penalties. pace is how long work takes there.
 	queueTime time.Duration
+	pace      float64
 }
 
 // weightedRendezvous returns the index of the candidate selected for a key.
@@ -46,7 +47,8 @@
 	level := levelQueueTime(candidates)
 	best, least := -1, math.Inf(1)
 	for i, c := range candidates {
-		weight := (level - c.queueTime).Seconds()
+		// In the time up to the level, a server with a pace of 2 processes half as much.
+		weight := (level - c.queueTime).Seconds() / c.pace
 		if weight <= 0 {
 			continue
 		}
@@ -65,16 +67,13 @@
 // levelQueueTime returns the common length of the queues after the stale work has
 // been added to the shorter ones.
 func levelQueueTime(candidates []candidate) time.Duration {
-	queues := make([]time.Duration, len(candidates))
-	for i, c := range candidates {
-		queues[i] = c.queueTime
-	}
-	slices.SortFunc(queues, cmp.Compare)
-	sum := staleWork * time.Duration(len(queues))
-	for i, q := range queues {
-		sum += q
-		level := sum / time.Duration(i+1)
-		if i+1 == len(queues) || level <= queues[i+1] {
+	sorted := slices.SortedFunc(slices.Values(candidates), func(a, b candidate) int { return cmp.Compare(a.queueTime, b.queueTime) })
+	work, speed := float64(staleWork)*float64(len(sorted)), 0.0
+	for i, c := range sorted {
+		work += float64(c.queueTime) / c.pace
+		speed += 1 / c.pace
+		level := time.Duration(work / speed)
+		if i+1 == len(sorted) || level <= sorted[i+1].queueTime {
 			return level
 		}
 	}
