pass, platform, node: The load that servers report is read, and paces go to the balancer

Cause: servers report how long work takes in each response, and nothing read it. Change: HeaderNames.ParseServerLoad; readings from responses with the server stamp or the not-executed header, refusals too; gauge.readings, gauge.invalid_readings, gauge.told, gauge.distrusted; an invalid value is logged once for each server; the line of a request has pace. node owns the Gauge and hands it to the balancer and the gateway.

--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/origin"
@@ -89,6 +90,7 @@
 	meter          *meter.Registry
 	serverView     *backs.View
 	balancer       *pick.Balancer
+	gauge          *gauge.Gauge
 	connPool       *conns.Pool
 	gateway        *pass.Gateway
 	controller     *steer.Controller
@@ -156,6 +158,8 @@
 	n.crashTracker = &poison.Tracker{CrashLimit: s.Int("poison", "crashes"), BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordCrash, OnBlock: n.recordBlock}
 	n.partTracker = &poison.PartTracker{BlockDuration: s.Duration("poison", "block"), OnCrash: n.recordPartCrash, OnBlock: n.recordPartBlock}
 	n.balancer.HasIdleConn = n.connPool.HasIdle
+	n.gauge = n.newGauge()
+	n.balancer.Pace, n.balancer.Observed = n.gauge.Pace, n.gauge.Observed
 	n.lease = &peers.Lease{
 		Name: s.Text("vm", "name"), Address: s.Text("vm", "peer_listen"), Objects: n.config.Objects,
 		AcquireDelay: acquireDelay(s.Float("limits", "cpu")), Poison: n.crashTracker, PartTracker: n.partTracker,
@@ -187,7 +191,7 @@
 	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = &pass.Gateway{
 		ShutdownContext: n.waitContext, StopsAt: n.exitTime,
-		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
+		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.AllotmentVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
@@ -317,6 +321,7 @@
 		n.meter.SetGauge("origin.keepers", int64(len(n.peers.OriginKeepers(now))))
 		usable := func(id string) bool { return n.serverView.Usable(now, id) }
 		n.rateLimits.Retain(usable)
+		n.retainPaces()
 		n.peers.RetainServers(usable)
 		if n.config.DroppedLogLines != nil {
 			n.meter.SetGauge("log.dropped", n.config.DroppedLogLines())
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
@@ -56,6 +57,8 @@
 	Poison *poison.Tracker
 	// PartTracker does the same for parts of prompts. Optional.
 	PartTracker *poison.PartTracker
+	// Gauge estimates how long work takes on servers, by what they report. Optional; if nil, it is not read.
+	Gauge *gauge.Gauge
 	// RateLimits holds the request rate limits that servers have announced.
 	RateLimits *limit.Limits
 	// RetryBudget returns the retry budget of a service.
@@ -119,6 +122,8 @@
 	proxyPool      conns.Pool
 	proxyLoads     proxyLoads
 	proxiedRunning atomic.Int64
+	// invalidLoads are the servers whose invalid reports were logged.
+	invalidLoads loggedServers
 
 	mu  sync.Mutex
 	rng *rand.Rand
--- a/pass/headers.go
+++ b/pass/headers.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 
+	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 )
 
@@ -25,7 +26,8 @@
 	ServerStamp string
 	// NotExecuted marks a response as proof that the server did not execute the request.
 	NotExecuted string
-	// ServerLoad is the server's running requests, waiting requests and slots.
+	// ServerLoad is the server's running requests, waiting requests and slots, and how long work currently takes
+	// there.
 	ServerLoad string
 	// RateLimit is the maximum number of requests per second that the server accepts from all VMs
 	// together. It applies for as long as the server's responses contain it.
@@ -57,6 +59,8 @@
 	ParseModel func(string) (model, adapter string)
 	// ParseRateLimit parses a rate in requests per second and reports whether it is valid.
 	ParseRateLimit func(string) (rate float64, ok bool)
+	// ParseServerLoad parses what a response reports about the load of its server.
+	ParseServerLoad func(string) (gauge.Reading, error)
 }
 
 // HTTP headers and values that this package sets or reads.
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -41,6 +41,7 @@
 		if id == r.requestID || id == "" && (r.g.provesNotRun(resp) || r.refusedByProxy(resp)) {
 			r.resp = resp
 			r.updateRateLimit()
+			r.recordServerLoad()
 			return nil
 		}
 		r.g.Meter.AddCounter("pass.stray_answers", 1)
@@ -70,6 +71,11 @@
 	return resp.Header.Get(g.HeaderNames.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 }
 
+// attested reports whether a response certainly comes from the server itself, and not from another one at its address.
+func (g *Gateway) attested(resp *http.Response) bool {
+	return resp.Header.Get(g.HeaderNames.ServerStamp) != "" || resp.Header.Get(g.HeaderNames.NotExecuted) != ""
+}
+
 // applyNotice applies what a response says about its server, before anything of it reaches the caller.
 // Without proof that the server itself sent it, a response may be forged, and can not take the server
 // away from all VMs.
@@ -80,7 +86,7 @@
 	if err != nil {
 		r.g.Log.Info().Str("request", r.requestID).Str("server", r.server).Err(err).Msg("invalid notice of a server")
 	}
-	attested := resp.Header.Get(n.ServerStamp) != "" || resp.Header.Get(n.NotExecuted) != ""
+	attested := r.g.attested(resp)
 	notice.Leaving = notice.Leaving && attested
 	notice.HasRejectLimit = notice.HasRejectLimit && attested
 	notice.NoRejectLimit = attested && resp.Header.Get(n.RejectLimit) == ""
@@ -91,7 +97,7 @@
 // value is logged and leaves the limit unchanged.
 func (r *reply) updateRateLimit() {
 	n := r.g.HeaderNames
-	if r.resp.Header.Get(n.ServerStamp) == "" && r.resp.Header.Get(n.NotExecuted) == "" {
+	if !r.g.attested(r.resp) {
 		return // The response may come from another server at the same address.
 	}
 	value := r.resp.Header.Get(n.RateLimit)
