--- a/gauge/estimate.go
+++ b/gauge/estimate.go
@@ -105,7 +105,11 @@
 	// servers are sorted by ID, so that sums over them are the same each time.
 	servers    []*serverState
 	computedAt time.Time
-	// usualReading is the reading that a server with a pace of 1 is expected to report, 0 if no server reports any.
+	// unknown is set for the servers whose service is not known yet. They have only the estimates of the hub.
+	unknown bool
+	// reports is set if a server has reported a pace to this VM, to those below it or to the hub. usualReading is the
+	// reading that a server with a pace of 1 is expected to report, 0 if this VM and those below it know none.
+	reports      bool
 	usualReading float64
 }
 
@@ -140,7 +144,7 @@
 	}
 	svc := g.services[name]
 	if svc == nil {
-		svc = &serviceState{}
+		svc = &serviceState{unknown: name == "" && g.Service != nil}
 		g.services[name] = svc
 	}
 	i, _ := slices.BinarySearchFunc(svc.servers, s.id, compareID)
@@ -164,8 +168,14 @@
 
 // service returns the service of a server with its paces as of now. g.mu is held.
 func (g *Gauge) service(now time.Time, s *serverState) *serviceState {
-	if s.service == "" {
+	if s.service == "" && g.Service != nil {
 		g.join(s)
+		if unknown := g.services[""]; s.service != "" && unknown != nil {
+			// The list of servers has arrived. A service has to be whole, as paces are relative to it.
+			for _, other := range slices.Clone(unknown.servers) {
+				g.join(other)
+			}
+		}
 	}
 	svc := g.services[s.service]
 	if age := now.Sub(svc.computedAt); svc.computedAt.IsZero() || age < 0 || age >= recomputeInterval {
@@ -205,16 +215,17 @@
 // compute computes the trusted paces of the servers of a service. g.mu is held.
 func (g *Gauge) compute(now time.Time, svc *serviceState) {
 	svc.computedAt = now
-	svc.usualReading = 0
-	reports := false
+	svc.usualReading, svc.reports = 0, false
+	heard := false
 	for _, s := range svc.servers {
 		s.reported.decay(now, reportedTime)
 		s.observed.decay(now, observedTime)
 		s.own.decay(now, ownTime)
 		s.trusted, s.trustedWeight = 0, 0
-		reports = reports || s.reported.weight > 0
+		heard = heard || s.reported.weight > 0
+		svc.reports = svc.reports || heard || g.hubPace(now, s) > 0
 	}
-	if !reports {
+	if !heard || svc.unknown {
 		return
 	}
 	scale, scaled := svc.reportScale()
--- a/gauge/exchange.go
+++ b/gauge/exchange.go
@@ -14,7 +14,7 @@
 	minChange = 0.1
 	// samplesPerSecond and changesPerSecond bound what a VM sends in the long run, whatever the number of servers: a sample
 	// takes some 85 bytes, an estimate 40, together 1.2 KB of the 4 KB a second for all control traffic. What has to
-	// wait is added up, so that nothing is lost. maxSamples bounds the samples of one call.
+	// wait is added up, and discarded at the age of estimateLife. maxSamples bounds the samples of one call.
 	samplesPerSecond = 8
 	changesPerSecond = 12
 	maxSamples       = 64
@@ -77,14 +77,15 @@
 	s.pending.add(sample)
 }
 
-// TakeSamples returns what was learned since the last call, for the hub. What is beyond the bound on the traffic is left for the
+// TakeSamples returns what was learned since the last call, for the hub. Responses of a service none of whose servers reports a
+// pace are left out. What is beyond the bound on the traffic is left for the
 // next call, the oldest goes first.
 func (g *Gauge) TakeSamples(now time.Time) []Sample {
 	g.mu.Lock()
 	defer g.unlock()
 	var waiting []*serverState
 	for _, s := range g.servers {
-		if s.pending != (Sample{}) && now.Sub(s.pendingSince) < estimateLife {
+		if s.pending != (Sample{}) && now.Sub(s.pendingSince) < estimateLife && (s.pending.Readings > 0 || g.service(now, s).reports) {
 			waiting = append(waiting, s)
 		}
 	}
--- a/pick/pacereplay_test.go
+++ b/pick/pacereplay_test.go
@@ -259,6 +259,7 @@
 	require.Greater(t, all.fast, 1.5*all.slow)
 	require.Less(t, all.late, 0.8*without.late)
 	require.Less(t, all.late, own.late)
+	require.Less(t, own.late, without.late, "without links to builds that know paces")
 }
 
 // Guards against servers that attract all requests, or lose all, by what they report, and against a service that is served worse
