peers: Samples of the pace of servers travel up the tree, estimates down

VMs measured the pace of each server alone, from a response in ten seconds. Reports now have the sums of samples of a VM's subtree, frames with loads the controller's estimates that have changed, and a full state all of them. A confirmation of a few bytes keeps unchanged estimates alive, and only the controller sends it. go test ./peers -run 'TestSimulatedFleet|TestReport': passes.

--- a/peers/hub.go
+++ b/peers/hub.go
@@ -135,6 +135,7 @@
 	state.AgeMs, state.Vms, state.Full, state.Relayed = p.dataAgeMs(now), max(p.vms, 1), true, p.relaying
 	p.addLoadState(state, loads)
 	state.ZStreamKeepers = p.fleetKeepers()
+	state.ZzzzzServerPaces = p.allPaces(now)
 	frame, err := link.Encode(&wire.Message{FleetState: state})
 	if err != nil {
 		return nil, sentRevisions{}, err
@@ -203,6 +204,7 @@
 		p.Limits.AddReport(p.Now(), limitsOf(m.VMReport.Limits))
 		p.Servers.AddLeaving(p.Now(), m.VMReport.WillExit)
 		p.applyRejects(m.VMReport.ZRejectLimits, true)
+		p.addPaceSamples(m.VMReport.ZzzzzPaceSamples)
 	}
 	defer p.mergeQuotaReport(m.VMReport)
 	switch {
@@ -338,6 +340,7 @@
 	if withLoad {
 		p.addLoadState(state, loads)
 		state.ZStreamKeepers = p.takeChangedKeepers()
+		state.ZzzzzServerPaces = p.takePacesDown(now)
 		p.tellWithheld(now)
 	}
 	p.mu.Unlock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/meter"
@@ -70,6 +71,8 @@
 	Poison *poison.Tracker
 	// PartTracker does the same for parts of prompts. If nil, they are not tracked.
 	PartTracker *poison.PartTracker
+	// Gauge estimates the pace of servers. If nil, what VMs learn of it is not exchanged.
+	Gauge *gauge.Gauge
 	// Limits holds the request rate limits that servers have announced.
 	Limits *limit.Limits
 	// Quotas holds the quotas of the teams. If nil, teams have none.
@@ -137,6 +140,8 @@
 	rooms limit.Slots
 	// rejects are the news of servers that may not reject many requests.
 	rejects rejectNews
+	// paces is what is to be passed on of the pace of servers.
+	paces paceExchange
 	// keepers are the VMs that keep origins.
 	keepers keeperList
 	// hubProxies are the proxies that the hub named last.
--- a/peers/report.go
+++ b/peers/report.go
@@ -17,6 +17,7 @@
 	p.PartTracker.MarkUnreported()
 	p.Limits.MarkUnreported(p.Now())
 	p.Servers.MarkLeavingUnreported(p.Now())
+	p.beginPaceReports()
 	p.mu.Lock()
 	p.keepers.reported = nil
 	p.mu.Unlock()
@@ -55,13 +56,14 @@
 	p.mu.Unlock()
 	addCrashes(report, p.Poison.TakeReport())
 	addPartReport(report, p.PartTracker.TakeReport())
+	report.ZzzzzPaceSamples = p.takePaceSamples(p.Now())
 	return report, interval
 }
 
 // worthSending reports whether a report says anything beyond the last one that was sent. After a report of
 // load or demand one more is sent, which says that there is none any more.
 func worthSending(r, last *wire.VMReport) bool {
-	events := len(r.Doubts) + len(r.WillExit) + len(r.Limits) + len(r.Spends) + len(r.Levels) + len(r.Crashes) + len(r.Answered) + len(r.ZRejectLimits) + len(r.ZzStreamKeepers) + len(r.ZzzPartCrashes) + len(r.ZzzPartsSurvived) + len(r.ZzzzPartsAlone)
+	events := len(r.Doubts) + len(r.WillExit) + len(r.Limits) + len(r.Spends) + len(r.Levels) + len(r.Crashes) + len(r.Answered) + len(r.ZRejectLimits) + len(r.ZzStreamKeepers) + len(r.ZzzPartCrashes) + len(r.ZzzPartsSurvived) + len(r.ZzzzPartsAlone) + len(r.ZzzzzPaceSamples)
 	busy := len(r.Loads)+len(r.Wants) > 0 || len(last.Loads)+len(last.Wants) > 0
 	return events > 0 || busy || r.Vms != last.Vms || r.Relaying != last.Relaying || r.WithoutPath != last.WithoutPath || r.WithoutPathBelow != last.WithoutPathBelow ||
 		!slices.Equal(r.ZVmsWithPath, last.ZVmsWithPath)
--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -195,7 +196,7 @@
 	v.revision, v.value, v.changed = 0, nil, make(chan struct{})
 	v.configMu.Unlock()
 	p := &Peers{
-		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Retries: &retry.Budgets{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores, KeepsOrigins: *simKeepers,
+		Gauge: &gauge.Gauge{}, Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Retries: &retry.Budgets{}, Name: address, Domain: v.nic.domain, Boot: address, Address: address, Cores: cores, KeepsOrigins: *simKeepers,
 		Lease: lease, Servers: view, Balancer: &pick.Balancer{Domain: v.nic.domain},
 		Controller: &steer.Controller{
 			Name: address, Servers: view, Table: func() *routes.Table { return nil }, FencingToken: lease.FencingToken, Now: time.Now, Log: zerolog.Nop(), Meter: meter.New(),
--- a/peers/tree_test.go
+++ b/peers/tree_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -80,7 +81,7 @@
 	view.Replace(clock.Now(), []backs.Entry{{ID: "s1", Service: "s", Domain: domain, SoftwareVersion: "v1"}})
 	lease := &Lease{Name: name, Objects: v.storeClient(o), Duration: 1200 * time.Millisecond, Now: clock.Now, Log: zerolog.Nop()}
 	v.Peers = &Peers{
-		Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Quotas: &limit.Quotas{},
+		Gauge: &gauge.Gauge{}, Poison: &poison.Tracker{}, Limits: &limit.Limits{}, Quotas: &limit.Quotas{},
 		Name: name, Domain: domain, Boot: name, Cores: cores, Lease: lease, Servers: view, Balancer: &pick.Balancer{Domain: domain},
 		Controller: &steer.Controller{
 			Name: name, Servers: view, Table: func() *routes.Table { return nil }, FencingToken: lease.FencingToken,
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -304,6 +304,7 @@
 	p.Servers.Merge(now, backs.Update{
 		States: states, Full: s.Full, Age: time.Duration(s.AgeMs) * time.Millisecond, SyncedFor: time.Duration(s.KnownMs) * time.Millisecond,
 	})
+	p.applyPaces(now, s.ZzzzzServerPaces, s.Full)
 	if !s.HasLoads {
 		return
 	}
