--- a/peers/pacedown.go
+++ b/peers/pacedown.go
@@ -30,7 +30,7 @@
 // confirmation is the entry that confirms all estimates sent before. It names no server.
 var confirmation = wire.ServerPace{}
 
-// unknownPace is sent for a server of which the controller knows nothing any more.
+// unknownPace withdraws the estimate of a server of which the controller knows nothing any more, as in package gauge.
 const unknownPace = 0
 
 // paceEstimates holds the estimates that a VM was told by its hub, or has told as the controller, and what is to be
@@ -81,14 +81,12 @@
 		case s.Server == "" || s.PacePct < 0 || s.PacePct > maxPacePct:
 		default:
 			e.set(s.Server, s.PacePct)
-			if s.PacePct != unknownPace {
-				news = append(news, gauge.Estimate{Server: s.Server, Pace: paceOf(s.PacePct)})
-			}
+			news = append(news, gauge.Estimate{Server: s.Server, Pace: paceOf(s.PacePct)})
 		}
 	}
 	if confirmed {
 		e.confirmed, e.confirmedAt = true, now
-		return e.estimates()
+		news = append(news, e.estimates()...)
 	}
 	return news
 }
@@ -118,6 +116,9 @@
 func (e *paceEstimates) confirm(now time.Time, all []wire.ServerPace) {
 	listed := make(map[string]bool, len(all))
 	for _, s := range all {
+		if s.PacePct == unknownPace {
+			continue
+		}
 		listed[s.Server] = true
 		if _, found := e.known[s.Server]; !found {
 			e.set(s.Server, s.PacePct)
--- a/peers/paces.go
+++ b/peers/paces.go
@@ -40,22 +40,16 @@
 	told int
 }
 
-// addPaceSamples adds the samples of a linked VM. A relay passes them on.
+// addPaceSamples adds the samples of a linked VM. A relay reports them with its own.
 func (p *Peers) addPaceSamples(list []wire.PaceSamples) {
 	if p.Gauge == nil || len(list) == 0 {
 		return
 	}
-	now, samples := p.Now(), samplesOf(list)
-	p.mu.Lock()
-	relaying := p.relaying
-	if relaying {
-		p.paces.up.add(now, samples)
-	}
-	p.mu.Unlock()
-	if relaying {
+	samples := samplesOf(list)
+	p.Gauge.AddSamples(p.Now(), samples)
+	if p.isRelaying() {
 		return
 	}
-	p.Gauge.AddSamples(now, samples)
 	for _, s := range samples {
 		p.Meter.AddCounter("gauge.collected", int64(s.Readings+s.Responses))
 	}
@@ -79,8 +73,8 @@
 	return list
 }
 
-// collectPaceSamples adds what this VM has learned itself. After a time without a hub it is too old. p.mu must be
-// held.
+// collectPaceSamples takes what this VM and its subtree have learned out of the gauge. After a time without a hub it is
+// too old. p.mu must be held.
 func (p *Peers) collectPaceSamples(now time.Time) {
 	own := p.Gauge.TakeSamples(now)
 	if last := p.paces.collectedAt; last.IsZero() || now.Sub(last) < sampleLifetime {
@@ -96,26 +90,15 @@
 	p.paces.up.reported = nil
 }
 
-// inheritPaces makes a VM that becomes the controller use the samples that it would have passed on.
-func (p *Peers) inheritPaces(now time.Time) {
-	if p.Gauge == nil {
-		return
-	}
-	p.mu.Lock()
-	samples := p.paces.up.takeAll(now)
-	p.mu.Unlock()
-	p.Gauge.AddSamples(now, samples)
-}
-
-// discardOwnPaceSamples drops the samples of this VM, the controller, whose gauge has them already.
-func (p *Peers) discardOwnPaceSamples(now time.Time) {
+// discardPaceSamples drops the samples that this VM, the controller, would report as a relay: its gauge has them.
+func (p *Peers) discardPaceSamples(now time.Time) {
 	if p.Gauge == nil {
 		return
 	}
 	p.Gauge.TakeSamples(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.paces.collectedAt = now
+	p.paces.collectedAt, p.paces.up.pending = now, nil
 }
 
 // takePacesDown returns the entries for a frame on all links. p.mu must be held.
@@ -244,7 +227,7 @@
 func paceList(estimates []gauge.Estimate) []wire.ServerPace {
 	var list []wire.ServerPace
 	for _, e := range estimates {
-		if pct := hundredths(e.Pace); e.Server != "" && pct > unknownPace {
+		if pct := hundredths(e.Pace); e.Server != "" && pct >= unknownPace {
 			list = append(list, wire.ServerPace{Server: e.Server, PacePct: pct})
 		}
 	}
--- /dev/null
+++ b/peers/paces_test.go
@@ -0,0 +1,266 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/gauge"
+	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/wire"
+)
+
+// reading returns samples of a server with a number of equal readings.
+func reading(server string, count int, pace float64) gauge.Sample {
+	return gauge.Sample{Server: server, Readings: count, PaceSum: float64(count) * pace}
+}
+
+// Guards against reports that repeat an unchanged pace each second, and against a change that waits.
+func TestSamplesWaitUnlessTheySayNews(t *testing.T) {
+	observed := func(ratio float64) gauge.Sample { return gauge.Sample{Server: "a", Responses: 1, RatioSum: ratio} }
+	first := gauge.Sample{Server: "a", Readings: 1, PaceSum: 1, Responses: 1, RatioSum: 1}
+	tests := map[string]struct {
+		next  gauge.Sample
+		after time.Duration
+		taken bool
+	}{
+		"same reading":                   {reading("a", 3, 1), 0, false},
+		"same reading after the wait":    {reading("a", 3, 1), maxSampleWait, true},
+		"slightly slower":                {reading("a", 3, 1.09), 0, false},
+		"slower by a tenth":              {reading("a", 3, 1.11), 0, true},
+		"faster by a tenth":              {reading("a", 3, 0.89), 0, true},
+		"response of a usual difference": {observed(1.4), 0, false},
+		"response of twice the time":     {observed(2), 0, true},
+		"other server":                   {reading("b", 1, 1), 0, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			var s sampleSums
+			s.add(now, []gauge.Sample{first})
+			require.Equal(t, []gauge.Sample{first}, s.take(now))
+			require.Empty(t, s.take(now), "taken once")
+			s.add(now, []gauge.Sample{tc.next})
+			got := s.take(now.Add(tc.after))
+			if !tc.taken {
+				require.Empty(t, got)
+				got = s.take(now.Add(maxSampleWait))
+			}
+			require.Equal(t, []gauge.Sample{tc.next}, got, "nothing is lost by the wait")
+		})
+	}
+}
+
+// Guards against reports that grow with the servers, and against samples that are never reported or twice.
+func TestSamplesOfManyServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s sampleSums
+	for i := range 2*maxPaceSamples + 1 {
+		s.add(now, []gauge.Sample{reading(fmt.Sprint("s", i), 1, 2)})
+		s.add(now, []gauge.Sample{reading(fmt.Sprint("s", i), 2, 1)})
+	}
+	readings := make(map[string]int)
+	for _, want := range []int{maxPaceSamples, maxPaceSamples, 1, 0} {
+		list := s.take(now)
+		require.Len(t, list, want)
+		for _, sample := range list {
+			readings[sample.Server] += sample.Readings
+			require.InDelta(t, 4, sample.PaceSum, 1e-9)
+		}
+	}
+	require.Len(t, readings, 2*maxPaceSamples+1)
+	for server, count := range readings {
+		require.Equal(t, 3, count, server)
+	}
+}
+
+// Guards against samples of long ago that a VM without a hub has kept, and against servers that are gone.
+func TestSamplesAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s sampleSums
+	s.add(now, []gauge.Sample{reading("a", 1, 2), reading("b", 1, 2)})
+	s.add(now.Add(sampleLifetime), []gauge.Sample{reading("b", 1, 3)})
+	require.Equal(t, []gauge.Sample{reading("b", 1, 3)}, s.take(now.Add(sampleLifetime)))
+	s.add(now, []gauge.Sample{reading("a", 1, 2), reading("b", 1, 2)})
+	s.retain(func(server string) bool { return server == "a" })
+	require.Equal(t, []gauge.Sample{reading("a", 1, 2)}, s.take(now))
+	require.Empty(t, s.reported["b"])
+}
+
+// Guards against frames that grow with the servers, and against an estimate that is not sent or sent unchanged.
+func TestEstimatesOfManyServers(t *testing.T) {
+	var e paceEstimates
+	for i := range 2*maxToldPaces + 1 {
+		e.set(fmt.Sprint("s", i), 200)
+	}
+	told := make(map[string]int)
+	for _, want := range []int{maxToldPaces, maxToldPaces, 1, 0} {
+		list := e.take()
+		require.Len(t, list, want)
+		for _, s := range list {
+			told[s.Server] = s.PacePct
+		}
+	}
+	require.Len(t, told, 2*maxToldPaces+1)
+	e.set("s1", 200)
+	require.Empty(t, e.take())
+	e.set("s1", 210)
+	e.set("s1", 230)
+	require.Equal(t, []wire.ServerPace{{Server: "s1", PacePct: 230}}, e.take())
+}
+
+// Guards against estimates that expire although they hold, that are kept after the controller has withdrawn them, and
+// against entries that no controller sends.
+func TestEstimatesOfHub(t *testing.T) {
+	now := time.Unix(1000, 0)
+	slow, gone := wire.ServerPace{Server: "slow", PacePct: 220}, wire.ServerPace{Server: "gone", PacePct: 90}
+	withdrawn := wire.ServerPace{Server: "gone"}
+	estimate := func(server string, pace float64) gauge.Estimate { return gauge.Estimate{Server: server, Pace: pace} }
+	tests := map[string]struct {
+		list []wire.ServerPace
+		full bool
+		// want is for the gauge, below is what a relay passes on.
+		want  []gauge.Estimate
+		below []wire.ServerPace
+	}{
+		"nothing":      {},
+		"change":       {[]wire.ServerPace{{Server: "slow", PacePct: 110}}, false, []gauge.Estimate{estimate("slow", 1.1)}, []wire.ServerPace{{Server: "slow", PacePct: 110}}},
+		"withdrawal":   {[]wire.ServerPace{withdrawn}, false, []gauge.Estimate{estimate("gone", 0)}, []wire.ServerPace{withdrawn}},
+		"confirmation": {[]wire.ServerPace{confirmation}, false, []gauge.Estimate{estimate("gone", 0.9), estimate("slow", 2.2)}, []wire.ServerPace{confirmation}},
+		"invalid":      {[]wire.ServerPace{{Server: "slow", PacePct: -1}, {Server: "slow", PacePct: maxPacePct + 1}, {PacePct: 5}}, false, nil, nil},
+		"full state, as before": {
+			[]wire.ServerPace{slow, gone}, true, []gauge.Estimate{estimate("gone", 0.9), estimate("slow", 2.2)}, nil,
+		},
+		"full state of a new controller": {
+			[]wire.ServerPace{{Server: "slow", PacePct: 240}, {Server: "new", PacePct: 100}}, true, []gauge.Estimate{estimate("new", 1), estimate("slow", 2.4)},
+			[]wire.ServerPace{withdrawn, {Server: "slow", PacePct: 240}, {Server: "new", PacePct: 100}},
+		},
+		"full state of an older build": {nil, true, []gauge.Estimate{}, []wire.ServerPace{withdrawn, {Server: "slow"}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var e paceEstimates
+			e.apply(now, []wire.ServerPace{slow, gone}, true)
+			e.take()
+			require.Equal(t, tc.want, e.apply(now, tc.list, tc.full))
+			require.Equal(t, tc.below, e.take())
+		})
+	}
+}
+
+// Guards against a relay that has lost the controller and sends what it was told long ago as if it were current.
+func TestRelayTellsNoOldEstimates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var e paceEstimates
+	told := []wire.ServerPace{{Server: "a", PacePct: 220}}
+	e.apply(now, told, true)
+	require.Equal(t, told, e.full(now.Add(estimateLifetime-1)))
+	require.Empty(t, e.full(now.Add(estimateLifetime)))
+	e.apply(now.Add(estimateLifetime), []wire.ServerPace{confirmation}, false)
+	require.Equal(t, told, e.full(now.Add(estimateLifetime)))
+}
+
+// Guards against a controller that repeats small changes with each confirmation, and against an estimate that VMs
+// keep although the controller has none any more.
+func TestControllerConfirms(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var e paceEstimates
+	e.confirm(now, nil)
+	require.Empty(t, e.take(), "nothing to confirm")
+	e.set("a", 200)
+	e.set("b", 100)
+	e.take()
+	e.confirm(now, []wire.ServerPace{{Server: "a", PacePct: 205}, {Server: "c", PacePct: 90}})
+	require.Equal(t, []wire.ServerPace{{Server: "c", PacePct: 90}, {Server: "b"}, confirmation}, e.take())
+}
+
+// pacedController returns a controller that knows the paces of a number of servers.
+func pacedController(t *testing.T, now *time.Time, paces map[string]float64) *Peers {
+	t.Helper()
+	p := newControllerOf(t, now, 1)
+	p.Gauge, p.Meter = &gauge.Gauge{}, meter.New()
+	for server, pace := range paces {
+		p.Gauge.Merge(*now, []gauge.Estimate{{Server: server, Pace: pace}})
+	}
+	return p
+}
+
+// receivedPaces returns the entries in the queue of a link, and whether a full state was among the frames.
+func receivedPaces(t *testing.T, d *downlink) (list []wire.ServerPace, full bool) {
+	t.Helper()
+	for len(d.frames) > 0 {
+		m, err := link.Decode(<-d.frames)
+		require.NoError(t, err)
+		if s := m.FleetState; s != nil {
+			list, full = append(list, s.ZzzzzServerPaces...), full || s.Full
+		}
+	}
+	return list, full
+}
+
+// Guards against a VM that links and learns the paces of some servers only, more than fit in other frames.
+func TestFullStateHasAllEstimates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	paces := make(map[string]float64)
+	for i := range 3 * maxToldPaces {
+		paces[fmt.Sprint("s", i)] = 2.2
+	}
+	p := pacedController(t, &now, paces)
+	list, full := receivedPaces(t, p.link(t, "v", "1", 200))
+	require.True(t, full)
+	require.Len(t, list, len(paces))
+	require.EqualValues(t, len(paces), p.Meter.CounterValue("gauge.told"))
+
+	relay := newUnlinkedVM(&now)
+	relay.Gauge, relay.Meter, relay.Balancer, relay.relaying = &gauge.Gauge{}, meter.New(), &pick.Balancer{}, true
+	relay.applyPaces(now, list, true)
+	behind, _ := receivedPaces(t, relay.link(t, "w", "1", 200))
+	require.ElementsMatch(t, list, behind)
+}
+
+// Guards against a hub or VM of an older build whose frames without these members change anything, and against a VM
+// that keeps the estimates of an earlier hub for good because it takes silence for confirmation.
+func TestPacesBesideOlderBuilds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	vm := newUnlinkedVM(&now)
+	vm.Gauge, vm.Meter = &gauge.Gauge{}, meter.New()
+	vm.applyPaces(now, []wire.ServerPace{{Server: "a", PacePct: 220}}, true)
+	require.InDelta(t, 2.2, vm.Gauge.Pace(now, "a"), 0.01)
+	vm.applyPaces(now, nil, true)
+	require.InDelta(t, 2.2, vm.Gauge.Pace(now, "a"), 0.01, "its last estimates hold until they expire")
+	vm.applyPaces(now, []wire.ServerPace{confirmation}, false)
+	now = now.Add(estimateLifetime)
+	require.InDelta(t, 1, vm.Gauge.Pace(now, "a"), 0.01)
+
+	controller := pacedController(t, &now, nil)
+	d := controller.link(t, "v", "1", 200)
+	controller.handleMessage(t.Context(), d, &wire.Message{VMReport: &wire.VMReport{Vms: 1}})
+	require.Zero(t, controller.Meter.CounterValue("gauge.collected"))
+}
+
+// Guards against samples that no VM reports, such as negative counts, which would shift estimates.
+func TestInvalidSamplesIgnored(t *testing.T) {
+	valid := wire.PaceSamples{Server: "a", Readings: 2, ReadingPct: 440, Responses: 1, ResponsePct: 210}
+	list := samplesOf([]wire.PaceSamples{
+		{Server: "", Readings: 1, ReadingPct: 100}, {Server: "b", Readings: -1, ReadingPct: 100}, {Server: "b", Readings: 1, ReadingPct: -100},
+		{Server: "b", Responses: -1}, {Server: "b", Responses: 1, ResponsePct: -1}, valid,
+	})
+	require.Equal(t, []gauge.Sample{{Server: "a", Readings: 2, PaceSum: 4.4, Responses: 1, RatioSum: 2.1}}, list)
+	require.Equal(t, []wire.PaceSamples{valid}, sampleList(list))
+}
+
+// Guards against estimates of servers that are gone, which would be kept and confirmed for good.
+func TestPacesOfGoneServersForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newUnlinkedVM(&now)
+	p.Gauge, p.Meter = &gauge.Gauge{}, meter.New()
+	p.applyPaces(now, []wire.ServerPace{{Server: "a", PacePct: 220}, {Server: "gone", PacePct: 220}}, true)
+	p.RetainPaces(now, func(id string) bool { return id == "a" })
+	p.applyPaces(now, []wire.ServerPace{confirmation}, false)
+	require.InDelta(t, 2.2, p.Gauge.Pace(now, "a"), 0.01)
+	require.InDelta(t, 1, p.Gauge.Pace(now, "gone"), 0.01)
+}
--- a/peers/paceup.go
+++ b/peers/paceup.go
@@ -90,19 +90,6 @@
 	return list
 }
 
-// takeAll returns all samples, whether they are due or not.
-func (s *sampleSums) takeAll(now time.Time) []gauge.Sample {
-	var list []gauge.Sample
-	for _, p := range s.pending {
-		if now.Sub(p.since) < sampleLifetime {
-			list = append(list, p.sum)
-		}
-	}
-	s.pending = nil
-	slices.SortFunc(list, func(a, b gauge.Sample) int { return strings.Compare(a.Server, b.Server) })
-	return list
-}
-
 // retain forgets the servers for which used returns false.
 func (s *sampleSums) retain(used func(server string) bool) {
 	for server := range s.pending {
--- a/wire/types.go
+++ b/wire/types.go
@@ -1095,10 +1095,12 @@
 
 // How long work takes at a backend server.
 type ServerPace struct {
-	// Time that work takes, in hundredths of the usual time.
+	// Time that work takes, in hundredths of the usual time; 0 withdraws the pace
+	// sent before.
 	PacePct int `json:"pace_pct"`
 
-	// ID of the server process; changes at each start.
+	// ID of the server process; changes at each start. Empty in the entry by which
+	// the controller confirms all paces that it sent before.
 	Server string `json:"server"`
 }
 
