peers: Relays pass estimates on as received; the gauge tells which still apply

The gauge repeats an entry each 5 s and so confirms the others, so links need no confirmation of their own, and a new link gets the gauge's estimates.

--- a/peers/paces.go
+++ b/peers/paces.go
@@ -12,31 +12,25 @@
 // estimates down in frames with loads. The ways that were weighed are in docs/design/server_state_links.md.
 
 const (
-	// minPaceInterval and maxPaceInterval bound the interval in which samples are reported and the controller
-	// sends changed estimates. Estimates are means over some seconds. The interval grows with the fleet, and with
-	// it the number of servers, so that a VM of a large fleet receives no more: 2.5 KB/s with 390 VMs if 256
-	// estimates change in each interval.
-	minPaceInterval   = time.Second
-	maxPaceInterval   = 5 * time.Second
-	paceIntervalPerVM = 8 * time.Millisecond
+	// paceInterval is the interval in which samples are reported and the controller sends changed estimates. Estimates
+	// are means over some seconds.
+	paceInterval = time.Second
+	// paceLogInterval is the interval between log lines of the controller about the estimates that it sent.
+	paceLogInterval = 10 * time.Second
+	// paceRetainInterval is how often what is to be passed on is searched for servers that are gone. A VM may be told
+	// the pace of a new server shortly before it knows the server.
+	paceRetainInterval = 10 * time.Second
 )
 
-// paceInterval returns the interval between reports of samples and between frames with estimates in a fleet of a
-// number of VMs.
-func paceInterval(vms int) time.Duration {
-	return min(max(minPaceInterval, time.Duration(vms)*paceIntervalPerVM), maxPaceInterval)
-}
-
 // paceExchange is what a VM is to pass on of the paces of servers. Peers.mu guards it.
 type paceExchange struct {
 	up   sampleSums
-	down paceEstimates
-	// collectedAt is when samples were last taken out of the gauge, reportedAt when they were due to be reported,
-	// changedAt when the controller last looked for changed estimates, and confirmedAt when it last confirmed
-	// them.
-	collectedAt, reportedAt, changedAt, confirmedAt time.Time
-	retainedAt                                      time.Time
-	// told counts the estimates sent since confirmedAt, for the log.
+	down paceQueue
+	// reportedAt is when samples were last reported, and changedAt when the controller last looked for changed
+	// estimates.
+	reportedAt, changedAt time.Time
+	loggedAt, retainedAt  time.Time
+	// told counts the estimates sent since loggedAt.
 	told int
 }
 
@@ -60,29 +54,18 @@
 	if p.Gauge == nil {
 		return nil
 	}
-	interval := paceInterval(p.VMs())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.paces.reportedAt) < interval {
+	if now.Sub(p.paces.reportedAt) < paceInterval {
 		return nil
 	}
 	p.paces.reportedAt = now
-	p.collectPaceSamples(now)
+	p.paces.up.add(now, p.Gauge.TakeSamples(now))
 	list := sampleList(p.paces.up.take(now))
 	p.countTold(len(list))
 	return list
 }
 
-// collectPaceSamples takes what this VM and its subtree have learned out of the gauge. After a time without a hub it is
-// too old. p.mu must be held.
-func (p *Peers) collectPaceSamples(now time.Time) {
-	own := p.Gauge.TakeSamples(now)
-	if last := p.paces.collectedAt; last.IsZero() || now.Sub(last) < sampleLifetime {
-		p.paces.up.add(now, own)
-	}
-	p.paces.collectedAt = now
-}
-
 // beginPaceReports prepares the reports on a new link: its hub has not heard what earlier ones were told.
 func (p *Peers) beginPaceReports() {
 	p.mu.Lock()
@@ -90,54 +73,33 @@
 	p.paces.up.reported = nil
 }
 
-// discardPaceSamples drops the samples that this VM, the controller, would report as a relay: its gauge has them.
-func (p *Peers) discardPaceSamples(now time.Time) {
-	if p.Gauge == nil {
-		return
-	}
-	p.Gauge.TakeSamples(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.paces.collectedAt, p.paces.up.pending = now, nil
-}
-
-// takePacesDown returns the entries for a frame on all links. p.mu must be held.
+// takePacesDown returns the estimates for a frame on all links. p.mu must be held.
 func (p *Peers) takePacesDown(now time.Time) []wire.ServerPace {
-	if p.Gauge == nil {
-		return nil
-	}
-	if len(p.links) == 0 {
-		p.paces.down.discard()
-		return nil
-	}
-	if p.relaying {
-		list := p.paces.down.take()
-		p.countTold(len(list))
-		return list
-	}
-	if now.Sub(p.paces.changedAt) < paceInterval(p.vms) {
+	if p.Gauge == nil || len(p.links) == 0 {
 		return nil
 	}
-	p.paces.changedAt = now
-	for _, s := range paceList(p.Gauge.TakeChanges(now)) {
-		p.paces.down.set(s.Server, s.PacePct)
-	}
-	if now.Sub(p.paces.confirmedAt) >= confirmInterval {
-		p.paces.down.confirm(now, paceList(p.Gauge.All(now)))
-		p.logPaces(now)
+	if !p.relaying && now.Sub(p.paces.changedAt) >= paceInterval {
+		p.paces.changedAt = now
+		for _, s := range paceList(p.Gauge.TakeChanges(now)) {
+			p.paces.down.add(s)
+		}
 	}
 	list := p.paces.down.take()
-	p.paces.told += len(list)
 	p.countTold(len(list))
+	if !p.relaying {
+		p.logPaces(now, len(list))
+	}
 	return list
 }
 
-// logPaces logs what was sent since the last confirmation. p.mu must be held.
-func (p *Peers) logPaces(now time.Time) {
-	if p.paces.told > 0 || len(p.paces.down.known) > 0 {
-		p.Log.Info().Int("servers", len(p.paces.down.known)).Int("told", p.paces.told).Msg("paces of servers confirmed")
+// logPaces logs how many estimates were sent, at intervals. p.mu must be held.
+func (p *Peers) logPaces(now time.Time, told int) {
+	p.paces.told += told
+	if p.paces.told == 0 || now.Sub(p.paces.loggedAt) < paceLogInterval {
+		return
 	}
-	p.paces.confirmedAt, p.paces.told = now, 0
+	p.Log.Info().Int("estimates", p.paces.told).Int("servers", len(p.paces.down.known)).Msg("paces of servers sent")
+	p.paces.loggedAt, p.paces.told = now, 0
 }
 
 // allPaces returns the estimates for a new link. p.mu must be held.
@@ -145,32 +107,27 @@
 	if p.Gauge == nil {
 		return nil
 	}
-	list := p.paces.down.full(now)
-	if !p.relaying {
-		list = paceList(p.Gauge.All(now))
-	}
+	list := paceList(p.Gauge.All(now))
 	p.countTold(len(list))
 	return list
 }
 
-// applyPaces applies the entries of a frame of the hub.
+// applyPaces applies the estimates in a frame of the hub. A frame without any, as those of older builds, changes
+// nothing.
 func (p *Peers) applyPaces(now time.Time, list []wire.ServerPace, full bool) {
-	if p.Gauge == nil || len(list) == 0 && !full {
+	list = validPaces(list)
+	if p.Gauge == nil || len(list) == 0 {
 		return
 	}
+	p.Gauge.Merge(now, estimatesOf(list))
 	p.mu.Lock()
-	estimates := p.paces.down.apply(now, list, full)
-	if !p.relaying {
-		p.paces.down.discard()
-	}
-	p.mu.Unlock()
-	if len(estimates) > 0 {
-		p.Gauge.Merge(now, estimates)
+	defer p.mu.Unlock()
+	if p.relaying {
+		p.paces.down.addReceived(list, full)
 	}
 }
 
-// RetainPaces forgets the paces of servers for which listed returns false. What the hub told is kept for some
-// seconds more: a VM may be told the pace of a new server before it knows the server.
+// RetainPaces forgets the paces of servers for which listed returns false.
 func (p *Peers) RetainPaces(now time.Time, listed func(id string) bool) {
 	if p.Gauge == nil {
 		return
@@ -178,7 +135,7 @@
 	p.Gauge.Retain(listed)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.paces.retainedAt) < confirmInterval {
+	if now.Sub(p.paces.retainedAt) < paceRetainInterval {
 		return
 	}
 	p.paces.retainedAt = now
@@ -222,14 +179,3 @@
 	}
 	return samples
 }
-
-// paceList converts estimates to their wire form.
-func paceList(estimates []gauge.Estimate) []wire.ServerPace {
-	var list []wire.ServerPace
-	for _, e := range estimates {
-		if pct := hundredths(e.Pace); e.Server != "" && pct >= unknownPace {
-			list = append(list, wire.ServerPace{Server: e.Server, PacePct: pct})
-		}
-	}
-	return list
-}
--- a/peers/paceup.go
+++ b/peers/paceup.go
@@ -17,9 +17,10 @@
 const (
 	// maxPaceSamples bounds the samples in a report, some 35 bytes each. The rest goes with the next one.
 	maxPaceSamples = 256
-	// maxSampleWait is how long samples wait that say the same as the last ones reported. On the way from a VM
-	// behind two relays they wait three times, which leaves half of the time after which an estimate expires.
-	maxSampleWait = 5 * time.Second
+	// maxSampleWait is how long samples wait that say the same as the last ones reported. Three such waits, at a VM
+	// and two relays, are within the time constant of the controller's means. With 10 s an estimate was at 1.68
+	// after 10 s of readings of 2.2 at ten VMs.
+	maxSampleWait = 3 * time.Second
 	// readingTolerance is the change of the mean reading of a server from which samples do not wait: estimates
 	// that change by less are not sent either. Responses differ from their predicted times by more than that at
 	// a steady pace, and only bound what the server reports.
--- a/peers/term.go
+++ b/peers/term.go
@@ -126,7 +126,6 @@
 		p.PartTracker.TakeReport()
 		p.Limits.TakeReport()
 		p.Servers.TakeLeaving()
-		p.discardPaceSamples(now)
 		p.collectRejects(now)
 		p.updateQuotaRole(now)
 		p.Balancer.SetRemoteLoads(now, pick.SubtractLoads(p.Controller.Loads(), own))
--- a/wire/types.go
+++ b/wire/types.go
@@ -369,8 +369,8 @@
 	ZzzzLeaseEra int `json:"zzzz_lease_era,omitempty,omitzero"`
 
 	// Paces of servers that have changed since they were last sent, all of them in a
-	// full state. Its name sorts behind all others, so that builds without it skip
-	// it.
+	// full state. Each confirms that those sent before still apply. Its name sorts
+	// behind all others, so that builds without it skip it.
 	ZzzzzServerPaces []ServerPace `json:"zzzzz_server_paces,omitempty,omitzero"`
 }
 
@@ -1099,8 +1099,7 @@
 	// sent before.
 	PacePct int `json:"pace_pct"`
 
-	// ID of the server process; changes at each start. Empty in the entry by which
-	// the controller confirms all paces that it sent before.
+	// ID of the server process; changes at each start.
 	Server string `json:"server"`
 }
 
