--- a/peers/report_test.go
+++ b/peers/report_test.go
@@ -28,6 +28,7 @@
 		"a rate limit":             {&wire.VMReport{Vms: 1, Limits: []wire.ServerLimit{{Server: "a"}}}, idle, true},
 		"tokens of a team":         {&wire.VMReport{Vms: 1, Spends: []wire.TeamSpend{{}}}, idle, true},
 		"quota levels":             {&wire.VMReport{Vms: 1, Levels: []wire.TeamSpend{{}}}, idle, true},
+		"paces of servers":         {&wire.VMReport{Vms: 1, ZzzzzPaceSamples: []wire.PaceSamples{{Server: "a"}}}, idle, true},
 		"another number of VMs":    {&wire.VMReport{Vms: 2}, idle, true},
 		"it relays from now on":    {&wire.VMReport{Vms: 1, Relaying: true}, idle, true},
 		"it goes on relaying idle": {&wire.VMReport{Vms: 1, Relaying: true}, &wire.VMReport{Vms: 1, Relaying: true}, false},
