--- a/node/gauge.go
+++ b/node/gauge.go
@@ -9,7 +9,6 @@
 			e, _ := n.serverView.Entry(server)
 			return e.Service
 		},
-		OnTold: func(estimates int) { n.meter.AddCounter("gauge.told", int64(estimates)) },
 		OnDistrust: func(d gauge.Distrust) {
 			n.meter.AddCounter("gauge.distrusted", 1)
 			n.log.Warn().Str("server", d.Server).Float64("reported", d.Reported).Float64("observed", d.Observed).
@@ -24,7 +23,7 @@
 	if !n.serverView.Synced() {
 		return
 	}
-	n.gauge.Retain(func(server string) bool {
+	n.peers.RetainPaces(n.now(), func(server string) bool {
 		_, listed := n.serverView.Entry(server)
 		return listed
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -174,7 +174,7 @@
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
 		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, StoreUnreachable: n.storeUnreachable,
-		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, PartTracker: n.partTracker, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
+		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
 		HasPath: func() bool { return !n.paths.Lost() }, KeepsOrigins: true, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.quotas.OnTight = n.peers.SignalTight
--- /dev/null
+++ b/peers/paces_measure_test.go
@@ -0,0 +1,172 @@
+package peers
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/gauge"
+)
+
+// The cost of the paces of servers on the links of the simulated control plane. The table in
+// docs/design/server_state_links.md is from
+//
+//	go test ./peers -run TestPaceTraffic -v -sim.vms 66 -sim.domains 3 -sim.paces.servers 93
+var (
+	simPaceServers   = flag.Int("sim.paces.servers", 0, "servers of the measurement of paces; 0 for four for each VM")
+	simPaceResponses = flag.Float64("sim.paces.responses", 9.3, "responses a second that each VM hears in the measurement of paces")
+)
+
+const (
+	simPaceWarmup   = 40 * time.Second
+	simPaceMeasured = 30 * time.Second
+)
+
+// simPaces are the paces of the servers in a measurement, by the time since its start.
+type simPaces func(server int, at time.Duration) float64
+
+// unchangedPaces has a quarter of the servers at 2.2 times the others, for good.
+func unchangedPaces(server int, _ time.Duration) float64 {
+	if server%4 == 0 {
+		return 2.2
+	}
+	return 1
+}
+
+// changingPaces has each server 2.5 times slower for 0.6 s in four, and its steady pace change by a factor of 2.2
+// every 20 s.
+func changingPaces(server int, at time.Duration) float64 {
+	pace := unchangedPaces(server+int(at/(20*time.Second)), 0)
+	if (at+time.Duration(server)*170*time.Millisecond)%(4*time.Second) < 600*time.Millisecond {
+		pace *= 2.5
+	}
+	return pace
+}
+
+// hearPaces lets a VM hear responses of random servers until end is closed.
+func (v *simVM) hearPaces(start time.Time, servers int, paces simPaces, end <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(1, uint64(v.index)))
+	for {
+		wait := time.Duration(rng.ExpFloat64() / *simPaceResponses * float64(time.Second))
+		select {
+		case <-end:
+			return
+		case <-time.After(wait):
+		}
+		i := rng.IntN(servers)
+		now := time.Now()
+		pace := paces(i, now.Sub(start))
+		id := simEntry(i).ID
+		v.Gauge.Heard(now, id, gauge.Reading{Running: 1, Slots: 32, Pace: pace})
+		v.Gauge.Observed(now, id, pace*(0.7+0.6*rng.Float64()))
+	}
+}
+
+// frameBytes returns the bytes of frames of a kind in a direction, of all VMs.
+func (f *simFleet) frameBytes(name string) (sum int64) {
+	for _, v := range f.vms {
+		for _, role := range []string{"controller", "relay", "leaf"} {
+			sum += v.Meter.CounterValue("peers." + role + "." + name + ".bytes")
+		}
+	}
+	return sum
+}
+
+// simPaceTraffic is what a measurement of paces gave.
+type simPaceTraffic struct {
+	simTraffic
+	// states and reports are the bytes of these frames that all VMs sent, told and collected the entries sent and the
+	// samples that reached the controller, known the servers that each leaf has an estimate of.
+	states, reports, told, collected int64
+	known                            int
+}
+
+func (r simPaceTraffic) String() string {
+	perSecond := func(n int64) float64 { return float64(n) / simPaceMeasured.Seconds() }
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s; sent by all: fleet states %.1f, reports %.1f KB/s; entries told %.0f/s, samples collected %.0f/s; estimates at each leaf %d", r.perSecond(simPaceMeasured),
+		perSecond(r.states)/1000, perSecond(r.reports)/1000, perSecond(r.told), perSecond(r.collected), r.known)
+	return b.String()
+}
+
+// counters returns the sum of a counter of all VMs.
+func (f *simFleet) counters(name string) (sum int64) {
+	for _, v := range f.vms {
+		sum += v.Meter.CounterValue(name)
+	}
+	return sum
+}
+
+// measurePaces measures the traffic of a fleet whose VMs hear of servers with paces, or of none if paces is nil.
+func measurePaces(t *testing.T, vms, servers int, paces simPaces) (r simPaceTraffic) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(vms)
+		f.entries = nil
+		for i := range servers {
+			f.entries = append(f.entries, simEntry(i))
+		}
+		f.start()
+		end, start := make(chan struct{}), time.Now()
+		if paces != nil {
+			for _, v := range f.vms {
+				v.run(func() { v.hearPaces(start, servers, paces, end) })
+			}
+		}
+		time.Sleep(simPaceWarmup)
+		before := f.traffic()
+		states, reports, told, collected := f.frameBytes("fleet_state.sent"), f.frameBytes("vm_report.sent"), f.counters("gauge.told"), f.counters("gauge.collected")
+		time.Sleep(simPaceMeasured)
+		r.simTraffic = f.trafficSince(before)
+		r.states, r.reports = f.frameBytes("fleet_state.sent")-states, f.frameBytes("vm_report.sent")-reports
+		r.told, r.collected = f.counters("gauge.told")-told, f.counters("gauge.collected")-collected
+		r.known = f.pacesKnown()
+		close(end)
+		f.stop()
+	})
+	return r
+}
+
+// pacesKnown returns the number of servers that the leaf with the fewest has an estimate of.
+func (f *simFleet) pacesKnown() int {
+	now, least := time.Now(), -1
+	for _, v := range f.vms {
+		if n := len(v.Gauge.All(now)); !v.Leading() && !v.isRelaying() && (least < 0 || n < least) {
+			least = n
+		}
+	}
+	return least
+}
+
+// Guards against paces of servers that cost more on the links than the rest of what VMs exchange, and against ones
+// that do not change and are told again and again.
+func TestPaceTraffic(t *testing.T) {
+	vms, servers := *simVMs, *simPaceServers
+	checked := vms == 0
+	if checked {
+		vms = 66
+	}
+	if servers == 0 {
+		servers = vms * simServersPerVM
+		if checked {
+			servers = 93
+		}
+	}
+	none := measurePaces(t, vms, servers, nil)
+	t.Logf("%d VMs, %d servers, none:      %s", vms, servers, none)
+	unchanged := measurePaces(t, vms, servers, unchangedPaces)
+	t.Logf("%d VMs, %d servers, unchanged: %s", vms, servers, unchanged)
+	changing := measurePaces(t, vms, servers, changingPaces)
+	t.Logf("%d VMs, %d servers, changing:  %s", vms, servers, changing)
+	if !checked {
+		return
+	}
+	require.LessOrEqual(t, unchanged.middleLeaf-none.middleLeaf, int64(1000*simPaceMeasured.Seconds()))
+	require.LessOrEqual(t, changing.middleLeaf-none.middleLeaf, int64(2000*simPaceMeasured.Seconds()))
+}
