--- a/peers/paces.go
+++ b/peers/paces.go
@@ -69,7 +69,9 @@
 	p.paces.reportedAt = now
 	p.paces.up.add(now, p.Gauge.TakeSamples(now))
 	list := sampleList(p.paces.up.take(now))
-	p.countTold(len(list))
+	if len(list) > 0 {
+		p.Meter.AddCounter("gauge.samples_sent", int64(len(list)))
+	}
 	return list
 }
 
@@ -92,9 +94,12 @@
 		}
 	}
 	list := p.paces.down.take()
-	p.countTold(len(list))
-	if !p.relaying {
+	switch {
+	case !p.relaying:
 		p.logPaces(now, len(list))
+	case len(list) > 0:
+		// The gauge counts what it returns itself.
+		p.Meter.AddCounter("gauge.told", int64(len(list)))
 	}
 	return list
 }
@@ -114,9 +119,7 @@
 	if p.Gauge == nil {
 		return nil
 	}
-	list := paceList(p.Gauge.All(now))
-	p.countTold(len(list))
-	return list
+	return paceList(p.Gauge.All(now))
 }
 
 // applyPaces applies the estimates in a frame of the hub. A frame without any, as those of older builds, changes
@@ -150,13 +153,6 @@
 	p.paces.down.retain(listed)
 }
 
-// countTold counts entries sent, each once, whatever the number of links.
-func (p *Peers) countTold(entries int) {
-	if entries > 0 {
-		p.Meter.AddCounter("gauge.told", int64(entries))
-	}
-}
-
 // hundredths converts a pace, or a sum of them, to its wire form.
 func hundredths(pace float64) int { return int(math.Round(100 * pace)) }
 
--- a/peers/simulation_test.go
+++ b/peers/simulation_test.go
@@ -205,6 +205,7 @@
 		Dial: func(ctx context.Context, to string) (net.Conn, error) { return v.fleet.network.dial(ctx, v.nic, to) },
 		Now:  time.Now, Log: zerolog.Nop(), Meter: meter.New(),
 	}
+	p.Gauge.OnTold = func(estimates int) { p.Meter.AddCounter("gauge.told", int64(estimates)) }
 	p.Retries.Configure(time.Now(), simRetries)
 	lease.CountVMs, lease.RecordAllotments = p.VMs, p.RecordAllotments
 	v.Peers = p
