--- a/node/gauge.go
+++ b/node/gauge.go
@@ -24,7 +24,7 @@
 	if !n.serverView.Synced() {
 		return
 	}
-	n.gauge.Retain(func(server string) bool {
+	n.peers.RetainPaces(n.now(), func(server string) bool {
 		_, listed := n.serverView.Entry(server)
 		return listed
 	})
--- a/wire/types.go
+++ b/wire/types.go
@@ -369,8 +369,8 @@
 	ZzzzLeaseEra int `json:"zzzz_lease_era,omitempty,omitzero"`
 
 	// Paces of servers that have changed since they were last sent, all of them in a
-	// full state. Its name sorts behind all others, so that builds without it skip
-	// it.
+	// full state. Each confirms that those sent before still apply. Its name sorts
+	// behind all others, so that builds without it skip it.
 	ZzzzzServerPaces []ServerPace `json:"zzzzz_server_paces,omitempty,omitzero"`
 }
 
@@ -1095,7 +1095,8 @@
 
 // How long work takes at a backend server.
 type ServerPace struct {
-	// Time that work takes, in hundredths of the usual time.
+	// Time that work takes, in hundredths of the usual time; 0 withdraws the pace
+	// sent before.
 	PacePct int `json:"pace_pct"`
 
 	// ID of the server process; changes at each start.
