steer: The balance counts each server by its capacity

Servers of one service differ in speed by 2.2 times and counted as one unit each, so that slow servers were filled like fast ones. Utilization is now work divided by capacity (1/pace over its mean in the service), and gain and loss are changes of the sum of work times utilization. Controller.Pace gives the estimates; a pace is assumed anew when it differs by a quarter for six seconds, and paces within an eighth of the usual one count as usual.

--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,10 @@
 	return list
 }
 
+func equalCapacities(n int) []float64 {
+	return slices.Repeat([]float64{1}, n)
+}
+
 func squaredUtil(b *balance) float64 {
 	sum := 0.0
 	for _, u := range b.util {
@@ -42,7 +47,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newBalance(3, tc.replicas, tc.work)
+			b := newBalance(equalCapacities(3), tc.replicas, tc.work)
 			require.InDeltaSlice(t, tc.want, b.util, 0.02)
 		})
 	}
@@ -55,10 +60,10 @@
 	for range 200 {
 		work := map[string]float64{"m": rng.Float64() * 3, "n": rng.Float64()}
 		newTestBalance := func() *balance {
-			return newBalance(4, map[string][]replica{"m": replicasAt(0, 1), "n": replicasAt(2)}, work)
+			return newBalance(equalCapacities(4), map[string][]replica{"m": replicasAt(0, 1), "n": replicasAt(2)}, work)
 		}
 		b := newTestBalance()
-		gain := b.gain("m", b.util[2])
+		gain := b.gain("m", 2, b.util[2])
 		before := squaredUtil(b)
 		b.add("m", 2)
 		require.InDelta(t, before-squaredUtil(b), gain, 1e-6)
@@ -183,7 +188,7 @@
 		for m := range requested {
 			requested[m] *= total
 		}
-		for _, u := range newBalance(len(servers), replicas, requested).util {
+		for _, u := range newBalance(equalCapacities(len(servers)), replicas, requested).util {
 			overload += max(u-1, 0) * tick.Seconds()
 		}
 	}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -33,7 +33,7 @@
 )
 
 // Controller places models and adapters on the servers while it holds the lease. All fields but
-// Term, PredecessorEnd, Contended, Window and Spawn must be set.
+// Term, PredecessorEnd, Contended, Pace, Window and Spawn must be set.
 type Controller struct {
 	// Name is the name of this VM.
 	Name        string
@@ -52,6 +52,10 @@
 	// Contended reports whether the requests for a server far exceed its rate limit; nil for
 	// never.
 	Contended func(server string) bool
+	// Pace returns the estimated time that work takes at a server, 1 being the usual time; 0, or
+	// any value that is not a pace, if it is unknown. nil is 1 for all servers. It is called once for
+	// each server in a step, with the controller locked.
+	Pace func(now time.Time, server string) float64
 	// Window is the window of the weight store's load limit; 0 uses five seconds.
 	Window time.Duration
 	// Spawn runs a call to a server concurrently with the step that decided on it; nil starts a
--- a/steer/option.go
+++ b/steer/option.go
@@ -122,7 +122,7 @@
 	if len(p.planned.replicas[name]) == 0 {
 		gain, required = p.firstReplicaWorth(name), 0
 	} else if work.mean > 0 {
-		gain = p.planned.gain(name, util) * square(work.low/work.mean)
+		gain = p.planned.gain(name, o.candidate, util) * square(work.low/work.mean)
 	}
 	if p.replicasInDomain[domainModel{o.step.Server.entry.Domain, name}] == 0 {
 		gain += p.domainWorth(work.low)
--- a/steer/place.go
+++ b/steer/place.go
@@ -24,6 +24,7 @@
 	demand, limiter := c.demand(service.Name), c.loadLimiter(service)
 	limiter.Unanswered, limiter.Inherited = 0, 0
 	c.recordReplicas(now, service.Name)
+	c.updatePaces(now, service.Name)
 	for _, s := range c.serversOf(service.Name) {
 		if s.HasUnansweredLoad(now) {
 			limiter.Unanswered++
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -173,8 +173,9 @@
 	for i := range p.candidates {
 		p.allCandidates = append(p.allCandidates, i)
 	}
-	p.planned = newBalance(len(p.candidates), plannedReplicas(p.Engine, p.candidates, p.Now), work)
-	p.current = newBalance(len(p.candidates), loadedReplicas(p.Engine, p.candidates), work)
+	capacity := p.capacities()
+	p.planned = newBalance(capacity, plannedReplicas(p.Engine, p.candidates, p.Now), work)
+	p.current = newBalance(capacity, loadedReplicas(p.Engine, p.candidates), work)
 }
 
 // Load pattern: dozens of servers crash together and restart empty, with their models' weights on
--- a/steer/scale_test.go
+++ b/steer/scale_test.go
@@ -90,3 +90,17 @@
 }
 
 func scaledModel(m int) string { return fmt.Sprintf("m%04d", m) }
+
+// BenchmarkStepOfUnequalServers measures the step of BenchmarkStep with servers of unequal paces.
+func BenchmarkStepOfUnequalServers(b *testing.B) {
+	for _, size := range []struct{ servers, models int }{{144, 171}, {4000, 554}} {
+		b.Run(fmt.Sprintf("%d_servers_%d_models", size.servers, size.models), func(b *testing.B) {
+			c := scaledController(size.servers, size.models)
+			c.Pace = func(_ time.Time, server string) float64 { return quarterFast(server) }
+			now := c.Now()
+			for b.Loop() {
+				c.Step(context.Background(), now)
+			}
+		})
+	}
+}
--- a/steer/server.go
+++ b/steer/server.go
@@ -85,6 +85,8 @@
 	cache weightCache
 	// restUntil is until when the server wants neither orders nor report requests of this VM.
 	restUntil time.Time
+	// pace is the pace that placement assumes.
+	pace assumedPace
 }
 
 // NewServer returns a server with the models of its entry.
--- a/steer/shortlist.go
+++ b/steer/shortlist.go
@@ -16,7 +16,7 @@
 // worse.
 //
 // With many servers, a plan therefore compares only a few in each failure domain: those with memory to
-// spare and the least work, those whose least useful replica costs least, and those that have the
+// spare and the least utilization, those whose least useful replica costs least, and those that have the
 // weights in a cache. The lists are sorted once for each plan.
 
 const (
@@ -30,7 +30,8 @@
 // shortlist has the candidates of one failure domain in the order in which they are compared, as
 // indices in Planner.candidates.
 type shortlist struct {
-	// byWork is ordered by the work of the servers, least first. bySpare is ordered by the loss of the
+	// byWork is ordered by the utilization of the servers, least first, and servers of equal
+	// utilization by capacity, largest first. bySpare is ordered by the loss of the
 	// replica that costs least, among those of models with other replicas, and byIdle by the
 	// time since the model of a last replica was requested, longest first.
 	byWork, bySpare, byIdle []int
@@ -100,7 +101,8 @@
 		p.addCached(i)
 	}
 	for _, list := range p.shortlists {
-		sortBy(list.byWork, func(i int) float64 { return p.planned.util[i] })
+		sortBy(list.byWork, func(i int) float64 { return -p.planned.capacity[i] })
+		slices.SortStableFunc(list.byWork, func(a, b int) int { return cmp.Compare(p.planned.util[a], p.planned.util[b]) })
 		sortBy(list.bySpare, func(i int) float64 { return spareLoss[i] })
 		sortBy(list.byIdle, func(i int) float64 { return -idleTime[i] })
 	}
