--- a/steer/capacity.go
+++ b/steer/capacity.go
@@ -10,14 +10,15 @@
 // to six seconds, and the estimates change by some percent from step to step.
 //
 // The pace that placement assumes therefore changes only when the estimate has differed from it by
-// a quarter for as long as a load takes. Between such changes, plans do not depend on the estimates.
+// a quarter for longer than that. Between such changes, plans do not depend on the estimates.
 
 const (
 	// minPaceChange is the change of a pace, as a share of the earlier one, from which it counts.
 	minPaceChange = 0.25
-	// paceHoldTime is how long the change has to last: a slowdown that is shorter has ended before a
-	// replica loaded because of it is ready.
-	paceHoldTime = maxForecast
+	// paceHoldTime is how long the change has to last. A slowdown of six seconds keeps an estimate that
+	// is smoothed over some seconds off by a quarter for twelve: after six seconds, servers were
+	// assumed to be slow that no longer were. Replicas are not loaded for less than demandDuration.
+	paceHoldTime = demandDuration
 	// usualPaceBand is the difference from the usual pace up to which a server has the usual pace:
 	// servers of equal speed are planned as equal, although their estimates differ by some percent.
 	usualPaceBand = minPaceChange / 2
