replay, batch: A fleet of servers of unequal pace

Pattern unequal: 66 VMs and 90 servers, a quarter 2.2 times as fast as the others. batch.Spec.AtPace scales a server; the controller is told a moving mean, or, by variant, nothing or less than all paces.

--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -79,7 +79,10 @@
 type Fleet struct {
 	VMs, Domains, Servers int
 	ServerSpec            batch.Spec
-	Models                []Model
+	// Paces are how long work takes at the servers, relative to ServerSpec, repeated in their order;
+	// nil if all are equal.
+	Paces  []float64
+	Models []Model
 	// WeightMemoryMB is a server's memory for weights, and HostCacheMB and DiskCacheMB are the
 	// capacities of its caches of weights in host memory and on disk.
 	WeightMemoryMB, HostCacheMB, DiskCacheMB float64
--- a/replay/patterns.go
+++ b/replay/patterns.go
@@ -9,7 +9,7 @@
 	"github.com/hibiscuscart/hibiscuscart/batch"
 )
 
-// There are patterns for three fleets: a dozen servers with many slots and nine VMs; about a
+// There are patterns for three fleets of equal servers: a dozen servers with many slots and nine VMs; about a
 // hundred servers with few slots and 71 VMs; and 156 servers and 195 VMs with long prompts. In
 // each, demand shifts to other models three times and there are bursts, a quarter of the servers
 // is down for two seconds, and a sixth is slow for a few seconds.
@@ -205,7 +205,7 @@
 	return withFaults(p, 9, "batch", "check")
 }
 
-var patterns = map[string]func() Pattern{"small": Small, "medium": Medium, "large": Large}
+var patterns = map[string]func() Pattern{"small": Small, "medium": Medium, "large": Large, "unequal": Unequal}
 
 // PatternNames returns the names of the patterns.
 func PatternNames() []string { return slices.Sorted(maps.Keys(patterns)) }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -132,6 +132,8 @@
 		"small":  {Small(), 30 * time.Second, manySeeds, 0.848, 0.012},
 		"medium": {Medium(), 12 * time.Second, fewSeeds, 0.80, 0.02},
 		"large":  {Large(), 10 * time.Second, fewSeeds, 0.805, 0.006},
+		// A quarter of the servers is 2.2 times as fast as the others.
+		"unequal": {Unequal(), 12 * time.Second, fewSeeds, 0.71, 0.006},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/replay/server.go
+++ b/replay/server.go
@@ -33,6 +33,10 @@
 	attempts      map[*batch.Request]*attempt
 	// refused counts the attempts that the server refused.
 	refused int
+	// slowdown is the factor by which a fault makes the server slower, 1 for none. estimate is the
+	// estimated pace.
+	slowdown float64
+	estimate paceEstimate
 }
 
 type adapterKey struct{ model, adapter int }
@@ -53,8 +57,9 @@
 func (s *server) start() {
 	s.instanceCount++
 	s.id = fmt.Sprintf("s%04d-%d", s.index, s.instanceCount)
-	spec := s.sim.pattern.Fleet.ServerSpec
+	spec := s.spec()
 	s.batch = &batch.Server{Spec: spec}
+	s.slowdown, s.estimate = 1, paceEstimate{}
 	s.loaded, s.order, s.sequence, s.hostCache = make(map[int]bool), nil, 0, nil
 	s.adapters = make(map[adapterKey]*adapterState)
 	s.prefixCache = prefixCache{capacityTokens: spec.KVCacheTokens}
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -283,6 +283,9 @@
 			},
 		},
 	}
+	if !sim.variant.EqualCapacities {
+		sim.controller.Pace = sim.estimatedPace
+	}
 	until := sim.pattern.Length
 	sim.schedulePeriodic(-sim.pattern.Warmup, controllerInterval, until, func() {
 		sim.controller.Step(context.Background(), sim.currentTime())
@@ -345,10 +348,13 @@
 
 func (sim *simulation) applyFault(s *server, fault Fault) {
 	if fault.Slowdown > 0 {
-		s.batch.Spec.StepTime = time.Duration(float64(sim.pattern.Fleet.ServerSpec.StepTime) * fault.Slowdown)
-		s.batch.Spec.PrefillTokensPerMs = sim.pattern.Fleet.ServerSpec.PrefillTokensPerMs / fault.Slowdown
+		s.slow(fault.Slowdown)
 		b := s.batch
-		sim.scheduleAfter(fault.Duration, func() { b.Spec = sim.pattern.Fleet.ServerSpec })
+		sim.scheduleAfter(fault.Duration, func() {
+			if s.batch == b {
+				s.slow(1)
+			}
+		})
 		return
 	}
 	id := s.id
--- a/replay/variant.go
+++ b/replay/variant.go
@@ -20,6 +20,10 @@
 	ForecastHorizon time.Duration
 	// InstantLoads makes loads take instantLoadTime each, without a rate limit.
 	InstantLoads bool
+	// EqualCapacities hides the paces of the servers from the controller, and UnknownPaces is the share
+	// of the servers whose pace is unknown.
+	EqualCapacities bool
+	UnknownPaces    float64
 }
 
 const (
