steer: Test that shortlists have fast servers

Fleets of more than 200 servers compare the least utilized servers of each domain only. Idle ones are ordered by capacity since the balance counts it; without that order the test fails. go test -race ./steer, the tests of capacities and this one: pass.

--- a/steer/unequal_test.go
+++ b/steer/unequal_test.go
@@ -214,3 +214,34 @@
 	require.Equal(t, loads["known"], loads["with slowdowns"], "slowdowns cause no loads")
 	require.Less(t, loads["missing or absurd"], loads["none"]*51/50)
 }
+
+// Guards against a shortlist of a large fleet that has only slow servers: among idle servers it was
+// in the order of their names, and fast ones that come later were never compared.
+func TestShortlistPrefersFastIdleServers(t *testing.T) {
+	const servers, slow = 300, 270
+	now := time.Unix(1000, 0)
+	engine := &routes.Engine{WeightMemoryMB: 20, Models: map[string]routes.Model{"m": {Name: "m", SizeMB: 10, LoadTime: time.Second}}}
+	var list []*Server
+	for i := range servers {
+		e := backs.Entry{ID: fmt.Sprintf("s%03d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%3)}
+		if i < 3 {
+			e.Models = []backs.LoadedModel{{Model: "m"}}
+		}
+		s := NewServer(now, e)
+		s.ApplyReport(now, now, Report{Models: e.Models})
+		s.pace.update(now, 1.2)
+		if i >= slow {
+			s.pace = assumedPace{estimate: 0.55}
+		}
+		list = append(list, s)
+	}
+	p := &Planner{
+		Engine: engine, Servers: list, Now: now.Add(time.Minute),
+		Work: func(string) float64 { return 6 }, StartStoreLoad: func() *LoadStart { return &LoadStart{} },
+	}
+	steps := p.Steps()
+	require.NotEmpty(t, steps)
+	for _, s := range steps {
+		require.GreaterOrEqual(t, s.Server.entry.ID, fmt.Sprintf("s%03d", slow))
+	}
+}
