conns: Bound on the head of a response and on interim responses

A faulty server may send bytes that never become a whole head, and http.ReadResponse read them until memory was used up. A head, with the interim responses before it, is now at most 64 KiB and 16 interim responses; beyond that ReadResponse returns ErrEndless. stand gets responses without an end and a counter of the bytes that a client reads.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -28,6 +28,7 @@
 	abortOnStall func(waited time.Duration) bool
 	// ownDelay is described at OwnDelay. Only the reader uses it.
 	ownDelay time.Duration
+	head     headLimit
 
 	stallMu sync.Mutex
 	// stallDue is set if a read is to call abortOnStall before its stall timeout ends.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -47,9 +47,21 @@
 	return x, nil
 }
 
-// ReadResponse reads the head of the response. It skips interim (1xx) responses.
+// ReadResponse reads the head of the response. It skips interim (1xx) responses. A head beyond MaxHeadBytes or
+// MaxInterimResponses is an ErrEndless.
 func (x *Exchange) ReadResponse() (*http.Response, error) {
-	for {
+	c := x.conn
+	c.head.begin(c.reader.Buffered())
+	resp, err := x.readFinal()
+	if c.head.end() {
+		// What was cut off may look like another error, or like a whole line.
+		return nil, fmt.Errorf("read response: %w", errHeadTooLong)
+	}
+	return resp, err
+}
+
+func (x *Exchange) readFinal() (*http.Response, error) {
+	for range MaxInterimResponses + 1 {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
@@ -59,6 +71,7 @@
 			return resp, nil
 		}
 	}
+	return nil, fmt.Errorf("read response: %w", errInterimTooOften)
 }
 
 // Buffered returns how many bytes of the response can be read without blocking.
--- a/conns/stall.go
+++ b/conns/stall.go
@@ -50,11 +50,21 @@
 	return due
 }
 
-// stallReader reads from a connection and applies its stall timeout.
+// stallReader reads from a connection and applies its stall timeout and the bound of the head that is read.
 type stallReader struct{ *Conn }
 
 // Read implements io.Reader.
 func (r stallReader) Read(p []byte) (int, error) {
+	limit, ok := r.head.allowed(len(p))
+	if !ok {
+		return 0, errHeadTooLong
+	}
+	n, err := r.read(p[:limit])
+	r.head.add(n)
+	return n, err
+}
+
+func (r stallReader) read(p []byte) (int, error) {
 	for w := (stallWait{}); ; {
 		began := time.Now()
 		if r.stallTimeout > 0 && r.beginWait(began) && r.abortOnStall(w.waited) {
--- /dev/null
+++ b/stand/endless.go
@@ -0,0 +1,151 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+)
+
+// EndlessResponse is a response of a faulty server that sends bytes until its connection is closed.
+type EndlessResponse struct {
+	// Begin is sent once, and Repeat over and over after it.
+	Begin, Repeat string
+}
+
+// Names of the endless responses. The first ones never get past the head.
+const (
+	EndlessStatusLine  = "status line"
+	EndlessHeaderLine  = "header line"
+	EndlessHeaderLines = "header lines"
+	EndlessInterim     = "interim responses"
+	EndlessNotHTTP     = "not HTTP"
+	EndlessEvent       = "event"
+	EndlessEventLines  = "event lines"
+	EndlessBody        = "body"
+)
+
+// EndlessHeads, EndlessEvents and EndlessBodies list the names of the responses without an end to their head, to the
+// second event of their stream, or to their plain body.
+var (
+	EndlessHeads  = []string{EndlessStatusLine, EndlessHeaderLine, EndlessHeaderLines, EndlessInterim, EndlessNotHTTP}
+	EndlessEvents = []string{EndlessEvent, EndlessEventLines}
+	EndlessBodies = []string{EndlessBody}
+)
+
+// endlessPieceBytes is the size of a repeated piece without a structure of its own.
+const endlessPieceBytes = 1 << 10
+
+// NewEndlessResponse returns the endless response with a name. header is the part of its head that a server sends with
+// each response, each line ended by CR LF.
+func NewEndlessResponse(name, header string) EndlessResponse {
+	const status = "HTTP/1.1 200 OK"
+	piece := strings.Repeat("x", endlessPieceBytes)
+	stream := status + "\r\n" + header + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	switch name {
+	case EndlessStatusLine:
+		return EndlessResponse{status + " ", piece}
+	case EndlessHeaderLine:
+		return EndlessResponse{status + "\r\n" + header + "Long: ", piece}
+	case EndlessHeaderLines:
+		return EndlessResponse{status + "\r\n" + header, "Long: " + piece[:endlessPieceBytes/10] + "\r\n"}
+	case EndlessInterim:
+		return EndlessResponse{"", "HTTP/1.1 103 Early Hints\r\n\r\n"}
+	case EndlessNotHTTP:
+		return EndlessResponse{"", piece}
+	case EndlessEvent:
+		return EndlessResponse{stream + endlessChunk("id: 1\ndata: first\n\nid: 2\ndata: "), endlessChunk(piece)}
+	case EndlessEventLines:
+		return EndlessResponse{stream + endlessChunk("id: 1\ndata: first\n\nid: 2\n"), endlessChunk("data: line\n")}
+	}
+	return EndlessResponse{status + "\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n", endlessChunk(piece)}
+}
+
+func endlessChunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
+// endlessBlockBytes is about how much an endless response writes at once.
+const endlessBlockBytes = 64 << 10
+
+// WriteTo writes the response as fast as w takes it, until w fails. It implements io.WriterTo.
+func (e EndlessResponse) WriteTo(w io.Writer) (int64, error) {
+	return e.WriteUpTo(w, -1)
+}
+
+// WriteUpTo is WriteTo that ends without an error after limit bytes; a negative limit is none.
+func (e EndlessResponse) WriteUpTo(w io.Writer, limit int64) (written int64, err error) {
+	block := strings.Repeat(e.Repeat, endlessBlockBytes/len(e.Repeat)+1)
+	for text := e.Begin + block; limit < 0 || written < limit; text = block {
+		n, err := io.WriteString(w, text)
+		written += int64(n)
+		if err != nil {
+			return written, fmt.Errorf("write endless response: %w", err)
+		}
+	}
+	return written, nil
+}
+
+// StartEndless answers each request on a free loopback port with the endless response that respond returns for it, until
+// stop is called.
+func StartEndless(respond func(*http.Request) EndlessResponse) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				// It ends with an error as soon as the client closes the connection.
+				_, _ = respond(r).WriteTo(conn)
+			}()
+		}
+	}()
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
+
+// ReadCounter counts the bytes that a client reads from its connections. What a server has written says less, since the
+// kernel buffers some megabytes of it. The zero value is ready to use.
+type ReadCounter struct{ bytes atomic.Int64 }
+
+// Bytes returns how many bytes have been read.
+func (c *ReadCounter) Bytes() int64 { return c.bytes.Load() }
+
+// Dial returns a function that opens TCP connections with dial, whose reads are counted.
+func (c *ReadCounter) Dial(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			return &countedReads{TCPConn: tcp, counter: c}, err
+		}
+		return conn, err
+	}
+}
+
+type countedReads struct {
+	*net.TCPConn
+	counter *ReadCounter
+}
+
+// Read implements net.Conn.
+func (c *countedReads) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+// WriteTo hides the method of the TCP connection, which would read past the counter.
+func (c *countedReads) WriteTo(w io.Writer) (int64, error) {
+	return io.Copy(w, struct{ io.Reader }{c})
+}
