--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -133,3 +133,8 @@
 		require.Len(t, got, len(body))
 	}
 }
+
+const (
+	waitTime = 10 * time.Second
+	tick     = time.Millisecond
+)
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -141,3 +141,16 @@
 	}
 	return data, nil
 }
+
+// Drain reads a body of at most limit bytes that is not needed, so that its connection can be used again. A longer body
+// is an ErrBodyTooLarge. The body must not be closed after an error, as that would read the rest of it.
+func Drain(r io.Reader, limit int) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	if n > int64(limit) {
+		return ErrBodyTooLarge
+	}
+	return nil
+}
