pass: Responses without an end count as broken, buffered ones share a budget

A server may send an event, a response to another request or the body of a refusal without end; the splitter kept an event of any length and searched all of it again at each read, and closing the body of a discarded response read the rest of it. An event is now at most 256 KiB, the splitter looks at new bytes only, bodies that are not needed are drained up to 1 MB, and plain responses share a budget. Such a server counts as failed, its connection is closed at once, pass.endless_responses and a log line tell of it. A plain response of more than 16 MB is not read if it states its length. Measured: without bound and offset TestEventBound and TestSplitterSearchesNewBytesOnly fail; with them go test -race ./pass -run 'Endless|StatedLength|ShareBudget|EventBound|Splitter|TooLong' passes. TestEndlessResponseOfHedge and TestEndlessResponseThroughProxy failed once while written: a fixed pause, and one proxy only, which is avoided.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -25,7 +25,7 @@
 	// maxForeignResponses is how many responses to other requests are discarded on a connection
 	// before the attempt fails.
 	maxForeignResponses = 2
-	// maxForeignBodyBytes bounds the body of a discarded response.
+	// maxForeignBodyBytes bounds the body of a response that is discarded or of which only the head counts.
 	maxForeignBodyBytes = 1 << 20
 )
 
@@ -73,6 +73,7 @@
 	stopClosing := context.AfterFunc(ctx, way.conn.Close)
 	if err := g.checkServer(c, way, choice.Server); err != nil {
 		stopClosing()
+		g.recordEndlessProbe(c, choice, err)
 		g.logFailedAttempt(c, choice, err.Error())
 		return nil
 	}
@@ -232,8 +233,8 @@
 }
 
 // failNotRun records the failure of an attempt that the server provably did not execute.
-func (a *attempt) failNotRun(reason string) bool {
-	a.result = pick.Refused
+func (a *attempt) failNotRun(result pick.Result, reason string) bool {
+	a.result = result
 	a.failOver()
 	a.c.refundRun()
 	return a.fail(reason)
@@ -260,7 +261,7 @@
 	err = a.readHead()
 	c.serverLeaving, c.serverRetryAfter = a.leaving, a.retryAfter
 	if err != nil {
-		return a.connectionLost(ctx, err.Error(), err)
+		return a.readFailed(ctx, err.Error(), err)
 	}
 	c.framing = httpx.FramingOf(a.resp)
 	if a.refusedByProxy(a.resp) {
@@ -277,8 +278,12 @@
 func (a *attempt) notRun() bool { return a.g.provesNotRun(a.resp) }
 
 func (a *attempt) handleRefusal() bool {
-	_, err := conns.ReadAll(a.resp.Body, maxForeignBodyBytes)
-	a.complete = err == nil
+	result := pick.Refused
+	err := a.drainBody()
+	if a.complete = err == nil; errors.Is(err, conns.ErrEndless) {
+		a.recordEndless(err)
+		result = pick.Failed
+	}
 	a.recordReject()
 	if a.resp.StatusCode == http.StatusMisdirectedRequest {
 		// The server does not have the model or adapter, or another server has taken over its
@@ -286,7 +291,7 @@
 		a.g.Servers.RemoveModel(a.choice.Server.ID, a.c.work.Model, a.c.work.Adapter)
 		a.g.reportSuspect(a.choice.Server.ID)
 	}
-	return a.failNotRun("refused with " + strconv.Itoa(a.resp.StatusCode))
+	return a.failNotRun(result, "refused with "+strconv.Itoa(a.resp.StatusCode))
 }
 
 // proxyHeaders returns the headers for the proxy of the attempt, if it has one.
@@ -329,14 +334,9 @@
 
 // readWhole reads the whole response, so that a truncated one can still be replaced by a retry.
 func (a *attempt) readWhole(ctx context.Context) bool {
-	body, err := conns.ReadAll(a.resp.Body, maxResponseBytes)
-	if errors.Is(err, conns.ErrBodyTooLarge) {
-		a.g.Meter.AddCounter("pass.responses_too_long", 1)
-		a.c.mayHaveRun, a.result = true, pick.Neutral
-		return a.fail("response is longer than " + strconv.Itoa(maxResponseBytes) + " bytes")
-	}
+	body, err := a.readBody(ctx)
 	if err != nil {
-		return a.connectionLost(ctx, err.Error(), err)
+		return a.bodyFailed(ctx, err)
 	}
 	a.complete = true
 	a.result = pick.Succeeded
@@ -363,11 +363,11 @@
 	case resp.framing == httpx.FramedByClose:
 		c.endByClose(w.Header())
 	case c.request.Method != http.MethodHead:
-		w.Header().Set(headerLength, strconv.Itoa(len(resp.body)))
+		w.Header().Set(headerLength, strconv.Itoa(resp.body.Len()))
 	}
 	c.status = resp.status
 	w.WriteHeader(resp.status)
-	_, err := w.Write(resp.body)
+	_, err := resp.body.WriteTo(w)
 	if err == nil {
 		err = c.completeByClose(w)
 	}
--- a/pass/call.go
+++ b/pass/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/poison"
@@ -131,7 +132,7 @@
 type response struct {
 	status  int
 	header  http.Header
-	body    []byte
+	body    *conns.Body
 	framing httpx.Framing
 }
 
--- a/pass/events.go
+++ b/pass/events.go
@@ -9,23 +9,49 @@
 // the middle of an event; only complete events are forwarded, so that another server can resume
 // after the last one.
 type eventSplitter struct {
+	// partial is the beginning of an event, searched for its end up to the last byte.
 	partial []byte
+	// tooLong is set once an event was longer than maxEventBytes. Events before it are whole.
+	tooLong bool
 	// lastID is the ID of the last event forwarded to the caller.
 	lastID string
 	// skipThrough is the highest event ID that the caller already has. Events up to it are dropped.
 	skipThrough int64
 }
 
+// maxEventBytes bounds one event of a stream. Sound servers send some hundred bytes, and an event is kept until it is
+// whole.
+const maxEventBytes = 256 << 10
+
 var eventSeparator = []byte("\n\n")
 
-// add appends bytes to the stream and returns the events that are now complete.
+// add appends bytes to the stream and returns the events that are now complete. It takes time in proportion to these
+// bytes and the events, whatever the length of the event that they belong to. After an event that is too long it
+// returns none.
 func (s *eventSplitter) add(data []byte) []byte {
+	if s.tooLong {
+		return nil
+	}
+	// The separator may have begun with the last byte that was there.
+	searched := max(len(s.partial)-len(eventSeparator)+1, 0)
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, eventSeparator)
-	if end < 0 {
+	var end int
+	for {
+		start := max(searched, end)
+		next := bytes.Index(s.partial[start:], eventSeparator)
+		if next < 0 {
+			break
+		}
+		next += start + len(eventSeparator)
+		if s.tooLong = next-end > maxEventBytes; s.tooLong {
+			break
+		}
+		end = next
+	}
+	s.tooLong = s.tooLong || len(s.partial)-end > maxEventBytes
+	if end == 0 {
 		return nil
 	}
-	end += len(eventSeparator)
 	complete := s.dropRepeated(s.partial[:end])
 	s.partial = append([]byte(nil), s.partial[end:]...)
 	return complete
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -111,6 +111,9 @@
 	ReportSuspect func(server string)
 	Now           func() time.Time
 	Log           zerolog.Logger
+	// ResponseBudget bounds the memory of the responses that are buffered whole. Optional; if nil, the gateway has the
+	// smallest one for itself.
+	ResponseBudget *conns.Budget
 	// Meter receives counters and durations.
 	Meter *meter.Registry
 
@@ -119,6 +122,8 @@
 	proxyPool      conns.Pool
 	proxyLoads     proxyLoads
 	proxiedRunning atomic.Int64
+	// ownBudget is used if ResponseBudget is nil.
+	ownBudget conns.Budget
 
 	mu  sync.Mutex
 	rng *rand.Rand
--- a/pass/instance.go
+++ b/pass/instance.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -42,6 +43,9 @@
 	g.Meter.AddCounter("pass.instance_probes", 1)
 	startedAt, err := g.askInstance(conn, e)
 	if err != nil {
+		if errors.Is(err, conns.ErrEndless) {
+			g.recordEndless(conn, "", e.ID, "", err)
+		}
 		return fmt.Errorf("%w: %w", errNoInstance, err)
 	}
 	if !startedAt.Equal(e.StartedAt) {
@@ -64,14 +68,17 @@
 	if err != nil {
 		return time.Time{}, err
 	}
-	body, err := conns.ReadAll(resp.Body, maxProbeBytes)
-	if err := errors.Join(err, resp.Body.Close()); err != nil {
-		return time.Time{}, err
+	ctx, cancel := context.WithTimeout(context.Background(), maxProbeWait)
+	defer cancel()
+	body, err := g.readBuffered(ctx, conn, resp, maxProbeBytes)
+	if err != nil {
+		return time.Time{}, asEndless(err, maxProbeBytes)
 	}
+	defer body.Release()
 	if resp.StatusCode != http.StatusOK || resp.Close {
 		return time.Time{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	return g.InstanceProbe.ParseStartTime(body)
+	return g.InstanceProbe.ParseStartTime(body.Bytes())
 }
 
 // bindsServer reports whether what a server of the call writes has to be of the version that its entry says: that
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -1,7 +1,6 @@
 package pass
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -33,7 +32,7 @@
 	for range maxForeignResponses + 1 {
 		resp, err := r.exchange.ReadResponse()
 		if err != nil {
-			return err
+			return r.checkEndless(err)
 		}
 		r.recordPath()
 		r.applyNotice(resp)
@@ -45,9 +44,8 @@
 		}
 		r.g.Meter.AddCounter("pass.stray_answers", 1)
 		r.g.Log.Warn().Str("request", r.requestID).Str("server", r.server).Str("answer_to", id).Msg("discarded a response to another request")
-		_, err = conns.ReadAll(resp.Body, maxForeignBodyBytes)
-		if err := errors.Join(err, resp.Body.Close()); err != nil {
-			return fmt.Errorf("read response to another request: %w", err)
+		if err := drainBody(resp); err != nil {
+			return r.checkEndless(fmt.Errorf("read response to another request: %w", err))
 		}
 	}
 	return fmt.Errorf("server sent only responses to other requests")
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -50,6 +50,10 @@
 		}
 		r.events = r.splitter.add(r.buffer[:n])
 		a.c.partialEventBytes = len(r.splitter.partial)
+		if r.splitter.tooLong {
+			r.err = errEventTooLong
+			a.recordEndless(r.err)
+		}
 	}
 	if len(r.events) == 0 {
 		return
@@ -71,7 +75,7 @@
 	case errors.Is(a.events.err, io.EOF):
 		return a.checkStreamEnd(ctx)
 	}
-	return a.connectionLost(ctx, "read stream: "+a.events.err.Error(), a.events.err)
+	return a.readFailed(ctx, "read stream: "+a.events.err.Error(), a.events.err)
 }
 
 // forwardStream forwards events as they arrive.
@@ -103,7 +107,7 @@
 			}
 			return done
 		case r.err != nil:
-			return a.connectionLost(ctx, "read stream: "+r.err.Error(), r.err)
+			return a.readFailed(ctx, "read stream: "+r.err.Error(), r.err)
 		}
 	}
 }
