platform, node: Bounds on responses to orders, reports and path probes

The controller's HTTP client read up to 10 MB of a head, took a body cut off at 1 MB for whole, and a path probe that met a head without an end counted against the path.

--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -133,7 +133,7 @@
 	clientIdleTimeout = 3 * time.Second
 )
 
-// newHTTPClient returns a client whose connections detect an unreachable peer.
+// newHTTPClient returns a client whose connections detect an unreachable peer, and which reads no head without an end.
 func newHTTPClient(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -141,6 +141,6 @@
 			defer cancel()
 			return dial(ctx, address)
 		},
-		DisableCompression: true, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 4,
+		DisableCompression: true, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: conns.MaxHeadBytes,
 	}}
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -263,7 +263,7 @@
 func (s *Site) StartNode(ctx context.Context, i int) error {
 	vm := s.vms[i]
 	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return conns.Dial(ctx, address) }}}
-	serverClient := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return vm.path.Dial(ctx, address) }}}
+	serverClient := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: conns.MaxHeadBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return vm.path.Dial(ctx, address) }}}
 	vm.closeIdleConnections = func() {
 		client.CloseIdleConnections()
 		serverClient.CloseIdleConnections()
--- a/node/path.go
+++ b/node/path.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 )
 
@@ -93,7 +94,13 @@
 	conn.SetStallTimeout(pathProbeWait, func(time.Duration) bool { silent = true; return true })
 	resp, err := exchange.ReadResponse()
 	conn.SetStallTimeout(0, nil)
-	if err != nil && !silent {
+	endless := errors.Is(err, conns.ErrEndless)
+	if endless {
+		// The path is there, whatever the server sends over it.
+		n.meter.AddCounter("pass.endless_responses", 1)
+		n.log.Warn().Str("server", e.ID).Err(err).Msg("server sends a response without an end")
+	}
+	if err != nil && !silent && !endless {
 		n.connPool.Discard(conn)
 		n.paths.ConnectionFailed(n.now(), e.ID, false)
 		return
