stand, soak: Servers that send responses without an end

The stand-in server plays a status line, header lines, interim responses, bytes that are no HTTP, an event and a body without end, in turn, until its connection is closed. The soak injects them beside its other faults and reports a violation if 64 MB of one are read. Measured: go test ./demo -run TestBackendFaults and go test -race ./pass ./conns ./cmd/hibiscuscart -run Endless pass.

--- a/cmd/hibiscuscart/endless_test.go
+++ b/cmd/hibiscuscart/endless_test.go
@@ -41,7 +41,7 @@
 		}
 		for call, run := range calls {
 			t.Run(call+", "+name, func(t *testing.T) {
-				address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "") })
+				address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "", "") })
 				require.NoError(t, err)
 				defer stop()
 				var counter stand.ReadCounter
--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -52,7 +52,7 @@
 func TestEndlessHead(t *testing.T) {
 	for _, name := range stand.EndlessHeads {
 		t.Run(name, func(t *testing.T) {
-			address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "") })
+			address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "", "") })
 			require.NoError(t, err)
 			defer stop()
 			_, read, err := readHead(t, address)
--- a/pass/endless_test.go
+++ b/pass/endless_test.go
@@ -27,11 +27,14 @@
 // maxReadBeyond is how much may be read beyond a bound: a small part of 1 MB.
 const maxReadBeyond = 128 << 10
 
+// firstEvent is the first one of threeEvents, which streams without an end have too.
+const firstEvent = "id: 1\ndata: a\n\n"
+
 // startEndless starts a server whose responses have no end.
 func startEndless(t *testing.T, name string) string {
 	t.Helper()
 	address, stop, err := stand.StartEndless(func(r *http.Request) stand.EndlessResponse {
-		return stand.NewEndlessResponse(name, "Attempt: "+r.Header.Get("Attempt")+"\r\nStamp: a\r\n")
+		return stand.NewEndlessResponse(name, "Attempt: "+r.Header.Get("Attempt")+"\r\nStamp: a\r\n", firstEvent)
 	})
 	require.NoError(t, err)
 	t.Cleanup(stop)
@@ -84,12 +87,8 @@
 			if tc.route.Kind == routes.AtMostOnce {
 				require.Equal(t, http.StatusBadGateway, got.status)
 			} else {
-				want := threeEvents
-				if slices.Contains(stand.EndlessEvents, tc.name) {
-					want = "id: 1\ndata: first\n\n" + eventsAfter("1")
-				}
 				require.Equal(t, http.StatusOK, got.status, log.String())
-				require.Equal(t, want, got.body)
+				require.Equal(t, threeEvents, got.body)
 			}
 			require.False(t, got.broken)
 			require.EqualValues(t, 1, g.Meter.CounterValue("pass.endless_responses"))
@@ -160,7 +159,7 @@
 			counter := countReads(g)
 			got := callGateway(t, g, longDeadline)
 			require.Equal(t, http.StatusOK, got.status)
-			require.Equal(t, "id: 1\ndata: first\n\n", got.body)
+			require.Equal(t, firstEvent, got.body)
 			require.True(t, got.broken)
 			require.LessOrEqual(t, counter.Bytes(), int64(2*maxEventBytes+maxReadBeyond))
 		})
@@ -176,7 +175,7 @@
 			return
 		}
 		defer conn.Close()
-		_, _ = stand.NewEndlessResponse(name, "Attempt: "+r.Header.Get("Attempt")+"\r\nStamp: server\r\n").WriteTo(conn)
+		_, _ = stand.NewEndlessResponse(name, "Attempt: "+r.Header.Get("Attempt")+"\r\nStamp: server\r\n", firstEvent).WriteTo(conn)
 	}
 	for _, kind := range []routes.Kind{routes.Idempotent, routes.Stream} {
 		names := slices.Concat(stand.EndlessHeads, map[routes.Kind][]string{routes.Idempotent: stand.EndlessBodies}[kind])
@@ -324,7 +323,7 @@
 			second.Pool.DialFunc = counter.Dial(second.Pool.DialFunc)
 			got := callGateway(t, g, longDeadline)
 			require.Equal(t, http.StatusOK, got.status)
-			require.True(t, strings.HasSuffix(got.body, eventsAfter("1")), got.body)
+			require.Equal(t, threeEvents, got.body)
 			require.EqualValues(t, 1, g.Meter.CounterValue("pass.endless_responses")+proxy.Meter.CounterValue("pass.endless_responses")+second.Meter.CounterValue("pass.endless_responses"))
 			if slices.Contains(stand.EndlessHeads, name) {
 				require.LessOrEqual(t, counter.Bytes(), int64(conns.MaxHeadBytes+maxReadBeyond))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,6 +123,7 @@
 	r.checkRecovery(ctx)
 	r.checkTeams()
 	r.checkNotices()
+	r.checkEndless()
 	r.checks.CheckExecutions(r.outcomes, r.site.Runs)
 	for _, b := range r.site.Backends(demo.SiteModelService) {
 		if b.Overcommitted() {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -32,6 +32,9 @@
 	// its connection. CutShortResponses is how many get half of such a response: a stream is closed inside
 	// an event, and another response is reset.
 	ByCloseResponses, CutShortResponses int
+	// EndlessResponses is how many requests get a response without an end, in turn each of those that the service can
+	// send.
+	EndlessResponses int
 }
 
 // PendingFaults holds faults that are still to be injected. Several backends may share
@@ -116,6 +119,7 @@
 	rest       time.Duration
 	// notices holds the log of each instance.
 	notices []*NoticeLog
+	endless endlessFaults
 }
 
 // Restart simulates a restart of the process with the same ID. All models and the
@@ -356,6 +360,8 @@
 	ActionRespondByClose
 	// ActionCutShort does the same in the middle of the response.
 	ActionCutShort
+	// ActionEndless responds without an end.
+	ActionEndless
 	// ActionCrash crashes the process.
 	ActionCrash
 )
@@ -399,6 +405,8 @@
 		return ActionRespondByClose
 	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.CutShortResponses }):
 		return ActionCutShort
+	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.EndlessResponses }):
+		return ActionEndless
 	}
 	return ActionRespond
 }
--- a/stand/endless.go
+++ b/stand/endless.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 )
@@ -29,8 +30,8 @@
 	EndlessBody        = "body"
 )
 
-// EndlessHeads, EndlessEvents and EndlessBodies list the names of the responses without an end to their head, to the
-// second event of their stream, or to their plain body.
+// EndlessHeads, EndlessEvents and EndlessBodies list the names of the responses without an end to their head, to an event
+// of their stream, or to their plain body.
 var (
 	EndlessHeads  = []string{EndlessStatusLine, EndlessHeaderLine, EndlessHeaderLines, EndlessInterim, EndlessNotHTTP}
 	EndlessEvents = []string{EndlessEvent, EndlessEventLines}
@@ -41,8 +42,8 @@
 const endlessPieceBytes = 1 << 10
 
 // NewEndlessResponse returns the endless response with a name. header is the part of its head that a server sends with
-// each response, each line ended by CR LF.
-func NewEndlessResponse(name, header string) EndlessResponse {
+// each response, each line ended by CR LF, and events are those of its stream that are whole.
+func NewEndlessResponse(name, header, events string) EndlessResponse {
 	const status = "HTTP/1.1 200 OK"
 	piece := strings.Repeat("x", endlessPieceBytes)
 	stream := status + "\r\n" + header + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -58,9 +59,9 @@
 	case EndlessNotHTTP:
 		return EndlessResponse{"", piece}
 	case EndlessEvent:
-		return EndlessResponse{stream + endlessChunk("id: 1\ndata: first\n\nid: 2\ndata: "), endlessChunk(piece)}
+		return EndlessResponse{stream + endlessChunk(events+"data: "), endlessChunk(piece)}
 	case EndlessEventLines:
-		return EndlessResponse{stream + endlessChunk("id: 1\ndata: first\n\nid: 2\n"), endlessChunk("data: line\n")}
+		return EndlessResponse{stream + endlessChunk(events+"data: line\n"), endlessChunk("data: line\n")}
 	}
 	return EndlessResponse{status + "\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n", endlessChunk(piece)}
 }
@@ -149,3 +150,37 @@
 func (c *countedReads) WriteTo(w io.Writer) (int64, error) {
 	return io.Copy(w, struct{ io.Reader }{c})
 }
+
+// endlessFaults are the responses without an end that a Backend has sent.
+type endlessFaults struct{ sent, overread int }
+
+// maxEndlessBytes is how much a Backend sends of a response without an end. It is far beyond every bound of a VM, with what
+// the kernel buffers on the way.
+const maxEndlessBytes = 64 << 20
+
+// SendEndless sends a response without an end to w until that fails. header is the part of its head that the server sends
+// with each response, each line ended by CR LF, and events are those of its stream that are whole.
+func (b *Backend) SendEndless(w io.Writer, header, events string) {
+	names := slices.Concat(EndlessHeads, EndlessBodies)
+	if b.StreamEvents > 0 {
+		names = slices.Concat(EndlessHeads, EndlessEvents)
+	}
+	b.mu.Lock()
+	name := names[b.endless.sent%len(names)]
+	b.endless.sent++
+	b.mu.Unlock()
+	if _, err := NewEndlessResponse(name, header, events).WriteUpTo(w, maxEndlessBytes); err != nil {
+		return // The client closed the connection.
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endless.overread++
+}
+
+// Endless returns how many responses without an end the server has sent, and how many of them were read far beyond every
+// bound.
+func (b *Backend) Endless() (sent, overread int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.endless.sent, b.endless.overread
+}
