node, pass: An endless response shows that the path to servers is there

What a server sends without an end has come over the path, so that a probe and a request that meet it count as heard.

--- a/node/node.go
+++ b/node/node.go
@@ -186,7 +186,7 @@
 	}
 	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = &pass.Gateway{
-		ResponseBudget: &conns.Budget{MemoryLimit: func() int64 { return int64(n.settings().Int("limits", "memory_mb")) << 20 }},
+		ResponseBudget:  &conns.Budget{MemoryLimit: func() int64 { return int64(n.settings().Int("limits", "memory_mb")) << 20 }},
 		ShutdownContext: n.waitContext, StopsAt: n.exitTime,
 		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
--- a/pass/endless.go
+++ b/pass/endless.go
@@ -36,9 +36,11 @@
 	r.g.recordEndless(r.conn, r.requestID, r.server, r.proxy, err)
 }
 
-// checkEndless records the error of a read if it means that the response has no end, and returns it.
+// checkEndless records the error of a read if it means that the response has no end, and returns it. What was read shows
+// that this VM has a path to the server.
 func (r *reply) checkEndless(err error) error {
 	if errors.Is(err, conns.ErrEndless) {
+		r.recordPath()
 		r.recordEndless(err)
 	}
 	return err
