--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -114,6 +114,9 @@
 	ReportSuspect func(server string)
 	Now           func() time.Time
 	Log           zerolog.Logger
+	// ResponseBudget bounds the memory of the responses that are buffered whole. Optional; if nil, the gateway has the
+	// smallest one for itself.
+	ResponseBudget *conns.Budget
 	// Meter receives counters and durations.
 	Meter *meter.Registry
 
@@ -124,6 +127,8 @@
 	proxiedRunning atomic.Int64
 	// invalidLoads are the servers whose invalid reports were logged.
 	invalidLoads loggedServers
+	// ownBudget is used if ResponseBudget is nil.
+	ownBudget conns.Budget
 
 	mu  sync.Mutex
 	rng *rand.Rand
--- a/steer/capacity_test.go
+++ b/steer/capacity_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// Guards against fast servers that placement takes for usual ones for as long as a later change has to last, and against a
+// second change that is assumed as soon as the first.
+func TestFirstChangeOfPaceAssumedSooner(t *testing.T) {
+	start, p := time.Unix(1000, 0), assumedPace{}
+	assumedAfter := func(from, until time.Duration, pace float64) time.Duration {
+		for at := from; at < until; at += 100 * time.Millisecond {
+			if p.update(start.Add(at), pace); p.value() == pace {
+				return at - from
+			}
+		}
+		return 0
+	}
+	require.Zero(t, assumedAfter(0, time.Second, 1))
+	require.Equal(t, firstPaceHoldTime, assumedAfter(2*time.Second, 20*time.Second, 0.55))
+	require.Equal(t, paceHoldTime, assumedAfter(20*time.Second, 40*time.Second, 1.25))
+}
+
 // Guards against formulas that differ from what a move changes: then a replica moves to a slow
 // server that makes the balance worse, or back again.
 func TestGainAndLossMatchBalanceOfUnequalServers(t *testing.T) {
