pick: Load divided by server priority

Servers run urgent requests first, but all prefill of a server counted as the queue of each request: urgent requests waited and were refused because of work that they would have overtaken. Load, Work and Choice know the priority, an urgent request is admitted by the queue before it, and the overtaken prefill counts as a cost in the choice of a server. Loads are divided on the wire (zz_prefill_us) where a service has routes of different priorities; without the division all prefill counts as priority 0, as before.

--- a/pass/admission.go
+++ b/pass/admission.go
@@ -41,7 +41,7 @@
 		g.admissionWaiters[admissionKey(c)]++
 		g.Meter.AddCounter("pass.held", 1)
 	}
-	c.retryAfter = pick.RetryAfter(choice.QueueTime)
+	c.retryAfter = pick.RetryAfter(pick.Admission{Urgent: c.urgency.Top}.QueueTime(choice))
 	spread := time.Duration(g.random(now).Int64N(int64(pick.AdmissionCheckInterval)))
 	g.mu.Unlock()
 	if ctx.Err() != nil || now.Sub(c.admissionWaitStart) >= pick.MaxAdmissionWait(c.work.Objective) {
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -83,6 +83,9 @@
 	}
 	now = g.Now()
 	c.choice = choice
+	if choice.OvertakenTime > 0 {
+		g.Meter.AddCounter("pick.overtaken", 1)
+	}
 	a := &attempt{
 		reply: reply{
 			g: g, conn: way.conn, proxy: way.proxy, unproven: !way.conn.Proven(),
--- a/pass/call.go
+++ b/pass/call.go
@@ -167,6 +167,10 @@
 	c.urgency = t.Urgency(c.route, c.team, c.service.Name)
 	c.quotaRank = c.route.Priority - t.TopPriority(c.service.Name)
 	c.work.Route = c.route.Name
+	c.work.Priority = 0
+	if t.HasMixedPriorities(c.service.Name) {
+		c.work.Priority = c.serverPriority()
+	}
 	if c.service.Engine == nil {
 		return ok
 	}
--- a/pass/log.go
+++ b/pass/log.go
@@ -20,7 +20,7 @@
 		Strs("left_silent", c.leftSilent).Str("reason", c.reason).
 		Dur("objective", c.route.Objective).Dur("pause_limit", c.route.MaxEventGap).
 		Int("prompt", c.work.PromptTokens).Int("output", c.work.MaxOutputTokens).
-		Dur("predicted", c.choice.PredictedTime).Dur("queue", c.choice.QueueTime).
+		Dur("predicted", c.choice.PredictedTime).Dur("queue", c.choice.QueueTime).Dur("overtaken", c.choice.OvertakenTime).
 		Int("missing", c.choice.UncachedTokens).
 		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.KVTokens).
 		Dur("first_event", c.timeToFirstEvent).Dur("longest_pause", c.maxEventGap).Int("events", c.eventCount).
--- a/peers/frames.go
+++ b/peers/frames.go
@@ -94,17 +94,39 @@
 	list := make([]wire.ServerLoad, 0, len(loads))
 	for id, l := range loads {
 		if l.Running != 0 {
-			list = append(list, wire.ServerLoad{Server: id, Running: l.Running, ReadingUs: int(l.PrefillTime.Microseconds()), Tokens: l.KVTokens, Adapters: l.Adapters})
+			list = append(list, wire.ServerLoad{Server: id, Running: l.Running, ReadingUs: int(l.PrefillTime.Microseconds()), Tokens: l.KVTokens, Adapters: l.Adapters, ZzPrefillUs: prefillList(l)})
 		}
 	}
 	return list
 }
 
+// prefillList converts the prefill by priority to its wire form. It is empty if all of it is of
+// priority 0, which receivers assume of a load without the list.
+func prefillList(l pick.Load) []int {
+	n := pick.ServerPriorities
+	for n > 0 && l.Prefill(n-1).Microseconds() == 0 {
+		n--
+	}
+	if n <= 1 {
+		return nil
+	}
+	list := make([]int, n)
+	for p := range list {
+		list[p] = int(l.Prefill(p).Microseconds())
+	}
+	return list
+}
+
 // loadsOf converts loads from their wire form.
 func loadsOf(list []wire.ServerLoad) map[string]pick.Load {
 	loads := make(map[string]pick.Load, len(list))
 	for _, l := range list {
-		loads[l.Server] = pick.Load{Running: l.Running, PrefillTime: time.Duration(l.ReadingUs) * time.Microsecond, KVTokens: l.Tokens, Adapters: l.Adapters}
+		parts := make([]time.Duration, len(l.ZzPrefillUs))
+		for p, us := range l.ZzPrefillUs {
+			parts[p] = time.Duration(us) * time.Microsecond
+		}
+		load := pick.Load{Running: l.Running, PrefillTime: time.Duration(l.ReadingUs) * time.Microsecond, KVTokens: l.Tokens, Adapters: l.Adapters}
+		loads[l.Server] = load.WithPrefill(parts)
 	}
 	return loads
 }
--- a/pick/admission.go
+++ b/pick/admission.go
@@ -74,10 +74,11 @@
 	if !a.Urgent && !c.slotSoonFree() {
 		return false
 	}
+	queueTime := a.QueueTime(c)
 	if a.Waiting <= 0 {
-		return c.QueueTime < a.queueLimit(c.PrefillTime)
+		return queueTime < a.queueLimit(c.PrefillTime)
 	}
-	spareTime := maxLateQueueTime - c.QueueTime
+	spareTime := maxLateQueueTime - queueTime
 	if spareTime <= 0 {
 		return false
 	}
@@ -85,6 +86,15 @@
 	return random < spareTime.Seconds()/waitingPrefill.Seconds()
 }
 
+// QueueTime returns the queue of a server that counts for the admission of a request: for an urgent
+// one the queue before it, for others the whole queue, as they lose nothing by waiting in their VMs.
+func (a Admission) QueueTime(c Choice) time.Duration {
+	if a.Urgent {
+		return c.QueueTime
+	}
+	return c.QueueTime + c.OvertakenTime
+}
+
 // queueLimit returns the queue up to which a request with this prefill time is sent.
 func (a Admission) queueLimit(prefill time.Duration) time.Duration {
 	if a.Objective <= 0 {
@@ -103,7 +113,7 @@
 // HasCapacity reports whether the server is expected to run the request without waiting for a
 // slot or a long queue.
 func (c Choice) HasCapacity() bool {
-	return c.QueueTime < maxQueueTime && (c.Server.Slots == 0 || c.Load.Running < c.Server.Slots)
+	return c.QueueTime+c.OvertakenTime < maxQueueTime && (c.Server.Slots == 0 || c.Load.Running < c.Server.Slots)
 }
 
 // MaxAdmissionWait returns the maximum time that a request with an objective waits for capacity.
--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -31,7 +31,7 @@
 	a := &Attempt{
 		balancer: b, serverID: c.Server.ID, domain: c.Server.Domain, service: c.Server.Service, work: w, started: now, uncachedTokens: c.UncachedTokens,
 		serverIdle: c.Load.PrefillTime == 0 && c.Load.Running <= maxIdleRunning,
-		load:       Load{Running: 1, PrefillTime: c.PrefillTime, KVTokens: w.PromptTokens + w.MaxOutputTokens/2},
+		load:       Load{Running: 1, KVTokens: w.PromptTokens + w.MaxOutputTokens/2}.withPrefill(w.serverPriority(), c.PrefillTime),
 	}
 	s.local = s.local.Add(a.load)
 	b.addRunning(a)
@@ -55,7 +55,8 @@
 func (a *Attempt) endPrefill() {
 	if !a.prefilled {
 		a.prefilled = true
-		a.balancer.serverState(a.serverID).local.PrefillTime -= a.load.PrefillTime
+		s := a.balancer.serverState(a.serverID)
+		s.local = s.local.Sub(Load{}.withPrefill(a.work.serverPriority(), a.load.PrefillTime))
 	}
 }
 
@@ -95,8 +96,7 @@
 	a.endPrefill()
 	s := a.balancer.serverState(a.serverID)
 	s.addAdapterUse(a.work, -1)
-	s.local.Running--
-	s.local.KVTokens -= a.load.KVTokens
+	s.local = s.local.Sub(Load{Running: 1, KVTokens: a.load.KVTokens})
 	s.failures.record(now, result)
 	// A server's failure counts against its failure domain only if connections to the domain have failed.
 	if f := a.balancer.domainFailureRate(a.domain); result == Succeeded || f.rate > 0 {
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -86,6 +86,9 @@
 	PredictedTime time.Duration
 	// QueueTime is the part of PredictedTime before this request's prefill starts.
 	QueueTime time.Duration
+	// OvertakenTime is the pending prefill of less urgent requests that the server runs after this
+	// one.
+	OvertakenTime time.Duration
 	// UncachedTokens is the number of prompt tokens predicted to miss the prefix
 	// cache, and PrefillTime their prefill time.
 	UncachedTokens int
@@ -130,7 +133,8 @@
 		if slices.Contains(excluded, e.ID) {
 			continue
 		}
-		c := candidate{server: e, queueTime: b.queueTime(now, e) + b.slotBacklog(e) + b.penalty(now, e, w, kvTokens)}
+		queueTime, overtaken := b.queueTimes(now, e, w)
+		c := candidate{server: e, queueTime: queueTime + overtakingCost(overtaken) + b.slotBacklog(e) + b.penalty(now, e, w, kvTokens)}
 		if !b.hasIdleConn(e) {
 			c.queueTime += connCost
 		}
--- a/pick/load.go
+++ b/pick/load.go
@@ -11,24 +11,47 @@
 	// Running is the number of requests sent and not finished, KVTokens the
 	// KV cache tokens that they need.
 	Running, KVTokens int
-	// PrefillTime is the prefill time of the requests without a first event.
+	// PrefillTime is the prefill time of the requests without a first event, of all priorities
+	// together.
 	PrefillTime time.Duration
+	// PrefillByPriority is the part of PrefillTime of each server priority from 1 on. The entry of
+	// priority 0 is not used: it has what the others leave of PrefillTime. A load that nobody
+	// divided thus counts as priority 0, and no request is taken to overtake it.
+	PrefillByPriority [ServerPriorities]time.Duration
 	// Adapters lists the adapters in use, as MODEL/ADAPTER. Sums omit them.
 	Adapters []string
 }
 
 // Add returns the sum of two loads, without adapters.
 func (l Load) Add(o Load) Load {
-	return Load{Running: l.Running + o.Running, PrefillTime: l.PrefillTime + o.PrefillTime, KVTokens: l.KVTokens + o.KVTokens}
+	sum := Load{Running: l.Running + o.Running, PrefillTime: l.PrefillTime + o.PrefillTime, KVTokens: l.KVTokens + o.KVTokens}
+	for p := range sum.PrefillByPriority {
+		sum.PrefillByPriority[p] = l.PrefillByPriority[p] + o.PrefillByPriority[p]
+	}
+	return sum
+}
+
+// Sub returns the load without a part of it, without adapters. The two can be of slightly different
+// age, so results below zero become zero. If an older build has summed up the load, the part is
+// divided by priority and the sum is not; the prefill of all priorities together is right even then.
+func (l Load) Sub(part Load) Load {
+	rest := Load{
+		Running: max(l.Running-part.Running, 0), PrefillTime: max(l.PrefillTime-part.PrefillTime, 0),
+		KVTokens: max(l.KVTokens-part.KVTokens, 0),
+	}
+	undivided := rest.PrefillTime
+	for p := 1; p < ServerPriorities; p++ {
+		rest.PrefillByPriority[p] = min(max(l.PrefillByPriority[p]-part.PrefillByPriority[p], 0), undivided)
+		undivided -= rest.PrefillByPriority[p]
+	}
+	return rest
 }
 
-// SubtractLoads subtracts one VM's part from sums. The two can be of slightly different
-// age, so results below zero become zero.
+// SubtractLoads subtracts one VM's part from sums.
 func SubtractLoads(sums, part map[string]Load) map[string]Load {
 	rest := make(map[string]Load, len(sums))
 	for id, s := range sums {
-		p := part[id]
-		rest[id] = Load{Running: max(s.Running-p.Running, 0), PrefillTime: max(s.PrefillTime-p.PrefillTime, 0), KVTokens: max(s.KVTokens-p.KVTokens, 0)}
+		rest[id] = s.Sub(part[id])
 	}
 	return rest
 }
--- a/pick/predict.go
+++ b/pick/predict.go
@@ -57,14 +57,6 @@
 	failureCost = 3 * time.Second
 )
 
-// queueTime returns the time that a server needs for its pending prefill. The
-// servers have processed part of the load of the other VMs since it was reported.
-func (b *Balancer) queueTime(now time.Time, e backs.Entry) time.Duration {
-	s := b.serverState(e.ID)
-	remotePrefill := max(s.remote.PrefillTime-now.Sub(b.remoteLoadsAt), 0)
-	return s.local.PrefillTime + remotePrefill + time.Duration(s.local.Running+s.remote.Running)*runningRequestCost
-}
-
 // slotBacklog returns the time that a server needs for the responses it is
 // generating, each of which occupies one slot. Requests are distributed so that
 // prefill and decode together are balanced. With prefill alone, a server with
@@ -97,8 +89,8 @@
 	}
 	uncached := max(w.PromptTokens-cachedTokens, 1)
 	prefill := time.Duration(float64(uncached) / b.prefillRate(w) * float64(time.Millisecond))
-	queueTime := b.queueTime(now, e)
-	return Choice{Server: e, UncachedTokens: uncached, QueueTime: queueTime, PrefillTime: prefill, Load: load, PredictedTime: queueTime + prefill}
+	queueTime, overtaken := b.queueTimes(now, e, w)
+	return Choice{Server: e, UncachedTokens: uncached, QueueTime: queueTime, OvertakenTime: overtaken, PrefillTime: prefill, Load: load, PredictedTime: queueTime + prefill}
 }
 
 // prefillRate returns the prefill rate of the work's model in tokens per
--- a/pick/work.go
+++ b/pick/work.go
@@ -34,6 +34,9 @@
 	// PromptTokens is the number of prompt tokens, MaxOutputTokens the maximum
 	// number of output tokens.
 	PromptTokens, MaxOutputTokens int
+	// Priority is the priority of the request at the server, 0 being the most urgent. It is 0 for all
+	// requests of a service whose routes have the same priority.
+	Priority int
 	// Objective is the target time to the first event or response.
 	Objective time.Duration
 }
--- a/replay/load_reports.go
+++ b/replay/load_reports.go
@@ -103,10 +103,7 @@
 	now := sim.currentTime()
 	sum := sim.domainLoad(domain)
 	for id, l := range sim.hubLoads.totalLoads {
-		own := sim.hubLoads.domainLoads[domain][id]
-		sum[id] = sum[id].Add(pick.Load{
-			Running: max(l.Running-own.Running, 0), PrefillTime: max(l.PrefillTime-own.PrefillTime, 0), KVTokens: max(l.KVTokens-own.KVTokens, 0),
-		})
+		sum[id] = sum[id].Add(l.Sub(sim.hubLoads.domainLoads[domain][id]))
 	}
 	if sim.variant.ExactLoad {
 		return
--- a/replay/traffic.go
+++ b/replay/traffic.go
@@ -60,8 +60,13 @@
 // newWork returns the description of a request that server selection uses, without the prompt.
 func (sim *simulation) newWork(class *RequestClass, model int) pick.Work {
 	spec := sim.pattern.Fleet.ServerSpec
+	priority := class.Priority
+	if sim.variant.UndividedLoad {
+		priority = 0
+	}
 	return pick.Work{
-		Route: class.Name, Model: modelName(model), Slots: spec.Slots, TokensPerEvent: spec.TokensPerEvent,
+		Priority: priority,
+		Route:    class.Name, Model: modelName(model), Slots: spec.Slots, TokensPerEvent: spec.TokensPerEvent,
 		RelativeModelSize: sim.engine.RelativeSize(modelName(model)), MaxOutputTokens: int(class.OutputTokens.Max), Objective: class.Objective,
 	}
 }
--- a/replay/variant.go
+++ b/replay/variant.go
@@ -18,6 +18,9 @@
 	// ForecastHorizon is how far in the future the demand is that is reported to the controller
 	// instead of the observed demand; 0 reports the observed demand.
 	ForecastHorizon time.Duration
+	// UndividedLoad counts all prefill as one priority, so that no request is taken to overtake
+	// others.
+	UndividedLoad bool
 	// InstantLoads makes loads take instantLoadTime each, without a rate limit.
 	InstantLoads bool
 }
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -138,8 +138,10 @@
 	v.sim.scheduleAfter(modelPollInterval, func() { v.try(r) })
 }
 
+func (v *vm) isUrgent(r *request) bool { return r.class.Priority == v.sim.pattern.topPriority() }
+
 func (v *vm) admit(r *request, choice pick.Choice) bool {
-	admission := pick.Admission{VMs: len(v.sim.vms), Objective: r.work.Objective, Urgent: r.class.Priority == v.sim.pattern.topPriority()}
+	admission := pick.Admission{VMs: len(v.sim.vms), Objective: r.work.Objective, Urgent: v.isUrgent(r)}
 	if !r.waiting {
 		return admission.Admit(choice, 0)
 	}
@@ -164,7 +166,7 @@
 		v.waitingRequests[r.work.Model]++
 		v.sim.tally.waitingRequests++
 	}
-	r.retryAfter = pick.RetryAfter(choice.QueueTime)
+	r.retryAfter = pick.RetryAfter(pick.Admission{Urgent: v.isUrgent(r)}.QueueTime(choice))
 	if v.sim.now-r.waitingSince >= pick.MaxAdmissionWait(r.work.Objective) {
 		v.refuse(r, "no free capacity")
 		return
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -157,7 +157,9 @@
 	services     map[string]Service
 	// topPriority is the highest priority of the routes to each service.
 	topPriority map[string]int
-	limits      Limits
+	// mixedPriorities holds the services whose routes have different priorities.
+	mixedPriorities map[string]bool
+	limits          Limits
 	// requiresKey is set if the configuration has teams, even if the list is empty. teamByKey maps
 	// the digests of all keys to team names.
 	requiresKey     bool
@@ -168,12 +170,16 @@
 
 // NewTable builds a table. Routes may be given in any order.
 func NewTable(version int, routes []Route, services []Service, limits Limits) *Table {
-	t := &Table{version: version, routesByHost: make(map[string][]Route), services: make(map[string]Service), topPriority: make(map[string]int), limits: limits}
+	t := &Table{version: version, routesByHost: make(map[string][]Route), services: make(map[string]Service), topPriority: make(map[string]int), mixedPriorities: make(map[string]bool), limits: limits}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 		for _, target := range r.Targets {
-			if priority, ok := t.topPriority[target.Service]; !ok || r.Priority < priority {
+			priority, ok := t.topPriority[target.Service]
+			if ok && r.Priority != priority {
+				t.mixedPriorities[target.Service] = true
+			}
+			if !ok || r.Priority < priority {
 				t.topPriority[target.Service] = r.Priority
 			}
 		}
@@ -202,6 +208,9 @@
 // TopPriority returns the highest priority of the routes to a service.
 func (t *Table) TopPriority(service string) int { return t.topPriority[service] }
 
+// HasMixedPriorities reports whether routes to a service have different priorities.
+func (t *Table) HasMixedPriorities(service string) bool { return t.mixedPriorities[service] }
+
 // Services returns all services in no particular order.
 func (t *Table) Services() []Service {
 	list := make([]Service, 0, len(t.services))
--- a/steer/vmreports.go
+++ b/steer/vmreports.go
@@ -40,8 +40,7 @@
 		c.totalLoads = make(map[string]pick.Load)
 	}
 	for id, l := range old {
-		s := c.totalLoads[id]
-		c.totalLoads[id] = pick.Load{Running: s.Running - l.Running, PrefillTime: s.PrefillTime - l.PrefillTime, KVTokens: s.KVTokens - l.KVTokens}
+		c.totalLoads[id] = c.totalLoads[id].Sub(l)
 		if c.totalLoads[id].Running == 0 {
 			delete(c.totalLoads, id)
 		}
