pick: Urgent requests yield while a less urgent class is served too rarely

Cause: urgent requests that alone exceed the capacity of the servers leave nothing for less urgent ones. Change: each VM counts how often each class gets a first event; while a class is served half as often as all or less, more urgent requests are sent only to servers with a short whole queue and a free slot.

--- a/pass/admission.go
+++ b/pass/admission.go
@@ -17,7 +17,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	admission := pick.Admission{VMs: g.vmCount(), Objective: c.work.Objective, Urgent: c.urgency.Top}
+	admission := pick.Admission{VMs: g.vmCount(), Objective: c.work.Objective, Urgent: c.urgency.Top, Yields: g.Balancer.Yields(now, c.service.Name, c.work)}
 	if c.admissionWaitStart.IsZero() {
 		return admission.Admit(choice, 0)
 	}
--- a/pick/admission.go
+++ b/pick/admission.go
@@ -66,11 +66,16 @@
 	Objective time.Duration
 	// Urgent is set if servers run the request before most others.
 	Urgent bool
+	// Yields is set if the request yields to less urgent ones (Balancer.Yields).
+	Yields bool
 }
 
 // Admit reports whether a request may be sent to the server chosen for it. random
 // is a random number in the interval from 0 up to 1.
 func (a Admission) Admit(c Choice, random float64) bool {
+	if a.Yields {
+		return c.slotFree() && a.QueueTime(c) < maxYieldQueueTime
+	}
 	if !a.Urgent && !c.slotSoonFree() {
 		return false
 	}
@@ -89,7 +94,7 @@
 // QueueTime returns the queue of a server that counts for the admission of a request: for an urgent
 // one the queue before it, for others the whole queue, as they lose nothing by waiting in their VMs.
 func (a Admission) QueueTime(c Choice) time.Duration {
-	if a.Urgent {
+	if a.Urgent && !a.Yields {
 		return c.QueueTime
 	}
 	return c.QueueTime + c.OvertakenTime
@@ -110,10 +115,13 @@
 	return c.Server.Slots == 0 || float64(c.Load.Running) < maxRunningPerSlot*float64(c.Server.Slots)
 }
 
+// slotFree reports whether the server is expected to have a free slot.
+func (c Choice) slotFree() bool { return c.Server.Slots == 0 || c.Load.Running < c.Server.Slots }
+
 // HasCapacity reports whether the server is expected to run the request without waiting for a
 // slot or a long queue.
 func (c Choice) HasCapacity() bool {
-	return c.QueueTime+c.OvertakenTime < maxQueueTime && (c.Server.Slots == 0 || c.Load.Running < c.Server.Slots)
+	return c.QueueTime+c.OvertakenTime < maxQueueTime && c.slotFree()
 }
 
 // MaxAdmissionWait returns the maximum time that a request with an objective waits for capacity.
--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -49,6 +49,9 @@
 	if a.serverIdle && !a.prefilled && !a.ended {
 		a.balancer.updatePrefillRate(a.work, a.uncachedTokens, now.Sub(a.started))
 	}
+	if !a.prefilled && !a.ended {
+		a.balancer.recordServed(now, a.service, a.work, true)
+	}
 	a.endPrefill()
 }
 
@@ -93,6 +96,10 @@
 	}
 	a.ended = true
 	delete(a.balancer.running, a)
+	if !a.prefilled && (result == Succeeded || result == Neutral) {
+		// Without a first event, Neutral means that the caller has disconnected.
+		a.balancer.recordServed(now, a.service, a.work, result == Succeeded)
+	}
 	a.endPrefill()
 	s := a.balancer.serverState(a.serverID)
 	s.addAdapterUse(a.work, -1)
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -64,6 +64,8 @@
 	tokenTimes   map[string]time.Duration
 	// responseSpreads holds how long complete responses take.
 	responseSpreads map[workClass]spread
+	// servedCounts counts how often each class of requests is served.
+	servedCounts map[servedClass]servedCount
 	// running holds the attempts in progress.
 	running map[*Attempt]struct{}
 }
--- a/replay/patterns.go
+++ b/replay/patterns.go
@@ -205,7 +205,7 @@
 	return withFaults(p, 9, "batch", "check")
 }
 
-var patterns = map[string]func() Pattern{"small": Small, "medium": Medium, "large": Large}
+var patterns = map[string]func() Pattern{"small": Small, "medium": Medium, "large": Large, "competing": Competing}
 
 // PatternNames returns the names of the patterns.
 func PatternNames() []string { return slices.Sorted(maps.Keys(patterns)) }
--- a/replay/tally.go
+++ b/replay/tally.go
@@ -31,7 +31,9 @@
 // OutcomeCounts holds the outcomes of requests and their worth.
 type OutcomeCounts struct {
 	Requests, InTime, Late, Lost int
-	MaxWorth, EarnedWorth        float64
+	// Refused is the number of refusals, of which some are followed by a retry of the caller.
+	Refused               int
+	MaxWorth, EarnedWorth float64
 }
 
 // Worth returns the earned share of the worth.
@@ -121,12 +123,21 @@
 		sum.InTime += c.InTime
 		sum.Late += c.Late
 		sum.Lost += c.Lost
+		sum.Refused += c.Refused
 		sum.MaxWorth += c.MaxWorth
 		sum.EarnedWorth += c.EarnedWorth
 	}
 	return sum
 }
 
+// Class returns the outcomes of a class of requests.
+func (t *Tally) Class(name string) OutcomeCounts {
+	if c := t.classes[name]; c != nil {
+		return *c
+	}
+	return OutcomeCounts{}
+}
+
 // Worth returns the earned share of the worth over all classes.
 func (t *Tally) Worth() float64 { return t.Total().Worth() }
 
@@ -171,7 +182,7 @@
 		t.predictedInTime, t.predictedInTimeButLate, t.predictionErrorAt(0.5).Round(time.Millisecond), t.predictionErrorAt(0.95).Round(time.Millisecond))
 	for _, name := range slices.Sorted(maps.Keys(t.classes)) {
 		c := t.classes[name]
-		fmt.Fprintf(&b, "  %-14s worth %.3f of %d\n", name, c.Worth(), c.Requests)
+		fmt.Fprintf(&b, "  %-14s worth %.3f of %d; %d in time, %d late, %d lost, %d refusals\n", name, c.Worth(), c.Requests, c.InTime, c.Late, c.Lost, c.Refused)
 	}
 	fmt.Fprintf(&b, "  with an adapter worth %.3f of %d; %d adapter orders\n", t.adapterRequests.Worth(), t.adapterRequests.Requests, t.adapterOrders)
 	reasons := slices.SortedFunc(maps.Keys(t.reasons), func(a, b string) int {
--- a/replay/traffic.go
+++ b/replay/traffic.go
@@ -61,8 +61,11 @@
 func (sim *simulation) newWork(class *RequestClass, model int) pick.Work {
 	spec := sim.pattern.Fleet.ServerSpec
 	priority := class.Priority
-	if sim.variant.UndividedLoad {
+	switch {
+	case sim.variant.UndividedLoad:
 		priority = 0
+	case sim.variant.TwoLevels && priority > sim.pattern.topPriority():
+		priority = pick.ServerPriorities - 1
 	}
 	return pick.Work{
 		Priority: priority,
--- a/replay/variant.go
+++ b/replay/variant.go
@@ -21,6 +21,13 @@
 	// UndividedLoad counts all prefill as one priority, so that no request is taken to overtake
 	// others.
 	UndividedLoad bool
+	// TwoLevels divides the prefill only into that of the most urgent class and the rest.
+	TwoLevels bool
+	// NoYield lets urgent requests overtake others however rarely those are served.
+	NoYield bool
+	// UrgentQueueLimit is the queue up to which requests of the most urgent class are sent whatever
+	// their objective; 0 is the limit of the real system.
+	UrgentQueueLimit time.Duration
 	// InstantLoads makes loads take instantLoadTime each, without a rate limit.
 	InstantLoads bool
 }
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -142,6 +142,11 @@
 
 func (v *vm) admit(r *request, choice pick.Choice) bool {
 	admission := pick.Admission{VMs: len(v.sim.vms), Objective: r.work.Objective, Urgent: v.isUrgent(r)}
+	admission.Yields = !v.sim.variant.NoYield && v.balancer.Yields(v.sim.currentTime(), serviceName, r.work)
+	if limit := v.sim.variant.UrgentQueueLimit; limit > 0 && admission.Urgent && choice.QueueTime < limit {
+		v.stopWaiting(r)
+		return true
+	}
 	if !r.waiting {
 		return admission.Admit(choice, 0)
 	}
@@ -168,6 +173,7 @@
 	}
 	r.retryAfter = pick.RetryAfter(pick.Admission{Urgent: v.isUrgent(r)}.QueueTime(choice))
 	if v.sim.now-r.waitingSince >= pick.MaxAdmissionWait(r.work.Objective) {
+		v.balancer.Unserved(v.sim.currentTime(), serviceName, r.work)
 		v.refuse(r, "no free capacity")
 		return
 	}
@@ -253,11 +259,13 @@
 	}
 	v.stopWaiting(r)
 	if r.isRetry {
+		v.sim.tally.updateCounts(r, func(c *OutcomeCounts) { c.Refused++ })
 		v.fail(r, reason)
 		return
 	}
 	r.ended = true
 	v.sim.tally.refusedRequests++
+	v.sim.tally.updateCounts(r, func(c *OutcomeCounts) { c.Refused++ })
 	v.sim.tally.reasons["refused: "+reason]++
 	delay := max(minRetryDelay, r.retryAfter) + time.Duration(v.rng.Int64N(int64(max(retryJitter, r.retryAfter))))
 	next := *r
