pick, replay: Yielding requests wait for their part of the free slots and time

Change: a yielding request waits at least once and is sent with the probability for which all waiting requests fit the spare time and the free slots. Tests of the pattern, of the division on the wire, of its sums and of a service with one priority. Test runs with -race of pick, steer and the new tests of peers pass.

--- a/pick/admission.go
+++ b/pick/admission.go
@@ -74,7 +74,7 @@
 // is a random number in the interval from 0 up to 1.
 func (a Admission) Admit(c Choice, random float64) bool {
 	if a.Yields {
-		return c.slotFree() && a.QueueTime(c) < maxYieldQueueTime
+		return a.admitYielding(c, random)
 	}
 	if !a.Urgent && !c.slotSoonFree() {
 		return false
@@ -83,12 +83,30 @@
 	if a.Waiting <= 0 {
 		return queueTime < a.queueLimit(c.PrefillTime)
 	}
-	spareTime := maxLateQueueTime - queueTime
-	if spareTime <= 0 {
+	return random < a.spareTimeShare(c, maxLateQueueTime-queueTime)
+}
+
+// spareTimeShare returns the share of the waiting requests of all VMs for which a server has spare
+// prefill time.
+func (a Admission) spareTimeShare(c Choice, spareTime time.Duration) float64 {
+	waitingPrefill := time.Duration(a.allWaiting()) * max(c.PrefillTime, time.Millisecond)
+	return spareTime.Seconds() / waitingPrefill.Seconds()
+}
+
+// allWaiting returns the estimated number of requests that wait for the model in all VMs.
+func (a Admission) allWaiting() int { return max(a.Waiting, 1) * max(a.VMs, 1) }
+
+// admitYielding reports whether a request that yields may be sent. It waits at least once, so that
+// all VMs together send no more than the server has slots and time for.
+func (a Admission) admitYielding(c Choice, random float64) bool {
+	if a.Waiting <= 0 || !c.slotFree() {
 		return false
 	}
-	waitingPrefill := time.Duration(a.Waiting*max(a.VMs, 1)) * max(c.PrefillTime, time.Millisecond)
-	return random < spareTime.Seconds()/waitingPrefill.Seconds()
+	share := a.spareTimeShare(c, maxYieldQueueTime-a.QueueTime(c))
+	if c.Server.Slots > 0 {
+		share = min(share, float64(c.Server.Slots-c.Load.Running)/float64(a.allWaiting()))
+	}
+	return random < share
 }
 
 // QueueTime returns the queue of a server that counts for the admission of a request: for an urgent
--- a/pick/admission_test.go
+++ b/pick/admission_test.go
@@ -103,6 +103,11 @@
 	slots := func(running int) pick.Choice {
 		return pick.Choice{Server: backs.Entry{Slots: 12}, Load: pick.Load{Running: running}}
 	}
+	overtaking := func(queue, overtaken time.Duration, running int) pick.Choice {
+		return pick.Choice{QueueTime: queue, OvertakenTime: overtaken, PrefillTime: prefill / 10, Server: backs.Entry{Slots: 12}, Load: pick.Load{Running: running}}
+	}
+	urgent := pick.Admission{Urgent: true, Objective: 400 * time.Millisecond}
+	yielding := pick.Admission{Urgent: true, Yields: true, Objective: 400 * time.Millisecond}
 	tests := map[string]struct {
 		admission pick.Admission
 		choice    pick.Choice
@@ -124,6 +129,16 @@
 		"slots and queue full, urgent":                   {pick.Admission{Urgent: true}, slots(30), 0.999, true},
 		"waiting, slots and queue full":                  {pick.Admission{Waiting: 1, VMs: 1}, slots(16), 0, false},
 		"many waiting, long queue":                       {pick.Admission{Waiting: 9, VMs: 80}, long, 0, false},
+		// A server runs an urgent request before the queue that it overtakes, the others lose nothing by
+		// waiting in their VMs.
+		"urgent, long queue overtaken":          {urgent, overtaking(100*time.Millisecond, 2*time.Second, 30), 0.999, true},
+		"urgent, long queue before it":          {urgent, overtaking(360*time.Millisecond, 0, 0), 0, false},
+		"urgent and waiting, queue overtaken":   {pick.Admission{Urgent: true, Waiting: 1, VMs: 1}, overtaking(0, 2*time.Second, 0), 0.9, true},
+		"not urgent, long queue overtaken":      {objective(400 * time.Millisecond), overtaking(100*time.Millisecond, 2*time.Second, 0), 0, false},
+		"yielding, long queue overtaken":        {yielding, overtaking(10*time.Millisecond, 2*time.Second, 0), 0, false},
+		"yielding, short whole queue":           {yielding, overtaking(10*time.Millisecond, 50*time.Millisecond, 0), 0.999, true},
+		"yielding, short whole queue, no slot":  {yielding, overtaking(10*time.Millisecond, 50*time.Millisecond, 12), 0, false},
+		"yielding, in time by the queue before": {yielding, overtaking(100*time.Millisecond, 0, 0), 0, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/replay/tally.go
+++ b/replay/tally.go
@@ -36,6 +36,16 @@
 	MaxWorth, EarnedWorth float64
 }
 
+func (c *OutcomeCounts) add(o OutcomeCounts) {
+	c.Requests += o.Requests
+	c.InTime += o.InTime
+	c.Late += o.Late
+	c.Lost += o.Lost
+	c.Refused += o.Refused
+	c.MaxWorth += o.MaxWorth
+	c.EarnedWorth += o.EarnedWorth
+}
+
 // Worth returns the earned share of the worth.
 func (c OutcomeCounts) Worth() float64 {
 	if c.MaxWorth == 0 {
@@ -119,13 +129,7 @@
 func (t *Tally) Total() OutcomeCounts {
 	var sum OutcomeCounts
 	for _, c := range t.classes {
-		sum.Requests += c.Requests
-		sum.InTime += c.InTime
-		sum.Late += c.Late
-		sum.Lost += c.Lost
-		sum.Refused += c.Refused
-		sum.MaxWorth += c.MaxWorth
-		sum.EarnedWorth += c.EarnedWorth
+		sum.add(*c)
 	}
 	return sum
 }
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -71,3 +71,16 @@
 		require.Equal(t, priority, table.TopPriority(service), service)
 	}
 }
+
+// Guards against load by priority where all routes to a service are equally urgent, and against its
+// absence where they are not, in any order of the routes.
+func TestHasMixedPriorities(t *testing.T) {
+	to := func(priority int, service string) routes.Route {
+		return routes.Route{Priority: priority, Targets: []routes.Target{{Service: service, Weight: 1}}}
+	}
+	table := routes.NewTable(1, []routes.Route{to(2, "rising"), to(3, "rising"), to(3, "falling"), to(2, "falling"), to(4, "equal"), to(4, "equal"), to(0, "one")}, nil, routes.Limits{})
+	want := map[string]bool{"rising": true, "falling": true, "equal": false, "one": false, "none": false}
+	for service, mixed := range want {
+		require.Equal(t, mixed, table.HasMixedPriorities(service), service)
+	}
+}
--- a/steer/vmreports_test.go
+++ b/steer/vmreports_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/pick"
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
@@ -31,6 +32,27 @@
 	require.Empty(t, c.ChangedSince(later, later.Add(-100*time.Millisecond)))
 }
 
+// Guards against prefill by priority that stays in the sums after its VM has reported again or has left.
+func TestLoadsByPriorityAddUp(t *testing.T) {
+	const ms = time.Millisecond
+	load := func(parts ...time.Duration) map[string]pick.Load {
+		return map[string]pick.Load{"a": pick.Load{Running: 1, PrefillTime: 100 * ms}.WithPrefill(parts)}
+	}
+	c := &Controller{}
+	now := time.Unix(1000, 0)
+	c.RecordVMReport(now, "v1", load(0, 100*ms), nil)
+	c.RecordVMReport(now, "v2", load(0, 40*ms, 0, 60*ms), nil)
+	c.RecordVMReport(now, "old", load(), nil)
+	c.RecordVMReport(now, "v1", load(0, 0, 0, 30*ms), nil)
+	sum := c.Loads()["a"]
+	require.Equal(t, pick.Load{Running: 3, PrefillTime: 300 * ms}.WithPrefill([]time.Duration{170 * ms, 40 * ms, 0, 90 * ms}), sum)
+	c.RemoveVM("v1")
+	c.RemoveVM("old")
+	require.Equal(t, load(0, 40*ms, 0, 60*ms), c.Loads())
+	c.RemoveVM("v2")
+	require.Empty(t, c.Loads())
+}
+
 // Guards against a loaded model missing from ChangedSince when the previous call fell between the
 // arrival of the server's entry and the sync that applied it.
 func TestChangedSinceIncludesLoadedModel(t *testing.T) {
