--- a/pick/priority.go
+++ b/pick/priority.go
@@ -25,7 +25,8 @@
 	// those of 2,048 tokens 54 ms, and half of a chunk is left on average.
 	prefillInProgress = 30 * time.Millisecond
 	// overtakenShare is the share of the overtaken prefill that counts as a cost in the choice of a
-	// server.
+	// server. With less, urgent requests gather at servers with long prompts, of which fewer are then
+	// in time (0.45 instead of 0.48 with a share of 0.25).
 	overtakenShare = 1.0
 )
 
