--- a/pass/admission.go
+++ b/pass/admission.go
@@ -17,7 +17,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	admission := pick.Admission{VMs: g.vmCount(), Objective: c.work.Objective, Urgent: c.urgency.Top}
+	admission := pick.Admission{VMs: g.vmCount(), Objective: c.work.Objective, Urgent: c.urgency.Top, Yields: g.Balancer.Yields(now, c.service.Name, c.work)}
 	if c.admissionWaitStart.IsZero() {
 		return admission.Admit(choice, 0)
 	}
@@ -41,7 +41,7 @@
 		g.admissionWaiters[admissionKey(c)]++
 		g.Meter.AddCounter("pass.held", 1)
 	}
-	c.retryAfter = pick.RetryAfter(choice.QueueTime)
+	c.retryAfter = pick.RetryAfter(pick.Admission{Urgent: c.urgency.Top}.QueueTime(choice))
 	spread := time.Duration(g.random(now).Int64N(int64(pick.AdmissionCheckInterval)))
 	g.mu.Unlock()
 	if ctx.Err() != nil || now.Sub(c.admissionWaitStart) >= pick.MaxAdmissionWait(c.work.Objective) {
--- a/pick/admission.go
+++ b/pick/admission.go
@@ -66,23 +66,56 @@
 	Objective time.Duration
 	// Urgent is set if servers run the request before most others.
 	Urgent bool
+	// Yields is set if the request yields to less urgent ones (Balancer.Yields).
+	Yields bool
 }
 
 // Admit reports whether a request may be sent to the server chosen for it. random
 // is a random number in the interval from 0 up to 1.
 func (a Admission) Admit(c Choice, random float64) bool {
+	if a.Yields {
+		return a.admitYielding(c, random)
+	}
 	if !a.Urgent && !c.slotSoonFree() {
 		return false
 	}
+	queueTime := a.QueueTime(c)
 	if a.Waiting <= 0 {
-		return c.QueueTime < a.queueLimit(c.PrefillTime)
+		return queueTime < a.queueLimit(c.PrefillTime)
 	}
-	spareTime := maxLateQueueTime - c.QueueTime
-	if spareTime <= 0 {
+	return random < a.spareTimeShare(c, maxLateQueueTime-queueTime)
+}
+
+// spareTimeShare returns the share of the waiting requests of all VMs for which a server has spare
+// prefill time.
+func (a Admission) spareTimeShare(c Choice, spareTime time.Duration) float64 {
+	waitingPrefill := time.Duration(a.allWaiting()) * max(c.PrefillTime, time.Millisecond)
+	return spareTime.Seconds() / waitingPrefill.Seconds()
+}
+
+// allWaiting returns the estimated number of requests that wait for the model in all VMs.
+func (a Admission) allWaiting() int { return max(a.Waiting, 1) * max(a.VMs, 1) }
+
+// admitYielding reports whether a request that yields may be sent. It waits at least once, so that
+// all VMs together send no more than the server has slots and time for.
+func (a Admission) admitYielding(c Choice, random float64) bool {
+	if a.Waiting <= 0 || !c.slotFree() {
 		return false
 	}
-	waitingPrefill := time.Duration(a.Waiting*max(a.VMs, 1)) * max(c.PrefillTime, time.Millisecond)
-	return random < spareTime.Seconds()/waitingPrefill.Seconds()
+	share := a.spareTimeShare(c, maxYieldQueueTime-a.QueueTime(c))
+	if c.Server.Slots > 0 {
+		share = min(share, float64(c.Server.Slots-c.Load.Running)/float64(a.allWaiting()))
+	}
+	return random < share
+}
+
+// QueueTime returns the queue of a server that counts for the admission of a request: for an urgent
+// one the queue before it, for others the whole queue, as they lose nothing by waiting in their VMs.
+func (a Admission) QueueTime(c Choice) time.Duration {
+	if a.Urgent && !a.Yields {
+		return c.QueueTime
+	}
+	return c.QueueTime + c.OvertakenTime
 }
 
 // queueLimit returns the queue up to which a request with this prefill time is sent.
@@ -100,10 +133,13 @@
 	return c.Server.Slots == 0 || float64(c.Load.Running) < maxRunningPerSlot*float64(c.Server.Slots)
 }
 
+// slotFree reports whether the server is expected to have a free slot.
+func (c Choice) slotFree() bool { return c.Server.Slots == 0 || c.Load.Running < c.Server.Slots }
+
 // HasCapacity reports whether the server is expected to run the request without waiting for a
 // slot or a long queue.
 func (c Choice) HasCapacity() bool {
-	return c.QueueTime < maxQueueTime && (c.Server.Slots == 0 || c.Load.Running < c.Server.Slots)
+	return c.QueueTime+c.OvertakenTime < maxQueueTime && c.slotFree()
 }
 
 // MaxAdmissionWait returns the maximum time that a request with an objective waits for capacity.
--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -39,7 +39,7 @@
 	a := &Attempt{
 		balancer: b, serverID: c.Server.ID, domain: c.Server.Domain, service: c.Server.Service, work: w, started: now, uncachedTokens: c.UncachedTokens,
 		serverIdle: c.Load.PrefillTime == 0 && c.Load.Running <= maxIdleRunning, serverQuiet: quiet(c.Load, c.Server, w), pace: cmp.Or(c.Pace, 1),
-		load: Load{Running: 1, PrefillTime: c.PrefillTime, KVTokens: w.PromptTokens + w.MaxOutputTokens/2},
+		load: Load{Running: 1, KVTokens: w.PromptTokens + w.MaxOutputTokens/2}.withPrefill(w.serverPriority(), c.PrefillTime),
 	}
 	s.local = s.local.Add(a.load)
 	b.addRunning(a)
@@ -62,13 +62,17 @@
 		a.observePrefill(now)
 		a.balancer.updatePrefillRate(a.work, a.uncachedTokens, now.Sub(a.started), a.eventPace)
 	}
+	if !a.prefilled && !a.ended {
+		a.balancer.recordServed(now, a.service, a.work, true)
+	}
 	a.endPrefill()
 }
 
 func (a *Attempt) endPrefill() {
 	if !a.prefilled {
 		a.prefilled = true
-		a.balancer.serverState(a.serverID).local.PrefillTime -= a.load.PrefillTime
+		s := a.balancer.serverState(a.serverID)
+		s.local = s.local.Sub(Load{}.withPrefill(a.work.serverPriority(), a.load.PrefillTime))
 	}
 }
 
@@ -105,11 +109,14 @@
 	}
 	a.ended = true
 	delete(a.balancer.running, a)
+	if !a.prefilled && (result == Succeeded || result == Neutral) {
+		// Without a first event, Neutral means that the caller has disconnected.
+		a.balancer.recordServed(now, a.service, a.work, result == Succeeded)
+	}
 	a.endPrefill()
 	s := a.balancer.serverState(a.serverID)
 	s.addAdapterUse(a.work, -1)
-	s.local.Running--
-	s.local.KVTokens -= a.load.KVTokens
+	s.local = s.local.Sub(Load{Running: 1, KVTokens: a.load.KVTokens})
 	s.failures.record(now, result)
 	// A server's failure counts against its failure domain only if connections to the domain have failed.
 	if f := a.balancer.domainFailureRate(a.domain); result == Succeeded || f.rate > 0 {
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -70,6 +70,8 @@
 	tokenTimes   map[string]time.Duration
 	// responseSpreads holds how long complete responses take.
 	responseSpreads map[workClass]spread
+	// servedCounts counts how often each class of requests is served.
+	servedCounts map[servedClass]servedCount
 	// running holds the attempts in progress.
 	running map[*Attempt]struct{}
 }
@@ -92,6 +94,9 @@
 	PredictedTime time.Duration
 	// QueueTime is the part of PredictedTime before this request's prefill starts.
 	QueueTime time.Duration
+	// OvertakenTime is the pending prefill of less urgent requests that the server runs after this
+	// one.
+	OvertakenTime time.Duration
 	// UncachedTokens is the number of prompt tokens predicted to miss the prefix
 	// cache, and PrefillTime their prefill time.
 	UncachedTokens int
@@ -138,7 +143,8 @@
 			continue
 		}
 		pace := b.pace(now, e.ID)
-		c := candidate{server: e, pace: pace, queueTime: b.queueTime(now, e) + scale(b.slotBacklog(e), pace) + b.extraPrefill(w, pace) + b.penalty(now, e, w, kvTokens)}
+		queueTime, overtaken := b.queueTimes(now, e, w)
+		c := candidate{server: e, pace: pace, queueTime: queueTime + overtakingCost(overtaken) + scale(b.slotBacklog(e), pace) + b.extraPrefill(w, pace) + b.penalty(now, e, w, kvTokens)}
 		if !b.hasIdleConn(e) {
 			c.queueTime += connCost
 		}
--- a/replay/patterns.go
+++ b/replay/patterns.go
@@ -205,7 +205,7 @@
 	return withFaults(p, 9, "batch", "check")
 }
 
-var patterns = map[string]func() Pattern{"small": Small, "medium": Medium, "large": Large, "unequal": Unequal}
+var patterns = map[string]func() Pattern{"small": Small, "medium": Medium, "large": Large, "unequal": Unequal, "competing": Competing}
 
 // PatternNames returns the names of the patterns.
 func PatternNames() []string { return slices.Sorted(maps.Keys(patterns)) }
--- a/replay/variant.go
+++ b/replay/variant.go
@@ -18,6 +18,16 @@
 	// ForecastHorizon is how far in the future the demand is that is reported to the controller
 	// instead of the observed demand; 0 reports the observed demand.
 	ForecastHorizon time.Duration
+	// UndividedLoad counts all prefill as one priority, so that no request is taken to overtake
+	// others.
+	UndividedLoad bool
+	// TwoLevels divides the prefill only into that of the most urgent class and the rest.
+	TwoLevels bool
+	// NoYield lets urgent requests overtake others however rarely those are served.
+	NoYield bool
+	// UrgentQueueLimit is the queue up to which requests of the most urgent class are sent whatever
+	// their objective; 0 is the limit of the real system.
+	UrgentQueueLimit time.Duration
 	// InstantLoads makes loads take instantLoadTime each, without a rate limit.
 	InstantLoads bool
 	// EqualCapacities hides the paces of the servers from the controller, and UnknownPaces is the share
