pick: A request is admitted by the queue before it, whatever its priority

Cause: only the most urgent priority was admitted by the queue before it. A refusal for long queues logs the queue that was known; it logged 0. Two cases of TestAdmit become five.

--- a/pass/choose.go
+++ b/pass/choose.go
@@ -83,6 +83,7 @@
 				return choice, nil
 			}
 			if !g.waitForAdmission(waitCtx, now, c, choice) {
+				c.choice = choice
 				g.Balancer.Unserved(now, c.service.Name, c.work)
 				return pick.Choice{}, errQueuesFull
 			}
--- a/pick/admission.go
+++ b/pick/admission.go
@@ -76,7 +76,7 @@
 	if a.Yields {
 		return a.admitYielding(c, random)
 	}
-	if !a.Urgent && !c.slotSoonFree() {
+	if !a.Urgent && !(c.slotSoonFree() && c.QueueTime+c.OvertakenTime < maxQueueTime) {
 		return false
 	}
 	queueTime := a.QueueTime(c)
@@ -109,13 +109,13 @@
 	return random < share
 }
 
-// QueueTime returns the queue of a server that counts for the admission of a request: for an urgent
-// one the queue before it, for others the whole queue, as they lose nothing by waiting in their VMs.
+// QueueTime returns the queue of a server that counts for the admission of a request: the queue before
+// it, or the whole one if it yields.
 func (a Admission) QueueTime(c Choice) time.Duration {
-	if a.Urgent && !a.Yields {
-		return c.QueueTime
+	if a.Yields {
+		return c.QueueTime + c.OvertakenTime
 	}
-	return c.QueueTime + c.OvertakenTime
+	return c.QueueTime
 }
 
 // queueLimit returns the queue up to which a request with this prefill time is sent.
--- a/pick/admission_test.go
+++ b/pick/admission_test.go
@@ -136,7 +136,10 @@
 		"urgent, long queue overtaken":        {urgent, overtaking(100*time.Millisecond, 2*time.Second, 30), 0.999, true},
 		"urgent, long queue before it":        {urgent, overtaking(360*time.Millisecond, 0, 0), 0, false},
 		"urgent and waiting, queue overtaken": {pick.Admission{Urgent: true, Waiting: 1, VMs: 1}, overtaking(0, 2*time.Second, 0), 0.9, true},
+		"not urgent, queue overtaken":         {objective(400 * time.Millisecond), overtaking(100*time.Millisecond, 800*time.Millisecond, 0), 0.999, true},
 		"not urgent, long queue overtaken":    {objective(400 * time.Millisecond), overtaking(100*time.Millisecond, 2*time.Second, 0), 0, false},
+		"not urgent, long queue before it":    {objective(400 * time.Millisecond), overtaking(360*time.Millisecond, 2*time.Second, 0), 0, false},
+		"not urgent, overtaken, no slot":      {objective(400 * time.Millisecond), overtaking(100*time.Millisecond, 2*time.Second, 16), 0, false},
 		// The server has 40 ms of spare time; each of the waiting requests takes 10 ms.
 		"yielding, first check":                 {yielding(0, 1), overtaking(10*time.Millisecond, 50*time.Millisecond, 0), 0, false},
 		"yielding, only request":                {yielding(1, 1), overtaking(10*time.Millisecond, 50*time.Millisecond, 0), 0.999, true},
