--- a/pass/call.go
+++ b/pass/call.go
@@ -154,7 +154,7 @@
 	if firstEventDeadline := now.Add(route.EventTimeout); route.EventTimeout > 0 && firstEventDeadline.Before(c.deadline) {
 		c.firstEventDeadline = firstEventDeadline
 	}
-	c.work.Objective = route.Objective
+	c.work.Objective, c.work.MaxEventGap = route.Objective, route.MaxEventGap
 	// A stream that is taken up goes to the service that began it.
 	c.setService(names, table, route.PickService(xxhash.Sum64String(cmp.Or(resumes, c.id))))
 	return c
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -104,6 +104,7 @@
 			done := a.checkStreamEnd(ctx) && a.endStream(w)
 			if done && a.c.sends == 1 {
 				a.balancerAttempt.StreamCompleted(a.c.eventCount, last.Sub(first))
+				a.balancerAttempt.LongestPause(a.c.maxEventGap)
 			}
 			return done
 		case r.err != nil:
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -72,6 +72,8 @@
 	responseSpreads map[workClass]spread
 	// servedCounts counts how often each class of requests is served.
 	servedCounts map[servedClass]servedCount
+	// pauses holds the longest pauses of the recent streams of each route.
+	pauses map[string]*pauseHistory
 	// running holds the attempts in progress.
 	running map[*Attempt]struct{}
 }
@@ -144,7 +146,7 @@
 		}
 		pace := b.pace(now, e.ID)
 		queueTime, overtaken := b.queueTimes(now, e, w)
-		c := candidate{server: e, pace: pace, queueTime: queueTime + overtakingCost(overtaken) + scale(b.slotBacklog(e), pace) + b.extraPrefill(w, pace) + b.penalty(now, e, w, kvTokens)}
+		c := candidate{server: e, pace: pace, queueTime: queueTime + overtakingCost(overtaken) + scale(b.slotBacklog(e), pace) + b.extraPrefill(w, pace) + b.pausePenalty(w, pace) + b.penalty(now, e, w, kvTokens)}
 		if !b.hasIdleConn(e) {
 			c.queueTime += connCost
 		}
--- a/pick/work.go
+++ b/pick/work.go
@@ -37,6 +37,8 @@
 	// Priority is the priority of the request at the server, 0 being the most urgent. It is 0 for all
 	// requests of a service whose routes have the same priority.
 	Priority int
+	// MaxEventGap is the longest pause between two events of a stream that is in time, 0 for no limit.
+	MaxEventGap time.Duration
 	// Objective is the target time to the first event or response.
 	Objective time.Duration
 }
--- a/replay/pace.go
+++ b/replay/pace.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -59,3 +60,8 @@
 	s.estimate.update(sim.now, s.pace()*s.slowdown)
 	return s.estimate.value
 }
+
+// paceOrUsual is like estimatedPace, but returns 1 if the pace is unknown.
+func (sim *simulation) paceOrUsual(now time.Time, id string) float64 {
+	return cmp.Or(sim.estimatedPace(now, id), 1)
+}
--- a/replay/request.go
+++ b/replay/request.go
@@ -78,6 +78,7 @@
 		}
 		a.ended = true
 		a.tracker.StreamCompleted((a.batchRequest.OutputTokens+a.request.work.TokensPerEvent-1)/a.request.work.TokensPerEvent, duration)
+		a.tracker.LongestPause(longestPause)
 		a.tracker.End(sim.currentTime(), pick.Succeeded)
 		a.request.longestPause = max(a.request.longestPause, longestPause)
 		a.request.vm.complete(a.request)
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -115,6 +115,9 @@
 			openConnections: make(map[string]bool), pending: make(map[*request]*attempt),
 		}
 		v.balancer = &pick.Balancer{Domain: domainName(d), Seed: seed*1e6 + uint64(i), HasIdleConn: func(id string) bool { return v.openConnections[id] }}
+		if len(f.Paces) > 0 {
+			v.balancer.Pace = sim.paceOrUsual
+		}
 		if sim.variant.ExactLoad && i > 0 {
 			v.balancer = sim.vms[0].balancer
 		}
--- a/replay/tally.go
+++ b/replay/tally.go
@@ -57,6 +57,12 @@
 // spanLength is the length of the spans of time for which outcomes are counted separately.
 const spanLength = 2 * time.Second
 
+// latePause is why a response is late whose first event was in time.
+const latePause = "late: pause"
+
+// LatePauses returns the number of responses whose first event was in time and that paused for too long.
+func (t *Tally) LatePauses() int { return t.reasons[latePause] }
+
 func newTally(p *Pattern) *Tally {
 	return &Tally{pattern: p, classes: make(map[string]*OutcomeCounts), reasons: make(map[string]int), spans: make([]OutcomeCounts, int(p.Length/spanLength)+1)}
 }
@@ -104,7 +110,7 @@
 	case r.firstEventAt-r.firstArrivedAt > r.class.Objective:
 		late = "late: first event"
 	case r.longestPause > r.class.MaxEventGap:
-		late = "late: pause"
+		late = latePause
 	}
 	if late != "" {
 		t.reasons[late]++
--- a/replay/traffic.go
+++ b/replay/traffic.go
@@ -67,9 +67,13 @@
 	case sim.variant.TwoLevels && priority > sim.pattern.topPriority():
 		priority = pick.ServerPriorities - 1
 	}
+	maxEventGap := class.MaxEventGap
+	if sim.variant.IgnorePauses {
+		maxEventGap = 0
+	}
 	return pick.Work{
-		Priority: priority,
-		Route:    class.Name, Model: modelName(model), Slots: spec.Slots, TokensPerEvent: spec.TokensPerEvent,
+		Priority: priority, MaxEventGap: maxEventGap,
+		Route: class.Name, Model: modelName(model), Slots: spec.Slots, TokensPerEvent: spec.TokensPerEvent,
 		RelativeModelSize: sim.engine.RelativeSize(modelName(model)), MaxOutputTokens: int(class.OutputTokens.Max), Objective: class.Objective,
 	}
 }
--- a/replay/unequal_test.go
+++ b/replay/unequal_test.go
@@ -32,3 +32,25 @@
 	require.Equal(t, 2*time.Millisecond, s.batch.Spec.StepTime)
 	require.InDelta(t, 2, sim.estimatedPace(time.Time{}, s.id), 1e-9)
 }
+
+// Guards against streams that are in time at first and then pause for too long: long prompts are read between their
+// tokens, and on a slow server that takes longer than callers accept.
+func TestStreamsAvoidServersThatPauseThem(t *testing.T) {
+	latePauses := func(v Variant) int {
+		sum := 0
+		for seed := range uint64(2) {
+			p := Unequal()
+			p.Length = 10 * time.Second
+			p.Fleet.ServerSpec.PrefillChunkTokens = 1024
+			for i := range p.Classes {
+				p.Classes[i].MaxEventGap = 150 * time.Millisecond
+				p.Classes[i].RequestsPerSecond *= 0.6
+			}
+			sum += Run(p, v, seed+1).LatePauses()
+		}
+		return sum
+	}
+	counted, ignored := latePauses(Variant{}), latePauses(Variant{IgnorePauses: true})
+	t.Logf("late by a pause: %d, with the risk ignored %d", counted, ignored)
+	require.Less(t, counted*10, ignored*9)
+}
--- a/replay/variant.go
+++ b/replay/variant.go
@@ -28,6 +28,9 @@
 	// UrgentQueueLimit is the queue up to which requests of the most urgent class are sent whatever
 	// their objective; 0 is the limit of the real system.
 	UrgentQueueLimit time.Duration
+	// IgnorePauses hides from the VMs for how long a stream may pause, so that the choice of a server
+	// does not count the risk.
+	IgnorePauses bool
 	// InstantLoads makes loads take instantLoadTime each, without a rate limit.
 	InstantLoads bool
 	// EqualCapacities hides the paces of the servers from the controller, and UnknownPaces is the share
