conns: Small bodies have a reserve beside responses that are being written

Cause: a response that was read whole holds its share of the budget until its caller has read it, and can not give way. One of 16 MB to a slow caller held all of the smallest budget, so that no other response could be read until then, although the file says that usual responses do not wait for a long one. Change: bodies of up to 64 KiB may use 2 MB beyond the budget where no long body can give way. The smallest budget with its reserve is an eighth of 144 MB. Measured: TestUsualBodiesBesideWrittenOne failed before (context canceled at the first usual body), passes now; conns -run 'Body|Bodies|Budget' -race -count=3 ok.

--- a/conns/budget.go
+++ b/conns/budget.go
@@ -20,13 +20,19 @@
 	// all before it, up to the second size.
 	firstChunkBytes = 4 << 10
 	maxChunkBytes   = 256 << 10
+	// smallBodyBytes is the size up to which a body may use reserveBytes beyond the budget while responses that were read
+	// hold it. Such responses can not give way, and stay until their callers have read them: one of 16 MB to a slow caller
+	// held all of the smallest budget, and no other response could be read. With the reserve, the smallest budget is an
+	// eighth of 144 MB.
+	smallBodyBytes = 64 << 10
+	reserveBytes   = 2 << 20
 )
 
 // ErrBudgetExceeded is returned for a body that gave way to others, as it held more of the shared budget than any.
 var ErrBudgetExceeded = errors.New("no memory left for a body this long beside other responses")
 
-// Budget bounds the memory of all bodies that are buffered at the same time. The zero value is ready to use, with the
-// smallest budget.
+// Budget bounds the memory of all bodies that are buffered at the same time, up to a reserve for small ones. The zero
+// value is ready to use, with the smallest budget.
 type Budget struct {
 	// MemoryLimit returns the memory in bytes that this process may use, 0 if that is not known. The budget is an eighth
 	// of it, but not less than the smallest budget. Optional.
@@ -157,16 +163,14 @@
 	if body.givesUp {
 		return nil, ErrBudgetExceeded
 	}
-	if b.used+n <= b.limit() {
-		if body.held == 0 {
-			b.bodies = append(b.bodies, body)
-		}
-		body.held += n
-		b.used += n
-		b.peak = max(b.peak, b.used)
+	largest := b.largest()
+	// The reserve is for bodies that no long one can give way to.
+	mayUseReserve := body.held+n <= smallBodyBytes && (largest == nil || largest == body || largest.held <= smallBodyBytes)
+	if free := b.limit() - b.used; n <= free || mayUseReserve && n <= free+reserveBytes {
+		b.grant(body, n)
 		return nil, nil
 	}
-	if largest := b.largest(); largest != nil && largest != body && !largest.givesUp {
+	if largest != nil && largest != body && !largest.givesUp {
 		largest.givesUp = true
 		largest.abort()
 		b.signal()
@@ -177,6 +181,16 @@
 	return b.freed, nil
 }
 
+// grant records that a body takes n bytes. b.mu is held.
+func (b *Budget) grant(body *Body, n int64) {
+	if body.held == 0 {
+		b.bodies = append(b.bodies, body)
+	}
+	body.held += n
+	b.used += n
+	b.peak = max(b.peak, b.used)
+}
+
 // largest returns the body that holds the most of those that can give way, the last one to begin if there are several,
 // nil for none. The order is strict, so that two bodies never wait for each other. b.mu is held.
 func (b *Budget) largest() *Body {
--- a/conns/budget_test.go
+++ b/conns/budget_test.go
@@ -183,6 +183,40 @@
 	}
 }
 
+// A caller reads a long response slowly, so that it holds the whole budget. Guards against usual responses that wait for
+// it, against one that ends another although neither is long, and against a reserve without a bound.
+func TestUsualBodiesBesideWrittenOne(t *testing.T) {
+	var b conns.Budget
+	written, err := b.Read(context.Background(), bytes.NewReader(make([]byte, maxBody)), maxBody, func() {})
+	require.NoError(t, err)
+	// A read that has to wait fails at once.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	read := func(length int) (*conns.Body, error) {
+		return b.Read(ended, bytes.NewReader(make([]byte, length)), maxBody, func() { t.Error("aborted") })
+	}
+	usual := []*conns.Body{written}
+	for range 100 {
+		body, err := read(10 << 10)
+		require.NoError(t, err)
+		usual = append(usual, body)
+	}
+	_, err = read(100 << 10)
+	require.ErrorIs(t, err, context.Canceled, "not for longer ones")
+	for err = nil; err == nil && len(usual) < 1000; {
+		var body *conns.Body
+		if body, err = read(10 << 10); err == nil {
+			usual = append(usual, body)
+		}
+	}
+	require.ErrorIs(t, err, context.Canceled)
+	require.LessOrEqual(t, b.Peak(), int64(18<<20))
+	for _, body := range usual {
+		body.Release()
+	}
+	require.Zero(t, b.Used())
+}
+
 // Guards against a budget below the longest body that is allowed, and one that does not follow the memory of the VM.
 func TestBudgetFollowsMemoryLimit(t *testing.T) {
 	for limit, fits := range map[int64]bool{0: false, 144 << 20: false, 256 << 20: true} {
