pass: A reading through a proxy counts once

Cause: the VM that chose the server and its proxy both read the head of a response, and both recorded the reading, so that it counted twice among the samples of all VMs, and an invalid one was counted and logged twice.

--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -61,7 +61,7 @@
 // ServeProxied sends a request of another VM to the server that this VM has chosen, and passes the response
 // on as it arrives.
 func (g *Gateway) ServeProxied(w http.ResponseWriter, r *http.Request) {
-	p := &proxied{w: w, r: r, reply: reply{g: g, requestID: r.Header.Get(g.HeaderNames.AttemptID), server: r.Header.Get(headerProxyServer)}}
+	p := &proxied{w: w, r: r, reply: reply{g: g, forOtherVM: true, requestID: r.Header.Get(g.HeaderNames.AttemptID), server: r.Header.Get(headerProxyServer)}}
 	key, _ := strings.CutPrefix(r.Header.Get(headerProxyAuth), schemeBearer)
 	defer g.proxiedRunning.Add(-1)
 	switch running := g.proxiedRunning.Add(1); {
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -14,6 +14,9 @@
 	conn *conns.Conn
 	// proxy is the address of the VM that the request went through, "" if it went to the server directly.
 	proxy string
+	// forOtherVM is set if the request is one of another VM, which records what the response reports about the load of
+	// its server.
+	forOtherVM bool
 	// unproven is set if no response had arrived on conn before.
 	unproven          bool
 	requestID, server string
--- a/pass/serverload.go
+++ b/pass/serverload.go
@@ -30,11 +30,12 @@
 }
 
 // recordServerLoad records what the response reports about the load of its server. An invalid value is counted, logged once for
-// each server, and ignored.
+// each server, and ignored. A response through a proxy is recorded by the VM that chose the server, not by the proxy as well,
+// so that it is one sample.
 func (r *reply) recordServerLoad() {
 	n := r.g.HeaderNames
 	value := r.resp.Header.Get(n.ServerLoad)
-	if value == "" || r.g.Gauge == nil || n.ParseServerLoad == nil || !r.g.attested(r.resp) {
+	if value == "" || r.forOtherVM || r.g.Gauge == nil || n.ParseServerLoad == nil || !r.g.attested(r.resp) {
 		return
 	}
 	reading, err := n.ParseServerLoad(value)
--- a/pass/serverload_test.go
+++ b/pass/serverload_test.go
@@ -81,6 +81,46 @@
 	}
 }
 
+// A VM without a path sends a request through a proxy, and both read the head of the response. Guards against a reading that
+// counts twice among the samples of all VMs, and an invalid one that is counted and logged twice.
+func TestServerLoadThroughProxy(t *testing.T) {
+	for name, tc := range map[string]struct {
+		load              string
+		readings, invalid int64
+	}{"valid": {"400", 1, 0}, "invalid": {"nonsense", 0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Attempt", r.Header.Get("Attempt"))
+				w.Header().Set("Stamp", "server")
+				w.Header().Set("Load", tc.load)
+				_, _ = io.WriteString(w, "body")
+			}))
+			defer s.Close()
+			g, proxy := proxiedGateway(t, routes.Route{Kind: routes.AtMostOnce}, strings.TrimPrefix(s.URL, "http://"))
+			names := *g.HeaderNames
+			names.ServerLoad = "Load"
+			names.ParseServerLoad = func(s string) (gauge.Reading, error) {
+				pace, err := strconv.Atoi(s)
+				return gauge.Reading{Pace: float64(pace) / 100}, err
+			}
+			samples := 0
+			for _, vm := range []*Gateway{g, proxy} {
+				vm.HeaderNames, vm.Gauge = &names, &gauge.Gauge{}
+			}
+			require.Equal(t, http.StatusOK, callGateway(t, g, longDeadline).status)
+			require.EqualValues(t, 1, proxy.Meter.CounterValue("proxy.sent"))
+			for _, vm := range []*Gateway{g, proxy} {
+				for _, sample := range vm.Gauge.TakeSamples(clock.Now()) {
+					samples += sample.Readings
+				}
+			}
+			require.EqualValues(t, tc.readings, samples)
+			require.Equal(t, tc.readings, g.Meter.CounterValue("gauge.readings")+proxy.Meter.CounterValue("gauge.readings"))
+			require.Equal(t, tc.invalid, g.Meter.CounterValue("gauge.invalid_readings")+proxy.Meter.CounterValue("gauge.invalid_readings"))
+		})
+	}
+}
+
 // Guards against a set that grows with every server that ever sent nonsense.
 func TestLoggedServersBounded(t *testing.T) {
 	var l loggedServers
