peers: Estimates that a relay has not passed on end with its links

Cause: what a relay had received and not sent yet stayed in its queue when it stopped as a relay or its last link ended. As a relay or the controller again, minutes later, it sent the old estimate to all VMs, which keep one for five minutes. Change: the queue is dropped in both cases. A VM that links is told all estimates, and a new controller tells its own.

--- a/peers/paces.go
+++ b/peers/paces.go
@@ -84,7 +84,12 @@
 
 // takePacesDown returns the estimates for a frame on all links. p.mu must be held.
 func (p *Peers) takePacesDown(now time.Time) []wire.ServerPace {
-	if p.Gauge == nil || len(p.links) == 0 {
+	if p.Gauge == nil {
+		return nil
+	}
+	if len(p.links) == 0 {
+		// A VM that links is told all estimates.
+		p.paces.down = paceQueue{}
 		return nil
 	}
 	if !p.relaying && now.Sub(p.paces.changedAt) >= paceInterval {
--- a/peers/paces_test.go
+++ b/peers/paces_test.go
@@ -215,6 +215,44 @@
 	require.Zero(t, controller.Meter.CounterValue("gauge.collected"))
 }
 
+// A relay has received an estimate that it has not passed on, when its links end or it stops as a relay. Guards against one
+// that sends it much later, as a relay or the controller, to VMs that have been told a newer one.
+func TestOldEstimatesNotPassedOn(t *testing.T) {
+	old, newer := wire.ServerPace{Server: "a", PacePct: 300}, wire.ServerPace{Server: "a", PacePct: 100}
+	for name, end := range map[string]func(p *Peers){
+		"links end": func(p *Peers) {
+			p.links = nil
+			p.mu.Lock()
+			require.Empty(t, p.takePacesDown(p.Now()))
+			p.mu.Unlock()
+		},
+		"stops as a relay": func(p *Peers) {
+			p.stopRelaying = func() {}
+			p.endRelaying()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newUnlinkedVM(&now)
+			p.Gauge, p.Meter, p.Balancer, p.relaying = &gauge.Gauge{}, meter.New(), &pick.Balancer{}, true
+			p.link(t, "v", "1", 200)
+			p.applyPaces(now, []wire.ServerPace{old}, false)
+			end(p)
+			relaying := p.relaying
+			p.relaying = false
+			now = now.Add(time.Minute)
+			p.applyPaces(now, []wire.ServerPace{newer}, false)
+			p.relaying = true
+			require.Equal(t, name == "links end", relaying)
+			d := p.link(t, "w", "1", 200)
+			receivedPaces(t, d)
+			p.broadcastFleetState(now, nil, true)
+			list, _ := receivedPaces(t, d)
+			require.Empty(t, list)
+		})
+	}
+}
+
 // Guards against samples that no VM reports, such as negative counts, which would shift estimates.
 func TestInvalidSamplesIgnored(t *testing.T) {
 	valid := wire.PaceSamples{Server: "a", Readings: 2, ReadingPct: 440, Responses: 1, ResponsePct: 210}
--- a/peers/tree.go
+++ b/peers/tree.go
@@ -170,6 +170,8 @@
 	p.stopRelaying()
 	p.relaying, p.furtherRelay, p.stopRelaying, p.leaseRenewed = false, false, nil, nil
 	p.chosenRelays, p.dividedSince = nil, time.Time{}
+	// What was not passed on would be out of date when this VM is a relay or the controller again.
+	p.paces.down = paceQueue{}
 	p.Log.Info().Msg("stopped as a relay")
 }
 
