node, gauge: Placement by the steady paces of servers

Cause: placement used the present pace, in which the last reading of the controller's VM shows a spell that is over soon. The first pace of a server that placement hears of is assumed at once, so that a new controller planned a server in a spell as 2.2 times slower for at least five seconds, and a lasting change was not seen as lasting whenever a reading differed. Change: Gauge.Steady, the pace without the last reading; the controller uses it.

--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -113,6 +113,21 @@
 	g.addSample(now, g.server(server), Sample{Server: server, Responses: 1, RatioSum: min(max(ratio, minRatio), maxRatio)})
 }
 
+// Steady returns how long work usually takes on a server: the pace without the last reading of this VM, which tells of a spell
+// that is over soon. It is 1 where Pace is.
+func (g *Gauge) Steady(now time.Time, server string) float64 {
+	g.mu.Lock()
+	defer g.unlock()
+	s := g.servers[server]
+	if s == nil {
+		return 1
+	}
+	if steady, known := g.steady(now, s, g.service(now, s)); known {
+		return steady
+	}
+	return 1
+}
+
 // Pace returns how long work sent now takes on a server, where 1 is the mean of its service. It is 1 if nothing is known, and
 // for all servers of a service none of which reports a pace.
 func (g *Gauge) Pace(now time.Time, server string) float64 {
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -131,6 +131,20 @@
 	require.InDelta(t, 1, g.Pace(at(12.3), "a"), 0.1, "the newest reading counts")
 }
 
+// Guards against a steady pace that follows each spell of a server, and against one that is not that of the estimates.
+func TestSteadyWithoutLastReading(t *testing.T) {
+	g := &gauge.Gauge{}
+	require.Equal(t, 1.0, g.Steady(at(0), "a"))
+	g.Merge(at(0), []gauge.Estimate{{Server: "a", Pace: 1.5}, {Server: "b", Pace: 0.5}})
+	require.Equal(t, 1.5, g.Steady(at(0), "a"))
+	g.Heard(at(1), "a", gauge.Reading{Pace: 1.5})
+	g.Heard(at(1), "b", gauge.Reading{Pace: 0.5})
+	g.Heard(at(1), "a", gauge.Reading{Pace: 3.75})
+	require.Greater(t, g.Pace(at(1), "a"), 2.2)
+	require.InDelta(t, 1.5, g.Steady(at(1), "a"), 0.15)
+	require.Equal(t, 1.0, g.Steady(at(60), "a"), "estimates have expired")
+}
+
 // Guards against single readings in a spell that pass for the steady pace, where a VM hears little and has no hub.
 func TestFewReadings(t *testing.T) {
 	g := &gauge.Gauge{}
--- a/node/gauge_test.go
+++ b/node/gauge_test.go
@@ -62,3 +62,22 @@
 	require.NotEmpty(t, n.gauge.TakeChanges(now))
 	require.Positive(t, n.meter.CounterValue("gauge.told"))
 }
+
+// A server is in a spell when a new controller plans for the first time. Guards against a placement that takes the server for
+// slow until the next lasting change, as the first pace that placement hears of is assumed at once.
+func TestPlacementWithoutSpells(t *testing.T) {
+	settings, err := conf.ParseNode([]byte(testSettings))
+	require.NoError(t, err)
+	n := New(Config{Settings: settings, Now: clock.Now, Log: zerolog.Nop()})
+	now := clock.Now()
+	var entries []backs.Entry
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		entries = append(entries, backs.Entry{ID: id, Service: "s"})
+		n.gauge.Merge(now, []gauge.Estimate{{Server: id, Pace: 1}})
+		n.gauge.Heard(now, id, gauge.Reading{Pace: 1})
+	}
+	n.serverView.Replace(now, entries)
+	n.gauge.Heard(now, "a", gauge.Reading{Pace: 2.5})
+	require.Greater(t, n.balancer.Pace(now, "a"), 2.0)
+	require.InDelta(t, 1, n.controller.Pace(now, "a"), 0.1)
+}
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -52,7 +52,7 @@
 	// Contended reports whether the requests for a server far exceed its rate limit; nil for
 	// never.
 	Contended func(server string) bool
-	// Pace returns the estimated time that work takes at a server, 1 being the usual time; 0, or
+	// Pace returns the estimated time that work takes at a server for long, 1 being the usual time; 0, or
 	// any value that is not a pace, if it is unknown. nil is 1 for all servers. It is called once for
 	// each server in a step, with the controller locked.
 	Pace func(now time.Time, server string) float64
