pass: An endless body counts as one beside other responses too

Cause: a body without an end was seen as such only at 16 MB. The smallest budget has as much for all responses together, so that the body always gave way before where the VM held any other response: its server was not blamed, and could take the budget again with each request. Change: a body that gave way after 15 MB without a stated length counts as endless. One whose length was stated is not blamed, as before.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -161,6 +161,8 @@
 	// events reads the response if it is a stream, whole is the response otherwise.
 	events *eventReader
 	whole  *response
+	// bodyBytes is how much was read of the body of a response that is not a stream.
+	bodyBytes int
 	// hedge is the attempt at another server while this one is silent, nil for none. successor is the attempt that
 	// continues the call after this one.
 	hedge     *hedge
--- a/pass/endless.go
+++ b/pass/endless.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -15,6 +16,10 @@
 // bounds, a VM reads them until its memory is used up: heads without an end took 447 to 983 MB in three seconds. Such a
 // server counts as broken, although it goes on sending.
 
+// minEndlessBytes is the length from which a body that gave way to other responses, and whose length was not stated, is
+// taken for one without an end. The usual responses of a VM take less than the rest of the budget.
+const minEndlessBytes = maxResponseBytes - 1<<20
+
 var errEventTooLong = fmt.Errorf("%w: event of more than %d bytes", conns.ErrEndless, maxEventBytes)
 
 // asEndless returns the error for a body that was longer than allowed although no sound server sends as much.
@@ -84,7 +89,9 @@
 	if a.resp.ContentLength > maxResponseBytes && a.c.request.Method != http.MethodHead {
 		return nil, conns.ErrBodyTooLarge
 	}
-	body, err := a.g.readBuffered(ctx, a.conn, a.resp, maxResponseBytes)
+	counted := &countedReader{Reader: a.resp.Body}
+	body, err := a.g.budget().Read(ctx, counted, maxResponseBytes, a.conn.Close)
+	a.bodyBytes = counted.bytes
 	if err != nil {
 		return nil, err
 	}
@@ -92,11 +99,28 @@
 	return body, nil
 }
 
+// countedReader counts the bytes that are read through it.
+type countedReader struct {
+	io.Reader
+	bytes int
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.bytes += n
+	return n, err
+}
+
 // bodyFailed marks an attempt as failed because its body could not be buffered. A server that has said how long its
 // response is, or whose response gave way to others, is sound. One that has sent the longest response that is allowed
-// without a word of its length can not be told from one that goes on without end.
+// without a word of its length can not be told from one that goes on without end. That holds near the bound already for
+// one that gave way: the smallest budget is no larger than the bound, and beside other responses no body reaches it.
 func (a *attempt) bodyFailed(ctx context.Context, err error) bool {
 	switch {
+	case errors.Is(err, conns.ErrBudgetExceeded) && a.resp.ContentLength < 0 && a.bodyBytes >= minEndlessBytes:
+		a.recordEndless(fmt.Errorf("%w: body of more than %d bytes", conns.ErrEndless, minEndlessBytes))
+		return a.failEndless(err.Error())
 	case errors.Is(err, conns.ErrBudgetExceeded):
 		a.g.Meter.AddCounter("pass.responses_over_budget", 1)
 		a.c.mayHaveRun, a.result = true, pick.Neutral
--- a/pass/endless_test.go
+++ b/pass/endless_test.go
@@ -308,6 +308,58 @@
 	require.Zero(t, g.Meter.CounterValue("pass.endless_responses"))
 }
 
+// A server sends a body without an end while the VM holds other responses, so that the body never reaches its bound: it
+// gives way before. Guards against a server that is never seen as broken for that, and takes the budget again and again.
+func TestEndlessBodyBesideOtherResponses(t *testing.T) {
+	tests := map[string]struct {
+		header  string
+		length  int64
+		result  pick.Result
+		endless int64
+	}{
+		"without an end": {"Transfer-Encoding: chunked\r\n", -1, pick.Failed, 1},
+		"stated length":  {fmt.Sprintf("Content-Length: %d\r\n", maxResponseBytes), maxResponseBytes, pick.Neutral, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse {
+				e := stand.EndlessResponse{Begin: "HTTP/1.1 200 OK\r\nAttempt: a1\r\nStamp: a\r\n" + tc.header + "\r\n", Repeat: "x"}
+				if tc.length < 0 {
+					e.Repeat = "8\r\nxxxxxxxx\r\n"
+				}
+				return e
+			})
+			require.NoError(t, err)
+			t.Cleanup(stop)
+			g := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, address)
+			g.ResponseBudget = &conns.Budget{}
+			held := func() { // Takes 16 KiB.
+				body, err := g.ResponseBudget.Read(t.Context(), bytes.NewReader(make([]byte, 10<<10)), maxResponseBytes, func() {})
+				require.NoError(t, err)
+				t.Cleanup(body.Release)
+			}
+			held()
+			c := arrivedCall(t, g)
+			choice, ok := g.pickServer(clock.Now(), c, g.serversFor(clock.Now(), c))
+			require.True(t, ok)
+			a := g.openAttempt(t.Context(), c, choice)
+			require.NotNil(t, a)
+			begun := make(chan bool, 1)
+			go func() { begun <- a.begin(t.Context()) }()
+			require.Eventually(t, func() bool { return g.ResponseBudget.Used() > maxResponseBytes-256<<10 }, 10*time.Second, time.Millisecond)
+			for range 20 {
+				held()
+			}
+			require.False(t, <-begun)
+			require.Equal(t, tc.result, a.result)
+			require.True(t, c.mayHaveRun)
+			require.Equal(t, tc.endless, g.Meter.CounterValue("pass.endless_responses"))
+			require.Equal(t, 1-tc.endless, g.Meter.CounterValue("pass.responses_over_budget"))
+			require.Nil(t, a.end())
+		})
+	}
+}
+
 // A proxy gets a head without an end. Guards against a proxy that reads it for another VM, and a request that is lost
 // with it.
 func TestEndlessResponseThroughProxy(t *testing.T) {
