peers: Bound on the counts and sums of samples in reports

Cause: a sample with a huge count, of a faulty build on a linked VM, was added as it came: its weight outlasts all other samples of the server for minutes, and the sums that relays add overflow. Change: samples of more than a million readings or responses, more than all VMs hear of a server in 30 s, and impossible sums are left out like negative ones. Measured: the new entries of TestInvalidSamplesIgnored failed before, pass now; peers -run Samples -race -count=3 ok.

--- a/peers/paces.go
+++ b/peers/paces.go
@@ -20,6 +20,11 @@
 	// paceRetainInterval is how often what is to be passed on is searched for servers that are gone. A VM may be told
 	// the pace of a new server shortly before it knows the server.
 	paceRetainInterval = 10 * time.Second
+	// maxSampleCount bounds the readings and the responses of one sample. All VMs together hear less of one server in
+	// sampleLifetime; larger counts would outweigh all others for minutes, or overflow where relays add them.
+	maxSampleCount = 1_000_000
+	// maxSamplePct bounds their sums in hundredths: each is at most a hundred times the usual.
+	maxSamplePct = maxSampleCount * maxPacePct
 )
 
 // paceExchange is what a VM is to pass on of the paces of servers. Peers.mu guards it.
@@ -178,7 +183,7 @@
 func samplesOf(list []wire.PaceSamples) []gauge.Sample {
 	samples := make([]gauge.Sample, 0, len(list))
 	for _, s := range list {
-		if s.Server == "" || min(s.Readings, s.ReadingPct, s.Responses, s.ResponsePct) < 0 {
+		if s.Server == "" || min(s.Readings, s.ReadingPct, s.Responses, s.ResponsePct) < 0 || max(s.Readings, s.Responses) > maxSampleCount || max(s.ReadingPct, s.ResponsePct) > maxSamplePct {
 			continue
 		}
 		samples = append(samples, gauge.Sample{
--- a/peers/paces_test.go
+++ b/peers/paces_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -253,12 +254,14 @@
 	}
 }
 
-// Guards against samples that no VM reports, such as negative counts, which would shift estimates.
+// Guards against samples that no VM reports, such as negative or huge counts, which would shift estimates.
 func TestInvalidSamplesIgnored(t *testing.T) {
 	valid := wire.PaceSamples{Server: "a", Readings: 2, ReadingPct: 440, Responses: 1, ResponsePct: 210}
 	list := samplesOf([]wire.PaceSamples{
 		{Server: "", Readings: 1, ReadingPct: 100}, {Server: "b", Readings: -1, ReadingPct: 100}, {Server: "b", Readings: 1, ReadingPct: -100},
-		{Server: "b", Responses: -1}, {Server: "b", Responses: 1, ResponsePct: -1}, valid,
+		{Server: "b", Responses: -1}, {Server: "b", Responses: 1, ResponsePct: -1},
+		{Server: "b", Readings: math.MaxInt, ReadingPct: 100}, {Server: "b", Responses: maxSampleCount + 1, ResponsePct: 100},
+		{Server: "b", Readings: 1, ReadingPct: math.MaxInt}, {Server: "b", Responses: 1, ResponsePct: math.MaxInt}, valid,
 	})
 	require.Equal(t, []gauge.Sample{{Server: "a", Readings: 2, PaceSum: 4.4, Responses: 1, RatioSum: 2.1}}, list)
 	require.Equal(t, []wire.PaceSamples{valid}, sampleList(list))
