steer: One function each for the loads counted, the planner and its steps

placeModels reset the load limiter, recorded replicas, built eleven closures of a planner and sent its steps in one function of 50 lines, in which the mean age of the demand stood four times without a reason. countStoreLoads and planner have parts of it, and the planner says why a sum is divided by its mean age. loadLimiter and planner say that c.mu is held. No change of behavior: the steps are independent of the order of the first three. go test ./steer: passes. go vet and staticcheck: clean.

--- a/steer/place.go
+++ b/steer/place.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -18,26 +19,51 @@
 	defaultWindow = 5 * time.Second
 )
 
+// placeModels sends the next orders of a service's plan.
 func (c *Controller) placeModels(ctx context.Context, now time.Time, service routes.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	demand, limiter := c.demand(service.Name), c.loadLimiter(service)
-	limiter.Unanswered, limiter.Inherited = 0, 0
 	c.recordReplicas(now, service.Name)
 	c.updatePaces(now, service.Name)
-	for _, s := range c.serversOf(service.Name) {
+	c.countStoreLoads(now, limiter, service.Name)
+	for _, step := range c.planner(now, service, demand, limiter).Steps() {
+		if c.orderInFlight[step.Server.entry.ID] {
+			limiter.Release(step.LoadStart)
+			continue
+		}
+		if step.ReplacedBy != "" {
+			step.Server.Reserve(now, step.ReplacedBy)
+		}
+		c.sendAsyncWithCallback(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.LoadTime, func(result OrderResult) {
+			limiter.RecordResult(c.Now(), step.LoadStart, result)
+		})
+	}
+}
+
+// countStoreLoads updates the limiter's numbers of load orders without an answer and of loads that the previous
+// controller may have begun. c.mu is held.
+func (c *Controller) countStoreLoads(now time.Time, limiter *LoadLimiter, service string) {
+	limiter.Unanswered, limiter.Inherited = 0, 0
+	for _, s := range c.serversOf(service) {
 		if s.HasUnansweredLoad(now) {
 			limiter.Unanswered++
 		}
 		limiter.Inherited += s.InheritedLoads(limiter.PredecessorEnd.Add(-limiter.Window))
 	}
-	planner := &Planner{
+}
+
+// planner returns the planner of a service. c.mu is held, also while the planner is used.
+func (c *Controller) planner(now time.Time, service routes.Service, demand *Demand, limiter *LoadLimiter) *Planner {
+	// A decaying sum divided by its mean age is the rate of what is added to it.
+	age := meanAge(demandHalfLife)
+	return &Planner{
 		Engine: service.Engine, Servers: c.serversOf(service.Name), Now: now,
-		Work:   func(model string) float64 { return demand.Work(now, model) / meanAge(demandHalfLife) },
-		StdErr: func(model string) float64 { return demand.StdErr(now, model) / meanAge(demandHalfLife) },
+		Work:   func(model string) float64 { return demand.Work(now, model) / age },
+		StdErr: func(model string) float64 { return demand.StdErr(now, model) / age },
 		Forecast: func(model string, horizon time.Duration) (future, mean float64) {
 			future, mean = demand.Forecast(now, model, horizon)
-			return future / meanAge(demandHalfLife), mean / meanAge(demandHalfLife)
+			return future / age, mean / age
 		},
 		Contended:          c.Contended,
 		Needed:             func(s *Server, model string) bool { return c.neededAt(now, s, service.Name, model) },
@@ -55,35 +81,20 @@
 			return limiter.Start(now)
 		},
 	}
-	for _, step := range planner.Steps() {
-		if c.orderInFlight[step.Server.entry.ID] {
-			limiter.Release(step.LoadStart)
-			continue
-		}
-		if step.ReplacedBy != "" {
-			step.Server.Reserve(now, step.ReplacedBy)
-		}
-		c.sendAsyncWithCallback(ctx, step.Server, Order{Unload: step.Unload, Model: step.Model.Name}, step.LoadTime, func(result OrderResult) {
-			limiter.RecordResult(c.Now(), step.LoadStart, result)
-		})
-	}
 }
 
+// loadLimiter returns the limiter of a service's loads from the weight store. c.mu is held.
 func (c *Controller) loadLimiter(service routes.Service) *LoadLimiter {
 	if c.loadLimiters == nil {
 		c.loadLimiters = make(map[string]*LoadLimiter)
 	}
-	loadLimiter := c.loadLimiters[service.Name]
-	if loadLimiter == nil {
-		window := c.Window
-		if window == 0 {
-			window = defaultWindow
-		}
-		loadLimiter = &LoadLimiter{Window: window}
-		c.loadLimiters[service.Name] = loadLimiter
+	limiter := c.loadLimiters[service.Name]
+	if limiter == nil {
+		limiter = &LoadLimiter{Window: cmp.Or(c.Window, defaultWindow)}
+		c.loadLimiters[service.Name] = limiter
 	}
-	loadLimiter.PerSecond = service.Engine.StoreLoadsPerSecond
-	return loadLimiter
+	limiter.PerSecond = service.Engine.StoreLoadsPerSecond
+	return limiter
 }
 
 // recordReplicas records which models have a replica now. c.mu is held.
