bench: Faults of the availability experiments return their error

outage, rolling and partition each carried an error out of the injection by a variable of their own and checked it after the load, in three copies of the same ten lines. runAvailability takes the function that injects faults and returns its error; the paths that partition blocks are set in a function.

--- a/bench/availability.go
+++ b/bench/availability.go
@@ -50,7 +50,16 @@
 	}
 }
 
-func (t trial) runAvailability(ctx context.Context, o Options, name string, report *availabilityReport) error {
+// runAvailability runs the trial with faults and fills in the report of an experiment. injectFaults is like
+// that of trial; an error that it returns fails the experiment after the load.
+func (t trial) runAvailability(ctx context.Context, o Options, name string, report *availabilityReport,
+	injectFaults func(ctx context.Context, deployment *demo.Deployment) (int, error),
+) error {
+	var faultErr error
+	t.injectFaults = func(ctx context.Context, deployment *demo.Deployment) (injected int) {
+		injected, faultErr = injectFaults(ctx, deployment)
+		return injected
+	}
 	result, err := t.run(ctx, o, false)
 	if err != nil {
 		return err
@@ -58,7 +67,7 @@
 	report.CommonReport = t.commonReport(name, o, result)
 	report.Attainment, report.OnceAttainment = result.summary.Total.Attainment, result.summary.Classes[1].Attainment
 	report.NotRun, report.Unknown = result.summary.Total.NotRun, result.summary.Total.Unknown
-	return nil
+	return faultErr
 }
 
 // countVersionDecreases samples the version of a profile on every VM. The returned
@@ -85,22 +94,19 @@
 	t := newAvailabilityTrial(duration)
 	var report availabilityReport
 	var readyAfter time.Duration
-	var failure error
-	t.injectFaults = func(ctx context.Context, deployment *demo.Deployment) int {
+	err := t.runAvailability(ctx, o, "outage", &report, func(ctx context.Context, deployment *demo.Deployment) (int, error) {
 		pause.For(ctx, duration/8)
 		deployment.Platform.SetFaults(stand.PlatformFaults{Outage: true})
 		pause.For(ctx, duration/4)
-		readyAfter, failure = replaceVM(ctx, deployment, "domain-1-1")
+		var err error
+		readyAfter, err = replaceVM(ctx, deployment, "domain-1-1")
 		pause.For(ctx, duration/4)
 		deployment.Platform.SetFaults(stand.PlatformFaults{})
-		return 2
-	}
-	if err := t.runAvailability(ctx, o, "outage", &report); err != nil {
+		return 2, err
+	})
+	if err != nil {
 		return nil, err
 	}
-	if failure != nil {
-		return nil, failure
-	}
 	report.ReplacedVMs, report.FreshVMReadyMs = 1, float64(readyAfter.Milliseconds())
 	return report, report.violationError()
 }
@@ -130,26 +136,21 @@
 	t := newAvailabilityTrial(duration)
 	var report availabilityReport
 	var worstReady time.Duration
-	var failure error
 	names := []string{"domain-1-1", "domain-2-1", "domain-3-1", "domain-1-2", "domain-2-2", "domain-3-2"}
-	t.injectFaults = func(ctx context.Context, deployment *demo.Deployment) int {
+	err := t.runAvailability(ctx, o, "rolling", &report, func(ctx context.Context, deployment *demo.Deployment) (int, error) {
 		for _, name := range names {
 			pause.For(ctx, duration/16)
 			ready, err := replaceVM(ctx, deployment, name)
 			if err != nil {
-				failure = err
-				return 0
+				return 0, err
 			}
 			worstReady = max(worstReady, ready)
 		}
-		return len(names)
-	}
-	if err := t.runAvailability(ctx, o, "rolling", &report); err != nil {
+		return len(names), nil
+	})
+	if err != nil {
 		return nil, err
 	}
-	if failure != nil {
-		return nil, failure
-	}
 	report.ReplacedVMs, report.FreshVMReadyMs = len(names), float64(worstReady.Milliseconds())
 	return report, report.violationError()
 }
@@ -162,44 +163,43 @@
 	t := newAvailabilityTrial(duration)
 	var report availabilityReport
 	var convergedAfter time.Duration
-	var failure error
 	reverts := 0
-	t.injectFaults = func(ctx context.Context, deployment *demo.Deployment) int {
+	err := t.runAvailability(ctx, o, "partition", &report, func(ctx context.Context, deployment *demo.Deployment) (int, error) {
 		stop := countVersionDecreases(deployment, "draft")
 		defer func() { reverts = stop() }()
 		inside, outside := deployment.SplitHosts("domain-3")
-		setPartition := func(blocked, bothWays bool) {
-			for _, a := range inside {
-				for _, b := range outside {
-					deployment.SetPathBlocked(a, b, blocked)
-					deployment.SetPathBlocked(b, a, blocked && bothWays)
-				}
-			}
-		}
 		pause.For(ctx, duration/8)
-		setPartition(true, false)
+		setPartition(deployment, inside, outside, true, false)
 		pause.For(ctx, duration/8)
-		setPartition(true, true)
+		setPartition(deployment, inside, outside, true, true)
 		doc := t.profiles[0]
 		doc.Priority = 7
-		failure = deployment.ApplyProfile(doc)
+		err := deployment.ApplyProfile(doc)
 		pause.For(ctx, duration/4)
-		setPartition(false, false)
+		setPartition(deployment, inside, outside, false, false)
 		obj, _ := deployment.Platform.Get("profiles", "draft")
 		start := time.Now()
 		if !waitUntil(ctx, func() bool { return countActive(deployment, "draft", obj.Version) == len(deployment.VMs()) }) {
-			failure = fmt.Errorf("the profile change is not active on all VMs after the partition")
+			err = fmt.Errorf("the profile change is not active on all VMs after the partition")
 		}
 		convergedAfter = time.Since(start)
-		return 2 * len(inside) * len(outside)
-	}
-	if err := t.runAvailability(ctx, o, "partition", &report); err != nil {
+		return 2 * len(inside) * len(outside), err
+	})
+	if err != nil {
 		return nil, err
 	}
-	if failure != nil {
-		return nil, failure
-	}
 	report.ConfigReverts = reverts
 	report.ConvergedAfterMs = float64(convergedAfter.Milliseconds())
 	return report, report.violationError()
 }
+
+// setPartition blocks or restores the paths from the hosts inside a failure domain to those outside, and, if
+// bothWays is set, blocks those in the other direction too. Without bothWays it restores these.
+func setPartition(deployment *demo.Deployment, inside, outside []string, blocked, bothWays bool) {
+	for _, a := range inside {
+		for _, b := range outside {
+			deployment.SetPathBlocked(a, b, blocked)
+			deployment.SetPathBlocked(b, a, blocked && bothWays)
+		}
+	}
+}
