--- a/peers/demand.go
+++ b/peers/demand.go
@@ -21,6 +21,20 @@
 	p.addDemand(steer.ModelDemand{Service: service, Model: w.Model, Adapter: w.Adapter, Requests: 1, ServerTime: cost})
 }
 
+// addDemand adds to the demand of the next report to the controller. p.mu must be held.
+func (p *Peers) addDemand(d steer.ModelDemand) {
+	if p.demand == nil {
+		p.demand = make(map[demandKey]*steer.ModelDemand)
+	}
+	key := demandKey{d.Service, d.Model, d.Adapter}
+	if sum := p.demand[key]; sum != nil {
+		sum.Requests += d.Requests
+		sum.ServerTime += d.ServerTime
+		return
+	}
+	p.demand[key] = &d
+}
+
 func (p *Peers) takeDemand() []steer.ModelDemand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -40,6 +54,15 @@
 	p.addUnverified(server)
 }
 
+// addUnverified adds a server to those that the next report asks the controller to verify. p.mu must
+// be held.
+func (p *Peers) addUnverified(server string) {
+	if p.unverified == nil {
+		p.unverified = make(map[string]bool)
+	}
+	p.unverified[server] = true
+}
+
 func (p *Peers) takeUnverified() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
