--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -76,27 +77,20 @@
 	}
 }
 
-// simulateShift simulates a shift of demand at twelve servers with memory for three of 21 models.
-// Two models, with eight and four replicas, have all of the demand, the work of six servers. Within
-// six seconds the demand for the first ends, the second gets the first one's share and a third
-// model the second one's. Loads from the weight store take 5.8 s; unloading a replica in use takes
-// two seconds. It returns the work beyond the capacity of the servers, in server seconds, and the
-// number of loads.
-func simulateShift(t *testing.T, trend bool) (overload float64, loads int) {
-	t.Helper()
-	const (
-		tick    = 100 * time.Millisecond
-		total   = 6.0
-		request = 0.03
-		ramp    = 6.0
-	)
-	engine := &routes.Engine{WeightMemoryMB: 30, Models: make(map[string]routes.Model)}
+// shiftTotal is the work of all requests of simulateShift, in servers.
+const shiftTotal = 6.0
+
+// newShiftFleet returns twelve servers with memory for three of 21 models. m00 has eight replicas, m01 four and
+// the others one.
+func newShiftFleet() *simPlacement {
+	f := &simPlacement{
+		engine: &routes.Engine{WeightMemoryMB: 30, Models: make(map[string]routes.Model)},
+		now:    time.Unix(1000, 0), maxOrders: 9,
+	}
 	for i := range 21 {
 		name := fmt.Sprintf("m%02d", i)
-		engine.Models[name] = routes.Model{Name: name, SizeMB: 10, LoadTime: 5800 * time.Millisecond}
+		f.engine.Models[name] = routes.Model{Name: name, SizeMB: 10, LoadTime: 5800 * time.Millisecond}
 	}
-	start := time.Unix(1000, 0)
-	var servers []*Server
 	for i := range 12 {
 		models := []string{"m00"}
 		if i >= 8 {
@@ -106,93 +100,49 @@
 		if i < 7 {
 			models = append(models, fmt.Sprintf("m%02d", 14+i))
 		}
-		e := backs.Entry{ID: fmt.Sprintf("s%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%3)}
-		for _, m := range models {
-			e.Models = append(e.Models, backs.LoadedModel{Model: m})
-		}
-		s := NewServer(start, e)
-		s.ApplyReport(start, start, Report{Models: e.Models})
-		servers = append(servers, s)
+		f.addServer(fmt.Sprintf("s%02d", i), fmt.Sprintf("d%d", i%3), models...)
 	}
-	demand := &Demand{}
+	return f
+}
+
+// simulateShift simulates a shift of demand at the servers of newShiftFleet. m00 and m01 have all of
+// the demand. From the sixth second on, within six seconds, the demand for the first ends, the second
+// gets the first one's share and a third model the second one's. Loads from the weight store take
+// 5.8 s; unloading a replica in use takes two seconds. It returns the work beyond the capacity of the
+// servers, in server seconds, and the number of loads.
+func simulateShift(t *testing.T, trend bool) (overload float64, loads int) {
+	t.Helper()
+	const (
+		tick    = 100 * time.Millisecond
+		request = 0.03
+		ramp    = 6.0
+	)
+	f := newShiftFleet()
+	f.withoutTrend = !trend
 	rng := rand.New(rand.NewPCG(7, 7))
-	type order struct {
-		server *Server
-		model  string
-		unload bool
-		done   time.Time
-	}
-	var inProgress []order
-	for now := start; now.Before(start.Add(25 * time.Second)); now = now.Add(tick) {
-		progress := min(max(now.Sub(start).Seconds()-6, 0)/ramp, 1)
-		requested := map[string]float64{"m00": 0.65 * (1 - progress), "m01": 0.35 + 0.3*progress, "m02": 0.35 * progress}
-		for m, share := range requested {
-			mean := share * total * tick.Seconds() / request
+	start := f.now
+	for ; f.now.Before(start.Add(25 * time.Second)); f.now = f.now.Add(tick) {
+		progress := min(max(f.now.Sub(start).Seconds()-6, 0)/ramp, 1)
+		work := map[string]float64{"m00": shiftTotal * 0.65 * (1 - progress), "m01": shiftTotal * (0.35 + 0.3*progress), "m02": shiftTotal * 0.35 * progress}
+		for _, m := range slices.Sorted(maps.Keys(work)) {
+			mean := work[m] * tick.Seconds() / request
 			n := int(mean)
 			if rng.Float64() < mean-float64(n) {
 				n++
 			}
-			demand.Add(now, m, request*float64(n), n)
-		}
-		remaining := inProgress[:0]
-		for _, o := range inProgress {
-			if now.Before(o.done) {
-				remaining = append(remaining, o)
-				continue
-			}
-			if o.unload {
-				o.server.removeModel(now, o.model)
-			} else {
-				o.server.addModel(now, backs.LoadedModel{Model: o.model})
-			}
+			f.demand.Add(f.now, m, request*float64(n), n)
 		}
-		inProgress = remaining
-		p := &Planner{
-			Engine: engine, Servers: servers, Now: now, StartStoreLoad: func() *LoadStart {
-				if len(inProgress) < 9 {
-					return &LoadStart{}
-				}
-				return nil
-			},
-			Work:   func(m string) float64 { return demand.Work(now, m) / meanAge(demandHalfLife) },
-			StdErr: func(m string) float64 { return demand.StdErr(now, m) / meanAge(demandHalfLife) },
-		}
-		if trend {
-			p.Forecast = func(m string, horizon time.Duration) (float64, float64) {
-				future, mean := demand.Forecast(now, m, horizon)
-				return future / meanAge(demandHalfLife), mean / meanAge(demandHalfLife)
-			}
-		}
-		for _, step := range p.Steps() {
-			o := order{server: step.Server, model: step.Model.Name, unload: step.Unload, done: now.Add(step.LoadTime)}
-			if step.Unload {
-				o.done = now.Add(2 * time.Second)
-				step.Server.Reserve(now, step.ReplacedBy)
-			} else {
-				loads++
-			}
-			step.Server.ApplyResult(now, now, engine, Order{Unload: step.Unload, Model: o.model}, Accepted, o.done.Sub(now))
-			inProgress = append(inProgress, o)
-		}
-		replicas := make(map[string][]replica)
-		for i, s := range servers {
-			for m, r := range s.models {
-				if r.phase == loaded {
-					replicas[m] = append(replicas[m], replica{server: i})
-				}
-			}
-		}
-		for m := range engine.Models {
+		f.finishOrders()
+		f.place()
+		replicas := f.loadedReplicas()
+		for m := range f.engine.Models {
 			require.NotEmpty(t, replicas[m], "%s has no loaded replica", m)
 		}
-		for m := range requested {
-			requested[m] *= total
-		}
-		for _, u := range newBalance(equalCapacities(len(servers)), replicas, requested).util {
+		for _, u := range newBalance(equalCapacities(len(f.servers)), replicas, work).util {
 			overload += max(u-1, 0) * tick.Seconds()
 		}
 	}
-	return overload, loads
+	return overload, f.loads
 }
 
 // Demand shifts to other models within six seconds. Placed by recent demand, the replicas are ready
--- a/steer/unequal_test.go
+++ b/steer/unequal_test.go
@@ -17,25 +17,13 @@
 // models. Eight models at a time have the demand, a Poisson number of requests each tick, and within six seconds it moves on to two others every 15 s. Requests fill the servers of
 // their model to equal utilization, whatever the placement assumes.
 type unequalFleet struct {
-	rng     *rand.Rand
-	engine  *routes.Engine
-	servers []*Server
-	paces   []float64
-	demand  Demand
-	now     time.Time
-	orders  []unequalOrder
+	simPlacement
+	rng   *rand.Rand
+	paces []float64
 	// backlog is the time that each server needs for the work that exceeds its capacity so far.
 	backlog []float64
 	// late is the work that meets a backlog above the objective, and work is all of it.
 	late, work float64
-	loads      int
-}
-
-type unequalOrder struct {
-	server *Server
-	model  string
-	unload bool
-	done   time.Time
 }
 
 const (
@@ -47,20 +35,14 @@
 func newUnequalFleet(seed uint64) *unequalFleet {
 	const servers, models = 32, 40
 	f := &unequalFleet{
-		rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), backlog: make([]float64, servers),
-		engine: &routes.Engine{WeightMemoryMB: 30, Models: make(map[string]routes.Model)},
+		simPlacement: simPlacement{engine: &routes.Engine{WeightMemoryMB: 30, Models: make(map[string]routes.Model)}, now: time.Unix(1000, 0)},
+		rng:          rand.New(rand.NewPCG(seed, 3)), backlog: make([]float64, servers),
 	}
 	for m := range models {
 		f.engine.Models[scaledModel(m)] = routes.Model{Name: scaledModel(m), SizeMB: 10, LoadTime: 5 * time.Second}
 	}
 	for i := range servers {
-		e := backs.Entry{ID: fmt.Sprintf("s%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%3)}
-		for _, m := range []int{i, (i + 8) % models, (i + 24) % models} {
-			e.Models = append(e.Models, backs.LoadedModel{Model: scaledModel(m)})
-		}
-		s := NewServer(f.now, e)
-		s.ApplyReport(f.now, f.now, Report{Models: e.Models})
-		f.servers = append(f.servers, s)
+		f.addServer(fmt.Sprintf("s%02d", i), fmt.Sprintf("d%d", i%3), scaledModel(i), scaledModel((i+8)%models), scaledModel((i+24)%models))
 		f.paces = append(f.paces, []float64{0.55, 1.2, 1.2, 1.2}[i%4])
 	}
 	return f
@@ -112,56 +94,14 @@
 	}
 }
 
-func (f *unequalFleet) finishOrders() {
-	remaining := f.orders[:0]
-	for _, o := range f.orders {
-		switch {
-		case f.now.Before(o.done):
-			remaining = append(remaining, o)
-		case o.unload:
-			o.server.removeModel(f.now, o.model)
-		default:
-			o.server.addModel(f.now, backs.LoadedModel{Model: o.model})
-		}
-	}
-	f.orders = remaining
-}
-
-func (f *unequalFleet) place() {
-	age := meanAge(demandHalfLife)
-	p := &Planner{
-		Engine: f.engine, Servers: f.servers, Now: f.now,
-		StartStoreLoad: func() *LoadStart { return &LoadStart{} },
-		Work:           func(m string) float64 { return f.demand.Work(f.now, m) / age },
-		StdErr:         func(m string) float64 { return f.demand.StdErr(f.now, m) / age },
-		Forecast: func(m string, horizon time.Duration) (float64, float64) {
-			future, mean := f.demand.Forecast(f.now, m, horizon)
-			return future / age, mean / age
-		},
-	}
-	for _, step := range p.Steps() {
-		o := unequalOrder{server: step.Server, model: step.Model.Name, unload: step.Unload, done: f.now.Add(step.LoadTime)}
-		if step.Unload {
-			o.done = f.now.Add(drainTime)
-			step.Server.Reserve(f.now, step.ReplacedBy)
-		} else {
-			f.loads++
-		}
-		step.Server.ApplyResult(f.now, f.now, f.engine, Order{Unload: step.Unload, Model: o.model}, Accepted, o.done.Sub(f.now))
-		f.orders = append(f.orders, o)
-	}
-}
-
 // serve divides the work among the loaded replicas and adds what is late.
 func (f *unequalFleet) serve(t *testing.T, work map[string]float64) {
 	t.Helper()
 	capacity := make([]float64, len(f.servers))
-	var candidates []candidate
-	for i, s := range f.servers {
+	for i := range f.servers {
 		capacity[i] = 1 / f.paces[i]
-		candidates = append(candidates, candidate{Server: s})
 	}
-	replicas := loadedReplicas(f.engine, candidates)
+	replicas := f.loadedReplicas()
 	for m := range f.engine.Models {
 		require.NotEmpty(t, replicas[m], "%s has no loaded replica", m)
 	}
