steer: One check of gain and loss for equal and unequal servers

The tests of both compared gain and loss with the change of the balance in the same eleven lines, one with the sum of squared utilizations and one with the same sum weighted by capacity, which is the former where all capacities are 1. requireGainAndLossOfMoves says which moves it checks. The draws, the tolerances and the numbers of scenes are unchanged.

--- a/steer/balance_test.go
+++ b/steer/balance_test.go
@@ -27,10 +27,12 @@
 	return slices.Repeat([]float64{1}, n)
 }
 
-func squaredUtil(b *balance) float64 {
+// weightedUtil returns the measure that gain and loss are changes of: the sum of squared utilizations, each
+// counted by the capacity of its server.
+func weightedUtil(b *balance) float64 {
 	sum := 0.0
-	for _, u := range b.util {
-		sum += u * u
+	for i, u := range b.util {
+		sum += b.capacity[i] * u * u
 	}
 	return sum
 }
@@ -59,22 +61,29 @@
 func TestGainAndLossMatchBalance(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
-		work := map[string]float64{"m": rng.Float64() * 3, "n": rng.Float64()}
-		newTestBalance := func() *balance {
-			return newBalance(equalCapacities(4), map[string][]replica{"m": replicasAt(0, 1), "n": replicasAt(2)}, work)
-		}
-		b := newTestBalance()
-		gain := b.gain("m", 2, b.util[2])
-		before := squaredUtil(b)
-		b.add("m", 2)
-		require.InDelta(t, before-squaredUtil(b), gain, 1e-6)
-		b = newTestBalance()
-		loss, util := b.loss("m", 1)
-		before = squaredUtil(b)
-		b.remove("m", 1)
-		require.InDelta(t, squaredUtil(b)-before, loss, 1e-6)
-		require.InDelta(t, b.util[1], util, 1e-9)
+		requireGainAndLossOfMoves(t, equalCapacities(4), map[string]float64{"m": rng.Float64() * 3, "n": rng.Float64()})
+	}
+}
+
+// requireGainAndLossOfMoves requires that the gain of a replica of m at server 2, which has one of n, and the
+// loss of the one at server 1 equal the changes of weightedUtil that these moves make, and that loss returns
+// the utilization that is left.
+func requireGainAndLossOfMoves(t *testing.T, capacity []float64, work map[string]float64) {
+	t.Helper()
+	newTestBalance := func() *balance {
+		return newBalance(capacity, map[string][]replica{"m": replicasAt(0, 1), "n": replicasAt(2)}, work)
 	}
+	b := newTestBalance()
+	gain := b.gain("m", 2, b.util[2])
+	before := weightedUtil(b)
+	b.add("m", 2)
+	require.InDelta(t, before-weightedUtil(b), gain, 1e-6)
+	b = newTestBalance()
+	loss, util := b.loss("m", 1)
+	before = weightedUtil(b)
+	b.remove("m", 1)
+	require.InDelta(t, weightedUtil(b)-before, loss, 1e-6)
+	require.InDelta(t, b.util[1], util, 1e-9)
 }
 
 // shiftTotal is the work of all requests of simulateShift, in servers.
--- a/steer/capacity_test.go
+++ b/steer/capacity_test.go
@@ -15,15 +15,6 @@
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
-// weightedUtil returns the measure that gain and loss are changes of.
-func weightedUtil(b *balance) float64 {
-	sum := 0.0
-	for i, u := range b.util {
-		sum += b.capacity[i] * u * u
-	}
-	return sum
-}
-
 // Guards against work that is divided among unequal servers as among equal ones: the slow servers
 // are overloaded while fast ones are half idle.
 func TestBalanceFillsServersByCapacity(t *testing.T) {
@@ -71,20 +62,7 @@
 		capacity := []float64{0.3 + rng.Float64()*2, 0.3 + rng.Float64()*2, 0.3 + rng.Float64()*2}
 		level := 0.2 + rng.Float64()*2
 		work := map[string]float64{"m": level * (capacity[0] + capacity[1]), "n": rng.Float64() * level * capacity[2]}
-		newTestBalance := func() *balance {
-			return newBalance(capacity, map[string][]replica{"m": replicasAt(0, 1), "n": replicasAt(2)}, work)
-		}
-		b := newTestBalance()
-		gain := b.gain("m", 2, b.util[2])
-		before := weightedUtil(b)
-		b.add("m", 2)
-		require.InDelta(t, before-weightedUtil(b), gain, 1e-6)
-		b = newTestBalance()
-		loss, util := b.loss("m", 1)
-		before = weightedUtil(b)
-		b.remove("m", 1)
-		require.InDelta(t, weightedUtil(b)-before, loss, 1e-6)
-		require.InDelta(t, b.util[1], util, 1e-9)
+		requireGainAndLossOfMoves(t, capacity, work)
 	}
 }
 
