poison: Tests of tied parts in one file, and one way to crash servers in a row

parts_test.go had 381 lines and TestBlockedParts 114, most of them loops that crash servers under one prompt; the change of places of two parts stood three times, and TestTiedPartIsBlockedAloneAfterOneCrash began with the lines of blockPair. crashServers and swappedPair say what the loops do, the cases are a table beside the test, and the tests of ties are in ties_test.go. All cases have the crashes, times and requirements that they had. go test ./poison -v: the same tests and cases as before pass. go test -race ./poison: passes. go vet, staticcheck: clean.

--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -18,6 +18,19 @@
 	t.ProcessEnded(now, server)
 }
 
+// crashServers records the ends of n servers, s0 and on, with a step between them, each while requests with prompts
+// are in progress on it.
+func crashServers(t *poison.PartTracker, n int, from time.Time, step time.Duration, prompts ...[]poison.Part) {
+	for i := range n {
+		crashUnder(t, from.Add(time.Duration(i)*step), server(i), prompts...)
+	}
+}
+
+func server(n int) string { return fmt.Sprint("s", n) }
+
+// second returns the time n seconds after start.
+func second(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+
 func prompt(parts ...poison.Part) []poison.Part { return parts }
 
 // blockedParts returns the parts that are blocked at a time.
@@ -31,115 +44,99 @@
 	return parts
 }
 
+// blockedPartsCases are courses of crashes and survivors, with the parts that are blocked nine seconds after the start.
+var blockedPartsCases = map[string]struct {
+	do   func(p *poison.PartTracker)
+	want []poison.Part
+}{
+	"four servers end under one part": {func(p *poison.PartTracker) {
+		for i := range 4 {
+			crashUnder(p, second(i), server(i), prompt("app", "dead", poison.Part(fmt.Sprint("m", i))))
+		}
+	}, prompt("dead")},
+	"three servers": {func(p *poison.PartTracker) {
+		crashServers(p, 3, start, time.Second, prompt("app", "dead"))
+	}, nil},
+	"the same server, seen by several requests": {func(p *poison.PartTracker) {
+		for i := range 9 {
+			crashUnder(p, second(i), "s", prompt("app", "dead"))
+		}
+	}, nil},
+	"the first part is the only one": {func(p *poison.PartTracker) {
+		crashServers(p, 6, start, time.Second, prompt("dead"))
+	}, prompt("dead")},
+	"the first part, at five servers": {func(p *poison.PartTracker) {
+		crashServers(p, 5, start, time.Second, prompt("app"))
+	}, nil},
+	"a proven part, at seven servers": {func(p *poison.PartTracker) {
+		for range 5 {
+			p.Survived(second(-20), prompt("app", "menu"))
+		}
+		crashServers(p, 7, start, time.Second, prompt("app", "menu"))
+	}, nil},
+	"a proven part, at eight servers": {func(p *poison.PartTracker) {
+		for range 5 {
+			p.Survived(second(-20), prompt("app", "menu"))
+		}
+		crashServers(p, 8, start, time.Second, prompt("app", "menu"))
+	}, prompt("menu")},
+	"the first part, and others differ": {func(p *poison.PartTracker) {
+		for i := range 6 {
+			crashUnder(p, second(i), server(i), prompt("dead", poison.Part(fmt.Sprint("m", i))))
+		}
+	}, prompt("dead")},
+	"sound requests survive the part before it": {func(p *poison.PartTracker) {
+		for i := range 6 {
+			p.Survived(second(i), prompt("app", "menu"))
+			crashUnder(p, second(i), server(i), prompt("app", "menu", "dead"))
+		}
+	}, prompt("dead")},
+	"sound requests survive the part": {func(p *poison.PartTracker) {
+		for i := range 8 {
+			crashUnder(p, second(i), server(i), prompt("app", "menu"))
+			p.Survived(second(i), prompt("app", "menu"))
+		}
+	}, nil},
+	"no sound request survives the part before it": {func(p *poison.PartTracker) {
+		crashServers(p, 4, start, time.Second, prompt("app", "menu", "dead"), prompt("app", "menu"))
+	}, prompt("dead")},
+	"a session is present at four of six": {func(p *poison.PartTracker) {
+		for i := range 6 {
+			prompts := [][]poison.Part{prompt("app", "dead")}
+			if i < 4 {
+				prompts = append(prompts, prompt("app", "session"))
+			}
+			crashUnder(p, second(0).Add(time.Duration(i)*200*time.Millisecond), server(i), prompts...)
+		}
+	}, prompt("dead")},
+	"two parts, one after the other": {func(p *poison.PartTracker) {
+		crashServers(p, 5, start, time.Second, prompt("app", "dead"))
+		p.BlockedFor(second(6), prompt("dead"))
+		for i := range 4 {
+			crashUnder(p, second(6).Add(time.Duration(i)*500*time.Millisecond), server(10+i), prompt("app", "grave"))
+		}
+	}, prompt("dead", "grave")},
+	"servers that end without requests of note": {func(p *poison.PartTracker) {
+		for i := range 8 {
+			crashUnder(p, second(i), server(i), prompt("app", poison.Part(fmt.Sprint("m", i))), prompt("app2", poison.Part(fmt.Sprint("n", i))))
+			p.Survived(second(i), prompt("app", "app2"))
+		}
+	}, nil},
+	"servers that live on": {func(p *poison.PartTracker) {
+		for i := range 8 {
+			p.ConnectionLost(second(i), prompt("app", "dead"), server(i))
+		}
+	}, nil},
+	"long ago": {func(p *poison.PartTracker) {
+		crashServers(p, 3, second(-3000), time.Second, prompt("app", "dead"))
+		crashUnder(p, second(0), "late", prompt("app", "dead"))
+	}, nil},
+}
+
 // Guards against blocking parts that were merely present, that sound requests survive or with which all prompts begin,
 // and against not blocking the one under which servers end.
 func TestBlockedParts(t *testing.T) {
-	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
-	server := func(n int) string { return fmt.Sprint("s", n) }
-	tests := map[string]struct {
-		do   func(p *poison.PartTracker)
-		want []poison.Part
-	}{
-		"four servers end under one part": {func(p *poison.PartTracker) {
-			for i := range 4 {
-				crashUnder(p, second(i), server(i), prompt("app", "dead", poison.Part(fmt.Sprint("m", i))))
-			}
-		}, prompt("dead")},
-		"three servers": {func(p *poison.PartTracker) {
-			for i := range 3 {
-				crashUnder(p, second(i), server(i), prompt("app", "dead"))
-			}
-		}, nil},
-		"the same server, seen by several requests": {func(p *poison.PartTracker) {
-			for i := range 9 {
-				crashUnder(p, second(i), "s", prompt("app", "dead"))
-			}
-		}, nil},
-		"the first part is the only one": {func(p *poison.PartTracker) {
-			for i := range 6 {
-				crashUnder(p, second(i), server(i), prompt("dead"))
-			}
-		}, prompt("dead")},
-		"the first part, at five servers": {func(p *poison.PartTracker) {
-			for i := range 5 {
-				crashUnder(p, second(i), server(i), prompt("app"))
-			}
-		}, nil},
-		"a proven part, at seven servers": {func(p *poison.PartTracker) {
-			for range 5 {
-				p.Survived(second(-20), prompt("app", "menu"))
-			}
-			for i := range 7 {
-				crashUnder(p, second(i), server(i), prompt("app", "menu"))
-			}
-		}, nil},
-		"a proven part, at eight servers": {func(p *poison.PartTracker) {
-			for range 5 {
-				p.Survived(second(-20), prompt("app", "menu"))
-			}
-			for i := range 8 {
-				crashUnder(p, second(i), server(i), prompt("app", "menu"))
-			}
-		}, prompt("menu")},
-		"the first part, and others differ": {func(p *poison.PartTracker) {
-			for i := range 6 {
-				crashUnder(p, second(i), server(i), prompt("dead", poison.Part(fmt.Sprint("m", i))))
-			}
-		}, prompt("dead")},
-		"sound requests survive the part before it": {func(p *poison.PartTracker) {
-			for i := range 6 {
-				p.Survived(second(i), prompt("app", "menu"))
-				crashUnder(p, second(i), server(i), prompt("app", "menu", "dead"))
-			}
-		}, prompt("dead")},
-		"sound requests survive the part": {func(p *poison.PartTracker) {
-			for i := range 8 {
-				crashUnder(p, second(i), server(i), prompt("app", "menu"))
-				p.Survived(second(i), prompt("app", "menu"))
-			}
-		}, nil},
-		"no sound request survives the part before it": {func(p *poison.PartTracker) {
-			for i := range 4 {
-				crashUnder(p, second(i), server(i), prompt("app", "menu", "dead"), prompt("app", "menu"))
-			}
-		}, prompt("dead")},
-		"a session is present at four of six": {func(p *poison.PartTracker) {
-			for i := range 6 {
-				prompts := [][]poison.Part{prompt("app", "dead")}
-				if i < 4 {
-					prompts = append(prompts, prompt("app", "session"))
-				}
-				crashUnder(p, second(0).Add(time.Duration(i)*200*time.Millisecond), server(i), prompts...)
-			}
-		}, prompt("dead")},
-		"two parts, one after the other": {func(p *poison.PartTracker) {
-			for i := range 5 {
-				crashUnder(p, second(i), server(i), prompt("app", "dead"))
-			}
-			p.BlockedFor(second(6), prompt("dead"))
-			for i := range 4 {
-				crashUnder(p, second(6).Add(time.Duration(i)*500*time.Millisecond), server(10+i), prompt("app", "grave"))
-			}
-		}, prompt("dead", "grave")},
-		"servers that end without requests of note": {func(p *poison.PartTracker) {
-			for i := range 8 {
-				crashUnder(p, second(i), server(i), prompt("app", poison.Part(fmt.Sprint("m", i))), prompt("app2", poison.Part(fmt.Sprint("n", i))))
-				p.Survived(second(i), prompt("app", "app2"))
-			}
-		}, nil},
-		"servers that live on": {func(p *poison.PartTracker) {
-			for i := range 8 {
-				p.ConnectionLost(second(i), prompt("app", "dead"), server(i))
-			}
-		}, nil},
-		"long ago": {func(p *poison.PartTracker) {
-			for i := range 3 {
-				crashUnder(p, second(i-3000), server(i), prompt("app", "dead"))
-			}
-			crashUnder(p, second(0), "late", prompt("app", "dead"))
-		}, nil},
-	}
-	for name, tc := range tests {
+	for name, tc := range blockedPartsCases {
 		t.Run(name, func(t *testing.T) {
 			var p poison.PartTracker
 			tc.do(&p)
@@ -166,9 +163,7 @@
 // Guards against blocking at once, before the survivors and crashes that other VMs have seen are known.
 func TestPartIsBlockedWhenEvidenceHasSettled(t *testing.T) {
 	var p poison.PartTracker
-	for i := range 4 {
-		crashUnder(&p, start, fmt.Sprint("s", i), prompt("app", "dead"))
-	}
+	crashServers(&p, 4, start, 0, prompt("app", "dead"))
 	_, left := p.BlockedFor(start.Add(900*time.Millisecond), prompt("app", "dead"))
 	require.Zero(t, left)
 	part, left := p.BlockedFor(start.Add(time.Second), prompt("app", "dead"))
@@ -181,9 +176,7 @@
 // Guards against a part that stays blocked at some VMs although a sound request has survived it.
 func TestSurvivorClearsBlockedPart(t *testing.T) {
 	var controller, vm, other poison.PartTracker
-	for i := range 4 {
-		crashUnder(&vm, start, fmt.Sprint("s", i), prompt("app", "menu"))
-	}
+	crashServers(&vm, 4, start, 0, prompt("app", "menu"))
 	controller.AddReport(start, vm.TakeReport())
 	later := start.Add(2 * time.Second)
 	require.Equal(t, prompt("menu"), blockedParts(&controller, later))
@@ -204,9 +197,7 @@
 func TestControllerJudges(t *testing.T) {
 	var vm poison.PartTracker
 	vm.MergeSuspects(start, nil, true)
-	for i := range 4 {
-		crashUnder(&vm, start, fmt.Sprint("s", i), prompt("app", "menu"))
-	}
+	crashServers(&vm, 4, start, 0, prompt("app", "menu"))
 	vm.MergeSuspects(start.Add(time.Second), nil, true)
 	require.Empty(t, blockedParts(&vm, start.Add(2*time.Second)))
 	require.Equal(t, prompt("menu"), blockedParts(&vm, start.Add(4*time.Second)))
@@ -216,9 +207,7 @@
 func TestToldSuspectIsCleared(t *testing.T) {
 	var controller, vm poison.PartTracker
 	vm.Survived(start, prompt("app"))
-	for i := range 3 {
-		crashUnder(&controller, start, fmt.Sprint("s", i), prompt("app", "dead"))
-	}
+	crashServers(&controller, 3, start, 0, prompt("app", "dead"))
 	vm.MergeSuspects(start, controller.Suspects(start), true)
 	controller.AddReport(start, vm.TakeReport())
 	for _, s := range controller.Suspects(start) {
@@ -248,9 +237,7 @@
 // Guards against an expired block that lets four more servers crash.
 func TestPartBlockIsRenewedByOneCrash(t *testing.T) {
 	p := poison.PartTracker{BlockDuration: time.Minute}
-	for i := range 4 {
-		crashUnder(&p, start, fmt.Sprint("s", i), prompt("app", "dead"))
-	}
+	crashServers(&p, 4, start, 0, prompt("app", "dead"))
 	require.Equal(t, prompt("dead"), blockedParts(&p, start.Add(time.Second)))
 	expired := start.Add(2 * time.Minute)
 	require.Empty(t, blockedParts(&p, expired))
@@ -290,9 +277,7 @@
 // crashes.
 func TestRelayPassesSuspectsOn(t *testing.T) {
 	var controller, relay, leaf poison.PartTracker
-	for i := range 3 {
-		crashUnder(&controller, start, fmt.Sprint("s", i), prompt("app", "menu"))
-	}
+	crashServers(&controller, 3, start, 0, prompt("app", "menu"))
 	leaf.Survived(start, prompt("menu"))
 	relay.MergeSuspects(start, controller.Suspects(start), true)
 	leaf.MergeSuspects(start, relay.Suspects(start), true)
@@ -303,79 +288,3 @@
 	crashUnder(&controller, start, "s9", prompt("app", "menu"))
 	require.Empty(t, blockedParts(&controller, start.Add(2*time.Second)))
 }
-
-// Guards against an innocent part that stays blocked with the guilty one, because the two change places in the prompts
-// that crash servers and no sound request came before: all requests with the innocent part are refused, and none is left
-// to clear it.
-func TestInnocentPartBesideGuiltyOneIsCleared(t *testing.T) {
-	const crashes, soundRequests = 8, 24
-	var p poison.PartTracker
-	now := start
-	for i := range crashes {
-		pair := prompt("guilty", "innocent")
-		if i%2 == 0 {
-			pair = prompt("innocent", "guilty")
-		}
-		if part, _ := p.BlockedFor(now, pair); part == "" {
-			crashUnder(&p, now, fmt.Sprint("s", i), append(prompt("app"), pair...))
-		}
-		now = now.Add(time.Second)
-	}
-	require.Contains(t, blockedParts(&p, now), poison.Part("guilty"))
-	refused := 0
-	for range soundRequests {
-		now = now.Add(time.Second)
-		sound := prompt("app", "innocent")
-		if part, _ := p.BlockedFor(now, sound); part != "" {
-			refused++
-			continue
-		}
-		p.Survived(now, sound)
-	}
-	require.Less(t, refused, soundRequests)
-	require.Equal(t, prompt("guilty"), blockedParts(&p, now))
-	part, _ := p.BlockedFor(now, prompt("app", "guilty"))
-	require.Equal(t, poison.Part("guilty"), part)
-}
-
-// Guards against a guilty part that goes on crashing servers because it is blocked only together with an innocent one.
-func TestTiedPartIsBlockedAloneAfterOneCrash(t *testing.T) {
-	const crashes = 8
-	var p poison.PartTracker
-	now := start
-	for i := range crashes {
-		pair := prompt("guilty", "innocent")
-		if i%2 == 0 {
-			pair = prompt("innocent", "guilty")
-		}
-		crashUnder(&p, now, fmt.Sprint("s", i), append(prompt("app"), pair...))
-		now = now.Add(time.Second)
-	}
-	part, _ := p.BlockedFor(now, prompt("app", "guilty", "innocent"))
-	require.NotEmpty(t, part)
-	alone := prompt("app", "guilty", "other")
-	part, _ = p.BlockedFor(now, alone)
-	require.Empty(t, part)
-	crashUnder(&p, now, "alone", alone)
-	part, _ = p.BlockedFor(now, alone)
-	require.Equal(t, poison.Part("guilty"), part)
-	part, _ = p.BlockedFor(now, prompt("app", "innocent"))
-	require.Empty(t, part)
-}
-
-// Guards against a part that goes on because it was blocked at the same moment as another one, under which other servers
-// ended.
-func TestPartsWithOtherCrashesAreBlockedAlone(t *testing.T) {
-	const crashes = 4
-	var p poison.PartTracker
-	now := start
-	for i := range crashes {
-		crashUnder(&p, now, fmt.Sprint("a", i), prompt("shop", "first"))
-		crashUnder(&p, now, fmt.Sprint("b", i), prompt("desk", "second"))
-	}
-	now = now.Add(10 * time.Second)
-	for _, guilty := range []poison.Part{"first", "second"} {
-		part, _ := p.BlockedFor(now, prompt("app", guilty))
-		require.Equal(t, guilty, part)
-	}
-}
--- a/poison/ties_test.go
+++ b/poison/ties_test.go
@@ -11,17 +11,21 @@
 	"github.com/hibiscuscart/hibiscuscart/poison"
 )
 
+// swappedPair returns guilty and innocent, in this order for odd i and in the other for even i.
+func swappedPair(i int) []poison.Part {
+	if i%2 == 0 {
+		return prompt("innocent", "guilty")
+	}
+	return prompt("guilty", "innocent")
+}
+
 // blockPair makes a tracker block the parts "guilty" and "innocent" together, and returns when it has.
 func blockPair(t *testing.T, p *poison.PartTracker) time.Time {
 	t.Helper()
 	const crashes = 8
 	now := start
 	for i := range crashes {
-		pair := prompt("guilty", "innocent")
-		if i%2 == 0 {
-			pair = prompt("innocent", "guilty")
-		}
-		crashUnder(p, now, fmt.Sprint("s", i), append(prompt("app"), pair...))
+		crashUnder(p, now, server(i), append(prompt("app"), swappedPair(i)...))
 		now = now.Add(time.Second)
 	}
 	part, _ := p.BlockedFor(now, prompt("app", "guilty", "innocent"))
@@ -138,3 +142,65 @@
 	part, _ = told.BlockedFor(now, long[1:])
 	require.NotEmpty(t, part)
 }
+
+// Guards against an innocent part that stays blocked with the guilty one, because the two change places in the prompts
+// that crash servers and no sound request came before: all requests with the innocent part are refused, and none is left
+// to clear it.
+func TestInnocentPartBesideGuiltyOneIsCleared(t *testing.T) {
+	const crashes, soundRequests = 8, 24
+	var p poison.PartTracker
+	now := start
+	for i := range crashes {
+		pair := swappedPair(i)
+		if part, _ := p.BlockedFor(now, pair); part == "" {
+			crashUnder(&p, now, server(i), append(prompt("app"), pair...))
+		}
+		now = now.Add(time.Second)
+	}
+	require.Contains(t, blockedParts(&p, now), poison.Part("guilty"))
+	refused := 0
+	for range soundRequests {
+		now = now.Add(time.Second)
+		sound := prompt("app", "innocent")
+		if part, _ := p.BlockedFor(now, sound); part != "" {
+			refused++
+			continue
+		}
+		p.Survived(now, sound)
+	}
+	require.Less(t, refused, soundRequests)
+	require.Equal(t, prompt("guilty"), blockedParts(&p, now))
+	part, _ := p.BlockedFor(now, prompt("app", "guilty"))
+	require.Equal(t, poison.Part("guilty"), part)
+}
+
+// Guards against a guilty part that goes on crashing servers because it is blocked only together with an innocent one.
+func TestTiedPartIsBlockedAloneAfterOneCrash(t *testing.T) {
+	var p poison.PartTracker
+	now := blockPair(t, &p)
+	alone := prompt("app", "guilty", "other")
+	part, _ := p.BlockedFor(now, alone)
+	require.Empty(t, part)
+	crashUnder(&p, now, "alone", alone)
+	part, _ = p.BlockedFor(now, alone)
+	require.Equal(t, poison.Part("guilty"), part)
+	part, _ = p.BlockedFor(now, prompt("app", "innocent"))
+	require.Empty(t, part)
+}
+
+// Guards against a part that goes on because it was blocked at the same moment as another one, under which other servers
+// ended.
+func TestPartsWithOtherCrashesAreBlockedAlone(t *testing.T) {
+	const crashes = 4
+	var p poison.PartTracker
+	now := start
+	for i := range crashes {
+		crashUnder(&p, now, fmt.Sprint("a", i), prompt("shop", "first"))
+		crashUnder(&p, now, fmt.Sprint("b", i), prompt("desk", "second"))
+	}
+	now = now.Add(10 * time.Second)
+	for _, guilty := range []poison.Part{"first", "second"} {
+		part, _ := p.BlockedFor(now, prompt("app", guilty))
+		require.Equal(t, guilty, part)
+	}
+}
