steer: The cost of unloading a victim in a function of its own

optionAt compared victims and worked out, in the same loop, whether each may go, what is lost with it and how long it drains, with three variables for losses. unloadCostOf has the cost of one victim, optionAt the comparison. The order of the sums is unchanged. go test ./steer: passes; the figures of TestPlacementFollowsDemandOnUnequalServers are those of before in all digits.

--- a/steer/option.go
+++ b/steer/option.go
@@ -79,33 +79,13 @@
 		if r.phase != loaded || s.usedMemoryMB-s.modelOf(p.Engine, victim).SizeMB+m.SizeMB > p.Engine.WeightMemoryMB {
 			continue
 		}
-		if p.Needed != nil && p.Needed(s.Server, victim) {
+		cost, ok := p.unloadCostOf(victim, r, i, m.Name)
+		if !ok {
 			continue
 		}
-		lastLoss := 0.0
-		if len(p.current.replicas[victim]) < 2 {
-			var ok bool
-			if lastLoss, ok = p.lastReplicaLoss(victim, r, m.Name); !ok {
-				continue
-			}
-		}
-		loss, util := p.planned.loss(victim, i)
-		currentLoss, _ := p.current.loss(victim, i)
-		loss = max(loss, currentLoss)
-		work, drain := p.work[victim], drainTime
-		if work.high < idleWork || lastLoss > 0 {
-			drain = idleDrainTime
-		}
-		if work.mean > 0 {
-			loss *= square(work.high / work.mean)
-		}
-		if p.replicasInDomain[domainModel{s.entry.Domain, victim}] < 2 {
-			loss += p.domainWorth(work.high)
-		}
-		loss += lastLoss
 		replacing := o
 		replacing.victim = victim
-		replacing, ok := p.evaluate(replacing, util, loss, loadTime+drain)
+		replacing, ok = p.evaluate(replacing, cost.util, cost.loss, loadTime+cost.drain)
 		if ok && (!found || replacing.urgency > best.urgency || replacing.urgency == best.urgency && victim < best.victim) {
 			best, found = replacing, true
 		}
@@ -113,6 +93,44 @@
 	return best, found
 }
 
+// unloadCost is what the unloading of a replica costs.
+type unloadCost struct {
+	// loss is the worth that is lost, util the utilization that the server then has.
+	loss, util float64
+	// drain is how long the replica takes to finish its requests.
+	drain time.Duration
+}
+
+// unloadCostOf returns the cost of unloading a victim's replica at a candidate for another model. It returns false if
+// the replica must stay.
+func (p *Planner) unloadCostOf(victim string, r *modelState, candidate int, model string) (unloadCost, bool) {
+	s := p.candidates[candidate]
+	if p.Needed != nil && p.Needed(s.Server, victim) {
+		return unloadCost{}, false
+	}
+	lastLoss := 0.0
+	if len(p.current.replicas[victim]) < 2 {
+		var ok bool
+		if lastLoss, ok = p.lastReplicaLoss(victim, r, model); !ok {
+			return unloadCost{}, false
+		}
+	}
+	loss, util := p.planned.loss(victim, candidate)
+	currentLoss, _ := p.current.loss(victim, candidate)
+	loss = max(loss, currentLoss)
+	work, drain := p.work[victim], drainTime
+	if work.high < idleWork || lastLoss > 0 {
+		drain = idleDrainTime
+	}
+	if work.mean > 0 {
+		loss *= square(work.high / work.mean)
+	}
+	if p.replicasInDomain[domainModel{s.entry.Domain, victim}] < 2 {
+		loss += p.domainWorth(work.high)
+	}
+	return unloadCost{loss: loss + lastLoss, util: util, drain: drain}, true
+}
+
 // evaluate sets the worth and urgency of an option at a server whose utilization is util without
 // it. It returns false if the worth is too low.
 func (p *Planner) evaluate(o option, util, loss float64, readyIn time.Duration) (option, bool) {
