--- a/bench/origins.go
+++ b/bench/origins.go
@@ -132,6 +132,29 @@
 
 // measureOrigins measures the exchange among VMs on loopback.
 func measureOrigins(ctx context.Context) (originsCost, error) {
+	vms, err := startExchanges()
+	defer closeExchanges(vms)
+	if err != nil {
+		return originsCost{}, fmt.Errorf("measure origins: %w", err)
+	}
+	var cost originsCost
+	record := origin.Record{Service: "label-llm", Version: "v1.1"}
+	cost.Tell = measureTell(vms, record)
+	cost.BytesTold = bytesSent(vms) / originsStreams
+	time.Sleep(100 * time.Millisecond)
+	before := bytesSent(vms)
+	took, err := measureAsk(ctx, vms)
+	if err != nil {
+		return cost, fmt.Errorf("measure origins: %w", err)
+	}
+	cost.TakeUp, cost.TakeUp99 = took[len(took)/2], took[len(took)*99/100]
+	cost.BytesTakenUp = (bytesSent(vms) - before) / originsStreams
+	cost.MemoryPerKept = measureStore(record)
+	return cost, nil
+}
+
+// startExchanges starts the exchanges of measuredVMs VMs. It also returns those that listen if one fails to.
+func startExchanges() ([]*origin.Exchange, error) {
 	var all []origin.Keeper
 	var vms []*origin.Exchange
 	for i := range measuredVMs {
@@ -140,23 +163,32 @@
 			Key: func() string { return "key" }, AcceptedKeys: func() []string { return []string{"key"} }, Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
 		}
 		if err := x.Listen(); err != nil {
-			return originsCost{}, fmt.Errorf("measure origins: %w", err)
+			return vms, err
 		}
-		defer x.Close()
 		all = append(all, origin.Keeper{Address: x.Address, Domain: x.Domain})
 		vms = append(vms, x)
 	}
 	for _, x := range vms {
 		go x.Serve()
 	}
-	bytes := func() (total float64) {
-		for _, x := range vms {
-			total += float64(x.Meter.CounterValue("origin.bytes_sent"))
-		}
-		return total
+	return vms, nil
+}
+
+func closeExchanges(vms []*origin.Exchange) {
+	for _, x := range vms {
+		x.Close()
 	}
-	var cost originsCost
-	record := origin.Record{Service: "label-llm", Version: "v1.1"}
+}
+
+func bytesSent(vms []*origin.Exchange) (total float64) {
+	for _, x := range vms {
+		total += float64(x.Meter.CounterValue("origin.bytes_sent"))
+	}
+	return total
+}
+
+// measureTell tells the origins of originsStreams streams and returns the mean time of one.
+func measureTell(vms []*origin.Exchange, record origin.Record) time.Duration {
 	start := time.Now()
 	for i := range originsStreams {
 		vms[i%measuredVMs].Tell(fmt.Sprintf("%016x", i), record)
@@ -165,25 +197,22 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	cost.Tell = (time.Since(start) - originsStreams/100*time.Millisecond) / originsStreams
-	cost.BytesTold = bytes() / originsStreams
-	time.Sleep(100 * time.Millisecond)
-	before := bytes()
+	return (time.Since(start) - originsStreams/100*time.Millisecond) / originsStreams
+}
+
+// measureAsk asks for the origins of all streams, each at another VM than the one that told it, and returns the
+// sorted times.
+func measureAsk(ctx context.Context, vms []*origin.Exchange) ([]time.Duration, error) {
 	var took []time.Duration
-	asked := 0
 	for i := range originsStreams {
 		start := time.Now()
 		if _, verdict := vms[(i+4)%measuredVMs].Ask(ctx, fmt.Sprintf("%016x", i)); verdict != origin.Known {
-			return cost, fmt.Errorf("measure origins: attempt %d is %v", i, verdict)
+			return nil, fmt.Errorf("attempt %d is %v", i, verdict)
 		}
 		took = append(took, time.Since(start))
-		asked++
 	}
 	slices.Sort(took)
-	cost.TakeUp, cost.TakeUp99 = took[len(took)/2], took[len(took)*99/100]
-	cost.BytesTakenUp = (bytes() - before) / float64(asked)
-	cost.MemoryPerKept = measureStore(record)
-	return cost, nil
+	return took, nil
 }
 
 // measureStore returns the memory that a kept origin takes, in bytes.
