peers: The comment on recountPeriod gives what the count is used for now

It said that the period equals the window of the retry budget, which has been divided by allotments, and not by this count, since; the window is a setting whose default is 10 s. The count still divides what servers that limit their requests accept.

--- a/peers/subtree.go
+++ b/peers/subtree.go
@@ -11,8 +11,9 @@
 // A hub keeps the last report of each VM linked to it. A relay reports the sums of its subtree to its own hub, so
 // that the controller knows the load and the number of all VMs.
 
-// recountPeriod is how long a new term keeps the VM count of the previous term. It equals the
-// window of the retry budget.
+// recountPeriod is how long a new term keeps the VM count of the previous term. With a count that is too low, each
+// VM would take too large a share of what servers that limit their requests accept. It equals the default window of
+// the retry budget, which was divided by this count before there were allotments.
 const recountPeriod = 10 * time.Second
 
 // subtree is the last report of a VM linked to this one, for itself and the VMs linked to it.
