pass, pick: Findings of the linter in the parts for hard load

Change: the body of an instance probe is closed once it was read to its end; wholeQueue names a sum.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -73,7 +73,7 @@
 	stopClosing := context.AfterFunc(ctx, way.conn.Close)
 	if err := g.checkServer(c, way, choice.Server); err != nil {
 		stopClosing()
-		g.recordEndlessProbe(c, choice, err)
+		g.recordEndlessProbe(choice, err)
 		g.logFailedAttempt(c, choice, err.Error())
 		return nil
 	}
--- a/pass/endless.go
+++ b/pass/endless.go
@@ -53,7 +53,7 @@
 
 // recordEndlessProbe records a connection that was opened for a call and not used because of err. A server that answered
 // without an end when it was asked which instance it is counts as broken.
-func (g *Gateway) recordEndlessProbe(c *call, choice pick.Choice, err error) {
+func (g *Gateway) recordEndlessProbe(choice pick.Choice, err error) {
 	if !errors.Is(err, conns.ErrEndless) {
 		return
 	}
--- a/pass/instance.go
+++ b/pass/instance.go
@@ -75,6 +75,10 @@
 		return time.Time{}, asEndless(err, maxProbeBytes)
 	}
 	defer body.Release()
+	// Only a body that was read to its end is closed: closing another one would read the rest of it.
+	if err := resp.Body.Close(); err != nil {
+		return time.Time{}, fmt.Errorf("close response: %w", err)
+	}
 	if resp.StatusCode != http.StatusOK || resp.Close {
 		return time.Time{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
--- a/pick/admission.go
+++ b/pick/admission.go
@@ -76,7 +76,7 @@
 	if a.Yields {
 		return a.admitYielding(c, random)
 	}
-	if !a.Urgent && !(c.slotSoonFree() && c.QueueTime+c.OvertakenTime < maxQueueTime) {
+	if !a.Urgent && (!c.slotSoonFree() || c.wholeQueue() >= maxQueueTime) {
 		return false
 	}
 	queueTime := a.QueueTime(c)
@@ -113,7 +113,7 @@
 // it, or the whole one if it yields.
 func (a Admission) QueueTime(c Choice) time.Duration {
 	if a.Yields {
-		return c.QueueTime + c.OvertakenTime
+		return c.wholeQueue()
 	}
 	return c.QueueTime
 }
@@ -133,13 +133,16 @@
 	return c.Server.Slots == 0 || float64(c.Load.Running) < maxRunningPerSlot*float64(c.Server.Slots)
 }
 
+// wholeQueue returns the time that the server needs for all of its pending prefill.
+func (c Choice) wholeQueue() time.Duration { return c.QueueTime + c.OvertakenTime }
+
 // slotFree reports whether the server is expected to have a free slot.
 func (c Choice) slotFree() bool { return c.Server.Slots == 0 || c.Load.Running < c.Server.Slots }
 
 // HasCapacity reports whether the server is expected to run the request without waiting for a
 // slot or a long queue.
 func (c Choice) HasCapacity() bool {
-	return c.QueueTime+c.OvertakenTime < maxQueueTime && c.slotFree()
+	return c.wholeQueue() < maxQueueTime && c.slotFree()
 }
 
 // MaxAdmissionWait returns the maximum time that a request with an objective waits for capacity.
