places: Places across all VMs for services with few slots

VMs know the requests of the others as of 300 ms ago, in which a server with 6 slots runs thirty requests. All fill the same server, which rejects the rest. The controller now grants each request a place at a server (package places), by the call for permits with optional members; a VM without an answer in 10 ms chooses servers as before for a second.

--- a/node/node.go
+++ b/node/node.go
@@ -193,7 +193,7 @@
 		ResponseBudget:  &conns.Budget{MemoryLimit: func() int64 { return int64(n.settings().Int("limits", "memory_mb")) << 20 }},
 		ShutdownContext: n.waitContext, StopsAt: n.exitTime,
 		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
-		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
+		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, RequestPlace: n.peers.Place, EndPlace: n.peers.EndPlace, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
 		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.AllotmentVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -33,6 +33,10 @@
 // that goes on. It returns true if the caller has received its final response. Otherwise it has updated the state of c
 // for the next attempt.
 func (g *Gateway) sendAttempt(ctx context.Context, w http.ResponseWriter, c *call, choice pick.Choice) bool {
+	defer func() {
+		g.endPlace(c, 0)
+		c.place = nil
+	}()
 	for a := g.tryServer(ctx, c, choice); a != nil; {
 		done := a.deliver(ctx, w)
 		next := a.end()
@@ -348,6 +352,7 @@
 			return a.failUncertain(ctx, "server error: status "+strconv.Itoa(a.resp.StatusCode))
 		}
 	}
+	a.g.endPlace(a.c, a.g.Now().Sub(a.sent))
 	a.dropHedge()
 	a.conn.SetStallTimeout(0, nil)
 	a.whole = whole
--- a/pass/call.go
+++ b/pass/call.go
@@ -94,6 +94,11 @@
 	// announced to a refused caller.
 	admissionWaitStart        time.Time
 	admissionWait, retryAfter time.Duration
+	// placeKey identifies the call while it waits for a place, 0 if it has not asked for one. placeWait is how long it
+	// has waited, and place its place at the server that it is sent to, nil for none.
+	placeKey  uint64
+	placeWait time.Duration
+	place     *heldPlace
 	// quota is the call's use of its team's quota, quotaRank its rank within the team.
 	quota     quotaUse
 	quotaRank int
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -72,6 +72,15 @@
 			g.Meter.AddCounter("pass.version_gone", 1)
 			return pick.Choice{}, errVersionGone
 		}
+		if g.needsPlace(now, c, serving) {
+			choice, granted, again, err := g.acquirePlace(waitCtx, now, c, serving)
+			if granted || err != nil {
+				return choice, err
+			}
+			if again {
+				continue
+			}
+		}
 		if choice, ok := g.pickServer(now, c, serving); ok {
 			if err := g.refuseUnfinished(now, c, choice, 0); err != nil {
 				return pick.Choice{}, err
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuscart/hibiscuscart/origin"
 	"github.com/hibiscuscart/hibiscuscart/paths"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/places"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/routes"
@@ -86,6 +87,10 @@
 	// RequestPermit requests a permit for one request to a server with a rate limit. It returns 0
 	// if the permit was granted, and otherwise how long to wait before the next attempt.
 	RequestPermit func(ctx context.Context, server string) time.Duration
+	// RequestPlace requests a place at a server of a service with few slots, and returns an error if no VM
+	// grants them. EndPlace reports the end of a request with a place. Optional; if nil, requests need no places.
+	RequestPlace func(ctx context.Context, service string, r places.Request) (places.Answer, error)
+	EndPlace     func(places.End)
 	// ShutdownContext ends when the VM starts to shut down: from then on, requests without a server are
 	// refused. Optional.
 	ShutdownContext context.Context
@@ -127,6 +132,8 @@
 	proxiedRunning atomic.Int64
 	// invalidLoads are the servers whose invalid reports were logged.
 	invalidLoads loggedServers
+	// reportingServers are the servers that have reported their load with a pace.
+	reportingServers loggedServers
 	// ownBudget is used if ResponseBudget is nil.
 	ownBudget conns.Budget
 
--- a/pass/log.go
+++ b/pass/log.go
@@ -25,7 +25,7 @@
 		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.KVTokens).
 		Dur("first_event", c.timeToFirstEvent).Dur("longest_pause", c.maxEventGap).Int("events", c.eventCount).
 		Dur("stops_in", c.stopsIn).Dur("expected", c.expected).
-		Dur("held", c.admissionWait).Dur("sought", c.modelWait).Dur("quota_wait", c.quota.wait).
+		Dur("held", c.admissionWait).Dur("sought", c.modelWait).Dur("quota_wait", c.quota.wait).Dur("place_wait", c.placeWait).
 		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
 }
 
--- a/pass/serverload.go
+++ b/pass/serverload.go
@@ -29,6 +29,14 @@
 	return true
 }
 
+// has reports whether a server is in the set.
+func (l *loggedServers) has(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.ids[id]
+	return ok
+}
+
 // recordServerLoad records what the response reports about the load of its server. An invalid value is counted, logged once for
 // each server, and ignored.
 func (r *reply) recordServerLoad() {
@@ -47,6 +55,7 @@
 	}
 	if reading.Pace > 0 {
 		r.g.Meter.AddCounter("gauge.readings", 1)
+		r.g.reportingServers.add(r.server)
 		r.g.Gauge.Heard(r.g.Now(), r.server, reading)
 	}
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/places"
 	"github.com/hibiscuscart/hibiscuscart/poison"
 	"github.com/hibiscuscart/hibiscuscart/retry"
 	"github.com/hibiscuscart/hibiscuscart/steer"
@@ -138,6 +139,11 @@
 	withoutPathSince time.Time
 	// rooms grants requests to servers that may not reject many.
 	rooms limit.Slots
+	// places grants places at servers of services with few slots. placeEnds are the ends to report to the hub, and
+	// placesSuspendedUntil is until when this VM does not call it for places.
+	places               places.Owner
+	placeEnds            placeEnds
+	placesSuspendedUntil time.Time
 	// rejects are the news of servers that may not reject many requests.
 	rejects rejectNews
 	// paces is what is to be passed on of the pace of servers.
@@ -197,6 +203,7 @@
 // Run maintains the lease and the link to the hub until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	p.rooms.Seed = xxhash.Sum64String(p.Name)
+	p.places.Seed = xxhash.Sum64String(p.Name + p.Boot)
 	leaseDue := true
 	var steppedAt time.Time
 	for ctx.Err() == nil {
--- a/peers/permits.go
+++ b/peers/permits.go
@@ -34,12 +34,9 @@
 
 // requestPermit gets a permit from the controller, which may be this VM, or how long to wait.
 func (p *Peers) requestPermit(ctx context.Context, server string) (time.Duration, error) {
-	p.mu.Lock()
-	// A controller that has lost the lease continues to serve the VMs linked to it while no other VM
-	// can acquire the lease.
-	up, acting := p.uplink, p.uplink == nil && !p.relaying && len(p.links) > 0
-	p.mu.Unlock()
-	if now := p.Now(); acting || p.Lease.Held(now) {
+	now := p.Now()
+	up, grants := p.grantor(now)
+	if grants {
 		roomWait, limited := p.grantRoom(now, server)
 		if roomWait > 0 {
 			return roomWait, nil
@@ -58,7 +55,22 @@
 	return up.permit(ctx, server)
 }
 
+// grantor returns the link to the hub that grants the permits and places of all VMs, nil if there is none, or whether
+// this VM grants them itself.
+func (p *Peers) grantor(now time.Time) (up *uplink, self bool) {
+	p.mu.Lock()
+	// A controller that has lost the lease continues to serve the VMs linked to it while no other VM
+	// can acquire the lease.
+	up, acting := p.uplink, p.uplink == nil && !p.relaying && len(p.links) > 0
+	p.mu.Unlock()
+	return up, acting || p.Lease.Held(now)
+}
+
 func (p *Peers) answerPermit(ctx context.Context, d *downlink, call *wire.PermitCall) {
+	if call.ZzPlace != nil || len(call.ZzEnded) > 0 {
+		p.answerPlace(ctx, d, call)
+		return
+	}
 	ctx, span := spans.Start(ctx, "permit", attribute.String("server", call.Server))
 	wait, err := p.requestPermit(ctx, call.Server)
 	spans.End(span, err)
--- /dev/null
+++ b/places/service.go
@@ -0,0 +1,125 @@
+package places
+
+import (
+	"slices"
+	"time"
+)
+
+// service is the state of a service at the owner.
+type service struct {
+	// servers are in the order of the list of servers.
+	servers            []*server
+	queue              queue
+	askedAt, expiredAt time.Time
+}
+
+// server is the state of a server at the owner.
+type server struct {
+	id    string
+	slots int
+	// processing is the average time of a request without a queue.
+	processing time.Duration
+	// running is the number of places. unowned is the number of requests from before this owner, until unownedUntil.
+	running, unowned int
+	unownedUntil     time.Time
+	gone             bool
+}
+
+// update follows the list of servers.
+func (s *service) update(now time.Time, list []Server) {
+	previous := s.servers
+	s.servers = make([]*server, 0, len(list))
+	for _, l := range list {
+		if l.Slots <= 0 {
+			continue
+		}
+		i := slices.IndexFunc(previous, func(p *server) bool { return p.id == l.ID })
+		if i >= 0 {
+			previous[i].slots = l.Slots
+			if !now.Before(previous[i].unownedUntil) {
+				previous[i].unowned = 0
+			}
+			s.servers = append(s.servers, previous[i])
+			continue
+		}
+		added := &server{id: l.ID, slots: l.Slots, processing: l.ProcessingTime, unowned: l.Running}
+		if added.processing <= 0 {
+			added.processing = defaultProcessingTime
+		}
+		added.unownedUntil = now.Add(added.stay(l.Running))
+		s.servers = append(s.servers, added)
+	}
+	for _, p := range previous {
+		p.gone = !slices.Contains(s.servers, p)
+	}
+}
+
+// rate returns how many requests the servers complete in a second.
+func (s *service) rate() float64 {
+	sum := 0.0
+	for _, server := range s.servers {
+		sum += float64(server.slots) / server.processing.Seconds()
+	}
+	return sum
+}
+
+// free returns the number of free places for requests with a remaining time.
+func (s *service) free(remaining time.Duration) int {
+	n := 0
+	for _, server := range s.servers {
+		n += max(server.depth(remaining)-server.count(), 0)
+	}
+	return n
+}
+
+// best returns the server with a free place that is expected to complete the request first, nil for none.
+func (s *service) best(r Request) *server {
+	var best *server
+	for _, server := range s.servers {
+		if server.count() >= server.depth(r.Remaining) || slices.Contains(r.Avoid, server.id) {
+			continue
+		}
+		if best == nil || server.finish() < best.finish() {
+			best = server
+		}
+	}
+	return best
+}
+
+// longestStay returns the time that a request spends at a server with all of its places taken.
+func (s *service) longestStay(remaining time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, server := range s.servers {
+		longest = max(longest, server.stay(server.depth(remaining)))
+	}
+	return longest
+}
+
+// count returns the number of requests that run or wait at the server.
+func (s *server) count() int { return s.running + s.unowned }
+
+// rounds returns in how many rounds a server completes a number of requests.
+func (s *server) rounds(requests int) float64 {
+	return max(float64(requests)/float64(s.slots), 1)
+}
+
+// stay returns the time until a request has completed that is the last one of a number of requests at the server.
+func (s *server) stay(requests int) time.Duration {
+	return time.Duration(s.rounds(requests)*float64(s.processing)) + transferTime
+}
+
+// finish returns the time in which one more request would complete.
+func (s *server) finish() time.Duration { return s.stay(s.count() + 1) }
+
+// depth returns how many requests with a remaining time the server may have.
+func (s *server) depth(remaining time.Duration) int {
+	time := max(queueShare*remaining.Seconds(), s.processing.Seconds()+refillTime.Seconds())
+	return max(int(float64(s.slots)*time/s.processing.Seconds()), s.slots)
+}
+
+// observe records the time of a request that was expected to take a number of rounds.
+func (s *server) observe(took time.Duration, rounds float64) {
+	if took > 0 {
+		s.processing += time.Duration(processingWeight * (float64(took)/rounds - float64(s.processing)))
+	}
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -814,8 +814,15 @@
 	// Number of the call, which the reply repeats.
 	Call int `json:"call"`
 
-	// ID of the server process; changes at each start.
+	// ID of the server process; changes at each start. Empty if the call is for a
+	// place.
 	Server string `json:"server"`
+
+	// Ends of requests with places since the last call of this VM.
+	ZzEnded []PlaceEnd `json:"zz_ended,omitempty,omitzero"`
+
+	// ZzPlace corresponds to the JSON schema field "zz_place".
+	ZzPlace *PlaceCall `json:"zz_place,omitempty,omitzero"`
 }
 
 // Answers a permit_call.
@@ -826,6 +833,51 @@
 	// 0 if the permit is granted, -1 if the limit is unknown to the controller,
 	// otherwise the wait before the next call in microseconds.
 	WaitUs int `json:"wait_us"`
+
+	// ZzPlace corresponds to the JSON schema field "zz_place".
+	ZzPlace *PlaceReply `json:"zz_place,omitempty,omitzero"`
+}
+
+// Requests a place for one request at any server of a service with few slots.
+type PlaceCall struct {
+	// Number that the calls for one request share while it waits.
+	Key int `json:"key"`
+
+	// Priority of the request; 0 is the highest.
+	Priority int `json:"priority"`
+
+	// Time in microseconds until the objective of the request.
+	RemainingUs int `json:"remaining_us"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// IDs of the servers to which this VM can not send the request.
+	ZzAvoid []string `json:"zz_avoid,omitempty,omitzero"`
+}
+
+// The end of a request with a place.
+type PlaceEnd struct {
+	// Number of the place.
+	Place int `json:"place"`
+
+	// Time in microseconds from sending the request to its response, 0 if it got
+	// none.
+	TookUs int `json:"took_us"`
+}
+
+// Answers a place_call. Without a place and not refused, the request waits and its
+// VM calls again after wait_us.
+type PlaceReply struct {
+	// Number of the place, 0 for none.
+	Place int `json:"place"`
+
+	// Set if the request can not be served in time; wait_us is the time until there
+	// is room.
+	Refused bool `json:"refused"`
+
+	// ID of the server of the place.
+	Server string `json:"server"`
 }
 
 // A profile document, which defines how a class of requests is served. Accepted
