places: Servers that fail or are too slow get one request at a time

A server that does not accept connections ended its places at once and was taken for idle; one ten times slower than usual got new requests each time its places expired; an objective that no server meets had all requests refused. Three failures in a row now leave a probe each 250 ms, late ends still count as measurements, and an objective below twice the response time of the fastest server is raised to that.

The replay counts time in the VM only as waiting.

--- a/pass/places.go
+++ b/pass/places.go
@@ -64,7 +64,7 @@
 	case ctx.Err() != nil:
 		g.returnPlace(answer)
 		return pick.Choice{}, false, false, errNoPlace
-	case err != nil:
+	case err != nil || answer == (places.Answer{}):
 		g.Meter.AddCounter("places.fallback", 1)
 		return pick.Choice{}, false, false, nil
 	case answer.Refused:
--- a/places/owner.go
+++ b/places/owner.go
@@ -43,6 +43,16 @@
 	// servers seemed faster than they were, and rejected requests.
 	expiryFactor = 2
 	minExpiry    = 300 * time.Millisecond
+	// minObjectiveRounds times the response time of the fastest idle server is the least objective that places follow.
+	minObjectiveRounds = 2
+	// lateEndTime is how long after its expiry the end of a place still tells how slow the server is. Without it, a
+	// server ten times slower than usual got new requests each time that its places expired.
+	lateEndTime = 10 * time.Second
+	// maxFailures is the number of places in a row that end without a response from which a server gets one request at
+	// a time, at probeInterval after a failure. A server that does not accept connections ends its places at once and
+	// would get all requests. VMs that can not reach a server are a part of them, and others have responses in between.
+	maxFailures   = 3
+	probeInterval = 250 * time.Millisecond
 	// idleTime is the time after which the state of a service without calls is removed.
 	idleTime = time.Minute
 )
@@ -70,7 +80,8 @@
 	Avoid []string
 }
 
-// Answer is the answer to a request for a place. A request without a place is refused, or has to wait.
+// Answer is the answer to a request for a place. A request without a place is refused, or has to wait. The zero value means that the
+// owner knows no usable server, and the VM decides itself.
 type Answer struct {
 	// Place is the number of the place and Server its server, 0 and "" if there is none.
 	Place  int
@@ -103,6 +114,8 @@
 type place struct {
 	server  *server
 	expires time.Time
+	// expired is set once the place counts no longer.
+	expired bool
 	// rounds is the number of rounds of requests at the server until this one was expected to end.
 	rounds float64
 }
@@ -117,21 +130,25 @@
 	o.expire(now, s)
 	s.queue.remove(r.Key)
 	ahead := s.queue.ahead(now, r)
+	r = s.attainable(r)
 	timely := time.Duration(timelyShare * float64(r.Remaining))
-	rate, free := s.rate(), s.free(r.Objective)
+	rate, free := s.rate(r.Objective), s.free(r.Objective)
 	best := s.best(r)
-	if best == nil && free > 0 || rate == 0 {
+	if rate == 0 {
+		return Answer{}
+	}
+	if best == nil && free > 0 {
 		// The free places are at servers that this VM can not use.
 		return Answer{Refused: true, Wait: minWait}
 	}
 	if best != nil && ahead < free {
-		if finish := best.finish(); finish > timely {
+		if finish := best.finish(); finish > timely && best.count() > 0 {
 			return Answer{Refused: true, Wait: finish - timely}
 		}
 		return Answer{Place: o.grant(now, best), Server: best.id}
 	}
 	wait := time.Duration(float64(ahead-free+1) / rate * float64(time.Second))
-	if finish := wait + s.longestStay(r.Objective); finish > timely {
+	if finish := wait + s.shortestStay(r.Objective); finish > timely {
 		return Answer{Refused: true, Wait: finish - timely}
 	}
 	wait = min(max(wait, minWait), maxWait)
@@ -149,8 +166,8 @@
 			continue
 		}
 		delete(o.granted, e.Place)
-		p.server.running--
-		p.server.observe(e.Took, p.rounds)
+		p.free()
+		p.server.observe(now, e.Took, p.rounds)
 	}
 }
 
@@ -167,6 +184,14 @@
 	return o.last
 }
 
+// free makes a place free, once.
+func (p *place) free() {
+	if !p.expired {
+		p.expired = true
+		p.server.running--
+	}
+}
+
 // expire frees places without a report of their end, and those of servers that are gone. o.mu is held.
 func (o *Owner) expire(now time.Time, s *service) {
 	if now.Sub(s.expiredAt) < minWait {
@@ -175,7 +200,9 @@
 	s.expiredAt = now
 	for number, p := range o.granted {
 		if !now.Before(p.expires) || p.server.gone {
-			p.server.running--
+			p.free()
+		}
+		if !now.Before(p.expires.Add(lateEndTime)) || p.server.gone {
 			delete(o.granted, number)
 		}
 	}
--- a/places/replay_test.go
+++ b/places/replay_test.go
@@ -67,6 +67,8 @@
 	vmEnds time.Duration
 	// serversLost is when all servers but one end, 0 for never.
 	serversLost time.Duration
+	// deadServer is when the first server stops accepting connections while it stays in the list, 0 for never.
+	deadServer time.Duration
 	// slow is how many times longer one server takes, 0 for 1.
 	slow float64
 }
@@ -105,6 +107,7 @@
 type simRequest struct {
 	vm, sends int
 	arrived   time.Duration
+	waited    time.Duration
 	excluded  []string
 	place     int
 	owner     int
@@ -210,7 +213,6 @@
 }
 
 func (s *sim) choose(r *simRequest) {
-	s.result.longestWait = max(s.result.longestWait, s.now-r.arrived)
 	switch s.way {
 	case standing:
 		s.chooseAlone(r)
@@ -242,10 +244,8 @@
 		return
 	}
 	vm.nextSend = at + interval
-	s.after(at-s.now, func() {
-		s.result.longestWait = max(s.result.longestWait, s.now-r.arrived)
-		s.chooseAlone(r)
-	})
+	s.recordWait(r, at-s.now)
+	s.after(at-s.now, func() { s.chooseAlone(r) })
 }
 
 // ask asks the owner for a place.
@@ -297,7 +297,8 @@
 	case a.Refused:
 		s.result.refused++
 	case a.Place == 0:
-		s.after(a.Wait, func() { s.ask2(r) })
+		s.recordWait(r, a.Wait)
+		s.after(a.Wait, func() { s.ask(r) })
 	default:
 		r.place, r.owner = a.Place, owner
 		vm := &s.vms[r.vm]
@@ -313,10 +314,10 @@
 	}
 }
 
-// ask2 asks again after a wait.
-func (s *sim) ask2(r *simRequest) {
-	s.result.longestWait = max(s.result.longestWait, s.now-r.arrived)
-	s.ask(r)
+// recordWait records that a request waits in its VM before it is sent.
+func (s *sim) recordWait(r *simRequest, wait time.Duration) {
+	r.waited += wait
+	s.result.longestWait = max(s.result.longestWait, r.waited)
 }
 
 func (s *sim) send(r *simRequest, c pick.Choice) {
@@ -335,6 +336,18 @@
 		}
 		s.endPlace(r, took)
 	}
+	if s.faults.deadServer > 0 && s.now >= s.faults.deadServer && index == 0 {
+		s.after(250*time.Millisecond, func() {
+			end(pick.Failed)
+			r.excluded = append(r.excluded, c.Server.ID)
+			if r.sends >= replaySends {
+				s.result.failed++
+				return
+			}
+			s.choose(r)
+		})
+		return
+	}
 	s.after(replayHop, func() {
 		if server.gone || server.running+len(server.waiting) >= replaySlots+replayQueue {
 			s.result.rejects++
@@ -458,6 +471,8 @@
 		"a fifth of ends is not known": {faults{lostEnds: 0.2}, 1.3, 0, false},
 		"a quarter of VMs ends":        {faults{vmEnds: 5 * time.Second}, 1.3, 0, false},
 		"two of three servers lost":    {faults{serversLost: 5 * time.Second}, 1.3, 0, false},
+		"a server does not connect":    {faults{deadServer: 5 * time.Second}, 1.2, 0, false},
+		"a server is too slow":         {faults{slow: 10}, 1.3, 0, false},
 		"a server is slow":             {faults{slow: 3}, 1.3, 0, false},
 	}
 }
--- a/places/service.go
+++ b/places/service.go
@@ -23,6 +23,11 @@
 	running, unowned int
 	unownedUntil     time.Time
 	gone             bool
+	// failures counts the places that ended without a response since the last one with a response, and failedAt is when the
+	// last one did. failing is set while the server gets no requests for that.
+	failures int
+	failedAt time.Time
+	failing  bool
 }
 
 // update follows the list of servers.
@@ -49,16 +54,19 @@
 		added.unownedUntil = now.Add(added.stay(l.Running))
 		s.servers = append(s.servers, added)
 	}
+	for _, server := range s.servers {
+		server.failing = server.failures >= maxFailures && now.Sub(server.failedAt) < probeInterval
+	}
 	for _, p := range previous {
 		p.gone = !slices.Contains(s.servers, p)
 	}
 }
 
-// rate returns how many requests the servers complete in a second.
-func (s *service) rate() float64 {
+// rate returns how many requests with an objective the servers complete in a second.
+func (s *service) rate(objective time.Duration) float64 {
 	sum := 0.0
 	for _, server := range s.servers {
-		sum += float64(server.slots) / server.processing.Seconds()
+		sum += float64(min(server.slots, server.depth(objective))) / server.processing.Seconds()
 	}
 	return sum
 }
@@ -86,13 +94,34 @@
 	return best
 }
 
-// longestStay returns the time that a request spends at a server with all of its places taken.
-func (s *service) longestStay(objective time.Duration) time.Duration {
-	longest := time.Duration(0)
+// shortestStay returns the time that a request spends at a server with all of its places taken.
+func (s *service) shortestStay(objective time.Duration) time.Duration {
+	shortest := time.Duration(0)
 	for _, server := range s.servers {
-		longest = max(longest, server.stay(server.depth(objective)))
+		if server.failing {
+			continue
+		}
+		if stay := server.stay(server.depth(objective)); shortest == 0 || stay < shortest {
+			shortest = stay
+		}
 	}
-	return longest
+	return shortest
+}
+
+// attainable adds to the objective of a request what the fastest server needs beyond it. Requests whose objective no server can
+// meet are served late rather than refused.
+func (s *service) attainable(r Request) Request {
+	fastest := time.Duration(0)
+	for _, server := range s.servers {
+		if stay := server.stay(1); fastest == 0 || stay < fastest {
+			fastest = stay
+		}
+	}
+	if extra := minObjectiveRounds*fastest - r.Objective; extra > 0 {
+		r.Objective += extra
+		r.Remaining += extra
+	}
+	return r
 }
 
 // count returns the number of requests that run or wait at the server.
@@ -111,15 +140,26 @@
 // finish returns the time in which one more request would complete.
 func (s *server) finish() time.Duration { return s.stay(s.count() + 1) }
 
-// depth returns how many requests with an objective the server may have.
+// depth returns how many requests with an objective the server may have. A server that is too slow for the objective gets
+// one at a time, which shows when it is faster again, and so does one that fails, at intervals.
 func (s *server) depth(objective time.Duration) int {
+	if s.failing {
+		return 0
+	}
+	if s.failures >= maxFailures || s.stay(1) > time.Duration(timelyShare*float64(objective)) {
+		return 1
+	}
 	time := max(queueShare*objective.Seconds(), s.processing.Seconds()+refillTime.Seconds())
 	return max(int(float64(s.slots)*time/s.processing.Seconds()), s.slots)
 }
 
-// observe records the time of a request that was expected to take a number of rounds.
-func (s *server) observe(took time.Duration, rounds float64) {
-	if took > 0 {
-		s.processing += time.Duration(processingWeight * (float64(took)/rounds - float64(s.processing)))
+// observe records the time of a request that was expected to take a number of rounds, 0 if it got no response.
+func (s *server) observe(now time.Time, took time.Duration, rounds float64) {
+	if took <= 0 {
+		s.failures++
+		s.failedAt = now
+		return
 	}
+	s.failures = 0
+	s.processing += time.Duration(processingWeight * (float64(took)/rounds - float64(s.processing)))
 }
