--- a/places/owner.go
+++ b/places/owner.go
@@ -226,3 +226,10 @@
 	s.askedAt = now
 	return s
 }
+
+// Open reports whether the end of a granted place is not known.
+func (o *Owner) Open(place int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.granted[place] != nil
+}
