--- a/link/older_test.go
+++ b/link/older_test.go
@@ -56,6 +56,21 @@
 			extend:  func(m *wire.Message) { m.FleetState.Servers[0].Version = "v" },
 			newer:   "94f6f6f6f6f6f6f69500f4f4009160f660006060f60000f600f600f600000000f6f600f4f6818e616100006164f4f400818280616d616e6173617608f46176f6f603f6f6f6f600f6f6f6f6f6f6f6f6f6f6f660f6",
 		},
+		"permit call without a place": {
+			older:   "94f6f6f6f6f6f6f6f6f6f6f682016173f6f6f6f6f6f6f6f660f6",
+			message: wire.Message{PermitCall: &wire.PermitCall{Call: 1, Server: "s"}},
+			extend: func(m *wire.Message) {
+				m.PermitCall.ZzEnded = []wire.PlaceEnd{{Place: 9, TookUs: 5}}
+				m.PermitCall.ZzPlace = &wire.PlaceCall{Service: "v", Key: 3, Priority: 1, ObjectiveUs: 300, RemainingUs: 200}
+			},
+			newer: "94f6f6f6f6f6f6f6f6f6f6f68401617381820905860319012c0118c86176f6f6f6f6f6f6f660f6",
+		},
+		"permit reply without a place": {
+			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6820107f6f6f6f6f660f6",
+			message: wire.Message{PermitReply: &wire.PermitReply{Call: 1, WaitUs: 7}},
+			extend:  func(m *wire.Message) { m.PermitReply.ZzPlace = &wire.PlaceReply{Place: 9, Server: "s"} },
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f68301078309f46173f6f6f6f6f660f6",
+		},
 		"find call": {
 			older:   "94f6f6f684616101616d6173f6f6f6f6f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FindCall: &wire.FindCall{Call: 1, Service: "s", Model: "m", Adapter: "a"}},
@@ -185,3 +200,13 @@
 	require.NoError(t, codec.NewDecoderBytes(longer, cborHandle).Decode(&older))
 	require.Equal(t, []string{"b"}, older.Second)
 }
+
+// Guards against a call for a place that takes 100 bytes or more, with long numbers and one end.
+func TestPlaceCallSize(t *testing.T) {
+	data, err := Encode(&wire.Message{PermitCall: &wire.PermitCall{
+		Call: 1 << 20, ZzEnded: []wire.PlaceEnd{{Place: 1 << 31, TookUs: 60_000}},
+		ZzPlace: &wire.PlaceCall{Service: "plain-service-name", Key: 1 << 53, Priority: 1, ObjectiveUs: 300_000, RemainingUs: 200_000},
+	}})
+	require.NoError(t, err)
+	require.Less(t, len(data), 100)
+}
