pass, places: Another round for requests that every server has rejected

A request whose servers had all rejected it asked the owner with all of them to avoid, and was refused at once with 10 ms as the time to come back. It now waits for its next round as before. A request that could use none of the free places was refused too; it now waits without keeping them from others.

--- a/pass/places.go
+++ b/pass/places.go
@@ -52,13 +52,17 @@
 // acquirePlace requests a place for a call. It returns the server of the place if one was granted. Otherwise again is set after
 // a wait, when the caller should choose again, or the call is to be sent without a place because no owner answers.
 func (g *Gateway) acquirePlace(ctx context.Context, now time.Time, c *call, serving []backs.Entry) (choice pick.Choice, granted, again bool, err error) {
+	avoid := g.unusable(now, c, serving)
+	if len(avoid) == len(serving) {
+		return pick.Choice{}, false, false, nil // The call waits until a server can be used again, or for its next round.
+	}
 	if c.placeKey == 0 {
 		g.mu.Lock()
 		c.placeKey = 1 + g.random(now).Uint64N(maxPlaceKey)
 		g.mu.Unlock()
 	}
 	answer, err := g.RequestPlace(ctx, c.service.Name, places.Request{
-		Key: c.placeKey, Priority: c.urgency.Priority, Objective: c.route.Objective, Remaining: max(c.arrived.Add(c.route.Objective).Sub(now), 0), Avoid: g.unusable(now, c, serving),
+		Key: c.placeKey, Priority: c.urgency.Priority, Objective: c.route.Objective, Remaining: max(c.arrived.Add(c.route.Objective).Sub(now), 0), Avoid: avoid,
 	})
 	switch {
 	case ctx.Err() != nil:
--- a/pass/places_test.go
+++ b/pass/places_test.go
@@ -185,3 +185,22 @@
 	require.Zero(t, s.arrived.Load())
 	require.Equal(t, []places.End{{Place: 5}}, g.ended)
 }
+
+// Guards against a request that is refused because the only server has rejected it once, although another round is allowed.
+func TestNextRoundWithPlaces(t *testing.T) {
+	s := startNoticeServer(t, nil)
+	s.respond = func(w http.ResponseWriter) {
+		if s.arrived.Load() == 1 {
+			w.Header().Del("Stamp")
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	g := newPlaceGateway(server("a", "d", s.address))
+	g.answers = []places.Answer{{Place: 1, Server: "a"}, {Place: 2, Server: "a"}}
+	g.RetryBudget("s").SetLimit(clock.Now(), 0, 10, time.Hour)
+	require.Equal(t, http.StatusOK, sendRequest(g.Gateway).Code)
+	require.Len(t, g.asked, 2)
+	require.Empty(t, g.asked[1].Avoid)
+	require.EqualValues(t, 2, s.arrived.Load())
+}
--- a/places/owner.go
+++ b/places/owner.go
@@ -137,9 +137,9 @@
 	if rate == 0 {
 		return Answer{}
 	}
-	if best == nil && free > 0 {
-		// The free places are at servers that this VM can not use.
-		return Answer{Refused: true, Wait: minWait}
+	avoids := best == nil && free > 0
+	if avoids {
+		free = 0 // The free places are at servers that this VM can not use.
 	}
 	if best != nil && ahead < free {
 		if finish := best.finish(); finish > timely && best.count() > 0 {
@@ -152,7 +152,9 @@
 		return Answer{Refused: true, Wait: finish - timely}
 	}
 	wait = min(max(wait, minWait), maxWait)
-	s.queue.add(now, r, wait)
+	if !avoids { // Otherwise it would keep the free places from requests that can use them.
+		s.queue.add(now, r, wait)
+	}
 	return Answer{Wait: wait}
 }
 
--- a/places/owner_test.go
+++ b/places/owner_test.go
@@ -103,3 +103,19 @@
 	}
 	require.LessOrEqual(t, toA, maxFailures+4)
 }
+
+// Guards against a request that is refused, or keeps places from others, because the free places are at a server that its VM can not use.
+func TestFreePlacesAtAvoidedServer(t *testing.T) {
+	var o Owner
+	fill(t, &o)
+	two := append([]Server{{ID: "b", Slots: 2, ProcessingTime: 50 * time.Millisecond}}, oneServer...)
+	r := request(1, 0, 200*time.Millisecond)
+	r.Avoid = []string{"b"}
+	a := o.Ask(epoch, "s", two, r)
+	require.Zero(t, a.Place)
+	require.False(t, a.Refused)
+	require.Positive(t, a.Wait)
+	for key := range uint64(4) {
+		require.Equal(t, "b", o.Ask(epoch, "s", two, request(2+key, 9, 200*time.Millisecond)).Server)
+	}
+}
