--- a/places/service.go
+++ b/places/service.go
@@ -149,8 +149,8 @@
 	if s.failures >= maxFailures || s.stay(1) > time.Duration(timelyShare*float64(objective)) {
 		return 1
 	}
-	time := max(queueShare*objective.Seconds(), s.processing.Seconds()+refillTime.Seconds())
-	return max(int(float64(s.slots)*time/s.processing.Seconds()), s.slots)
+	within := max(queueShare*objective.Seconds(), s.processing.Seconds()+refillTime.Seconds())
+	return max(int(float64(s.slots)*within/s.processing.Seconds()), s.slots)
 }
 
 // observe records the time of a request that was expected to take a number of rounds, 0 if it got no response.
