places, pass: A VM that stops returns a place whose answer would be cut; unused places are no failures

Cause: a request with a place was sent without the check whether its answer ends before the exit of a VM that stops, so that the caller could lose it; and a place returned unused counted as a request that its server failed, three of which limit the server to one request at a time. Change: the check runs before a place is used, and the place is returned; Took is Unused for places that no request was sent with (took_us -1 on the wire). Measured: TestStoppingVMReturnsPlace and TestUnusedPlacesAreNoFailures are new; two tests that expected 0 for unused places expect Unused.

--- a/pass/choose.go
+++ b/pass/choose.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/pick"
+	"github.com/hibiscuscart/hibiscuscart/places"
 )
 
 var (
@@ -74,8 +75,15 @@
 		}
 		if g.needsPlace(now, c, serving) {
 			choice, granted, again, err := g.acquirePlace(waitCtx, now, c, serving)
-			if granted || err != nil {
-				return choice, err
+			if granted {
+				err = g.refuseUnfinished(g.Now(), c, choice, 0)
+			}
+			if err != nil {
+				g.endPlace(c, places.Unused)
+				return pick.Choice{}, err
+			}
+			if granted {
+				return choice, nil
 			}
 			if again {
 				continue
--- a/pass/places.go
+++ b/pass/places.go
@@ -110,7 +110,7 @@
 // returnPlace ends a place that is not used.
 func (g *Gateway) returnPlace(a places.Answer) {
 	if a.Place != 0 {
-		g.EndPlace(places.End{Place: a.Place})
+		g.EndPlace(places.End{Place: a.Place, Took: places.Unused})
 	}
 }
 
--- a/pass/places_test.go
+++ b/pass/places_test.go
@@ -151,7 +151,7 @@
 			require.Equal(t, http.StatusOK, sendRequest(g.Gateway).Code)
 			require.EqualValues(t, 1, g.Meter.CounterValue("places.fallback"))
 			if len(answers) > 0 && answers[0].Place != 0 {
-				require.Equal(t, []places.End{{Place: 3}}, g.ended)
+				require.Equal(t, []places.End{{Place: 3, Took: places.Unused}}, g.ended)
 			}
 		})
 	}
@@ -183,7 +183,7 @@
 	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil).WithContext(ctx)
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { g.ServeHTTP(httptest.NewRecorder(), r) })
 	require.Zero(t, s.arrived.Load())
-	require.Equal(t, []places.End{{Place: 5}}, g.ended)
+	require.Equal(t, []places.End{{Place: 5, Took: places.Unused}}, g.ended)
 }
 
 // Guards against a request that is refused because the only server has rejected it once, although another round is allowed.
@@ -204,3 +204,19 @@
 	require.Empty(t, g.asked[1].Avoid)
 	require.EqualValues(t, 2, s.arrived.Load())
 }
+
+// Guards against a VM that stops and sends a request with a place whose answer would be cut off at its exit, and against
+// places kept, or held against their server, for such requests.
+func TestStoppingVMReturnsPlace(t *testing.T) {
+	s := startNoticeServer(t, func(http.ResponseWriter) {})
+	g := newPlaceGateway(server("a", "d", s.address))
+	g.answers = []places.Answer{{Place: 7, Server: "a"}}
+	now := clock.Now()
+	g.Now = func() time.Time { return now }
+	// The response alone would end before the exit, and with the room for a silence after it.
+	g.StopsAt = func() (time.Time, bool) { return now.Add(silenceRoom + time.Millisecond), true }
+	require.Equal(t, http.StatusServiceUnavailable, sendRequest(g.Gateway).Code)
+	require.Len(t, g.asked, 1)
+	require.Equal(t, []places.End{{Place: 7, Took: places.Unused}}, g.ended)
+	require.Zero(t, s.arrived.Load())
+}
--- a/places/owner.go
+++ b/places/owner.go
@@ -92,10 +92,13 @@
 	Wait    time.Duration
 }
 
+// Unused is the Took of a place that no request was sent with. It says nothing about the server.
+const Unused = -time.Microsecond
+
 // End is the end of a request with a place.
 type End struct {
 	Place int
-	// Took is the time between sending the request and the response, 0 if there was none.
+	// Took is the time between sending the request and the response, 0 if there was none, or Unused.
 	Took time.Duration
 }
 
--- a/places/owner_test.go
+++ b/places/owner_test.go
@@ -119,3 +119,18 @@
 		require.Equal(t, "b", o.Ask(epoch, "s", two, request(2+key, 9, 200*time.Millisecond)).Server)
 	}
 }
+
+// Guards against a server that gets one request at a time because VMs returned places that they did not use.
+func TestUnusedPlacesAreNoFailures(t *testing.T) {
+	var o Owner
+	now := time.Unix(1000, 0)
+	servers := []Server{{ID: "a", Slots: 6, ProcessingTime: 60 * time.Millisecond}}
+	ask := func(key uint64) Answer {
+		return o.Ask(now, "s", servers, Request{Key: key, Objective: 300 * time.Millisecond, Remaining: 300 * time.Millisecond})
+	}
+	for i := range uint64(2 * maxFailures) {
+		o.End(now, []End{{Place: ask(i + 1).Place, Took: Unused}})
+	}
+	require.NotZero(t, ask(100).Place)
+	require.NotZero(t, ask(101).Place)
+}
--- a/places/service.go
+++ b/places/service.go
@@ -153,8 +153,12 @@
 	return max(int(float64(s.slots)*within/s.processing.Seconds()), s.slots)
 }
 
-// observe records the time of a request that was expected to take a number of rounds, 0 if it got no response.
+// observe records the time of a request that was expected to take a number of rounds, 0 if it got no response. Unused
+// places say nothing.
 func (s *server) observe(now time.Time, took time.Duration, rounds float64) {
+	if took == Unused {
+		return
+	}
 	if took <= 0 {
 		s.failures++
 		s.failedAt = now
--- a/wire/types.go
+++ b/wire/types.go
@@ -865,7 +865,7 @@
 	Place int `json:"place"`
 
 	// Time in microseconds from sending the request to its response, 0 if it got
-	// none.
+	// none, -1 if no request was sent.
 	TookUs int `json:"took_us"`
 }
 
