--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -24,11 +24,11 @@
 func lateSecondAnswers(folder string, rec *record, trouble bool) bool {
 	const (
 		service, host, prefix = "huvo11a", "ficu95.example", "/puxa403/"
-		length                = 95 * time.Second
+		length                = 104 * time.Second
 		batchEvery            = 160 * time.Millisecond
 		batch                 = 60
 		budget                = 1000 * time.Millisecond
-		nodes                 = 9
+		nodes                 = 12
 	)
 	st := newStore()
 	l := mustListen()
