--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 // scripts are the cases by name.
 var scripts = map[string]func(folder string, rec *record, trouble bool) (broken bool){
 	"late-second-answers": lateSecondAnswers,
+	"late-order":          lateOrderAfterRestart,
 	"stops-in-turn":       stopsInTurn,
 }
 
