--- a/review/standin/stops.go
+++ b/review/standin/stops.go
@@ -5,12 +5,14 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -206,8 +208,7 @@
 func closed(c net.Conn, r *bufio.Reader) bool {
 	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
 	_, err := r.Peek(1)
-	timeout, ok := err.(net.Error)
-	return !ok || !timeout.Timeout()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // stopped is a stop of a node.
