pass: Logs tell whether a connection carried an attempt before

What callers saw: requests that may run once ran twice, or were refused as not run although they had. Two hypotheses of docs/incidents/refusals.md need it: a second copy of an answer to an earlier send, and a refusal that names no request. The lines of the log were the same for both, and for a sound refusal. Change: no logic. `request`, `try failed` and `request proxied` have conn_new, conn_carried and answer_named; pass.sends_on_carried and pass.unnamed_answers count both. No line is added, three short fields to lines that were there.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -29,6 +29,7 @@
 	// ownDelay is described at OwnDelay. Only the reader uses it.
 	ownDelay time.Duration
 	head     headLimit
+	carried  carried
 
 	stallMu sync.Mutex
 	// stallDue is set if a read is to call abortOnStall before its stall timeout ends.
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -38,8 +38,8 @@
 		c.place = nil
 	}()
 	for a := g.tryServer(ctx, c, choice); a != nil; {
-		done := a.deliver(ctx, w)
-		next := a.end()
+		a.delivered = a.deliver(ctx, w)
+		done, next := a.delivered, a.end()
 		if done {
 			return true
 		}
@@ -63,7 +63,7 @@
 // updated the state of c for the next attempt.
 func (g *Gateway) openAttempt(ctx context.Context, c *call, choice pick.Choice) *attempt {
 	c.attempts++
-	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
+	c.framing, c.partialEventBytes, c.attribution = httpx.FramingUnknown, 0, attribution{}
 	now := g.Now()
 	way, err := g.openWay(ctx, now, choice.Server, !c.route.Repeatable())
 	c.proxy = way.proxy
@@ -164,7 +164,9 @@
 	// complete is set when the response was read to its end, survived when the server has gone on after it began
 	// to write it.
 	complete, survived bool
-	result             pick.Result
+	// delivered is set when the caller has got the final response of its call.
+	delivered bool
+	result    pick.Result
 	// events reads the response if it is a stream, whole is the response otherwise.
 	events *eventReader
 	whole  *response
@@ -210,6 +212,9 @@
 		a.pool.Discard(a.conn)
 		return
 	}
+	if !a.delivered {
+		a.conn.MarkCarried(now, a.requestID, a.c.deadline)
+	}
 	a.exchange.Finish(now, a.pool, a.resp, a.complete)
 }
 
@@ -261,6 +266,7 @@
 		c.sentTo = append(c.sentTo, server)
 	}
 	a.sent = now
+	a.recordSend(now)
 	var err error
 	a.exchange, err = a.conn.Send(c.request.Method, c.requestHead(g.HeaderNames, a.choice.Server.PlatformName(), c.remaining(now), a.proxyHeaders()), c.body)
 	if err != nil {
@@ -268,7 +274,7 @@
 	}
 	a.limitSilence(ctx, a.startTimeout())
 	err = a.readHead()
-	c.serverLeaving, c.serverRetryAfter = a.leaving, a.retryAfter
+	c.serverLeaving, c.serverRetryAfter, c.attribution = a.leaving, a.retryAfter, a.attribution
 	if err != nil {
 		return a.readFailed(ctx, err.Error(), err)
 	}
--- a/pass/call.go
+++ b/pass/call.go
@@ -128,6 +128,8 @@
 	// which its stream ended, 0 if it ended after an event.
 	framing           httpx.Framing
 	partialEventBytes int
+	// attribution is what ties the last response to the last send.
+	attribution attribution
 	// reason is why the last attempt failed.
 	reason string
 	status int
--- a/pass/hedge.go
+++ b/pass/hedge.go
@@ -196,6 +196,6 @@
 // recordLast takes over what a hedge's copy of the call says of its last attempt and response.
 func (c *call) recordLast(h *call) {
 	c.choice, c.proxy, c.reason = h.choice, h.proxy, h.reason
-	c.framing, c.partialEventBytes = h.framing, h.partialEventBytes
+	c.framing, c.partialEventBytes, c.attribution = h.framing, h.partialEventBytes, h.attribution
 	c.serverLeaving, c.serverRetryAfter = h.serverLeaving, h.serverRetryAfter
 }
--- a/pass/log.go
+++ b/pass/log.go
@@ -45,5 +45,5 @@
 func (c *call) addLastResponse(line *zerolog.Event) {
 	line.Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
 		Str("framing", c.framing.String()).Int("partial_event", c.partialEventBytes).
-		Str("proxy", c.proxy)
+		Str("proxy", c.proxy).Func(c.attribution.addTo)
 }
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pause"
 	"github.com/hibiscuscart/hibiscuscart/poison"
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // A VM without a path to the servers sends a request to a proxy as it would send it to the server, with two
@@ -122,7 +123,8 @@
 	}
 	p.g.Log.Info().Str("request", p.requestID).
 		Str("server", p.server).Str("software_version", p.entry.SoftwareVersion).
-		Str("from", p.r.RemoteAddr).Int("status", status).Str("framing", framing.String()).Str("result", result).Msg("request proxied")
+		Str("from", p.r.RemoteAddr).Int("status", status).Str("framing", framing.String()).
+		Func(p.attribution.addTo).Str("result", result).Msg("request proxied")
 }
 
 func (p *proxied) serve() {
@@ -155,6 +157,7 @@
 		}
 	}
 	p.sent, p.unproven = g.Now(), !p.conn.Proven()
+	p.recordSend(p.sent)
 	if callerDisconnected(p.r) || !g.Servers.MaySend(p.sent, p.server) {
 		g.Pool.PutUnused(p.sent, p.conn)
 		p.refuse(refusalUnavailable)
@@ -166,7 +169,10 @@
 	if p.exchange == nil {
 		g.Pool.Discard(p.conn)
 	} else {
-		p.exchange.Finish(g.Now(), g.Pool, p.resp, complete && ctx.Err() == nil)
+		// Whether the other VM has got what was passed on is not known here.
+		now := g.Now()
+		p.conn.MarkCarried(now, p.requestID, p.sent.Add(requestTimeout(g.HeaderNames, p.r, routes.Route{})))
+		p.exchange.Finish(now, g.Pool, p.resp, complete && ctx.Err() == nil)
 	}
 	if err == nil {
 		p.log("passed on")
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -23,6 +23,7 @@
 	sent              time.Time
 	exchange          *conns.Exchange
 	resp              *http.Response
+	attribution       attribution
 	// leaving and retryAfter are what the last response said about its server: that it will exit soon, and
 	// the value of its Retry-After header.
 	leaving    bool
@@ -42,6 +43,7 @@
 		id := resp.Header.Get(r.g.HeaderNames.AttemptID)
 		if id == r.requestID || id == "" && (r.g.provesNotRun(resp) || r.refusedByProxy(resp)) {
 			r.resp = resp
+			r.recordNamed(id)
 			r.updateRateLimit()
 			r.recordServerLoad()
 			return nil
