pass, conns: A refused attempt goes over another connection; unnamed refusals prove nothing on a kept one

Cause: all sends of an attempt bear one ID, and a refused attempt went again to its server over the connection that it was refused on, where a second copy of the refusal was taken for the answer to the new send. The same for a 500 to a repeatable request, for a refusal that names no attempt on a connection with earlier requests, for an attempt that its caller sends again, and for requests without an attempt. Change: Pool.GetFor returns no connection on which an attempt was refused or failed while the attempt may be sent again. A VM that sends for others does the same; the connection between the two VMs carries one answer to each request and needs none of it. A refusal without an ID counts as not run only on a connection that has brought nothing before, else the request may have run (502); servers echo the ID, so that only second copies come to that. A connection that brought an answer without an ID is not used again, and a request without an ID gets one that has brought nothing, as nothing else tells its answer from others. TestGetForPassesOverCarried and TestPutClosesConnectionWithoutMemory are new.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,16 +49,24 @@
 // likely to have a close in transit. For a nonRepeatable request it returns no
 // connection that the server may be about to close.
 func (p *Pool) Get(now time.Time, key string, nonRepeatable bool) *Conn {
+	return p.get(now, key, nonRepeatable, func(*Conn) bool { return true })
+}
+
+// GetFor is Get for a request that names an attempt, "" for none: it returns no connection on which a response to the
+// attempt may be one to an earlier request.
+func (p *Pool) GetFor(now time.Time, key, attempt string, nonRepeatable bool) *Conn {
+	return p.get(now, key, nonRepeatable, func(c *Conn) bool { return !c.Ambiguous(now, attempt) })
+}
+
+func (p *Pool) get(now time.Time, key string, nonRepeatable bool, suits func(*Conn) bool) *Conn {
 	for {
-		c := p.popIdle(key)
+		c := p.popIdle(key, func(c *Conn) bool {
+			unsafe := nonRepeatable && now.Before(c.expiresAt) && !now.Before(c.safeUntil)
+			return !unsafe && suits(c)
+		})
 		if c == nil {
 			return nil
 		}
-		if nonRepeatable && now.Before(c.expiresAt) && !now.Before(c.safeUntil) {
-			// All other connections of the key are older.
-			p.pushIdle(c)
-			return nil
-		}
 		if now.Before(c.expiresAt) && c.isReusable() {
 			return c
 		}
@@ -91,16 +100,18 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
-func (p *Pool) popIdle(key string) *Conn {
+// popIdle removes and returns the most recently used idle connection of a key that suits, nil for none.
+func (p *Pool) popIdle(key string, suits func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if suits(c) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Dial opens a new connection.
@@ -151,7 +162,7 @@
 
 // Put adds a connection without a request in progress to the pool, for at most
 // idle. An idle of 0 uses DefaultIdleTimeout, and RepeatableIdleTimeout for
-// repeatable requests.
+// repeatable requests. A connection that can remember no more attempts is closed.
 func (p *Pool) Put(now time.Time, c *Conn, idle time.Duration) {
 	repeatableIdle := idle
 	if idle == 0 {
@@ -160,7 +171,7 @@
 	c.safeUntil = now.Add(idle - min(idleTimeoutMargin, idle/4))
 	c.expiresAt = now.Add(repeatableIdle - min(idleTimeoutMargin, repeatableIdle/4))
 	c.reused = true
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.carried.full {
 		p.Discard(c)
 		return
 	}
@@ -179,7 +190,8 @@
 
 // CloseIdle closes the idle connections of a key whose server was removed.
 func (p *Pool) CloseIdle(key string) {
-	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
+	all := func(*Conn) bool { return true }
+	for c := p.popIdle(key, all); c != nil; c = p.popIdle(key, all) {
 		p.Discard(c)
 	}
 	p.mu.Lock()
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -256,3 +257,41 @@
 	require.NoError(t, optErr)
 	return value
 }
+
+// Guards against an attempt that goes over a connection twice, against a new connection while another kept one has not
+// carried it, and against a pool that loses the connections passed over.
+func TestGetForPassesOverCarried(t *testing.T) {
+	address, _ := listen(t)
+	var p conns.Pool
+	var all []*conns.Conn
+	for range 3 {
+		c, err := p.Dial(context.Background(), "k", address)
+		require.NoError(t, err)
+		all = append(all, c)
+	}
+	until := now.Add(500 * time.Millisecond)
+	all[1].MarkCarried(now, "b", until)
+	all[2].MarkCarried(now, "a", until)
+	all[2].MarkCarried(now, "b", until)
+	for _, c := range all {
+		p.Put(now, c, time.Second)
+	}
+	require.Same(t, all[1], p.GetFor(now, "k", "a", true))
+	require.Same(t, all[0], p.GetFor(now, "k", "b", true))
+	require.Nil(t, p.GetFor(now, "k", "b", true))
+	require.Equal(t, 3, p.OpenConnections("k"))
+	require.Same(t, all[2], p.GetFor(until, "k", "b", true), "it is sent no more")
+}
+
+// Guards against connections that carry attempts of which they have no memory left.
+func TestPutClosesConnectionWithoutMemory(t *testing.T) {
+	address, _ := listen(t)
+	var p conns.Pool
+	c, err := p.Dial(context.Background(), "k", address)
+	require.NoError(t, err)
+	for i := range 1000 {
+		c.MarkCarried(now, strconv.Itoa(i), now.Add(time.Second))
+	}
+	p.Put(now, c, time.Second)
+	require.Zero(t, p.OpenConnections("k"))
+}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -38,8 +38,8 @@
 		c.place = nil
 	}()
 	for a := g.tryServer(ctx, c, choice); a != nil; {
-		a.delivered = a.deliver(ctx, w)
-		done, next := a.delivered, a.end()
+		done := a.deliver(ctx, w)
+		next := a.end()
 		if done {
 			return true
 		}
@@ -65,7 +65,7 @@
 	c.attempts++
 	c.framing, c.partialEventBytes, c.attribution = httpx.FramingUnknown, 0, attribution{}
 	now := g.Now()
-	way, err := g.openWay(ctx, now, choice.Server, !c.route.Repeatable())
+	way, err := g.openWay(ctx, now, choice.Server, c.id, !c.route.Repeatable())
 	c.proxy = way.proxy
 	if err != nil {
 		if hedgeDropped(ctx) {
@@ -164,9 +164,7 @@
 	// complete is set when the response was read to its end, survived when the server has gone on after it began
 	// to write it.
 	complete, survived bool
-	// delivered is set when the caller has got the final response of its call.
-	delivered bool
-	result    pick.Result
+	result             pick.Result
 	// events reads the response if it is a stream, whole is the response otherwise.
 	events *eventReader
 	whole  *response
@@ -212,10 +210,8 @@
 		a.pool.Discard(a.conn)
 		return
 	}
-	if !a.delivered {
-		a.conn.MarkCarried(now, a.requestID, a.c.deadline)
-	}
-	a.exchange.Finish(now, a.pool, a.resp, a.complete)
+	a.markCarried(now, a.c.deadline)
+	a.exchange.Finish(now, a.pool, a.resp, a.complete && a.reusable())
 }
 
 // failUncertain records the failure of an attempt that the server may have executed.
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -144,7 +144,7 @@
 	ctx := p.r.Context()
 	// Whether the request may be repeated is not known here, so that no connection is used that the server
 	// may be about to close.
-	p.conn, err = g.connect(ctx, g.Now(), p.server, p.entry.Address, true)
+	p.conn, err = g.connect(ctx, g.Now(), p.entry, p.requestID, true)
 	if err != nil {
 		p.connectFailed(ctx, err)
 		return
@@ -169,10 +169,9 @@
 	if p.exchange == nil {
 		g.Pool.Discard(p.conn)
 	} else {
-		// Whether the other VM has got what was passed on is not known here.
 		now := g.Now()
-		p.conn.MarkCarried(now, p.requestID, p.sent.Add(requestTimeout(g.HeaderNames, p.r, routes.Route{})))
-		p.exchange.Finish(now, g.Pool, p.resp, complete && ctx.Err() == nil)
+		p.markCarried(now, p.sent.Add(requestTimeout(g.HeaderNames, p.r, routes.Route{})))
+		p.exchange.Finish(now, g.Pool, p.resp, complete && ctx.Err() == nil && p.reusable())
 	}
 	if err == nil {
 		p.log("passed on")
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -31,7 +31,7 @@
 }
 
 // readHead reads the head of the response. It discards responses to other requests, which a server may send
-// late or twice.
+// late or twice. A refusal that may be one to another request is an error.
 func (r *reply) readHead() error {
 	for range maxForeignResponses + 1 {
 		resp, err := r.exchange.ReadResponse()
@@ -41,7 +41,11 @@
 		r.recordPath()
 		r.applyNotice(resp)
 		id := resp.Header.Get(r.g.HeaderNames.AttemptID)
-		if id == r.requestID || id == "" && (r.g.provesNotRun(resp) || r.refusedByProxy(resp)) {
+		mine, err := r.belongs(resp, id)
+		if err != nil {
+			return err
+		}
+		if mine {
 			r.resp = resp
 			r.recordNamed(id)
 			r.updateRateLimit()
--- a/pass/way.go
+++ b/pass/way.go
@@ -30,10 +30,10 @@
 	errProxyRefused = errors.New("the proxy did not send the request")
 )
 
-// openWay returns the way to a server.
-func (g *Gateway) openWay(ctx context.Context, now time.Time, server backs.Entry, avoidStale bool) (way, error) {
+// openWay returns the way of an attempt to a server.
+func (g *Gateway) openWay(ctx context.Context, now time.Time, server backs.Entry, attempt string, avoidStale bool) (way, error) {
 	if !g.Paths.Lost() {
-		conn, err := g.connect(ctx, now, server.ID, server.Address, avoidStale)
+		conn, err := g.connect(ctx, now, server, attempt, avoidStale)
 		if err == nil {
 			return way{conn: conn, pool: g.Pool}, nil
 		}
@@ -47,12 +47,13 @@
 	return g.openProxyWay(ctx, avoidStale)
 }
 
-func (g *Gateway) connect(ctx context.Context, now time.Time, server, address string, avoidStale bool) (*conns.Conn, error) {
-	if conn := g.Pool.Get(now, server, avoidStale); conn != nil {
+// connect returns a connection that has not carried an attempt.
+func (g *Gateway) connect(ctx context.Context, now time.Time, server backs.Entry, attempt string, avoidStale bool) (*conns.Conn, error) {
+	if conn := g.Pool.GetFor(now, server.ID, attempt, avoidStale); conn != nil {
 		return conn, nil
 	}
 	g.Meter.AddCounter("pass.dials", 1)
-	return g.Pool.DialWithin(ctx, dialTimeout, server, address)
+	return g.Pool.DialWithin(ctx, dialTimeout, server.ID, server.Address)
 }
 
 const (
@@ -62,7 +63,8 @@
 	proxyPollInterval = 20 * time.Millisecond
 )
 
-// openProxyWay returns the way through a proxy.
+// openProxyWay returns the way through a proxy. A VM answers each request once, so that its connections may carry an
+// attempt again.
 func (g *Gateway) openProxyWay(ctx context.Context, avoidStale bool) (way, error) {
 	for waited := time.Duration(0); ; waited += proxyPollInterval {
 		proxies := g.proxyVMs()
