pass: An answer that names a request is not taken for that to an instance probe

What would be seen: a sound server counts as ended, and its streams are refused, because it gave its answer to an earlier request on the connection a second time as it was asked which instance it is. Cause: the answer to the probe was attributed by its place on the connection alone. Evidence: both cases of TestSecondAnswerToInstanceProbe failed before: one server was taken for another instance (503 to the caller), the other one lost its connection and was asked again.

--- a/pass/attribution.go
+++ b/pass/attribution.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
 )
 
 // All sends of an attempt bear its ID, and a faulty server may give an answer a second time, late. So an attempt never goes
@@ -16,6 +18,11 @@
 // the second copy of one to an earlier request, so that it does not prove that this one was not run.
 var errUnnamedRefusal = errors.New("a refusal names no request, and may be one to an earlier request on the connection")
 
+// errOnlyStray is returned if responses to other requests keep coming, which counterStray counts.
+var errOnlyStray = errors.New("server sent only responses to other requests")
+
+const counterStray = "pass.stray_answers"
+
 // attribution is what ties a response to the send that it is taken for the answer to.
 type attribution struct {
 	// connNew is set if no response had arrived on the connection before, connCarried if the connection may bring a
@@ -75,3 +82,19 @@
 		r.conn.MarkCarried(now, r.requestID, until)
 	}
 }
+
+// readUnnamed reads the response to a question to a server that is no request of a caller and has no ID. It discards
+// responses to requests.
+func (g *Gateway) readUnnamed(x *conns.Exchange) (*http.Response, error) {
+	for range maxForeignResponses + 1 {
+		resp, err := x.ReadResponse()
+		if err != nil || resp.Header.Get(g.HeaderNames.AttemptID) == "" {
+			return resp, err
+		}
+		g.Meter.AddCounter(counterStray, 1)
+		if err := drainBody(resp); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errOnlyStray
+}
--- a/pass/instance.go
+++ b/pass/instance.go
@@ -64,7 +64,7 @@
 	}
 	conn.SetStallTimeout(maxProbeWait, func(time.Duration) bool { return true })
 	defer conn.SetStallTimeout(0, nil)
-	resp, err := exchange.ReadResponse()
+	resp, err := g.readUnnamed(exchange)
 	if err != nil {
 		return time.Time{}, err
 	}
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -52,13 +52,13 @@
 			r.recordServerLoad()
 			return nil
 		}
-		r.g.Meter.AddCounter("pass.stray_answers", 1)
+		r.g.Meter.AddCounter(counterStray, 1)
 		r.g.Log.Warn().Str("request", r.requestID).Str("server", r.server).Str("answer_to", id).Msg("discarded a response to another request")
 		if err := drainBody(resp); err != nil {
 			return r.checkEndless(fmt.Errorf("read response to another request: %w", err))
 		}
 	}
-	return fmt.Errorf("server sent only responses to other requests")
+	return errOnlyStray
 }
 
 // recordPath records that this VM has a path to the server.
