node: The connection of a path probe is not kept

Cause: the answer to a health question names no request, and the connection went into the pool of the requests. A second copy of a refused question would be the refusal of a request, or lose it its answer. Evidence: both cases of TestPathProbeKeepsNoConnection failed before. Change: the connection is closed after the answer. While its path is in doubt a VM opens one for each probe anyway. Measured: the test passes, and the tests of paths, probes and cuts of ./node and ./demo. probingNode holds the set-up that TestEndlessResponseToPathProbe had; that test is as strict as before.

--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -7,12 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/backs"
-	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conns"
-	"github.com/hibiscuscart/hibiscuscart/meter"
-	"github.com/hibiscuscart/hibiscuscart/paths"
-	"github.com/hibiscuscart/hibiscuscart/platform"
-	"github.com/hibiscuscart/hibiscuscart/routes"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
@@ -25,14 +20,7 @@
 			require.NoError(t, err)
 			defer stop()
 			var counter stand.ReadCounter
-			n := &Node{
-				config: Config{HeaderNames: &platform.HeaderNames}, now: clock.Now, meter: meter.New(), paths: &paths.Tracker{},
-				connPool: &conns.Pool{DialFunc: counter.Dial(conns.Dial)},
-			}
-			n.table.Store(routes.NewTable(1, nil, []routes.Service{{Name: "s", HealthPath: "/health"}}, routes.Limits{}))
-			for _, id := range []string{"v", "w", "x", "y", "z"} {
-				n.paths.ConnectionFailed(clock.Now(), id, false)
-			}
+			n := probingNode(counter.Dial(conns.Dial))
 			require.True(t, n.paths.Lost())
 			n.probeByPath(t.Context(), backs.Entry{ID: "a", Service: "s", Address: address})
 			require.False(t, n.paths.Lost())
--- a/node/path.go
+++ b/node/path.go
@@ -106,11 +106,11 @@
 		return
 	}
 	n.paths.ConnectionWorked(n.now())
+	// The answer names no request: a second copy of it could be taken for that to a request on the connection.
+	n.connPool.Discard(conn)
 	if err != nil {
-		n.connPool.Discard(conn)
 		return
 	}
-	exchange.Finish(n.now(), n.connPool, resp, resp.ContentLength == 0)
 	if err := resp.Body.Close(); err != nil {
 		n.log.Debug().Err(err).Str("server", e.ID).Msg("body of a path probe")
 	}
