--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -63,9 +63,9 @@
 // updated the state of c for the next attempt.
 func (g *Gateway) openAttempt(ctx context.Context, c *call, choice pick.Choice) *attempt {
 	c.attempts++
-	c.framing, c.partialEventBytes = httpx.FramingUnknown, 0
+	c.framing, c.partialEventBytes, c.attribution = httpx.FramingUnknown, 0, attribution{}
 	now := g.Now()
-	way, err := g.openWay(ctx, now, choice.Server, !c.route.Repeatable())
+	way, err := g.openWay(ctx, now, choice.Server, c.id, !c.route.Repeatable())
 	c.proxy = way.proxy
 	if err != nil {
 		if hedgeDropped(ctx) {
@@ -210,7 +210,8 @@
 		a.pool.Discard(a.conn)
 		return
 	}
-	a.exchange.Finish(now, a.pool, a.resp, a.complete)
+	a.markCarried(now, a.c.deadline)
+	a.exchange.Finish(now, a.pool, a.resp, a.complete && a.reusable())
 }
 
 // failUncertain records the failure of an attempt that the server may have executed.
@@ -261,6 +262,7 @@
 		c.sentTo = append(c.sentTo, server)
 	}
 	a.sent = now
+	a.recordSend(now)
 	var err error
 	a.exchange, err = a.conn.Send(c.request.Method, c.requestHead(g.HeaderNames, a.choice.Server.PlatformName(), c.remaining(now), a.proxyHeaders()), c.body)
 	if err != nil {
@@ -268,7 +270,7 @@
 	}
 	a.limitSilence(ctx, a.startTimeout())
 	err = a.readHead()
-	c.serverLeaving, c.serverRetryAfter = a.leaving, a.retryAfter
+	c.serverLeaving, c.serverRetryAfter, c.attribution = a.leaving, a.retryAfter, a.attribution
 	if err != nil {
 		return a.readFailed(ctx, err.Error(), err)
 	}
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -23,6 +23,7 @@
 	sent              time.Time
 	exchange          *conns.Exchange
 	resp              *http.Response
+	attribution       attribution
 	// leaving and retryAfter are what the last response said about its server: that it will exit soon, and
 	// the value of its Retry-After header.
 	leaving    bool
@@ -30,7 +31,7 @@
 }
 
 // readHead reads the head of the response. It discards responses to other requests, which a server may send
-// late or twice.
+// late or twice. A refusal that may be one to another request is an error.
 func (r *reply) readHead() error {
 	for range maxForeignResponses + 1 {
 		resp, err := r.exchange.ReadResponse()
@@ -40,19 +41,24 @@
 		r.recordPath()
 		r.applyNotice(resp)
 		id := resp.Header.Get(r.g.HeaderNames.AttemptID)
-		if id == r.requestID || id == "" && (r.g.provesNotRun(resp) || r.refusedByProxy(resp)) {
+		mine, err := r.belongs(resp, id)
+		if err != nil {
+			return err
+		}
+		if mine {
 			r.resp = resp
+			r.recordNamed(id)
 			r.updateRateLimit()
 			r.recordServerLoad()
 			return nil
 		}
-		r.g.Meter.AddCounter("pass.stray_answers", 1)
+		r.g.Meter.AddCounter(counterStray, 1)
 		r.g.Log.Warn().Str("request", r.requestID).Str("server", r.server).Str("answer_to", id).Msg("discarded a response to another request")
 		if err := drainBody(resp); err != nil {
 			return r.checkEndless(fmt.Errorf("read response to another request: %w", err))
 		}
 	}
-	return fmt.Errorf("server sent only responses to other requests")
+	return errOnlyStray
 }
 
 // recordPath records that this VM has a path to the server.
