pass: A hedge without an end is awaited by its test, not given a second

Cause: the silent server of the test answered after one second of the clock, and the hedge's endless body had not been read to its bound by then; the gateway then rightly drops the hedge. No fault of the program. Change: the first server is silent until the response without an end has been counted, as in the other half of the test. The checks are the same, and the answer can no longer come before what is to be counted.

--- a/pass/endless_test.go
+++ b/pass/endless_test.go
@@ -182,7 +182,11 @@
 		for _, name := range names {
 			t.Run(string(kind)+", hedge, "+name, func(t *testing.T) {
 				t.Parallel()
-				g := hedgedGateway(t, silentRoute(kind), 10, silentForASecond(wholeAnswer(kind)), func(w http.ResponseWriter, r *http.Request) { endless(w, r, name) })
+				var g *Gateway
+				g = hedgedGateway(t, silentRoute(kind), 10, func(w http.ResponseWriter, r *http.Request) {
+					awaitEndless(g, r)
+					wholeAnswer(kind)(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) { endless(w, r, name) })
 				requireWholeAnswer(t, g, kind)
 				require.Positive(t, g.Meter.CounterValue("pass.endless_responses"))
 			})
@@ -197,9 +201,7 @@
 				}, func(w http.ResponseWriter, r *http.Request) {
 					if first.CompareAndSwap(false, true) {
 						close(asked)
-						for g.Meter.CounterValue("pass.endless_responses") == 0 && r.Context().Err() == nil {
-							time.Sleep(time.Millisecond)
-						}
+						awaitEndless(g, r)
 					}
 					wholeAnswer(kind)(w, r)
 				})
--- a/pass/hedge_test.go
+++ b/pass/hedge_test.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// awaitEndless waits until a gateway has counted a response without an end, or a request ends.
+func awaitEndless(g *Gateway, r *http.Request) {
+	for g.Meter.CounterValue("pass.endless_responses") == 0 && r.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // wholeAnswer answers with all that follows the last event that the request names.
 func wholeAnswer(kind routes.Kind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
