node: A VM that stops answers what other VMs have sent it

Cause: a VM that stops looks once whether requests of other VMs are in progress, and then closes all connections. A request that has arrived on a kept connection and is not yet counted gets a reset, and the other VM can not tell whether it has run. Change: the connections for other VMs are drained as those of callers are: the listener is closed, so that a new connection is refused, which proves that nothing ran; kept ones are closed once no request has been in progress for 200 ms and none has arrived.

--- a/node/conns.go
+++ b/node/conns.go
@@ -32,7 +32,7 @@
 	read int64
 }
 
-// countedListener accepts connections of callers that count what is read from them.
+// countedListener accepts connections that count what is read from them.
 type countedListener struct{ net.Listener }
 
 // Accept implements net.Listener.
--- a/node/node.go
+++ b/node/node.go
@@ -131,8 +131,10 @@
 	httpServers    []*http.Server
 	callerServer   *http.Server
 	callerConns    openConns
-	peerConns      openConns
 	callerListener net.Listener
+	peerServer     *http.Server
+	peerConns      openConns
+	peerListener   net.Listener
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
 }
@@ -228,15 +230,15 @@
 	ctx, n.stopBackground = context.WithCancel(ctx)
 	n.callerServer = newCallerServer(http.HandlerFunc(n.serveCaller))
 	n.callerServer.ConnState = func(c net.Conn, s http.ConnState) { n.callerConns.record(n.now(), c, s) }
-	peerServer := newPeerServer(n.peerHandler())
-	peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.record(n.now(), c, s) }
+	n.peerServer = newPeerServer(n.peerHandler())
+	n.peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.record(n.now(), c, s) }
 	listeners := []struct {
 		key    string
 		server *http.Server
 	}{
 		{"listen", n.callerServer},
 		{"ready_listen", &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{"peer_listen", peerServer},
+		{"peer_listen", n.peerServer},
 		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, l := range listeners {
@@ -272,9 +274,13 @@
 	if err != nil {
 		return err
 	}
-	if s == n.callerServer {
+	switch s {
+	case n.callerServer:
 		l = countedListener{l}
 		n.callerListener = l
+	case n.peerServer:
+		l = countedListener{l}
+		n.peerListener = l
 	}
 	n.httpServers = append(n.httpServers, s)
 	n.background.Go(func() {
--- a/node/stop.go
+++ b/node/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -12,7 +13,7 @@
 const (
 	// exitReserve is the part of the grace time reserved for the process to exit by itself.
 	exitReserve = 400 * time.Millisecond
-	// quietTime is how long no request may have been in progress before the kept connections of callers are closed,
+	// quietTime is how long no request may have been in progress before kept connections are closed,
 	// and drainCheckInterval the interval between looks.
 	quietTime          = 200 * time.Millisecond
 	drainCheckInterval = 10 * time.Millisecond
@@ -77,9 +78,9 @@
 	n.cancelWaits()
 	ctx, cancel := context.WithTimeout(background, exit.Sub(n.now()))
 	defer cancel()
-	n.drainCallers(ctx, exit)
+	n.drain(ctx, exit, &n.callerConns, n.callerListener)
 	n.gateway.AwaitProxied(ctx)
-	n.awaitPeerResponses(ctx)
+	n.drain(ctx, exit, &n.peerConns, n.peerListener)
 	// No background renewal of the lease may follow the final renewal below.
 	n.stopBackground()
 	n.lease.Extend(background, restartLeaseDuration)
@@ -96,25 +97,18 @@
 	return nil
 }
 
-// awaitPeerResponses waits until the responses to other VMs have been sent, or ctx ends. The HTTP server sends the end of a
-// response, or a short one, only after its handler has returned.
-func (n *Node) awaitPeerResponses(ctx context.Context) {
-	for ctx.Err() == nil && n.peerConns.active() > 0 {
-		pause.For(ctx, drainCheckInterval)
-	}
-}
-
-// drainCallers waits until no request of a caller is in progress, or ctx ends, and closes the connections of callers.
-// http.Server.Shutdown would close kept connections at once, and drop without an answer what callers have sent on them
-// meanwhile. Here a kept connection takes one more request as long as others are in progress.
-func (n *Node) drainCallers(ctx context.Context, exit time.Time) {
-	if n.callerListener != nil {
-		_ = n.callerListener.Close()
+// drain waits until no request is in progress on the connections of a listener, or ctx ends, and closes the listener and
+// the connections. http.Server.Shutdown would close kept connections at once, and drop without an answer what has been
+// sent on them meanwhile: a caller, or another VM whose request this one is to send, could not tell whether the request has
+// run. Here a kept connection takes one more request as long as others are in progress. Links to other VMs stay open.
+func (n *Node) drain(ctx context.Context, exit time.Time, open *openConns, l net.Listener) {
+	if l != nil {
+		_ = l.Close()
 	}
 	for ctx.Err() == nil {
 		now := n.now()
-		if n.callerConns.quiet(now) >= quietTime || exit.Sub(now) <= lastCallTime {
-			if n.callerConns.closeUnused(now) == 0 {
+		if open.quiet(now) >= quietTime || exit.Sub(now) <= lastCallTime {
+			if open.closeUnused(now) == 0 {
 				return
 			}
 		}
