--- a/pass/endless_test.go
+++ b/pass/endless_test.go
@@ -134,22 +134,6 @@
 	}
 }
 
-// arrivedCall returns a call as ServeHTTP makes it.
-func arrivedCall(t *testing.T, g *Gateway) *call {
-	t.Helper()
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h/x", nil)
-	require.NoError(t, err)
-	r.Header.Set("Attempt", "a1")
-	r.Header.Set("Model", "m")
-	r.RequestURI = "/x"
-	table := g.Table()
-	route, ok := table.Match("h", "/x")
-	require.True(t, ok)
-	c := newCall(clock.Now(), g.HeaderNames, r, nil, table, route, nil, "")
-	c.retryBudget = g.RetryBudget("s")
-	return c
-}
-
 // A stream that can not be resumed turns into an event without an end. Guards against a caller who takes what it has
 // for the whole stream.
 func TestEndlessEventOfStreamThatIsNotResumed(t *testing.T) {
