--- a/pass/endless_test.go
+++ b/pass/endless_test.go
@@ -134,22 +134,6 @@
 	}
 }
 
-// arrivedCall returns a call as ServeHTTP makes it.
-func arrivedCall(t *testing.T, g *Gateway) *call {
-	t.Helper()
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h/x", nil)
-	require.NoError(t, err)
-	r.Header.Set("Attempt", "a1")
-	r.Header.Set("Model", "m")
-	r.RequestURI = "/x"
-	table := g.Table()
-	route, ok := table.Match("h", "/x")
-	require.True(t, ok)
-	c := newCall(clock.Now(), g.HeaderNames, r, nil, table, route, nil, "")
-	c.retryBudget = g.RetryBudget("s")
-	return c
-}
-
 // A stream that can not be resumed turns into an event without an end. Guards against a caller who takes what it has
 // for the whole stream.
 func TestEndlessEventOfStreamThatIsNotResumed(t *testing.T) {
@@ -182,7 +166,11 @@
 		for _, name := range names {
 			t.Run(string(kind)+", hedge, "+name, func(t *testing.T) {
 				t.Parallel()
-				g := hedgedGateway(t, silentRoute(kind), 10, silentForASecond(wholeAnswer(kind)), func(w http.ResponseWriter, r *http.Request) { endless(w, r, name) })
+				var g *Gateway
+				g = hedgedGateway(t, silentRoute(kind), 10, func(w http.ResponseWriter, r *http.Request) {
+					awaitEndless(g, r)
+					wholeAnswer(kind)(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) { endless(w, r, name) })
 				requireWholeAnswer(t, g, kind)
 				require.Positive(t, g.Meter.CounterValue("pass.endless_responses"))
 			})
@@ -197,9 +185,7 @@
 				}, func(w http.ResponseWriter, r *http.Request) {
 					if first.CompareAndSwap(false, true) {
 						close(asked)
-						for g.Meter.CounterValue("pass.endless_responses") == 0 && r.Context().Err() == nil {
-							time.Sleep(time.Millisecond)
-						}
+						awaitEndless(g, r)
 					}
 					wholeAnswer(kind)(w, r)
 				})
