pass, pick: A VM that stops takes only what is as good as certain to end before its exit

Cause: the expected duration is that of an average stream. The 1 in 50 that is three times as long was taken like the others. Also, a request whose way to the server was opened as SIGTERM came was sent without a look at the exit. Change: pick/longest.go bounds a response: the most tokens that its caller wants at the slowest rate of the model's last 64 streams, with the longest delay and pause of the route's; or as far above the longest of the route's last 64 as that is above their mean, if that is shorter. What nothing bounds has its deadline. The expected duration stays as a lower bound. The check is made once more before the send.

--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -123,6 +123,11 @@
 	if g.blocked(now, c) || !g.recheckKey(c) {
 		return false
 	}
+	if g.wouldBeCut(now, c, choice, 0) {
+		// It is refused as it looks for a server again.
+		g.logFailedAttempt(c, choice, errStopsTooSoon.Error())
+		return false
+	}
 	// Only requests that reach a server contribute to an overload, so only sends count against the
 	// retry budget, and failed connections do not.
 	if c.sends > 0 && !g.takeRetry(now, c, server) {
--- a/pass/call.go
+++ b/pass/call.go
@@ -113,7 +113,7 @@
 	// inUse lists the servers of the call's attempts that a hedge is to stand in for.
 	inUse []string
 	// stopsIn is how long before the exit of the VM the request arrived, 0 if the VM was not stopping. expected is how long
-	// the whole answer was expected to take when the VM last decided whether it would exit before.
+	// the whole answer was expected to take at most when the VM last decided whether it would exit before.
 	stopsIn, expected time.Duration
 	// leftSilent lists the servers that the call left because they were silent, setAside those of them that it has not
 	// asked since. brokeOff lists the servers that failed the call.
--- a/pass/stop.go
+++ b/pass/stop.go
@@ -11,7 +11,7 @@
 
 // A VM that stops still gets requests: the load balancer sends some for up to two seconds, and callers use the
 // connections that they have kept. What is under way as the process exits ends inside its answer. So a request that
-// can not be expected to be whole by then is refused as not run, and its caller goes to another VM.
+// is not as good as certain to be whole by then is refused as not run, and its caller goes to another VM.
 
 // errStopsTooSoon is returned for a request that would be under way as the VM exits.
 var errStopsTooSoon = errors.New("this VM is shutting down and would exit before the end of the answer")
@@ -22,8 +22,8 @@
 // silenceRoom is the time left for one silence of a sound server when it is decided whether an answer will be whole.
 const silenceRoom = 1500 * time.Millisecond
 
-// endsBefore reports whether a request that is sent now can be expected to have ended before the VM exits: its answer,
-// which takes at most the expected time if no server is silent, or its deadline.
+// endsBefore reports whether a request that is sent now has ended before the VM exits: its answer, which takes at most the
+// expected time if no server is silent, or its deadline.
 func endsBefore(now, exit, deadline time.Time, expected time.Duration) bool {
 	return !deadline.After(exit) || !now.Add(expected+silenceRoom).After(exit)
 }
@@ -69,19 +69,24 @@
 // how long it has to wait until it can be sent to the chosen server. A call that a server may be running is not
 // refused.
 func (g *Gateway) refuseUnfinished(now time.Time, c *call, choice pick.Choice, wait time.Duration) error {
+	if g.wouldBeCut(now, c, choice, wait) {
+		return g.stopsTooSoon(c)
+	}
+	return nil
+}
+
+// wouldBeCut reports whether a call would be refused for that.
+func (g *Gateway) wouldBeCut(now time.Time, c *call, choice pick.Choice, wait time.Duration) bool {
 	exit, stopping := g.exitTime()
 	if !stopping || c.mayHaveRun || c.headSent || len(c.inUse) > 0 {
-		return nil
+		return false
 	}
-	expected, known := g.Balancer.ExpectedDuration(now, choice, c.work)
-	if !known {
-		expected = c.remaining(now)
+	longest, bounded := g.Balancer.LongestDuration(now, choice, c.work)
+	if !bounded {
+		longest = c.remaining(now)
 	}
-	c.expected = wait + expected
-	if endsBefore(now, exit, c.deadline, c.expected) {
-		return nil
-	}
-	return g.stopsTooSoon(c)
+	c.expected = wait + longest
+	return !endsBefore(now, exit, c.deadline, c.expected)
 }
 
 // refuseLate does the same for a call that has just arrived, before it waits for anything: a server that could be chosen
--- /dev/null
+++ b/pass/stopreplay_test.go
@@ -0,0 +1,190 @@
+package pass
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/backs"
+	"github.com/hibiscuscart/hibiscuscart/meter"
+	"github.com/hibiscuscart/hibiscuscart/pick"
+)
+
+// stopLoad is a load pattern beside VMs that stop: streams of one route, of which few are much longer than the mean.
+type stopLoad struct {
+	// meanEvents, spread and maxEvents are the mean, the spread and the bound of the numbers of events of a lognormal
+	// distribution. states is set if callers state maxEvents as the most that they want.
+	meanEvents, spread float64
+	maxEvents          int
+	states             bool
+	// plain is set for a service without models, whose responses are no streams.
+	plain bool
+	// eventTime is the time between two events. Servers take up to the share jitter more or less.
+	eventTime time.Duration
+	jitter    float64
+	// silenceEvery is the mean time between two silences of a server, 0 for none, the longest of which take silence.
+	silenceEvery, silence time.Duration
+}
+
+const (
+	stopLoadRate      = 9.0
+	stopLoadWarmup    = 60 * time.Second
+	stopLoadExit      = 7600 * time.Millisecond
+	stopLoadDeadline  = 12 * time.Second
+	stopLoadPredicted = 40 * time.Millisecond
+	stopLoadTokens    = 6
+)
+
+// stopLoadResult counts the streams that arrived after SIGTERM: all, those that were accepted and would be cut off at the
+// exit, and those that were refused although they would have ended before.
+type stopLoadResult struct{ arrived, cut, refused, refusedShort int }
+
+func (r stopLoadResult) add(o stopLoadResult) stopLoadResult {
+	return stopLoadResult{r.arrived + o.arrived, r.cut + o.cut, r.refused + o.refused, r.refusedShort + o.refusedShort}
+}
+
+// simulatedStream is a stream of a load pattern and the times of its events.
+type simulatedStream struct {
+	events       int
+	firstEvent   time.Duration
+	took         time.Duration
+	longestPause time.Duration
+}
+
+func (l stopLoad) stream(rng *rand.Rand) simulatedStream {
+	events := math.Exp(math.Log(l.meanEvents) - l.spread*l.spread/2 + l.spread*rng.NormFloat64())
+	s := simulatedStream{events: int(min(max(math.Round(events), 1), float64(l.maxEvents)))}
+	s.firstEvent = time.Duration((0.5 + 2*rng.Float64()) * float64(stopLoadPredicted))
+	eventTime := time.Duration((1 - l.jitter + 2*l.jitter*rng.Float64()) * float64(l.eventTime))
+	s.longestPause = eventTime
+	silence := time.Duration(math.MaxInt64)
+	next := func() time.Duration { return time.Duration(rng.ExpFloat64() * float64(l.silenceEvery)) }
+	if l.silenceEvery > 0 {
+		silence = next()
+	}
+	for range s.events - 1 {
+		pause := eventTime
+		if silence -= eventTime; silence <= 0 {
+			silence = next()
+			pause += l.silence*2/3 + time.Duration(rng.Float64()*float64(l.silence/3))
+		}
+		s.took += pause
+		s.longestPause = max(s.longestPause, pause)
+	}
+	return s
+}
+
+// stop sends streams to a VM that stops after a time, and counts what becomes of those that arrive from then on.
+func (l stopLoad) stop(rng *rand.Rand) stopLoadResult {
+	type step struct {
+		at time.Time
+		do func()
+	}
+	var result stopLoadResult
+	term := now.Add(stopLoadWarmup)
+	exit := term.Add(stopLoadExit)
+	stopping := false
+	g := &Gateway{Balancer: &pick.Balancer{}, Meter: &meter.Registry{}, StopsAt: func() (time.Time, bool) { return exit, stopping }}
+	choice := pick.Choice{Server: backs.Entry{ID: "a", Service: "s", Slots: 48}, PredictedTime: stopLoadPredicted, PrefillTime: stopLoadPredicted, Pace: 1}
+	work := pick.Work{Route: "r", Model: "m", Slots: 48, TokensPerEvent: stopLoadTokens, PromptTokens: 500, MaxEventGap: 150 * time.Millisecond}
+	if l.plain {
+		work.Model = ""
+	}
+	if l.states {
+		work.MaxOutputTokens = l.maxEvents * stopLoadTokens
+	}
+	steps := []step{{term, func() { stopping = true }}}
+	begin := func(at time.Time, s simulatedStream) {
+		a := g.Balancer.Begin(at, choice, work, 0)
+		first := at.Add(s.firstEvent)
+		end := first.Add(s.took)
+		steps = append(steps, step{first, func() { a.FirstEvent(first) }}, step{end, func() {
+			if !l.plain {
+				a.StreamCompleted(s.events, s.took)
+				a.LongestPause(s.longestPause)
+			}
+			a.End(end, pick.Succeeded)
+		}})
+	}
+	for at := now; at.Before(exit); at = at.Add(time.Duration(rng.ExpFloat64() / stopLoadRate * float64(time.Second))) {
+		s := l.stream(rng)
+		steps = append(steps, step{at, func() {
+			c := &call{work: work, deadline: at.Add(stopLoadDeadline)}
+			whole := !at.Add(s.firstEvent + s.took).After(exit)
+			err := g.refuseUnfinished(at, c, choice, 0)
+			if stopping {
+				result.arrived++
+			}
+			switch {
+			case err == nil && stopping && !whole:
+				result.cut++
+			case err != nil:
+				result.refused++
+				if whole {
+					result.refusedShort++
+				}
+				return
+			}
+			begin(at, s)
+		}})
+	}
+	for len(steps) > 0 {
+		first := 0
+		for i, s := range steps {
+			if s.at.Before(steps[first].at) {
+				first = i
+			}
+		}
+		do := steps[first].do
+		steps = slices.Delete(steps, first, first+1)
+		do()
+	}
+	return result
+}
+
+// Streams of one route, of very different lengths, arrive at VMs that have had SIGTERM. Guards against taking one that its VM
+// cuts off at its exit, because it is longer than most.
+func TestLongestStreamsAfterSIGTERM(t *testing.T) {
+	const stops = 60
+	letters := stopLoad{meanEvents: 46.6, spread: 0.7, maxEvents: 160, eventTime: 29 * time.Millisecond, jitter: 0.2}
+	for name, tc := range map[string]struct {
+		change func(*stopLoad)
+		// maxRefused is the share of the streams that are refused at most, of those that arrive at an even rate until the exit.
+		maxRefused float64
+	}{
+		"maximum stated":                  {func(l *stopLoad) { l.states = true }, 0.96},
+		"maximum stated, wide":            {func(l *stopLoad) { l.states, l.spread = true, 1 }, 0.96},
+		"maximum stated, wider":           {func(l *stopLoad) { l.states, l.spread = true, 1.4 }, 0.96},
+		"maximum stated, even pace":       {func(l *stopLoad) { l.states, l.jitter = true, 0.05 }, 0.86},
+		"maximum stated, silences":        {func(l *stopLoad) { l.states, l.silenceEvery, l.silence = true, 6*time.Second, 1500*time.Millisecond }, 1},
+		"maximum stated, many silences":   {func(l *stopLoad) { l.states, l.silenceEvery, l.silence = true, 2*time.Second, 1500*time.Millisecond }, 1},
+		"maximum far above, none so long": {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 0.4, 20 }, 0.74},
+		"maximum far above, wide":         {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 1, 20 }, 1},
+		"maximum far above, wider":        {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 1.4, 8 }, 1},
+		"no maximum, wide":                {func(l *stopLoad) { l.maxEvents, l.spread, l.meanEvents = 2000, 1, 8 }, 1},
+		"no maximum, wider":               {func(l *stopLoad) { l.maxEvents, l.spread, l.meanEvents = 2000, 1.4, 8 }, 1},
+		"none stated":                     {func(*stopLoad) {}, 1},
+		"none stated, wide":               {func(l *stopLoad) { l.spread = 1 }, 1},
+		"none stated, wider":              {func(l *stopLoad) { l.spread = 1.4 }, 1},
+		"none stated, silences":           {func(l *stopLoad) { l.silenceEvery, l.silence = 6*time.Second, 1500*time.Millisecond }, 1},
+		"short":                           {func(l *stopLoad) { l.meanEvents, l.maxEvents = 8, 24 }, 0.55},
+		"short, maximum stated":           {func(l *stopLoad) { l.states, l.meanEvents, l.maxEvents = true, 8, 24 }, 0.35},
+		"plain":                           {func(l *stopLoad) { l.plain, l.meanEvents, l.maxEvents = true, 1, 4 }, 0.27},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := letters
+			tc.change(&l)
+			var sum stopLoadResult
+			for seed := range uint64(stops) {
+				sum = sum.add(l.stop(rand.New(rand.NewPCG(seed, 8))))
+			}
+			t.Logf("%+v", sum)
+			require.Zero(t, sum.cut)
+			require.LessOrEqual(t, float64(sum.refused), tc.maxRefused*float64(sum.arrived))
+		})
+	}
+}
--- a/pick/attempt.go
+++ b/pick/attempt.go
@@ -24,6 +24,10 @@
 	pace, eventPace  float64
 	firstEventAt     time.Time
 	prefilled, ended bool
+	// predicted is the predicted time to the first event. events is the number of events of a complete stream, streamTook the
+	// time from the first to the last one, and longestPause the longest time between two.
+	predicted, streamTook, longestPause time.Duration
+	events                              int
 }
 
 // maxIdleRunning is the number of running requests up to which the prefill time
@@ -38,7 +42,7 @@
 	s := b.serverState(c.Server.ID)
 	a := &Attempt{
 		balancer: b, serverID: c.Server.ID, domain: c.Server.Domain, service: c.Server.Service, work: w, started: now, uncachedTokens: c.UncachedTokens,
-		serverIdle: c.Load.PrefillTime == 0 && c.Load.Running <= maxIdleRunning, serverQuiet: quiet(c.Load, c.Server, w), pace: cmp.Or(c.Pace, 1),
+		serverIdle: c.Load.PrefillTime == 0 && c.Load.Running <= maxIdleRunning, serverQuiet: quiet(c.Load, c.Server, w), pace: cmp.Or(c.Pace, 1), predicted: c.PredictedTime,
 		load: Load{Running: 1, KVTokens: w.PromptTokens + w.MaxOutputTokens/2}.withPrefill(w.serverPriority(), c.PrefillTime),
 	}
 	s.local = s.local.Add(a.load)
@@ -130,6 +134,7 @@
 		}
 		a.observeResponse(now, took)
 		a.balancer.recordResponseSpread(a.work, usual)
+		a.balancer.recordLongest(a, usual)
 		if a.balancer.responseTimes == nil {
 			a.balancer.responseTimes = make(map[string]time.Duration)
 		}
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -70,6 +70,10 @@
 	tokenTimes   map[string]time.Duration
 	// responseSpreads holds how long complete responses take.
 	responseSpreads map[workClass]spread
+	// recentWork holds what the recent responses of each class took, recentTokenTimes the decode times of a token in the
+	// recent streams of each model.
+	recentWork       map[workClass]*recentWork
+	recentTokenTimes map[string]*recentValues
 	// servedCounts counts how often each class of requests is served.
 	servedCounts map[servedClass]servedCount
 	// pauses holds the longest pauses of the recent streams of each route.
--- a/pick/cost.go
+++ b/pick/cost.go
@@ -73,6 +73,7 @@
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt = a.started
 	}
+	a.events, a.streamTook = events, took
 	end := a.firstEventAt.Add(took)
 	a.observeStream(end, events, took)
 	a.balancer.recordStream(a.work, events, scale(took, 2/(cmp.Or(a.eventPace, a.pace)+a.balancer.pace(end, a.serverID))))
--- /dev/null
+++ b/pick/longest.go
@@ -0,0 +1,149 @@
+package pick
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Load pattern: the streams of a route have 47 events on average, and a few have 160. A VM that stops and takes what is
+// expected to end before its exit, by the mean and the mean deviation of what responses took, cuts off one of the longest
+// in some ten stops. Their callers can not know whether they have run.
+//
+// It therefore takes only what is as good as certain to end: the most tokens that the caller wants at the slowest rate of
+// recent streams, or a response that is as far above the longest of enough recent ones as that is above their mean,
+// whichever is shorter.
+
+const (
+	// recentResponses is the number of recent responses of which the longest counts, enoughResponses the number from which
+	// they show how long the longest are.
+	recentResponses = 64
+	enoughResponses = 32
+	// longestMargin is how many times as long as the longest of enough recent responses one is at most if these are of
+	// similar length, fewMargin the same for fewer responses.
+	longestMargin = 2
+	fewMargin     = 4
+)
+
+// recentValues holds the last values of something that was measured. The zero value is empty.
+type recentValues struct {
+	values []float64
+	next   int
+}
+
+func (r *recentValues) add(value float64) {
+	if len(r.values) < recentResponses {
+		r.values = append(r.values, value)
+		return
+	}
+	r.values[r.next] = value
+	r.next = (r.next + 1) % recentResponses
+}
+
+// enough reports whether there are enough values for the highest of them to tell how high they become.
+func (r *recentValues) enough() bool { return r != nil && len(r.values) >= enoughResponses }
+
+// highest returns the highest of the values, 0 without any.
+func (r *recentValues) highest() float64 {
+	if r == nil || len(r.values) == 0 {
+		return 0
+	}
+	return slices.Max(r.values)
+}
+
+// above returns a value that is as good as certain to be above the next one.
+func (r *recentValues) above() float64 {
+	if !r.enough() {
+		return fewMargin * r.highest()
+	}
+	sum := 0.0
+	for _, v := range r.values {
+		sum += v
+	}
+	highest := r.highest()
+	return highest * max(longestMargin, highest*float64(len(r.values))/max(sum, 1))
+}
+
+// recentWork is what recent responses to work of a class took, at a pace of 1.
+type recentWork struct {
+	// took are the times of whole responses without their longest pauses, normalized. delays are how much later than
+	// predicted their first events came, pauses the longest times between two events.
+	took, delays, pauses recentValues
+}
+
+// LongestDuration returns the time within which a whole response of the chosen server is as good as certain to have ended,
+// counted from the send, if the server pauses for no longer than it did lately. It reports false if nothing bounds it.
+func (b *Balancer) LongestDuration(now time.Time, c Choice, w Work) (time.Duration, bool) {
+	expected, _ := b.ExpectedDuration(now, c, w)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	longest, bounded := b.longestResponse(c, w)
+	return max(expected, longest), bounded
+}
+
+// longestResponse returns the bound of LongestDuration by recent responses. b.mu is held.
+func (b *Balancer) longestResponse(c Choice, w Work) (time.Duration, bool) {
+	recent := b.recentWork[classOf(w)]
+	if recent == nil {
+		recent = &recentWork{}
+	}
+	pace := cmp.Or(c.Pace, 1)
+	pauses := recent.pauses.highest()
+	if w.Model == "" {
+		// Without a response of the route, those of the server are all that is known. Responses of a route are of similar
+		// length, and one that is much longer has met a silence of its server.
+		margin := fewMargin
+		if recent.took.enough() {
+			margin = longestMargin
+		}
+		return c.PredictedTime + max(time.Duration(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
+	}
+	byResponses := c.PredictedTime + time.Duration(pace*(recent.took.above()*float64(max(w.MaxOutputTokens, 1))+pauses))
+	if w.MaxOutputTokens <= 0 {
+		return byResponses, recent.took.enough()
+	}
+	times := b.recentTokenTimes[w.Model]
+	if times == nil {
+		byTokens := c.PredictedTime + time.Duration(pace*fewMargin*float64(w.MaxOutputTokens)*float64(b.tokenTime(w)))
+		return max(byTokens, byResponses), true
+	}
+	slowest := times.highest()
+	if !times.enough() {
+		slowest *= longestMargin
+	}
+	tokens := time.Duration(pace * (slowest*float64(w.MaxOutputTokens) + recent.delays.highest() + pauses))
+	if byTokens := c.PredictedTime + tokens; !recent.took.enough() || byTokens < byResponses {
+		return byTokens, true
+	}
+	return byResponses, true
+}
+
+// recordLongest records what a complete response took, usual at a pace of 1. b.mu is held.
+func (b *Balancer) recordLongest(a *Attempt, usual time.Duration) {
+	if b.recentWork == nil {
+		b.recentWork, b.recentTokenTimes = make(map[workClass]*recentWork), make(map[string]*recentValues)
+	}
+	w := a.work
+	recent := b.recentWork[classOf(w)]
+	if recent == nil {
+		recent = &recentWork{}
+		b.recentWork[classOf(w)] = recent
+	}
+	recent.took.add(w.normalized(usual - scale(a.longestPause, 1/a.pace)))
+	if a.events == 0 {
+		return
+	}
+	recent.delays.add(float64(max(scale(a.firstEventAt.Sub(a.started)-a.predicted, 1/a.pace), 0)))
+	recent.pauses.add(float64(scale(a.longestPause, 1/a.pace)))
+	if a.events < minMeasuredEvents || w.TokensPerEvent <= 0 {
+		return
+	}
+	// The longest pause is counted by itself.
+	took := scale(a.streamTook-a.longestPause, 1/a.pace)
+	times := b.recentTokenTimes[w.Model]
+	if times == nil {
+		times = &recentValues{}
+		b.recentTokenTimes[w.Model] = times
+	}
+	times.add(float64(took) / float64((a.events-2)*w.TokensPerEvent))
+}
--- a/pick/pauses.go
+++ b/pick/pauses.go
@@ -47,12 +47,13 @@
 
 // LongestPause records the longest time between two events of a complete response.
 func (a *Attempt) LongestPause(pause time.Duration) {
-	if a.work.MaxEventGap <= 0 || a.pace <= 0 {
-		return
-	}
 	b := a.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	a.longestPause = pause
+	if a.work.MaxEventGap <= 0 || a.pace <= 0 {
+		return
+	}
 	h := b.pauses[a.work.Route]
 	if h == nil {
 		if b.pauses == nil {
