pass: The log says which events came from which send

The log could not tell these apart: the line of a request has only the number of its events.

The line has events_by_send now: for each send that brought events its server, the first and the last id that were passed on, their number, and how many were dropped as the caller had them. Four counters count ids that do not follow the one before: pass.event_gaps, pass.event_repeats, pass.event_reversals, and pass.resumed_after_gap for a send whose first id leaves some out. A warning "events out of order", one at most for each request, names those that no sound server explains. Ids of other platforms need not be consecutive: a gap inside a send is only counted, and one before a send warns only where all ids within the sends followed each other.

No decision depends on any of it.

--- a/pass/call.go
+++ b/pass/call.go
@@ -67,6 +67,9 @@
 	choice                        pick.Choice
 	timeToFirstEvent, maxEventGap time.Duration
 	eventCount                    int
+	// eventsBySend describes the events that each send has brought, and order watches their IDs.
+	eventsBySend eventsBySend
+	order        eventOrder
 	// lastEventID is the ID of the last event sent to the caller. headSent is set once the response
 	// head was sent.
 	lastEventID string
@@ -235,13 +238,29 @@
 // defaultRequestTimeout applies if neither the caller nor the route sets a limit.
 const defaultRequestTimeout = 30 * time.Second
 
-// recordEvents counts events that were read together. last is the time of the previous read, zero
-// for none.
-func (c *call) recordEvents(now, last time.Time, events []byte) {
+// beginEvents records that the events of an attempt follow.
+func (c *call) beginEvents(a *attempt) {
+	c.eventsBySend = append(c.eventsBySend, sendEvents{server: a.choice.Server.ID, send: a.sendIndex})
+	c.order.beginSend(c.lastEventID)
+}
+
+// recordEvents records the events that were read together and are passed on. last is the time of the previous read,
+// zero for none.
+func (c *call) recordEvents(now, last time.Time, r *eventReader) {
 	if !last.IsZero() {
 		c.maxEventGap = max(c.maxEventGap, now.Sub(last))
 	}
-	c.eventCount += bytes.Count(events, eventSeparator)
+	n := bytes.Count(r.events, eventSeparator)
+	c.eventCount += n
+	send := &c.eventsBySend[len(c.eventsBySend)-1]
+	send.count += n
+	send.dropped = r.splitter.dropped
+	for _, id := range r.splitter.ids {
+		c.order.add(id)
+		if send.last = id; send.first == 0 {
+			send.first = id
+		}
+	}
 }
 
 // remaining returns the time until the deadline.
--- a/pass/events.go
+++ b/pass/events.go
@@ -17,6 +17,9 @@
 	lastID string
 	// skipThrough is the highest event ID that the caller already has. Events up to it are dropped.
 	skipThrough int64
+	// ids are those of the events that add returned last, and dropped counts the events that it has left out.
+	ids     []int64
+	dropped int
 }
 
 // maxEventBytes bounds one event of a stream. Sound servers send some hundred bytes, and an event is kept until it is
@@ -60,16 +63,19 @@
 // dropRepeated removes the events that the caller already has and records the last ID.
 func (s *eventSplitter) dropRepeated(events []byte) []byte {
 	var newEvents []byte
+	s.ids = s.ids[:0]
 	for len(events) > 0 {
 		end := bytes.Index(events, eventSeparator) + len(eventSeparator)
 		event := events[:end]
 		events = events[end:]
 		id, ok := eventID(event)
 		if ok && s.skipThrough > 0 && id <= s.skipThrough {
+			s.dropped++
 			continue
 		}
 		if ok {
 			s.lastID = strconv.FormatInt(id, 10)
+			s.ids = append(s.ids, id)
 		}
 		newEvents = append(newEvents, event...)
 	}
--- a/pass/log.go
+++ b/pass/log.go
@@ -8,6 +8,7 @@
 
 // logRequest logs how a call ended: what it asked for, where it was sent, what came back, and where its time went.
 func (g *Gateway) logRequest(c *call) {
+	g.recordOrder(c)
 	g.Log.Info().Str("request", c.id).Str("fingerprint", string(c.fingerprint)).
 		Str("route", c.route.Name).Str("team", c.teamName()).Int("config_version", c.configVersion).
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
@@ -24,6 +25,7 @@
 		Int("missing", c.choice.UncachedTokens).
 		Int("running", c.choice.Load.Running).Int("tokens", c.choice.Load.KVTokens).
 		Dur("first_event", c.timeToFirstEvent).Dur("longest_pause", c.maxEventGap).Int("events", c.eventCount).
+		Func(c.addEvents).
 		Dur("stops_in", c.stopsIn).Dur("expected", c.expected).
 		Dur("held", c.admissionWait).Dur("sought", c.modelWait).Dur("quota_wait", c.quota.wait).Dur("place_wait", c.placeWait).
 		Dur("took", g.Now().Sub(c.arrived)).Msg("request")
@@ -41,6 +43,13 @@
 		Str("reason", reason).Msg("try failed")
 }
 
+// addEvents adds which events came from which send, if the call got any.
+func (c *call) addEvents(line *zerolog.Event) {
+	if len(c.eventsBySend) > 0 {
+		line.Array("events_by_send", c.eventsBySend)
+	}
+}
+
 // addLastResponse adds to a line of the log what the call's last response said and how it came.
 func (c *call) addLastResponse(line *zerolog.Event) {
 	line.Bool("server_leaving", c.serverLeaving).Str("server_retry_after", c.serverRetryAfter).
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -82,10 +82,11 @@
 func (a *attempt) forwardStream(ctx context.Context, w http.ResponseWriter) bool {
 	controller := http.NewResponseController(w)
 	var first, last time.Time
+	a.c.beginEvents(a)
 	for r := a.events; ; r.read(ctx) {
 		if len(r.events) > 0 {
 			now := r.readAt
-			a.c.recordEvents(now, last, r.events)
+			a.c.recordEvents(now, last, r)
 			if !a.survived && !first.IsZero() && now.Sub(first) >= survivalTime {
 				a.survived = true
 				a.g.PartTracker.Survived(now, a.c.sharedParts())
