pass: A stream is not resumed after an event that has no number as its id

What callers saw: events twice. A resumable stream whose server broke off was sent to another one also if the caller had got events that have no id, or one that is no number. The other server was asked to go on after the last number that there was, or after nothing, and gave the others again. The caller got a complete stream. After an event with the id 0, or of events without an id among those that a server gives once more, it was the same.

Change: a call knows whether the last event with data that its caller got has a number. If not, no other server is asked: not after the break (the caller's connection is aborted, and the reason of its line says why), and not while the server is silent. Comments and waits for reconnecting have no data and change nothing. The splitter drops events below the one that follows the caller's last, so that 0 is an id too, and those without an id between them. TestEventSplitterResumedStream sets the new field to what it meant before.

--- a/pass/call.go
+++ b/pass/call.go
@@ -74,6 +74,9 @@
 	// head was sent.
 	lastEventID string
 	headSent    bool
+	// unnumbered is set while the last event that the caller got has no number as its ID. No other server can go on after
+	// it: one that was asked to go on after an earlier event would give it again.
+	unnumbered bool
 	// binding binds the call to the software version that began its stream, and boundBy is how that was
 	// found out for a stream that the caller takes up.
 	binding binding
--- a/pass/events.go
+++ b/pass/events.go
@@ -15,8 +15,14 @@
 	tooLong bool
 	// lastID is the ID of the last event forwarded to the caller.
 	lastID string
-	// skipThrough is the highest event ID that the caller already has. Events up to it are dropped.
-	skipThrough int64
+	// skipBelow is one above the highest event ID that the caller already has, 0 if it has none. Events with lower IDs
+	// are dropped, and with them those without an ID that come before the last event that the caller has.
+	skipBelow int64
+	// before is set after an event that was dropped, until the last one that the caller has.
+	before bool
+	// unnumbered is set if the last event with data that add returned has no number as its ID, so that no server can go
+	// on after it.
+	unnumbered bool
 	// ids are those of the events that add returned last, and dropped counts the events that it has left out.
 	ids     []int64
 	dropped int
@@ -69,19 +75,36 @@
 		event := events[:end]
 		events = events[end:]
 		id, ok := eventID(event)
-		if ok && s.skipThrough > 0 && id <= s.skipThrough {
+		if ok && s.skipBelow > 0 {
+			s.before = id < s.skipBelow-1
+		}
+		if ok && s.skipBelow > 0 && id < s.skipBelow || s.before {
 			s.dropped++
 			continue
 		}
-		if ok {
-			s.lastID = strconv.FormatInt(id, 10)
+		switch {
+		case ok:
+			s.lastID, s.unnumbered = strconv.FormatInt(id, 10), false
 			s.ids = append(s.ids, id)
+		case hasData(event):
+			s.unnumbered = true
 		}
 		newEvents = append(newEvents, event...)
 	}
 	return newEvents
 }
 
+// hasData reports whether an event has data. One without is a comment or the like, and its loss or repetition changes
+// nothing.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data:")) || bytes.Equal(bytes.TrimRight(line, "\r\n"), []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the number in the id line of an event.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.Lines(event) {
--- a/pass/events_test.go
+++ b/pass/events_test.go
@@ -38,7 +38,7 @@
 
 // feed adds a text in pieces of random sizes.
 func feed(t *rapid.T, text string, skipThrough int64) (complete, last string) {
-	s := &eventSplitter{skipThrough: skipThrough}
+	s := &eventSplitter{skipBelow: skipThrough + 1}
 	for len(text) > 0 {
 		n := rapid.IntRange(1, len(text)).Draw(t, "piece")
 		complete += string(s.add([]byte(text[:n])))
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -321,6 +321,10 @@
 	if c.budgetExhausted || c.disconnected || c.keyRemoved || c.withoutPath || g.blocked(g.Now(), c) {
 		return false
 	}
+	if c.unnumbered {
+		c.reason += "; not resumed, as its last event has no number as its id"
+		return false
+	}
 	return !c.mayHaveRun || c.route.Repeatable()
 }
 
--- a/pass/silence.go
+++ b/pass/silence.go
@@ -53,7 +53,7 @@
 // eventTimeout returns how long to wait for the event after the one with an ID, or 0 if only the request
 // deadline applies. A stream whose events have no IDs can not be resumed.
 func (a *attempt) eventTimeout(lastID string) time.Duration {
-	if !a.c.route.Repeatable() || lastID == a.c.request.Header.Get(headerLastEvent) {
+	if !a.c.route.Repeatable() || a.c.unnumbered || lastID == a.c.request.Header.Get(headerLastEvent) {
 		return 0
 	}
 	return max(eventTimeoutGaps*a.c.route.MaxEventGap, minEventTimeout)
--- a/pass/stream.go
+++ b/pass/stream.go
@@ -30,7 +30,9 @@
 func (a *attempt) newEventReader() *eventReader {
 	splitter := &eventSplitter{lastID: a.c.lastEventID}
 	if a.c.headSent {
-		splitter.skipThrough, _ = strconv.ParseInt(a.c.lastEventID, 10, 64)
+		if id, err := strconv.ParseInt(a.c.lastEventID, 10, 64); err == nil {
+			splitter.skipBelow = id + 1
+		}
 	}
 	return &eventReader{attempt: a, splitter: splitter, buffer: make([]byte, streamBufferBytes)}
 }
@@ -98,7 +100,7 @@
 				a.g.recordWriteFailed(a.c)
 				return true
 			}
-			a.c.lastEventID = r.splitter.lastID
+			a.c.lastEventID, a.c.unnumbered = r.splitter.lastID, r.splitter.unnumbered
 		}
 		switch {
 		case errors.Is(r.err, io.EOF):
