pass: A refusal that names no request counts only as the first answer on its connection

What callers saw: 503 for at-most-once requests that ran, and requests that ran twice, beside servers that give refusals without an attempt id a second time.

Cause: reply.readHead took a response without an id for that to the request under way if it said "not run", on a connection that had carried answers to other requests.

Change: such a refusal counts if nothing has arrived on the connection before; the connection is then closed. On another connection the request counts as one that may have run. A proxy names the request in what it passes on, as it has told the answer apart itself.

--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -234,6 +234,10 @@
 			p.w.Header()[name] = values
 		}
 	}
+	if p.requestID != "" {
+		// A refusal may not name its request, and the other VM can not know what else has arrived from the server.
+		p.w.Header().Set(p.g.HeaderNames.AttemptID, p.requestID)
+	}
 	if framing == httpx.FramedByClose {
 		httpx.BeginByClose(p.r.Context(), p.w.Header())
 	}
--- a/pass/reply.go
+++ b/pass/reply.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -29,10 +30,13 @@
 	retryAfter string
 }
 
+// errUnnamedRefusal is why it is not known whether a request ran.
+var errUnnamedRefusal = errors.New("a refusal names no request, and may be that of an earlier one on the connection")
+
 // readHead reads the head of the response. It discards responses to other requests, which a server may send
-// late or twice.
+// late or twice. A refusal that names no request counts only if nothing has arrived on the connection before it.
 func (r *reply) readHead() error {
-	for range maxForeignResponses + 1 {
+	for n := range maxForeignResponses + 1 {
 		resp, err := r.exchange.ReadResponse()
 		if err != nil {
 			return r.checkEndless(err)
@@ -40,7 +44,16 @@
 		r.recordPath()
 		r.applyNotice(resp)
 		id := resp.Header.Get(r.g.HeaderNames.AttemptID)
-		if id == r.requestID || id == "" && (r.g.provesNotRun(resp) || r.refusedByProxy(resp)) {
+		unnamed := id == "" && r.requestID != "" && r.g.provesNotRun(resp)
+		if unnamed && (n > 0 || !r.unproven) {
+			r.g.Meter.AddCounter("pass.unnamed_refusals", 1)
+			return errUnnamedRefusal
+		}
+		if unnamed {
+			// It may come once more, for the next request.
+			resp.Close = true
+		}
+		if id == r.requestID || unnamed || id == "" && r.refusedByProxy(resp) {
 			r.resp = resp
 			r.updateRateLimit()
 			r.recordServerLoad()
--- a/pass/unnamed_test.go
+++ b/pass/unnamed_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -100,15 +101,16 @@
 			t.Run(name+", "+way, func(t *testing.T) {
 				s := &unnamedServer{before: map[string]string{"a2": refusal}}
 				g := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, s.start(t))
+				sender := g
 				if proxied {
-					proxy := g
 					g = truncationGateway(routes.Route{Kind: routes.AtMostOnce}, "127.0.0.1:1")
-					useProxies(g, serveAsProxy(t, proxy))
+					useProxies(g, serveAsProxy(t, sender))
 				}
 				require.Equal(t, http.StatusOK, sendAs(g, "a1"))
 				require.Equal(t, http.StatusBadGateway, sendAs(g, "a2"))
 				require.Equal(t, 1, s.ran("a2"))
-				require.Equal(t, http.StatusOK, sendAs(g, "a3"))
+				require.Equal(t, http.StatusOK, sendAs(sender, "a3"))
+				require.Equal(t, 1, s.ran("a3"))
 			})
 		}
 	}
@@ -126,6 +128,7 @@
 				g = truncationGateway(routes.Route{Kind: routes.AtMostOnce}, "127.0.0.1:1")
 				useProxies(g, serveAsProxy(t, sender))
 				require.Equal(t, http.StatusOK, sendAs(g, "a0"))
+				require.Eventually(t, func() bool { return sender.Pool.HasIdle("0") }, 5*time.Second, time.Millisecond)
 				sender.Pool.CloseIdle("0")
 			}
 			dials := sender.Meter.CounterValue("pass.dials")
