pass: A second answer asks for no rest

What would be seen: a server that wanted rest gives that refusal a second time after its rest, and gets no requests for as long again. Cause: notices were taken from each response on a connection, also from those to other requests that are discarded. Evidence: TestSecondAnswerIsNoNotice failed before: 1.0 s of rest left after a request that was answered. Change: rest and limits count of the response to the request only. Measured: go test ./pass ./conns ./node ./platform passes.

--- a/pass/reply.go
+++ b/pass/reply.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conns"
 )
 
@@ -39,7 +40,6 @@
 			return r.checkEndless(err)
 		}
 		r.recordPath()
-		r.applyNotice(resp)
 		id := resp.Header.Get(r.g.HeaderNames.AttemptID)
 		mine, err := r.belongs(resp, id)
 		if err != nil {
@@ -47,11 +47,13 @@
 		}
 		if mine {
 			r.resp = resp
+			r.applyNotice()
 			r.recordNamed(id)
 			r.updateRateLimit()
 			r.recordServerLoad()
 			return nil
 		}
+		r.applyLeaving(resp)
 		r.g.Meter.AddCounter(counterStray, 1)
 		r.g.Log.Warn().Str("request", r.requestID).Str("server", r.server).Str("answer_to", id).Msg("discarded a response to another request")
 		if err := drainBody(resp); err != nil {
@@ -83,23 +85,35 @@
 	return resp.Header.Get(g.HeaderNames.ServerStamp) != "" || resp.Header.Get(g.HeaderNames.NotExecuted) != ""
 }
 
-// applyNotice applies what a response says about its server, before anything of it reaches the caller.
+// applyNotice applies what the response says about its server, before anything of it reaches the caller.
 // Without proof that the server itself sent it, a response may be forged, and can not take the server
 // away from all VMs.
-func (r *reply) applyNotice(resp *http.Response) {
+func (r *reply) applyNotice() {
 	n := r.g.HeaderNames
-	notice, err := n.Notice(time.Now(), resp)
-	r.leaving, r.retryAfter = notice.Leaving, resp.Header.Get(headerRetryAfter)
-	if err != nil {
-		r.g.Log.Info().Str("request", r.requestID).Str("server", r.server).Err(err).Msg("invalid notice of a server")
-	}
-	attested := r.g.attested(resp)
+	notice := r.readNotice(r.resp)
+	r.leaving, r.retryAfter = notice.Leaving, r.resp.Header.Get(headerRetryAfter)
+	attested := r.g.attested(r.resp)
 	notice.Leaving = notice.Leaving && attested
 	notice.HasRejectLimit = notice.HasRejectLimit && attested
-	notice.NoRejectLimit = attested && resp.Header.Get(n.RejectLimit) == ""
+	notice.NoRejectLimit = attested && r.resp.Header.Get(n.RejectLimit) == ""
 	r.g.Servers.ApplyNotice(r.g.Now(), r.server, notice)
 }
 
+// applyLeaving applies of a response to another request that its server leaves. What else it says may have passed.
+func (r *reply) applyLeaving(resp *http.Response) {
+	if r.readNotice(resp).Leaving && r.g.attested(resp) {
+		r.g.Servers.ApplyNotice(r.g.Now(), r.server, backs.Notice{Leaving: true})
+	}
+}
+
+func (r *reply) readNotice(resp *http.Response) backs.Notice {
+	notice, err := r.g.HeaderNames.Notice(time.Now(), resp)
+	if err != nil {
+		r.g.Log.Info().Str("request", r.requestID).Str("server", r.server).Err(err).Msg("invalid notice of a server")
+	}
+	return notice
+}
+
 // updateRateLimit updates the known rate limit of the server from its response headers. An invalid
 // value is logged and leaves the limit unchanged.
 func (r *reply) updateRateLimit() {
--- a/pass/secondanswer_test.go
+++ b/pass/secondanswer_test.go
@@ -43,6 +43,8 @@
 	status  int
 	unnamed bool
 	events  bool
+	// notice is a header of the first answer.
+	notice string
 
 	mu    sync.Mutex
 	begun bool
@@ -131,7 +133,7 @@
 }
 
 func (s *secondAnswers) refusal(r *http.Request) string {
-	proof := "Not-Run: 1\r\n"
+	proof := s.notice + "Not-Run: 1\r\n"
 	if s.status == http.StatusInternalServerError {
 		proof = "Stamp: server\r\n"
 	}
--- a/pass/secondprobe_test.go
+++ b/pass/secondprobe_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
 // A server that is asked which instance it is gives its answer to an earlier request on the connection a second time.
@@ -83,3 +84,17 @@
 		}
 	}
 }
+
+// A server that wanted rest gives that refusal a second time after its rest. Guards against another rest, in which it gets no
+// requests although it has asked for none.
+func TestSecondAnswerIsNoNotice(t *testing.T) {
+	s := &secondAnswers{moment: copyAfterSend, status: http.StatusServiceUnavailable, notice: "Retry-After: 1\r\n"}
+	g := direct(t, routes.AtMostOnce, s.start(t))
+	vm := serveGateway(t, g)
+	require.Equal(t, http.StatusServiceUnavailable, postAttempt(t, vm, "a1").status)
+	require.NotZero(t, g.Servers.RestRemaining(clock.Now(), "0"))
+	time.Sleep(g.Servers.RestRemaining(clock.Now(), "0"))
+	require.Equal(t, http.StatusOK, postAttempt(t, vm, "a2").status)
+	require.Equal(t, int64(1), g.Meter.CounterValue("pass.stray_answers"))
+	require.Zero(t, g.Servers.RestRemaining(clock.Now(), "0"))
+}
