--- a/demo/site.go
+++ b/demo/site.go
@@ -193,9 +193,14 @@
 // SetStoreSilent makes the host of the store silent, or ends that, as SetSilent does for a backend server.
 func (s *Site) SetStoreSilent(silent bool) error { return s.storeListener.SetSilent(silent) }
 
-// Configure writes the routes, services, limits and teams to the store, as an operator does.
+// Configure writes the routes, services, usual limits and teams to the store, as an operator does.
 func (s *Site) Configure(version int, all []routes.Route, teams ...routes.Team) error {
-	value, err := platform.EncodeTable(version, all, s.services(), routes.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20}, teams...)
+	return s.ConfigureLimits(version, routes.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20}, all, teams...)
+}
+
+// ConfigureLimits does the same with other limits.
+func (s *Site) ConfigureLimits(version int, limits routes.Limits, all []routes.Route, teams ...routes.Team) error {
+	value, err := platform.EncodeTable(version, all, s.services(), limits, teams...)
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
