steer: An unanswered order blocks a server that starts again, whatever happens between

What callers saw: streams were cut off by a crash of their server. It held more than it could, as an order that had got no response was carried out once more at the server, which had crashed meanwhile and started again under its name (LIMIT).

Cause: the unanswered order was known to the Server of the instance only. Its successor got it if it was listed in the very step in which the instance was no longer; not if the entry was removed first (a crash of more than three heartbeats, or MarkEnded), if a later order was accepted before the crash, if the server came back twice, or if another VM became the controller, which knows no orders of the one before it.

Change: what is known of the orders to an instance stays with the controller, by the server's name, until they can no longer be carried out. VMs that are not the controller keep the instances that have ended, too: at the start of a term each instance counts as having an unanswered order, sent before the controller before lost the lease, and before it knew of the instance's end. A VM that has just started can't know of an earlier instance; it takes the start time of a server for the end of the instance before. A deployment's first controller waits for nothing, nor does a server of a new name, unless the VM that took over has just started.

Cost: a server that starts again under its name within 19 s before a change of controller, or 15 s after it, gets no orders until 15 s after the last order that may have been sent to it before. With names of their own, only servers that started within 19 s before a VM that has just started took over, or 15 s after it, wait.

--- a/node/node.go
+++ b/node/node.go
@@ -167,7 +167,7 @@
 	}
 	n.controller = &steer.Controller{
 		Name: s.Text("vm", "name"), ServerCalls: c.ServerClient, Servers: n.serverView, Table: n.table.Load, FencingToken: n.lease.FencingToken,
-		Term: n.lease.Term, PredecessorEnd: n.lease.PreviousTermEnd, Contended: n.rateLimits.Contended,
+		Term: n.lease.Term, PredecessorEnd: n.lease.PreviousTermEnd, FirstTerm: n.lease.FirstTerm, Contended: n.rateLimits.Contended,
 		Pace: n.gauge.Steady, Window: s.Duration("steering", "load_window"), Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.peers = &peers.Peers{
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -79,7 +79,9 @@
 	startRecord  *wire.ControllerLease
 	key          string
 	fencingToken int
-	tokens       knownTokens
+	// firstTerm is set in the first term of the deployment.
+	firstTerm bool
+	tokens    knownTokens
 	// releasing is set while the lease is being released; no orders are sent from then on.
 	releasing bool
 	// staleReads counts the stale reads made.
@@ -110,6 +112,13 @@
 	return l.handover.previousTermEnd
 }
 
+// FirstTerm reports whether this VM's term is the first one of the deployment, so that no holder before it has sent orders.
+func (l *Lease) FirstTerm() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.firstTerm
+}
+
 // Held reports whether this VM holds the lease.
 func (l *Lease) Held(now time.Time) bool {
 	l.mu.Lock()
--- a/peers/lease_test.go
+++ b/peers/lease_test.go
@@ -192,3 +192,29 @@
 	c.Step(t.Context())
 	require.InDelta(t, time.Hour, c.Poison.BlockedFor(clock.Now(), request), float64(10*time.Second), "restored from the record written by the next holder")
 }
+
+// Guards against servers that wait, as a deployment starts for the first time, for orders that no controller has sent,
+// and against a controller after another one that does not wait: only the term of the first record is the first one.
+func TestFirstTermOfDeployment(t *testing.T) {
+	clock, o := &testClock{now: time.Unix(1000, 0)}, &stand.ObjectStore{}
+	a, b := newLease(clock, o, "1"), newLease(clock, o, "2")
+	require.False(t, a.FirstTerm())
+	a.Step(t.Context())
+	require.True(t, a.FirstTerm())
+	clock.advance(500 * time.Millisecond)
+	a.Step(t.Context())
+	require.True(t, a.FirstTerm(), "renewed")
+	takeOver := func(l *peers.Lease) {
+		t.Helper()
+		for range 100 {
+			clock.advance(100 * time.Millisecond)
+			l.Step(t.Context())
+		}
+		require.True(t, l.Held(clock.Now()))
+		require.False(t, l.FirstTerm())
+	}
+	takeOver(b)
+	restarted := newLease(clock, o, "2")
+	takeOver(restarted)
+	takeOver(a)
+}
--- a/peers/leasewrite.go
+++ b/peers/leasewrite.go
@@ -91,12 +91,13 @@
 	l.keeper.UpdateSucceeded(w.startedAt, newVersion, w.next)
 	l.setRecord(record)
 	l.tokens.observe(newVersion, record)
-	if w.version == 0 && !w.found.restored {
+	first := w.version == 0 && !w.found.restored
+	if first {
 		l.observeFirstTerm()
 	}
 	if w.action == lease.Acquire {
 		_, revision := store.SplitVersion(newVersion)
-		l.fencingToken = max(w.leastToken, revision)
+		l.fencingToken, l.firstTerm = max(w.leastToken, revision), first
 		l.Log.Info().Int("fence", l.fencingToken).Str("before", w.previous.Holder).Bool("restored", w.found.restored).Time("begun", w.startedAt).Msg("controller lease acquired")
 	}
 	l.handover = w.handover.held(w.startedAt, newVersion)
--- a/steer/controller.go
+++ b/steer/controller.go
@@ -33,7 +33,7 @@
 )
 
 // Controller places models and adapters on the servers while it holds the lease. All fields but
-// Term, PredecessorEnd, Contended, Pace, Window and Spawn must be set.
+// Term, PredecessorEnd, FirstTerm, Contended, Pace, Window and Spawn must be set.
 type Controller struct {
 	// Name is the name of this VM.
 	Name        string
@@ -49,6 +49,8 @@
 	// PredecessorEnd returns the latest time at which the previous controller may have sent an
 	// order; nil for the start of this VM's term.
 	PredecessorEnd func() time.Time
+	// FirstTerm reports whether no VM was the controller before this VM's term; nil for never.
+	FirstTerm func() bool
 	// Contended reports whether the requests for a server far exceed its rate limit; nil for
 	// never.
 	Contended func(server string) bool
@@ -72,9 +74,13 @@
 	// time at which the previous controller may have sent an order.
 	fencingToken   int
 	predecessorEnd time.Time
+	// hasPredecessor is set if the term is not the first one.
+	hasPredecessor bool
 	// termBegunAt is when this VM began its term.
-	termBegunAt       time.Time
-	servers           map[string]*Server
+	termBegunAt time.Time
+	servers     map[string]*Server
+	// ended are the last instances that have ended, by the server's name.
+	ended             map[string]endedServer
 	sortedServers     map[string][]*Server
 	orderInFlight     map[string]bool
 	lastReportRequest map[string]time.Time
@@ -227,6 +233,9 @@
 	for _, s := range c.servers {
 		s.BeginTerm(c.predecessorEnd)
 	}
+	if c.hasPredecessor = c.FirstTerm == nil || !c.FirstTerm(); c.hasPredecessor {
+		c.beginTermOrders()
+	}
 	c.Log.Info().Dur("since_last_order", now.Sub(c.predecessorEnd)).Int("fence", fencingToken).Msg("lease term started")
 }
 
--- a/steer/listed.go
+++ b/steer/listed.go
@@ -38,9 +38,7 @@
 	}
 	for id, s := range c.servers {
 		if s.entry.Service == service && !listedIDs[id] {
-			c.blockRestarted(now, s)
-			delete(c.servers, id)
-			delete(c.lastReportRequest, id)
+			c.endServer(now, s)
 		}
 	}
 	if added > 0 || len(listedIDs) != previous {
@@ -49,19 +47,10 @@
 	if c.firstListed[service].IsZero() && len(listedIDs) > 0 {
 		c.firstListed[service] = now
 	}
+	c.blockRestarted(now, service)
 	c.notifyChanged()
 }
 
-// blockRestarted blocks orders to the next instance of a removed server while an unanswered order
-// to the removed one may still be executed. c.mu is held.
-func (c *Controller) blockRestarted(now time.Time, previous *Server) {
-	for _, s := range c.servers {
-		if s != previous && s.entry.PlatformName() == previous.entry.PlatformName() {
-			s.BlockAfterRestart(now, previous)
-		}
-	}
-}
-
 // serversOf returns the servers of a service sorted by ID. Callers must not change the list.
 func (c *Controller) serversOf(service string) []*Server { return c.sortedServers[service] }
 
--- a/steer/orderresult.go
+++ b/steer/orderresult.go
@@ -12,6 +12,7 @@
 func (s *Server) ApplyResult(now, sentAt time.Time, e *routes.Engine, o Order, result OrderResult, expectedTime time.Duration) {
 	switch result {
 	case Unknown:
+		s.holdLate(now.Add(maxOrderDelay))
 		s.outcomeUnknownAt, s.unansweredOrder, s.unansweredSequence = now, now, o.ExpectedSequence
 		if !o.Unload && o.Adapter == "" {
 			s.unansweredLoad = now
--- a/steer/server.go
+++ b/steer/server.go
@@ -78,6 +78,11 @@
 	// blockedUntil is the end of a period without orders, as an unanswered order that was decided
 	// on in another state may still be executed.
 	blockedUntil time.Time
+	// lateUntil is until when an order without a response, to this instance or one before it, may be executed by an
+	// instance that restarts under the server's name. Accepted orders do not clear it.
+	lateUntil time.Time
+	// sequenceBefore is the sequence that was known when the entry was removed, if it was, until the first report.
+	sequenceBefore int
 	// mayInheritLoad is set while the previous controller may have begun a load that this one has
 	// not seen.
 	mayInheritLoad bool
@@ -179,6 +184,10 @@
 	if !s.sequenceKnown {
 		// A load in progress was begun by the previous controller.
 		s.mayInheritLoad = r.Busy
+		if r.Sequence < s.sequenceBefore {
+			s.block(s.lateUntil)
+		}
+		s.sequenceBefore = 0
 	}
 	s.sequence, s.sequenceKnown = r.Sequence, true
 	s.reportRequired = false
@@ -208,7 +217,7 @@
 // slots.
 func (s *Server) blockForUnanswered(sequence int) {
 	if !s.unansweredOrder.IsZero() && sequence < s.unansweredSequence {
-		s.blockedUntil = s.unansweredOrder.Add(maxOrderDelay)
+		s.block(s.unansweredOrder.Add(maxOrderDelay))
 	}
 }
 
@@ -295,25 +304,11 @@
 // heartbeats.
 const refusalBackoff = 2 * time.Second
 
-// maxOrderDelay is how long an unanswered order can still be executed: up to twelve seconds later
-// according to the deployments.
-const maxOrderDelay = 15 * time.Second
-
 // HasUnansweredLoad reports whether an unanswered model load may still be executed.
 func (s *Server) HasUnansweredLoad(now time.Time) bool {
 	return !s.unansweredLoad.IsZero() && now.Sub(s.unansweredLoad) < maxOrderDelay
 }
 
-// BlockAfterRestart blocks orders to this instance of a server while an unanswered order to its
-// previous instance may still be executed. The restarted server counts orders from zero again, so
-// the sequence of the unanswered order can become valid a second time. It would then be executed
-// in addition to an order that was decided on without it, and exceed the server's memory.
-func (s *Server) BlockAfterRestart(now time.Time, previous *Server) {
-	if unanswered := previous.unansweredOrder; !unanswered.IsZero() && now.Sub(unanswered) < maxOrderDelay {
-		s.blockedUntil = unanswered.Add(maxOrderDelay)
-	}
-}
-
 // unreachableThreshold is how many reports in a row must fail for a server to count as unreachable.
 // A single one is lost now and then.
 const unreachableThreshold = 2
