conns: TestHeadBoundOfEachResponse keeps its server's connection and reads the request

Cause: no fault of the program. The test's own server dropped its connection once it had written, and the garbage collector closed it with the request unread, which resets it before all of it is read.

Change: the server reads the request, and keeps the connection until the client has read all responses. What the client requires is as before; beside it, the server's reads and writes must now succeed.

--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -1,7 +1,9 @@
 package conns_test
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -112,13 +114,27 @@
 	address, accepted := listen(t)
 	const responses = 4
 	body := strings.Repeat("b", conns.MaxHeadBytes)
+	read := make(chan struct{})
+	served := make(chan error, 1)
 	go func() {
-		if c := <-accepted; c != nil {
-			for range responses {
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nLong: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("x", conns.MaxHeadBytes/2), len(body), body)
+		c := <-accepted
+		if c == nil {
+			served <- errors.New("no connection")
+			return
+		}
+		// An unreferenced connection is closed by the garbage collector, and one that is closed with the request unread
+		// is reset before its bytes are read.
+		defer c.Close()
+		_, err := http.ReadRequest(bufio.NewReader(c))
+		for range responses {
+			if err == nil {
+				_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nLong: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("x", conns.MaxHeadBytes/2), len(body), body)
 			}
 		}
+		served <- err
+		<-read
 	}()
+	defer close(read)
 	var p conns.Pool
 	c, err := p.Dial(context.Background(), "k", address)
 	require.NoError(t, err)
@@ -132,6 +148,7 @@
 		require.NoError(t, err)
 		require.Len(t, got, len(body))
 	}
+	require.NoError(t, <-served)
 }
 
 const (
