pass: Events of servers whose lines end with CR LF are passed on

What callers saw: 502 after the whole stream of a server that ends its lines with CR LF, which the format of event streams allows, and none of it before.

Evidence: 7 of 7 cases of TestStreamWithOtherLineEnds failed.

Change: an event ends at the end of a line, LF or CR LF, that an empty line follows. It is passed on as it came. Lines that end with CR alone, which the format allows too, are not told apart as before.

Measured: the 7 cases and TestLineEndsAcrossReads (any cut between two reads) pass 20 times; the package passes (176 s beside load).

--- a/pass/call.go
+++ b/pass/call.go
@@ -255,7 +255,7 @@
 	if !last.IsZero() {
 		c.maxEventGap = max(c.maxEventGap, now.Sub(last))
 	}
-	n := bytes.Count(r.events, eventSeparator)
+	n := r.splitter.count
 	c.eventCount += n
 	send := &c.eventsBySend[len(c.eventsBySend)-1]
 	send.count += n
--- a/pass/events.go
+++ b/pass/events.go
@@ -23,16 +23,36 @@
 	// unnumbered is set if the last event with data that add returned has no number as its ID, so that no server can go
 	// on after it.
 	unnumbered bool
-	// ids are those of the events that add returned last, and dropped counts the events that it has left out.
-	ids     []int64
-	dropped int
+	// count is how many events add returned last, and ids are the IDs of those that have one. dropped counts the events
+	// that it has left out.
+	ids            []int64
+	count, dropped int
 }
 
 // maxEventBytes bounds one event of a stream. Sound servers send some hundred bytes, and an event is kept until it is
 // whole.
 const maxEventBytes = 256 << 10
 
-var eventSeparator = []byte("\n\n")
+// maxSeparatorBytes is the length of the longest end of an event: the end of its last line, and an empty line. Lines end
+// with LF or CR LF.
+const maxSeparatorBytes = len("\n\r\n")
+
+// eventEnd returns where the first event of data ends, -1 if it does not. Its end is at or after from.
+func eventEnd(data []byte, from int) int {
+	for {
+		next := bytes.IndexByte(data[from:], '\n')
+		if next < 0 {
+			return -1
+		}
+		from += next + 1
+		switch rest := data[from:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return from + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return from + len("\r\n")
+		}
+	}
+}
 
 // add appends bytes to the stream and returns the events that are now complete. It takes time in proportion to these
 // bytes and the events, whatever the length of the event that they belong to. After an event that is too long it
@@ -42,16 +62,14 @@
 		return nil
 	}
 	// The separator may have begun with the last byte that was there.
-	searched := max(len(s.partial)-len(eventSeparator)+1, 0)
+	searched := max(len(s.partial)-maxSeparatorBytes+1, 0)
 	s.partial = append(s.partial, data...)
 	var end int
 	for {
-		start := max(searched, end)
-		next := bytes.Index(s.partial[start:], eventSeparator)
+		next := eventEnd(s.partial, max(searched, end))
 		if next < 0 {
 			break
 		}
-		next += start + len(eventSeparator)
 		if s.tooLong = next-end > maxEventBytes; s.tooLong {
 			break
 		}
@@ -69,9 +87,9 @@
 // dropRepeated removes the events that the caller already has and records the last ID.
 func (s *eventSplitter) dropRepeated(events []byte) []byte {
 	var newEvents []byte
-	s.ids = s.ids[:0]
+	s.ids, s.count = s.ids[:0], 0
 	for len(events) > 0 {
-		end := bytes.Index(events, eventSeparator) + len(eventSeparator)
+		end := eventEnd(events, 0)
 		event := events[:end]
 		events = events[end:]
 		id, ok := eventID(event)
@@ -89,6 +107,7 @@
 		case hasData(event):
 			s.unnumbered = true
 		}
+		s.count++
 		newEvents = append(newEvents, event...)
 	}
 	return newEvents
