pass: The replay of streams after SIGTERM takes less time

Seen: the tests of pass that stop a VM took 152 s with the race detector, most of it in TestLongestStreamsAfterSIGTERM, which looked through all steps for the earliest one. Change: the steps are a heap, and the cases run beside each other.

--- a/pass/stopreplay_test.go
+++ b/pass/stopreplay_test.go
@@ -1,9 +1,9 @@
 package pass
 
 import (
+	"container/heap"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -78,12 +78,31 @@
 	return s
 }
 
-// stop sends streams to a VM that stops after a time, and counts what becomes of those that arrive from then on.
-func (l stopLoad) stop(rng *rand.Rand) stopLoadResult {
-	type step struct {
+// simulatedStep is what happens at a time of a load pattern, and simulatedSteps are steps, the earliest of which comes first.
+type (
+	simulatedStep struct {
 		at time.Time
 		do func()
 	}
+	simulatedSteps []simulatedStep
+)
+
+func (s simulatedSteps) Len() int           { return len(s) }
+func (s simulatedSteps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
+func (s simulatedSteps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
+func (s *simulatedSteps) Push(step any)     { *s = append(*s, step.(simulatedStep)) }
+
+func (s *simulatedSteps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+func (s *simulatedSteps) add(at time.Time, do func()) { heap.Push(s, simulatedStep{at, do}) }
+
+// stop sends streams to a VM that stops after a time, and counts what becomes of those that arrive from then on.
+func (l stopLoad) stop(rng *rand.Rand) stopLoadResult {
+	var steps simulatedSteps
 	var result stopLoadResult
 	term := now.Add(stopLoadWarmup)
 	exit := term.Add(stopLoadExit)
@@ -97,22 +116,23 @@
 	if l.states {
 		work.MaxOutputTokens = l.maxEvents * stopLoadTokens
 	}
-	steps := []step{{term, func() { stopping = true }}}
+	steps.add(term, func() { stopping = true })
 	begin := func(at time.Time, s simulatedStream) {
 		a := g.Balancer.Begin(at, choice, work, 0)
 		first := at.Add(s.firstEvent)
 		end := first.Add(s.took)
-		steps = append(steps, step{first, func() { a.FirstEvent(first) }}, step{end, func() {
+		steps.add(first, func() { a.FirstEvent(first) })
+		steps.add(end, func() {
 			if !l.plain {
 				a.StreamCompleted(s.events, s.took)
 				a.LongestPause(s.longestPause)
 			}
 			a.End(end, pick.Succeeded)
-		}})
+		})
 	}
 	for at := now; at.Before(exit); at = at.Add(time.Duration(rng.ExpFloat64() / stopLoadRate * float64(time.Second))) {
 		s := l.stream(rng)
-		steps = append(steps, step{at, func() {
+		steps.add(at, func() {
 			c := &call{work: work, deadline: at.Add(stopLoadDeadline)}
 			whole := !at.Add(s.firstEvent + s.took).After(exit)
 			err := g.refuseUnfinished(at, c, choice, 0)
@@ -130,18 +150,10 @@
 				return
 			}
 			begin(at, s)
-		}})
+		})
 	}
-	for len(steps) > 0 {
-		first := 0
-		for i, s := range steps {
-			if s.at.Before(steps[first].at) {
-				first = i
-			}
-		}
-		do := steps[first].do
-		steps = slices.Delete(steps, first, first+1)
-		do()
+	for steps.Len() > 0 {
+		heap.Pop(&steps).(simulatedStep).do()
 	}
 	return result
 }
@@ -176,6 +188,7 @@
 		"plain":                           {func(l *stopLoad) { l.plain, l.meanEvents, l.maxEvents = true, 1, 4 }, 0.27},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			l := letters
 			tc.change(&l)
 			var sum stopLoadResult
