soak: Refusals that come twice beside silences

The soak's servers gave whole answers twice at once and closed the connection then, so that a second copy was never read as the answer to another send.

Servers reject some requests and fall silent meanwhile. The checks for requests to run at most once and for true refusals are in force.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -44,6 +44,9 @@
 	cut map[string]bool
 	// conns holds the open connections. Those from clients have the client's IP address.
 	conns map[net.Conn]string
+	// repeats is set while refusals are repeated, and repeated is how many were.
+	repeats  bool
+	repeated int
 }
 
 // NewProxy starts a proxy on a free loopback port. The caller must call Close.
@@ -150,8 +153,9 @@
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = from, ""
 	p.mu.Unlock()
-	go p.copy(server, client, false)
-	p.copy(client, server, true)
+	last := new(lastRefusal)
+	go p.copy(server, client, last, false)
+	p.copy(client, server, last, true)
 	p.mu.Lock()
 	delete(p.conns, client)
 	delete(p.conns, server)
@@ -160,7 +164,7 @@
 
 // copy forwards the bytes of one direction until either connection is closed. A reset is forwarded as one:
 // only a close may end a response without a length.
-func (p *Proxy) copy(to, from net.Conn, response bool) {
+func (p *Proxy) copy(to, from net.Conn, last *lastRefusal, response bool) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, copyBufferSize)
@@ -170,6 +174,7 @@
 			return
 		}
 		if n > 0 {
+			p.repeat(from, last, buffer[:n], response)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,8 @@
 	// Planned leaves out all faults and their checks: only planned work is done, beside sound servers that are silent. In
 	// runs with an even seed VMs know how many tokens an event has, so that they can measure the pace of streams.
 	Planned bool
+	// Repeats leaves out all faults but refusals that come twice and silences, and their checks.
+	Repeats bool
 	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
 	VMs, Callers int
 }
@@ -98,6 +100,10 @@
 		r.checkPlanned(ctx)
 		return r.result(), nil
 	}
+	if o.Repeats {
+		r.checkRepeats(ctx)
+		return r.result(), nil
+	}
 	r.setSilences(silenceInterval)
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,15 @@
 	}
 }
 
+// Guards against a request that runs twice, or is refused though it runs, beside refusals that come twice and silences.
+func TestSoakRepeatedRefusals(t *testing.T) {
+	res, err := soak.Run(context.Background(), soak.Options{Program: buildProgram(t), Dir: t.TempDir(), Seed: 7, Duration: testDuration, Repeats: true})
+	require.NoError(t, err)
+	require.NotZero(t, res.Faults["refusal_repeated"])
+	require.NotZero(t, res.Served)
+	require.Empty(t, res.Violations)
+}
+
 // Guards against a VM that does not serve without a word about its process in the error.
 func TestRunDescribesVMThatDoesNotServe(t *testing.T) {
 	tests := map[string]struct {
