pick: A VM that has measured nothing takes no long streams as it stops

Cause: the VM had been up for about a second and had measured no token. It took four times the usual 5 ms for the most that a token can take; these servers took 85 ms. Change: without a measurement a token takes 100 ms at most and a response without a model 2 s. Enough responses of a route count by themselves where the tokens of an event are not known. Measured: TestLongestDuration states these bounds. Tests of pick, and of pass that stop a VM, pass.

--- a/pick/longest.go
+++ b/pick/longest.go
@@ -23,6 +23,10 @@
 	// similar length, fewMargin the same for fewer responses.
 	longestMargin = 2
 	fewMargin     = 4
+	// unmeasuredTokenTime is the time of a token at most where none was measured, unmeasuredTime that of a response
+	// without a model. A VM that has just started knows nothing of its servers.
+	unmeasuredTokenTime = 100 * time.Millisecond
+	unmeasuredTime      = 2 * time.Second
 )
 
 // recentValues holds the last values of something that was measured. The zero value is empty.
@@ -93,8 +97,11 @@
 		// Without a response of the route, those of the server are all that is known. Responses of a route are of similar
 		// length, and one that is much longer has met a silence of its server.
 		margin := fewMargin
-		if recent.took.enough() {
+		switch {
+		case recent.took.enough():
 			margin = longestMargin
+		case recent.took.highest() == 0:
+			return c.PredictedTime + max(unmeasuredTime, scale(c.PredictedTime, fewMargin)), true
 		}
 		return c.PredictedTime + max(time.Duration(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
 	}
@@ -103,8 +110,11 @@
 		return byResponses, recent.took.enough()
 	}
 	times := b.recentTokenTimes[w.Model]
+	if times == nil && recent.took.enough() {
+		return byResponses, true
+	}
 	if times == nil {
-		byTokens := c.PredictedTime + time.Duration(pace*fewMargin*float64(w.MaxOutputTokens)*float64(b.tokenTime(w)))
+		byTokens := c.PredictedTime + scale(time.Duration(w.MaxOutputTokens)*unmeasuredTokenTime, pace)
 		return max(byTokens, byResponses), true
 	}
 	slowest := times.highest()
--- a/pick/longest_test.go
+++ b/pick/longest_test.go
@@ -33,7 +33,7 @@
 		min, max time.Duration
 		unknown  bool
 	}{
-		"nothing measured":                       {min: predicted + 200*5*time.Millisecond, max: predicted + 4*200*5*time.Millisecond},
+		"nothing measured":                       {min: predicted + 200*100*time.Millisecond, max: predicted + 200*100*time.Millisecond},
 		"nothing measured, none stated":          {change: none, unknown: true},
 		"stated":                                 {share: wide, measured: 100, min: longest, max: longest + longest/10},
 		"stated, few measured":                   {share: wide, measured: 10, min: longest, max: 2 * longest},
@@ -45,7 +45,9 @@
 		"none stated, few measured":              {share: even, measured: 20, change: none, unknown: true},
 		"none stated, even":                      {share: even, measured: 100, change: none, min: predicted + 80*tokenTime, max: predicted + 110*tokenTime},
 		"none stated, wide":                      {share: wide, measured: 100, change: none, min: longest, max: 5 * longest},
-		"plain, nothing measured":                {change: plain, min: 4 * predicted, max: 5 * predicted},
+		"plain, nothing measured":                {change: plain, min: 2 * time.Second, max: predicted + 2*time.Second},
+		"tokens of an event not known":           {share: even, measured: 100, change: func(w *pick.Work) { w.TokensPerEvent = 0 }, min: predicted + 80*tokenTime, max: predicted + 110*tokenTime},
+		"tokens of an event not known, few":      {share: even, measured: 10, change: func(w *pick.Work) { w.TokensPerEvent = 0 }, min: predicted + 200*100*time.Millisecond, max: predicted + 200*100*time.Millisecond},
 		"plain":                                  {share: even, measured: 100, change: plain, min: predicted + 80*tokenTime, max: predicted + 110*tokenTime},
 		"plain, few measured":                    {share: even, measured: 10, change: plain, min: predicted + 160*tokenTime, max: predicted + 220*tokenTime},
 	} {
