steer: The test of the first term has the previous term end as the lease tells it

Without it, TestFirstTermDoesNotWaitForLateOrders would have passed also for a controller that takes its first term for a later one. With it, that controller sends no order within the 5 s of the test, and the test fails; as it is, it passes.

--- a/steer/restart_test.go
+++ b/steer/restart_test.go
@@ -239,6 +239,8 @@
 func TestFirstTermDoesNotWaitForLateOrders(t *testing.T) {
 	r := newRestartRun()
 	r.boot("a", false)
+	// The lease gives the time of its acquisition if there was no holder before.
+	r.previousEnd = r.now
 	r.lead(r.addVM())
 	r.run(t.Context(), 5, nil)
 	require.NotEmpty(t, r.orders[r.running.ID])
