pick: The longest duration of a stream at a stop heeds how slow its model is

What callers would see: LOST. A VM that has had SIGTERM takes a stream of a slow model that can not end before its exit, and cuts it off.

Cause: the longest of a route's last 64 responses bounds the next one, of whatever model. If these are of a fast model, one of a model that takes ten times as long for a token is bounded by them, also where its own token times are known.

Evidence: TestLongestDurationOfSlowModel failed in 6 of 7 cases: 416 ms as the bound of a stream like those that took 1.56 s.

Change: a route remembers the token times of its last streams too. If the slowest of the model's is above them, the bound by responses grows in that ratio.

Measured: the 7 cases pass, and the tests of pick and those of stops in pass. The refusals of the 18 cases of TestLongestStreamsAfterSIGTERM, which have one model, are the same as before. Open: responses with a model that are no streams have no token times, so that they are bounded as before.

--- a/pick/longest.go
+++ b/pick/longest.go
@@ -67,8 +67,9 @@
 // recentWork is what recent responses to work of a class took, at a pace of 1.
 type recentWork struct {
 	// took are the times of whole responses without their longest pauses, normalized. delays are how much later than
-	// predicted their first events came, pauses the longest times between two events.
-	took, delays, pauses recentValues
+	// predicted their first events came, pauses the longest times between two events. tokenTimes are the decode times of a
+	// token in the streams, which may be of several models.
+	took, delays, pauses, tokenTimes recentValues
 }
 
 // LongestDuration returns the time within which a whole response of the chosen server is as good as certain to have ended,
@@ -89,6 +90,7 @@
 	}
 	pace := cmp.Or(c.Pace, 1)
 	pauses := recent.pauses.highest()
+	times := b.recentTokenTimes[w.Model]
 	if w.Model == "" {
 		// Without a response of the route, those of the server are all that is known. Responses of a route are of similar
 		// length, and one that is much longer has met a silence of its server.
@@ -98,11 +100,11 @@
 		}
 		return c.PredictedTime + max(time.Duration(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
 	}
-	byResponses := c.PredictedTime + time.Duration(pace*(recent.took.above()*float64(max(w.MaxOutputTokens, 1))+pauses))
+	above := recent.took.above() * b.slowness(w, times, recent.tokenTimes)
+	byResponses := c.PredictedTime + time.Duration(pace*(above*float64(max(w.MaxOutputTokens, 1))+pauses))
 	if w.MaxOutputTokens <= 0 {
 		return byResponses, recent.took.enough()
 	}
-	times := b.recentTokenTimes[w.Model]
 	if times == nil {
 		byTokens := c.PredictedTime + time.Duration(pace*fewMargin*float64(w.MaxOutputTokens)*float64(b.tokenTime(w)))
 		return max(byTokens, byResponses), true
@@ -118,6 +120,19 @@
 	return byResponses, true
 }
 
+// slowness returns how many times as long as the slowest of a route's recent streams, of any model, one of the work's model
+// takes for a token, 1 at least. times are the token times of its model. b.mu is held.
+func (b *Balancer) slowness(w Work, times *recentValues, ofRoute recentValues) float64 {
+	slowest := times.highest()
+	if slowest == 0 {
+		slowest = float64(b.tokenTime(w))
+	}
+	if highest := ofRoute.highest(); highest > 0 {
+		return max(slowest/highest, 1)
+	}
+	return 1
+}
+
 // recordLongest records what a complete response took, usual at a pace of 1. b.mu is held.
 func (b *Balancer) recordLongest(a *Attempt, usual time.Duration) {
 	if b.recentWork == nil {
@@ -145,5 +160,7 @@
 		times = &recentValues{}
 		b.recentTokenTimes[w.Model] = times
 	}
-	times.add(float64(took) / float64((a.events-2)*w.TokensPerEvent))
+	tokenTime := float64(took) / float64((a.events-2)*w.TokensPerEvent)
+	times.add(tokenTime)
+	recent.tokenTimes.add(tokenTime)
 }
