pick: A huge maximum of tokens does not overflow the longest duration

What callers would see: LOST. A VM that has had SIGTERM takes a stream whose caller allows far more tokens than fit in a duration, and cuts it off if it ends after the exit.

Cause: the number comes from the caller without a bound, and the product of tokens and their time was converted to a negative duration, or became one as silenceRoom was added.

Evidence: TestLongestDurationOfHugeMaximum failed in 4 of 7 cases, with -2562047 h, or with 40 ms if nothing was measured.

Change: the products are bounded before they are converted, and the result leaves room for times that are added.

Measured: the 7 cases pass, and the other tests of the longest duration.

--- a/pick/longest.go
+++ b/pick/longest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -79,7 +80,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	longest, bounded := b.longestResponse(c, w)
-	return max(expected, longest), bounded
+	return min(max(expected, longest), foreverTime), bounded
+}
+
+// foreverTime is longer than any response. Times can be added to it.
+const foreverTime = time.Duration(math.MaxInt64 / 4)
+
+// bound converts a number of nanoseconds, which a caller's maximum of tokens may make too high for a duration.
+func bound(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, float64(foreverTime)))
 }
 
 // longestResponse returns the bound of LongestDuration by recent responses. b.mu is held.
@@ -98,22 +107,22 @@
 		if recent.took.enough() {
 			margin = longestMargin
 		}
-		return c.PredictedTime + max(time.Duration(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
+		return c.PredictedTime + max(bound(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
 	}
 	above := recent.took.above() * b.slowness(w, times, recent.tokenTimes)
-	byResponses := c.PredictedTime + time.Duration(pace*(above*float64(max(w.MaxOutputTokens, 1))+pauses))
+	byResponses := c.PredictedTime + bound(pace*(above*float64(max(w.MaxOutputTokens, 1))+pauses))
 	if w.MaxOutputTokens <= 0 {
 		return byResponses, recent.took.enough()
 	}
 	if times == nil {
-		byTokens := c.PredictedTime + time.Duration(pace*fewMargin*float64(w.MaxOutputTokens)*float64(b.tokenTime(w)))
+		byTokens := c.PredictedTime + bound(pace*fewMargin*float64(w.MaxOutputTokens)*float64(b.tokenTime(w)))
 		return max(byTokens, byResponses), true
 	}
 	slowest := times.highest()
 	if !times.enough() {
 		slowest *= longestMargin
 	}
-	tokens := time.Duration(pace * (slowest*float64(w.MaxOutputTokens) + recent.delays.highest() + pauses))
+	tokens := bound(pace * (slowest*float64(w.MaxOutputTokens) + recent.delays.highest() + pauses))
 	if byTokens := c.PredictedTime + tokens; !recent.took.enough() || byTokens < byResponses {
 		return byTokens, true
 	}
