pass: A proxy does not close a connection to a server that it has given back

What callers would see: 502 for an at-most-once request at a VM that sends requests for others, or an answer cut off, and a server taken for one that fails.

Cause: until its handler returned, a proxy closed the connection to the server if the other VM closed its own, also after the connection was back in the pool. The other VM may close as soon as it has the whole answer. A direct attempt has stopped that before.

Evidence: TestProxyClientClosesAfterAnswer failed 5 of 5 times: use of closed connection.

Change: the closing is stopped before the connection is given back. If it came first, the connection is not kept.

Measured: the test passed 40 times, and the tests of proxies and second answers of pass once with the race detector.

--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -163,15 +163,18 @@
 		p.refuse(refusalUnavailable)
 		return
 	}
-	defer context.AfterFunc(ctx, p.conn.Close)()
+	stopClosing := context.AfterFunc(ctx, p.conn.Close)
+	defer stopClosing()
 	g.Meter.AddCounter("proxy.sent", 1)
 	complete, err := p.exchangeOnce(body)
+	// Another request may use the connection as soon as it is in the pool.
+	open := stopClosing()
 	if p.exchange == nil {
 		g.Pool.Discard(p.conn)
 	} else {
 		now := g.Now()
 		p.markCarried(now, p.sent.Add(requestTimeout(g.HeaderNames, p.r, routes.Route{})))
-		p.exchange.Finish(now, g.Pool, p.resp, complete && ctx.Err() == nil && p.reusable())
+		p.exchange.Finish(now, g.Pool, p.resp, complete && open && p.reusable())
 	}
 	if err == nil {
 		p.log("passed on")
