pick: Responses in progress bound the longest duration too

What callers would see: LOST. Requests become longer, or the long ones of a VM that has just started are not complete yet, and a VM that has had SIGTERM takes one by how long responses took before.

Cause: only complete responses bounded the next one. Those in progress count in the expected duration, but each moves that mean by a part only.

Evidence: TestRunningResponsesLengthenLongestDuration failed in 3 of 7 cases: a bound of 1.4 or 1.5 s beside one response of the same class that had taken 4 s.

Change: the bound is at least what the oldest response in progress has taken.

Measured: the 7 cases pass, and the tests of pick. The refusals of the 18 cases of TestLongestStreamsAfterSIGTERM are the same as before.

--- a/pick/longest.go
+++ b/pick/longest.go
@@ -79,7 +79,7 @@
 	expected, _ := b.ExpectedDuration(now, c, w)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	longest, bounded := b.longestResponse(c, w)
+	longest, bounded := b.longestResponse(now, c, w)
 	return min(max(expected, longest), foreverTime), bounded
 }
 
@@ -92,7 +92,7 @@
 }
 
 // longestResponse returns the bound of LongestDuration by recent responses. b.mu is held.
-func (b *Balancer) longestResponse(c Choice, w Work) (time.Duration, bool) {
+func (b *Balancer) longestResponse(now time.Time, c Choice, w Work) (time.Duration, bool) {
 	recent := b.recentWork[classOf(w)]
 	if recent == nil {
 		recent = &recentWork{}
@@ -100,6 +100,7 @@
 	pace := cmp.Or(c.Pace, 1)
 	pauses := recent.pauses.highest()
 	times := b.recentTokenTimes[w.Model]
+	oldest := b.oldestRunning(now, w)
 	if w.Model == "" {
 		// Without a response of the route, those of the server are all that is known. Responses of a route are of similar
 		// length, and one that is much longer has met a silence of its server.
@@ -107,9 +108,9 @@
 		if recent.took.enough() {
 			margin = longestMargin
 		}
-		return c.PredictedTime + max(bound(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
+		return c.PredictedTime + max(bound(pace*max(float64(margin)*recent.took.highest(), oldest)), scale(c.PredictedTime, fewMargin)), true
 	}
-	above := recent.took.above() * b.slowness(w, times, recent.tokenTimes)
+	above := max(recent.took.above()*b.slowness(w, times, recent.tokenTimes), oldest)
 	byResponses := c.PredictedTime + bound(pace*(above*float64(max(w.MaxOutputTokens, 1))+pauses))
 	if w.MaxOutputTokens <= 0 {
 		return byResponses, recent.took.enough()
@@ -129,6 +130,18 @@
 	return byResponses, true
 }
 
+// oldestRunning returns how long the oldest response in progress to work of a class has taken at a pace of 1, normalized, 0
+// without any: the longest responses are complete last. b.mu is held.
+func (b *Balancer) oldestRunning(now time.Time, w Work) float64 {
+	oldest := 0.0
+	for a := range b.running {
+		if classOf(a.work) == classOf(w) {
+			oldest = max(oldest, a.work.normalized(scale(now.Sub(a.started), 1/a.pace)))
+		}
+	}
+	return oldest
+}
+
 // slowness returns how many times as long as the slowest of a route's recent streams, of any model, one of the work's model
 // takes for a token, 1 at least. times are the token times of its model. b.mu is held.
 func (b *Balancer) slowness(w Work, times *recentValues, ofRoute recentValues) float64 {
