--- a/pick/longest.go
+++ b/pick/longest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -71,8 +72,9 @@
 // recentWork is what recent responses to work of a class took, at a pace of 1.
 type recentWork struct {
 	// took are the times of whole responses without their longest pauses, normalized. delays are how much later than
-	// predicted their first events came, pauses the longest times between two events.
-	took, delays, pauses recentValues
+	// predicted their first events came, pauses the longest times between two events. tokenTimes are the decode times of a
+	// token in the streams, which may be of several models.
+	took, delays, pauses, tokenTimes recentValues
 }
 
 // LongestDuration returns the time within which a whole response of the chosen server is as good as certain to have ended,
@@ -81,18 +83,28 @@
 	expected, _ := b.ExpectedDuration(now, c, w)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	longest, bounded := b.longestResponse(c, w)
-	return max(expected, longest), bounded
+	longest, bounded := b.longestResponse(now, c, w)
+	return min(max(expected, longest), foreverTime), bounded
+}
+
+// foreverTime is longer than any response. Times can be added to it.
+const foreverTime = time.Duration(math.MaxInt64 / 4)
+
+// bound converts a number of nanoseconds, which a caller's maximum of tokens may make too high for a duration.
+func bound(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, float64(foreverTime)))
 }
 
 // longestResponse returns the bound of LongestDuration by recent responses. b.mu is held.
-func (b *Balancer) longestResponse(c Choice, w Work) (time.Duration, bool) {
+func (b *Balancer) longestResponse(now time.Time, c Choice, w Work) (time.Duration, bool) {
 	recent := b.recentWork[classOf(w)]
 	if recent == nil {
 		recent = &recentWork{}
 	}
 	pace := cmp.Or(c.Pace, 1)
 	pauses := recent.pauses.highest()
+	times := b.recentTokenTimes[w.Model]
+	oldest := b.oldestRunning(now, w)
 	if w.Model == "" {
 		// Without a response of the route, those of the server are all that is known. Responses of a route are of similar
 		// length, and one that is much longer has met a silence of its server.
@@ -101,33 +113,58 @@
 		case recent.took.enough():
 			margin = longestMargin
 		case recent.took.highest() == 0:
-			return c.PredictedTime + max(unmeasuredTime, scale(c.PredictedTime, fewMargin)), true
+			return c.PredictedTime + max(unmeasuredTime, bound(pace*oldest), scale(c.PredictedTime, fewMargin)), true
 		}
-		return c.PredictedTime + max(time.Duration(pace*float64(margin)*recent.took.highest()), scale(c.PredictedTime, fewMargin)), true
+		return c.PredictedTime + max(bound(pace*max(float64(margin)*recent.took.highest(), oldest)), scale(c.PredictedTime, fewMargin)), true
 	}
-	byResponses := c.PredictedTime + time.Duration(pace*(recent.took.above()*float64(max(w.MaxOutputTokens, 1))+pauses))
+	above := max(recent.took.above()*b.slowness(w, times, recent.tokenTimes), oldest)
+	byResponses := c.PredictedTime + bound(pace*(above*float64(max(w.MaxOutputTokens, 1))+pauses))
 	if w.MaxOutputTokens <= 0 {
 		return byResponses, recent.took.enough()
 	}
-	times := b.recentTokenTimes[w.Model]
 	if times == nil && recent.took.enough() {
 		return byResponses, true
 	}
 	if times == nil {
-		byTokens := c.PredictedTime + scale(time.Duration(w.MaxOutputTokens)*unmeasuredTokenTime, pace)
+		byTokens := c.PredictedTime + bound(pace*float64(w.MaxOutputTokens)*float64(unmeasuredTokenTime))
 		return max(byTokens, byResponses), true
 	}
 	slowest := times.highest()
 	if !times.enough() {
 		slowest *= longestMargin
 	}
-	tokens := time.Duration(pace * (slowest*float64(w.MaxOutputTokens) + recent.delays.highest() + pauses))
+	tokens := bound(pace * (slowest*float64(w.MaxOutputTokens) + recent.delays.highest() + pauses))
 	if byTokens := c.PredictedTime + tokens; !recent.took.enough() || byTokens < byResponses {
 		return byTokens, true
 	}
 	return byResponses, true
 }
 
+// oldestRunning returns how long the oldest response in progress to work of a class has taken at a pace of 1, normalized, 0
+// without any: the longest responses are complete last. b.mu is held.
+func (b *Balancer) oldestRunning(now time.Time, w Work) float64 {
+	oldest := 0.0
+	for a := range b.running {
+		if classOf(a.work) == classOf(w) {
+			oldest = max(oldest, a.work.normalized(scale(now.Sub(a.started), 1/a.pace)))
+		}
+	}
+	return oldest
+}
+
+// slowness returns how many times as long as the slowest of a route's recent streams, of any model, one of the work's model
+// takes for a token, 1 at least. times are the token times of its model. b.mu is held.
+func (b *Balancer) slowness(w Work, times *recentValues, ofRoute recentValues) float64 {
+	slowest := times.highest()
+	if slowest == 0 {
+		slowest = float64(b.tokenTime(w))
+	}
+	if highest := ofRoute.highest(); highest > 0 {
+		return max(slowest/highest, 1)
+	}
+	return 1
+}
+
 // recordLongest records what a complete response took, usual at a pace of 1. b.mu is held.
 func (b *Balancer) recordLongest(a *Attempt, usual time.Duration) {
 	if b.recentWork == nil {
@@ -155,5 +192,7 @@
 		times = &recentValues{}
 		b.recentTokenTimes[w.Model] = times
 	}
-	times.add(float64(took) / float64((a.events-2)*w.TokensPerEvent))
+	tokenTime := float64(took) / float64((a.events-2)*w.TokensPerEvent)
+	times.add(tokenTime)
+	recent.tokenTimes.add(tokenTime)
 }
