--- a/pick/longest.go
+++ b/pick/longest.go
@@ -101,31 +101,39 @@
 	if recent == nil {
 		recent = &recentWork{}
 	}
+	if w.Model == "" {
+		return b.longestWithoutModel(now, c, w, recent), true
+	}
+	return b.longestWithModel(now, c, w, recent)
+}
+
+// longestWithoutModel does that for work without a model. Responses of a route are of similar length, and one that is much
+// longer has met a silence of its server. Without any, those of the server are all that is known. b.mu is held.
+func (b *Balancer) longestWithoutModel(now time.Time, c Choice, w Work, recent *recentWork) time.Duration {
+	margin, shortest := fewMargin, scale(c.PredictedTime, fewMargin)
+	switch {
+	case recent.took.enough():
+		margin = longestMargin
+	case recent.took.highest() == 0:
+		shortest = max(shortest, unmeasuredTime)
+	}
+	longest := max(float64(margin)*recent.took.highest(), b.oldestRunning(now, w))
+	return c.PredictedTime + max(bound(cmp.Or(c.Pace, 1)*longest), shortest)
+}
+
+// longestWithModel does that for work with a model, by the response as a whole and by its tokens. b.mu is held.
+func (b *Balancer) longestWithModel(now time.Time, c Choice, w Work, recent *recentWork) (time.Duration, bool) {
 	pace := cmp.Or(c.Pace, 1)
 	pauses := recent.pauses.highest()
 	times := b.recentTokenTimes[w.Model]
-	oldest := b.oldestRunning(now, w)
-	if w.Model == "" {
-		// Without a response of the route, those of the server are all that is known. Responses of a route are of similar
-		// length, and one that is much longer has met a silence of its server.
-		margin := fewMargin
-		switch {
-		case recent.took.enough():
-			margin = longestMargin
-		case recent.took.highest() == 0:
-			return c.PredictedTime + max(unmeasuredTime, bound(pace*oldest), scale(c.PredictedTime, fewMargin)), true
-		}
-		return c.PredictedTime + max(bound(pace*max(float64(margin)*recent.took.highest(), oldest)), scale(c.PredictedTime, fewMargin)), true
-	}
-	above := max(recent.took.above()*b.slowness(w, times, recent.tokenTimes), oldest)
+	above := max(recent.took.above()*b.slowness(w, times, recent.tokenTimes), b.oldestRunning(now, w))
 	byResponses := c.PredictedTime + bound(pace*(above*float64(max(w.MaxOutputTokens, 1))+pauses))
-	if w.MaxOutputTokens <= 0 {
+	switch {
+	case w.MaxOutputTokens <= 0:
 		return byResponses, recent.took.enough()
-	}
-	if times == nil && recent.took.enough() {
+	case times == nil && recent.took.enough():
 		return byResponses, true
-	}
-	if times == nil {
+	case times == nil:
 		byTokens := c.PredictedTime + bound(pace*float64(w.MaxOutputTokens)*float64(unmeasuredTokenTime))
 		return max(byTokens, byResponses), true
 	}
@@ -133,11 +141,11 @@
 	if !times.enough() {
 		slowest *= longestMargin
 	}
-	tokens := bound(pace * (slowest*float64(w.MaxOutputTokens) + recent.delays.highest() + pauses))
-	if byTokens := c.PredictedTime + tokens; !recent.took.enough() || byTokens < byResponses {
-		return byTokens, true
+	byTokens := c.PredictedTime + bound(pace*(slowest*float64(w.MaxOutputTokens)+recent.delays.highest()+pauses))
+	if recent.took.enough() {
+		return min(byTokens, byResponses), true
 	}
-	return byResponses, true
+	return byTokens, true
 }
 
 // oldestRunning returns how long the oldest response in progress to work of a class has taken at a pace of 1, normalized, 0
