--- a/pass/eventids_test.go
+++ b/pass/eventids_test.go
@@ -19,7 +19,7 @@
 		w.Header().Set("Attempt", r.Header.Get("Attempt"))
 		w.Header().Set("Stamp", "s")
 		w.Header().Set("Content-Type", typeEvents)
-		fmt.Fprint(w, text)
+		_, _ = fmt.Fprint(w, text)
 		w.(http.Flusher).Flush()
 	}
 	return hedgedGateway(t, silentRoute(routes.Stream), 10, func(w http.ResponseWriter, r *http.Request) {
--- a/pass/eventorder_test.go
+++ b/pass/eventorder_test.go
@@ -74,7 +74,7 @@
 					w.Header().Set("Attempt", r.Header.Get("Attempt"))
 					w.Header().Set("Stamp", "s")
 					w.Header().Set("Content-Type", typeEvents)
-					fmt.Fprint(w, stream)
+					_, _ = fmt.Fprint(w, stream)
 					w.(http.Flusher).Flush()
 					if !whole {
 						panic(http.ErrAbortHandler)
