conns: A read that has failed stays failed, so that a head does not end where its server fell silent

What callers saw: a 200 whose body is a piece of the server's head, or a short body framed as whole ("Content-Type: ...", an empty line and "id: 1\ndata" in place of 45 bytes of events). Others waited for a server that the VM had already left: the other server's answer lay ready until the silent one closed or the deadline came, and the request was sent to that other server a second time.

What happens, in order: the server of a repeatable request falls silent inside a line of its head. The request is hedged, and the other server begins to answer. The read at the silent server is ended with a timeout. bufio.Reader.ReadLine, which net/http's parser of heads uses, drops the error that follows a part of a line, returns that part as a whole line, and expects the error again at the next read. stallReader read on in its place. What the silent server sent later was taken for the next line: if it was the end of the line, it was an empty line, and so the end of the head.

Ruled out, by tests that passed before: a head cut after each of its bytes and then closed or reset, with each framing, sent directly, through a proxy, by the proxy itself, to HTTP/1.0 and HEAD callers, as the second answer on a kept connection, as the second server of a stream (3,369 cases); reports, the store's answers, writes, orders and answers of engines cut in their heads (the truncation tests have these now; net/http's transport reads those).

Why it works: after its first error a connection returns that error for each read. No connection is used again after a failed read, so that nothing that could be served is lost.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -28,8 +28,11 @@
 	abortOnStall func(waited time.Duration) bool
 	// ownDelay is described at OwnDelay. Only the reader uses it.
 	ownDelay time.Duration
-	head     headLimit
-	carried  carried
+	// readErr is the first error of a read, which all later ones return: the readers of net/http take the part of a line
+	// before an error for a whole line, and would go on with what comes after it. Only the reader uses it.
+	readErr error
+	head    headLimit
+	carried carried
 
 	stallMu sync.Mutex
 	// stallDue is set if a read is to call abortOnStall before its stall timeout ends.
--- a/conns/stall.go
+++ b/conns/stall.go
@@ -53,14 +53,18 @@
 // stallReader reads from a connection and applies its stall timeout and the bound of the head that is read.
 type stallReader struct{ *Conn }
 
-// Read implements io.Reader.
+// Read implements io.Reader. After an error it reads no more, see Conn.readErr.
 func (r stallReader) Read(p []byte) (int, error) {
+	if r.readErr != nil {
+		return 0, r.readErr
+	}
 	limit, ok := r.head.allowed(len(p))
 	if !ok {
 		return 0, errHeadTooLong
 	}
 	n, err := r.read(p[:limit])
 	r.head.add(n)
+	r.readErr = err
 	return n, err
 }
 
--- a/pass/endless_test.go
+++ b/pass/endless_test.go
@@ -79,7 +79,7 @@
 func TestEndlessResponse(t *testing.T) {
 	for name, tc := range endlessCases() {
 		t.Run(name, func(t *testing.T) {
-			g := truncationGateway(tc.route, startEndless(t, tc.name), startScriptedServer(t, "b", script{wholeStream(httpx.FramedByChunks).ScriptedResponse, tc.route.Kind == routes.Stream}))
+			g := truncationGateway(tc.route, startEndless(t, tc.name), startScriptedServer(t, "b", scriptOf(tc.route, httpx.FramedByChunks)))
 			log := &testLog{}
 			g.Log = zerolog.New(log)
 			counter := countReads(g)
--- a/pass/truncation_test.go
+++ b/pass/truncation_test.go
@@ -25,6 +25,8 @@
 type script struct {
 	stand.ScriptedResponse
 	eventType bool
+	// lengthFirst has the head begin with the length of the body, which its framing then does not state.
+	lengthFirst bool
 }
 
 // startScriptedServer starts a server that plays a script for each request. A request with a Last-Event-Id
@@ -33,10 +35,7 @@
 	t.Helper()
 	address, stop, err := stand.StartScripted(func(r *http.Request) stand.ScriptedResponse {
 		resp := s.resumed(r.Header.Get(headerLastEvent))
-		resp.Header = "Attempt: " + r.Header.Get("Attempt") + "\r\nStamp: " + name + "\r\n"
-		if s.eventType {
-			resp.Header += "Content-Type: " + typeEvents + "\r\n"
-		}
+		resp.Header = s.header(name, r.Header.Get("Attempt"))
 		return resp
 	})
 	require.NoError(t, err)
@@ -44,6 +43,32 @@
 	return address
 }
 
+// header returns the header lines before that of the framing.
+func (s script) header(name, attempt string) string {
+	header := ""
+	if s.lengthFirst {
+		header = fmt.Sprintf("%s: %d\r\n", headerLength, len(s.Body))
+	}
+	header += "Attempt: " + attempt + "\r\nStamp: " + name + "\r\n"
+	if s.eventType {
+		header += "Content-Type: " + typeEvents + "\r\n"
+	}
+	return header
+}
+
+// headCuts returns the script broken off after each byte of its head but the last one, for a server and an attempt.
+func (s script) headCuts(name, attempt string) []script {
+	resp := s.ScriptedResponse
+	resp.Header = s.header(name, attempt)
+	var cuts []script
+	for _, cut := range resp.HeadCuts() {
+		one := s
+		one.HeadSent = cut.HeadSent
+		cuts = append(cuts, one)
+	}
+	return cuts
+}
+
 // resumed returns the response after an event.
 func (s script) resumed(lastEvent string) stand.ScriptedResponse {
 	resp := s.ScriptedResponse
--- a/stand/scripted.go
+++ b/stand/scripted.go
@@ -39,12 +39,18 @@
 	// Sent is how many bytes of Body are sent. If that is all, the response ends as Framing requires.
 	Sent int
 	End  ConnEnd
+	// HeadSent is how many bytes of the head are sent if the response breaks off inside it, 0 if it does not.
+	HeadSent int
+	// SilentUntil, if not nil, is when the silence ends that follows what is sent. Resumes is set if the rest of a response
+	// that broke off inside its head comes then.
+	SilentUntil <-chan struct{}
+	Resumes     bool
 	// OneWrite sends the head together with the body.
 	OneWrite bool
 }
 
-// Truncations returns a response for each way to break off a body: with each framing, after the head, in the
-// middle and before the last byte, and with each end of the connection. The keys describe them.
+// Truncations returns a response for each way to break off a response: with each framing, inside the head, after it, in the
+// middle of the body and before its last byte, and with each end of the connection. The keys describe them.
 func Truncations(body string) map[string]ScriptedResponse {
 	all := make(map[string]ScriptedResponse)
 	for _, framing := range ResponseFramings {
@@ -52,6 +58,9 @@
 			for point, sent := range map[string]int{"after the head": 0, "in the middle": len(body) / 2, "before the last byte": len(body) - 1} {
 				all[fmt.Sprintf("%s, %s %s", framing, end, point)] = ScriptedResponse{Framing: framing, Body: body, Sent: sent, End: connEnd}
 			}
+			for _, cut := range (ScriptedResponse{Framing: framing, Body: body, End: connEnd}).HeadCuts() {
+				all[fmt.Sprintf("%s, %s after %d bytes of the head", framing, end, cut.HeadSent)] = cut
+			}
 		}
 	}
 	return all
@@ -93,16 +102,19 @@
 
 func (s ScriptedResponse) send(conn net.Conn, ended <-chan struct{}) {
 	w := bufio.NewWriter(conn)
-	_, _ = w.WriteString(s.head())
-	if !s.OneWrite {
-		_ = w.Flush()
+	s.write(w)
+	_ = w.Flush()
+	if s.SilentUntil != nil {
+		select {
+		case <-s.SilentUntil:
+		case <-ended:
+		}
 	}
-	if s.Framing == httpx.FramedByChunks {
-		s.writeChunks(w)
-	} else {
-		_, _ = w.WriteString(s.Body[:s.Sent])
+	if s.Resumes {
+		_, _ = w.WriteString(s.head()[s.HeadSent:])
+		s.writeBody(w)
+		_ = w.Flush()
 	}
-	_ = w.Flush()
 	switch s.End {
 	case EndReset:
 		time.Sleep(resetDelay)
@@ -114,6 +126,36 @@
 	}
 }
 
+// write writes what is sent of the response.
+func (s ScriptedResponse) write(w *bufio.Writer) {
+	if s.HeadSent > 0 {
+		_, _ = w.WriteString(s.head()[:s.HeadSent])
+		return
+	}
+	_, _ = w.WriteString(s.head())
+	if !s.OneWrite {
+		_ = w.Flush()
+	}
+	s.writeBody(w)
+}
+
+func (s ScriptedResponse) writeBody(w *bufio.Writer) {
+	if s.Framing == httpx.FramedByChunks {
+		s.writeChunks(w)
+		return
+	}
+	_, _ = w.WriteString(s.Body[:s.Sent])
+}
+
+// HeadCuts returns the response broken off after each byte of its head but the last one.
+func (s ScriptedResponse) HeadCuts() []ScriptedResponse {
+	var cuts []ScriptedResponse
+	for s.HeadSent = 1; s.HeadSent < len(s.head()); s.HeadSent++ {
+		cuts = append(cuts, s)
+	}
+	return cuts
+}
+
 func (s ScriptedResponse) head() string {
 	head := "HTTP/1.1 200 OK\r\n" + s.Header
 	switch s.Framing {
