conns: A head that is cut inside a line is a lost connection, not a malformed response

What callers saw: 502 for a request that may run again, or whose stream another server could have continued, though another VM and a sound server were there. The VM sent it four times through the same proxy, which broke off inside the head of each answer.

Cause: net/http's parser takes the part of a line before the end of a connection for a whole line, and says that it is malformed. ConnectionLost did not know that error, so that the VM went on using the proxy. A server that crashed inside a line of a head was neither probed nor counted against the request that had crashed it.

Why it works: a head that can not be parsed on a connection whose read has failed has the error of that read. What is malformed on a sound connection stays malformed.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -53,9 +53,14 @@
 	c := x.conn
 	c.head.begin(c.reader.Buffered())
 	resp, err := x.readFinal()
-	if c.head.end() {
-		// What was cut off may look like another error, or like a whole line.
+	// The beginning of a line, or of a head, may look like another error, or like a whole line.
+	switch {
+	case c.head.end():
 		return nil, fmt.Errorf("read response: %w", errHeadTooLong)
+	case err != nil && errors.Is(c.readErr, io.EOF):
+		return nil, fmt.Errorf("read response: %w", io.ErrUnexpectedEOF)
+	case err != nil && c.readErr != nil:
+		return nil, fmt.Errorf("read response: %w", c.readErr)
 	}
 	return resp, err
 }
--- a/pass/headcut_test.go
+++ b/pass/headcut_test.go
@@ -134,6 +134,22 @@
 	}
 }
 
+// A server stops inside the head of its response, and another one has a whole answer. Guards against a caller who gets
+// something else.
+func TestHeadCutOffElsewhereWhole(t *testing.T) {
+	for kind, route := range repeatableRoutes {
+		t.Run(kind, func(t *testing.T) {
+			forEachHeadCut(t, route, func(t *testing.T, way string, s script) {
+				other := startScriptedServer(t, "b", scriptOf(route, httpx.FramedByChunks))
+				got := callGateway(t, headCutWays[way](t, route, s, other), longDeadline)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, threeEvents, got.body)
+				require.False(t, got.broken)
+			})
+		})
+	}
+}
+
 // A server stops inside the head of its response to a HEAD request, or to a caller who speaks HTTP/1.0. Guards against a
 // response without a body that such a caller takes for whole.
 func TestHeadCutOffOldAndHeadCallers(t *testing.T) {
