drain: The end of an HTTP server's connections at a stop, in a package of its own

Moved with its tests from node/conns.go, node/stop.go; no change of behaviour. What wraps the writer of a response is a handler now.

--- a/node/conns.go
+++ b/drain/conns.go
@@ -1,21 +1,38 @@
-package node
+// Package drain stops an HTTP server without losing a request that is under way.
+//
+// http.Server.Shutdown closes kept connections at once, and drops without an answer what has been sent on them meanwhile;
+// a listener that is closed resets the connections that wait to be accepted. The sender of such a request can not tell
+// whether it has run. Here a kept connection takes one more request as long as others are in progress, and connections that
+// wait are accepted.
+package drain
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/pause"
+)
+
+// QuietTime is how long no request may have been in progress before kept connections are closed.
+const QuietTime = 200 * time.Millisecond
+
+const (
+	// checkInterval is the interval between looks at the connections.
+	checkInterval = 10 * time.Millisecond
+	// lastCallTime is how long before the exit kept connections are closed while requests are in progress.
+	lastCallTime = 100 * time.Millisecond
 )
 
 // newConnTime is how long a connection on which nothing has arrived counts as one whose first request is under way. It
 // is that of http.Server.Shutdown.
 const newConnTime = 5 * time.Second
 
-// openConns are the open connections of an HTTP server. The zero value is ready to use.
-type openConns struct {
+// Conns are the open connections of an HTTP server. The zero value is ready to use.
+type Conns struct {
 	mu    sync.Mutex
 	conns map[net.Conn]connState
 	// running counts the connections with a request in progress, and idleSince is when it became 0.
@@ -32,42 +49,8 @@
 	read int64
 }
 
-// countedListener accepts connections that count what is read from them.
-type countedListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &countedConn{TCPConn: tcp}, err
-	}
-	return c, err
-}
-
-// countedConn is a connection that counts the bytes that are read from it: net/http reports a connection as in use only
-// after the whole head of a request.
-type countedConn struct {
-	*net.TCPConn
-	read atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
-// bytesRead returns how many bytes have been read from a connection, 0 if it does not count them.
-func bytesRead(c net.Conn) int64 {
-	if counted, ok := c.(*countedConn); ok {
-		return counted.read.Load()
-	}
-	return 0
-}
-
-// record records a change of a connection's state. It is for the ConnState of an HTTP server.
-func (c *openConns) record(now time.Time, conn net.Conn, s http.ConnState) {
+// Record records a change of a connection's state. It is for the ConnState of an HTTP server.
+func (c *Conns) Record(now time.Time, conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns == nil {
@@ -94,15 +77,15 @@
 	}
 }
 
-// active returns the number of connections with a request in progress.
-func (c *openConns) active() int {
+// Active returns the number of connections with a request in progress.
+func (c *Conns) Active() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.running
 }
 
 // quiet returns for how long no request has been in progress.
-func (c *openConns) quiet(now time.Time) time.Duration {
+func (c *Conns) quiet(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running > 0 {
@@ -114,7 +97,7 @@
 // closeUnused ends the connections on which no request is under way, as far as this VM can know, and returns the number
 // of open connections. It ends them by a deadline for the next byte: a request of which the HTTP server has
 // read a part goes on.
-func (c *openConns) closeUnused(now time.Time) int {
+func (c *Conns) closeUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.conns {
@@ -128,3 +111,20 @@
 	}
 	return len(c.conns)
 }
+
+// Drain closes a listener, which may be nil, waits until no request is in progress on its connections, or ctx ends, and
+// closes these. exit is when the process exits. Hijacked connections stay open.
+func (c *Conns) Drain(ctx context.Context, clock func() time.Time, exit time.Time, l net.Listener) {
+	if l != nil {
+		_ = l.Close()
+	}
+	for ctx.Err() == nil {
+		now := clock()
+		if c.quiet(now) >= QuietTime || exit.Sub(now) <= lastCallTime {
+			if c.closeUnused(now) == 0 {
+				return
+			}
+		}
+		pause.For(ctx, checkInterval)
+	}
+}
--- a/node/conns_test.go
+++ b/drain/conns_test.go
@@ -1,4 +1,4 @@
-package node
+package drain
 
 import (
 	"errors"
@@ -49,9 +49,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			vm, caller := connPair(t)
-			var c openConns
+			var c Conns
 			for _, s := range tc.states {
-				c.record(now, vm, s)
+				c.Record(now, vm, s)
 			}
 			if tc.arrived {
 				_, err := caller.Write([]byte("x"))
@@ -65,7 +65,7 @@
 			}
 			_, err := vm.Read(make([]byte, 1))
 			require.Equal(t, tc.ended, errors.Is(err, os.ErrDeadlineExceeded), err)
-			c.record(now, vm, http.StateClosed)
+			c.Record(now, vm, http.StateClosed)
 			require.Zero(t, c.closeUnused(now))
 		})
 	}
@@ -76,19 +76,19 @@
 	now := time.Unix(1000, 0)
 	first, _ := connPair(t)
 	second, _ := connPair(t)
-	var c openConns
-	require.GreaterOrEqual(t, c.quiet(now), quietTime, "a VM without requests")
-	c.record(now, first, http.StateNew)
-	c.record(now, first, http.StateActive)
-	c.record(now, second, http.StateActive)
-	require.Equal(t, 2, c.active())
-	c.record(now.Add(time.Second), first, http.StateIdle)
+	var c Conns
+	require.GreaterOrEqual(t, c.quiet(now), QuietTime, "a VM without requests")
+	c.Record(now, first, http.StateNew)
+	c.Record(now, first, http.StateActive)
+	c.Record(now, second, http.StateActive)
+	require.Equal(t, 2, c.Active())
+	c.Record(now.Add(time.Second), first, http.StateIdle)
 	require.Zero(t, c.quiet(now.Add(time.Hour)))
-	c.record(now.Add(2*time.Second), second, http.StateClosed)
-	require.Zero(t, c.active())
+	c.Record(now.Add(2*time.Second), second, http.StateClosed)
+	require.Zero(t, c.Active())
 	require.Equal(t, time.Second, c.quiet(now.Add(3*time.Second)))
-	c.record(now.Add(4*time.Second), first, http.StateActive)
+	c.Record(now.Add(4*time.Second), first, http.StateActive)
 	require.Zero(t, c.quiet(now.Add(time.Hour)))
-	c.record(now.Add(5*time.Second), first, http.StateHijacked)
+	c.Record(now.Add(5*time.Second), first, http.StateHijacked)
 	require.Equal(t, time.Second, c.quiet(now.Add(6*time.Second)))
 }
--- /dev/null
+++ b/drain/handler.go
@@ -0,0 +1,38 @@
+package drain
+
+import "net/http"
+
+// Handler returns a handler whose responses close their connections while the server stops, so that its callers move to
+// another one.
+func Handler(stopping func() bool, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: stopping}, r)
+	})
+}
+
+// closingWriter writes a response that closes its connection if the server stops.
+type closingWriter struct {
+	http.ResponseWriter
+	stopping    func() bool
+	headWritten bool
+}
+
+// Unwrap is for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader writes the head of the response.
+func (w *closingWriter) WriteHeader(status int) {
+	w.headWritten = true
+	if w.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the head.
+func (w *closingWriter) Write(data []byte) (int, error) {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
--- a/node/unused_test.go
+++ b/drain/unused_test.go
@@ -1,4 +1,4 @@
-package node
+package drain
 
 import (
 	"bufio"
@@ -16,15 +16,19 @@
 	"github.com/hibiscuscart/hibiscuscart/conns"
 )
 
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+}
+
 // The HTTP server of a VM that stops has read the head of a request, and the VM looks for unused connections before it
 // knows that. Guards against ending a connection on which the body is on its way.
 func TestBodyArrivesWhileUnusedAreClosed(t *testing.T) {
 	const body = "body"
 	for name, earlier := range map[string]int{"new connection": 0, "kept connection": 1} {
 		t.Run(name, func(t *testing.T) {
-			var c openConns
+			var c Conns
 			headRead := make(chan struct{}, earlier+1)
-			s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				got, err := io.ReadAll(r.Body)
 				if err != nil {
 					panic(http.ErrAbortHandler)
@@ -35,7 +39,7 @@
 				if state == http.StateActive {
 					c.closeUnused(clock.Now().Add(newConnTime))
 				}
-				c.record(clock.Now(), conn, state)
+				c.Record(clock.Now(), conn, state)
 				if state == http.StateActive {
 					headRead <- struct{}{}
 				}
@@ -68,18 +72,18 @@
 // A VM that stops looks for unused connections while a part of the head of a kept connection's next request has been read.
 // Guards against a request that is whole and gets "400 Bad Request", or no answer.
 func TestPartOfHeadReadWhileUnusedAreClosed(t *testing.T) {
-	var c openConns
+	var c Conns
 	idle := make(chan net.Conn, 2)
-	s := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s := newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
-		c.record(clock.Now(), conn, state)
+		c.Record(clock.Now(), conn, state)
 		if state == http.StateIdle {
 			idle <- conn
 		}
 	}
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = s
-	server.Listener = countedListener{server.Listener}
+	server.Listener = Listener{server.Listener}
 	server.Start()
 	t.Cleanup(server.Close)
 	caller, err := net.Dial("tcp", server.Listener.Addr().String())
@@ -98,7 +102,7 @@
 	require.Eventually(t, func() bool { return !conns.HasUnread(vm) }, time.Minute, 20*time.Millisecond)
 	for range 5 {
 		c.closeUnused(clock.Now())
-		time.Sleep(drainCheckInterval)
+		time.Sleep(checkInterval)
 	}
 	_, err = io.WriteString(caller, rest)
 	require.NoError(t, err)
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuscart/hibiscuscart/backs"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/drain"
 	"github.com/hibiscuscart/hibiscuscart/gauge"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
@@ -130,10 +131,10 @@
 	cancelWaits    context.CancelFunc
 	httpServers    []*http.Server
 	callerServer   *http.Server
-	callerConns    openConns
+	callerConns    drain.Conns
 	callerListener net.Listener
 	peerServer     *http.Server
-	peerConns      openConns
+	peerConns      drain.Conns
 	peerListener   net.Listener
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
@@ -228,10 +229,10 @@
 func (n *Node) Start(ctx context.Context) error {
 	n.applySettings()
 	ctx, n.stopBackground = context.WithCancel(ctx)
-	n.callerServer = newCallerServer(http.HandlerFunc(n.serveCaller))
-	n.callerServer.ConnState = func(c net.Conn, s http.ConnState) { n.callerConns.record(n.now(), c, s) }
+	n.callerServer = newCallerServer(drain.Handler(n.stopping, n.gateway))
+	n.callerServer.ConnState = func(c net.Conn, s http.ConnState) { n.callerConns.Record(n.now(), c, s) }
 	n.peerServer = newPeerServer(n.peerHandler())
-	n.peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.record(n.now(), c, s) }
+	n.peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.Record(n.now(), c, s) }
 	listeners := []struct {
 		key    string
 		server *http.Server
@@ -276,10 +277,10 @@
 	}
 	switch s {
 	case n.callerServer:
-		l = countedListener{l}
+		l = drain.Listener{Listener: l}
 		n.callerListener = l
 	case n.peerServer:
-		l = countedListener{l}
+		l = drain.Listener{Listener: l}
 		n.peerListener = l
 	}
 	n.httpServers = append(n.httpServers, s)
--- a/node/peerresponse_test.go
+++ b/node/peerresponse_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/drain"
 )
 
 // heldListener accepts connections whose writes wait until released is closed.
@@ -50,7 +51,7 @@
 		defer close(returned)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
-	s.ConnState = func(c net.Conn, state http.ConnState) { n.peerConns.record(clock.Now(), c, state) }
+	s.ConnState = func(c net.Conn, state http.ConnState) { n.peerConns.Record(clock.Now(), c, state) }
 	go func() { _ = s.Serve(held) }()
 	t.Cleanup(func() { _ = s.Close() })
 	answered := make(chan error, 1)
@@ -64,10 +65,10 @@
 	<-returned
 	expired, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	n.drain(expired, clock.Now().Add(time.Minute), &n.peerConns, l)
+	n.peerConns.Drain(expired, clock.Now, clock.Now().Add(time.Minute), l)
 	require.Error(t, expired.Err(), "the response has not been sent")
 	release()
-	n.drain(t.Context(), clock.Now().Add(time.Minute), &n.peerConns, l)
+	n.peerConns.Drain(t.Context(), clock.Now, clock.Now().Add(time.Minute), l)
 	require.NoError(t, <-answered)
 }
 
@@ -87,12 +88,12 @@
 				<-count
 			}
 		}
-		n.peerConns.record(clock.Now(), c, state)
+		n.peerConns.Record(clock.Now(), c, state)
 		if state == http.StateIdle {
 			idle <- struct{}{}
 		}
 	}
-	go func() { _ = s.Serve(countedListener{l}) }()
+	go func() { _ = s.Serve(drain.Listener{Listener: l}) }()
 	t.Cleanup(func() { _ = s.Close() })
 	other, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
@@ -112,13 +113,13 @@
 	<-idle
 	request()
 	<-second
-	expired, cancel := context.WithTimeout(t.Context(), quietTime+50*time.Millisecond)
+	expired, cancel := context.WithTimeout(t.Context(), drain.QuietTime+50*time.Millisecond)
 	defer cancel()
-	n.drain(expired, clock.Now().Add(time.Minute), &n.peerConns, l)
+	n.peerConns.Drain(expired, clock.Now, clock.Now().Add(time.Minute), l)
 	require.Error(t, expired.Err(), "a request has arrived")
 	close(count)
 	answered()
-	n.drain(t.Context(), clock.Now().Add(time.Minute), &n.peerConns, l)
+	n.peerConns.Drain(t.Context(), clock.Now, clock.Now().Add(time.Minute), l)
 	_, err = other.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
