drain: A VM that stops serves the connections that wait to be accepted

What callers saw: a connection that was open, and a reset in place of an answer to a request that no process had read. A VM without a path got the same from its proxy, and answered 502, may have run, for a request that no server ran. A caller whose request may run once can not send it again.

Cause: closing a listener resets the connections that the kernel has established and that wait to be accepted. On a busy machine many wait, as the accepting goroutine does not run.

Why it works: the VM first accepts all that wait, without blocking, and closes the listener then; the HTTP server gets them from Accept as before, so that they are answered or refused. What remains is a connection that the kernel establishes between these two calls.

--- a/drain/conns.go
+++ b/drain/conns.go
@@ -114,9 +114,10 @@
 
 // Drain closes a listener, which may be nil, waits until no request is in progress on its connections, or ctx ends, and
 // closes these. exit is when the process exits. Hijacked connections stay open.
-func (c *Conns) Drain(ctx context.Context, clock func() time.Time, exit time.Time, l net.Listener) {
+func (c *Conns) Drain(ctx context.Context, clock func() time.Time, exit time.Time, l *Listener) {
 	if l != nil {
-		_ = l.Close()
+		// An error means that it is closed.
+		_ = l.CloseToNew()
 	}
 	for ctx.Err() == nil {
 		now := clock()
--- a/drain/unused_test.go
+++ b/drain/unused_test.go
@@ -83,7 +83,7 @@
 	}
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = s
-	server.Listener = Listener{server.Listener}
+	server.Listener = &Listener{Listener: server.Listener}
 	server.Start()
 	t.Cleanup(server.Close)
 	caller, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/node/node.go
+++ b/node/node.go
@@ -132,10 +132,10 @@
 	httpServers    []*http.Server
 	callerServer   *http.Server
 	callerConns    drain.Conns
-	callerListener net.Listener
+	callerListener *drain.Listener
 	peerServer     *http.Server
 	peerConns      drain.Conns
-	peerListener   net.Listener
+	peerListener   *drain.Listener
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
 }
@@ -277,11 +277,11 @@
 	}
 	switch s {
 	case n.callerServer:
-		l = drain.Listener{Listener: l}
-		n.callerListener = l
+		n.callerListener = &drain.Listener{Listener: l}
+		l = n.callerListener
 	case n.peerServer:
-		l = drain.Listener{Listener: l}
-		n.peerListener = l
+		n.peerListener = &drain.Listener{Listener: l}
+		l = n.peerListener
 	}
 	n.httpServers = append(n.httpServers, s)
 	n.background.Go(func() {
--- a/node/peerresponse_test.go
+++ b/node/peerresponse_test.go
@@ -65,10 +65,10 @@
 	<-returned
 	expired, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	n.peerConns.Drain(expired, clock.Now, clock.Now().Add(time.Minute), l)
+	n.peerConns.Drain(expired, clock.Now, clock.Now().Add(time.Minute), &drain.Listener{Listener: l})
 	require.Error(t, expired.Err(), "the response has not been sent")
 	release()
-	n.peerConns.Drain(t.Context(), clock.Now, clock.Now().Add(time.Minute), l)
+	n.peerConns.Drain(t.Context(), clock.Now, clock.Now().Add(time.Minute), &drain.Listener{Listener: l})
 	require.NoError(t, <-answered)
 }
 
@@ -93,7 +93,7 @@
 			idle <- struct{}{}
 		}
 	}
-	go func() { _ = s.Serve(drain.Listener{Listener: l}) }()
+	go func() { _ = s.Serve(&drain.Listener{Listener: l}) }()
 	t.Cleanup(func() { _ = s.Close() })
 	other, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
@@ -115,11 +115,11 @@
 	<-second
 	expired, cancel := context.WithTimeout(t.Context(), drain.QuietTime+50*time.Millisecond)
 	defer cancel()
-	n.peerConns.Drain(expired, clock.Now, clock.Now().Add(time.Minute), l)
+	n.peerConns.Drain(expired, clock.Now, clock.Now().Add(time.Minute), &drain.Listener{Listener: l})
 	require.Error(t, expired.Err(), "a request has arrived")
 	close(count)
 	answered()
-	n.peerConns.Drain(t.Context(), clock.Now, clock.Now().Add(time.Minute), l)
+	n.peerConns.Drain(t.Context(), clock.Now, clock.Now().Add(time.Minute), &drain.Listener{Listener: l})
 	_, err = other.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
