entry: A VM that stops answers what callers have sent on kept connections

What callers saw (of `serve`): a request on a kept connection that ended with neither an answer nor a refusal, as the VM stopped.

Cause: http.Server.Shutdown closes idle connections at once, also if a request is on its way or lies unread in the socket.

Why it works: `serve` drains its callers' connections as `node` does (package drain): a kept connection takes one more request while others are in progress, each answer closes its own, connections that wait are accepted. What decided the Connection header as a request arrived is gone, as the writer of each response does it.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart"
+	"github.com/hibiscuscart/hibiscuscart/drain"
 	"github.com/hibiscuscart/hibiscuscart/engine"
 	"github.com/hibiscuscart/hibiscuscart/fleet"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
@@ -37,6 +38,8 @@
 	// drainDelay is how long readiness is off before connections are closed, so
 	// that the load balancer stops sending and the peers are informed.
 	drainDelay = time.Second
+	// unlimitedStop is the grace time of a stop without one.
+	unlimitedStop = 24 * time.Hour
 )
 
 // Daemon is the process of one entry VM.
@@ -69,10 +72,12 @@
 	jobs               sync.WaitGroup
 	cancel             context.CancelFunc
 
-	callerServer *http.Server
-	peerServer   *http.Server
-	listenAddr   string
-	peerAddr     string
+	callerServer   *http.Server
+	callerConns    drain.Conns
+	callerListener *drain.Listener
+	peerServer     *http.Server
+	listenAddr     string
+	peerAddr       string
 }
 
 // New returns a Daemon that is not started.
@@ -194,22 +199,24 @@
 
 // Start opens the listeners and starts the background jobs. Stop ends both.
 func (d *Daemon) Start(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp", d.config.Listen)
+	l, err := net.Listen("tcp", d.config.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	d.callerListener = &drain.Listener{Listener: l}
 	peerListener, err := net.Listen("tcp", d.config.PeerListen)
 	if err != nil {
-		_ = callerListener.Close()
+		_ = l.Close()
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	d.listenAddr, d.peerAddr = callerListener.Addr().String(), peerListener.Addr().String()
+	d.listenAddr, d.peerAddr = l.Addr().String(), peerListener.Addr().String()
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.claimer.baseCtx, d.baseCtx = ctx, ctx
-	d.callerServer = d.newServer(d.callerHandler())
+	d.callerServer = d.newServer(drain.Handler(d.stopping.Load, d.callerHandler()))
+	d.callerServer.ConnState = func(c net.Conn, s http.ConnState) { d.callerConns.Record(d.now(), c, s) }
 	d.peerServer = d.newServer(d.peerHandler())
 	d.peerServer.TLSConfig = d.config.TLS
-	d.serve("callers", d.callerServer, callerListener, false)
+	d.serve("callers", d.callerServer, d.callerListener, false)
 	d.serve("peers", d.peerServer, peerListener, d.config.TLS != nil)
 	d.startJobs(ctx)
 	d.log.Info().Str("listen", d.listenAddr).Str("peer_listen", d.peerAddr).Msg("started")
@@ -231,7 +238,7 @@
 		} else {
 			err = s.Serve(l)
 		}
-		if !errors.Is(err, http.ErrServerClosed) {
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.log.Error().Err(err).Str("listener", name).Msg("listener failed")
 		}
 	})
@@ -270,14 +277,19 @@
 	d.peers.announceLeaving(ctx)
 	pause.For(ctx, drainDelay)
 	d.refusing.Store(true)
-	err := d.callerServer.Shutdown(ctx)
+	exit, limited := ctx.Deadline()
+	if !limited {
+		exit = d.now().Add(unlimitedStop)
+	}
+	d.callerConns.Drain(ctx, d.now, exit, d.callerListener)
+	cut := d.callerConns.Active()
 	d.claims.waitForOutcomes(ctx)
 	d.cancel()
 	d.Kill()
 	d.jobs.Wait()
 	d.claimer.jobs.Wait()
-	if err != nil {
-		return fmt.Errorf("requests were cut off: %w", err)
+	if cut > 0 {
+		return fmt.Errorf("%d requests were cut off: %w", cut, ctx.Err())
 	}
 	return nil
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -64,11 +64,6 @@
 // response.
 func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, parse func([]byte) (*hibiscuscart.Request, error)) {
 	arrived := d.now()
-	if d.stopping.Load() {
-		// The caller's next request then opens a new connection, which the load
-		// balancer sends to a VM that is not stopping.
-		w.Header().Set("Connection", "close")
-	}
 	req, err := d.readRequest(w, r, parse)
 	if err != nil {
 		f := hibiscuscart.AsFailure(err)
