drain, node: A VM that refuses at its stop closes its callers' unused connections, and says that what crosses the close has not run

Cause: a kept connection was left open while requests were in progress, since a close can cross a request, whose caller can not tell whether it has run. So callers learned that the VM stops only from a refusal.

What changed: before an unused connection is closed, the VM writes 408 on it (RFC 9110, 15.5.9), a promise that nothing on it has run. A request that has crossed it gets that as its answer, and is not run, also if the HTTP server has read it by then. From its first refusal for its exit on, a VM that stops closes connections as soon as they are unused; before that, and where nothing is refused, they take requests as before. Other VMs' connections to a proxy that stops get its refusal in the same way, and each answer of such a proxy closes its connection, so that 502 for what was not sent has one cause less.

Why it works: a farewell and the change of a connection's state are under one lock. Either the request counts as arrived first, and is answered, or the farewell is first, and no handler runs for that connection again.

--- a/conns/socket.go
+++ b/conns/socket.go
@@ -73,6 +73,25 @@
 	return observed, nil
 }
 
+// WriteAtOnce writes as much of a text as fits into the send buffer of a connection, without blocking, and returns how many
+// bytes that were.
+func WriteAtOnce(c net.Conn, text string) int {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	written := 0
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		written, _ = unix.SendmsgN(int(fd), []byte(text), nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	})
+	return max(written, 0)
+}
+
 // unanswered reports whether the peer of an idle connection has acknowledged
 // nothing for unansweredLimit, although a keep-alive probe asked it to.
 func unanswered(c net.Conn) bool {
--- a/demo/check.go
+++ b/demo/check.go
@@ -73,6 +73,12 @@
 	return outcome
 }
 
+// saysNotRun reports whether the response promises that the request has not run: a refusal, or the answer to a request that
+// crossed the close of its connection.
+func (o Outcome) saysNotRun() bool {
+	return o.Status == http.StatusServiceUnavailable || o.Status == http.StatusRequestTimeout
+}
+
 // Checks collects descriptions of violated guarantees. The zero value is ready to use. It is safe
 // for concurrent use.
 type Checks struct {
@@ -117,14 +123,14 @@
 
 // CheckExecutions checks outcomes against the executions that the servers recorded, once all
 // requests have ended. A violation is an at-most-once request that ran twice, an at-most-once
-// request that ran although its caller got status 503 (not run), or a success that no server ran.
+// request that ran although its caller got status 503 or 408 (not run), or a success that no server ran.
 func (c *Checks) CheckExecutions(outcomes []Outcome, runs *stand.RunLog) {
 	for _, o := range outcomes {
 		executions := len(runs.Servers(o.ID))
 		if o.Kind.AtMostOnce && executions > 1 {
 			c.AddViolation("%s %s: ran %d times", o.Kind.Name, o.ID, executions)
 		}
-		if o.Kind.AtMostOnce && o.Status == http.StatusServiceUnavailable && executions > 0 {
+		if o.Kind.AtMostOnce && o.saysNotRun() && executions > 0 {
 			c.AddViolation("%s %s: reported to the caller as not run, but a server ran it", o.Kind.Name, o.ID)
 		}
 		if o.Status == http.StatusOK && executions == 0 {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -212,7 +212,7 @@
 	d.listenAddr, d.peerAddr = l.Addr().String(), peerListener.Addr().String()
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.claimer.baseCtx, d.baseCtx = ctx, ctx
-	d.callerServer = d.newServer(drain.Handler(d.stopping.Load, d.callerHandler()))
+	d.callerServer = d.newServer(d.callerConns.Handler(d.stopping.Load, d.callerHandler()))
 	d.callerServer.ConnState = func(c net.Conn, s http.ConnState) { d.callerConns.Record(d.now(), c, s) }
 	d.peerServer = d.newServer(d.peerHandler())
 	d.peerServer.TLSConfig = d.config.TLS
--- a/node/proxied.go
+++ b/node/proxied.go
@@ -19,9 +19,10 @@
 // peerHandler serves other VMs: their links, and their requests while they have no path to the servers.
 func (n *Node) peerHandler() http.Handler {
 	links := n.peers.Handler()
+	proxied := n.peerConns.Handler(n.stopping, http.HandlerFunc(n.gateway.ServeProxied))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if pass.IsProxied(r) {
-			n.gateway.ServeProxied(w, r)
+			proxied.ServeHTTP(w, r)
 			return
 		}
 		links.ServeHTTP(w, r)
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -96,6 +96,8 @@
 	ShutdownContext context.Context
 	// StopsAt returns when this VM exits, once it has been told to stop. Optional; if nil, it never is.
 	StopsAt func() (exit time.Time, stopping bool)
+	// OnRefusedStopping is called when this VM refuses a request because it would be under way as the VM exits. Optional.
+	OnRefusedStopping func()
 	// AwaitConfig waits for a change of the configuration for at most limit. Optional; if nil, requests
 	// do not wait for the first configuration.
 	AwaitConfig func(ctx context.Context, limit time.Duration)
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -47,6 +47,9 @@
 	refusalBody        = "unreadable body"
 )
 
+// StoppingRefusal is the response of a proxy that stops to a request that it has not read.
+const StoppingRefusal = "HTTP/1.1 503 Service Unavailable\r\n" + headerProxyRefusal + ": " + refusalStopping + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // IsProxied reports whether a request is one of another VM that this one is to send.
 func IsProxied(r *http.Request) bool { return r.Header.Get(headerProxyServer) != "" }
 
--- a/pass/stop.go
+++ b/pass/stop.go
@@ -100,6 +100,9 @@
 
 func (g *Gateway) stopsTooSoon(c *call) error {
 	g.Meter.AddCounter("pass.refused_stopping", 1)
+	if g.OnRefusedStopping != nil {
+		g.OnRefusedStopping()
+	}
 	// Other VMs can serve the request at once.
 	c.retryAfter = 0
 	return errStopsTooSoon
