pass: Long request bodies share a bound, beyond which requests are refused

What callers saw: some 80 uploads of 4 MB at once took more than the memory of a small VM, whose process was ended, and all requests on it failed without an answer.

Cause: each request was read whole, up to the longest body that is allowed, and kept until it ended; nothing bounded the sum, as the budget of responses does for these. A body of known length was read into a buffer that doubles, too.

A body of known length takes that and no more.

--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,8 @@
 	// heapMemoryShare is the share of the VM's memory to which the garbage collector limits the
 	// heap. The rest is for stacks, kernel buffers and the binary.
 	heapMemoryShare = 0.6
+	// requestMemoryShare is the share of the VM's memory that long request bodies may take at the same time.
+	requestMemoryShare = 0.5
 	// cleanupInterval is the interval between removals of idle connections and of the state of
 	// removed servers.
 	cleanupInterval = time.Second
@@ -193,7 +195,10 @@
 	}
 	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = &pass.Gateway{
-		ResponseBudget:  &conns.Budget{MemoryLimit: func() int64 { return int64(n.settings().Int("limits", "memory_mb")) << 20 }},
+		ResponseBudget: &conns.Budget{MemoryLimit: func() int64 { return int64(n.settings().Int("limits", "memory_mb")) << 20 }},
+		RequestMemory: func() int64 {
+			return int64(requestMemoryShare * float64(n.settings().Int("limits", "memory_mb")) * (1 << 20))
+		},
 		ShutdownContext: n.waitContext, StopsAt: n.exitTime, OnRefusedStopping: n.callerConns.Dismiss,
 		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, RequestPlace: n.peers.Place, EndPlace: n.peers.EndPlace, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
--- /dev/null
+++ b/pass/body.go
@@ -0,0 +1,83 @@
+package pass
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
+)
+
+// A request is read whole before it is sent, and kept until it ends. Some 80 long uploads at the same time took more than
+// the memory of a small VM, whose process was ended with all its requests. So those beyond a bound are refused.
+
+// smallBodyBytes is the size up to which bodies do not count.
+const smallBodyBytes = 64 << 10
+
+// errNoBodyRoom is returned for a request that is too long beside those that this VM holds.
+var errNoBodyRoom = errors.New("no memory left for a body this long beside other requests")
+
+// bodyRoom is the memory of the request bodies that are held at the same time. The zero value holds none.
+type bodyRoom struct {
+	mu   sync.Mutex
+	held int64
+}
+
+// take takes n bytes if there are as many left of limit, 0 for no limit, and reports whether there were.
+func (r *bodyRoom) take(n, limit int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if limit > 0 && r.held+n > limit {
+		return false
+	}
+	r.held += n
+	return true
+}
+
+func (r *bodyRoom) release(n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held -= n
+}
+
+// readBody reads the body of a request of at most limit bytes, and returns a function that releases its memory. A longer
+// one is a conns.ErrBodyTooLarge, one for which there is no room an errNoBodyRoom.
+func (g *Gateway) readBody(r *http.Request, limit int) (body []byte, release func(), err error) {
+	none := func() {}
+	if r.ContentLength > int64(limit) {
+		return nil, none, conns.ErrBodyTooLarge
+	}
+	n := r.ContentLength
+	if n < 0 {
+		// Its length is not known before it was read.
+		n = int64(limit)
+	}
+	if n <= smallBodyBytes {
+		body, err = conns.ReadAll(r.Body, limit)
+		return body, none, err
+	}
+	room := int64(0)
+	if g.RequestMemory != nil {
+		room = g.RequestMemory()
+	}
+	if !g.bodyRoom.take(n, room) {
+		g.Meter.AddCounter("pass.refused_body_room", 1)
+		return nil, none, errNoBodyRoom
+	}
+	release = func() { g.bodyRoom.release(n) }
+	if r.ContentLength < 0 {
+		body, err = conns.ReadAll(r.Body, limit)
+	} else {
+		body = make([]byte, n)
+		if _, err = io.ReadFull(r.Body, body); err != nil {
+			err = fmt.Errorf("read body: %w", err)
+		}
+	}
+	if err != nil {
+		release()
+		return nil, none, err
+	}
+	return body, release, nil
+}
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -124,6 +124,9 @@
 	// ResponseBudget bounds the memory of the responses that are buffered whole. Optional; if nil, the gateway has the
 	// smallest one for itself.
 	ResponseBudget *conns.Budget
+	// RequestMemory returns how many bytes the long bodies of requests may take at the same time. Optional; if nil, there is
+	// no bound.
+	RequestMemory func() int64
 	// Meter receives counters and durations.
 	Meter *meter.Registry
 
@@ -136,6 +139,7 @@
 	invalidLoads loggedServers
 	// reportingServers are the servers that have reported their load with a pace.
 	reportingServers loggedServers
+	bodyRoom         bodyRoom
 	// ownBudget is used if ResponseBudget is nil.
 	ownBudget conns.Budget
 
@@ -190,11 +194,12 @@
 	if maxBodyBytes == 0 {
 		maxBodyBytes = defaultMaxBodyBytes
 	}
-	body, err := conns.ReadAll(r.Body, maxBodyBytes)
+	body, release, err := g.readBody(r, maxBodyBytes)
 	if err != nil {
 		g.rejectBody(w, r, err)
 		return
 	}
+	defer release()
 	resumes, err := parseResumes(g.HeaderNames, r)
 	if err != nil {
 		g.reject(w, r, http.StatusBadRequest, err.Error())
@@ -227,6 +232,10 @@
 }
 
 func (g *Gateway) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+	if errors.Is(err, errNoBodyRoom) {
+		g.reject(w, r, http.StatusServiceUnavailable, err.Error())
+		return
+	}
 	if errors.Is(err, conns.ErrBodyTooLarge) {
 		g.reject(w, r, http.StatusRequestEntityTooLarge, "body too long")
 		return
--- a/pass/proxy.go
+++ b/pass/proxy.go
@@ -132,11 +132,16 @@
 
 func (p *proxied) serve() {
 	g := p.g
-	body, err := conns.ReadAll(p.r.Body, maxResponseBytes)
-	if err != nil {
+	body, release, err := g.readBody(p.r, maxResponseBytes)
+	switch {
+	case errors.Is(err, errNoBodyRoom):
+		p.refuse(refusalBusy)
+		return
+	case err != nil:
 		p.refuse(refusalBody)
 		return
 	}
+	defer release()
 	p.fingerprint = poison.FingerprintOf(p.r, body)
 	version := p.r.Header.Get(headerProxyVersion)
 	var known bool
