--- a/drain/farewell_test.go
+++ b/drain/closeresponse_test.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	testFarewell = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	testRequest  = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	testCloseResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	testRequest       = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 )
 
-// farewellServer is a server whose unused connections get a farewell. active is called before a request counts as one in
+// closeServer is a server whose unused connections get a close response. active is called before a request counts as one in
 // progress.
-type farewellServer struct {
+type closeServer struct {
 	conns  Conns
 	runs   atomic.Int64
 	idle   chan struct{}
@@ -30,9 +30,9 @@
 }
 
 // connect starts the server and returns a connection on which a request was answered.
-func (f *farewellServer) connect(t *testing.T) (caller net.Conn, answers *bufio.Reader) {
+func (f *closeServer) connect(t *testing.T) (caller net.Conn, answers *bufio.Reader) {
 	t.Helper()
-	f.conns.Farewell, f.idle = testFarewell, make(chan struct{}, 2)
+	f.conns.CloseResponse, f.idle = testCloseResponse, make(chan struct{}, 2)
 	s := newServer(f.conns.Handler(func() bool { return false }, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { f.runs.Add(1) })))
 	s.ConnContext = httpx.WithConn
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -57,7 +57,7 @@
 	return caller, answers
 }
 
-func (f *farewellServer) ask(t *testing.T, caller net.Conn, answers *bufio.Reader) (status int) {
+func (f *closeServer) ask(t *testing.T, caller net.Conn, answers *bufio.Reader) (status int) {
 	t.Helper()
 	_, err := io.WriteString(caller, testRequest)
 	require.NoError(t, err)
@@ -70,7 +70,7 @@
 // A server that stops closes unused connections. Guards against a caller who uses one again and can not tell whether its
 // request has run.
 func TestRequestCrossesClose(t *testing.T) {
-	var f farewellServer
+	var f closeServer
 	caller, answers := f.connect(t)
 	require.Equal(t, 1, f.conns.CloseUnused(clock.Now()))
 	require.Equal(t, http.StatusRequestTimeout, f.ask(t, caller, answers))
@@ -79,10 +79,10 @@
 	require.Equal(t, int64(1), f.runs.Load())
 }
 
-// A server has read a request and does not know yet that its connection is in use, as it sends the farewell. Guards against
+// A server has read a request and does not know yet that its connection is in use, as it sends the close response. Guards against
 // running a request that its caller is told has not run.
-func TestReadRequestCrossesFarewell(t *testing.T) {
-	var f farewellServer
+func TestReadRequestCrossesCloseResponse(t *testing.T) {
+	var f closeServer
 	var second atomic.Bool
 	f.active = func() {
 		if second.Swap(true) {
@@ -90,7 +90,7 @@
 		}
 	}
 	caller, answers := f.connect(t)
-	// As if the request had arrived between the look for unread bytes and the farewell.
+	// As if the request had arrived between the look for unread bytes and the close response.
 	f.conns.mu.Lock()
 	for conn, s := range f.conns.conns {
 		s.read += int64(len(testRequest))
@@ -103,9 +103,9 @@
 	require.Equal(t, int64(1), f.runs.Load())
 }
 
-// Guards against a farewell in the answer to a request that has arrived before it.
-func TestNoFarewellBesideRequest(t *testing.T) {
-	var f farewellServer
+// Guards against a close response in the answer to a request that has arrived before it.
+func TestNoCloseResponseBesideRequest(t *testing.T) {
+	var f closeServer
 	var second atomic.Bool
 	f.active = func() {
 		if second.Swap(true) {
--- a/drain/conns.go
+++ b/drain/conns.go
@@ -33,15 +33,15 @@
 
 // Conns are the open connections of an HTTP server. The zero value is ready to use.
 type Conns struct {
-	// Farewell is a response that is sent on a connection before it is closed as unused, none if empty. A request that
+	// CloseResponse is a response that is sent on a connection before it is closed as unused, none if empty. A request that
 	// crosses the close gets it as its answer and is not run, so that its sender knows.
-	Farewell string
+	CloseResponse string
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
-	// dismissing is set once connections are closed as soon as they are unused.
-	dismissing bool
-	farewells  int
+	// closesEarly is set once connections are closed as soon as they are unused.
+	closesEarly    bool
+	closeResponses int
 	// running counts the connections with a request in progress, and idleSince is when it became 0.
 	running   int
 	idleSince time.Time
@@ -52,8 +52,8 @@
 	state  http.ConnState
 	since  time.Time
 	unused bool
-	// dismissed is set once the farewell was sent, at least in part.
-	dismissed bool
+	// closeSent is set once the close response was sent, at least in part.
+	closeSent bool
 	// read is how many bytes had been read from it when it got the state.
 	read int64
 }
@@ -67,14 +67,14 @@
 	}
 	last := c.conns[conn]
 	before := last.state == http.StateActive
-	if last.unused && !last.dismissed && s == http.StateActive {
+	if last.unused && !last.closeSent && s == http.StateActive {
 		// The head of a request was read as the connection was taken for unused. Its body follows, without a deadline.
 		_ = conn.SetReadDeadline(time.Time{})
 	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(c.conns, conn)
 	} else {
-		c.conns[conn] = connState{state: s, since: now, read: bytesRead(conn), dismissed: last.dismissed}
+		c.conns[conn] = connState{state: s, since: now, read: bytesRead(conn), closeSent: last.closeSent}
 	}
 	switch active := s == http.StateActive; {
 	case active && !before:
@@ -93,11 +93,11 @@
 	return c.running
 }
 
-// Farewells returns the number of connections that have got the farewell.
-func (c *Conns) Farewells() int {
+// CloseResponses returns the number of connections on which the close response was sent.
+func (c *Conns) CloseResponses() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.farewells
+	return c.closeResponses
 }
 
 // quiet returns for how long no request has been in progress.
@@ -110,44 +110,44 @@
 	return now.Sub(c.idleSince)
 }
 
-// Dismiss has CloseDismissed and Drain close connections as soon as they are unused, if they get a farewell: the next requests on them would
-// be refused.
-func (c *Conns) Dismiss() {
+// CloseEarly has CloseUnusedUntil and Drain close connections as soon as they are unused, if there is a close response: the
+// next requests on them would be refused.
+func (c *Conns) CloseEarly() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dismissing = c.Farewell != ""
+	c.closesEarly = c.CloseResponse != ""
 }
 
 // closesUnused reports whether Drain closes unused connections now.
 func (c *Conns) closesUnused(now, exit time.Time) bool {
-	return c.isDismissing() || c.quiet(now) >= QuietTime || exit.Sub(now) <= lastCallTime
+	return c.isClosingEarly() || c.quiet(now) >= QuietTime || exit.Sub(now) <= lastCallTime
 }
 
-func (c *Conns) isDismissing() bool {
+func (c *Conns) isClosingEarly() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.dismissing
+	return c.closesEarly
 }
 
-// isDismissed reports whether the farewell was sent on a connection.
-func (c *Conns) isDismissed(conn net.Conn) bool {
+// hasCloseResponse reports whether the close response was sent on a connection.
+func (c *Conns) hasCloseResponse(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.conns[conn].dismissed
+	return c.conns[conn].closeSent
 }
 
 // CloseUnused ends the connections on which no request is under way, as far as this VM can know, and returns the number
 // of open connections. It ends them by a deadline for the next byte: a request of which the HTTP server has
-// read a part goes on, unless its connection has got the farewell.
+// read a part goes on, unless its connection has carried the close response.
 func (c *Conns) CloseUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.conns {
 		unused := s.state == http.StateIdle || s.state == http.StateNew && now.Sub(s.since) >= newConnTime
 		if unused && !conns.HasUnread(conn) && bytesRead(conn) == s.read {
-			if c.Farewell != "" && !s.dismissed && conns.WriteAtOnce(conn, c.Farewell) > 0 {
-				s.dismissed = true
-				c.farewells++
+			if c.CloseResponse != "" && !s.closeSent && conns.WriteAtOnce(conn, c.CloseResponse) > 0 {
+				s.closeSent = true
+				c.closeResponses++
 			}
 			// An error means that the connection is closed.
 			_ = conn.SetReadDeadline(time.Unix(1, 0))
@@ -158,10 +158,10 @@
 	return len(c.conns)
 }
 
-// CloseDismissed closes unused connections until ctx ends, from the call of Dismiss on.
-func (c *Conns) CloseDismissed(ctx context.Context, clock func() time.Time) {
+// CloseUnusedUntil closes unused connections until ctx ends, from the call of CloseEarly on.
+func (c *Conns) CloseUnusedUntil(ctx context.Context, clock func() time.Time) {
 	for ctx.Err() == nil {
-		if c.isDismissing() {
+		if c.isClosingEarly() {
 			c.CloseUnused(clock())
 		}
 		pause.For(ctx, checkInterval)
--- a/drain/handler.go
+++ b/drain/handler.go
@@ -7,11 +7,11 @@
 )
 
 // Handler returns a handler whose responses close their connections while the server stops, so that its callers move to
-// another one. It runs no request on a connection that has got the farewell. The server uses httpx.WithConn as its
+// another one. It runs no request on a connection that has carried the close response. The server uses httpx.WithConn as its
 // ConnContext.
 func (c *Conns) Handler(stopping func() bool, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := httpx.CallerConn(r.Context()); ok && c.isDismissed(conn) {
+		if conn, ok := httpx.CallerConn(r.Context()); ok && c.hasCloseResponse(conn) {
 			panic(http.ErrAbortHandler)
 		}
 		h.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: stopping}, r)
--- a/node/node.go
+++ b/node/node.go
@@ -199,7 +199,7 @@
 		RequestMemory: func() int64 {
 			return int64(requestMemoryShare * float64(n.settings().Int("limits", "memory_mb")) * (1 << 20))
 		},
-		ShutdownContext: n.waitContext, StopsAt: n.exitTime, OnRefusedStopping: n.callerConns.Dismiss,
+		ShutdownContext: n.waitContext, StopsAt: n.exitTime, OnRefusedStopping: n.callerConns.CloseEarly,
 		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
 		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, RequestPlace: n.peers.Place, EndPlace: n.peers.EndPlace, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
 		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
@@ -236,7 +236,7 @@
 	ctx, n.stopBackground = context.WithCancel(ctx)
 	n.callerServer = newCallerServer(n.callerConns.Handler(n.stopping, n.gateway))
 	n.callerServer.ConnState = func(c net.Conn, s http.ConnState) { n.callerConns.Record(n.now(), c, s) }
-	n.callerConns.Farewell, n.peerConns.Farewell = callerFarewell, pass.StoppingRefusal
+	n.callerConns.CloseResponse, n.peerConns.CloseResponse = callerCloseResponse, pass.StoppingRefusal
 	n.peerServer = newPeerServer(n.peerHandler())
 	n.peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.Record(n.now(), c, s) }
 	listeners := []struct {
--- a/node/stop.go
+++ b/node/stop.go
@@ -27,15 +27,15 @@
 
 func (n *Node) stopping() bool { return n.exitsAt.Load() != nil }
 
-// callerFarewell is what a caller gets whose request crosses the close of its unused connection: the request has not run.
-const callerFarewell = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
+// callerCloseResponse is what a caller gets whose request crosses the close of its unused connection: the request has not run.
+const callerCloseResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n"
 
 // awaitNotice waits until the load balancer knows that the VM stops, and closes connections meanwhile on which requests
 // would be refused.
 func (n *Node) awaitNotice(ctx context.Context) {
 	notice, cancel := context.WithTimeout(ctx, n.settings().Duration("drain", "notice"))
 	defer cancel()
-	n.callerConns.CloseDismissed(notice, n.now)
+	n.callerConns.CloseUnusedUntil(notice, n.now)
 }
 
 // Stop shuts the VM down gracefully. It becomes unready immediately, accepts new requests until the
@@ -62,7 +62,7 @@
 	for waited := time.Duration(0); n.callerConns.Active() > 0 && waited < cutLogTime; waited += cutLogInterval {
 		pause.For(background, cutLogInterval)
 	}
-	n.log.Info().Int("cut", cut).Int("proxied_cut", proxiedCut).Int("dismissed", n.callerConns.Farewells()).Dur("took", n.now().Sub(startedAt)).Msg("stopped")
+	n.log.Info().Int("cut", cut).Int("proxied_cut", proxiedCut).Int("closed_early", n.callerConns.CloseResponses()).Dur("took", n.now().Sub(startedAt)).Msg("stopped")
 	if cut+proxiedCut > 0 {
 		return fmt.Errorf("%d requests of callers and %d of other VMs were cut off", cut, proxiedCut)
 	}
