node: The gateway's parts, one a line, in a function of their own

For readers: two lines of over 400 characters are gone, and the memory of the VM is taken from the settings in one place. No change of behaviour.

--- a/node/node.go
+++ b/node/node.go
@@ -194,20 +194,61 @@
 		Key: n.peers.ProxyKey, AcceptedKeys: n.lease.AcceptedKeys, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
 	n.paths.OnProcessEnded = n.processEnded
-	n.gateway = &pass.Gateway{
-		ResponseBudget: &conns.Budget{MemoryLimit: func() int64 { return int64(n.settings().Int("limits", "memory_mb")) << 20 }},
-		RequestMemory: func() int64 {
-			return int64(requestMemoryShare * float64(n.settings().Int("limits", "memory_mb")) * (1 << 20))
-		},
-		ShutdownContext: n.waitContext, StopsAt: n.exitTime, OnRefusedStopping: n.callerConns.CloseEarly,
-		HeaderNames: c.HeaderNames, InstanceProbe: c.InstanceProbe, Table: n.table.Load, Servers: n.serverView, Balancer: n.balancer, Pool: n.connPool, Paths: n.paths, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, RateLimits: n.rateLimits, RetryBudget: n.retryBudget,
-		RecordDemand: n.peers.RecordDemand, FindServer: n.peers.Find, OnReject: n.peers.SignalReject, ReportSuspect: n.peers.RequestVerification, RequestPermit: n.peers.Permit, RequestPlace: n.peers.Place, EndPlace: n.peers.EndPlace, ConfigCurrent: n.configCurrent, AwaitConfig: n.awaitConfig,
-		TellOrigin: n.origins.Tell, FindOrigin: n.origins.Ask, ProxyVMs: n.peers.ProxyVMs, ProxyKey: n.peers.ProxyKey, AcceptsProxyKey: n.peers.AcceptsProxyKey, MaxProxied: maxProxied(s.Float("limits", "cpu")),
-		Quotas: n.quotas, TakeQuota: n.peers.TakeQuota, VMCount: n.peers.VMs, RetryVMs: func() int { return n.retries.AllotmentVMs(n.now()) }, Now: c.Now, Log: n.log, Meter: n.meter,
-	}
+	n.gateway = n.newGateway(c)
 	return n
 }
 
+// newGateway returns the gateway of a node whose other parts are there.
+func (n *Node) newGateway(c Config) *pass.Gateway {
+	s := n.settings()
+	return &pass.Gateway{
+		HeaderNames:       c.HeaderNames,
+		Table:             n.table.Load,
+		Servers:           n.serverView,
+		Balancer:          n.balancer,
+		Pool:              n.connPool,
+		Paths:             n.paths,
+		Poison:            n.crashTracker,
+		PartTracker:       n.partTracker,
+		Gauge:             n.gauge,
+		RateLimits:        n.rateLimits,
+		RetryBudget:       n.retryBudget,
+		RetryVMs:          func() int { return n.retries.AllotmentVMs(n.now()) },
+		VMCount:           n.peers.VMs,
+		RecordDemand:      n.peers.RecordDemand,
+		FindServer:        n.peers.Find,
+		OnReject:          n.peers.SignalReject,
+		ReportSuspect:     n.peers.RequestVerification,
+		RequestPermit:     n.peers.Permit,
+		RequestPlace:      n.peers.Place,
+		EndPlace:          n.peers.EndPlace,
+		Quotas:            n.quotas,
+		TakeQuota:         n.peers.TakeQuota,
+		ProxyVMs:          n.peers.ProxyVMs,
+		ProxyKey:          n.peers.ProxyKey,
+		AcceptsProxyKey:   n.peers.AcceptsProxyKey,
+		MaxProxied:        maxProxied(s.Float("limits", "cpu")),
+		TellOrigin:        n.origins.Tell,
+		FindOrigin:        n.origins.Ask,
+		InstanceProbe:     c.InstanceProbe,
+		ConfigCurrent:     n.configCurrent,
+		AwaitConfig:       n.awaitConfig,
+		ShutdownContext:   n.waitContext,
+		StopsAt:           n.exitTime,
+		OnRefusedStopping: n.callerConns.CloseEarly,
+		ResponseBudget:    &conns.Budget{MemoryLimit: func() int64 { return n.memoryBytes(1) }},
+		RequestMemory:     func() int64 { return n.memoryBytes(requestMemoryShare) },
+		Now:               c.Now,
+		Log:               n.log,
+		Meter:             n.meter,
+	}
+}
+
+// memoryBytes returns a share of the VM's memory.
+func (n *Node) memoryBytes(share float64) int64 {
+	return int64(share * float64(n.settings().Int("limits", "memory_mb")) * (1 << 20))
+}
+
 // acquireDelay returns how long a VM waits before it acquires an expired lease, so that VMs with
 // more CPU acquire it first. It is 0 with one core or more, and one second with an eighth of a core.
 func acquireDelay(cores float64) time.Duration {
@@ -273,7 +314,7 @@
 // applySettings applies the limits on threads and memory to the process.
 func (n *Node) applySettings() {
 	runtime.GOMAXPROCS(n.settings().Int("limits", "threads"))
-	debug.SetMemoryLimit(int64(heapMemoryShare * float64(n.settings().Int("limits", "memory_mb")) * (1 << 20)))
+	debug.SetMemoryLimit(n.memoryBytes(heapMemoryShare))
 }
 
 func (n *Node) listen(s *http.Server, address string) error {
