--- a/drain/closeresponse_test.go
+++ b/drain/closeresponse_test.go
@@ -57,6 +57,16 @@
 	return caller, answers
 }
 
+// closeBeforeSecond closes unused connections as the server has read the second request.
+func (f *closeServer) closeBeforeSecond() {
+	var second atomic.Bool
+	f.active = func() {
+		if second.Swap(true) {
+			f.conns.CloseUnused(clock.Now())
+		}
+	}
+}
+
 func (f *closeServer) ask(t *testing.T, caller net.Conn, answers *bufio.Reader) (status int) {
 	t.Helper()
 	_, err := io.WriteString(caller, testRequest)
@@ -83,12 +93,7 @@
 // running a request that its caller is told has not run.
 func TestReadRequestCrossesCloseResponse(t *testing.T) {
 	var f closeServer
-	var second atomic.Bool
-	f.active = func() {
-		if second.Swap(true) {
-			f.conns.CloseUnused(clock.Now())
-		}
-	}
+	f.closeBeforeSecond()
 	caller, answers := f.connect(t)
 	// As if the request had arrived between the look for unread bytes and the close response.
 	f.conns.mu.Lock()
@@ -106,12 +111,7 @@
 // Guards against a close response in the answer to a request that has arrived before it.
 func TestNoCloseResponseBesideRequest(t *testing.T) {
 	var f closeServer
-	var second atomic.Bool
-	f.active = func() {
-		if second.Swap(true) {
-			f.conns.CloseUnused(clock.Now())
-		}
-	}
+	f.closeBeforeSecond()
 	caller, answers := f.connect(t)
 	require.Equal(t, http.StatusOK, f.ask(t, caller, answers))
 	<-f.idle
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -65,6 +65,24 @@
 	}
 }
 
+// startServer calls serve with each connection to a free port, which it returns.
+func startServer(t *testing.T, serve func(net.Conn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
 func server(id, domain, address string) backs.Entry {
 	return backs.Entry{ID: id, Service: "s", Domain: domain, Address: address, SoftwareVersion: "v1", Slots: 8, Models: []backs.LoadedModel{{Model: "m"}}}
 }
--- a/pass/headcut_test.go
+++ b/pass/headcut_test.go
@@ -204,19 +204,7 @@
 // brought an answer.
 func startTwoAnswers(t *testing.T, bytesOfSecond int) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go giveTwoAnswers(conn, bytesOfSecond)
-		}
-	}()
-	return l.Addr().String()
+	return startServer(t, func(conn net.Conn) { giveTwoAnswers(conn, bytesOfSecond) })
 }
 
 func giveTwoAnswers(conn net.Conn, bytesOfSecond int) {
--- a/pass/secondanswer_test.go
+++ b/pass/secondanswer_test.go
@@ -55,19 +55,7 @@
 func (s *secondAnswers) start(t *testing.T) (address string) {
 	t.Helper()
 	s.runs = make(map[string]int)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	return startServer(t, s.serve)
 }
 
 func (s *secondAnswers) serve(conn net.Conn) {
--- a/pass/secondprobe_test.go
+++ b/pass/secondprobe_test.go
@@ -21,19 +21,7 @@
 func TestSecondAnswerToInstanceProbe(t *testing.T) {
 	for name, body := range map[string]string{"reads like another start": "7", "reads like none": "text"} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go answerTwice(conn, body)
-				}
-			}()
-			address := l.Addr().String()
+			address := startServer(t, func(conn net.Conn) { answerTwice(conn, body) })
 			e := instanceEntry("a", "v1", address, 5)
 			g := testGateway(e)
 			useResumableRoute(g)
--- a/pass/secondstream_test.go
+++ b/pass/secondstream_test.go
@@ -33,10 +33,7 @@
 // the next request has arrived on the connection, or at once.
 func startSecondStreams(t *testing.T, framing string, part func(whole int) int, pause time.Duration, late bool, requests *atomic.Int64) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
+	return startServer(t, func(c net.Conn) {
 		defer c.Close()
 		again := func(second string) {
 			_, _ = fmt.Fprint(c, second[:part(len(second))])
@@ -60,17 +57,7 @@
 				second = ""
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a stream that is given a second time, as a whole and with a silence inside, and whose events reach the
--- a/pass/unnamed_test.go
+++ b/pass/unnamed_test.go
@@ -33,19 +33,7 @@
 func (s *unnamedServer) start(t *testing.T) string {
 	t.Helper()
 	s.runs = make(map[string]int)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
-	return l.Addr().String()
+	return startServer(t, s.serve)
 }
 
 func (s *unnamedServer) serve(c net.Conn) {
