entry: The close of a caller's unused connection says that what crosses it has not run

As in `node`: a caller of `serve` whose request crossed the close of its kept connection got no answer, and could not tell whether it had run. The VM writes 408 with the outcome not_run before the close, and runs nothing on that connection any more.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -42,6 +42,9 @@
 	unlimitedStop = 24 * time.Hour
 )
 
+// closeResponse is the answer to a request that crosses the close of its unused connection.
+const closeResponse = "HTTP/1.1 408 Request Timeout\r\n" + hibiscuscart.OutcomeHeader + ": not_run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Daemon is the process of one entry VM.
 type Daemon struct {
 	config  Config
@@ -213,6 +216,7 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.claimer.baseCtx, d.baseCtx = ctx, ctx
 	d.callerServer = d.newServer(d.callerConns.Handler(d.stopping.Load, d.callerHandler()))
+	d.callerConns.CloseResponse = closeResponse
 	d.callerServer.ConnState = func(c net.Conn, s http.ConnState) { d.callerConns.Record(d.now(), c, s) }
 	d.peerServer = d.newServer(d.peerHandler())
 	d.peerServer.TLSConfig = d.config.TLS
--- a/entry/keptconn_test.go
+++ b/entry/keptconn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -53,3 +54,29 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.NoError(t, resp.Body.Close())
 }
+
+// A VM stops while no call is in progress, and closes a kept connection. Guards against a caller whose request crosses the close
+// and who can not tell whether it has run.
+func TestCloseOfKeptConnectionSaysNotRun(t *testing.T) {
+	deployment := startDeployment(t, nil)
+	stopping := deployment.VMs()["one-1"]
+	kept, err := net.Dial("tcp", stopping.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = kept.Close() })
+	answers := bufio.NewReader(kept)
+	_, err = fmt.Fprint(kept, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	require.NoError(t, stopping.Stop(ctx))
+	resp, err = http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.Equal(t, "not_run", resp.Header.Get("Hibiscuscart-Outcome"))
+	require.NoError(t, resp.Body.Close())
+	_, err = answers.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
