pass: Short chunked bodies take no room, long ones only what they have

Why it works: the first 64 KiB are read before anything counts. A longer body of unknown length counts with the longest that is allowed while it is read, and then with what it has.

Evidence: TestLongBodiesAtOnce/chunked sends its short request chunked, too; it timed out before (the request was refused).

--- a/pass/body.go
+++ b/pass/body.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +14,7 @@
 // A request is read whole before it is sent, and kept until it ends. Some 80 long uploads at the same time took more than
 // the memory of a small VM, whose process was ended with all its requests. So those beyond a bound are refused.
 
-// smallBodyBytes is the size up to which bodies do not count.
+// smallBodyBytes is the size below which bodies do not count.
 const smallBodyBytes = 64 << 10
 
 // errNoBodyRoom is returned for a request that is too long beside those that this VM holds.
@@ -49,35 +50,46 @@
 	if r.ContentLength > int64(limit) {
 		return nil, none, conns.ErrBodyTooLarge
 	}
+	start, err := conns.ReadAll(io.LimitReader(r.Body, smallBodyBytes), limit)
+	if err != nil || len(start) < smallBodyBytes {
+		return start, none, err
+	}
 	n := r.ContentLength
 	if n < 0 {
 		// Its length is not known before it was read.
 		n = int64(limit)
 	}
-	if n <= smallBodyBytes {
-		body, err = conns.ReadAll(r.Body, limit)
-		return body, none, err
-	}
-	room := int64(0)
-	if g.RequestMemory != nil {
-		room = g.RequestMemory()
-	}
-	if !g.bodyRoom.take(n, room) {
+	if !g.bodyRoom.take(n, g.requestMemory()) {
 		g.Meter.AddCounter("pass.refused_body_room", 1)
 		return nil, none, errNoBodyRoom
 	}
-	release = func() { g.bodyRoom.release(n) }
-	if r.ContentLength < 0 {
-		body, err = conns.ReadAll(r.Body, limit)
-	} else {
-		body = make([]byte, n)
-		if _, err = io.ReadFull(r.Body, body); err != nil {
-			err = fmt.Errorf("read body: %w", err)
-		}
-	}
+	body, err = readRest(r, start, limit)
 	if err != nil {
-		release()
+		g.bodyRoom.release(n)
 		return nil, none, err
 	}
-	return body, release, nil
+	held := int64(len(body))
+	g.bodyRoom.release(n - held)
+	return body, func() { g.bodyRoom.release(held) }, nil
+}
+
+// readRest reads the rest of a body of at most limit bytes, and returns it after its start. If the length is known, it takes
+// no more memory than that.
+func readRest(r *http.Request, start []byte, limit int) ([]byte, error) {
+	if r.ContentLength < 0 {
+		return conns.ReadAll(io.MultiReader(bytes.NewReader(start), r.Body), limit)
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body[copy(body, start):]); err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return body, nil
+}
+
+// requestMemory returns how many bytes long bodies may take together, 0 if there is no bound.
+func (g *Gateway) requestMemory() int64 {
+	if g.RequestMemory == nil {
+		return 0
+	}
+	return g.RequestMemory()
 }
--- a/pass/body_test.go
+++ b/pass/body_test.go
@@ -37,7 +37,7 @@
 			g.Table = func() *routes.Table { return table }
 			send := func(bytes int) *httptest.ResponseRecorder {
 				r := httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader(strings.Repeat("x", bytes)))
-				if !known && bytes > 1 {
+				if !known {
 					r.ContentLength = -1
 				}
 				r.Header.Set("Attempt", "a1")
