stand: The stand-in's faults and its log of runs in files of their own

Cause: stand/backend.go had 455 lines and three jobs: the server, the faults that are injected into it, and the record of which server ran which request.

--- a/stand/backend.go
+++ b/stand/backend.go
@@ -10,57 +10,6 @@
 	"github.com/hibiscuscart/hibiscuscart/steer"
 )
 
-// BackendFaults are the faults that can be injected into a Backend. Each field
-// is a number of requests, streams or orders.
-type BackendFaults struct {
-	// ErrorResponses is how many requests get an error response after execution.
-	ErrorResponses int
-	// LostResponses is how many requests have their connection closed after execution.
-	LostResponses int
-	// BrokenStreams is how many streams break in the middle of an event.
-	BrokenStreams int
-	// DuplicateResponses is how many requests get two responses.
-	DuplicateResponses int
-	// Rejections is how many requests are rejected without execution.
-	Rejections int
-	// LostOrderResponses is how many orders are executed without a response.
-	LostOrderResponses int
-	// ForgedResponses is how many requests get a response without the proof that it comes
-	// from this server.
-	ForgedResponses int
-	// ByCloseResponses is how many requests get a response without a length or chunks, so that it ends with
-	// its connection. CutShortResponses is how many get half of such a response: a stream is closed inside
-	// an event, and another response is reset.
-	ByCloseResponses, CutShortResponses int
-	// EndlessResponses is how many requests get a response without an end, in turn each of those that the service can
-	// send.
-	EndlessResponses int
-}
-
-// PendingFaults holds faults that are still to be injected. Several backends may share
-// it; each fault is injected into one of them. A nil value injects no faults.
-type PendingFaults struct {
-	mu        sync.Mutex
-	remaining BackendFaults
-}
-
-// NewPendingFaults returns PendingFaults with the faults f.
-func NewPendingFaults(f BackendFaults) *PendingFaults { return &PendingFaults{remaining: f} }
-
-func (s *PendingFaults) consume(counter func(*BackendFaults) *int) bool {
-	if s == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := counter(&s.remaining)
-	if *n == 0 {
-		return false
-	}
-	*n--
-	return true
-}
-
 // Backend is a stand-in for a backend server of the platform. It executes requests that
 // the gateway forwards unchanged, loads models and adapters into limited memory, and
 // accepts orders with an expected sequence number. It implements no wire protocol;
@@ -415,41 +364,3 @@
 func (b *Backend) crashesOn(parts []string) bool {
 	return b.CrashPart != "" && slices.Contains(parts[:max(len(parts)-1, 0)], b.CrashPart)
 }
-
-// RunLog records which backends executed which requests. The zero value is ready for use.
-type RunLog struct {
-	mu   sync.Mutex
-	runs map[string][]string
-	// firsts and repeats hold when requests were executed for the first time, and when once more.
-	firsts, repeats []time.Time
-}
-
-// Since returns when requests were executed for the first time since a time, and when once more.
-func (l *RunLog) Since(from time.Time) (firsts, repeats []time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	earlier := func(t time.Time) bool { return t.Before(from) }
-	return slices.DeleteFunc(slices.Clone(l.firsts), earlier), slices.DeleteFunc(slices.Clone(l.repeats), earlier)
-}
-
-// Record records an execution of a request by a server.
-func (l *RunLog) Record(requestID, server string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.runs == nil {
-		l.runs = make(map[string][]string)
-	}
-	if now := time.Now(); len(l.runs[requestID]) == 0 {
-		l.firsts = append(l.firsts, now)
-	} else {
-		l.repeats = append(l.repeats, now)
-	}
-	l.runs[requestID] = append(l.runs[requestID], server)
-}
-
-// Servers returns the servers that executed a request, once for each execution.
-func (l *RunLog) Servers(requestID string) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.runs[requestID])
-}
