--- a/stand/scripted.go
+++ b/stand/scripted.go
@@ -58,7 +58,11 @@
 			for point, sent := range map[string]int{"after the head": 0, "in the middle": len(body) / 2, "before the last byte": len(body) - 1} {
 				all[fmt.Sprintf("%s, %s %s", framing, end, point)] = ScriptedResponse{Framing: framing, Body: body, Sent: sent, End: connEnd}
 			}
-			for _, cut := range (ScriptedResponse{Framing: framing, Body: body, End: connEnd}).HeadCuts() {
+			for i, cut := range (ScriptedResponse{Framing: framing, Body: body, End: connEnd}).HeadCuts() {
+				if connEnd == EndSilent && i%8 != 0 {
+					// Each takes the timeout of its caller.
+					continue
+				}
 				all[fmt.Sprintf("%s, %s after %d bytes of the head", framing, end, cut.HeadSent)] = cut
 			}
 		}
