pick, places, gauge, steer, node: Constants and load patterns without the story of their tuning

Comments told which data sheet or replay a figure came from and what happened with another one. No change of code. Tests of pick, places and gauge pass.

--- a/gauge/estimate.go
+++ b/gauge/estimate.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// reportedTime is the time constant of the mean of the readings of a server. In the replay of 66 VMs and 90 servers, the
-	// estimates deviate by 0.114 on average with 4 s, 0.091 with 8 s and 0.076 with 16 s. A longer one follows a lasting change
-	// later.
+	// reportedTime is the time constant of the mean of the readings of a server. With a shorter one the estimates deviate more,
+	// a longer one follows a lasting change later.
 	reportedTime = 8 * time.Second
 	// observedTime is the time constant of the mean of the observed ratios. A single ratio deviates more than a reading, and a
 	// bound needs to follow less quickly than an estimate.
@@ -19,8 +18,8 @@
 	ownTime = 30 * time.Second
 	// ownPriorReadings is how many readings the steady pace counts for in that mean.
 	ownPriorReadings = 3
-	// minResponses is the weight of the observed ratios from which they bound the reported pace. Spells alone make one ratio
-	// deviate by 0.44 of the mean, and the mean of eight by 0.15, far within a factor of two.
+	// minResponses is the weight of the observed ratios from which they bound the reported pace. The mean of so many deviates by
+	// far less than trustFactor.
 	minResponses = 8
 	// minScaleReadings is the weight of the readings of a server from which it takes part in the scale between reported and
 	// observed paces.
--- a/node/outage.go
+++ b/node/outage.go
@@ -1,9 +1,9 @@
 package node
 
-// If every VM polled an unreachable store for the configuration, the servers and the lease, 195 VMs
-// would send it 650 calls per second during the outage instead of 20. A poll for the configuration
-// detects the recovery just as well, so the other calls wait for its response. The controller makes
-// all three calls, because the other VMs get its data within milliseconds.
+// If every VM polled an unreachable store for the configuration, the servers and the lease, the calls of a
+// large fleet would hold up its recovery. A poll for the configuration detects the recovery just as well,
+// so the other calls wait for its response. The controller makes all three calls, because the other VMs
+// get its data within milliseconds.
 
 // storeUnreachable reports whether the store is unreachable and this VM, not being the controller,
 // polls it only for the configuration.
--- a/pick/cost.go
+++ b/pick/cost.go
@@ -17,8 +17,7 @@
 	defaultOutputShare = 0.5
 	outputShareWeight  = 0.02
 	// defaultTokenTime is the decode time of a token of the largest model until responses
-	// have been measured; the data sheets give 4.4 to 5.3 ms with some tens of concurrent
-	// requests.
+	// have been measured.
 	defaultTokenTime = 5 * time.Millisecond
 	// fasterTokenTimeWeight and slowerTokenTimeWeight are the weights of a response whose
 	// events arrived faster, or slower, than the average. The average should approach the
--- a/pick/predict.go
+++ b/pick/predict.go
@@ -10,8 +10,8 @@
 
 const (
 	// defaultPrefillTokensPerMs is the prefill rate of the largest model until
-	// responses have been measured. The deployments' data sheets give 38.4 tokens
-	// per millisecond; decode steps of running requests between chunks lower it.
+	// responses have been measured. Decode steps of running requests between chunks
+	// lower the rate of an idle server.
 	defaultPrefillTokensPerMs = 32.0
 	// prefillRateWeight is the weight of one response in the moving average of a
 	// model's prefill rate. minPrefillTokensPerMs and maxPrefillTokensPerMs bound
@@ -32,12 +32,12 @@
 	// slot of the server and takes a round trip and a millisecond of server work.
 	newConnectionCost = 6 * time.Millisecond
 	// defaultResponseTime is the response time of a service without models until
-	// responses have been measured; the data sheets give 15 to 30 ms.
+	// responses have been measured.
 	defaultResponseTime = 20 * time.Millisecond
 	// defaultModelResponseTime is the time of a complete response of a model
-	// server until responses have been measured; the data sheets give 0.3 s to
-	// 1.5 s. modelResponseWeight is the weight of one response in the average;
-	// it is small because kinds of requests differ by a factor of five.
+	// server until responses have been measured. modelResponseWeight is the weight
+	// of one response in the average; it is small because kinds of requests differ
+	// by a factor of five.
 	defaultModelResponseTime = 700 * time.Millisecond
 	modelResponseWeight      = 0.02
 	// prefixCacheShare is the share of a server's KV cache assumed to hold cached
--- a/places/owner.go
+++ b/places/owner.go
@@ -21,8 +21,8 @@
 	// queueShare is the share of its objective that a request may spend in the server. The rest of the wait
 	// is spent at the VM, in the order of priority.
 	queueShare = 0.6
-	// timelyShare is the share of the remaining time within which a request has to be served by the estimate. With
-	// all of it, one request in thirty was late.
+	// timelyShare is the share of the remaining time within which a request has to be served by the estimate, which
+	// is too low at times.
 	timelyShare = 0.9
 	// refillTime is the time without new requests for which the queue of a server lasts: the time for the report of an
 	// end (20 ms), the next call of a waiting request and the way to the server.
@@ -39,14 +39,14 @@
 	// processingWeight is the weight of one measurement in the average of the processing time.
 	processingWeight = 0.1
 	// expiryFactor times the expected response time is the longest usual one, after which a place without a report
-	// of its end is free. minExpiry bounds it for short requests. With a factor of 3 and a fifth of the ends lost, the
-	// servers seemed faster than they were, and rejected requests.
+	// of its end is free. minExpiry bounds it for short requests. With a larger factor and many ends lost, the
+	// servers seem faster than they are, and reject requests.
 	expiryFactor = 2
 	minExpiry    = 300 * time.Millisecond
 	// minObjectiveRounds times the response time of the fastest idle server is the least objective that places follow.
 	minObjectiveRounds = 2
 	// lateEndTime is how long after its expiry the end of a place still tells how slow the server is. Without it, a
-	// server ten times slower than usual got new requests each time that its places expired.
+	// server that is much slower than usual gets new requests each time that its places expire.
 	lateEndTime = 10 * time.Second
 	// maxFailures is the number of places in a row that end without a response from which a server gets one request at
 	// a time, at probeInterval after a failure. A server that does not accept connections ends its places at once and
--- a/steer/order.go
+++ b/steer/order.go
@@ -74,7 +74,7 @@
 	// maxReportAge is how old a report's data can be: servers specify 200 ms, and their timers
 	// fire late.
 	maxReportAge = 500 * time.Millisecond
-	// adapterLoadTime is how long an adapter takes to load: 5 to 10 ms by the data sheets, and a
-	// request that arrives before is refused.
+	// adapterLoadTime is how long an adapter takes to load, at most: a request that arrives before
+	// is refused.
 	adapterLoadTime = 12 * time.Millisecond
 )
--- a/steer/shortlist.go
+++ b/steer/shortlist.go
@@ -9,11 +9,10 @@
 	"github.com/hibiscuscart/hibiscuscart/routes"
 )
 
-// Load pattern: demand moves to other models in a fleet of thousands of servers. A plan compared each
-// server, with each replica that could be replaced there, for each model that wanted a replica, and
-// again for each replica it got: seconds with 1,500 servers and minutes with 4,000, in which nothing was
-// loaded and the controller answered no VM. Nearly all of these servers are equally good or clearly
-// worse.
+// Load pattern: demand moves to other models in a fleet of thousands of servers. A plan that compares each
+// server, with each replica that could be replaced there, for each model that wants a replica, and
+// again for each replica it gets, takes seconds to minutes, in which nothing is loaded and the controller
+// answers no VM. Nearly all of these servers are equally good or clearly worse.
 //
 // With many servers, a plan therefore compares only a few in each failure domain: those with memory to
 // spare and the least utilization, those whose least useful replica costs least, and those that have the
