pass, peers, node, backs: Only an answer asked for after a request proves the version of its stream

What callers saw: nothing was caught in a run of real processes; the fault was read from the code and is shown by tests. A caller that takes a stream up at a VM that is out of step can get the rest from a server of another software version (ORDER), or is told that its version serves no more though its servers have just joined.

Cause: a VM's list of servers counted as confirmed at the time when an answer of the store was read, or when a frame of the hub was read less the age written in it. An answer may have lain in a buffer while the VM stood still, and a frame in the hub's queue, on the link or behind a relay. Read after a request came, it counted as newer than the request, and "proved" that v1 is the only version, or that v2 has no server. The store's answers were also marked as confirmed before their changes were applied.

Now View.CurrentAt is a time at or before which all that the view has was certainly in the store: the time at which a call to the store began, once all that it says is applied, or the time at which a VM asked its hub.

A request that needs a proof asks for it: a VM that follows the store makes a watch of its own with the least wait, and waits until its follower has applied what that shows; a linked VM asks its hub, which does the same or asks its own, and names the revision of its list that the asking VM has to have applied first, as replies overtake frames. The answer brings the hub's history of versions along. The question is a permit call with one more field: a hub of an older build takes it for a permit of no server and answers that, which proves nothing.

Weighed against it: to date frames by the sender's clock (clocks step), to echo a number of each VM in the frames (they are encoded once for all links), and to have each VM list the servers itself (66 lists for one take-up each).

--- a/backs/contact.go
+++ b/backs/contact.go
@@ -19,19 +19,31 @@
 	v.recordContact(now, now)
 }
 
-// MarkCurrent records that the view is current at the given time.
-func (v *View) MarkCurrent(now time.Time) {
+// MarkRead records that an answer of the store was read, which may have been made long before. It is called before what
+// the answer says is applied.
+func (v *View) MarkRead(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.recordCurrent(now, now)
+	v.recordRead(now, now)
 }
 
-// recordCurrent records at time now that the view was current at asOf.
-func (v *View) recordCurrent(now, asOf time.Time) {
-	if asOf.After(v.currentAt) {
+// MarkCurrent records that the view has every change that the store had made by a time. It takes an answer that was
+// asked for at that time or later, and is called once all that the answer says has been applied.
+func (v *View) MarkCurrent(asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if asOf.After(v.currentAt) && !v.restoring(asOf) {
 		v.currentAt = asOf
 	}
-	v.recordContact(now, asOf)
+	v.recordRead(asOf, asOf)
+}
+
+// recordRead records at time now that what was read is said to have been current at a time.
+func (v *View) recordRead(now, at time.Time) {
+	if at.After(v.readAt) {
+		v.readAt = at
+	}
+	v.recordContact(now, at)
 }
 
 // recordContact records at time now that the store was reachable at the given time. Failed
--- a/backs/history.go
+++ b/backs/history.go
@@ -135,14 +135,28 @@
 	if !v.synced || within > historyRetention || now.Sub(v.history.since) < within {
 		return "", false
 	}
+	versions := v.versionsWithin(now, service, within)
+	if len(versions) != 1 || slices.Contains(versions, "") {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// SeveralVersions reports whether servers of a service with more than one software version are known to have existed
+// within a time before now.
+func (v *View) SeveralVersions(now time.Time, service string, within time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.versionsWithin(now, service, within)) > 1
+}
+
+// versionsWithin returns the known software versions of a service within a time before now. v.mu is held.
+func (v *View) versionsWithin(now time.Time, service string, within time.Duration) []string {
 	var versions []string
 	for key, at := range v.versionsSeen(now) {
 		if key.service == service && now.Sub(at) <= within {
 			versions = append(versions, key.version)
 		}
 	}
-	if len(versions) != 1 || slices.Contains(versions, "") {
-		return "", false
-	}
-	return versions[0], true
+	return versions
 }
--- a/backs/queries.go
+++ b/backs/queries.go
@@ -74,13 +74,20 @@
 	return r.entry, true
 }
 
-// CurrentAt returns the time for which the view was last confirmed as current.
+// CurrentAt returns the last time of which the view certainly has every change that the store had made by then.
 func (v *View) CurrentAt() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.currentAt
 }
 
+// Revision returns the number of changes so far.
+func (v *View) Revision() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.revision
+}
+
 // Usable reports whether a server may get new requests now, apart from a rest that it asked this VM for.
 func (v *View) Usable(now time.Time, id string) bool {
 	v.mu.Lock()
--- a/backs/update.go
+++ b/backs/update.go
@@ -77,8 +77,8 @@
 func (v *View) Merge(now time.Time, update Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	senderWasSynced := !now.Add(-update.SyncedFor).After(v.currentAt)
-	v.recordCurrent(now, now.Add(-update.Age))
+	senderWasSynced := !now.Add(-update.SyncedFor).After(v.readAt)
+	v.recordRead(now, now.Add(-update.Age))
 	revision := v.revision
 	listed := make(map[string]bool, len(update.States))
 	for _, s := range update.States {
--- a/backs/view.go
+++ b/backs/view.go
@@ -98,10 +98,12 @@
 	recoveredAt      time.Time
 	// restoredAt is when the store was last found to have come back from a copy.
 	restoredAt time.Time
-	// currentAt is when the view was last confirmed as current, syncedAt when the first
-	// full list arrived.
-	currentAt, syncedAt time.Time
-	history             history
+	// currentAt is the last time of which the view certainly has every change that the store had made by then.
+	// readAt is the same by what answers and frames said when they were read. They may have been on the way for long.
+	currentAt, readAt time.Time
+	// syncedAt is when the first full list arrived.
+	syncedAt time.Time
+	history  history
 	// contactAt is when the store was last known to be reachable, from a response to any
 	// call of this VM or from another VM's update.
 	contactAt time.Time
@@ -307,7 +309,7 @@
 			v.remove(now, id)
 		}
 	}
-	v.recordCurrent(now, now)
+	v.recordRead(now, now)
 	v.markSynced(now)
 	v.expire(now)
 	v.notify()
--- a/link/older_test.go
+++ b/link/older_test.go
@@ -31,6 +31,8 @@
 	parts := state
 	parts.Lease.ZzAllotmentVms = 9
 	parts.ZzzSuspectParts = []wire.SuspectPart{{Part: "p", Crashes: 4, LeftMs: 7}}
+	keepers := state
+	keepers.ZStreamKeepers = []wire.OriginKeeper{{Address: "a", Domain: "d"}}
 	return map[string]olderFrame{
 		"report": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6608af6f6816161f6f6f6f4f602818560616d036000",
@@ -54,7 +56,7 @@
 			older:   "94f6f6f6f6f6f6f69100f4f4008960f660006060f6000000f6f600f4f6818d616100006164f4f400818280616d616e6173617608f4f6f603f6f6f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FleetState: &servers},
 			extend:  func(m *wire.Message) { m.FleetState.Servers[0].Version = "v" },
-			newer:   "94f6f6f6f6f6f6f69500f4f4009160f660006060f60000f600f600f600000000f6f600f4f6818e616100006164f4f400818280616d616e6173617608f46176f6f603f6f6f6f600f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer:   "94f6f6f6f6f6f6f69600f4f4009160f660006060f60000f600f600f600000000f6f600f4f6818e616100006164f4f400818280616d616e6173617608f46176f6f603f6f6f6f600f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"permit call without a place": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f682016173f6f6f6f6f6f6f6f660f6",
@@ -63,13 +65,33 @@
 				m.PermitCall.ZzEnded = []wire.PlaceEnd{{Place: 9, TookUs: 5}}
 				m.PermitCall.ZzPlace = &wire.PlaceCall{Service: "v", Key: 3, Priority: 1, ObjectiveUs: 300, RemainingUs: 200}
 			},
-			newer: "94f6f6f6f6f6f6f6f6f6f6f68401617381820905860319012c0118c86176f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f6f6f6f6f68501617381820905860319012c0118c86176f6f4f6f6f6f6f6f660f6",
 		},
 		"permit reply without a place": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6820107f6f6f6f6f660f6",
 			message: wire.Message{PermitReply: &wire.PermitReply{Call: 1, WaitUs: 7}},
 			extend:  func(m *wire.Message) { m.PermitReply.ZzPlace = &wire.PlaceReply{Place: 9, Server: "s"} },
-			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f68301078309f46173f6f6f6f6f660f6",
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f6f68401078309f46173f6f6f6f6f6f660f6",
+		},
+		"permit call without a question for the list of servers": {
+			older:   "94f6f6f6f6f6f6f6f6f6f6f68401617381820905860319012c0118c86176f6f6f6f6f6f6f660f6",
+			message: wire.Message{PermitCall: &wire.PermitCall{Call: 1, Server: "s", ZzEnded: []wire.PlaceEnd{{Place: 9, TookUs: 5}}, ZzPlace: &wire.PlaceCall{Service: "v", Key: 3, Priority: 1, ObjectiveUs: 300, RemainingUs: 200}}},
+			extend:  func(m *wire.Message) { m.PermitCall.ZzzServers = true },
+			newer:   "94f6f6f6f6f6f6f6f6f6f6f68501617381820905860319012c0118c86176f6f5f6f6f6f6f6f660f6",
+		},
+		"permit reply without the list of servers": {
+			older:   "94f6f6f6f6f6f6f6f6f6f6f6f68301078309f46173f6f6f6f6f660f6",
+			message: wire.Message{PermitReply: &wire.PermitReply{Call: 1, WaitUs: 7, ZzPlace: &wire.PlaceReply{Place: 9, Server: "s"}}},
+			extend: func(m *wire.Message) {
+				m.PermitReply.ZzzServers = &wire.ServersReply{Revision: 5, History: wire.VersionHistory{AsOfMs: 2, CompleteMs: 3, Gone: []wire.GoneVersion{}}}
+			},
+			newer: "94f6f6f6f6f6f6f6f6f6f6f6f68401078309f46173828302038005f6f6f6f6f660f6",
+		},
+		"fleet state without the revision of the servers": {
+			older:   "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f600f6f6f6f6f6f6f6f6f6f6f660f6",
+			message: wire.Message{FleetState: &keepers},
+			extend:  func(m *wire.Message) { m.FleetState.ZzzzzzServerRevision = 6 },
+			newer:   "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f600f606f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"find call": {
 			older:   "94f6f6f684616101616d6173f6f6f6f6f6f6f6f6f6f6f6f6f6f660f6",
@@ -89,7 +111,7 @@
 			extend: func(m *wire.Message) {
 				m.FleetState.ZStreamKeepers = []wire.OriginKeeper{{Address: "a", Domain: "d"}}
 			},
-			newer: "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f600f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f600f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"report without paces of servers": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f66093f6f6816161f6f6f6f4f602818560616d036000f6f4f4f6f6f6f6f6f6",
@@ -105,7 +127,7 @@
 			extend: func(m *wire.Message) {
 				m.FleetState.ZzzzzServerPaces = []wire.ServerPace{{Server: "s", PacePct: 55}}
 			},
-			newer: "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818404076170f600818218376173f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818404076170f60081821837617300f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"load without its parts by priority": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f66093f6f6816161f6f68185f60501617307f4f602818560616d036000f6f4f4f6f6f6f6f6f6",
@@ -137,19 +159,19 @@
 				m.FleetState.Lease.ZzAllotmentVms = 9
 				m.FleetState.ZzzSuspectParts = []wire.SuspectPart{{Part: "p", Crashes: 4, LeftMs: 7}}
 			},
-			newer: "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818404076170f600f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818404076170f600f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"fleet state without the era of the lease": {
 			older:   "94f6f6f6f6f6f6f69307f5f4008e60f660006060f60000f609f600f600f6f600f4f6f6f681617403f6f6f6818304076170f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FleetState: &parts},
 			extend:  func(m *wire.Message) { m.FleetState.Lease.ZzzzEra, m.FleetState.ZzzzLeaseEra = 2, 3 },
-			newer:   "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f609f600f602000000f6f600f4f6f6f681617403f6f6f6818404076170f603f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer:   "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f609f600f602000000f6f600f4f6f6f681617403f6f6f6818404076170f603f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"fleet state without ties": {
 			older:   "94f6f6f6f6f6f6f69407f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f681830407617000f6f6f6f6f6f6f6f6f6f660f6",
 			message: wire.Message{FleetState: &parts},
 			extend:  func(m *wire.Message) { m.FleetState.ZzzSuspectParts[0].Tied = []string{"p", "q"} },
-			newer:   "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818404076170826170617100f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer:   "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f609f600f600000000f6f600f4f6f6f681617403f6f6f6818404076170826170617100f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 		"report without parts that are blocked by themselves": {
 			older:   "94f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f66092f6f6816161f6f6f6f4f602818560616d036000f6f4f4f6f6f6f6f6",
@@ -170,7 +192,7 @@
 				m.FleetState.VmsWithPath = []string{"p"}
 				m.FleetState.ZRejectLimits = []wire.RejectLimit{{Server: "z", PerSecond: 2, Rejected: true}}
 			},
-			newer: "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f6816174038161708183fb4000000000000000f5617af6f600f6f6f6f6f6f6f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f69607f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f6816174038161708183fb4000000000000000f5617af6f600f600f6f6f6f6f6f6f6f6f6f660f6",
 		},
 	}
 }
--- a/node/config.go
+++ b/node/config.go
@@ -24,7 +24,8 @@
 				n.applyConfigObject(c.Object)
 			}
 		},
-		onCurrent: func(time.Time) {},
+		onRead:    func(time.Time) {},
+		onCurrent: func(time.Time) {}, onPosition: func(int) {},
 	}
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -47,8 +47,11 @@
 	kind     string
 	onList   func(now time.Time, l store.Listing)
 	onChange func(now time.Time, c store.Change)
-	// onCurrent is called when a response of the store includes all changes up to now.
-	onCurrent func(now time.Time)
+	// onRead is called before what a response of the store says is applied, and onCurrent after that with the time at
+	// which the call began: the response has at least the changes up to then. It may have been on the way for long.
+	onRead, onCurrent func(at time.Time)
+	// onPosition is called with the version of the store whose changes have been applied, 0 while the kind is not followed.
+	onPosition func(version int)
 }
 
 // follow lists a kind and watches it until ctx ends, except while the controller sends this VM the
@@ -56,12 +59,14 @@
 func (n *Node) follow(ctx context.Context, w watcher) {
 	synced := false
 	version := 0
+	defer w.onPosition(0)
 	startedAt := n.now()
 	var lastCallAt time.Time
 	for ctx.Err() == nil {
 		termStarted := n.peers.TermStarted()
 		if n.leavesStoreToHub(n.now(), startedAt) {
 			synced = false
+			w.onPosition(0)
 			n.discardSingleFailure(w.kind)
 			n.pauseForHub(ctx, termStarted, hubCheckInterval)
 			continue
@@ -89,6 +94,7 @@
 		}
 		if store.IsGone(err) {
 			synced = false
+			w.onPosition(0)
 			n.log.Info().Str("kind", w.kind).EmbedObject(loggedVersion(version)).Msg("watch version expired; listing again")
 			continue
 		}
@@ -154,6 +160,7 @@
 }
 
 func (n *Node) listOnce(ctx context.Context, w watcher) (int, error) {
+	asked := n.now()
 	listing, err := n.config.Objects.List(ctx, w.kind)
 	if err != nil {
 		return 0, err
@@ -162,8 +169,10 @@
 	n.recordEra(w.kind, listing.Version)
 	now := n.now()
 	n.recordConfirmation(now, w.kind)
-	w.onCurrent(now)
+	w.onRead(now)
 	w.onList(now, listing)
+	w.onCurrent(asked)
+	w.onPosition(listing.Version)
 	return listing.Version, nil
 }
 
@@ -177,16 +186,19 @@
 		// delayed by a long poll.
 		wait = recoveryWatchWait
 	}
+	asked := n.now()
 	changes, next, err := n.config.Objects.Watch(ctx, w.kind, version, wait)
 	if err != nil {
 		return version, err
 	}
 	now := n.now()
 	n.recordConfirmation(now, w.kind)
-	w.onCurrent(now)
+	w.onRead(now)
 	for _, c := range changes {
 		w.onChange(now, c)
 	}
+	w.onCurrent(asked)
+	w.onPosition(next)
 	if len(changes) > 0 {
 		pause.For(ctx, changeBatchDelay+time.Duration(n.peers.VMs())*changeBatchDelayPerVM)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -119,6 +119,8 @@
 	storeRead bool
 	// confirmedAt is when the store last confirmed that this VM's data is current, by kind.
 	confirmedAt map[string]time.Time
+	// serverPosition is how far this VM follows the servers in the store.
+	serverPosition position
 	// failedCalls is the number of consecutive store calls that failed, by kind.
 	failedCalls map[string]int
 
@@ -178,7 +180,7 @@
 	n.peers = &peers.Peers{
 		Name: s.Text("vm", "name"), Domain: s.Text("vm", "failure_domain"), Boot: uuid.NewString(), Lease: n.lease,
 		Address: s.Text("vm", "peer_listen"), Cores: s.Float("limits", "cpu"),
-		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, StoreUnreachable: n.storeUnreachable,
+		Config: n.currentConfig, ConfigChanged: n.configChanged, ApplyConfig: n.applyHubConfig, ConfirmedAt: n.dataConfirmedAt, ConfirmFromStore: n.confirmFromStore, StoreUnreachable: n.storeUnreachable,
 		Controller: n.controller, Servers: n.serverView, Balancer: n.balancer, Poison: n.crashTracker, PartTracker: n.partTracker, Gauge: n.gauge, Limits: n.rateLimits, Quotas: n.quotas, Retries: n.retries, EqualQuotas: s.Text("quotas", "tokens") == "equal",
 		HasPath: func() bool { return !n.paths.Lost() }, KeepsOrigins: true, Now: c.Now, Log: n.log, Meter: n.meter,
 	}
@@ -230,6 +232,7 @@
 		MaxProxied:        maxProxied(s.Float("limits", "cpu")),
 		TellOrigin:        n.origins.Tell,
 		FindOrigin:        n.origins.Ask,
+		ConfirmServers:    n.peers.ConfirmServers,
 		InstanceProbe:     c.InstanceProbe,
 		ConfigCurrent:     n.configCurrent,
 		AwaitConfig:       n.awaitConfig,
--- a/node/servers.go
+++ b/node/servers.go
@@ -25,7 +25,8 @@
 			n.serverView.Replace(now, entries, unreadable...)
 		},
 		onChange:  n.serverChanged,
-		onCurrent: n.serverView.MarkCurrent,
+		onRead:    n.serverView.MarkRead,
+		onCurrent: n.serverView.MarkCurrent, onPosition: n.serverPosition.set,
 	}
 }
 
--- a/pass/binding.go
+++ b/pass/binding.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -44,7 +45,7 @@
 	return slices.DeleteFunc(serving, func(e backs.Entry) bool { return !c.binding.allows(e) })
 }
 
-// bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain. A list that is
+// bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain. A list that may be
 // older than the request does not say so: the servers of a new version may not be on it yet.
 func (g *Gateway) bindingGone(now time.Time, c *call) bool {
 	if !c.binding.begun || !g.Servers.CurrentAt().After(c.arrived) {
@@ -54,3 +55,16 @@
 		return e.Service == c.service.Name && !e.Draining && c.binding.allows(e)
 	})
 }
+
+// beginConfirming begins to have the list of servers confirmed for bindingGone. awaitServer returns when that has ended.
+func (g *Gateway) beginConfirming(ctx context.Context, c *call) {
+	if c.confirmed != nil || !c.binding.begun || g.Servers.CurrentAt().After(c.arrived) {
+		return
+	}
+	confirmed := make(chan struct{})
+	c.confirmed = confirmed
+	go func() {
+		defer close(confirmed)
+		g.confirmServers(ctx, c)
+	}()
+}
--- a/pass/call.go
+++ b/pass/call.go
@@ -81,6 +81,11 @@
 	// found out for a stream that the caller takes up.
 	binding binding
 	boundBy string
+	// listAge is for how long the list of servers had not been confirmed when it proved the version.
+	listAge time.Duration
+	// confirmed is not nil while the list of servers is being confirmed as of the call's arrival, and closed when that has
+	// ended.
+	confirmed <-chan struct{}
 	// toldAt is when the keepers of the stream's origin were told last.
 	toldAt time.Time
 	// refusal is why the call got no server.
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -73,6 +73,9 @@
 			g.Meter.AddCounter("pass.version_gone", 1)
 			return pick.Choice{}, errVersionGone
 		}
+		if len(serving) == 0 {
+			g.beginConfirming(waitCtx, c)
+		}
 		if g.needsPlace(now, c, serving) {
 			choice, granted, again, err := g.acquirePlace(waitCtx, now, c, serving)
 			if granted {
@@ -275,6 +278,9 @@
 		select {
 		case <-changed:
 			return nil
+		case <-c.confirmed:
+			c.confirmed = nil
+			return nil
 		case <-recheck.C:
 			return nil
 		case <-ctx.Done():
@@ -293,6 +299,9 @@
 	select {
 	case <-changed:
 		return nil
+	case <-c.confirmed:
+		c.confirmed = nil
+		return nil
 	case err := <-found:
 		if err == nil && g.Servers.RestRemaining(g.Now(), server) > 0 {
 			return errResting
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -81,6 +81,9 @@
 	// Optional; if nil, streams that callers take up go on only if the list of servers proves their version.
 	TellOrigin func(attempt string, r origin.Record)
 	FindOrigin func(ctx context.Context, attempt string) (origin.Record, origin.Verdict)
+	// ConfirmServers makes sure that Servers has every change that the store had made by a time, or returns an error.
+	// Optional; if nil, that is not made sure.
+	ConfirmServers func(ctx context.Context, by time.Time) error
 	// InstanceProbe is how servers that start again under their names are asked which instance they are.
 	// Optional; if nil, they are not asked.
 	InstanceProbe *InstanceProbe
--- a/pass/log.go
+++ b/pass/log.go
@@ -13,7 +13,7 @@
 		Str("route", c.route.Name).Str("team", c.teamName()).Int("config_version", c.configVersion).
 		Str("service", c.service.Name).Str("model", c.work.Model).Str("adapter", c.work.Adapter).
 		Strs("servers", c.sentTo).Strs("software_versions", c.versions).
-		Str("resumes", c.resumes).Str("bound_by", c.boundBy).Str("bound_version", c.binding.version).
+		Str("resumes", c.resumes).Str("bound_by", c.boundBy).Str("bound_version", c.binding.version).Dur("list_age", c.listAge).
 		Str("resumed_after", c.request.Header.Get(headerLastEvent)).
 		Int("sends", c.sends).Int("status", c.status).Bool("may_have_run", c.mayHaveRun).
 		Func(c.addLastResponse).
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -67,6 +67,7 @@
 	}
 	if version, ok := g.onlyVersion(ctx, c); ok {
 		c.boundBy = "server list"
+		c.listAge = g.Now().Sub(g.Servers.CurrentAt())
 		return g.bindTo(c, origin.Record{Service: c.service.Name, Version: version})
 	}
 	g.Meter.AddCounter("pass.origin_"+verdict.String(), 1)
@@ -90,10 +91,10 @@
 }
 
 const (
-	// maxProofWait bounds how long a request waits until the list of servers is confirmed as of its arrival. The
-	// list is confirmed about once a second.
-	maxProofWait       = 1500 * time.Millisecond
-	proofCheckInterval = 20 * time.Millisecond
+	// maxProofWait bounds how long a request waits until the list of servers is confirmed as of its arrival, and
+	// proofRetryDelay is the pause after an attempt that failed.
+	maxProofWait    = 1500 * time.Millisecond
+	proofRetryDelay = 20 * time.Millisecond
 	// Streams end within streamLifeTimeouts times their route's timeout, and callers that wait longer than
 	// that, within minStreamLife.
 	streamLifeTimeouts = 2
@@ -108,16 +109,29 @@
 		return "", false
 	}
 	life := max(streamLifeTimeouts*c.route.Timeout, minStreamLife)
-	if _, ok := g.Servers.OnlyVersion(g.Now(), c.service.Name, life); !ok {
+	if g.Servers.SeveralVersions(g.Now(), c.service.Name, life) || !g.confirmServers(ctx, c) {
 		return "", false
 	}
-	for waited := time.Duration(0); !g.Servers.CurrentAt().After(c.arrived); waited += proofCheckInterval {
-		if waited >= maxProofWait || ctx.Err() != nil {
-			return "", false
+	return g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
+}
+
+// confirmServers waits until the list of servers is known to have every change that the store had made when the call
+// arrived, and reports whether it is.
+func (g *Gateway) confirmServers(ctx context.Context, c *call) bool {
+	start := g.Now()
+	ctx, cancel := context.WithTimeout(ctx, maxProofWait)
+	defer cancel()
+	for !g.Servers.CurrentAt().After(c.arrived) {
+		if g.ConfirmServers != nil && g.ConfirmServers(ctx, c.arrived) == nil {
+			continue
+		}
+		if !pause.For(ctx, proofRetryDelay) {
+			g.Meter.AddCounter("pass.servers_unconfirmed", 1)
+			return false
 		}
-		pause.For(ctx, proofCheckInterval)
 	}
-	return g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
+	g.Meter.RecordDuration("pass.servers_confirmed", g.Now().Sub(start))
+	return true
 }
 
 // tellInterval is the interval at which the keepers of a long stream are told again, so that they do not forget it.
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -133,6 +133,7 @@
 	states, servers := p.Servers.Since(now, 0)
 	state := p.newFleetState(states)
 	state.AgeMs, state.Vms, state.Full, state.Relayed = p.dataAgeMs(now), max(p.vms, 1), true, p.relaying
+	state.ZzzzzzServerRevision = servers
 	p.addLoadState(state, loads)
 	state.ZStreamKeepers = p.fleetKeepers()
 	state.ZzzzzServerPaces = p.allPaces(now)
@@ -292,7 +293,7 @@
 		}
 		if len(states) > 0 || renewal || loadDue {
 			next.servers = servers
-			p.broadcastFleetState(now, states, loadDue)
+			p.broadcastFleetState(now, states, servers, loadDue)
 		}
 		p.setSent(next)
 	}
@@ -325,10 +326,11 @@
 	p.sent = sent
 }
 
-// broadcastFleetState sends server states on all links, and with them the load if withLoad is set.
+// broadcastFleetState sends server states, the changes up to a revision, on all links, and with them the load if withLoad is set.
 // The load is the larger part of a frame, and servers can change a hundred times per second.
-func (p *Peers) broadcastFleetState(now time.Time, states []backs.State, withLoad bool) {
+func (p *Peers) broadcastFleetState(now time.Time, states []backs.State, revision int, withLoad bool) {
 	state := p.newFleetState(states)
+	state.ZzzzzzServerRevision = revision
 	state.ZRejectLimits = p.takeRejectsDown(now)
 	var loads []wire.ServerLoad
 	if withLoad {
--- a/peers/paces_test.go
+++ b/peers/paces_test.go
@@ -247,7 +247,7 @@
 			require.Equal(t, name == "links end", relaying)
 			d := p.link(t, "w", "1", 200)
 			receivedPaces(t, d)
-			p.broadcastFleetState(now, nil, true)
+			p.broadcastFleetState(now, nil, 0, true)
 			list, _ := receivedPaces(t, d)
 			require.Empty(t, list)
 		})
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -91,6 +91,9 @@
 	ApplyConfig   func(revision int, value []byte)
 	// ConfirmedAt returns when the store last confirmed that this VM's data is current.
 	ConfirmedAt func() time.Time
+	// ConfirmFromStore brings Servers, by a call to the store, to a state that has every change that the store had made
+	// when it was called, and marks that. It returns an error if this VM does not follow the store. If nil, it does not.
+	ConfirmFromStore func(ctx context.Context) error
 	// StoreUnreachable reports whether the store did not answer this VM's last request and a retry is
 	// in progress. If nil, the store counts as reachable.
 	StoreUnreachable func() bool
@@ -114,8 +117,12 @@
 	unverified map[string]bool
 	// finds are the pending find calls.
 	finds findGroup
-	vms   int
-	links map[*downlink]bool
+	// confirms is the pending confirmation of the list of servers.
+	confirms confirmGroup
+	// confirmFailed is set if the last confirmation failed, for the log.
+	confirmFailed bool
+	vms           int
+	links         map[*downlink]bool
 	// sent holds the revisions that have been sent on all links.
 	sent   sentRevisions
 	uplink *uplink
--- a/peers/permits.go
+++ b/peers/permits.go
@@ -67,6 +67,10 @@
 }
 
 func (p *Peers) answerPermit(ctx context.Context, d *downlink, call *wire.PermitCall) {
+	if call.ZzzServers {
+		p.answerConfirm(ctx, d, call)
+		return
+	}
 	if call.ZzPlace != nil || len(call.ZzEnded) > 0 {
 		p.answerPlace(ctx, d, call)
 		return
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -37,11 +37,14 @@
 
 	calls calls
 	idle  idleWait
+	// applied is the revision of the hub's list of servers whose changes this VM has applied.
+	applied appliedRevision
 }
 
 func (u *uplink) close() {
 	u.conn.Close()
 	u.calls.close()
+	u.applied.close()
 }
 
 // linkEnd is how a link to a hub ended.
--- a/peers/uplinkstate.go
+++ b/peers/uplinkstate.go
@@ -55,7 +55,7 @@
 	}
 	p.applyTightTeams(s.TightTeams)
 	p.applyRejects(s.ZRejectLimits, false)
-	p.applyServerStates(now, s)
+	p.applyServerStates(now, up, s)
 	p.applyPaces(now, s.ZzzzzServerPaces, s.Full)
 	if !s.HasLoads {
 		return
@@ -83,8 +83,8 @@
 }
 
 // applyServerStates applies the server states of a frame: all of them in a full state, else those that have
-// changed.
-func (p *Peers) applyServerStates(now time.Time, s *wire.FleetState) {
+// changed. Only a confirmation says how new they are: see confirmAtHub.
+func (p *Peers) applyServerStates(now time.Time, up *uplink, s *wire.FleetState) {
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
 		states = append(states, stateOf(state))
@@ -92,6 +92,7 @@
 	p.Servers.Merge(now, backs.Update{
 		States: states, Full: s.Full, Age: time.Duration(s.AgeMs) * time.Millisecond, SyncedFor: time.Duration(s.KnownMs) * time.Millisecond,
 	})
+	up.applied.set(s.ZzzzzzServerRevision)
 }
 
 // applyLoadState applies what a hub adds to a frame with the load, except its relays: see addLoadState.
--- a/wire/types.go
+++ b/wire/types.go
@@ -372,6 +372,10 @@
 	// full state. Each confirms that those sent before still apply. Its name sorts
 	// behind all others, so that builds without it skip it.
 	ZzzzzServerPaces []ServerPace `json:"zzzzz_server_paces,omitempty,omitzero"`
+
+	// Revision of the sender's list of servers of which the receiver has every change
+	// with this frame, 0 if the frame does not tell.
+	ZzzzzzServerRevision int `json:"zzzzzz_server_revision,omitempty,omitzero"`
 }
 
 // A software version of which a service has no server any more.
@@ -823,6 +827,10 @@
 
 	// ZzPlace corresponds to the JSON schema field "zz_place".
 	ZzPlace *PlaceCall `json:"zz_place,omitempty,omitzero"`
+
+	// Set if the call asks for the confirmation that the list of servers is complete,
+	// and for no permit.
+	ZzzServers bool `json:"zzz_servers,omitempty,omitzero"`
 }
 
 // Answers a permit_call.
@@ -836,6 +844,9 @@
 
 	// ZzPlace corresponds to the JSON schema field "zz_place".
 	ZzPlace *PlaceReply `json:"zz_place,omitempty,omitzero"`
+
+	// ZzzServers corresponds to the JSON schema field "zzz_servers".
+	ZzzServers *ServersReply `json:"zzz_servers,omitempty,omitzero"`
 }
 
 // Requests a place for one request at any server of a service with few slots.
@@ -1232,6 +1243,17 @@
 const ServerStatusStateLeaving ServerStatusState = "leaving"
 const ServerStatusStateSilent ServerStatusState = "silent"
 
+// Confirms that the sender's list of servers has every change that the store had
+// made when the call came. It may overtake the frames with these changes.
+type ServersReply struct {
+	// History corresponds to the JSON schema field "history".
+	History VersionHistory `json:"history"`
+
+	// Revision of the sender's list, as in the zzzzzz_server_revision of the frames
+	// on the link.
+	Revision int `json:"revision"`
+}
+
 // The contents of a segment.
 type ShardClaims struct {
 	// Claims, packed as in the shard head.
