backs, peers: A VM that was out of touch does not take the versions that it has seen for all there were

A stream whose version came and went while a VM was out of touch, or between a lease record and the start of a process, is taken up there and goes on at the version that is left (ORDER).

Cause: the history of versions began with the first list of a process and counted as complete from then on, also if the VM was out of touch for minutes and then got a full list, of the store or of a hub, which does not tell what came and went. The lease record told versions that had gone when it was written, but not those that had servers then: one whose last server left, or whose entry could no more be read, between the record and the first list of a process was unknown to it. A removal that a hub tells of a server that its VM never knew was dropped with its version.

A full list after a gap of more than 2.5 s, the time that entries outlive their servers by and that bounded the gap of a record already, begins the history anew. What is known of the time before is kept, and put before it once a record or a confirmation tells of the gap: a lease record comes with each renewal, and a confirmation brings the hub's history, so that a VM which is back in touch proves versions again at once. Records tell the versions that have servers too.

--- a/backs/history.go
+++ b/backs/history.go
@@ -11,8 +11,13 @@
 	// Age is how old the history is, CompleteFor for how long before that it lists every version.
 	Age, CompleteFor time.Duration
 	Gone             []GoneVersion
+	// Listed are the versions that had servers when the history was made.
+	Listed []ServiceVersion
 }
 
+// ServiceVersion is a software version of a service.
+type ServiceVersion struct{ Service, Version string }
+
 // GoneVersion is a software version of which a service has no server any more.
 type GoneVersion struct {
 	Service, Version string
@@ -20,30 +25,29 @@
 	Ago time.Duration
 }
 
-// maxHistoryGap is the longest time between a history and the view's own first list for which the history counts. A
-// server that was in use in between is still listed after it: entries last longer without a heartbeat.
+// maxHistoryGap is the longest time between two parts of a history, each with a full list of servers, for which they
+// count as one. A server that was in use in between is still listed after it: entries last longer without a heartbeat.
 const maxHistoryGap = 2500 * time.Millisecond
 
 // historyRetention is how long versions that have gone are kept. Streams may last that long.
 const historyRetention = 24 * time.Hour
 
-// serviceVersion is a software version of a service.
-type serviceVersion struct{ service, version string }
-
 // history is a part of View.
 type history struct {
-	// since is the time since which the view knows all versions that have existed.
-	since time.Time
+	// since is the time since which the view knows all versions that have existed. begunAt is when the full list was
+	// read since which the view has followed all changes.
+	since, begunAt time.Time
 	// gone is when the last server of a version was seen, for those without a record.
-	gone map[serviceVersion]time.Time
-	// pending is what other VMs told before the first list.
-	pendingAt, pendingSince time.Time
+	gone map[ServiceVersion]time.Time
+	// The versions that existed from toldSince to toldAt are known too: other VMs told them, or this view followed the
+	// changes then.
+	toldAt, toldSince time.Time
 }
 
 // addGone records that a version was last seen at a time.
-func (h *history) addGone(key serviceVersion, seen time.Time) {
+func (h *history) addGone(key ServiceVersion, seen time.Time) {
 	if h.gone == nil {
-		h.gone = make(map[serviceVersion]time.Time)
+		h.gone = make(map[ServiceVersion]time.Time)
 	}
 	if seen.After(h.gone[key]) {
 		h.gone[key] = seen
@@ -56,28 +60,52 @@
 	defer v.mu.Unlock()
 	at := now.Add(-h.Age)
 	for _, g := range h.Gone {
-		v.history.addGone(serviceVersion{g.Service, g.Version}, at.Add(-g.Ago))
+		v.history.addGone(ServiceVersion{g.Service, g.Version}, at.Add(-g.Ago))
 	}
-	since := at.Add(-h.CompleteFor)
-	if !v.synced {
-		v.history.pendingAt, v.history.pendingSince = at, since
+	for _, key := range h.Listed {
+		v.history.addGone(key, at)
+	}
+	v.history.addTold(at, at.Add(-h.CompleteFor))
+	v.history.extend()
+}
+
+// addTold adds a time in which all versions are known.
+func (h *history) addTold(at, since time.Time) {
+	switch {
+	case h.toldAt.IsZero() || since.After(h.toldAt) || at.Before(h.toldSince):
+		if at.After(h.toldAt) {
+			h.toldAt, h.toldSince = at, since
+		}
 		return
+	case at.After(h.toldAt):
+		h.toldAt = at
+	}
+	if since.Before(h.toldSince) {
+		h.toldSince = since
 	}
-	v.extendHistory(at, since)
 }
 
-// beginHistory begins the view's own history with its first list.
-func (v *View) beginHistory(now time.Time) {
-	v.history.since = now
-	if !v.history.pendingAt.IsZero() {
-		v.extendHistory(v.history.pendingAt, v.history.pendingSince)
+// extend extends the view's own history by what is known of the time before, if there is no gap.
+func (h *history) extend() {
+	if !h.begunAt.IsZero() && h.toldSince.Before(h.since) && !h.toldAt.Before(h.begunAt.Add(-maxHistoryGap)) {
+		h.since = h.toldSince
 	}
 }
 
-func (v *View) extendHistory(at, since time.Time) {
-	if since.Before(v.history.since) && !at.Before(v.syncedAt.Add(-maxHistoryGap)) {
-		v.history.since = since
+// recordList records that a full list was read. It begins the view's own history anew if the view may have missed
+// versions that came and went before the list.
+func (v *View) recordList(now time.Time) {
+	h := &v.history
+	if !h.begunAt.IsZero() {
+		if now.Sub(v.currentAt) <= maxHistoryGap {
+			return
+		}
+		if v.currentAt.After(h.since) {
+			h.addTold(v.currentAt, h.since)
+		}
 	}
+	h.since, h.begunAt = now, now
+	h.extend()
 }
 
 // VersionHistory returns what this view knows beyond the servers that are listed. A server that is kept although it is
@@ -89,23 +117,25 @@
 		return VersionHistory{}
 	}
 	h := VersionHistory{CompleteFor: min(now.Sub(v.history.since), historyRetention)}
-	kept := make(map[serviceVersion]bool)
+	kept := make(map[ServiceVersion]bool)
 	for _, r := range v.records {
 		if !r.missingSince.IsZero() {
-			kept[serviceVersion{r.entry.Service, r.entry.SoftwareVersion}] = true
+			kept[ServiceVersion{r.entry.Service, r.entry.SoftwareVersion}] = true
 		}
 	}
 	for key, at := range v.versionsSeen(now) {
 		if at.Before(now) || kept[key] {
-			h.Gone = append(h.Gone, GoneVersion{Service: key.service, Version: key.version, Ago: now.Sub(at)})
+			h.Gone = append(h.Gone, GoneVersion{Service: key.Service, Version: key.Version, Ago: now.Sub(at)})
+		} else {
+			h.Listed = append(h.Listed, key)
 		}
 	}
 	return h
 }
 
 // versionsSeen returns when each version was last seen, now for those that have a server. v.mu is held.
-func (v *View) versionsSeen(now time.Time) map[serviceVersion]time.Time {
-	seen := make(map[serviceVersion]time.Time)
+func (v *View) versionsSeen(now time.Time) map[ServiceVersion]time.Time {
+	seen := make(map[ServiceVersion]time.Time)
 	for key, at := range v.history.gone {
 		if now.Sub(at) > historyRetention {
 			delete(v.history.gone, key)
@@ -118,7 +148,7 @@
 		if !r.removedAt.IsZero() {
 			at = r.removedAt
 		}
-		key := serviceVersion{r.entry.Service, r.entry.SoftwareVersion}
+		key := ServiceVersion{r.entry.Service, r.entry.SoftwareVersion}
 		if at.After(seen[key]) {
 			seen[key] = at
 		}
@@ -154,8 +184,8 @@
 func (v *View) versionsWithin(now time.Time, service string, within time.Duration) []string {
 	var versions []string
 	for key, at := range v.versionsSeen(now) {
-		if key.service == service && now.Sub(at) <= within {
-			versions = append(versions, key.version)
+		if key.Service == service && now.Sub(at) <= within {
+			versions = append(versions, key.Version)
 		}
 	}
 	return versions
--- a/backs/update.go
+++ b/backs/update.go
@@ -110,7 +110,12 @@
 
 func (v *View) mergeState(now time.Time, s State) {
 	if s.Removed {
-		if r := v.records[s.ID]; r != nil && r.removedAt.IsZero() {
+		r := v.records[s.ID]
+		if r == nil && s.Service != "" {
+			// It came and went between two frames.
+			v.history.addGone(ServiceVersion{s.Service, s.SoftwareVersion}, now)
+		}
+		if r != nil && r.removedAt.IsZero() {
 			v.markRemoved(now, r)
 		}
 		return
--- a/backs/view.go
+++ b/backs/view.go
@@ -319,8 +319,8 @@
 func (v *View) markSynced(now time.Time) {
 	if !v.synced {
 		v.synced, v.syncedAt = true, now
-		v.beginHistory(now)
 	}
+	v.recordList(now)
 }
 
 // expire removes kept servers after their grace period and deletes old records.
@@ -337,7 +337,7 @@
 			v.notify()
 		}
 		if !r.removedAt.IsZero() && now.Sub(r.removedAt) > removedRetention {
-			v.history.addGone(serviceVersion{r.entry.Service, r.entry.SoftwareVersion}, r.removedAt)
+			v.history.addGone(ServiceVersion{r.entry.Service, r.entry.SoftwareVersion}, r.removedAt)
 			delete(v.records, id)
 			if v.instanceIDs[r.entry.PlatformName()] == id {
 				delete(v.instanceIDs, r.entry.PlatformName())
--- a/link/older_test.go
+++ b/link/older_test.go
@@ -85,7 +85,7 @@
 			extend: func(m *wire.Message) {
 				m.PermitReply.ZzzServers = &wire.ServersReply{Revision: 5, History: wire.VersionHistory{AsOfMs: 2, CompleteMs: 3, Gone: []wire.GoneVersion{}}}
 			},
-			newer: "94f6f6f6f6f6f6f6f6f6f6f6f68401078309f46173828302038005f6f6f6f6f660f6",
+			newer: "94f6f6f6f6f6f6f6f6f6f6f6f68401078309f461738284020380f605f6f6f6f6f660f6",
 		},
 		"fleet state without the revision of the servers": {
 			older:   "94f6f6f6f6f6f6f69507f5f4009160f660006060f60000f600f600f600000000f6f600f4f6f6f681617403f6f6818261616164f600f6f6f6f6f6f6f6f6f6f6f660f6",
--- a/peers/history.go
+++ b/peers/history.go
@@ -20,6 +20,9 @@
 	for _, g := range h.Gone {
 		record.Gone = append(record.Gone, wire.GoneVersion{Service: g.Service, Version: g.Version, AgoMs: int(g.Ago.Milliseconds())})
 	}
+	for _, l := range h.Listed {
+		record.ZListed = append(record.ZListed, wire.GoneVersion{Service: l.Service, Version: l.Version})
+	}
 	return record
 }
 
@@ -31,6 +34,9 @@
 	for _, g := range record.Gone {
 		h.Gone = append(h.Gone, backs.GoneVersion{Service: g.Service, Version: g.Version, Ago: time.Duration(g.AgoMs) * time.Millisecond})
 	}
+	for _, l := range record.ZListed {
+		h.Listed = append(h.Listed, backs.ServiceVersion{Service: l.Service, Version: l.Version})
+	}
 	return h
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -1433,4 +1433,7 @@
 
 	// Gone corresponds to the JSON schema field "gone".
 	Gone []GoneVersion `json:"gone"`
+
+	// Versions that have servers, with an ago_ms of 0.
+	ZListed []GoneVersion `json:"z_listed,omitempty,omitzero"`
 }
