soak: A VM is put out of step as servers of a new version join

What callers saw, by a report: a VM that was out of step for some seconds while servers of a new software version joined went on with streams of these servers at one of another version. No run of ours had a VM out of step.

`soak -outofstep` runs real processes. Only v1 serves for longer than streams last. Then one VM is put out of step, as the seed draws it: its process stands still or runs for 15 ms of each 100, its calls to the store are held, what it exchanges with the other VMs is held and then delivered, or cut, in one direction or both, or only its datagrams are lost. Half of the model servers come back as v2 under their names, one of v2 joins, 16 streams begin at v2 through another VM and are left after one event, and each is taken up six times at the first VM, beginning while it stands still. The others go on, stand still or are killed then, and servers may come back as v1. Checked are one software version in a stream, no event missing or twice, and that the VM takes streams up once it is back in step. The result counts how the requests ended, from the VM's log. -desync replaces what was drawn, -keep keeps the logs.

For the faults between VMs each has a proxy in front of each other one, for links and datagrams; what VMs read names these proxies in place of the VMs, by texts of one length. Three VMs at most, as more would choose different keepers for one attempt.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -16,9 +16,12 @@
 	"github.com/hibiscuscart/hibiscuscart/soak"
 )
 
+// keepLogs is set if the logs of a successful run are kept.
+var keepLogs bool
+
 func main() {
 	program := flag.String("program", "target/hibiscuscart", "`PATH` of the built program")
-	dir := flag.String("dir", "", "`FOLDER` for settings and logs, kept only for failed seeds (default a temporary folder)")
+	dir := flag.String("dir", "", "`FOLDER` for settings and logs, kept only for failed seeds unless -keep is set (default a temporary folder)")
 	firstSeed := flag.Uint64("from", uint64(time.Now().UnixNano()), "first `SEED`")
 	seedCount := flag.Int("seeds", 1, "number of seeds to run")
 	duration := flag.Duration("for", 6*time.Second, "duration of faults and load for each seed")
@@ -26,8 +29,13 @@
 	noCuts := flag.Bool("no-cuts", false, "do not cut single VMs off from the servers, for builds without the setting that this needs")
 	planned := flag.Bool("planned", false, "only run with planned work, not with fault injection")
 	repeats := flag.Bool("repeats", false, "only run with refusals that come twice beside silences")
+	outOfStep := flag.Bool("outofstep", false, "only run with a VM that is out of step as servers of a new software version join")
+	desync := flag.String("desync", "", "`JSON` object with what replaces the drawn disturbance of -outofstep")
+	vms := flag.Int("vms", 0, "`NUMBER` of VMs (default three)")
+	keep := flag.Bool("keep", false, "keep the logs of all seeds")
 	flag.Parse()
-	o := soak.Options{Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats}
+	o := soak.Options{Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats, OutOfStep: *outOfStep, Desync: *desync, VMs: *vms}
+	keepLogs = *keep
 	if err := run(o, *dir, *firstSeed, *seedCount, *concurrency); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
@@ -55,7 +63,7 @@
 			o.Seed = firstSeed + uint64(i)
 			o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
 			ok := runSeed(o)
-			if !o.Planned && !o.Repeats {
+			if !o.Planned && !o.Repeats && !o.OutOfStep {
 				o.Planned, o.Dir = true, o.Dir+"-planned"
 				ok = runSeed(o) && ok
 			}
@@ -93,7 +101,9 @@
 	if len(res.Violations) > 0 {
 		return false
 	}
-	// The logs of a successful run are not kept.
+	if keepLogs {
+		return true
+	}
 	if err := os.RemoveAll(o.Dir); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 	}
--- a/demo/backends.go
+++ b/demo/backends.go
@@ -18,12 +18,18 @@
 // AddBackend starts a backend server of a service. The index determines its ID, its failure domain
 // and, for a model server, the model that is loaded at the start.
 func (s *Site) AddBackend(service string, index int) (*stand.Backend, error) {
+	return s.AddBackendOf(service, index, "")
+}
+
+// AddBackendOf does the same with a software version, empty for the one that all have at first.
+func (s *Site) AddBackendOf(service string, index int, version string) (*stand.Backend, error) {
 	b := &stand.Backend{
 		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Domain: fmt.Sprintf("domain-%d", index%siteDefaultCount), Slots: 8, ProcessingTime: cmp.Or(s.options.WorkTime, siteWorkTime), Runs: s.Runs, Teams: s.Teams,
 	}
+	b.SetSoftwareVersion(version)
 	if service == SiteModelService {
-		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.StreamEvents = siteMemoryMB, 4, siteLoadTime, siteStreamEvents
-		b.ProcessingTime = cmp.Or(s.options.WorkTime/siteStreamEvents, siteWorkTime)
+		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.StreamEvents = siteMemoryMB, 4, siteLoadTime, SiteStreamEvents
+		b.ProcessingTime = cmp.Or(s.options.WorkTime/SiteStreamEvents, siteWorkTime)
 		b.ModelSizeMB = make(map[string]float64)
 		for _, m := range SiteModels {
 			b.ModelSizeMB[m] = siteModelMB
--- a/demo/settings.go
+++ b/demo/settings.go
@@ -115,3 +115,12 @@
 	}
 	return settings.Text("vm", "listen"), nil
 }
+
+// PeerAddress returns the address for other VMs in the settings file of a VM.
+func PeerAddress(text []byte) (string, error) {
+	settings, err := conf.ParseNode(text)
+	if err != nil {
+		return "", fmt.Errorf("parse settings of a VM: %w", err)
+	}
+	return settings.Text("vm", "peer_listen"), nil
+}
--- a/demo/site.go
+++ b/demo/site.go
@@ -113,9 +113,10 @@
 }
 
 const (
-	siteMemoryMB     = 30
-	siteModelMB      = 10
-	siteStreamEvents = 8
+	siteMemoryMB = 30
+	siteModelMB  = 10
+	// SiteStreamEvents is the number of events of a stream.
+	SiteStreamEvents = 8
 	siteWorkTime     = 2 * time.Millisecond
 	siteLoadTime     = 60 * time.Millisecond
 	// siteRestartDelay is the time between the crash of a backend server and its restart.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -25,6 +25,8 @@
 	Stall
 	// StallResponses forwards bytes to the target but no bytes from it.
 	StallResponses
+	// StallRequests forwards bytes from the target but none to it.
+	StallRequests
 )
 
 const (
@@ -47,6 +49,8 @@
 	// repeats is set while refusals are repeated, and repeated is how many were.
 	repeats  bool
 	repeated int
+	// aliases replaces texts in what the target sends.
+	aliases *aliases
 }
 
 // NewProxy starts a proxy on a free loopback port. The caller must call Close.
@@ -167,19 +171,25 @@
 func (p *Proxy) copy(to, from net.Conn, last *lastRefusal, response bool) {
 	defer to.Close()
 	defer from.Close()
-	buffer := make([]byte, copyBufferSize)
+	buffer, kept := make([]byte, copyBufferSize), 0
 	for {
-		n, err := from.Read(buffer)
+		n, err := from.Read(buffer[kept:])
+		n += kept
 		if !p.waitUntilForwarded(response) {
 			return
 		}
-		if n > 0 {
+		if kept = 0; response && err == nil {
+			kept = p.aliases.replace(buffer[:n])
+		}
+		rest := buffer[n-kept : n]
+		if n -= kept; n > 0 {
 			p.repeat(from, last, buffer[:n], response)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
 		if err == nil {
+			copy(buffer, rest)
 			continue
 		}
 		if errors.Is(err, syscall.ECONNRESET) {
@@ -196,7 +206,7 @@
 		p.mu.Lock()
 		mode, open := p.mode, len(p.conns) > 0
 		p.mu.Unlock()
-		blocked := mode == Stall || mode == StallResponses && response || mode == Delay && waited < addedDelay
+		blocked := mode == Stall || mode == StallResponses && response || mode == StallRequests && !response || mode == Delay && waited < addedDelay
 		if !blocked {
 			return true
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,11 @@
 	Planned bool
 	// Repeats leaves out all faults but refusals that come twice and silences, and their checks.
 	Repeats bool
+	// OutOfStep leaves out all faults but those that put a VM out of step with the others as servers of a new software
+	// version join, and their checks. Desync, if not empty, is a JSON object with the fields of the drawn Desync
+	// that are to be others.
+	OutOfStep bool
+	Desync    string
 	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
 	VMs, Callers int
 }
@@ -49,6 +54,9 @@
 	Served   int `json:"served"`
 	// Violations describes the violated guarantees.
 	Violations []string `json:"broken"`
+	// Desync is how a VM was put out of step, and TakeUps counts how the requests ended there that took streams up.
+	Desync  *Desync        `json:"desync,omitempty"`
+	TakeUps map[string]int `json:"take_ups,omitempty"`
 }
 
 const (
@@ -73,6 +81,10 @@
 	// crashingRequests is appended to by crashServers and read only after it has returned.
 	crashingRequests []*crashingRequest
 	disturbances     disturbances
+	// network is between the VMs, nil if they reach each other without it.
+	network *network
+	desync  *Desync
+	takeUps map[string]int
 
 	mu            sync.Mutex
 	serverProxies []*Proxy
@@ -104,6 +116,10 @@
 		r.checkRepeats(ctx)
 		return r.result(), nil
 	}
+	if o.OutOfStep {
+		r.checkOutOfStep(ctx)
+		return r.result(), nil
+	}
 	r.setSilences(silenceInterval)
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
@@ -140,7 +156,7 @@
 }
 
 func (r *run) result() Result {
-	res := Result{Seed: r.options.Seed, Faults: r.faults, Requests: len(r.outcomes), Violations: r.checks.Violations()}
+	res := Result{Seed: r.options.Seed, Faults: r.faults, Requests: len(r.outcomes), Violations: r.checks.Violations(), Desync: r.desync, TakeUps: r.takeUps}
 	for _, o := range r.outcomes {
 		if o.Succeeded() {
 			res.Served++
@@ -155,7 +171,11 @@
 	if r.measured() {
 		tokensPerEvent = plannedTokensPerEvent
 	}
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
+	options := demo.SiteOptions{}
+	if r.options.OutOfStep {
+		options.Backends, options.Routes = outOfStepServers, outOfStepRoutes()
+	}
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Backends: options.Backends, Routes: options.Routes, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
@@ -164,6 +184,16 @@
 			return err
 		}
 	}
+	if r.options.OutOfStep && len(r.vms) <= maxNetworkVMs {
+		if r.network, err = newNetwork(r.vms); err != nil {
+			return err
+		}
+	}
+	for _, v := range r.vms {
+		if err := v.start(r.options.Program); err != nil {
+			return err
+		}
+	}
 	return r.waitServing(ctx)
 }
 
@@ -217,6 +247,7 @@
 			_ = v.logFile.Close()
 		}
 	}
+	r.network.close()
 	if r.site != nil {
 		r.site.Close()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,24 @@
 	require.Empty(t, res.Violations)
 }
 
+// Guards against a stream that goes on at another software version, or with an event too many or too few, at a VM that is
+// out of step with the others as servers of a new version join.
+func TestSoakVMOutOfStep(t *testing.T) {
+	program := buildProgram(t)
+	for name, desync := range map[string]string{
+		"as drawn":           "",
+		"cut from the store": `{"StandsStill": false, "Slices": false, "StoreHeld": true, "Links": "links_sound", "Others": "others_go_on", "Rollback": false}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			res, err := soak.Run(context.Background(), soak.Options{Program: program, Dir: t.TempDir(), Seed: 7, OutOfStep: true, Desync: desync})
+			require.NoError(t, err)
+			require.Empty(t, res.Violations)
+			require.NotEmpty(t, res.TakeUps)
+		})
+	}
+}
+
 // Guards against a VM that does not serve without a word about its process in the error.
 func TestRunDescribesVMThatDoesNotServe(t *testing.T) {
 	tests := map[string]struct {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -15,7 +15,7 @@
 
 // vm is one VM process with the proxy between it and the store.
 type vm struct {
-	settingsPath, listenAddress string
+	settingsPath, listenAddress, peerAddress string
 	// source is the IP address from which the VM connects to the servers.
 	source     string
 	storeProxy *Proxy
@@ -43,6 +43,7 @@
 	v.reserved = false
 }
 
+// addVM adds a VM whose process has not been started.
 func (r *run) addVM(i int) error {
 	store, err := NewProxy(r.site.StoreAddress())
 	if err != nil {
@@ -64,10 +65,13 @@
 	if v.listenAddress, err = demo.ListenAddress(text); err != nil {
 		return err
 	}
+	if v.peerAddress, err = demo.PeerAddress(text); err != nil {
+		return err
+	}
 	if v.logFile, err = os.Create(filepath.Join(r.options.Dir, fmt.Sprintf("vm-%d.log", i))); err != nil {
 		return fmt.Errorf("create log: %w", err)
 	}
-	return v.start(r.options.Program)
+	return nil
 }
 
 // start starts the VM process.
