peers: A VM that the store does not answer finds the controller through other VMs

What callers saw: where a VM was cut off from the store alone, it refused the streams that callers took up there, though the VMs beside it knew which software version had begun them and had servers of it: 503 after 1.9 s, for as long as the store did not answer.

Cause: the VM is the controller, or its controller ends. Its lease expires, another VM acquires it and all others link to that one. Only the store says who it is, so that the VM stays by itself. Its questions to the keepers are answered with the key of the new term, which it does not know, and so the answers are not read ("the VMs that may know which software version began the stream did not answer"). Where it was told the version before, its list has no server of it and there is nobody to ask for one ("no link to a controller").

Now a VM that has no hub and got no answer when it read the lease record asks two other VMs for the record, twice a second at most. It asks over a link that carries nothing else, at a path of its own, with the key of the term that it knows; VMs accept that key and the one after it, as for datagrams. It takes a record only if it is newer than its own, as from a hub, and links to the controller that it names: key, keepers, list of servers and loads come from there. VMs are remembered for ten minutes after they were last named, 128 at most, for these questions alone. VMs of older builds have no such path and do not ask.

--- a/link/conn.go
+++ b/link/conn.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -109,6 +110,8 @@
 type Dialer struct {
 	Hello func() wire.Hello
 	Key   string
+	// Path is the path of the link at the other VM; empty selects Path.
+	Path string
 	// TLS, when set, is used instead of plain TCP.
 	TLS *tls.Config
 	// MaxFrameBytes bounds a frame in bytes; 0 selects one megabyte.
@@ -130,7 +133,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, TLSClientConfig: d.TLS}}
 	// A VM that refuses the link keeps the connection open for a next request, which never comes.
 	defer client.CloseIdleConnections()
-	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{
+	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address+cmp.Or(d.Path, Path), &websocket.DialOptions{
 		HTTPClient: client,
 		HTTPHeader: http.Header{"Authorization": {"Bearer " + d.Key}},
 	})
--- a/peers/keepers.go
+++ b/peers/keepers.go
@@ -22,6 +22,8 @@
 	// keeperLinger is how long a VM that is no longer named is still asked and told. A new controller names
 	// few VMs until all have linked to it, which takes them a second or two.
 	keeperLinger = 5 * time.Second
+	// keeperMemory is how long one is known as a VM that may be asked for the lease record.
+	keeperMemory = 10 * time.Minute
 	// keeperUpdateInterval is how long a list is used before it is made anew: it is used for each stream.
 	keeperUpdateInterval = 100 * time.Millisecond
 )
@@ -55,21 +57,37 @@
 	}
 	k.current, k.currentAt = list, now
 	for keeper, at := range k.lostAt {
-		if now.Sub(at) >= keeperLinger || slices.Contains(list, keeper) {
+		if now.Sub(at) >= keeperMemory || slices.Contains(list, keeper) {
 			delete(k.lostAt, keeper)
 		}
 	}
+	k.boundLost()
 	keepers := make([]origin.Keeper, 0, len(list)+len(k.lostAt))
 	for _, keeper := range list {
 		keepers = append(keepers, origin.Keeper{Address: keeper.Address, Domain: keeper.Domain})
 	}
-	for keeper := range k.lostAt {
-		keepers = append(keepers, origin.Keeper{Address: keeper.Address, Domain: keeper.Domain})
+	for keeper, at := range k.lostAt {
+		if now.Sub(at) < keeperLinger {
+			keepers = append(keepers, origin.Keeper{Address: keeper.Address, Domain: keeper.Domain})
+		}
 	}
 	k.keepers = keepers
 	return keepers
 }
 
+// boundLost forgets the keepers that were lost first, of more than maxKeepers.
+func (k *keeperList) boundLost() {
+	for len(k.lostAt) > maxKeepers {
+		var first wire.OriginKeeper
+		for keeper, at := range k.lostAt {
+			if lostAt, ok := k.lostAt[first]; !ok || at.Before(lostAt) {
+				first = keeper
+			}
+		}
+		delete(k.lostAt, first)
+	}
+}
+
 // OriginKeepers returns the VMs that keep origins. This VM may be one of them.
 func (p *Peers) OriginKeepers(now time.Time) []origin.Keeper {
 	p.mu.Lock()
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -86,6 +86,8 @@
 	releasing bool
 	// staleReads counts the stale reads made.
 	staleReads int
+	// readFailed is set while the last call for the record had no answer.
+	readFailed bool
 	// handover is what this VM knows of the orders of other holders.
 	handover handover
 }
@@ -165,7 +167,9 @@
 func (l *Lease) Step(ctx context.Context) {
 	l.initialize()
 	if !l.holding() {
-		if err := l.read(ctx); err != nil {
+		err := l.read(ctx)
+		l.setReadFailed(err != nil)
+		if err != nil {
 			l.Log.Info().Err(err).Msg("reading the controller lease failed")
 			return
 		}
@@ -205,6 +209,19 @@
 	return freeFor < l.AcquireDelay
 }
 
+func (l *Lease) setReadFailed(failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readFailed = failed
+}
+
+// unreadable reports whether the record could not be read when this VM last tried.
+func (l *Lease) unreadable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readFailed
+}
+
 func (l *Lease) initialize() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -150,6 +150,8 @@
 	paces paceExchange
 	// keepers are the VMs that keep origins.
 	keepers keeperList
+	// holderAskedAt is when this VM last asked others for the lease record.
+	holderAskedAt time.Time
 	// hubProxies are the proxies that the hub named last.
 	hubProxies []string
 	// relaysOutdated is set when a relay of the list was lost. dividedSince is since when this relay has
@@ -210,6 +212,7 @@
 		if now := p.Now(); leaseDue && now.Sub(steppedAt) >= p.minLeaseReadInterval(p.Lease.Expired(now)) {
 			steppedAt = now
 			p.Lease.Step(ctx)
+			p.askForHolder(ctx)
 		}
 		// While a link lasts, the hub sends the lease record. After the link is lost, the store
 		// is read at once only if that record has expired.
@@ -270,6 +273,7 @@
 		a := &link.Acceptor{Hello: p.hello, Keys: link.Keys{Peer: key}, CountBytes: p.countBytes, Serve: p.serveLink}
 		a.ServeHTTP(w, r)
 	})
+	mux.HandleFunc(holderPath, p.serveHolder)
 	return mux
 }
 
--- a/peers/term.go
+++ b/peers/term.go
@@ -26,6 +26,7 @@
 		pause.For(ctx, leaseCheckInterval)
 		p.releaseWithoutPath(ctx, renewed)
 		p.stepLease(ctx, renewed)
+		p.askForHolder(ctx)
 	}
 	p.closeLinks()
 	p.Log.Info().Msg("controller term ended")
