origin: A VM gets answers though it does not know the key of the present term

What callers saw: a VM that had stood still, while its calls to the store had no answer, refused for the next second the streams that were taken up there: "the VMs that may know which software version began the stream did not answer". They had answered.

Cause: a VM asks with the key that it knows. The keepers take the key of the term before, but sealed the answer with that of the present term, which a VM that has not heard of the new controller can't open.

An answer is now sealed with the key of its question. Who can ask with a key could tell with it before, so nothing more is open to anybody.

Evidence: TestKeysOfDatagrams has a case for a VM that knows only the key of the term before; it failed (1 of 4 cases) with the answer sealed as before.

--- a/origin/datagram.go
+++ b/origin/datagram.go
@@ -27,25 +27,26 @@
 	return append(proof(key, data), data...), nil
 }
 
-// open returns the frame of a datagram that was sealed with one of the keys. Datagrams of anybody else are not
-// read: a forged origin would send a stream to the wrong version.
-func open(keys []string, datagram []byte) (*wire.OriginDatagram, error) {
+// open returns the frame of a datagram that was sealed with one of the keys, and that key. Datagrams of anybody else are
+// not read: a forged origin would send a stream to the wrong version.
+func open(keys []string, datagram []byte) (frame *wire.OriginDatagram, key string, err error) {
 	if len(datagram) < macBytes {
-		return nil, trace.BadParameter("datagram is too short")
+		return nil, "", trace.BadParameter("datagram is too short")
 	}
 	mac, data := datagram[:macBytes], datagram[macBytes:]
-	valid := false
-	for _, key := range keys {
-		valid = valid || key != "" && hmac.Equal(mac, proof(key, data))
+	for _, k := range keys {
+		if k != "" && hmac.Equal(mac, proof(k, data)) {
+			key = k
+		}
 	}
-	if !valid {
-		return nil, trace.AccessDenied("datagram is not sealed with the fleet's key")
+	if key == "" {
+		return nil, "", trace.AccessDenied("datagram is not sealed with the fleet's key")
 	}
-	frame := new(wire.OriginDatagram)
+	frame = new(wire.OriginDatagram)
 	if err := link.Unmarshal(data, frame); err != nil {
-		return nil, fmt.Errorf("read datagram: %w", err)
+		return nil, "", fmt.Errorf("read datagram: %w", err)
 	}
-	return frame, nil
+	return frame, key, nil
 }
 
 func proof(key string, data []byte) []byte {
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -120,7 +120,7 @@
 			time.Sleep(socketErrorPause)
 			continue
 		}
-		frame, err := open(x.AcceptedKeys(), buffer[:n])
+		frame, key, err := open(x.AcceptedKeys(), buffer[:n])
 		if err != nil {
 			x.Meter.AddCounter("origin.rejected", 1)
 			x.Log.Debug().Str("from", from.String()).Err(err).Msg("datagram rejected")
@@ -128,17 +128,19 @@
 		}
 		x.Meter.AddCounter("origin.received", 1)
 		x.Meter.AddCounter("origin.bytes_received", int64(n))
-		x.handle(from, frame)
+		x.handle(from, frame, key)
 	}
 }
 
-func (x *Exchange) handle(from net.Addr, frame *wire.OriginDatagram) {
+// handle handles a datagram that was sealed with a key.
+func (x *Exchange) handle(from net.Addr, frame *wire.OriginDatagram, key string) {
 	switch frame.Kind {
 	case wire.OriginDatagramKindTell:
 		x.store.Put(x.Now(), frame.Attempt, Record{Service: frame.Service, Version: frame.Version})
 	case wire.OriginDatagramKindAsk:
 		r, known := x.store.Get(x.Now(), frame.Attempt)
-		x.send(from, &wire.OriginDatagram{
+		// A VM that is cut off from the store may not know the key of the present term.
+		x.send(from, key, &wire.OriginDatagram{
 			Kind: wire.OriginDatagramKindAnswer, Attempt: frame.Attempt, Call: frame.Call,
 			Known: known, Service: r.Service, Version: r.Version,
 		})
@@ -269,13 +271,13 @@
 		x.Log.Error().Str("address", address).Err(err).Msg("address of a keeper is invalid")
 		return
 	}
-	x.send(to, frame)
+	x.send(to, x.Key(), frame)
 }
 
-// send sends a datagram. One that is lost has no consequence: there are other keepers, and questions are asked
+// send sends a datagram, sealed with a key. One that is lost has no consequence: there are other keepers, and questions are asked
 // again.
-func (x *Exchange) send(to net.Addr, frame *wire.OriginDatagram) {
-	datagram, err := seal(x.Key(), frame)
+func (x *Exchange) send(to net.Addr, key string, frame *wire.OriginDatagram) {
+	datagram, err := seal(key, frame)
 	if err != nil {
 		x.Log.Error().Err(err).Msg("datagram not sent")
 		return
--- a/origin/exchange_test.go
+++ b/origin/exchange_test.go
@@ -98,22 +98,25 @@
 }
 
 // Guards against a datagram of somebody without the fleet's key that sends streams to the wrong version, and against
-// VMs that do not understand each other while a new controller's key spreads.
+// VMs that do not understand each other while a new controller's key spreads, or does not reach a VM that is cut off from
+// the store.
 func TestKeysOfDatagrams(t *testing.T) {
 	tests := map[string]struct {
-		key, accepted string
-		want          Verdict
+		key      string
+		accepted []string
+		want     Verdict
 	}{
-		"forged":              {"wrong", "wrong", Unanswered},
-		"previous key":        {"previous", "previous", Known},
-		"no key is known yet": {"", "", Unanswered},
+		"forged":              {"wrong", []string{"wrong", testKey}, Unanswered},
+		"previous key":        {"previous", []string{"previous", testKey}, Known},
+		"previous key alone":  {"previous", []string{"previous"}, Known},
+		"no key is known yet": {"", []string{"", testKey}, Unanswered},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			vms := startVMs(t, 2, func(i int, v *testVM) {
 				if v.accepted = []string{testKey, "previous"}; i == 0 {
-					v.key, v.accepted = tc.key, []string{tc.accepted, testKey}
+					v.key, v.accepted = tc.key, tc.accepted
 				}
 			})
 			vms[1].store.Put(clock.Now(), "a1", Record{"s", "v1"})
@@ -128,10 +131,10 @@
 	vms := startVMs(t, 2)
 	call, answers := vms[0].addQuestion("a2", 1)
 	late := &wire.OriginDatagram{Kind: wire.OriginDatagramKindAnswer, Attempt: "a1", Call: call, Known: true, Service: "s", Version: "v1"}
-	vms[0].handle(&net.UDPAddr{}, late)
+	vms[0].handle(&net.UDPAddr{}, late, testKey)
 	require.Empty(t, answers)
 	late.Attempt = "a2"
-	vms[0].handle(&net.UDPAddr{}, late)
+	vms[0].handle(&net.UDPAddr{}, late, testKey)
 	require.Len(t, answers, 1)
 }
 
@@ -142,7 +145,7 @@
 	f.Add(sealed[macBytes:])
 	f.Add([]byte{0x86})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		frame, err := open([]string{testKey}, append(proof(testKey, data), data...))
+		frame, _, err := open([]string{testKey}, append(proof(testKey, data), data...))
 		require.True(t, (frame == nil) == (err != nil))
 	})
 }
