pass, peers: A VM that is alone refuses at once what it has no server for

What callers saw: a VM that was cut off from the store and whose links were down held a request for which its list had no server for half of the request's time, 2.0 s of 4, and refused it then. Nobody could load a model for it, and no server could join its list.

A VM counts as alone once it has had neither an answer for the lease record, nor a hub, nor linked VMs for a second. The questions to other VMs have ended then. A request for which it finds no server is then refused as soon as that is known, without the time that a load would take, as other VMs may have one. pass.refused_alone counts them. A VM that has lost only its controller, or whose store does not answer while others are linked to it, waits as before.

Evidence: TestRefusalByVMThatIsAlone fails in its first case without the change.

--- a/node/node.go
+++ b/node/node.go
@@ -217,6 +217,7 @@
 		VMCount:           n.peers.VMs,
 		RecordDemand:      n.peers.RecordDemand,
 		FindServer:        n.peers.Find,
+		Alone:             n.peers.Alone,
 		OnReject:          n.peers.SignalReject,
 		ReportSuspect:     n.peers.RequestVerification,
 		RequestPermit:     n.peers.Permit,
--- a/pass/choose.go
+++ b/pass/choose.go
@@ -17,6 +17,7 @@
 	errNoServer         = errors.New("no server of the service is available")
 	errDeadlineExceeded = errors.New("request deadline exceeded")
 	errAllTried         = errors.New("all servers of the service failed or refused the request")
+	errAlone            = errors.New("this VM is cut off from the store and the other VMs")
 	errIsolated         = errors.New("this VM is cut off from the servers")
 	errStopping         = errors.New("this VM is shutting down and has no server for the request")
 	errQueuesFull       = errors.New("the queues of the servers are too long")
@@ -187,6 +188,10 @@
 	case g.stopping():
 		c.retryAfter = 0
 		return errStopping
+	case errors.Is(err, errAlone):
+		// Other VMs may have a server, whatever a load would take here.
+		g.Meter.AddCounter("pass.refused_alone", 1)
+		c.retryAfter = 0
 	case errors.Is(err, errResting):
 		// Other VMs can send requests to the server, so the caller need not wait for the end of the rest.
 		g.Meter.AddCounter("pass.refused_resting", 1)
@@ -306,6 +311,9 @@
 		// If no controller is reachable, another VM takes over the role within seconds, or a
 		// server's entry lists the model.
 		c.reason = fmt.Sprintf("find a server for %s: %v", c.work.Model, err)
+		if g.Alone != nil && g.Alone() {
+			return fmt.Errorf("find a server for %s: %w", c.work.Model, errAlone)
+		}
 		pause.For(ctx, findRetryInterval)
 		if ctx.Err() != nil {
 			return fmt.Errorf("find a server for %s: %w", c.work.Model, err)
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -69,6 +69,9 @@
 	// FindServer requests a server for a request from the controller, waits until the server
 	// has them, and returns its ID.
 	FindServer func(ctx context.Context, need backs.Need) (string, error)
+	// Alone reports whether this VM is cut off from the store and from the other VMs, so that nobody loads a model for
+	// it. Optional; if nil, it never is.
+	Alone func() bool
 	// ProxyVMs returns the addresses of VMs through which requests may be sent while this VM has no path to
 	// the servers, and ProxyKey the key that they want. AcceptsProxyKey reports whether a key allows another
 	// VM to send requests through this one, at most MaxProxied at a time. Optional; if nil, no other VM is
--- a/pass/gateway_test.go
+++ b/pass/gateway_test.go
@@ -156,6 +156,37 @@
 	require.ElementsMatch(t, []string{"a", "b"}, suspects)
 }
 
+// Guards against a request that waits at a VM that is cut off from the store and from the other VMs, where nobody loads its
+// model: its caller can use another VM at once. A VM that has only lost its controller waits for the next one.
+func TestRefusalByVMThatIsAlone(t *testing.T) {
+	for name, tc := range map[string]struct {
+		alone  bool
+		status int
+	}{
+		"alone":                 {true, http.StatusServiceUnavailable},
+		"controller is missing": {false, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := testGateway()
+			address := startBackend(t, http.StatusOK)
+			finds := 0
+			g.Alone = func() bool { return tc.alone }
+			g.FindServer = func(context.Context, backs.Need) (string, error) {
+				if finds++; finds == 1 {
+					return "", errors.New("no controller")
+				}
+				g.Servers.Put(clock.Now(), server("a", "d", address))
+				return "a", nil
+			}
+			w := sendRequest(g)
+			require.Equal(t, tc.status, w.Code, w.Body.String())
+			if tc.alone {
+				require.Equal(t, 1, finds)
+			}
+		})
+	}
+}
+
 // Both servers with a model are in one other failure domain and have crashed, along with a fifth of
 // all servers. Guards against taking two failed connections for a partition: the request was
 // refused at once while the controller was loading the model. As a third domain is reachable, this
--- a/peers/holder.go
+++ b/peers/holder.go
@@ -26,6 +26,9 @@
 	// holderAskInterval is the least time between two questions, and askedVMs how many VMs each goes to.
 	holderAskInterval = 500 * time.Millisecond
 	askedVMs          = 2
+	// aloneAfter is how long a VM has been by itself before requests no longer wait for a server that it does not know.
+	// Others tell who is the controller within some tenths of a second.
+	aloneAfter = time.Second
 )
 
 var errNoLease = errors.New("the answer has no lease")
@@ -34,7 +37,7 @@
 func (p *Peers) askForHolder(ctx context.Context) {
 	now := p.Now()
 	key := p.Lease.currentKey()
-	if key == "" || p.Lease.Held(now) || !p.Lease.unreadable() {
+	if _, unreadable := p.Lease.unreadableFor(now); key == "" || p.Lease.Held(now) || !unreadable {
 		return
 	}
 	interval := time.Duration(p.PollIntervalFactor() * float64(holderAskInterval))
@@ -70,6 +73,17 @@
 	wait.Wait()
 }
 
+// Alone reports whether this VM has had neither an answer of the store nor a hub or other linked VMs for a while. Nobody
+// loads models for it then, and no server joins its list.
+func (p *Peers) Alone() bool {
+	now := p.Now()
+	p.mu.Lock()
+	linked := p.uplink != nil || len(p.links) > 0
+	p.mu.Unlock()
+	since, unreadable := p.Lease.unreadableFor(now)
+	return !linked && !p.Lease.Held(now) && unreadable && since >= aloneAfter
+}
+
 // otherVMs returns the addresses of the VMs that this VM knows or has known until a while ago. p.mu must be held.
 func (p *Peers) otherVMs() []string {
 	var others []string
--- a/peers/holder_test.go
+++ b/peers/holder_test.go
@@ -78,6 +78,39 @@
 	return vms[slices.IndexFunc(vms, func(v *testVM) bool { return !v.Leading() })]
 }
 
+// Guards against requests that wait at a VM that has nobody to ask, and against refusals while the VM has the store, a hub
+// or VMs linked to it, or only for a moment none of these.
+func TestAlone(t *testing.T) {
+	for name, tc := range map[string]struct {
+		unreadFor    time.Duration
+		linked, link bool
+		read, alone  bool
+	}{
+		"nobody answers":       {unreadFor: aloneAfter, alone: true},
+		"only for a moment":    {unreadFor: aloneAfter - 1},
+		"store has answered":   {unreadFor: aloneAfter, read: true},
+		"has a hub":            {unreadFor: aloneAfter, linked: true},
+		"is the hub of others": {unreadFor: aloneAfter, link: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newUnlinkedVM(&now)
+			p.Lease.recordUnread(errStorePartitioned)
+			now = now.Add(tc.unreadFor)
+			if tc.read {
+				p.Lease.learn(1, wire.ControllerLease{})
+			}
+			if tc.linked {
+				p.uplink = &uplink{}
+			}
+			if tc.link {
+				p.links = map[*downlink]bool{{}: true}
+			}
+			require.Equal(t, tc.alone, p.Alone())
+		})
+	}
+}
+
 // Guards against a key of the fleet that anybody gets who asks for the lease record.
 func TestHolderIsToldToVMsOnly(t *testing.T) {
 	vms := startFleetWith(t, 2, func(_ int, v *testVM) { v.KeepsOrigins = true })
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -86,8 +87,8 @@
 	releasing bool
 	// staleReads counts the stale reads made.
 	staleReads int
-	// readFailed is set while the last call for the record had no answer.
-	readFailed bool
+	// unreadableSince is when the record could not be read first, zero once it was read or received.
+	unreadableSince time.Time
 	// handover is what this VM knows of the orders of other holders.
 	handover handover
 }
@@ -167,9 +168,8 @@
 func (l *Lease) Step(ctx context.Context) {
 	l.initialize()
 	if !l.holding() {
-		err := l.read(ctx)
-		l.setReadFailed(err != nil)
-		if err != nil {
+		if err := l.read(ctx); err != nil {
+			l.recordUnread(err)
 			l.Log.Info().Err(err).Msg("reading the controller lease failed")
 			return
 		}
@@ -209,17 +209,21 @@
 	return freeFor < l.AcquireDelay
 }
 
-func (l *Lease) setReadFailed(failed bool) {
+// recordUnread records that the record could not be read.
+func (l *Lease) recordUnread(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.readFailed = failed
+	if l.unreadableSince.IsZero() && !errors.Is(err, errStaleNotFound) {
+		l.unreadableSince = l.Now()
+	}
 }
 
-// unreadable reports whether the record could not be read when this VM last tried.
-func (l *Lease) unreadable() bool {
+// unreadableFor returns how long the record has been neither read nor received though this VM tried to read it, and
+// whether that is so.
+func (l *Lease) unreadableFor(now time.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.readFailed
+	return now.Sub(l.unreadableSince), !l.unreadableSince.IsZero()
 }
 
 func (l *Lease) initialize() {
--- a/peers/leaseread.go
+++ b/peers/leaseread.go
@@ -93,6 +93,7 @@
 
 // learn applies what a record says besides who may acquire the lease. l.mu must be held.
 func (l *Lease) learn(version int, record wire.ControllerLease) {
+	l.unreadableSince = time.Time{}
 	if version != 0 && record.Renewals != l.record.Renewals {
 		l.expiredSince = time.Time{}
 	}
