soak: More ways out of step, and a network between VMs without holes

The VM out of step is the controller or another one, as drawn. Besides the ways there were: its process is killed and started again, it has no path to the servers, all VMs run for 15 ms of each 100, the others are killed and started again, servers of a third version join after the streams began, callers take up at two VMs at once, connections between VMs are stalled and datagrams pass. The count of the requests waits for the log and has those that were rejected before they had a route.

The network had two holes, each found by a VM that served where it could not: VMs that link to a hub tell it their own addresses, in frames with a mask, so that a hub reached them past the network; and what a hub passed on were its own names for them. Both are now translated, from the names of each sender to those of each receiver.

--- a/soak/network.go
+++ b/soak/network.go
@@ -24,11 +24,12 @@
 	linksCut     linkFault = "links_cut"
 	linksCutIn   linkFault = "links_cut_in"
 	linksCutOut  linkFault = "links_cut_out"
-	// datagramsLost loses the datagrams of both directions, and leaves the links.
-	datagramsLost linkFault = "datagrams_lost"
+	// datagramsLost loses the datagrams of both directions, and leaves the links. connectionsHeld holds these alone.
+	datagramsLost   linkFault = "datagrams_lost"
+	connectionsHeld linkFault = "connections_held"
 )
 
-var linkFaults = []linkFault{linksSound, linksSound, linksHeld, linksHeldIn, linksHeldOut, linksCut, linksCutIn, linksCutOut, datagramsLost}
+var linkFaults = []linkFault{linksSound, linksSound, linksHeld, linksHeldIn, linksHeldOut, linksCut, linksCutIn, linksCutOut, datagramsLost, connectionsHeld}
 
 // in and out report which directions a fault affects, as seen from the VM; cut whether datagrams are lost.
 func (f linkFault) in() bool  { return f != linksSound && f != linksHeldOut && f != linksCutOut }
@@ -52,7 +53,6 @@
 func newNetwork(vms []*vm) (*network, error) {
 	n := &network{ways: make(map[[2]int]*peerWay)}
 	for i := range vms {
-		names := &aliases{}
 		for k, to := range vms {
 			if k == i {
 				continue
@@ -61,17 +61,35 @@
 			if err != nil {
 				return nil, err
 			}
-			p.aliases = names
-			n.ways[[2]int{i, k}] = &peerWay{Proxy: p}
-			if n.ways[[2]int{i, k}].datagrams, err = newDatagramProxy(p.Address(), to.peerAddress); err != nil {
+			way := &peerWay{Proxy: p}
+			n.ways[[2]int{i, k}] = way
+			if way.datagrams, err = newDatagramProxy(p.Address(), to.peerAddress); err != nil {
 				return nil, err
 			}
 			if len(p.Address()) != len(to.peerAddress) {
 				return nil, fmt.Errorf("address %s in place of %s is of another length", p.Address(), to.peerAddress)
 			}
-			names.pairs = append(names.pairs, [2][]byte{[]byte(to.peerAddress), []byte(p.Address())})
 		}
-		vms[i].storeProxy.aliases = names
+	}
+	// view returns the address by which a VM knows one.
+	view := func(vm, of int) string {
+		if vm == of {
+			return vms[of].peerAddress
+		}
+		return n.ways[[2]int{vm, of}].Address()
+	}
+	for i, v := range vms {
+		v.storeProxy.aliases = &aliases{}
+		for k := range vms {
+			v.storeProxy.aliases.add(vms[k].peerAddress, view(i, k))
+		}
+	}
+	for ends, way := range n.ways {
+		way.aliases, way.frameAliases = &aliases{}, &aliases{}
+		for k := range vms {
+			way.aliases.add(view(ends[1], k), view(ends[0], k))
+			way.frameAliases.add(view(ends[0], k), view(ends[1], k))
+		}
 	}
 	return n, nil
 }
@@ -90,7 +108,8 @@
 			requests, responses = responses, requests
 		}
 		requests, responses = requests && begin, responses && begin
-		w.datagrams.set(requests, responses, f.cut())
+		datagrams := f != connectionsHeld
+		w.datagrams.set(requests && datagrams, responses && datagrams, f.cut())
 		switch {
 		case f == datagramsLost:
 		case requests && responses:
@@ -123,11 +142,13 @@
 // minAliasStart is how much of a text at the end of the bytes that were read makes it likely that the rest follows.
 const minAliasStart = 6
 
+// add has a text replaced by another one.
+func (a *aliases) add(from, to string) {
+	a.pairs = append(a.pairs, [2][]byte{[]byte(from), []byte(to)})
+}
+
 // replace replaces the texts in data, and returns how many bytes at the end may be the beginning of one.
 func (a *aliases) replace(data []byte) (kept int) {
-	if a == nil {
-		return 0
-	}
 	for _, pair := range a.pairs {
 		for at := 0; ; {
 			next := bytes.Index(data[at:], pair[0])
@@ -145,6 +166,99 @@
 	return kept
 }
 
+// rewriter returns a function that returns what is to be forwarded of the bytes read last. It keeps what it needs more of,
+// unless they are the last ones.
+func (p *Proxy) rewriter(response bool) func(data []byte, last bool) []byte {
+	var pending []byte
+	frames := frameRewriter{aliases: p.frameAliases}
+	switch {
+	case !response && p.frameAliases != nil:
+		return func(data []byte, _ bool) []byte { return frames.next(data) }
+	case response && p.aliases != nil:
+		return func(data []byte, last bool) []byte {
+			data = append(pending, data...)
+			kept := p.aliases.replace(data)
+			if last {
+				kept = 0
+			}
+			pending = bytes.Clone(data[len(data)-kept:])
+			return data[:len(data)-kept]
+		}
+	}
+	return func(data []byte, _ bool) []byte { return data }
+}
+
+// frameRewriter replaces texts in the masked frames that the client of a WebSocket sends.
+type frameRewriter struct {
+	aliases *aliases
+	pending []byte
+	// plain is set for a connection without frames, frames once they begin.
+	plain, frames bool
+}
+
+// next returns what is to be forwarded once data has come.
+func (f *frameRewriter) next(data []byte) (forward []byte) {
+	f.pending = append(f.pending, data...)
+	if !f.plain && !f.frames {
+		head, rest, whole := bytes.Cut(f.pending, []byte("\r\n\r\n"))
+		if !whole {
+			return nil
+		}
+		f.frames = bytes.Contains(bytes.ToLower(head), []byte("upgrade: websocket"))
+		f.plain = !f.frames
+		forward = f.pending[:len(f.pending)-len(rest)]
+		f.pending = bytes.Clone(rest)
+	}
+	if f.plain {
+		forward, f.pending = append(forward, f.pending...), nil
+		return forward
+	}
+	for {
+		mask, end, whole := frameAt(f.pending)
+		if !whole {
+			return forward
+		}
+		payload := f.pending[mask+4 : end]
+		key := f.pending[mask : mask+4]
+		applyMask(payload, key)
+		f.aliases.replace(payload)
+		applyMask(payload, key)
+		forward, f.pending = append(forward, f.pending[:end]...), bytes.Clone(f.pending[end:])
+	}
+}
+
+// frameAt returns where the mask of the masked frame at the beginning of data is, where the frame ends, and whether data
+// has all of it.
+func frameAt(data []byte) (mask, end int, whole bool) {
+	if len(data) < 2 {
+		return 0, 0, false
+	}
+	mask, length := 2, int(data[1]&0x7f)
+	switch length {
+	case 126:
+		mask = 4
+	case 127:
+		mask = 10
+	}
+	if len(data) < mask {
+		return 0, 0, false
+	}
+	if mask > 2 {
+		length = 0
+		for _, b := range data[2:mask] {
+			length = length<<8 | int(b)
+		}
+	}
+	end = mask + 4 + length
+	return mask, end, len(data) >= end
+}
+
+func applyMask(payload, key []byte) {
+	for i := range payload {
+		payload[i] ^= key[i%4]
+	}
+}
+
 // datagramProxy forwards datagrams between one client and a target.
 type datagramProxy struct {
 	front, back net.PacketConn
--- a/soak/outofstep.go
+++ b/soak/outofstep.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -38,13 +40,19 @@
 	beginTimeout = 10 * time.Second
 	// entryWait is longer than a released server takes until it is back.
 	entryWait = 300 * time.Millisecond
+	// logWait is how long a VM takes to log the requests that have ended.
+	logWait = 500 * time.Millisecond
+	// thirdVersion joins after the streams began.
+	thirdVersion = "v3"
 )
 
 // Desync is how one VM is put out of step with the others, and what these do once its process goes on.
 type Desync struct {
-	VM int
-	// StandsStill stops its process, Slices stops it for most of each tenth of a second.
-	StandsStill, Slices bool
+	// VM is the index of the VM. If Leads is set, it is the VM that is the controller then, else another one.
+	VM    int
+	Leads bool
+	// StandsStill stops its process, Slices stops it for most of each tenth of a second, AllSlices all processes.
+	StandsStill, Slices, AllSlices bool
 	// StoreHeld holds its calls to the store back, until the streams have been taken up.
 	StoreHeld bool
 	// Links is what happens to what it exchanges with the other VMs.
@@ -53,8 +61,14 @@
 	Others otherVMs
 	// Lead is how long before the release the disturbance begins.
 	Lead time.Duration
-	// Rollback has servers of the first version come back after the streams began.
-	Rollback bool
+	// Rollback has servers of the first version come back after the streams began, Third those of a third version.
+	Rollback, Third bool
+	// Restarts kills its process and starts it again instead of letting it go on.
+	Restarts bool
+	// WithoutPath cuts it off from the servers, so that it sends requests through other VMs.
+	WithoutPath bool
+	// Twice has callers take their streams up at another VM at the same time.
+	Twice bool
 }
 
 type otherVMs string
@@ -63,17 +77,21 @@
 	othersGoOn       otherVMs = "others_go_on"
 	othersStandStill otherVMs = "others_stand_still"
 	othersAreKilled  otherVMs = "others_are_killed"
+	othersRestart    otherVMs = "others_restart"
 )
 
 // drawDesync draws a disturbance that puts a VM out of step.
 func drawDesync(rng *rand.Rand, vms int) Desync {
 	d := Desync{
-		VM: rng.IntN(vms), StandsStill: rng.IntN(2) == 0, StoreHeld: rng.IntN(2) == 0,
+		VM: rng.IntN(vms), Leads: rng.IntN(2) == 0, StandsStill: rng.IntN(2) == 0, StoreHeld: rng.IntN(2) == 0,
 		Links:  linkFaults[rng.IntN(len(linkFaults))],
-		Others: []otherVMs{othersGoOn, othersGoOn, othersStandStill, othersAreKilled}[rng.IntN(4)],
+		Others: []otherVMs{othersGoOn, othersGoOn, othersStandStill, othersAreKilled, othersRestart}[rng.IntN(5)],
 		Lead:   time.Duration(rng.Int64N(int64(maxReleaseLead))),
 	}
-	d.Slices, d.Rollback = !d.StandsStill && rng.IntN(3) == 0, rng.IntN(4) == 0
+	d.Slices = !d.StandsStill && rng.IntN(3) == 0
+	d.AllSlices = d.Slices && d.Others == othersGoOn && rng.IntN(2) == 0
+	d.Rollback, d.Third = rng.IntN(4) == 0, rng.IntN(4) == 0
+	d.Restarts, d.WithoutPath, d.Twice = rng.IntN(6) == 0, rng.IntN(6) == 0, rng.IntN(3) == 0
 	d.StoreHeld = d.StoreHeld || !d.StandsStill && !d.Slices && d.Links == linksSound
 	return d
 }
@@ -100,27 +118,39 @@
 	r.desync = &d
 	r.startAnew(ctx)
 	pause.For(ctx, streamLife+time.Second)
-	out, slices := r.vms[d.VM], make(chan struct{})
+	r.chooseByRole(&d)
+	out, sliced := r.vms[d.VM], make(chan struct{})
 	r.setOutOfStep(d, true)
-	if d.Slices {
-		go r.runInSlices(out, slices)
+	for _, v := range r.vms {
+		if d.AllSlices || d.Slices && v == out {
+			go r.runInSlices(v, sliced)
+		}
 	}
 	pause.For(ctx, d.Lead)
 	r.releaseHalf(ctx, softwareVersions[1])
-	streams := r.beginAt(ctx, softwareVersions[1], r.vms[(d.VM+1+rng.IntN(len(r.vms)-1))%len(r.vms)])
+	beside := r.vms[(d.VM+1+rng.IntN(len(r.vms)-1))%len(r.vms)]
+	streams := r.beginAt(ctx, softwareVersions[1], beside)
 	if d.Rollback {
-		r.countFault("rollback")
 		r.releaseHalf(ctx, softwareVersions[0])
 	}
+	if d.Third {
+		r.releaseHalf(ctx, thirdVersion)
+	}
 	var wait sync.WaitGroup
 	for try := range outOfStepTries {
 		if try == 1 {
 			pause.For(ctx, 10*takeUpInterval)
-			r.setOthers(d)
+			r.setOthers(ctx, d)
+			if d.Restarts {
+				r.restart(out, syscall.SIGKILL)(ctx, 0)
+			}
 			out.signal(syscall.SIGCONT)
 		}
 		for i, s := range streams {
 			wait.Go(func() { r.takeUpOnce(ctx, *s, out, fmt.Sprintf("out-%d-%d-%d", r.options.Seed, i, try)) })
+			if d.Twice {
+				wait.Go(func() { r.takeUpOnce(ctx, *s, beside, fmt.Sprintf("twice-%d-%d-%d", r.options.Seed, i, try)) })
+			}
 		}
 		pause.For(ctx, takeUpInterval)
 	}
@@ -129,12 +159,32 @@
 	}
 	r.endStandstills(d)
 	wait.Wait()
-	close(slices)
+	close(sliced)
 	r.setOutOfStep(d, false)
+	pause.For(ctx, logWait)
 	r.countTakeUps(out)
 	r.checkBackInStep(ctx, d, streams)
 }
 
+// chooseByRole makes the VM the controller, or another one if it must not be.
+func (r *run) chooseByRole(d *Desync) {
+	o, err := r.site.Objects.Client().Get(context.Background(), "leases", "controller")
+	var record struct{ Address string }
+	if err == nil {
+		err = json.Unmarshal(o.Value, &record)
+	}
+	leader := slices.IndexFunc(r.vms, func(v *vm) bool { return v.peerAddress == record.Address })
+	if err != nil || leader < 0 {
+		r.checks.AddViolation("no VM is the controller: %+v, %v", record, err)
+		return
+	}
+	if d.Leads {
+		d.VM = leader
+	} else if d.VM == leader {
+		d.VM = (leader + 1) % len(r.vms)
+	}
+}
+
 // startAnew starts all model servers anew, as the entries of the stand-in's first instances do not say when they started:
 // no VM could tell such an instance from the next one at its address.
 func (r *run) startAnew(ctx context.Context) {
@@ -160,13 +210,21 @@
 		out.storeProxy.SetMode(mode)
 	}
 	r.network.set(d.VM, d.Links, begin)
+	for _, p := range r.serverProxies {
+		switch {
+		case d.WithoutPath && begin:
+			p.Cut(out.source, false)
+		case d.WithoutPath:
+			p.Heal(out.source)
+		}
+	}
 	if !begin {
 		return
 	}
 	if d.StandsStill {
 		out.signal(syscall.SIGSTOP)
 	}
-	for name, set := range map[string]bool{"store_held": d.StoreHeld, "stands_still": d.StandsStill, "slices": d.Slices, string(d.Links): true, string(d.Others): true} {
+	for name, set := range map[string]bool{"store_held": d.StoreHeld, "stands_still": d.StandsStill, "slices": d.Slices, "all_slices": d.AllSlices, "rollback": d.Rollback, "third": d.Third, "restarts": d.Restarts, "without_path": d.WithoutPath, "twice": d.Twice, string(d.Links): true, string(d.Others): true} {
 		if set {
 			r.countFault(name)
 		}
@@ -188,13 +246,15 @@
 	}
 }
 
-// setOthers stops or kills the VMs beside that which is out of step.
-func (r *run) setOthers(d Desync) {
+// setOthers stops, kills or restarts the VMs beside that which is out of step.
+func (r *run) setOthers(ctx context.Context, d Desync) {
 	for i, v := range r.vms {
 		switch {
 		case i == d.VM || d.Others == othersGoOn:
 		case d.Others == othersStandStill:
 			v.signal(syscall.SIGSTOP)
+		case d.Others == othersRestart:
+			r.restart(v, syscall.SIGKILL)(ctx, 0)
 		default:
 			v.signal(syscall.SIGKILL)
 		}
@@ -225,6 +285,12 @@
 		r.checks.AddViolation("add server: %v", err)
 		return
 	}
+	if r.desync.WithoutPath {
+		r.mu.Lock()
+		p := r.proxyByServerID[added.ID]
+		r.mu.Unlock()
+		p.Cut(r.vms[r.desync.VM].source, false)
+	}
 	for _, b := range append(servers[:len(servers)/2:len(servers)/2], added) {
 		b.AddModels(demo.SiteModels[0])
 		b.OnChange()
@@ -259,7 +325,7 @@
 
 // checkBackInStep checks that a VM takes streams up once the disturbance has ended, unless all that knew them ended.
 func (r *run) checkBackInStep(ctx context.Context, d Desync, streams []*streamCaller) {
-	if d.Others == othersAreKilled {
+	if d.Others == othersAreKilled || d.Others == othersRestart {
 		return
 	}
 	deadline := time.Now().Add(recoveryTimeout)
@@ -284,7 +350,7 @@
 // requestLine is what a VM logs of a request.
 type requestLine struct {
 	Message  string   `json:"message"`
-	Resumes  string   `json:"resumes"`
+	Request  string   `json:"request"`
 	Status   int      `json:"status"`
 	Reason   string   `json:"reason"`
 	BoundBy  string   `json:"bound_by"`
@@ -302,7 +368,7 @@
 	r.takeUps = make(map[string]int)
 	for lines := bufio.NewScanner(bytes.NewReader(data)); lines.Scan(); {
 		var l requestLine
-		if json.Unmarshal(lines.Bytes(), &l) != nil || l.Message != "request" || l.Resumes == "" {
+		if json.Unmarshal(lines.Bytes(), &l) != nil || l.Message != "request" && l.Message != "request rejected" || !strings.HasPrefix(l.Request, "out-") {
 			continue
 		}
 		r.takeUps[fmt.Sprintf("%d bound by %s to %s, sent to %v: %s", l.Status, cmp.Or(l.BoundBy, "nothing"), l.Bound, l.Versions, l.Reason)]++
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -49,8 +49,8 @@
 	// repeats is set while refusals are repeated, and repeated is how many were.
 	repeats  bool
 	repeated int
-	// aliases replaces texts in what the target sends.
-	aliases *aliases
+	// aliases replaces texts in what the target sends, frameAliases in the frames of WebSockets that clients send.
+	aliases, frameAliases *aliases
 }
 
 // NewProxy starts a proxy on a free loopback port. The caller must call Close.
@@ -171,25 +171,19 @@
 func (p *Proxy) copy(to, from net.Conn, last *lastRefusal, response bool) {
 	defer to.Close()
 	defer from.Close()
-	buffer, kept := make([]byte, copyBufferSize), 0
+	buffer, rewrite := make([]byte, copyBufferSize), p.rewriter(response)
 	for {
-		n, err := from.Read(buffer[kept:])
-		n += kept
+		n, err := from.Read(buffer)
 		if !p.waitUntilForwarded(response) {
 			return
 		}
-		if kept = 0; response && err == nil {
-			kept = p.aliases.replace(buffer[:n])
-		}
-		rest := buffer[n-kept : n]
-		if n -= kept; n > 0 {
-			p.repeat(from, last, buffer[:n], response)
-			if _, err := to.Write(buffer[:n]); err != nil {
+		if data := rewrite(buffer[:n], err != nil); len(data) > 0 {
+			p.repeat(from, last, data, response)
+			if _, err := to.Write(data); err != nil {
 				return
 			}
 		}
 		if err == nil {
-			copy(buffer, rest)
 			continue
 		}
 		if errors.Is(err, syscall.ECONNRESET) {
