--- a/peers/lease.go
+++ b/peers/lease.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -86,6 +87,8 @@
 	releasing bool
 	// staleReads counts the stale reads made.
 	staleReads int
+	// unreadableSince is when the record could not be read first, zero once it was read or received.
+	unreadableSince time.Time
 	// handover is what this VM knows of the orders of other holders.
 	handover handover
 }
@@ -166,6 +169,7 @@
 	l.initialize()
 	if !l.holding() {
 		if err := l.read(ctx); err != nil {
+			l.recordUnread(err)
 			l.Log.Info().Err(err).Msg("reading the controller lease failed")
 			return
 		}
@@ -205,6 +209,23 @@
 	return freeFor < l.AcquireDelay
 }
 
+// recordUnread records that the record could not be read.
+func (l *Lease) recordUnread(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unreadableSince.IsZero() && !errors.Is(err, errStaleNotFound) {
+		l.unreadableSince = l.Now()
+	}
+}
+
+// unreadableFor returns how long the record has been neither read nor received though this VM tried to read it, and
+// whether that is so.
+func (l *Lease) unreadableFor(now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.unreadableSince), !l.unreadableSince.IsZero()
+}
+
 func (l *Lease) initialize() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
