peers: A simulated write ends when its connection closes

TestSimulatedFleet hung once: link.Conn.Close waited for a mutex, and simulated time does not pass while a mutex is waited for.

Cause: the write of a simulated connection slept for as long as its bytes occupy the interfaces, and went on sleeping when the connection was closed. The first end of a WebSocket (CloseNow, or the timeout of the write) closes the connection and then, with a mutex held, waits for the write; a second one waits for that mutex. A mutex that is waited for is no wait that lets simulated time pass, so that the sleep never ended. A write on a socket ends with ErrClosed when the socket is closed, so that the links of VMs are not concerned: the fault was in the test's network.

Now the wait of a simulated write ends with its connection.

--- a/peers/simnet_test.go
+++ b/peers/simnet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -11,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hibiscuscart/hibiscuscart/link"
+	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
 // simNetwork connects the VMs of a simulated fleet in memory. Each VM has a network interface with a
@@ -168,7 +172,7 @@
 const simQueuedWrites = 16
 
 // simConn is one end of a connection. A write takes the time for which the bytes occupy both interfaces,
-// and arrives after the latency.
+// and arrives after the latency. It ends when its connection is closed, as that of a socket does.
 type simConn struct {
 	net.Conn
 	network       *simNetwork
@@ -206,7 +210,13 @@
 	if received.After(sent) {
 		sent = received
 	}
-	time.Sleep(sent.Sub(now))
+	done := time.NewTimer(sent.Sub(now))
+	defer done.Stop()
+	select {
+	case <-done.C:
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
 	if c.network.separated(c.local, c.remote) {
 		return len(data), nil
 	}
@@ -249,3 +259,47 @@
 		})
 	}
 }
+
+// A connection closes while a write on it takes its time. Guards against a write that goes on as no real one does.
+func TestSimWriteEndsWithItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond, writeTime, closesAfter = 1000, time.Minute, time.Second
+		end, other := net.Pipe()
+		c := newSimConn(&simNetwork{}, end, &simInterface{bytesPerSecond: bytesPerSecond}, &simInterface{bytesPerSecond: bytesPerSecond}, simFleetLatency)
+		began := time.Now()
+		time.AfterFunc(closesAfter, func() { _ = c.Close() })
+		_, err := c.Write(make([]byte, bytesPerSecond*int(writeTime.Seconds())))
+		require.ErrorIs(t, err, net.ErrClosed)
+		require.Equal(t, closesAfter, time.Since(began))
+		require.NoError(t, other.Close())
+	})
+}
+
+// The write of a frame takes longer than its timeout, and the link is closed. Guards against simulated time that stops, as
+// the link waits for a mutex that the end of the write would free.
+func TestSimLinkClosesDuringWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const frameBytes, bytesPerSecond, closesAfter = 1000, 100, 3 * time.Second
+		network, nic := &simNetwork{}, &simInterface{bytesPerSecond: simWeakBytes}
+		hello := func() wire.Hello { return wire.Hello{Protocol: link.Protocol} }
+		ctx, stop := context.WithCancel(t.Context())
+		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: &link.Acceptor{
+			Hello: hello, Keys: link.Keys{Peer: idleTestKey}, Serve: func(_ context.Context, c *link.Conn) { _, _ = c.Receive(ctx) },
+		}}
+		listener := network.listen("hub", nic)
+		go func() { _ = server.Serve(listener) }()
+		d := &link.Dialer{Hello: hello, Key: idleTestKey, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return network.dial(ctx, nic, "hub")
+		}}
+		conn, err := d.Dial(ctx, "hub")
+		require.NoError(t, err)
+		nic.mu.Lock()
+		nic.bytesPerSecond = bytesPerSecond
+		nic.mu.Unlock()
+		time.AfterFunc(closesAfter, conn.Close)
+		require.Error(t, conn.SendEncoded(ctx, make([]byte, frameBytes)))
+		stop()
+		require.NoError(t, server.Close())
+		synctest.Wait()
+	})
+}
