soak: A mode reads streams to their end beside all that may break them

What callers saw: in the record of a deployment of 66 VMs and 93 backend servers, streams out of order; no run of ours looked at each event's number and content, at the end and at the software version together, at that size.

soak -streams starts as many VMs and servers as -vms and -servers say, gives VMs a share of each tenth of a second (SIGSTOP, SIGCONT), and reads streams beside releases under the servers' names, crashes, servers that come and go, streams that break inside an event or end by their close, silences and resets, VMs that are killed, stopped, stand still or lose the store, callers that read slowly, leave, take their streams up elsewhere, and twice at once. It counts how streams ended and each way to be out of order.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,8 +26,13 @@
 	noCuts := flag.Bool("no-cuts", false, "do not cut single VMs off from the servers, for builds without the setting that this needs")
 	planned := flag.Bool("planned", false, "only run with planned work, not with fault injection")
 	repeats := flag.Bool("repeats", false, "only run with refusals that come twice beside silences")
+	streams := flag.Bool("streams", false, "only read streams to their end beside all that may break them, and check their order")
+	share := flag.Float64("share", 0, "with -streams, `PART` of each tenth of a second in which VMs run (default all)")
+	vms := flag.Int("vms", 0, "number of VMs (default 3)")
+	servers := flag.Int("servers", 0, "number of servers of each service (default 3)")
+	callers := flag.Int("callers", 0, "number of callers (default 12)")
 	flag.Parse()
-	o := soak.Options{Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats}
+	o := soak.Options{Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats, Streams: *streams, Share: *share, VMs: *vms, Servers: *servers, Callers: *callers}
 	if err := run(o, *dir, *firstSeed, *seedCount, *concurrency); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
@@ -55,7 +60,7 @@
 			o.Seed = firstSeed + uint64(i)
 			o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
 			ok := runSeed(o)
-			if !o.Planned && !o.Repeats {
+			if !o.Planned && !o.Repeats && !o.Streams {
 				o.Planned, o.Dir = true, o.Dir+"-planned"
 				ok = runSeed(o) && ok
 			}
--- a/demo/backends.go
+++ b/demo/backends.go
@@ -22,8 +22,8 @@
 		ID: fmt.Sprintf("%s-%d", service, index), Service: service, Domain: fmt.Sprintf("domain-%d", index%siteDefaultCount), Slots: 8, ProcessingTime: cmp.Or(s.options.WorkTime, siteWorkTime), Runs: s.Runs, Teams: s.Teams,
 	}
 	if service == SiteModelService {
-		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.StreamEvents = siteMemoryMB, 4, siteLoadTime, siteStreamEvents
-		b.ProcessingTime = cmp.Or(s.options.WorkTime/siteStreamEvents, siteWorkTime)
+		b.MemoryMB, b.AdapterSlots, b.LoadTime, b.StreamEvents = siteMemoryMB, 4, siteLoadTime, SiteStreamEvents
+		b.ProcessingTime = cmp.Or(s.options.WorkTime/SiteStreamEvents, siteWorkTime)
 		b.ModelSizeMB = make(map[string]float64)
 		for _, m := range SiteModels {
 			b.ModelSizeMB[m] = siteModelMB
--- a/demo/check.go
+++ b/demo/check.go
@@ -143,11 +143,11 @@
 // software version.
 func isCompleteStream(id, body string) bool {
 	versions := EventVersions(body)
-	if len(versions) != siteStreamEvents {
+	if len(versions) != SiteStreamEvents {
 		return false
 	}
 	var s strings.Builder
-	for n := 1; n <= siteStreamEvents; n++ {
+	for n := 1; n <= SiteStreamEvents; n++ {
 		s.WriteString(platform.StreamEvent(id, n, versions[0]))
 	}
 	return body == s.String()
--- a/demo/site.go
+++ b/demo/site.go
@@ -113,11 +113,10 @@
 }
 
 const (
-	siteMemoryMB     = 30
-	siteModelMB      = 10
-	siteStreamEvents = 8
-	siteWorkTime     = 2 * time.Millisecond
-	siteLoadTime     = 60 * time.Millisecond
+	siteMemoryMB = 30
+	siteModelMB  = 10
+	siteWorkTime = 2 * time.Millisecond
+	siteLoadTime = 60 * time.Millisecond
 	// siteRestartDelay is the time between the crash of a backend server and its restart.
 	siteRestartDelay = 100 * time.Millisecond
 	// siteDefaultCount is the default number of VMs, the default number of backend servers of each
@@ -125,6 +124,9 @@
 	siteDefaultCount = 3
 )
 
+// SiteStreamEvents is the number of events of a stream of a Site.
+const SiteStreamEvents = 8
+
 // SiteModels lists the models that the model servers of a Site can load.
 var SiteModels = []string{"m1", "m2", "m3", "m4"}
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,8 +34,13 @@
 	Planned bool
 	// Repeats leaves out all faults but refusals that come twice and silences, and their checks.
 	Repeats bool
-	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
-	VMs, Callers int
+	// Streams only reads streams to their end beside all that may break them, and checks their order.
+	Streams bool
+	// Share is the share of each window of a tenth of a second in which VMs run, with Streams; 0 means all of it.
+	Share float64
+	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve. Servers is the number of
+	// servers of each service; 0 means three.
+	VMs, Callers, Servers int
 }
 
 // Result is the result of a run.
@@ -104,6 +109,10 @@
 		r.checkRepeats(ctx)
 		return r.result(), nil
 	}
+	if o.Streams {
+		r.checkStreams(ctx)
+		return r.result(), nil
+	}
 	r.setSilences(silenceInterval)
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
@@ -155,10 +164,17 @@
 	if r.measured() {
 		tokensPerEvent = plannedTokensPerEvent
 	}
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
+	workTime := time.Duration(0)
+	if r.options.Streams {
+		workTime = streamTime
+	}
+	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Backends: r.options.Servers, WorkTime: workTime, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
+	if r.options.Streams {
+		r.startModelServers()
+	}
 	for i := range r.options.VMs {
 		if err := r.addVM(i); err != nil {
 			return err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,27 @@
 	require.Empty(t, res.Violations)
 }
 
+// Guards against streams in which an event is missing, comes twice or is of another run or software version, and against
+// ends that look complete too early, beside releases, crashes and VMs that have a part of a core.
+func TestSoakStreams(t *testing.T) {
+	program := buildProgram(t)
+	for name, o := range map[string]soak.Options{
+		"whole cores":     {Seed: 7},
+		"a third of each": {Seed: 8, VMs: 6, Servers: 8, Callers: 24, Share: 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o.Program, o.Dir, o.Duration, o.Streams = program, t.TempDir(), testDuration, true
+			res, err := soak.Run(context.Background(), o)
+			require.NoError(t, err)
+			require.Empty(t, res.Violations)
+			for _, count := range []string{"stream whole", "stream taken up", "release", "server_crash", "kill"} {
+				require.NotZero(t, res.Faults[count], count)
+			}
+		})
+	}
+}
+
 // Guards against a VM that does not serve without a word about its process in the error.
 func TestRunDescribesVMThatDoesNotServe(t *testing.T) {
 	tests := map[string]struct {
