--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,10 +31,17 @@
 	repeats := flag.Bool("repeats", false, "only run with refusals that come twice beside silences")
 	outOfStep := flag.Bool("outofstep", false, "only run with a VM that is out of step as servers of a new software version join")
 	desync := flag.String("desync", "", "`JSON` object with what replaces the drawn disturbance of -outofstep")
-	vms := flag.Int("vms", 0, "`NUMBER` of VMs (default three)")
+	streams := flag.Bool("streams", false, "only read streams to their end beside all that may break them, and check their order")
+	share := flag.Float64("share", 0, "with -streams, `PART` of each tenth of a second in which VMs run (default all)")
+	vms := flag.Int("vms", 0, "`NUMBER` of VMs (default 3)")
+	servers := flag.Int("servers", 0, "`NUMBER` of servers of each service (default 3)")
+	callers := flag.Int("callers", 0, "`NUMBER` of callers (default 12)")
 	keep := flag.Bool("keep", false, "keep the logs of all seeds")
 	flag.Parse()
-	o := soak.Options{Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats, OutOfStep: *outOfStep, Desync: *desync, VMs: *vms}
+	o := soak.Options{
+		Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats, OutOfStep: *outOfStep, Desync: *desync,
+		Streams: *streams, Share: *share, VMs: *vms, Servers: *servers, Callers: *callers,
+	}
 	keepLogs = *keep
 	if err := run(o, *dir, *firstSeed, *seedCount, *concurrency); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -63,7 +70,7 @@
 			o.Seed = firstSeed + uint64(i)
 			o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
 			ok := runSeed(o)
-			if !o.Planned && !o.Repeats && !o.OutOfStep {
+			if !o.Planned && !o.Repeats && !o.OutOfStep && !o.Streams {
 				o.Planned, o.Dir = true, o.Dir+"-planned"
 				ok = runSeed(o) && ok
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,8 +39,13 @@
 	// that are to be others.
 	OutOfStep bool
 	Desync    string
-	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve.
-	VMs, Callers int
+	// Streams only reads streams to their end beside all that may break them, and checks their order.
+	Streams bool
+	// Share is the share of each window of a tenth of a second in which VMs run, with Streams; 0 means all of it.
+	Share float64
+	// VMs is the number of VMs; 0 means three. Callers is the number of callers; 0 means twelve. Servers is the number of
+	// servers of each service; 0 means three, with OutOfStep outOfStepServers.
+	VMs, Callers, Servers int
 }
 
 // Result is the result of a run.
@@ -120,6 +125,10 @@
 		r.checkOutOfStep(ctx)
 		return r.result(), nil
 	}
+	if o.Streams {
+		r.checkStreams(ctx)
+		return r.result(), nil
+	}
 	r.setSilences(silenceInterval)
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
@@ -171,14 +180,23 @@
 	if r.measured() {
 		tokensPerEvent = plannedTokensPerEvent
 	}
-	options := demo.SiteOptions{}
+	options := demo.SiteOptions{
+		NoVMs: true, Backends: r.options.Servers, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress,
+		CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop(),
+	}
 	if r.options.OutOfStep {
 		options.Backends, options.Routes = outOfStepServers, outOfStepRoutes()
 	}
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Backends: options.Backends, Routes: options.Routes, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
+	if r.options.Streams {
+		options.WorkTime = streamTime
+	}
+	r.site, err = demo.StartSite(ctx, options)
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
+	if r.options.Streams {
+		r.startModelServers()
+	}
 	for i := range r.options.VMs {
 		if err := r.addVM(i); err != nil {
 			return err
