demo: A wait of a test ends too if its process is busy itself

A wait that ends by the time in which its process ran would be longer where the process starves its own goroutines, in a loop of the product's for example: there 20 ms count later than they pass. It ends as well once the process has used as much processor time as all cores have in the bound, which on a machine of its own is the bound as it was. TestRunTimeOfRunningProcess, TestControllerKilled and TestGracefulStop pass.

--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/demo"
@@ -34,21 +36,35 @@
 	runStep = 20 * time.Millisecond
 )
 
-// withRunTime returns a context that ends once this process has run for a time. A process that stands still, as a busy
-// machine does not run it, does nothing that a test could wait for.
+// withRunTime returns a context that ends once this process has run for a time, or has used as much processor time as all
+// cores have in that time. A process that stands still, as a busy machine does not run it, does nothing that a test could
+// wait for; one that is busy itself for too long fails.
 func withRunTime(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	used := processorTime() + d*time.Duration(runtime.NumCPU())
 	go func() {
 		for range d / runStep {
 			if !pause.For(ctx, runStep) {
 				return
 			}
+			if processorTime() > used {
+				break
+			}
 		}
 		cancel(context.DeadlineExceeded)
 	}()
 	return ctx, func() { cancel(nil) }
 }
 
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // requireEventually requires that a condition holds before this process has run for testTimeout.
 func requireEventually(t *testing.T, condition func() bool, interval time.Duration, message ...any) {
 	t.Helper()
