peers: Confirmations of the servers are further apart in large fleets

Each VM and relay asked its hub for at most 50 confirmations a second, whatever the size of the fleet: 22 VMs of a relay could ask it 1,100 times a second while streams are taken up whose attempts no keeper knows. The least interval is now 20 ms and half a millisecond for each VM, at most 100 ms: 53 ms with 66 VMs. A VM that has not asked for that long asks at once, as before. Calls at a hub have a span like its others.

A test counts the questions of one VM under 1,000 requests a second.

--- a/peers/confirms.go
+++ b/peers/confirms.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart/link"
 	"github.com/hibiscuscart/hibiscuscart/pause"
+	"github.com/hibiscuscart/hibiscuscart/spans"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -19,12 +20,19 @@
 const (
 	// confirmTimeout bounds a confirmation, with those of the hubs above.
 	confirmTimeout = time.Second
-	// minConfirmInterval is the least time between the begins of two confirmations of a VM, and minFailedConfirmInterval
-	// that after one that failed. They bound the calls to the store.
-	minConfirmInterval       = 20 * time.Millisecond
-	minFailedConfirmInterval = 100 * time.Millisecond
+	// The time between the begins of two confirmations of a VM is at least minConfirmInterval and confirmIntervalPerVM for
+	// each VM, but no more than maxConfirmInterval, which it is after one that failed. It bounds the calls to the store and
+	// to the hubs: all VMs may ask at the same time, and each of their hubs may have to wait that long.
+	minConfirmInterval   = 20 * time.Millisecond
+	confirmIntervalPerVM = 500 * time.Microsecond
+	maxConfirmInterval   = 100 * time.Millisecond
 )
 
+// confirmInterval returns the least time between the begins of two confirmations, for a number of VMs.
+func confirmInterval(vms int) time.Duration {
+	return min(minConfirmInterval+time.Duration(vms)*confirmIntervalPerVM, maxConfirmInterval)
+}
+
 var (
 	errNotConfirmed = errors.New("the list of servers was not confirmed")
 	errNoStore      = errors.New("this VM does not follow the store")
@@ -41,7 +49,7 @@
 		p.logConfirm(err)
 		return err
 	}
-	if err := p.confirms.run(ctx, p.Now, by, confirm); err != nil {
+	if err := p.confirms.run(ctx, p.Now, confirmInterval(p.VMs()), by, confirm); err != nil {
 		return err
 	}
 	if !p.Servers.CurrentAt().After(by) {
@@ -138,8 +146,11 @@
 func (p *Peers) answerConfirm(ctx context.Context, d *downlink, call *wire.PermitCall) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	ctx, span := spans.Start(ctx, "confirm")
+	err := p.ConfirmServers(ctx, p.Now())
+	spans.End(span, err)
 	reply := &wire.PermitReply{Call: call.Call, WaitUs: -1}
-	if err := p.ConfirmServers(ctx, p.Now()); err == nil {
+	if err == nil {
 		now := p.Now()
 		history := historyRecord(now, p.Servers.VersionHistory(now))
 		reply.ZzzServers = &wire.ServersReply{History: *history, Revision: p.Servers.Revision()}
@@ -171,9 +182,9 @@
 
 // run waits for a confirmation that is asked for after a time, and begins one with confirm if there is none. One that
 // was asked for earlier is awaited first.
-func (g *confirmGroup) run(ctx context.Context, now func() time.Time, after time.Time, confirm func(context.Context) error) error {
+func (g *confirmGroup) run(ctx context.Context, now func() time.Time, interval time.Duration, after time.Time, confirm func(context.Context) error) error {
 	for {
-		pending, later := g.join(ctx, now, after, confirm)
+		pending, later := g.join(ctx, now, interval, after, confirm)
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("wait for a confirmation: %w", ctx.Err())
@@ -186,7 +197,7 @@
 }
 
 // join returns the pending confirmation, or begins one, and reports whether it is asked for after a time.
-func (g *confirmGroup) join(ctx context.Context, now func() time.Time, after time.Time, confirm func(context.Context) error) (pending *pendingConfirm, later bool) {
+func (g *confirmGroup) join(ctx context.Context, now func() time.Time, interval time.Duration, after time.Time, confirm func(context.Context) error) (pending *pendingConfirm, later bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if pending := g.pending; pending != nil {
@@ -198,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	go func() {
 		defer cancel()
-		g.begin(ctx, now, pending)
+		g.begin(ctx, now, interval, pending)
 		pending.err = confirm(ctx)
 		g.mu.Lock()
 		g.pending, g.failed = nil, pending.err != nil
@@ -209,11 +220,10 @@
 }
 
 // begin waits until the least interval since the last confirmation has passed, and records that this one begins.
-func (g *confirmGroup) begin(ctx context.Context, now func() time.Time, pending *pendingConfirm) {
+func (g *confirmGroup) begin(ctx context.Context, now func() time.Time, interval time.Duration, pending *pendingConfirm) {
 	g.mu.Lock()
-	interval := minConfirmInterval
 	if g.failed {
-		interval = minFailedConfirmInterval
+		interval = maxConfirmInterval
 	}
 	wait := min(g.begunAt.Add(interval).Sub(now()), interval)
 	g.mu.Unlock()
--- a/peers/confirms_test.go
+++ b/peers/confirms_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -122,7 +123,7 @@
 		return <-answer
 	}
 	results := make(chan error, 3)
-	run := func(by time.Time) { results <- g.run(t.Context(), clock.Now, by, confirm) }
+	run := func(by time.Time) { results <- g.run(t.Context(), clock.Now, minConfirmInterval, by, confirm) }
 	go run(clock.Now())
 	first := <-asked
 	go run(first.Add(time.Nanosecond))
@@ -136,3 +137,35 @@
 	require.NoError(t, <-results)
 	require.Empty(t, asked)
 }
+
+// Guards against hubs and a store that are overloaded by confirmations as many streams are taken up.
+func TestConfirmationsAreApart(t *testing.T) {
+	tests := map[string]struct {
+		vms, most int
+		err       error
+	}{
+		"few VMs":       {3, 500, nil},
+		"66 VMs":        {66, 200, nil},
+		"many VMs":      {1000, 101, nil},
+		"no answer":     {3, 101, errNotConfirmed},
+		"no answer, 66": {66, 101, errNotConfirmed},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var g confirmGroup
+				var calls atomic.Int64
+				confirm := func(context.Context) error {
+					calls.Add(1)
+					return tc.err
+				}
+				for begin := time.Now(); time.Since(begin) < 10*time.Second; time.Sleep(time.Millisecond) {
+					go func() { _ = g.run(t.Context(), time.Now, confirmInterval(tc.vms), time.Now(), confirm) }()
+				}
+				time.Sleep(time.Second)
+				require.LessOrEqual(t, int(calls.Load()), tc.most)
+				require.Greater(t, int(calls.Load()), 50)
+			})
+		})
+	}
+}
