pass: A list that could not be confirmed for now does not end a stream

What callers saw: a VM that could not have its list of servers confirmed in 1.5 s, as it was cut off or its hub did not answer, told a caller that takes a stream up to begin anew, without a Retry-After. Another VM may prove the version, or the same one a moment later.

Cause: no proof and a list that shows two versions had the same answer.

Evidence: of the two cases of the test the one with a single version fails before; the one with two versions is told to begin anew before and after.

The verdict on the list tells the two apart: not confirmed is answered as keepers that do not answer are, with the request to come back later.

--- a/pass/asof_test.go
+++ b/pass/asof_test.go
@@ -118,3 +118,32 @@
 		})
 	}
 }
+
+// Guards against a caller that is told to begin anew by a VM that could not have its list confirmed: another VM may prove
+// the version, or this one a moment later.
+func TestUnconfirmedListDoesNotEndStream(t *testing.T) {
+	tests := map[string]struct {
+		versions []string
+		body     string
+		again    bool
+	}{
+		"one version":  {[]string{"v1"}, "come back later", true},
+		"two versions": {[]string{"v1", "v2"}, "begin it anew", false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var entries []backs.Entry
+			for _, version := range tc.versions {
+				entries = append(entries, versionServer(version, version, startVersionBackend(t, version, breakOff, sendRest(version))))
+			}
+			g := testGateway(entries...)
+			useResumableRoute(g)
+			g.ConfirmServers = func(context.Context, time.Time) error { return errors.New("no answer") }
+			w := httptest.NewRecorder()
+			sendAborted(g, w, takeUpRequest("a0"))
+			require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			require.Contains(t, w.Body.String(), tc.body)
+			require.Equal(t, tc.again, w.Header().Get("Retry-After") != "")
+		})
+	}
+}
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -22,7 +22,7 @@
 	// errOriginUnknown is returned for a stream of which no VM knows where it began.
 	errOriginUnknown = errors.New("no VM knows which software version began the stream, and it can not go on at another one; begin it anew")
 	// errOriginUnanswered is returned if that could not be found out for now.
-	errOriginUnanswered = errors.New("the VMs that may know which software version began the stream did not answer")
+	errOriginUnanswered = errors.New("which software version began the stream can not be found out for now")
 	// errRouteChanged is returned for a stream that began at a service to which its route no longer leads.
 	errRouteChanged = errors.New("the route no longer leads to the service that began the stream; begin it anew")
 	// errVersionGone is returned for a begun stream of whose software version no server serves any more.
@@ -65,11 +65,15 @@
 			return g.bindTo(c, r)
 		}
 	}
-	if version, ok := g.onlyVersion(ctx, c); ok {
+	version, listVerdict := g.onlyVersion(ctx, c)
+	if listVerdict == origin.Known {
 		c.boundBy = "server list"
 		c.listAge = g.Now().Sub(g.Servers.CurrentAt())
 		return g.bindTo(c, origin.Record{Service: c.service.Name, Version: version})
 	}
+	if listVerdict == origin.Unanswered {
+		verdict = origin.Unanswered
+	}
 	g.Meter.AddCounter("pass.origin_"+verdict.String(), 1)
 	if verdict == origin.Unanswered {
 		return errOriginUnanswered
@@ -103,16 +107,24 @@
 
 // onlyVersion returns the software version that alone can have begun the call's stream, as no server of another one
 // has existed for as long as streams last. The list of servers proves that only if it is as new as the request: the
-// VM that began the stream may have known servers that this VM did not know then.
-func (g *Gateway) onlyVersion(ctx context.Context, c *call) (string, bool) {
+// VM that began the stream may have known servers that this VM did not know then. If that can not be found out for now,
+// the verdict is Unanswered: the list may prove it later, or at another VM.
+func (g *Gateway) onlyVersion(ctx context.Context, c *call) (string, origin.Verdict) {
 	if len(c.route.Targets) != 1 {
-		return "", false
+		return "", origin.Unknown
 	}
 	life := max(streamLifeTimeouts*c.route.Timeout, minStreamLife)
-	if g.Servers.SeveralVersions(g.Now(), c.service.Name, life) || !g.confirmServers(ctx, c) {
-		return "", false
+	if g.Servers.SeveralVersions(g.Now(), c.service.Name, life) {
+		return "", origin.Unknown
+	}
+	if !g.confirmServers(ctx, c) {
+		return "", origin.Unanswered
+	}
+	version, only := g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
+	if !only {
+		return "", origin.Unknown
 	}
-	return g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
+	return version, origin.Known
 }
 
 // confirmServers waits until the list of servers is known to have every change that the store had made when the call
