soak: What a VM hears of the others can be a second old

ORDER is broken on this code, with real processes and no VM that stands still: what one VM and the others exchange takes a second, as over a link on which packets wait. Nothing is cut, lost or held; the store answers. Only v1 has served for 11 s, then servers of v2 join, streams begin at them through another VM, are left after one event and are taken up at the first VM. It goes on at v1.

Cause, from the log line and the code: datagrams take longer than the 0.3 s for which keepers are asked, so that the list of servers is asked for a proof. It is a second old, but the age in the hub's frame counts from when the frame is read. It looks newer than the request, and has one version.

--- a/soak/network.go
+++ b/soak/network.go
@@ -27,9 +27,15 @@
 	// datagramsLost loses the datagrams of both directions, and leaves the links. connectionsHeld holds these alone.
 	datagramsLost   linkFault = "datagrams_lost"
 	connectionsHeld linkFault = "connections_held"
+	// linksSlow has all that is exchanged take slowLinkTime.
+	linksSlow linkFault = "links_slow"
 )
 
-var linkFaults = []linkFault{linksSound, linksSound, linksHeld, linksHeldIn, linksHeldOut, linksCut, linksCutIn, linksCutOut, datagramsLost, connectionsHeld}
+// slowLinkTime is how long a frame or datagram takes on a slow link: longer than a VM waits for the answer to a datagram, and
+// shorter than it waits for the next frame.
+const slowLinkTime = time.Second
+
+var linkFaults = []linkFault{linksSound, linksSound, linksHeld, linksHeldIn, linksHeldOut, linksCut, linksCutIn, linksCutOut, datagramsLost, connectionsHeld, linksSlow}
 
 // in and out report which directions a fault affects, as seen from the VM; cut whether datagrams are lost.
 func (f linkFault) in() bool  { return f != linksSound && f != linksHeldOut && f != linksCutOut }
@@ -50,6 +56,18 @@
 	datagrams *datagramProxy
 }
 
+// setDelay begins or ends that all takes slowLinkTime.
+func (w *peerWay) setDelay(begin bool) {
+	delay := time.Duration(0)
+	if begin {
+		delay = slowLinkTime
+	}
+	w.SetDelay(delay)
+	w.datagrams.mu.Lock()
+	defer w.datagrams.mu.Unlock()
+	w.datagrams.delay = delay
+}
+
 func newNetwork(vms []*vm) (*network, error) {
 	n := &network{ways: make(map[[2]int]*peerWay)}
 	for i := range vms {
@@ -61,6 +79,7 @@
 			if err != nil {
 				return nil, err
 			}
+			p.delayable = true
 			way := &peerWay{Proxy: p}
 			n.ways[[2]int{i, k}] = way
 			if way.datagrams, err = newDatagramProxy(p.Address(), to.peerAddress); err != nil {
@@ -103,6 +122,10 @@
 		if way[0] != vm && way[1] != vm {
 			continue
 		}
+		if f == linksSlow {
+			w.setDelay(begin)
+			continue
+		}
 		requests, responses := f.out(), f.in()
 		if way[1] == vm {
 			requests, responses = responses, requests
@@ -268,6 +291,8 @@
 	client net.Addr
 	// requests and responses are set while a direction is held, or loses its datagrams if cut is set.
 	requests, responses, cut bool
+	// delay is how long each takes.
+	delay time.Duration
 }
 
 const maxDatagramBytes = 2048
@@ -310,10 +335,11 @@
 		for {
 			d.mu.Lock()
 			blocked := response && d.responses || !response && d.requests
-			cut := d.cut
+			cut, delay := d.cut, d.delay
 			d.mu.Unlock()
 			if !blocked {
-				forward(sender, buffer[:n])
+				data := bytes.Clone(buffer[:n])
+				time.AfterFunc(delay, func() { forward(sender, data) })
 			}
 			if !blocked || cut {
 				break
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -51,6 +51,9 @@
 	repeated int
 	// aliases replaces texts in what the target sends, frameAliases in the frames of WebSockets that clients send.
 	aliases, frameAliases *aliases
+	// delay is how long all bytes take, of a proxy that is delayable.
+	delayable bool
+	delay     time.Duration
 }
 
 // NewProxy starts a proxy on a free loopback port. The caller must call Close.
@@ -172,8 +175,12 @@
 	defer to.Close()
 	defer from.Close()
 	buffer, rewrite := make([]byte, copyBufferSize), p.rewriter(response)
+	read := from.Read
+	if p.delayable {
+		read = p.delayed(from)
+	}
 	for {
-		n, err := from.Read(buffer)
+		n, err := read(buffer)
 		if !p.waitUntilForwarded(response) {
 			return
 		}
@@ -210,3 +217,47 @@
 		time.Sleep(modePollInterval)
 	}
 }
+
+// SetDelay sets how long all bytes take. The proxy must be delayable.
+func (p *Proxy) SetDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// chunk is the result of one read.
+type chunk struct {
+	data   []byte
+	err    error
+	readAt time.Time
+}
+
+// maxChunks bounds the reads that wait for their delay.
+const maxChunks = 1024
+
+// delayed returns a function that reads from a connection as Read does, each result after the delay.
+func (p *Proxy) delayed(from net.Conn) func(buffer []byte) (int, error) {
+	chunks := make(chan chunk, maxChunks)
+	go func() {
+		for {
+			buffer := make([]byte, copyBufferSize)
+			n, err := from.Read(buffer)
+			chunks <- chunk{buffer[:n], err, time.Now()}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return func(buffer []byte) (int, error) {
+		c := <-chunks
+		for {
+			p.mu.Lock()
+			rest := time.Until(c.readAt.Add(p.delay))
+			p.mu.Unlock()
+			if rest <= 0 {
+				return copy(buffer, c.data), c.err
+			}
+			time.Sleep(min(rest, modePollInterval))
+		}
+	}
+}
