--- a/backs/update.go
+++ b/backs/update.go
@@ -77,11 +77,17 @@
 func (v *View) Merge(now time.Time, update Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	senderWasSynced := !now.Add(-update.SyncedFor).After(v.currentAt)
-	v.recordCurrent(now, now.Add(-update.Age))
+	senderWasSynced := !now.Add(-update.SyncedFor).After(v.readAt)
+	v.recordRead(now, now.Add(-update.Age))
 	revision := v.revision
 	listed := make(map[string]bool, len(update.States))
 	for _, s := range update.States {
+		if !s.Removed && s.Validate() != nil {
+			// A VM of an older build takes odd entries for servers.
+			listed[v.instanceIDs[s.PlatformName()]] = true
+			v.markUnreadable(s.PlatformName())
+			continue
+		}
 		listed[s.ID] = true
 		v.mergeState(now, s)
 	}
@@ -110,7 +116,12 @@
 
 func (v *View) mergeState(now time.Time, s State) {
 	if s.Removed {
-		if r := v.records[s.ID]; r != nil && r.removedAt.IsZero() {
+		r := v.records[s.ID]
+		if r == nil && s.Service != "" {
+			// It came and went between two frames.
+			v.history.addGone(ServiceVersion{s.Service, s.SoftwareVersion}, now)
+		}
+		if r != nil && r.removedAt.IsZero() {
 			v.markRemoved(now, r)
 		}
 		return
--- a/pass/call.go
+++ b/pass/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -81,6 +82,11 @@
 	// found out for a stream that the caller takes up.
 	binding binding
 	boundBy string
+	// listAge is for how long the list of servers had not been confirmed when it proved the version.
+	listAge time.Duration
+	// confirmed is not nil while the list of servers is being confirmed as of the call's arrival, and closed when that has
+	// ended.
+	confirmed <-chan struct{}
 	// toldAt is when the keepers of the stream's origin were told last.
 	toldAt time.Time
 	// refusal is why the call got no server.
@@ -230,7 +236,7 @@
 func requestTimeout(n *HeaderNames, r *http.Request, route routes.Route) time.Duration {
 	timeout := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
-		if callerTimeout := time.Duration(ms) * time.Millisecond; timeout == 0 || callerTimeout < timeout {
+		if callerTimeout := clock.Duration(float64(ms), time.Millisecond); timeout == 0 || callerTimeout < timeout {
 			timeout = callerTimeout
 		}
 	}
