soak: The network between VMs is set up under the lock of its proxies

The race detector found the names and the delay of a proxy written as its first connection could read them (go test -race ./soak -run TestSoakVMOutOfStep, in 2 of 2 runs; the program under test is not affected). They are now set, and read for each connection, under the proxy's lock. The same run passes.

--- a/soak/network.go
+++ b/soak/network.go
@@ -79,7 +79,6 @@
 			if err != nil {
 				return nil, err
 			}
-			p.delayable = true
 			way := &peerWay{Proxy: p}
 			n.ways[[2]int{i, k}] = way
 			if way.datagrams, err = newDatagramProxy(p.Address(), to.peerAddress); err != nil {
@@ -98,17 +97,20 @@
 		return n.ways[[2]int{vm, of}].Address()
 	}
 	for i, v := range vms {
-		v.storeProxy.aliases = &aliases{}
+		names := &aliases{}
 		for k := range vms {
-			v.storeProxy.aliases.add(vms[k].peerAddress, view(i, k))
+			names.add(vms[k].peerAddress, view(i, k))
 		}
+		v.storeProxy.translate(names, nil)
 	}
 	for ends, way := range n.ways {
-		way.aliases, way.frameAliases = &aliases{}, &aliases{}
+		names, frameNames := &aliases{}, &aliases{}
 		for k := range vms {
-			way.aliases.add(view(ends[1], k), view(ends[0], k))
-			way.frameAliases.add(view(ends[0], k), view(ends[1], k))
+			names.add(view(ends[1], k), view(ends[0], k))
+			frameNames.add(view(ends[0], k), view(ends[1], k))
 		}
+		way.translate(names, frameNames)
+		way.SetDelay(0)
 	}
 	return n, nil
 }
@@ -189,18 +191,29 @@
 	return kept
 }
 
+// translate has texts replaced in what the target sends, and in the frames of WebSockets that clients send, on
+// connections that are opened later.
+func (p *Proxy) translate(names, frameNames *aliases) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.aliases, p.frameAliases = names, frameNames
+}
+
 // rewriter returns a function that returns what is to be forwarded of the bytes read last. It keeps what it needs more of,
 // unless they are the last ones.
 func (p *Proxy) rewriter(response bool) func(data []byte, last bool) []byte {
+	p.mu.Lock()
+	names, frameNames := p.aliases, p.frameAliases
+	p.mu.Unlock()
 	var pending []byte
-	frames := frameRewriter{aliases: p.frameAliases}
+	frames := frameRewriter{aliases: frameNames}
 	switch {
-	case !response && p.frameAliases != nil:
+	case !response && frameNames != nil:
 		return func(data []byte, _ bool) []byte { return frames.next(data) }
-	case response && p.aliases != nil:
+	case response && names != nil:
 		return func(data []byte, last bool) []byte {
 			data = append(pending, data...)
-			kept := p.aliases.replace(data)
+			kept := names.replace(data)
 			if last {
 				kept = 0
 			}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -51,7 +51,7 @@
 	repeated int
 	// aliases replaces texts in what the target sends, frameAliases in the frames of WebSockets that clients send.
 	aliases, frameAliases *aliases
-	// delay is how long all bytes take, of a proxy that is delayable.
+	// delay is how long all bytes take, of a proxy that is delayable: SetDelay makes it so.
 	delayable bool
 	delay     time.Duration
 }
@@ -176,7 +176,7 @@
 	defer from.Close()
 	buffer, rewrite := make([]byte, copyBufferSize), p.rewriter(response)
 	read := from.Read
-	if p.delayable {
+	if p.isDelayable() {
 		read = p.delayed(from)
 	}
 	for {
@@ -218,11 +218,17 @@
 	}
 }
 
-// SetDelay sets how long all bytes take. The proxy must be delayable.
+// SetDelay sets how long all bytes take, on connections that are opened after its first call.
 func (p *Proxy) SetDelay(delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay = delay
+	p.delayable, p.delay = true, delay
+}
+
+func (p *Proxy) isDelayable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delayable
 }
 
 // chunk is the result of one read.
