--- a/soak/network.go
+++ b/soak/network.go
@@ -27,9 +27,15 @@
 	// datagramsLost loses the datagrams of both directions, and leaves the links. connectionsHeld holds these alone.
 	datagramsLost   linkFault = "datagrams_lost"
 	connectionsHeld linkFault = "connections_held"
+	// linksSlow has all that is exchanged take slowLinkTime.
+	linksSlow linkFault = "links_slow"
 )
 
-var linkFaults = []linkFault{linksSound, linksSound, linksHeld, linksHeldIn, linksHeldOut, linksCut, linksCutIn, linksCutOut, datagramsLost, connectionsHeld}
+// slowLinkTime is how long a frame or datagram takes on a slow link: longer than a VM waits for the answer to a datagram, and
+// shorter than it waits for the next frame.
+const slowLinkTime = 800 * time.Millisecond
+
+var linkFaults = []linkFault{linksSound, linksSound, linksHeld, linksHeldIn, linksHeldOut, linksCut, linksCutIn, linksCutOut, datagramsLost, connectionsHeld, linksSlow}
 
 // in and out report which directions a fault affects, as seen from the VM; cut whether datagrams are lost.
 func (f linkFault) in() bool  { return f != linksSound && f != linksHeldOut && f != linksCutOut }
@@ -50,6 +56,18 @@
 	datagrams *datagramProxy
 }
 
+// setDelay begins or ends that all takes slowLinkTime.
+func (w *peerWay) setDelay(begin bool) {
+	delay := time.Duration(0)
+	if begin {
+		delay = slowLinkTime
+	}
+	w.SetDelay(delay)
+	w.datagrams.mu.Lock()
+	defer w.datagrams.mu.Unlock()
+	w.datagrams.delay = delay
+}
+
 func newNetwork(vms []*vm) (*network, error) {
 	n := &network{ways: make(map[[2]int]*peerWay)}
 	for i := range vms {
@@ -79,17 +97,20 @@
 		return n.ways[[2]int{vm, of}].Address()
 	}
 	for i, v := range vms {
-		v.storeProxy.aliases = &aliases{}
+		names := &aliases{}
 		for k := range vms {
-			v.storeProxy.aliases.add(vms[k].peerAddress, view(i, k))
+			names.add(vms[k].peerAddress, view(i, k))
 		}
+		v.storeProxy.translate(names, nil)
 	}
 	for ends, way := range n.ways {
-		way.aliases, way.frameAliases = &aliases{}, &aliases{}
+		names, frameNames := &aliases{}, &aliases{}
 		for k := range vms {
-			way.aliases.add(view(ends[1], k), view(ends[0], k))
-			way.frameAliases.add(view(ends[0], k), view(ends[1], k))
+			names.add(view(ends[1], k), view(ends[0], k))
+			frameNames.add(view(ends[0], k), view(ends[1], k))
 		}
+		way.translate(names, frameNames)
+		way.SetDelay(0)
 	}
 	return n, nil
 }
@@ -103,6 +124,10 @@
 		if way[0] != vm && way[1] != vm {
 			continue
 		}
+		if f == linksSlow {
+			w.setDelay(begin)
+			continue
+		}
 		requests, responses := f.out(), f.in()
 		if way[1] == vm {
 			requests, responses = responses, requests
@@ -166,18 +191,29 @@
 	return kept
 }
 
+// translate has texts replaced in what the target sends, and in the frames of WebSockets that clients send, on
+// connections that are opened later.
+func (p *Proxy) translate(names, frameNames *aliases) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.aliases, p.frameAliases = names, frameNames
+}
+
 // rewriter returns a function that returns what is to be forwarded of the bytes read last. It keeps what it needs more of,
 // unless they are the last ones.
 func (p *Proxy) rewriter(response bool) func(data []byte, last bool) []byte {
+	p.mu.Lock()
+	names, frameNames := p.aliases, p.frameAliases
+	p.mu.Unlock()
 	var pending []byte
-	frames := frameRewriter{aliases: p.frameAliases}
+	frames := frameRewriter{aliases: frameNames}
 	switch {
-	case !response && p.frameAliases != nil:
+	case !response && frameNames != nil:
 		return func(data []byte, _ bool) []byte { return frames.next(data) }
-	case response && p.aliases != nil:
+	case response && names != nil:
 		return func(data []byte, last bool) []byte {
 			data = append(pending, data...)
-			kept := p.aliases.replace(data)
+			kept := names.replace(data)
 			if last {
 				kept = 0
 			}
@@ -268,6 +304,8 @@
 	client net.Addr
 	// requests and responses are set while a direction is held, or loses its datagrams if cut is set.
 	requests, responses, cut bool
+	// delay is how long each takes.
+	delay time.Duration
 }
 
 const maxDatagramBytes = 2048
@@ -310,10 +348,11 @@
 		for {
 			d.mu.Lock()
 			blocked := response && d.responses || !response && d.requests
-			cut := d.cut
+			cut, delay := d.cut, d.delay
 			d.mu.Unlock()
 			if !blocked {
-				forward(sender, buffer[:n])
+				data := bytes.Clone(buffer[:n])
+				time.AfterFunc(delay, func() { forward(sender, data) })
 			}
 			if !blocked || cut {
 				break
