demo: A stand-in server that is released serves for its drain time

Cause: the stand-in reported that it drains and ended in the same moment. It closed the connections on which nothing had arrived, also those on which its VM had just sent a request that the silent host had not received yet. Then a VM can not know whether the request has run, and says so. Servers of the platform go on serving for their drain time (2 s) after the store has that report, so that a request that was sent before is served. The VMs were right; the stand-in was not what it stands for.

Now a released server goes on serving for 2 s once its host is not silent, and then ends as before. A server that ends while its host is silent loses what waits there: that is no planned work, and what VMs say then has tests of its own.

--- a/demo/backends.go
+++ b/demo/backends.go
@@ -80,8 +80,16 @@
 	s.crashBackend(b)
 }
 
-// RemoveBackend lets a backend server that drains leave: it ends once its requests have ended, and its entry goes.
+// RemoveBackend lets a backend server that drains leave: it goes on serving for siteDrainTime once its host is not
+// silent, ends when its requests have ended, and its entry goes.
 func (s *Site) RemoveBackend(b *stand.Backend) error {
+	s.mu.Lock()
+	l := s.backendListeners[b.ID]
+	s.mu.Unlock()
+	for l.Silent() {
+		time.Sleep(silencePollInterval)
+	}
+	time.Sleep(siteDrainTime)
 	s.mu.Lock()
 	server := s.backendServers[b.ID]
 	delete(s.backendServers, b.ID)
@@ -96,8 +104,15 @@
 	return nil
 }
 
-// removeTimeout is how long the requests of a backend server that leaves may last.
-const removeTimeout = 30 * time.Second
+const (
+	// siteDrainTime is how long a backend server goes on serving after it has reported that it drains, as the platform
+	// promises.
+	siteDrainTime = 2 * time.Second
+	// removeTimeout is how long the requests of a backend server that leaves may last.
+	removeTimeout = 30 * time.Second
+	// silencePollInterval is the interval between looks whether a host is still silent.
+	silencePollInterval = 10 * time.Millisecond
+)
 
 // crashBackend closes the listener and connections of a backend server and restarts it after
 // siteRestartDelay.
--- a/demo/planned_test.go
+++ b/demo/planned_test.go
@@ -35,6 +35,9 @@
 	domains = 3
 )
 
+// plannedModels are the models of the kinds of requests that need one.
+var plannedModels = map[string]string{"draft": "m1", "batch": "m2"}
+
 // planned are requests beside planned work.
 type planned struct {
 	site *demo.Site
@@ -55,10 +58,9 @@
 
 // send sends a request to a VM.
 func (p *planned) send(ctx context.Context, id string, vm int, underWay bool) {
-	models := map[string]string{"draft": "m1", "batch": "m2"}
 	p.sending.Go(func() {
 		sent := time.Now()
-		got := call(ctx, p.site, p.site.VMAddresses()[vm], id, p.kind.Method, p.kind.Path, models[p.kind.Name])
+		got := call(ctx, p.site, p.site.VMAddresses()[vm], id, p.kind.Method, p.kind.Path, plannedModels[p.kind.Name])
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.results[id] = plannedResult{got, vm, underWay, time.Since(sent)}
@@ -188,6 +190,32 @@
 	require.NoError(t, s.RemoveBackend(old))
 }
 
+// A server is told to leave while its host is silent and a request waits there on a connection that its VM has kept.
+// Guards against a stand-in that leaves at once, so that its VM can not tell whether the request has run.
+func TestReleasedServerServesWhatWaits(t *testing.T) {
+	for _, kind := range demo.SiteRequestKinds {
+		t.Run(kind.Name, func(t *testing.T) {
+			t.Parallel()
+			s, ctx := startSite(t, demo.SiteOptions{VMs: 1, Backends: 1, WorkTime: plannedDelay, Routes: plannedRoutes()})
+			p := &planned{site: s, kind: kind, vms: []int{0}, results: make(map[string]plannedResult)}
+			requireEventually(t, func() bool {
+				return call(ctx, s, s.VMAddresses()[0], "before", kind.Method, kind.Path, plannedModels[kind.Name]).status == http.StatusOK
+			}, time.Millisecond)
+			service := demo.SitePlainService
+			if kind.Stream {
+				service = demo.SiteModelService
+			}
+			silent := s.Backends(service)[0]
+			require.NoError(t, s.SetSilent(silent, true))
+			time.AfterFunc(plannedSilence, func() { _ = s.SetSilent(silent, false) })
+			p.send(ctx, "waits", 0, true)
+			pause.For(ctx, plannedDelay)
+			releaseServer(t, s, silent)
+			p.check(t)
+		})
+	}
+}
+
 // plannedWorks are done while a server of a service is silent.
 var plannedWorks = map[string]func(t *testing.T, s *demo.Site, silent *stand.Backend){
 	"a VM stops": func(t *testing.T, s *demo.Site, _ *stand.Backend) { stopVM(t, s, 0) },
