--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -135,3 +135,79 @@
 	w.Return(later)
 	require.Equal(t, 1, w.Usage(next).Retries)
 }
+
+// A failure domain was cut off, got further VMs that share what its old ones had, and is back, while servers break answers
+// off. Guards against its VMs that take back at once what the others have just spent, so that all send more than they may.
+func TestAllotmentsAfterCut(t *testing.T) {
+	const extra, othersBefore, cutBefore, after, others, cut = 180, 9, 27, 15, 6, 9
+	r := retry.Rules{Extra: extra, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	end := start.Add(time.Minute)
+	vms := make([]retry.Budgets, others+cut)
+	for i := range vms {
+		vms[i].Configure(start, r)
+		before := cutBefore
+		if i < others {
+			before = othersBefore
+		}
+		vms[i].Counted(start, before)
+	}
+	var sent []time.Time
+	for now := end.Add(-time.Second); now.Before(end.Add(time.Minute)); now = now.Add(50 * time.Millisecond) {
+		for i := range vms {
+			if !now.Before(end) {
+				vms[i].Counted(now, after)
+			}
+			if vms[i].Of(now, "s").Allow(now) {
+				sent = append(sent, now)
+			}
+		}
+	}
+	most, last := 0, 0
+	for i, from := range sent {
+		in := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) < r.Window {
+				in++
+			}
+		}
+		most = max(most, in)
+		if !from.Before(end.Add(30 * time.Second)) {
+			last = max(last, in)
+		}
+	}
+	require.LessOrEqual(t, most, extra)
+	require.Equal(t, extra, last, "all together use what they may once the parts are equal")
+}
+
+// Guards against a part that stays small, and against one that grows before the others have spent what they had.
+func TestChangesOfAllotment(t *testing.T) {
+	const window = 10 * time.Second
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		told map[time.Duration]int
+		want map[time.Duration]int
+	}{
+		"smaller":                       {map[time.Duration]int{0: 4, 20: 5}, map[time.Duration]int{19: 4, 20: 5, 60: 5}},
+		"greater":                       {map[time.Duration]int{0: 5, 20: 4}, map[time.Duration]int{20: 5, 31: 5, 32: 4}},
+		"greater in steps":              {map[time.Duration]int{0: 6, 20: 5, 25: 4}, map[time.Duration]int{31: 6, 32: 5, 43: 5, 44: 4}},
+		"a new controller counts":       {map[time.Duration]int{0: 4, 20: 1 << 20, 21: 6, 22: 4}, map[time.Duration]int{20: 1 << 20, 21: 6, 22: 4}},
+		"none for longer than a window": {map[time.Duration]int{0: 4, 20: 1 << 20, 40: 4}, map[time.Duration]int{40: 1 << 20, 51: 1 << 20, 52: 4}},
+		"changes in the first window":   {map[time.Duration]int{0: 4, 5: 6, 9: 4}, map[time.Duration]int{10: 6, 20: 6, 21: 4}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var a retry.Allotment
+			for s := range time.Duration(61) {
+				now := start.Add(s * time.Second)
+				if vms, ok := tc.told[s]; ok {
+					a.Counted(now, vms)
+				}
+				vms := a.VMs(now, window)
+				if want, ok := tc.want[s]; ok {
+					require.Equal(t, want, vms, "after %d s", s)
+				}
+			}
+		})
+	}
+}
