soak: Events of a stream name the run that wrote them

What callers saw: nothing; a check that was not complete. Pieces of two runs that were joined could not be told from one run, as all runs of a request wrote the same events, and events were so small that no reader was too slow.

Each model server of soak -streams now has a server of its own for the streams that are checked. Slow callers have small receive buffers. A new run has to begin where the events before it end, and no run may come back after another one.

The streams' servers end before anything tells of their successor.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,6 +86,11 @@
 	proxyByServerID map[string]*Proxy
 	outcomes        []demo.Outcome
 	faults          map[string]int
+	// streamServers holds the server in front of each model server, with Streams, and nextRun the number of the next run.
+	streamServers map[string]*http.Server
+	// replacedAt is the start of the last instance of each model server that was replaced.
+	replacedAt map[string]time.Time
+	nextRun    atomic.Uint64
 }
 
 // Run starts the system, injects the faults of one seed under load, and checks the guarantees. A
@@ -96,7 +102,7 @@
 	if o.Callers == 0 {
 		o.Callers = defaultCallers
 	}
-	r := &run{options: o, faults: make(map[string]int), proxyByServerID: make(map[string]*Proxy)}
+	r := &run{options: o, faults: make(map[string]int), proxyByServerID: make(map[string]*Proxy), streamServers: make(map[string]*http.Server), replacedAt: make(map[string]time.Time)}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
@@ -118,7 +124,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for i := range o.Callers {
-		wait.Go(func() { r.sendRequests(loadCtx, i) })
+		wait.Go(func() { r.sendRequests(loadCtx, i, demo.SiteRequestKinds) })
 	}
 	for i := range hotCallers {
 		wait.Go(func() { r.sendHot(loadCtx, "hot", i) })
@@ -159,19 +165,21 @@
 }
 
 func (r *run) start(ctx context.Context) error {
-	var err error
 	tokensPerEvent := 0
 	if r.measured() {
 		tokensPerEvent = plannedTokensPerEvent
 	}
-	workTime := time.Duration(0)
+	workTime, registered := time.Duration(0), r.proxyAddress
 	if r.options.Streams {
-		workTime = streamTime
+		workTime, registered = streamTime, r.registerServer
 	}
-	r.site, err = demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Backends: r.options.Servers, WorkTime: workTime, TokensPerEvent: tokensPerEvent, RegisteredAddress: r.proxyAddress, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
+	site, err := demo.StartSite(ctx, demo.SiteOptions{NoVMs: true, Backends: r.options.Servers, WorkTime: workTime, TokensPerEvent: tokensPerEvent, RegisteredAddress: registered, CrashBody: crashBody, CrashPart: crashPart, Teams: teams(1, true), Log: zerolog.Nop()})
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
+	r.mu.Lock()
+	r.site = site
+	r.mu.Unlock()
 	if r.options.Streams {
 		r.startModelServers()
 	}
@@ -204,14 +212,14 @@
 	return p.Address(), nil
 }
 
-// sendRequests sends requests as one caller, one at a time. It reuses its connection to a VM until
+// sendRequests sends requests of some kinds as one caller, one at a time. It reuses its connection to a VM until
 // the VM closes it.
-func (r *run) sendRequests(ctx context.Context, n int) {
+func (r *run) sendRequests(ctx context.Context, n int, kinds []demo.RequestKind) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, uint64(n)+100))
 	client := &http.Client{Timeout: callTimeout}
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		k := demo.SiteRequestKinds[rng.IntN(len(demo.SiteRequestKinds))]
+		k := kinds[rng.IntN(len(kinds))]
 		o := r.site.SendRequest(context.Background(), client, r.vms[rng.IntN(len(r.vms))].listenAddress, fmt.Sprintf("%d-%d-%d", r.options.Seed, n, i), k, rng)
 		r.checks.CheckOutcome(o)
 		r.mu.Lock()
@@ -239,4 +247,7 @@
 	for _, p := range r.serverProxies {
 		p.Close()
 	}
+	for _, s := range r.streamServers {
+		_ = s.Close()
+	}
 }
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -35,6 +36,11 @@
 	streamRelease       = 500 * time.Millisecond
 	// longStandstill bounds how long a process stands still, or is without the store.
 	longStandstill = 4 * time.Second
+	// eventFields is the number of words of an event: id:, its number, data:, the request, its number again, the version and
+	// the run.
+	eventFields = 7
+	// smallReceiveBuffer is the buffer in bytes of a slow caller's connection.
+	smallReceiveBuffer = 4 << 10
 	// shareWindow is the window in which a process runs for its share of a core.
 	shareWindow = 100 * time.Millisecond
 )
@@ -68,7 +74,7 @@
 		wait.Go(func() { r.readStreams(loadCtx, &order, i) })
 	}
 	for i := range r.options.Callers / 4 {
-		wait.Go(func() { r.sendRequests(loadCtx, i) })
+		wait.Go(func() { r.sendRequests(loadCtx, i, plainKinds()) })
 	}
 	background.Go(func() { r.releaseVersions(loadCtx) })
 	background.Go(func() { r.replaceServers(loadCtx) })
@@ -95,6 +101,11 @@
 	}
 }
 
+// plainKinds are the kinds of requests that are sent beside streams.
+func plainKinds() []demo.RequestKind {
+	return slices.DeleteFunc(slices.Clone(demo.SiteRequestKinds), func(k demo.RequestKind) bool { return k.Stream })
+}
+
 func streamModels() []string { return demo.SiteModels[:2] }
 
 // readStreams reads one stream after the other, as one caller, until ctx ends.
@@ -104,7 +115,7 @@
 		s := &streamCaller{model: streamModels()[rng.IntN(len(streamModels()))]}
 		reader := streamReader{run: r, order: order, slow: rng.IntN(4) == 0}
 		for try := range streamTries {
-			id := fmt.Sprintf("order-%d-%d-%d-%d", r.options.Seed, n, i, try)
+			id := fmt.Sprintf(streamPrefix+"%d-%d-%d-%d", r.options.Seed, n, i, try)
 			leaveAfter := demo.SiteStreamEvents + 1
 			if rng.IntN(3) == 0 {
 				leaveAfter = 1 + rng.IntN(4)
@@ -141,7 +152,7 @@
 func (c streamReader) readTwice(s *streamCaller, first, second *vm, id string, seed uint64) {
 	c.order.count("taken up twice at once")
 	other := *s
-	other.versions = slices.Clone(s.versions)
+	other.versions, other.runs = slices.Clone(s.versions), slices.Clone(s.runs)
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		c.read(s, first, id+"-a", demo.SiteStreamEvents+1, rand.New(rand.NewPCG(seed, 1)))
@@ -159,7 +170,7 @@
 func (c streamReader) read(s *streamCaller, v *vm, id string, leaveAfter int, rng *rand.Rand) {
 	ctx, leave := context.WithTimeout(context.Background(), callTimeout)
 	defer leave()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: c.transport()}
 	resp, err := c.run.site.CallAfter(ctx, client, v.listenAddress, id, http.MethodPost, "/draft/x", s.model, "body of "+id, s.Progress)
 	if err != nil {
 		c.order.count("try without a response")
@@ -195,6 +206,20 @@
 	c.order.count("left")
 }
 
+// transport returns a transport for one try.
+func (c streamReader) transport() *http.Transport {
+	transport := &http.Transport{DisableKeepAlives: true}
+	if c.slow {
+		dialer := net.Dialer{Control: func(_, _ string, conn syscall.RawConn) error {
+			return conn.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
+			})
+		}}
+		transport.DialContext = dialer.DialContext
+	}
+	return transport
+}
+
 // readEvent reads an event. If the stream ends it returns io.EOF and what came of the next one.
 func readEvent(r *bufio.Reader) (string, error) {
 	var event strings.Builder
@@ -226,7 +251,7 @@
 // last event before this try.
 func (c streamReader) addEvent(s *streamCaller, v *vm, id, event string, begun int) bool {
 	fields := strings.Fields(event)
-	if len(fields) != 6 || fields[0] != "id:" || fields[1] != fields[4] {
+	if len(fields) < eventFields || fields[0] != "id:" || fields[1] != fields[4] {
 		c.violation("event that is none", s, v, id, event)
 		return false
 	}
@@ -245,6 +270,10 @@
 		c.violation("event of another request", s, v, id, event)
 		return false
 	}
+	if kind := s.addRun(fields[6], number); kind != "" {
+		c.violation(kind, s, v, id, event)
+		return false
+	}
 	if s.LastEvent++; s.LastEvent == 1 {
 		s.Attempt = id
 	}
@@ -260,9 +289,25 @@
 	return true
 }
 
+// addRun adds the run that wrote an event, written as its number and the last event before it, and returns what is wrong with
+// it. A new run goes on where the events before it end.
+func (s *streamCaller) addRun(run string, number int) string {
+	if len(s.runs) > 0 && s.runs[len(s.runs)-1] == run {
+		return ""
+	}
+	if slices.Contains(s.runs, run) {
+		return "event of an earlier run"
+	}
+	s.runs = append(s.runs, run)
+	if _, begin, _ := strings.Cut(run, "-"); begin != strconv.Itoa(number-1) {
+		return "event from the middle of another run"
+	}
+	return ""
+}
+
 func (c streamReader) violation(kind string, s *streamCaller, v *vm, id, detail string) {
 	c.order.count("OUT OF ORDER: " + kind)
-	c.run.checks.AddViolation("stream %s at %s, begun as %s, after event %d of versions %v: %s: %q", id, v.settingsPath, s.Attempt, s.LastEvent, s.versions, kind, detail)
+	c.run.checks.AddViolation("stream %s at %s, begun as %s, after event %d of versions %v and runs %v: %s: %.100q", id, v.settingsPath, s.Attempt, s.LastEvent, s.versions, s.runs, kind, detail)
 }
 
 // releaseVersions replaces model servers by ones of another software version, under their names, until ctx ends.
@@ -272,11 +317,27 @@
 	servers := r.site.Backends(demo.SiteModelService)
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(streamRelease))))
-		r.countFault("release")
-		b := servers[rng.IntN(len(servers))]
-		r.site.ReleaseBackend(b, versions[rng.IntN(len(versions))])
-		r.addModelsLater(b)
+		if r.replaceInstance(servers[rng.IntN(len(servers))], versions[rng.IntN(len(versions))]) {
+			r.countFault("release")
+		}
+	}
+}
+
+// replaceInstance ends the process of a model server and starts another one of a software version under its name. It reports
+// false if one is still starting. The old process has ended before anything tells of the new version.
+func (r *run) replaceInstance(b *stand.Backend, version string) bool {
+	r.mu.Lock()
+	server, startedAt := r.streamServers[b.ID], b.Entry().StartedAt
+	starting := r.replacedAt[b.ID].Equal(startedAt)
+	r.replacedAt[b.ID] = startedAt
+	r.mu.Unlock()
+	if starting {
+		return false
 	}
+	_ = server.Close()
+	r.site.ReleaseBackend(b, version)
+	r.addModelsLater(b)
+	return true
 }
 
 // addModelsLater loads the models of streams at a server once it has started again, so that controllers need not.
@@ -293,10 +354,10 @@
 	servers := r.site.Backends(demo.SiteModelService)
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(streamRelease))))
-		r.countFault("server_crash")
 		b := servers[rng.IntN(len(servers))]
-		r.site.ReleaseBackend(b, b.SoftwareVersion())
-		r.addModelsLater(b)
+		if r.replaceInstance(b, b.SoftwareVersion()) {
+			r.countFault("server_crash")
+		}
 	}
 }
 
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -45,6 +45,8 @@
 	demo.Progress
 	versions []string
 	model    string
+	// runs names the runs that wrote the events, where servers say so, in the order in which they began to.
+	runs []string
 }
 
 // read sends one try to a VM and reads up to a number of events. It reports whether the try was served.
