pass, backs: An entry without a start names no instance where other entries tell theirs

What callers saw: a stream whose first events a server of one software version wrote, and the others one of another version.

Cause: who answers at a server's address is asked before a stream goes there only if the server's entry tells when its instance started; one that does not was taken for a name that is never used again. A server whose entry tells no start (of an older build, or an entry that another writer left with the field missing) and that came back under its name and address as another version got streams under the version of the old entry, at each VM that had not read the new entry yet. Other VMs then took these streams up, rightly, at servers of the version that had been told to them.

TestServerWithoutStartCameBackAsAnotherVersion: two of three cases failed before.

Once an entry has told a start, connections for streams are asked for those that do not, too. Where no entry tells one nothing is asked, as names are not used again there and questions have a price. What remains: until the first entry tells a start, nothing tells that names are used again.

--- a/backs/queries.go
+++ b/backs/queries.go
@@ -98,3 +98,11 @@
 	r := v.records[id]
 	return r != nil && r.usable(now) && v.restRemaining(now, id) == 0
 }
+
+// StartsTold reports whether the entry of any server has told when its instance started. A name then stands for several
+// instances, also where the entry under it does not tell the start.
+func (v *View) StartsTold() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.startsTold
+}
--- a/backs/view.go
+++ b/backs/view.go
@@ -85,6 +85,8 @@
 	records map[string]*record
 	// instanceIDs maps a server's platform name to the ID of its newest instance.
 	instanceIDs map[string]string
+	// startsTold is set once an entry has told when its instance started.
+	startsTold bool
 	// leaving holds the servers that said in a response to any VM that they leave, and restUntil the
 	// ends of the rests that servers asked this VM for, both by server ID. They outlive the records,
 	// as an entry may be removed and stored again.
@@ -181,6 +183,7 @@
 	if !v.acceptInstance(now, e) {
 		return nil
 	}
+	v.startsTold = v.startsTold || !e.StartedAt.IsZero()
 	r := v.records[e.ID]
 	if r == nil {
 		r = &record{}
--- a/pass/instance.go
+++ b/pass/instance.go
@@ -35,9 +35,9 @@
 )
 
 // checkInstance returns an error unless the process at the other end of a connection is the instance that an entry
-// describes. Instances that are not told apart by their start have names of their own.
+// describes. Where no entry tells a start, instances have names of their own.
 func (g *Gateway) checkInstance(conn *conns.Conn, e backs.Entry) error {
-	if g.InstanceProbe == nil || e.StartedAt.IsZero() || conn.Identified() {
+	if g.InstanceProbe == nil || conn.Identified() || e.StartedAt.IsZero() && !g.Servers.StartsTold() {
 		return nil
 	}
 	g.Meter.AddCounter("pass.instance_probes", 1)
--- a/pass/versions_test.go
+++ b/pass/versions_test.go
@@ -192,6 +192,42 @@
 	}
 }
 
+// Guards against a server whose entry does not tell its start, and that came back under its name and address as another
+// software version: a stream begins there under the version of the old entry, and goes on at servers of that.
+func TestServerWithoutStartCameBackAsAnotherVersion(t *testing.T) {
+	tests := map[string]struct {
+		// startTold is set if the entry of another server tells its start.
+		startTold  bool
+		backStart  int64
+		wantProbes int64
+		want       string
+	}{
+		"other entries tell their start":                       {true, 2000, 2, "v1"},
+		"other entries do, and the server tells none":          {true, time.Time{}.Unix(), 1, "v2"},
+		"no entry tells a start, so that names are not reused": {false, 2000, 0, "v2"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			back := versionServer("back", "v1", startInstance(t, tc.backStart, "v2"))
+			same := instanceEntry("same", "v1", startInstance(t, 1000, "v1"), 1000)
+			g := testGateway(back)
+			useResumableRoute(g)
+			g.InstanceProbe = testProbe
+			g.RetryBudget("s").SetLimit(clock.Now(), 0, 100, 10*time.Second)
+			if tc.startTold {
+				leaving := instanceEntry("leaving", "v1", same.Address, 1000)
+				leaving.Draining = true
+				g.Servers.Put(clock.Now(), leaving)
+			}
+			w := httptest.NewRecorder()
+			time.AfterFunc(50*time.Millisecond, func() { g.Servers.Put(clock.Now(), same) })
+			sendAborted(g, w, newStreamRequest())
+			require.Equal(t, versionEvents(tc.want, 1, 3), w.Body.String())
+			require.Equal(t, tc.wantProbes, g.Meter.CounterValue("pass.instance_probes"))
+		})
+	}
+}
+
 // takeUpRequest returns a request that takes a stream up after its first event.
 func takeUpRequest(resumes ...string) *http.Request {
 	r := newStreamRequest()
