soak: The list of proxies is read under its lock

Cause: soak -streams adds servers while faults are injected, and the list of proxies was read without the lock, as servers were only added at the start before. Evidence by reading; the race detector had not been run on the mode yet.

--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -27,11 +27,11 @@
 // cut cuts a VM off from all servers until the returned function is called.
 func (r *run) cut(v *vm, keepOpen bool) (heal func()) {
 	end := r.disturbances.record(v.listenAddress)
-	for _, p := range r.serverProxies {
+	for _, p := range r.proxies() {
 		p.Cut(v.source, keepOpen)
 	}
 	return func() {
-		for _, p := range r.serverProxies {
+		for _, p := range r.proxies() {
 			p.Heal(v.source)
 		}
 		end()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -31,7 +31,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(maxFaultInterval))))
 		duration := maxFaultDuration/9 + time.Duration(rng.Int64N(int64(maxFaultDuration)))
-		v, serverProxy := r.vms[rng.IntN(len(r.vms))], r.serverProxies[rng.IntN(len(r.serverProxies))]
+		v, serverProxy := r.vms[rng.IntN(len(r.vms))], pick(rng, r.proxies())
 		failureCount := 1 + rng.IntN(maxFaultsPerKind)
 		version++
 		fault, name := r.selectFault(rng.IntN(14), v, serverProxy, failureCount, version)
--- a/soak/recovery.go
+++ b/soak/recovery.go
@@ -88,7 +88,7 @@
 	for _, b := range append(r.site.Backends(demo.SiteModelService), r.site.Backends(demo.SitePlainService)...) {
 		b.SetPendingFaults(nil)
 	}
-	for _, p := range r.serverProxies {
+	for _, p := range r.proxies() {
 		p.SetMode(Forward)
 	}
 	for _, v := range r.vms {
--- a/soak/repeats.go
+++ b/soak/repeats.go
@@ -29,7 +29,7 @@
 // It guards against a request that runs twice, or is refused though it runs, as the refusal of an earlier send is taken
 // for that of the present one.
 func (r *run) checkRepeats(ctx context.Context) {
-	for _, p := range r.serverProxies {
+	for _, p := range r.proxies() {
 		p.SetRepeats(true)
 	}
 	r.setSilences(repeatSilenceInterval)
@@ -55,7 +55,7 @@
 	wait.Wait()
 	r.setSilences(0)
 	pause.For(ctx, repeatsSettleTime)
-	for _, p := range r.serverProxies {
+	for _, p := range r.proxies() {
 		p.SetRepeats(false)
 		r.faults["refusal_repeated"] += p.Repeated()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -205,13 +206,21 @@
 	if err != nil {
 		return "", err
 	}
-	// Servers are added only while the site starts; serverProxies is read without mu
-	// afterwards.
 	r.serverProxies = append(r.serverProxies, p)
 	r.proxyByServerID[id] = p
 	return p.Address(), nil
 }
 
+// proxies returns the proxies in front of the backend servers.
+func (r *run) proxies() []*Proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.serverProxies)
+}
+
+// pick returns one of the elements of a list.
+func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
+
 // sendRequests sends requests of some kinds as one caller, one at a time. It reuses its connection to a VM until
 // the VM closes it.
 func (r *run) sendRequests(ctx context.Context, n int, kinds []demo.RequestKind) {
@@ -244,7 +253,7 @@
 	if r.site != nil {
 		r.site.Close()
 	}
-	for _, p := range r.serverProxies {
+	for _, p := range r.proxies() {
 		p.Close()
 	}
 	for _, s := range r.streamServers {
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -391,7 +391,7 @@
 	var wait sync.WaitGroup
 	for version := 2; ctx.Err() == nil; version++ {
 		pause.For(ctx, time.Duration(rng.Int64N(int64(streamFaultInterval))))
-		v, p := r.vms[rng.IntN(len(r.vms))], r.serverProxies[rng.IntN(len(r.serverProxies))]
+		v, p := r.vms[rng.IntN(len(r.vms))], pick(rng, r.proxies())
 		duration := time.Duration(rng.Int64N(int64(longStandstill)))
 		inject, name := r.selectStreamFault(rng.IntN(12), v, p, version)
 		r.countFault(name)
