--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -97,6 +99,11 @@
 	proxyByServerID map[string]*Proxy
 	outcomes        []demo.Outcome
 	faults          map[string]int
+	// streamServers holds the server in front of each model server, with Streams, and nextRun the number of the next run.
+	streamServers map[string]*http.Server
+	// replacedAt is the start of the last instance of each model server that was replaced.
+	replacedAt map[string]time.Time
+	nextRun    atomic.Uint64
 }
 
 // Run starts the system, injects the faults of one seed under load, and checks the guarantees. A
@@ -108,7 +115,7 @@
 	if o.Callers == 0 {
 		o.Callers = defaultCallers
 	}
-	r := &run{options: o, faults: make(map[string]int), proxyByServerID: make(map[string]*Proxy)}
+	r := &run{options: o, faults: make(map[string]int), proxyByServerID: make(map[string]*Proxy), streamServers: make(map[string]*http.Server), replacedAt: make(map[string]time.Time)}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
@@ -134,7 +141,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for i := range o.Callers {
-		wait.Go(func() { r.sendRequests(loadCtx, i) })
+		wait.Go(func() { r.sendRequests(loadCtx, i, demo.SiteRequestKinds) })
 	}
 	for i := range hotCallers {
 		wait.Go(func() { r.sendHot(loadCtx, "hot", i) })
@@ -175,7 +182,6 @@
 }
 
 func (r *run) start(ctx context.Context) error {
-	var err error
 	tokensPerEvent := 0
 	if r.measured() {
 		tokensPerEvent = plannedTokensPerEvent
@@ -188,12 +194,15 @@
 		options.Backends, options.Routes = outOfStepServers, outOfStepRoutes()
 	}
 	if r.options.Streams {
-		options.WorkTime = streamTime
+		options.WorkTime, options.RegisteredAddress = streamTime, r.registerServer
 	}
-	r.site, err = demo.StartSite(ctx, options)
+	site, err := demo.StartSite(ctx, options)
 	if err != nil {
 		return fmt.Errorf("start stand-ins: %w", err)
 	}
+	r.mu.Lock()
+	r.site = site
+	r.mu.Unlock()
 	if r.options.Streams {
 		r.startModelServers()
 	}
@@ -229,21 +238,29 @@
 	if err != nil {
 		return "", err
 	}
-	// Servers are added only while the site starts; serverProxies is read without mu
-	// afterwards.
 	r.serverProxies = append(r.serverProxies, p)
 	r.proxyByServerID[id] = p
 	return p.Address(), nil
 }
 
-// sendRequests sends requests as one caller, one at a time. It reuses its connection to a VM until
+// proxies returns the proxies in front of the backend servers.
+func (r *run) proxies() []*Proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.serverProxies)
+}
+
+// pick returns one of the elements of a list.
+func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
+
+// sendRequests sends requests of some kinds as one caller, one at a time. It reuses its connection to a VM until
 // the VM closes it.
-func (r *run) sendRequests(ctx context.Context, n int) {
+func (r *run) sendRequests(ctx context.Context, n int, kinds []demo.RequestKind) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, uint64(n)+100))
 	client := &http.Client{Timeout: callTimeout}
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		k := demo.SiteRequestKinds[rng.IntN(len(demo.SiteRequestKinds))]
+		k := kinds[rng.IntN(len(kinds))]
 		o := r.site.SendRequest(context.Background(), client, r.vms[rng.IntN(len(r.vms))].listenAddress, fmt.Sprintf("%d-%d-%d", r.options.Seed, n, i), k, rng)
 		r.checks.CheckOutcome(o)
 		r.mu.Lock()
@@ -269,7 +286,10 @@
 	if r.site != nil {
 		r.site.Close()
 	}
-	for _, p := range r.serverProxies {
+	for _, p := range r.proxies() {
 		p.Close()
 	}
+	for _, s := range r.streamServers {
+		_ = s.Close()
+	}
 }
