backs: An odd entry from a VM of an older build is not used

What callers saw: a controller of an older build takes an odd entry for that of a server and sends it to all VMs, which sent requests there too.

Cause: a VM took over whatever a hub told of a server. Only the VM that reads the store looked at the entry, and one of an older build looks for less.

View.Merge checks the states that it is sent as DecodeEntry checks entries. A server that is known keeps what is known of it and gets no new requests until its entry is sound again; one that is not known stays so.

--- a/backs/update.go
+++ b/backs/update.go
@@ -82,6 +82,12 @@
 	revision := v.revision
 	listed := make(map[string]bool, len(update.States))
 	for _, s := range update.States {
+		if !s.Removed && s.Validate() != nil {
+			// A VM of an older build takes odd entries for servers.
+			listed[v.instanceIDs[s.PlatformName()]] = true
+			v.markUnreadable(s.PlatformName())
+			continue
+		}
 		listed[s.ID] = true
 		v.mergeState(now, s)
 	}
