--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/clock"
 )
 
 // asyncWriteBytes is the body size from which a separate goroutine writes the
@@ -112,8 +114,9 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && s > 0 {
-			return time.Duration(s) * time.Second
+		s, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		if s > 0 && (err == nil || errors.Is(err, strconv.ErrRange)) {
+			return clock.Duration(float64(s), time.Second)
 		}
 	}
 	return 0
--- a/pass/call.go
+++ b/pass/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/pick"
@@ -230,7 +231,7 @@
 func requestTimeout(n *HeaderNames, r *http.Request, route routes.Route) time.Duration {
 	timeout := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(n.Deadline), 10, 64); err == nil && ms > 0 {
-		if callerTimeout := time.Duration(ms) * time.Millisecond; timeout == 0 || callerTimeout < timeout {
+		if callerTimeout := clock.Duration(float64(ms), time.Millisecond); timeout == 0 || callerTimeout < timeout {
 			timeout = callerTimeout
 		}
 	}
--- a/pass/call_test.go
+++ b/pass/call_test.go
@@ -163,3 +163,27 @@
 		})
 	}
 }
+
+// Guards against a deadline of a caller that overflows and ends its request at once.
+func TestRequestTimeoutSaturates(t *testing.T) {
+	for name, tc := range map[string]struct {
+		deadline string
+		route    time.Duration
+		want     time.Duration
+	}{
+		"none":                  {"", 3 * time.Second, 3 * time.Second},
+		"neither":               {"", 0, defaultRequestTimeout},
+		"shorter":               {"1000", 3 * time.Second, time.Second},
+		"longer":                {"5000", 3 * time.Second, 3 * time.Second},
+		"overflows to negative": {"9223372036855", 3 * time.Second, 3 * time.Second},
+		"overflows to little":   {"18446744073710", 3 * time.Second, 3 * time.Second},
+		"largest":               {"9223372036854775807", 3 * time.Second, 3 * time.Second},
+		"beyond the type":       {"9223372036854775808", 3 * time.Second, 3 * time.Second},
+		"negative":              {"-1", 3 * time.Second, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &http.Request{Header: http.Header{testHeaderNames.Deadline: {tc.deadline}}}
+			require.Equal(t, tc.want, requestTimeout(testHeaderNames, r, routes.Route{Timeout: tc.route}))
+		})
+	}
+}
--- a/pick/finish.go
+++ b/pick/finish.go
@@ -69,7 +69,7 @@
 		if w.serverPriority() > topServerPriority {
 			high = s.above(overtakenDeviations)
 		}
-		return c.PredictedTime + time.Duration(pace*high*float64(max(w.MaxOutputTokens, 1))), true
+		return c.PredictedTime + bound(pace*high*float64(max(w.MaxOutputTokens, 1))), true
 	}
 	return c.PredictedTime + scale(time.Duration(w.MaxOutputTokens)*b.tokenTime(w), pace), w.MaxOutputTokens > 0
 }
--- a/pick/finish_test.go
+++ b/pick/finish_test.go
@@ -151,3 +151,16 @@
 		})
 	}
 }
+
+// Guards against a duration that overflows because of what a caller says it wants: a stream would count as about to end.
+func TestExpectedDurationOfHugeOutput(t *testing.T) {
+	b := &pick.Balancer{}
+	work := pick.Work{Route: "r", Model: "m", Slots: 8, PromptTokens: 100, MaxOutputTokens: 1}
+	choice := pick.Choice{Server: backs.Entry{ID: "a", Service: "s", Slots: 8}, PredictedTime: time.Millisecond}
+	now := time.Unix(1000, 0)
+	b.Begin(now, choice, work, 0).End(now.Add(time.Minute), pick.Succeeded)
+	work.MaxOutputTokens = 1 << 30
+	expected, known := b.ExpectedDuration(now, choice, work)
+	require.True(t, known)
+	require.Greater(t, expected, 24*time.Hour)
+}
