peers: An odd lease record is replaced once its holder must have stopped

What callers saw: with a lease record that can't be decoded no VM became the controller again, until somebody removed the record: no model was loaded or unloaded, and each VM read the store for itself. With a record that names nobody (null, an empty object) another VM sent orders at once, beside the holder.

Cause: a record that couldn't be decoded was an error of the read, and one without a holder counted as released.

An odd record counts as one that a VM nobody knows has just written: the others wait for the longest duration that they know, acquire the lease on the version that they read, and send their first order a handover time later, with a token above all that the record may have had. The numbers of VMs that divide what all share stay as they were known. Records with numbers that no VM writes are odd too, as times overflow and tokens could not rise above them. Each is logged once.

--- a/peers/handover.go
+++ b/peers/handover.go
@@ -42,7 +42,7 @@
 func (l *Lease) foundRecord(version int) foundRecord {
 	era, _ := store.SplitVersion(version)
 	return foundRecord{
-		own: l.record.Address == "" || l.record.Address == l.Address, observedAt: l.keeper.ObservedAt(),
+		own: l.record.Holder != oddHolder && (l.record.Address == "" || l.record.Address == l.Address), observedAt: l.keeper.ObservedAt(),
 		handoverLeft: time.Duration(l.record.ZzzzHandoverMs) * time.Millisecond,
 		duration:     time.Duration(l.record.DurationMs) * time.Millisecond, lost: l.Duration, handover: l.Handover,
 		restored: l.keeper.Restored(), era: era,
--- a/peers/leaseread.go
+++ b/peers/leaseread.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -39,12 +38,17 @@
 	case err != nil:
 		return fmt.Errorf("read lease: %w", err)
 	default:
-		if err := json.Unmarshal(obj.Value, &record); err != nil {
-			return fmt.Errorf("decode lease: %w", err)
-		}
+		record, err = decodeRecord(obj.Value)
+	}
+	if err != nil && stale {
+		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err != nil && !trace.IsNotFound(err) {
+		l.observeOdd(obj.Version, err)
+		return nil
+	}
 	if l.startRecord == nil {
 		start := startRecord(obj.Version, record)
 		l.startRecord = &start
