routes, node: A configuration that no operator writes replaces none

What callers saw: a configuration with a negative timeout, limit or capacity came into force, and so did null or an empty object where there was none before: the VM then answered that no route exists. Times and weights of 1e300 overflow, to other numbers on x86-64 than on arm64.

Cause: only what encoding/json refuses was refused.

Weights are between 0 and 2^20, so that they can be summed up.

--- a/node/config.go
+++ b/node/config.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hibiscuscart/hibiscuscart/limit"
@@ -10,6 +11,8 @@
 	"github.com/hibiscuscart/hibiscuscart/store"
 )
 
+var errEmptyConfig = errors.New("configuration without version, routes and services")
+
 // configWatcher returns the watcher that applies the newest configuration.
 func (n *Node) configWatcher() watcher {
 	return watcher{
@@ -137,6 +140,9 @@
 		return
 	}
 	table, err := n.config.DecodeTable(o)
+	if err == nil && table.Empty() {
+		err = errEmptyConfig
+	}
 	if err != nil {
 		n.log.Error().Err(err).Int("version", shown.number).Msg("cannot decode configuration; keeping the one in force")
 		return
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -24,6 +24,9 @@
 	Stream Kind = "stream"
 )
 
+// MaxWeight bounds the weight of a target, so that weights can be summed up.
+const MaxWeight = 1 << 20
+
 // Target is a service and its weight among the targets of a route.
 type Target struct {
 	Service string
