node: The log line of a removed entry is bounded

What callers saw: an entry whose name has a megabyte made each VM log a line of a megabyte when it was removed.

Cause: the name of a removed entry was logged whole, though it may be that of no server.

The line has the first 300 bytes of the name.

--- a/node/servers.go
+++ b/node/servers.go
@@ -8,6 +8,9 @@
 	"github.com/hibiscuscart/hibiscuscart/store"
 )
 
+// maxLoggedName bounds how many bytes are logged of a name that may be of no server.
+const maxLoggedName = 300
+
 // serverWatcher returns the watcher that updates the view of the backend servers.
 func (n *Node) serverWatcher() watcher {
 	return watcher{
@@ -103,7 +106,7 @@
 func (n *Node) serverChanged(now time.Time, c store.Change) {
 	if c.Deleted {
 		n.serverView.Remove(now, c.Object.Name)
-		n.log.Info().Str("server", c.Object.Name).EmbedObject(loggedVersion(c.Object.Version)).Msg("server removed")
+		n.log.Info().Str("server", c.Object.Name[:min(len(c.Object.Name), maxLoggedName)]).EmbedObject(loggedVersion(c.Object.Version)).Msg("server removed")
 		return
 	}
 	e, ok := n.decodeEntry(c.Object)
