store: One odd object costs itself only in the client of serve

What callers saw: the same fault as in the client of the platform's store: with one object that can't be decoded no VM of serve could list its kind, and a watch came to the same event again and again. An event of more than 2 MB ended each watch at the position before it.

Cause: a list was decoded as one document; an event that can't be decoded, or is too long, ended the watch without moving its position.

Lists, objects and events are split as in the other client and decoded one by one. A response has 64 MB at most. After an event that is too long the kind is listed again.

--- a/store/client.go
+++ b/store/client.go
@@ -19,6 +19,7 @@
 	"github.com/dghubble/sling"
 	"github.com/gravitational/trace"
 
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -38,6 +39,8 @@
 	initialRetryInterval = 20 * time.Millisecond
 	maxRetryInterval     = 2 * time.Second
 	maxErrorBodyBytes    = 4 << 10
+	// maxBodyBytes bounds a response. A list has all objects of a kind.
+	maxBodyBytes = 64 << 20
 )
 
 // Object is one stored value with its version.
@@ -225,7 +228,14 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return statusError(req.Method, resp)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	data, err := conns.ReadAll(resp.Body, maxBodyBytes)
+	if errors.Is(err, conns.ErrBodyTooLarge) {
+		err = fmt.Errorf("%w: more than %d bytes", err, maxBodyBytes)
+	}
+	if err == nil {
+		err = decodeResponse(data, out)
+	}
+	if err != nil {
 		return classifyCallError(req.Method, true, fmt.Errorf("read response: %w", err))
 	}
 	return nil
--- a/store/watch.go
+++ b/store/watch.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -57,14 +59,19 @@
 	lines.Buffer(make([]byte, 0, 64<<10), maxEventBytes)
 	for lines.Scan() {
 		var e Event
-		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
-			return version, fmt.Errorf("decode watch event: %w", err)
+		if err := e.decode(lines.Bytes()); err != nil {
+			return version, err
 		}
 		version = max(version, e.Version)
-		if e.Type != EventBookmark {
+		if e.Type != EventBookmark && e.Name != "" {
+			e.Value = bytes.Clone(e.Value)
 			onEvent(e)
 		}
 	}
+	if errors.Is(lines.Err(), bufio.ErrTooLong) {
+		// The watch would never get past this event, a list does.
+		return version, fmt.Errorf("event of more than %d bytes: %w", maxEventBytes, &GoneError{})
+	}
 	return version, fmt.Errorf("watch stream ended: %w", &UnavailableError{Err: lines.Err()})
 }
 
