--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -145,7 +145,7 @@
 		return data, fmt.Errorf("read body: %w", err)
 	}
 	if len(data) > limit {
-		return nil, ErrBodyTooLarge
+		return nil, fmt.Errorf("%w: more than %d bytes", ErrBodyTooLarge, limit)
 	}
 	return data, nil
 }
--- a/store/client.go
+++ b/store/client.go
@@ -229,9 +229,6 @@
 		return statusError(req.Method, resp)
 	}
 	data, err := conns.ReadAll(resp.Body, maxBodyBytes)
-	if errors.Is(err, conns.ErrBodyTooLarge) {
-		err = fmt.Errorf("%w: more than %d bytes", err, maxBodyBytes)
-	}
 	if err == nil {
 		err = decodeResponse(data, out)
 	}
