--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	desync := flag.String("desync", "", "`JSON` object with what replaces the drawn disturbance of -outofstep")
 	streams := flag.Bool("streams", false, "only read streams to their end beside all that may break them, and check their order")
 	share := flag.Float64("share", 0, "with -streams, `PART` of each tenth of a second in which VMs run (default all)")
+	odd := flag.Bool("odd", false, "only run with odd objects in the store")
 	vms := flag.Int("vms", 0, "`NUMBER` of VMs (default 3)")
 	servers := flag.Int("servers", 0, "`NUMBER` of servers of each service (default 3)")
 	callers := flag.Int("callers", 0, "`NUMBER` of callers (default 12)")
@@ -40,7 +41,7 @@
 	flag.Parse()
 	o := soak.Options{
 		Program: *program, Duration: *duration, NoCuts: *noCuts, Planned: *planned, Repeats: *repeats, OutOfStep: *outOfStep, Desync: *desync,
-		Streams: *streams, Share: *share, VMs: *vms, Servers: *servers, Callers: *callers,
+		Odd: *odd, Streams: *streams, Share: *share, VMs: *vms, Servers: *servers, Callers: *callers,
 	}
 	keepLogs = *keep
 	if err := run(o, *dir, *firstSeed, *seedCount, *concurrency); err != nil {
@@ -70,7 +71,7 @@
 			o.Seed = firstSeed + uint64(i)
 			o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
 			ok := runSeed(o)
-			if !o.Planned && !o.Repeats && !o.OutOfStep && !o.Streams {
+			if !o.Planned && !o.Repeats && !o.OutOfStep && !o.Streams && !o.Odd {
 				o.Planned, o.Dir = true, o.Dir+"-planned"
 				ok = runSeed(o) && ok
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,8 @@
 	// that are to be others.
 	OutOfStep bool
 	Desync    string
+	// Odd leaves out all faults but odd objects in the store, and their checks.
+	Odd bool
 	// Streams only reads streams to their end beside all that may break them, and checks their order.
 	Streams bool
 	// Share is the share of each window of a tenth of a second in which VMs run, with Streams; 0 means all of it.
@@ -136,6 +138,10 @@
 		r.checkStreams(ctx)
 		return r.result(), nil
 	}
+	if o.Odd {
+		r.checkOdd(ctx)
+		return r.result(), nil
+	}
 	r.setSilences(silenceInterval)
 	loadCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
--- a/store/decode.go
+++ b/store/decode.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-
-	"github.com/hibiscuscart/hibiscuscart/jsonx"
 )
 
 // Objects come from different writers. One that cannot be decoded has no value, and no name or version if these cannot be
@@ -26,7 +24,7 @@
 }
 
 func (l *Listing) decode(data []byte) error {
-	members, err := jsonx.Members(data)
+	members, err := SplitObject(data)
 	if err != nil {
 		return fmt.Errorf("decode listing: %w", err)
 	}
@@ -43,7 +41,7 @@
 }
 
 func (o *Object) decode(data []byte) error {
-	members, err := jsonx.Members(data)
+	members, err := SplitObject(data)
 	if err != nil {
 		return fmt.Errorf("decode object: %w", err)
 	}
@@ -56,7 +54,7 @@
 
 // decode decodes an event. It returns an error if data is no event, and not even a part of one can be used.
 func (e *Event) decode(data []byte) error {
-	members, err := jsonx.Members(data)
+	members, err := SplitObject(data)
 	if err != nil {
 		return fmt.Errorf("decode watch event: %w", err)
 	}
--- a/jsonx/jsonx.go
+++ b/store/split.go
@@ -1,6 +1,4 @@
-// Package jsonx splits JSON documents whose parts come from different writers, so that a part which cannot be decoded
-// does not cost the others. encoding/json refuses a whole document if one part is nested too deep for it.
-package jsonx
+package store
 
 import (
 	"bytes"
@@ -11,9 +9,9 @@
 	"github.com/gravitational/trace"
 )
 
-// Elements returns the elements of an array as they are written, whatever their depth. It returns a trace.BadParameter
+// SplitArray returns the elements of an array as they are written, whatever their depth. It returns a trace.BadParameter
 // error if doc is not one whole array; an element may still be invalid JSON. The elements share the memory of doc.
-func Elements(doc []byte) ([]json.RawMessage, error) {
+func SplitArray(doc []byte) ([]json.RawMessage, error) {
 	s := splitter{doc: doc}
 	var list []json.RawMessage
 	err := s.split('[', ']', func() error {
@@ -27,8 +25,8 @@
 	return list, nil
 }
 
-// Object holds the members of an object as they are written.
-type Object struct{ members []member }
+// Members holds the members of an object as they are written.
+type Members struct{ list []member }
 
 type member struct {
 	name  []byte
@@ -38,25 +36,25 @@
 // usualMembers is how many members an object has room for at first.
 const usualMembers = 4
 
-// Members returns the members of an object as Elements returns the elements of an array.
-func Members(doc []byte) (Object, error) {
+// SplitObject returns the members of an object as SplitArray returns the elements of an array.
+func SplitObject(doc []byte) (Members, error) {
 	s := splitter{doc: doc}
-	o := Object{members: make([]member, 0, usualMembers)}
+	o := Members{list: make([]member, 0, usualMembers)}
 	err := s.split('{', '}', func() error {
 		m, err := s.member()
-		o.members = append(o.members, m)
+		o.list = append(o.list, m)
 		return err
 	})
 	if err != nil {
-		return Object{}, err
+		return Members{}, err
 	}
 	return o, nil
 }
 
 // Get returns the value of a member, nil if there is none. Names are case-sensitive. Of two members with one name the
 // last counts.
-func (o Object) Get(name string) json.RawMessage {
-	for _, m := range slices.Backward(o.members) {
+func (o Members) Get(name string) json.RawMessage {
+	for _, m := range slices.Backward(o.list) {
 		if string(m.name) == name {
 			return m.value
 		}
@@ -65,7 +63,7 @@
 }
 
 // Decode decodes a member like json.Unmarshal. It leaves v as it is if there is no such member.
-func (o Object) Decode(name string, v any) error {
+func (o Members) Decode(name string, v any) error {
 	value := o.Get(name)
 	if value == nil {
 		return nil
@@ -77,19 +75,20 @@
 }
 
 // Elements returns the elements of a member that is an array, none if it is missing or null.
-func (o Object) Elements(name string) ([]json.RawMessage, error) {
+func (o Members) Elements(name string) ([]json.RawMessage, error) {
 	value := o.Get(name)
 	if value == nil || string(value) == "null" {
 		return nil, nil
 	}
-	list, err := Elements(value)
+	list, err := SplitArray(value)
 	if err != nil {
 		return nil, fmt.Errorf("decode %s: %w", name, err)
 	}
 	return list, nil
 }
 
-// splitter reads a document from front to back without recursion.
+// splitter reads a document whose parts come from different writers, so that a part which cannot be decoded does not
+// cost the others: encoding/json refuses a whole document if one part is nested too deep for it. It does not recurse.
 type splitter struct {
 	doc []byte
 	at  int
--- a/jsonx/jsonx_test.go
+++ b/store/split_test.go
@@ -1,4 +1,4 @@
-package jsonx_test
+package store_test
 
 import (
 	"encoding/json"
@@ -8,10 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hibiscuscart/hibiscuscart/jsonx"
+	"github.com/hibiscuscart/hibiscuscart/store"
 )
 
-func TestElements(t *testing.T) {
+func TestSplitArray(t *testing.T) {
 	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
 	tests := map[string]struct {
 		doc  string
@@ -27,7 +27,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			list, err := jsonx.Elements([]byte(tc.doc))
+			list, err := store.SplitArray([]byte(tc.doc))
 			require.NoError(t, err)
 			var got []string
 			for _, e := range list {
@@ -41,7 +41,7 @@
 	}
 }
 
-func TestMembers(t *testing.T) {
+func TestSplitObject(t *testing.T) {
 	deep := strings.Repeat(`{"a":`, 200_000) + "1" + strings.Repeat("}", 200_000)
 	tests := map[string]struct {
 		doc  string
@@ -56,7 +56,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			got, err := jsonx.Members([]byte(tc.doc))
+			got, err := store.SplitObject([]byte(tc.doc))
 			require.NoError(t, err)
 			for name, value := range tc.want {
 				require.True(t, string(got.Get(name)) == value, name)
@@ -73,22 +73,22 @@
 		"{", `{"a"`, `{"a":`, `{"a":1`, `{"a":1,`, `{"a":1,}`, `{a:1}`, `{"a" 1}`, `{"a":1]`, `{"a":}`, `{"a":1}{`, `{"\x":1}`, `{"a":[1}}`,
 	} {
 		t.Run(doc, func(t *testing.T) {
-			_, err := jsonx.Elements([]byte(doc))
+			_, err := store.SplitArray([]byte(doc))
 			require.Error(t, err)
-			_, err = jsonx.Members([]byte(doc))
+			_, err = store.SplitObject([]byte(doc))
 			require.Error(t, err)
 		})
 	}
 }
 
-// FuzzMembers checks that whatever encoding/json takes is split into the same values.
-func FuzzMembers(f *testing.F) {
+// FuzzSplit checks that whatever encoding/json takes is split into the same values.
+func FuzzSplit(f *testing.F) {
 	f.Add([]byte(`{"a":[1,{"b":"\"]"}],"c":null}`))
 	f.Add([]byte(` [ "x" , {} ] `))
 	f.Add([]byte(`{"a":1,"a":[2`))
 	f.Fuzz(func(t *testing.T, doc []byte) {
-		list, listErr := jsonx.Elements(doc)
-		members, membersErr := jsonx.Members(doc)
+		list, listErr := store.SplitArray(doc)
+		members, membersErr := store.SplitObject(doc)
 		var wantList []json.RawMessage
 		if json.Unmarshal(doc, &wantList) == nil && wantList != nil {
 			require.NoError(t, listErr)
@@ -110,8 +110,8 @@
 }
 
 // Guards against a member that is missing, null or of another type and changes what it is decoded into.
-func TestObjectDecode(t *testing.T) {
-	o, err := jsonx.Members([]byte(`{"n":7,"s":"x","list":[1,[2]],"null":null,"deep":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`))
+func TestMembersDecode(t *testing.T) {
+	o, err := store.SplitObject([]byte(`{"n":7,"s":"x","list":[1,[2]],"null":null,"deep":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`))
 	require.NoError(t, err)
 	n := 3
 	require.NoError(t, o.Decode("missing", &n))
