backs, peers: A VM knows no more of the versions than its hub, and not for longer than it was told

A VM that keeps its link while its hub is out of touch and lists anew took its own, longer history for complete, though all of it came from that hub. A list after a gap of up to 2.5 s continued the history also if a server had started again under its name, as another version and back. A server that changed its version under its ID left nothing behind.

Evidence, the tests of this commit on the code before: TestVersionsMissedByHub 1 of 3 cases (the others are controls), TestVersionOfServerThatCameBack 3 of 3, TestClockAheadDoesNotAgeVersions, TestHistoryFromTheFutureProvesNothing 1 of 4 (the others are controls) and TestHistoryOfRecordIsAppliedOnce fail.

Now a confirmation takes the hub's history as the bound of the VM's own, unless the VM was confirmed itself within it; a list that shows a server started again begins the history anew; a version that an entry had is kept as one that has gone; a history told by a record only shortens what counts as known, is applied once, and proves nothing if it comes from the future by more than a second.

What remains: a server that joins and is removed again within 2.5 s of a gap of the list (entries last longer unless they are deleted), and a clock that is behind by just the age of a record.

--- a/backs/contact.go
+++ b/backs/contact.go
@@ -32,6 +32,10 @@
 func (v *View) MarkCurrent(asOf time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.markCurrent(asOf)
+}
+
+func (v *View) markCurrent(asOf time.Time) {
 	if asOf.After(v.currentAt) && !v.restoring(asOf) {
 		v.currentAt = asOf
 	}
--- a/backs/history.go
+++ b/backs/history.go
@@ -26,11 +26,12 @@
 }
 
 // maxHistoryGap is the longest time between two parts of a history, each with a full list of servers, for which they
-// count as one. A server that was in use in between is still listed after it: entries last longer without a heartbeat.
+// count as one if no server has started again under its name. A server that was in use in between is still listed after
+// it: entries last longer without a heartbeat.
 const maxHistoryGap = 2500 * time.Millisecond
 
-// historyRetention is how long versions that have gone are kept. Streams may last that long.
-const historyRetention = 24 * time.Hour
+// HistoryRetention is how long versions that have gone are kept. Streams may last that long.
+const HistoryRetention = 24 * time.Hour
 
 // history is a part of View.
 type history struct {
@@ -39,6 +40,8 @@
 	since, begunAt time.Time
 	// gone is when the last server of a version was seen, for those without a record.
 	gone map[ServiceVersion]time.Time
+	// restartedAt is when a server was last seen to have started again under its name.
+	restartedAt time.Time
 	// The versions that existed from toldSince to toldAt are known too: other VMs told them, or this view followed the
 	// changes then.
 	toldAt, toldSince time.Time
@@ -54,21 +57,39 @@
 	}
 }
 
-// AddVersionHistory applies the history that another VM has told.
+// AddVersionHistory applies the history that another VM has told. Its age is measured by times of day, which may step, so
+// that it only shortens what counts as known: versions count as seen as if the history were new.
 func (v *View) AddVersionHistory(now time.Time, h VersionHistory) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	at := now.Add(-h.Age)
+	v.addVersionHistory(now, h)
+}
+
+func (v *View) addVersionHistory(now time.Time, h VersionHistory) {
 	for _, g := range h.Gone {
-		v.history.addGone(ServiceVersion{g.Service, g.Version}, at.Add(-g.Ago))
+		v.history.addGone(ServiceVersion{g.Service, g.Version}, now.Add(-g.Ago))
 	}
 	for _, key := range h.Listed {
-		v.history.addGone(key, at)
+		v.history.addGone(key, now)
+	}
+	if h.CompleteFor > h.Age {
+		v.history.addTold(now.Add(-h.Age), now.Add(-h.CompleteFor))
 	}
-	v.history.addTold(at, at.Add(-h.CompleteFor))
 	v.history.extend()
 }
 
+// MarkConfirmed records that a hub has confirmed at asOf or later that the view has every change, with the hub's history.
+// Of the time since it was confirmed last, a view that gets its changes from the hub knows no more than the hub does.
+func (v *View) MarkConfirmed(now, asOf time.Time, h VersionHistory) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.addVersionHistory(now, h)
+	if since := now.Add(-h.CompleteFor); v.history.since.Before(since) && v.currentAt.Before(since) {
+		v.history.restart(since, v.currentAt)
+	}
+	v.markCurrent(asOf)
+}
+
 // addTold adds a time in which all versions are known.
 func (h *history) addTold(at, since time.Time) {
 	switch {
@@ -87,7 +108,11 @@
 
 // extend extends the view's own history by what is known of the time before, if there is no gap.
 func (h *history) extend() {
-	if !h.begunAt.IsZero() && h.toldSince.Before(h.since) && !h.toldAt.Before(h.begunAt.Add(-maxHistoryGap)) {
+	gap := maxHistoryGap
+	if h.restartedAt.Equal(h.begunAt) {
+		gap = 0
+	}
+	if !h.begunAt.IsZero() && h.toldSince.Before(h.since) && !h.toldAt.Before(h.begunAt.Add(-gap)) {
 		h.since = h.toldSince
 	}
 }
@@ -96,13 +121,16 @@
 // versions that came and went before the list.
 func (v *View) recordList(now time.Time) {
 	h := &v.history
-	if !h.begunAt.IsZero() {
-		if now.Sub(v.currentAt) <= maxHistoryGap {
-			return
-		}
-		if v.currentAt.After(h.since) {
-			h.addTold(v.currentAt, h.since)
-		}
+	if !h.begunAt.IsZero() && now.Sub(v.currentAt) <= maxHistoryGap && !h.restartedAt.Equal(now) {
+		return
+	}
+	h.restart(now, v.currentAt)
+}
+
+// restart begins the history anew at a time, with what was known until an earlier one.
+func (h *history) restart(now, knownUntil time.Time) {
+	if !h.begunAt.IsZero() && knownUntil.After(h.since) {
+		h.addTold(knownUntil, h.since)
 	}
 	h.since, h.begunAt = now, now
 	h.extend()
@@ -116,7 +144,7 @@
 	if !v.synced {
 		return VersionHistory{}
 	}
-	h := VersionHistory{CompleteFor: min(now.Sub(v.history.since), historyRetention)}
+	h := VersionHistory{CompleteFor: min(now.Sub(v.history.since), HistoryRetention)}
 	kept := make(map[ServiceVersion]bool)
 	for _, r := range v.records {
 		if !r.missingSince.IsZero() {
@@ -137,7 +165,7 @@
 func (v *View) versionsSeen(now time.Time) map[ServiceVersion]time.Time {
 	seen := make(map[ServiceVersion]time.Time)
 	for key, at := range v.history.gone {
-		if now.Sub(at) > historyRetention {
+		if now.Sub(at) > HistoryRetention {
 			delete(v.history.gone, key)
 			continue
 		}
@@ -162,7 +190,7 @@
 func (v *View) OnlyVersion(now time.Time, service string, within time.Duration) (version string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.synced || within > historyRetention || now.Sub(v.history.since) < within {
+	if !v.synced || within > HistoryRetention || now.Sub(v.history.since) < within {
 		return "", false
 	}
 	versions := v.versionsWithin(now, service, within)
--- a/backs/view.go
+++ b/backs/view.go
@@ -197,6 +197,9 @@
 	r.missingSince, r.unreadable = time.Time{}, false
 	r.draining = r.draining || e.Draining || v.leaving[e.ID] != nil
 	e.Draining = r.draining
+	if before := r.entry.SoftwareVersion; before != "" && before != e.SoftwareVersion {
+		v.history.addGone(ServiceVersion{r.entry.Service, before}, now)
+	}
 	r.stored, r.receivedAt, r.copied = e, now, nil
 	if now.Sub(r.controllerAt) < controllerPrecedence {
 		e.Models = mergeControllerModels(e.Models, r.entry.Models)
@@ -220,6 +223,7 @@
 		return false
 	}
 	v.instanceIDs[e.PlatformName()] = e.ID
+	v.history.restartedAt = now
 	if r != nil && r.removedAt.IsZero() {
 		v.markRemoved(now, r)
 	}
--- a/peers/confirms.go
+++ b/peers/confirms.go
@@ -123,8 +123,7 @@
 	}
 	// The history was made after the question and is taken for one of now, so that versions count for longer.
 	h := historyOf(time.UnixMilli(int64(reply.History.AsOfMs)), &reply.History)
-	p.Servers.AddVersionHistory(p.Now(), h)
-	p.Servers.MarkCurrent(asked)
+	p.Servers.MarkConfirmed(p.Now(), asked, h)
 	return nil
 }
 
--- a/peers/history.go
+++ b/peers/history.go
@@ -26,10 +26,16 @@
 	return record
 }
 
+// maxClockLag is how far the time of day of a VM may be behind that of another one. A history that is further ahead was not
+// made when it says, and may be old.
+const maxClockLag = time.Second
+
 // historyOf converts a history from its wire form, at a time of day.
 func historyOf(wall time.Time, record *wire.VersionHistory) backs.VersionHistory {
-	h := backs.VersionHistory{
-		Age: max(wall.Sub(time.UnixMilli(int64(record.AsOfMs))), 0), CompleteFor: time.Duration(record.CompleteMs) * time.Millisecond,
+	age := wall.Sub(time.UnixMilli(int64(record.AsOfMs)))
+	h := backs.VersionHistory{Age: max(age, 0), CompleteFor: time.Duration(record.CompleteMs) * time.Millisecond}
+	if age < -maxClockLag {
+		h.CompleteFor = 0
 	}
 	for _, g := range record.Gone {
 		h.Gone = append(h.Gone, backs.GoneVersion{Service: g.Service, Version: g.Version, Ago: time.Duration(g.AgoMs) * time.Millisecond})
@@ -40,10 +46,14 @@
 	return h
 }
 
+// observeHistory applies the history of a record, once: with each time its versions would count for longer. l.mu must be
+// held.
 func (l *Lease) observeHistory(record *wire.VersionHistory) {
-	if l.ObserveHistory != nil && record != nil {
-		l.ObserveHistory(historyOf(time.Now(), record))
+	if l.ObserveHistory == nil || record == nil || record.AsOfMs == l.historyAsOfMs {
+		return
 	}
+	l.historyAsOfMs = record.AsOfMs
+	l.ObserveHistory(historyOf(time.Now(), record))
 }
 
 // observeFirstTerm applies that this VM has written the first lease record of the deployment.
--- a/peers/lease.go
+++ b/peers/lease.go
@@ -77,9 +77,11 @@
 	// previousKey is the key of the term before that of record.
 	previousKey string
 	// startRecord is the first record that was read, nil before.
-	startRecord  *wire.ControllerLease
-	key          string
-	fencingToken int
+	startRecord *wire.ControllerLease
+	// historyAsOfMs tells the history of versions that was applied last.
+	historyAsOfMs int
+	key           string
+	fencingToken  int
 	// firstTerm is set in the first term of the deployment.
 	firstTerm bool
 	tokens    knownTokens
