pass, node: A version counts for as long as its streams may last under any configuration

A stream goes on at the only version that is left, though the one that began it has been gone for less time than the stream has lasted.

Cause: for how long versions count was taken from the route as it is now, with twice its timeout. A route without a timeout lets streams last as long as their callers wait, and a configuration may have lowered the timeout after the stream began.

Now the longest timeout of a service's streams under all configurations that this VM has had in force counts, and without a timeout all the time for which versions are kept.

What remains: a VM that starts after the change of the configuration does not know the longer timeout.

--- a/backs/gaphub_test.go
+++ b/backs/gaphub_test.go
@@ -19,7 +19,7 @@
 		hubListed, vmConfirmed float64
 		want                   bool
 	}{
-		"hub listed anew":                             {100, 0, false},
+		"hub listed anew": {100, 0, false},
 		"hub listed anew, the VM was confirmed later": {95, 96, true},
 		"hub listed anew long ago":                    {60, 0, true},
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -55,6 +55,7 @@
 	if !replaced {
 		return
 	}
+	n.gateway.ObserveTable(table)
 	n.table.Store(table)
 	n.quotas.Configure(n.now(), n.quotaRules(), quotasOf(table))
 	close(n.configChange)
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -141,6 +141,7 @@
 	proxyPool      conns.Pool
 	proxyLoads     proxyLoads
 	proxiedRunning atomic.Int64
+	lives          streamLives
 	// invalidLoads are the servers whose invalid reports were logged.
 	invalidLoads loggedServers
 	// reportingServers are the servers that have reported their load with a pace.
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -99,10 +99,6 @@
 	// proofRetryDelay is the pause after an attempt that failed.
 	maxProofWait    = 1500 * time.Millisecond
 	proofRetryDelay = 20 * time.Millisecond
-	// Streams end within streamLifeTimeouts times their route's timeout, and callers that wait longer than
-	// that, within minStreamLife.
-	streamLifeTimeouts = 2
-	minStreamLife      = 10 * time.Second
 )
 
 // onlyVersion returns the software version that alone can have begun the call's stream, as no server of another one
@@ -113,7 +109,7 @@
 	if len(c.route.Targets) != 1 {
 		return "", origin.Unknown
 	}
-	life := max(streamLifeTimeouts*c.route.Timeout, minStreamLife)
+	life := g.lives.of(c.route, c.service.Name)
 	if g.Servers.SeveralVersions(g.Now(), c.service.Name, life) {
 		return "", origin.Unknown
 	}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -223,6 +223,15 @@
 	return list
 }
 
+// Routes returns all routes in no particular order.
+func (t *Table) Routes() []Route {
+	var list []Route
+	for _, routes := range t.routesByHost {
+		list = append(list, routes...)
+	}
+	return list
+}
+
 // Match returns the route for a host and path: among the routes of the host, the one with the
 // longest prefix of the path.
 func (t *Table) Match(host, path string) (Route, bool) {
