backs: A list beside an entry that can not be read does not prove what was before it

What callers saw: nothing; found by reading, by the one who worked on odd entries. A VM that lists the servers while the entry of one of them can not be read does not know its version, takes what it was told shortly before the list for complete, and may take the version of the others for the only one.

Now such a list begins the history anew, and only what is told of the time after it extends it. A known server whose entry becomes unreadable keeps its version, as before.

Cost: where such an entry stands in the store as all VMs start, streams whose origin nobody knows are refused until servers have been followed for as long as streams last.

--- a/backs/gaphub_test.go
+++ b/backs/gaphub_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// Guards against a list that proves a version beside an entry that can not be read, whose server may have had another one.
+func TestUnreadableEntryHidesVersion(t *testing.T) {
+	const life = 30 * time.Second
+	only := []backs.Entry{versionEntry("a", "v1")}
+	tests := map[string]struct {
+		told float64
+		want bool
+	}{
+		"what is known was told before the list": {99, false},
+		"what is known was told after the list":  {101, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := &backs.View{}
+			if tc.told < 100 {
+				v.AddVersionHistory(at(tc.told), backs.VersionHistory{CompleteFor: time.Hour})
+			}
+			v.Replace(at(100), only, "odd")
+			if tc.told > 100 {
+				v.AddVersionHistory(at(tc.told), backs.VersionHistory{CompleteFor: time.Hour})
+			}
+			v.MarkCurrent(at(102))
+			_, ok := v.OnlyVersion(at(102), "s", life)
+			require.Equal(t, tc.want, ok)
+		})
+	}
+}
+
 // Guards against a version that counts as gone for longer than it is, as the time of day of this VM is ahead of that of the
 // one that told.
 func TestClockAheadDoesNotAgeVersions(t *testing.T) {
--- a/backs/history.go
+++ b/backs/history.go
@@ -26,7 +26,7 @@
 }
 
 // maxHistoryGap is the longest time between two parts of a history, each with a full list of servers, for which they
-// count as one if no server has started again under its name. A server that was in use in between is still listed after
+// count as one if no server may hide a version of that time. A server that was in use in between is still listed after
 // it: entries last longer without a heartbeat.
 const maxHistoryGap = 2500 * time.Millisecond
 
@@ -40,8 +40,9 @@
 	since, begunAt time.Time
 	// gone is when the last server of a version was seen, for those without a record.
 	gone map[ServiceVersion]time.Time
-	// restartedAt is when a server was last seen to have started again under its name.
-	restartedAt time.Time
+	// hiddenAt is when a server was last seen that may hide a version: one that started again under its name, or an
+	// unknown one whose entry can not be read.
+	hiddenAt time.Time
 	// The versions that existed from toldSince to toldAt are known too: other VMs told them, or this view followed the
 	// changes then.
 	toldAt, toldSince time.Time
@@ -109,7 +110,7 @@
 // extend extends the view's own history by what is known of the time before, if there is no gap.
 func (h *history) extend() {
 	gap := maxHistoryGap
-	if h.restartedAt.Equal(h.begunAt) {
+	if h.hiddenAt.Equal(h.begunAt) {
 		gap = 0
 	}
 	if !h.begunAt.IsZero() && h.toldSince.Before(h.since) && !h.toldAt.Before(h.begunAt.Add(-gap)) {
@@ -121,7 +122,7 @@
 // versions that came and went before the list.
 func (v *View) recordList(now time.Time) {
 	h := &v.history
-	if !h.begunAt.IsZero() && now.Sub(v.currentAt) <= maxHistoryGap && !h.restartedAt.Equal(now) {
+	if !h.begunAt.IsZero() && now.Sub(v.currentAt) <= maxHistoryGap && !h.hiddenAt.Equal(now) {
 		return
 	}
 	h.restart(now, v.currentAt)
--- a/backs/view.go
+++ b/backs/view.go
@@ -223,7 +223,7 @@
 		return false
 	}
 	v.instanceIDs[e.PlatformName()] = e.ID
-	v.history.restartedAt = now
+	v.history.hiddenAt = now
 	if r != nil && r.removedAt.IsZero() {
 		v.markRemoved(now, r)
 	}
@@ -308,6 +308,9 @@
 		v.putListed(now, e)
 	}
 	for _, name := range unreadable {
+		if v.instanceIDs[name] == "" {
+			v.history.hiddenAt = now
+		}
 		listed[v.instanceIDs[name]] = true
 		v.markUnreadable(name)
 	}
