backs, peers, pass: What is read late does not replace what is newer

What callers saw: a stream that could go on was ended for good ("no server of the software version that began the stream serves any more"), or found no server, in three cases.

A VM that had its list of servers confirmed linked to another hub whose full state was older by its own age. Merge removed at once all servers that had joined since, and CurrentAt went on to say that the list was confirmed. Now such a state keeps them for the grace period in which a server writes its entry again, and CurrentAt is zero until the list is confirmed as of a later time. The time that the history of versions uses is not changed. A server that has left and is omitted by such a state gets requests for up to 2 s longer. 2. The hub collects changes (Since) and then waits for the lock with which addLink queues a newer full state, so that older changes followed the full state on a link and were applied over it: a server that had come back was removed again, and the revision for which confirmations wait went back. The server states of a frame of changes below the revision applied on this link are no longer applied; they only tell which versions have existed. The rest of the frame is applied as before, and so are frames of older builds, which carry no revision. 3. bindingGone took a list that was confirmed after the request had arrived. A stream that broke later was ended by a list from before the break, although servers of its version had joined since. The list must now be as new as the end of the last send, and is confirmed as of then.

--- a/backs/queries.go
+++ b/backs/queries.go
@@ -74,10 +74,14 @@
 	return r.entry, true
 }
 
-// CurrentAt returns the last time of which the view certainly has every change that the store had made by then.
+// CurrentAt returns the last time of which the view certainly has every change that the store had made by then, zero if
+// there is none because an older full state was applied since.
 func (v *View) CurrentAt() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.currentAt.After(v.setBackAt) {
+		return time.Time{}
+	}
 	return v.currentAt
 }
 
--- a/backs/update.go
+++ b/backs/update.go
@@ -65,6 +65,9 @@
 	Age time.Duration
 	// SyncedFor is for how long that VM has had a complete server list.
 	SyncedFor time.Duration
+	// Superseded is set when a later update of that VM has been merged before. States then only tell which versions
+	// have existed.
+	Superseded bool
 }
 
 // Merge merges an update from another VM. When a full list omits a server, the entry may
@@ -73,12 +76,18 @@
 // than the sender has had a complete list, omitted servers are therefore treated as in
 // Remove, and so they are while the store has just come back from a copy. Otherwise they are
 // removed at once: a sender with a complete list throughout keeps servers with expired
-// entries itself.
+// entries itself. A full list that is older than the view does not show that the servers which it omits have left: they
+// are kept until they had time to write their entries, and the view is not current until it is confirmed again.
 func (v *View) Merge(now time.Time, update Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	senderWasSynced := !now.Add(-update.SyncedFor).After(v.readAt)
 	v.recordRead(now, now.Add(-update.Age))
+	if update.Superseded {
+		v.addSeen(now, update.States)
+		return
+	}
+	older := update.Full && now.Add(-update.Age).Before(v.currentAt)
 	revision := v.revision
 	listed := make(map[string]bool, len(update.States))
 	for _, s := range update.States {
@@ -92,7 +101,12 @@
 		v.mergeState(now, s)
 	}
 	if update.Full {
-		v.removeUnlisted(now, listed, senderWasSynced && !v.restoring(now))
+		if older {
+			v.setBackAt = now
+			v.keepUnlisted(now, listed)
+		} else {
+			v.removeUnlisted(now, listed, senderWasSynced && !v.restoring(now))
+		}
 		v.markSynced(now)
 	}
 	if v.revision != revision || update.Full {
@@ -114,6 +128,26 @@
 	}
 }
 
+// keepUnlisted keeps the servers that an older full list omits for a grace period.
+func (v *View) keepUnlisted(now time.Time, listed map[string]bool) {
+	for id, r := range v.records {
+		if listed[id] || !r.removedAt.IsZero() || !r.missingSince.IsZero() {
+			continue
+		}
+		r.missingSince, r.keptUntil, v.scannedAt = now, now.Add(expiryGrace), time.Time{}
+		v.reportMissing(Missing{ID: id, Kept: true})
+	}
+}
+
+// addSeen records that the software versions of servers have existed until now at most.
+func (v *View) addSeen(now time.Time, states []State) {
+	for _, s := range states {
+		if s.Service != "" {
+			v.history.addGone(ServiceVersion{s.Service, s.SoftwareVersion}, now)
+		}
+	}
+}
+
 func (v *View) mergeState(now time.Time, s State) {
 	if s.Removed {
 		r := v.records[s.ID]
--- a/backs/view.go
+++ b/backs/view.go
@@ -49,6 +49,8 @@
 	removedAt time.Time
 	// missingSince is when the entry was found missing during or just after a store outage.
 	missingSince time.Time
+	// keptUntil is until when a missing server is kept because the list that omits it is older than the view.
+	keptUntil time.Time
 	// reappearedAt is when the entry reappeared after its removal. It may be in the future if only the copy
 	// of a store has brought the entry back.
 	reappearedAt time.Time
@@ -101,6 +103,8 @@
 	// currentAt is the last time of which the view certainly has every change that the store had made by then.
 	// readAt is the same by what answers and frames said when they were read. They may have been on the way for long.
 	currentAt, readAt time.Time
+	// setBackAt is when a full state that is older than currentAt was last applied. It may have replaced what is newer.
+	setBackAt time.Time
 	// syncedAt is when the first full list arrived.
 	syncedAt time.Time
 	history  history
@@ -332,7 +336,7 @@
 	v.forgetNotices(now)
 	v.applyCopied(now)
 	for id, r := range v.records {
-		if !r.missingSince.IsZero() && !v.storeUnreachable && !now.Before(v.recoveredAt.Add(expiryGrace)) {
+		if !r.missingSince.IsZero() && !v.storeUnreachable && !now.Before(v.recoveredAt.Add(expiryGrace)) && !now.Before(r.keptUntil) {
 			v.markRemoved(now, r)
 			v.notify()
 		}
--- a/pass/attempt.go
+++ b/pass/attempt.go
@@ -37,6 +37,7 @@
 		g.endPlace(c, 0)
 		c.place = nil
 	}()
+	sends := c.sends
 	for a := g.tryServer(ctx, c, choice); a != nil; {
 		done := a.deliver(ctx, w)
 		next := a.end()
@@ -45,6 +46,9 @@
 		}
 		a = next
 	}
+	if c.sends > sends {
+		c.sendEndedAt = g.Now()
+	}
 	g.awaitRetry(ctx, c)
 	return false
 }
--- a/pass/binding.go
+++ b/pass/binding.go
@@ -45,10 +45,19 @@
 	return slices.DeleteFunc(serving, func(e backs.Entry) bool { return !c.binding.allows(e) })
 }
 
+// listNeededBy returns the time as of which a list of servers shows who may go on with the call's stream: that of its
+// arrival, and once it was sent, of the end of its last send.
+func (c *call) listNeededBy() time.Time {
+	if c.sendEndedAt.After(c.arrived) {
+		return c.sendEndedAt
+	}
+	return c.arrived
+}
+
 // bindingGone reports whether no server will go on with the call's stream, so that waiting is in vain. A list that may be
-// older than the request does not say so: the servers of a new version may not be on it yet.
+// older than the request, or the end of its last send, does not say so: servers of the version may not be on it yet.
 func (g *Gateway) bindingGone(now time.Time, c *call) bool {
-	if !c.binding.begun || !g.Servers.CurrentAt().After(c.arrived) {
+	if !c.binding.begun || !g.Servers.CurrentAt().After(c.listNeededBy()) {
 		return false
 	}
 	return !slices.ContainsFunc(g.Servers.All(now), func(e backs.Entry) bool {
@@ -58,13 +67,14 @@
 
 // beginConfirming begins to have the list of servers confirmed for bindingGone. awaitServer returns when that has ended.
 func (g *Gateway) beginConfirming(ctx context.Context, c *call) {
-	if c.confirmed != nil || !c.binding.begun || g.Servers.CurrentAt().After(c.arrived) {
+	by := c.listNeededBy()
+	if c.confirmed != nil || !c.binding.begun || g.Servers.CurrentAt().After(by) {
 		return
 	}
 	confirmed := make(chan struct{})
 	c.confirmed = confirmed
 	go func() {
 		defer close(confirmed)
-		g.confirmServers(ctx, c)
+		g.confirmServers(ctx, by)
 	}()
 }
--- a/pass/call.go
+++ b/pass/call.go
@@ -46,6 +46,8 @@
 	// last pass.
 	attempts, sends, rounds, roundStartAttempts int
 	sentTo                                      []string
+	// sendEndedAt is when the last send ended without a final response, zero before that.
+	sendEndedAt time.Time
 	// versions is the software version of the server of each send, in order.
 	versions []string
 	// excluded lists the servers that are not selected for now, unreachable those to which no
@@ -84,8 +86,7 @@
 	boundBy string
 	// listAge is for how long the list of servers had not been confirmed when it proved the version.
 	listAge time.Duration
-	// confirmed is not nil while the list of servers is being confirmed as of the call's arrival, and closed when that has
-	// ended.
+	// confirmed is not nil while the list of servers is being confirmed for bindingGone, and closed when that has ended.
 	confirmed <-chan struct{}
 	// toldAt is when the keepers of the stream's origin were told last.
 	toldAt time.Time
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -117,7 +117,7 @@
 	if g.Servers.SeveralVersions(g.Now(), c.service.Name, life) {
 		return "", origin.Unknown
 	}
-	if !g.confirmServers(ctx, c) {
+	if !g.confirmServers(ctx, c.listNeededBy()) {
 		return "", origin.Unanswered
 	}
 	version, only := g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
@@ -127,14 +127,14 @@
 	return version, origin.Known
 }
 
-// confirmServers waits until the list of servers is known to have every change that the store had made when the call
-// arrived, and reports whether it is.
-func (g *Gateway) confirmServers(ctx context.Context, c *call) bool {
+// confirmServers waits until the list of servers is known to have every change that the store had made by a time, and
+// reports whether it is.
+func (g *Gateway) confirmServers(ctx context.Context, by time.Time) bool {
 	start := g.Now()
 	ctx, cancel := context.WithTimeout(ctx, maxProofWait)
 	defer cancel()
-	for !g.Servers.CurrentAt().After(c.arrived) {
-		if g.ConfirmServers != nil && g.ConfirmServers(ctx, c.arrived) == nil {
+	for !g.Servers.CurrentAt().After(by) {
+		if g.ConfirmServers != nil && g.ConfirmServers(ctx, by) == nil {
 			continue
 		}
 		if !pause.For(ctx, proofRetryDelay) {
--- a/peers/confirms.go
+++ b/peers/confirms.go
@@ -242,11 +242,18 @@
 	changed  chan struct{}
 }
 
-// set records a revision, unless it is 0.
+// beyond reports whether a later revision than the given one has been applied, false for 0, which older builds send.
+func (a *appliedRevision) beyond(revision int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return revision > 0 && revision < a.revision
+}
+
+// set records a revision, unless it is 0 or a later one has been applied.
 func (a *appliedRevision) set(revision int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if revision == 0 {
+	if revision <= a.revision {
 		return
 	}
 	a.revision = revision
--- a/peers/uplinkstate.go
+++ b/peers/uplinkstate.go
@@ -83,7 +83,8 @@
 }
 
 // applyServerStates applies the server states of a frame: all of them in a full state, else those that have
-// changed. Only a confirmation says how new they are: see confirmAtHub.
+// changed. Only a confirmation says how new they are: see confirmAtHub. The hub may have collected changes before a full
+// state, and queued them after it.
 func (p *Peers) applyServerStates(now time.Time, up *uplink, s *wire.FleetState) {
 	states := make([]backs.State, 0, len(s.Servers))
 	for _, state := range s.Servers {
@@ -91,6 +92,7 @@
 	}
 	p.Servers.Merge(now, backs.Update{
 		States: states, Full: s.Full, Age: time.Duration(s.AgeMs) * time.Millisecond, SyncedFor: time.Duration(s.KnownMs) * time.Millisecond,
+		Superseded: !s.Full && up.applied.beyond(s.ZzzzzzServerRevision),
 	})
 	up.applied.set(s.ZzzzzzServerRevision)
 }
