origin, pass: Keepers that answer late are heard while the list of servers is confirmed

What callers saw: where what a VM and the others exchange takes 0.8 s, all streams that are taken up there were refused, though the keepers of each know its software version: the rule was held by refusing what can be served.

Cause: keepers were waited for 0.3 s, and only then was the list of servers asked for a proof, for up to 1.5 s more, in which the keepers' answers were no longer read.

Now the keepers are asked for up to 2 s, or half of the time that the caller still waits, at intervals that double, and from 0.3 s on the list is confirmed beside it; the first who knows the version is heard. A VM that is cut off from the store and all others refuses at once after the 0.3 s.

TestLateAnswerOfKeeperIsHeard fails before. Where nobody answers, the refusal comes after 2 s at most (1.8 s before).

--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -17,10 +17,12 @@
 
 const (
 	// askInterval is the time after which keepers that have not answered are asked again. VMs are some
-	// milliseconds apart, and a VM with an eighth of a core answers within some more.
-	askInterval = 60 * time.Millisecond
-	// askTimeout is how long a request waits for an answer.
-	askTimeout = 300 * time.Millisecond
+	// milliseconds apart, and a VM with an eighth of a core answers within some more. Each further time doubles up to
+	// maxAskInterval: where links are slow, more questions change nothing.
+	askInterval    = 60 * time.Millisecond
+	maxAskInterval = 480 * time.Millisecond
+	// askTimeout bounds the wait for an answer.
+	askTimeout = 2 * time.Second
 	// startGrace is how long after its start a VM may know no keepers yet: it waits for them, as its callers
 	// may have come back to it after a restart. keepersCheckInterval is the interval between looks.
 	startGrace           = 1500 * time.Millisecond
@@ -188,11 +190,11 @@
 	for _, address := range keepers {
 		silent[address] = true
 	}
-	for {
+	for interval := askInterval; ; interval = min(2*interval, maxAskInterval) {
 		for address := range silent {
 			x.sendTo(address, frame)
 		}
-		if r, verdict := await(ctx, answers, silent); verdict != Unanswered || ctx.Err() != nil {
+		if r, verdict := await(ctx, answers, silent, interval); verdict != Unanswered || ctx.Err() != nil {
 			return r, verdict
 		}
 	}
@@ -200,8 +202,8 @@
 
 // await waits for answers until one keeper knows the attempt, all have answered, or it is time to ask again. It
 // removes the keepers that answer from silent.
-func await(ctx context.Context, answers <-chan answer, silent map[string]bool) (Record, Verdict) {
-	again := time.NewTimer(askInterval)
+func await(ctx context.Context, answers <-chan answer, silent map[string]bool, interval time.Duration) (Record, Verdict) {
+	again := time.NewTimer(interval)
 	defer again.Stop()
 	for len(silent) > 0 {
 		select {
--- a/origin/exchange_test.go
+++ b/origin/exchange_test.go
@@ -97,6 +97,24 @@
 	require.Equal(t, Unanswered, verdict, "a VM that knows no keepers has asked nobody")
 }
 
+// Guards against a stream that is refused though a keeper knows where it began: the keeper answers late, as its link is slow
+// or it stood still.
+func TestLateAnswerOfKeeperIsHeard(t *testing.T) {
+	vms := startVMs(t, 1)
+	late := &Exchange{
+		Address: "127.0.0.1:0", Domain: "d", Keepers: func(time.Time) []Keeper { return nil }, Key: func() string { return testKey },
+		AcceptedKeys: func() []string { return []string{testKey} }, Now: clock.Now, Log: zerolog.Nop(), Meter: meter.New(),
+	}
+	require.NoError(t, late.Listen())
+	t.Cleanup(late.Close)
+	late.store.Put(clock.Now(), "a1", Record{"s", "v1"})
+	vms[0].keepers = []Keeper{{late.Address, "d"}}
+	time.AfterFunc(700*time.Millisecond, late.Serve)
+	r, verdict := vms[0].Ask(t.Context(), "a1")
+	require.Equal(t, Known, verdict)
+	require.Equal(t, Record{"s", "v1"}, r)
+}
+
 // Guards against a datagram of somebody without the fleet's key that sends streams to the wrong version, and against
 // VMs that do not understand each other while a new controller's key spreads, or does not reach a VM that is cut off from
 // the store.
--- a/pass/origin.go
+++ b/pass/origin.go
@@ -57,30 +57,98 @@
 	start := g.Now()
 	defer func() { g.Meter.RecordDuration("pass.take_up", g.Now().Sub(start)) }()
 	g.Meter.AddCounter("pass.taken_up", 1)
-	verdict := origin.Unknown
-	if c.resumes != "" && g.FindOrigin != nil {
-		var r origin.Record
-		if r, verdict = g.FindOrigin(ctx, c.resumes); verdict == origin.Known {
-			c.boundBy = "record"
-			return g.bindTo(c, r)
+	found := g.findOrigin(ctx, c, start)
+	if found.verdict == origin.Known {
+		c.boundBy = found.by
+		if found.by == boundByList {
+			c.listAge = g.Now().Sub(g.Servers.CurrentAt())
 		}
+		return g.bindTo(c, found.record)
 	}
-	version, listVerdict := g.onlyVersion(ctx, c)
-	if listVerdict == origin.Known {
-		c.boundBy = "server list"
-		c.listAge = g.Now().Sub(g.Servers.CurrentAt())
-		return g.bindTo(c, origin.Record{Service: c.service.Name, Version: version})
-	}
-	if listVerdict == origin.Unanswered {
-		verdict = origin.Unanswered
-	}
-	g.Meter.AddCounter("pass.origin_"+verdict.String(), 1)
-	if verdict == origin.Unanswered {
+	g.Meter.AddCounter("pass.origin_"+found.verdict.String(), 1)
+	if found.verdict == origin.Unanswered {
 		return errOriginUnanswered
 	}
 	return errOriginUnknown
 }
 
+const (
+	// boundByRecord and boundByList tell in the log what bound a call to a software version.
+	boundByRecord = "record"
+	boundByList   = "server list"
+	// keepersLead is how long the keepers of an attempt are waited for before the list of servers is confirmed too. They
+	// usually answer within milliseconds, and that costs the controller nothing.
+	keepersLead = 300 * time.Millisecond
+)
+
+// foundOrigin is what the keepers of an attempt, or the list of servers, say about it.
+type foundOrigin struct {
+	by      string
+	record  origin.Record
+	verdict origin.Verdict
+}
+
+// findOrigin asks the keepers of the attempt that began the call's stream, and if they do not answer at once, has the list
+// of servers prove the version as well. The first who knows it is heard: where links are slow, the keepers answer late,
+// and where they have ended, never.
+func (g *Gateway) findOrigin(ctx context.Context, c *call, now time.Time) foundOrigin {
+	ctx, cancel := context.WithTimeout(ctx, c.maxServerWait(now))
+	defer cancel()
+	answers := make(chan foundOrigin, 2)
+	pending, result := 0, foundOrigin{verdict: origin.Unknown}
+	if c.resumes != "" && g.FindOrigin != nil {
+		pending++
+		go func(attempt string) {
+			r, verdict := g.FindOrigin(ctx, attempt)
+			answers <- foundOrigin{boundByRecord, r, verdict}
+		}(c.resumes)
+		lead := time.NewTimer(keepersLead)
+		defer lead.Stop()
+		select {
+		case result = <-answers:
+			pending--
+		case <-lead.C:
+		}
+		if result.verdict == origin.Known {
+			return result
+		}
+		if pending > 0 && g.Alone != nil && g.Alone() {
+			return foundOrigin{verdict: origin.Unanswered}
+		}
+	}
+	pending++
+	proof := g.newProof(c)
+	go func() {
+		version, verdict := g.onlyVersion(ctx, proof)
+		answers <- foundOrigin{boundByList, origin.Record{Service: proof.service, Version: version}, verdict}
+	}()
+	for ; pending > 0; pending-- {
+		answer := <-answers
+		if answer.verdict == origin.Known {
+			return answer
+		}
+		if answer.verdict == origin.Unanswered {
+			result.verdict = origin.Unanswered
+		}
+	}
+	return result
+}
+
+// versionProof is what the list of servers is to prove for a call: that one software version alone can have begun its
+// stream.
+type versionProof struct {
+	service string
+	// several is set if the call's route leads to several services, of which nothing is proved.
+	several bool
+	// life is how long streams last, and by the time as of which the list has to be known.
+	life time.Duration
+	by   time.Time
+}
+
+func (g *Gateway) newProof(c *call) versionProof {
+	return versionProof{service: c.service.Name, several: len(c.route.Targets) != 1, life: g.lives.of(c.route, c.service.Name), by: c.listNeededBy()}
+}
+
 func (g *Gateway) bindTo(c *call, r origin.Record) error {
 	c.binding = binding{begun: true, version: r.Version}
 	if r.Service == c.service.Name {
@@ -101,22 +169,18 @@
 	proofRetryDelay = 20 * time.Millisecond
 )
 
-// onlyVersion returns the software version that alone can have begun the call's stream, as no server of another one
+// onlyVersion returns the software version that alone can have begun a stream, as no server of another one
 // has existed for as long as streams last. The list of servers proves that only if it is as new as the request: the
 // VM that began the stream may have known servers that this VM did not know then. If that can not be found out for now,
 // the verdict is Unanswered: the list may prove it later, or at another VM.
-func (g *Gateway) onlyVersion(ctx context.Context, c *call) (string, origin.Verdict) {
-	if len(c.route.Targets) != 1 {
-		return "", origin.Unknown
-	}
-	life := g.lives.of(c.route, c.service.Name)
-	if g.Servers.SeveralVersions(g.Now(), c.service.Name, life) {
+func (g *Gateway) onlyVersion(ctx context.Context, p versionProof) (string, origin.Verdict) {
+	if p.several || g.Servers.SeveralVersions(g.Now(), p.service, p.life) {
 		return "", origin.Unknown
 	}
-	if !g.confirmServers(ctx, c.listNeededBy()) {
+	if !g.confirmServers(ctx, p.by) {
 		return "", origin.Unanswered
 	}
-	version, only := g.Servers.OnlyVersion(g.Now(), c.service.Name, life)
+	version, only := g.Servers.OnlyVersion(g.Now(), p.service, p.life)
 	if !only {
 		return "", origin.Unknown
 	}
