--- a/node/config.go
+++ b/node/config.go
@@ -27,8 +27,9 @@
 				n.applyConfigObject(c.Object)
 			}
 		},
-		onRead:    func(time.Time) {},
-		onCurrent: func(time.Time) {}, onPosition: func(int) {},
+		onRead:     func(time.Time) {},
+		onCurrent:  func(time.Time) {},
+		onPosition: func(int) {},
 	}
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -27,9 +27,10 @@
 			}
 			n.serverView.Replace(now, entries, unreadable...)
 		},
-		onChange:  n.serverChanged,
-		onRead:    n.serverView.MarkRead,
-		onCurrent: n.serverView.MarkCurrent, onPosition: n.serverPosition.set,
+		onChange:   n.serverChanged,
+		onRead:     n.serverView.MarkRead,
+		onCurrent:  n.serverView.MarkCurrent,
+		onPosition: n.serverPosition.set,
 	}
 }
 
