demo, stand: The drain time of a released stand-in counts from its report

It counted from the end of the silence of its host, which is longer than what the platform promises: a server goes on serving for the drain time after its report. With the silence of the tests, 1.2 s, 0.8 s of it are left afterwards.

--- a/demo/backends.go
+++ b/demo/backends.go
@@ -86,15 +86,9 @@
 	s.crashBackend(b)
 }
 
-// RemoveBackend lets a backend server that drains leave: it goes on serving for siteDrainTime once its host is not
-// silent, ends when its requests have ended, and its entry goes.
+// RemoveBackend lets a backend server that drains leave: it goes on serving for siteDrainTime, ends when its requests have
+// ended, and its entry goes.
 func (s *Site) RemoveBackend(b *stand.Backend) error {
-	s.mu.Lock()
-	l := s.backendListeners[b.ID]
-	s.mu.Unlock()
-	for l.Silent() {
-		time.Sleep(silencePollInterval)
-	}
 	time.Sleep(siteDrainTime)
 	s.mu.Lock()
 	server := s.backendServers[b.ID]
@@ -116,8 +110,6 @@
 	siteDrainTime = 2 * time.Second
 	// removeTimeout is how long the requests of a backend server that leaves may last.
 	removeTimeout = 30 * time.Second
-	// silencePollInterval is the interval between looks whether a host is still silent.
-	silencePollInterval = 10 * time.Millisecond
 )
 
 // crashBackend closes the listener and connections of a backend server and restarts it after
--- a/stand/silence.go
+++ b/stand/silence.go
@@ -70,13 +70,6 @@
 	return errors.Join(SetSilent(l.TCPListener, silent), l.setConnsSilent())
 }
 
-// Silent reports whether the host is silent.
-func (l *SilentListener) Silent() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.silent
-}
-
 // setConnsSilent makes the connections as silent as the listener is, and forgets those that were closed. l.mu is held.
 func (l *SilentListener) setConnsSilent() (err error) {
 	l.conns = slices.DeleteFunc(l.conns, func(c *net.TCPConn) bool {
