node, platform: Odd values in the words of the platform lie with the platform

A test of node named fields of the platform's pages. They lie in platform/testdata/odd now, which the test reads.

--- a/node/odd_test.go
+++ b/node/odd_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -35,14 +38,27 @@
 	"no JSON":              `{"Version":tru}`,
 	"no UTF-8":             "{\"Service\":\"\xff\"}",
 	"control byte":         "\"\x00\"",
-	"wrong types":          `{"Version":"9","RouteTable":7,"Service":[],"Slots":{}}`,
-	"numbers out of range": `{"Version":-9,"Slots":1e400}`,
-	"negative times":       `{"Version":999,"RouteTable":[{"Name":"r","TimeoutMs":-1e300}]}`,
-	"negative limits":      `{"Version":999,"Limits":{"MaxBodyBytes":-1}}`,
-	"negative capacity":    `{"Version":999,"Services":[{"Name":"s","Engine":{"Slots":-1}}]}`,
 	"value of 1 MB":        `"` + strings.Repeat("x", 1<<20) + `"`,
 }
 
+// oddDocuments has further odd values, in the words of the platform.
+const oddDocuments = "../platform/testdata/odd/*.json"
+
+// allOddValues returns the odd values by name.
+func allOddValues(t *testing.T) map[string]string {
+	t.Helper()
+	all := maps.Clone(oddValues)
+	files, err := filepath.Glob(oddDocuments)
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		value, err := os.ReadFile(file)
+		require.NoError(t, err)
+		all[filepath.Base(file)] = string(value)
+	}
+	return all
+}
+
 // maxOddLine is more than any line of the log about an odd value may have.
 const maxOddLine = 1500
 
@@ -96,7 +112,7 @@
 // Guards against a VM that stops following, or takes an odd value for a server or a configuration, because of another
 // writer's object among those that it reads.
 func TestOddObjectsAmongThoseFollowed(t *testing.T) {
-	for name, odd := range oddValues {
+	for name, odd := range allOddValues(t) {
 		for _, before := range []bool{true, false} {
 			t.Run(name+map[bool]string{true: ", there at the start", false: ", comes later"}[before], func(t *testing.T) {
 				t.Parallel()
