--- a/node/odd_test.go
+++ b/node/odd_test.go
@@ -27,18 +27,18 @@
 
 // oddValues are values that neither a server nor an operator writes.
 var oddValues = map[string]string{
-	"null":                 `null`,
-	"empty object":         `{}`,
-	"a number":             `7`,
-	"a string":             `"x"`,
-	"a list":               `[{}]`,
-	"nested 20,000 deep":   strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
-	"nested 200,000 deep":  strings.Repeat(`{"a":`, 200_000) + `1` + strings.Repeat("}", 200_000),
-	"member nested deep":   `{"Version":9,"Models":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
-	"no JSON":              `{"Version":tru}`,
-	"no UTF-8":             "{\"Service\":\"\xff\"}",
-	"control byte":         "\"\x00\"",
-	"value of 1 MB":        `"` + strings.Repeat("x", 1<<20) + `"`,
+	"null":                `null`,
+	"empty object":        `{}`,
+	"a number":            `7`,
+	"a string":            `"x"`,
+	"a list":              `[{}]`,
+	"nested 20,000 deep":  strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	"nested 200,000 deep": strings.Repeat(`{"a":`, 200_000) + `1` + strings.Repeat("}", 200_000),
+	"member nested deep":  `{"Version":9,"Models":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	"no JSON":             `{"Version":tru}`,
+	"no UTF-8":            "{\"Service\":\"\xff\"}",
+	"control byte":        "\"\x00\"",
+	"value of 1 MB":       `"` + strings.Repeat("x", 1<<20) + `"`,
 }
 
 // oddDocuments has further odd values, in the words of the platform.
