soak: A way between VMs takes another port if its datagrams find theirs taken

Cause: the proxy for datagrams has to have the address of that for connections, whose port the system chose as free for TCP. Another process, of the tests that run beside it, had it for UDP. Nothing of the product is concerned.

Evidence: TestPeerWayTakesAnotherPort plays a taken port: before, the first one that is taken ended the run; now up to 20 are tried. TestSoakVMOutOfStep passes.

--- a/soak/network.go
+++ b/soak/network.go
@@ -68,6 +68,37 @@
 	w.datagrams.delay = delay
 }
 
+// maxPortTries is how many ports are tried for a way. The system gives a port that is free for connections, and another
+// process may have it for datagrams.
+const maxPortTries = 20
+
+func listenDatagrams(address string) (net.PacketConn, error) {
+	return net.ListenPacket("udp4", address)
+}
+
+// newPeerWay returns a way whose proxies for connections and datagrams have the same address.
+func newPeerWay(listen func(address string) (net.PacketConn, error), target string) (*peerWay, error) {
+	var taken error
+	for range maxPortTries {
+		p, err := NewProxy(target)
+		if err != nil {
+			return nil, err
+		}
+		front, err := listen(p.Address())
+		if err != nil {
+			taken = err
+			p.Close()
+			continue
+		}
+		datagrams, err := newDatagramProxy(front, target)
+		if err != nil {
+			return nil, err
+		}
+		return &peerWay{Proxy: p, datagrams: datagrams}, nil
+	}
+	return nil, fmt.Errorf("proxy datagrams: %w", taken)
+}
+
 func newNetwork(vms []*vm) (*network, error) {
 	n := &network{ways: make(map[[2]int]*peerWay)}
 	for i := range vms {
@@ -75,17 +106,13 @@
 			if k == i {
 				continue
 			}
-			p, err := NewProxy(to.peerAddress)
+			way, err := newPeerWay(listenDatagrams, to.peerAddress)
 			if err != nil {
 				return nil, err
 			}
-			way := &peerWay{Proxy: p}
 			n.ways[[2]int{i, k}] = way
-			if way.datagrams, err = newDatagramProxy(p.Address(), to.peerAddress); err != nil {
-				return nil, err
-			}
-			if len(p.Address()) != len(to.peerAddress) {
-				return nil, fmt.Errorf("address %s in place of %s is of another length", p.Address(), to.peerAddress)
+			if len(way.Address()) != len(to.peerAddress) {
+				return nil, fmt.Errorf("address %s in place of %s is of another length", way.Address(), to.peerAddress)
 			}
 		}
 	}
@@ -310,12 +337,9 @@
 
 const maxDatagramBytes = 2048
 
-func newDatagramProxy(address, target string) (*datagramProxy, error) {
-	d := &datagramProxy{}
+func newDatagramProxy(front net.PacketConn, target string) (*datagramProxy, error) {
+	d := &datagramProxy{front: front}
 	var err error
-	if d.front, err = net.ListenPacket("udp4", address); err != nil {
-		return nil, fmt.Errorf("proxy datagrams: %w", err)
-	}
 	if d.back, err = net.ListenPacket("udp4", "127.0.0.1:0"); err != nil {
 		return nil, fmt.Errorf("proxy datagrams: %w", err)
 	}
--- a/soak/network_test.go
+++ b/soak/network_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,6 +28,36 @@
 	return append(append(frame, key...), data...)
 }
 
+// Guards against a run that fails because another process has the port of a proxy for its datagrams.
+func TestPeerWayTakesAnotherPort(t *testing.T) {
+	tests := map[string]struct {
+		taken int
+		want  bool
+	}{
+		"the first is free":   {0, true},
+		"the first are taken": {3, true},
+		"all are taken":       {maxPortTries, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			tries := 0
+			way, err := newPeerWay(func(address string) (net.PacketConn, error) {
+				if tries++; tries <= tc.taken {
+					return nil, syscall.EADDRINUSE
+				}
+				return listenDatagrams(address)
+			}, "127.0.0.1:1")
+			if !tc.want {
+				require.ErrorIs(t, err, syscall.EADDRINUSE)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, way.Address(), way.datagrams.front.LocalAddr().String())
+			way.Close()
+		})
+	}
+}
+
 // Guards against a VM that learns the address of another one past the network, and so goes round its faults.
 func TestFramesNameTheNetwork(t *testing.T) {
 	const head = "GET /link HTTP/1.1\r\nUpgrade: websocket\r\n\r\n"
