guard, node: What all clients of a VM hold together is bounded by its memory

What callers saw: clients that each kept to the configuration's limits took more than the memory of a VM; where that ends a process, all its requests end. Cause: net/http holds the head of each request in buffers, lines and a table, up to some 20 times its bytes, bodies under 64 KB are held as they arrive, and nothing bounds their sum; only long bodies had a bound.

Change: the connections of all four ports of a VM go through one guard. It estimates what each holds, from its bytes and lines as they are read, in every phase before a request has arrived whole and until its response has ended. Over a quarter of the memory (less where long bodies take theirs: both together have one bound), connections without a whole request give way, those that hold more than 64 KB first, then the one that has had the most time. They are told by 408 that they have not run, where nothing of a response can be under way; a request whose last byte crosses that does not run. What closed connections still hold counts until their goroutines have ended: others wait for that instead of taking the room before it is free. Closed connections are counted (guard.closed.PORT.REASON) and logged at most once a second. A response that its client does not read for 30 s ([limits] unread) ends: its memory would be held for ever.

Tests of the guard: order in which connections give way, no run after the 408, nothing held afterwards, unread responses.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -125,6 +125,9 @@
 
 // bytesRead returns how many bytes have been read from a connection, 0 if it does not count them.
 func bytesRead(c net.Conn) int64 {
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
 	if counted, ok := c.(*countedConn); ok {
 		return counted.read.Load()
 	}
--- /dev/null
+++ b/guard/machine.go
@@ -0,0 +1,54 @@
+package guard
+
+import (
+	"math"
+
+	"golang.org/x/sys/unix"
+)
+
+// Shares of a process's descriptors that connections to its ports may take. A request of a caller may need a connection of
+// the process's own to a server, besides files and what else the process opens.
+const (
+	CallerShare = 3.0 / 8
+	PeerShare   = 1.0 / 8
+	// CheckShare is for a port of readiness checks or metrics, each.
+	CheckShare = 1.0 / 32
+)
+
+// MemoryShare is the share of a machine's memory that connections may take, with the requests on them.
+const MemoryShare = 0.25
+
+// minConns is how many connections a port may have with the fewest descriptors.
+const minConns = 4
+
+// Descriptors returns how many descriptors a process may have: those of the settings, 0 for no limit there, or fewer if
+// the kernel gives it fewer.
+func Descriptors(settings int) int {
+	descriptors := math.MaxInt32
+	if settings > 0 {
+		descriptors = settings
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(descriptors) {
+		descriptors = int(limit.Cur)
+	}
+	return descriptors
+}
+
+// MaxConns returns how many connections a port with a share of the descriptors may have.
+func MaxConns(descriptors int, share float64) int {
+	return max(minConns, int(share*float64(descriptors)))
+}
+
+// MachineMemory returns the memory of the machine in bytes: that of the settings, in megabytes, or what the kernel reports
+// if they have none. It is 0 if neither is known.
+func MachineMemory(settingsMB int) int64 {
+	if settingsMB > 0 {
+		return int64(settingsMB) << 20
+	}
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return int64(uint64(info.Totalram) * uint64(info.Unit))
+}
--- a/node/caller.go
+++ b/node/caller.go
@@ -17,6 +17,8 @@
 	maxHeaderBytes = 1 << 20
 	// proxyHeaderBytes is the room for the headers that a VM adds to a request which it sends through another one.
 	proxyHeaderBytes = 16 << 10
+	// headSlackBytes is how much longer a head may be than the configuration says, which may count the request line apart.
+	headSlackBytes = 4 << 10
 )
 
 // newCallerServer returns the server for callers.
@@ -31,6 +33,11 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes + proxyHeaderBytes, ConnContext: httpx.WithConn}
 }
 
+// newCheckServer returns the server for readiness checks or metrics.
+func newCheckServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // checkLimits logs if a configuration allows callers more than this VM does.
 func (n *Node) checkLimits(l routes.Limits) {
 	if l.HeaderTimeout <= headerTimeout && l.IdleTimeout <= idleTimeout && l.MaxHeaderBytes <= maxHeaderBytes {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/drain"
 	"github.com/hibiscuscart/hibiscuscart/gauge"
+	"github.com/hibiscuscart/hibiscuscart/guard"
 	"github.com/hibiscuscart/hibiscuscart/limit"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/origin"
@@ -43,8 +44,6 @@
 	// heapMemoryShare is the share of the VM's memory to which the garbage collector limits the
 	// heap. The rest is for stacks, kernel buffers and the binary.
 	heapMemoryShare = 0.6
-	// requestMemoryShare is the share of the VM's memory that long request bodies may take at the same time.
-	requestMemoryShare = 0.5
 	// cleanupInterval is the interval between removals of idle connections and of the state of
 	// removed servers.
 	cleanupInterval = time.Second
@@ -142,6 +141,8 @@
 	peerListener   *drain.Listener
 	background     sync.WaitGroup
 	stopBackground context.CancelFunc
+	// guard bounds what the clients of all ports hold together.
+	guard *guard.Guard
 }
 
 // New returns a Node that has not started.
@@ -197,6 +198,7 @@
 	}
 	n.paths.OnProcessEnded = n.processEnded
 	n.gateway = n.newGateway(c)
+	n.guard = n.newGuard()
 	return n
 }
 
@@ -241,7 +243,7 @@
 		StopsAt:           n.exitTime,
 		OnRefusedStopping: n.callerConns.CloseEarly,
 		ResponseBudget:    &conns.Budget{MemoryLimit: func() int64 { return n.memoryBytes(1) }},
-		RequestMemory:     func() int64 { return n.memoryBytes(requestMemoryShare) },
+		RequestMemory:     n.bodyMemory,
 		Now:               c.Now,
 		Log:               n.log,
 		Meter:             n.meter,
@@ -284,23 +286,14 @@
 	n.callerConns.CloseResponse, n.peerConns.CloseResponse = callerCloseResponse, pass.StoppingRefusal
 	n.peerServer = newPeerServer(n.peerHandler())
 	n.peerServer.ConnState = func(c net.Conn, s http.ConnState) { n.peerConns.Record(n.now(), c, s) }
-	listeners := []struct {
-		key    string
-		server *http.Server
-	}{
-		{"listen", n.callerServer},
-		{"ready_listen", &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{"peer_listen", n.peerServer},
-		{"metrics_listen", &http.Server{Handler: http.HandlerFunc(n.meter.ServeText), ReadHeaderTimeout: headerTimeout}},
-	}
-	for _, l := range listeners {
-		address := n.settings().Text("vm", l.key)
+	for _, p := range n.ports() {
+		address := n.settings().Text("vm", p.key)
 		if address == "" {
 			continue
 		}
-		if err := n.listen(l.server, address); err != nil {
+		if err := n.listen(p, address); err != nil {
 			n.Kill()
-			return fmt.Errorf("listen on %s %s: %w", l.key, address, err)
+			return fmt.Errorf("listen on %s %s: %w", p.key, address, err)
 		}
 	}
 	if err := n.origins.Listen(); err != nil {
@@ -308,7 +301,7 @@
 		return err
 	}
 	n.background.Go(n.origins.Serve)
-	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.controller.Run, n.cleanUp, n.probeDomains, n.watchPath, n.watchStandstills} {
+	for _, job := range []func(context.Context){n.followConfig, n.followServers, n.peers.Run, n.controller.Run, n.cleanUp, n.probeDomains, n.watchPath, n.watchStandstills, n.runGuard} {
 		n.background.Go(func() { job(ctx) })
 	}
 	n.log.Info().Str("listen", n.settings().Text("vm", "listen")).Str("store", n.settings().Text("store", "address")).Msg("started")
@@ -321,22 +314,21 @@
 	debug.SetMemoryLimit(n.memoryBytes(heapMemoryShare))
 }
 
-func (n *Node) listen(s *http.Server, address string) error {
+func (n *Node) listen(p port, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	switch s {
-	case n.callerServer:
-		n.callerListener = &drain.Listener{Listener: l}
-		l = n.callerListener
-	case n.peerServer:
-		n.peerListener = &drain.Listener{Listener: l}
-		l = n.peerListener
+	if p.drained != nil {
+		*p.drained = &drain.Listener{Listener: l}
+		l = *p.drained
 	}
-	n.httpServers = append(n.httpServers, s)
+	guarded := n.guard.Port(p.limits)
+	guarded.Attach(p.server)
+	l = guarded.Listener(l)
+	n.httpServers = append(n.httpServers, p.server)
 	n.background.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := p.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.Error().Err(err).Str("address", address).Msg("listener failed")
 		}
 	})
--- a/pass/body.go
+++ b/pass/body.go
@@ -43,6 +43,15 @@
 	r.held -= n
 }
 
+func (r *bodyRoom) bytes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held
+}
+
+// RequestBytes returns how many bytes the long bodies of requests take.
+func (g *Gateway) RequestBytes() int64 { return g.bodyRoom.bytes() }
+
 // readBody reads the body of a request of at most limit bytes, and returns a function that releases its memory. A longer
 // one is a conns.ErrBodyTooLarge, one for which there is no room an errNoBodyRoom.
 func (g *Gateway) readBody(r *http.Request, limit int) (body []byte, release func(), err error) {
