node: The head of a request is bounded by the limit of the configuration

What callers saw: heads over the limit, or without an end, took the memory of a VM (64 clients: up to 321 MB at a VM of 64 MB). Cause: a VM took heads of 1 MB whatever the configuration's limit, 16 KB in the deployments; the ports for readiness checks and metrics had net/http's default, 1 MB too. http.Server reads its limit without a lock, so it can not follow a configuration.

Change: the guard stops to read a head at the configuration's limit (4 KB more for what that may count otherwise, 16 KB more for other VMs, 1 MB if the configuration has none), answers 431 and closes. Checks and metrics take 16 KB, and close idle connections.

TestHeadLimit: a head of the limit's length is served on a kept connection, one byte more is not.

--- a/node/port.go
+++ b/node/port.go
@@ -36,8 +36,8 @@
 
 // ports returns the ports of this VM.
 func (n *Node) ports() []port {
-	limits := func(name string, _ float64, _ func() int, givesWay, refusal string) guard.Port {
-		return guard.Port{Name: name, GivesWay: givesWay, Refusal: refusal}
+	limits := func(name string, _ float64, headLimit func() int, givesWay, refusal string) guard.Port {
+		return guard.Port{Name: name, HeadLimit: headLimit, GivesWay: givesWay, Refusal: refusal}
 	}
 	checkLimit := func() int { return checkHeadBytes }
 	return []port{
