node: Connections of clients leave a VM descriptors of its own

What callers saw: as many silent, kept or unfinished connections as a process has descriptors, at any of its ports, and no request was answered; the VM could not open connections to the store or to servers either. Cause: nothing bounded the connections, and a VM did not know its descriptors.

Change: [limits] descriptors tells them (the deployment's template fills it in; else those that the kernel gives). Callers may have 3/8 of them, other VMs 1/8, checks and metrics 1/32 each: a caller's request may need a connection to a server besides. Beyond that, the connection that has been without a whole request for the longest time gives way to a new one; if all have one, the new one is refused at once (503, not run).

--- a/node/port.go
+++ b/node/port.go
@@ -36,8 +36,9 @@
 
 // ports returns the ports of this VM.
 func (n *Node) ports() []port {
-	limits := func(name string, _ float64, headLimit func() int, givesWay, refusal string) guard.Port {
-		return guard.Port{Name: name, HeadLimit: headLimit, GivesWay: givesWay, Refusal: refusal}
+	descriptors := guard.Descriptors(n.settings().Int("limits", "descriptors"))
+	limits := func(name string, share float64, headLimit func() int, givesWay, refusal string) guard.Port {
+		return guard.Port{Name: name, MaxConns: guard.MaxConns(descriptors, share), HeadLimit: headLimit, GivesWay: givesWay, Refusal: refusal}
 	}
 	checkLimit := func() int { return checkHeadBytes }
 	return []port{
