entry, guard: What all clients of serve hold together is bounded by the machine

What callers saw: clients of serve that each kept to its limits took more than the memory of a machine: 1,000 that hold 900 KB of a body of 1 MB took a gigabyte. Silent and kept connections took all descriptors. Cause: as at node, with no bound on the sum of bodies at all, short or long.

Change: both ports of a daemon go through a guard, also inside TLS, where nothing is told to connections that give way. Whole bodies count there, twice (a buffer that grows). [limits] memory_mb and descriptors tell what a process may have, else the machine's memory and the kernel's limit count; with memory_mb the collector works within 0.6 of it.

--- a/cmd/hibiscuscart/serve.go
+++ b/cmd/hibiscuscart/serve.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/entry"
+	"github.com/hibiscuscart/hibiscuscart/guard"
 	"github.com/hibiscuscart/hibiscuscart/spans"
 )
 
@@ -46,6 +48,7 @@
 }
 
 func serveVM(ctx context.Context, settings *conf.Settings, vm conf.VM) error {
+	limitMemory(settings)
 	log := newLogger(settings)
 	flush, err := setUpTraces(ctx, settings, vm.Name())
 	if err != nil {
@@ -96,3 +99,13 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(out).Level(level).With().Timestamp().Logger()
 }
+
+// limitMemory limits the heap of the process if the settings limit its memory.
+func limitMemory(s *conf.Settings) {
+	if mb := s.Int("limits", "memory_mb"); mb > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(guard.MachineMemory(mb))))
+	}
+}
+
+// heapShare is the share of the memory to which the garbage collector limits the heap.
+const heapShare = 0.6
--- a/entry/config.go
+++ b/entry/config.go
@@ -90,6 +90,7 @@
 		LinkKeys:        link.Keys{Peer: s.Text("peers", "key"), Operator: s.Text("peers", "operator_key")},
 		CallersByKey:    s.Callers(),
 		Limits: Limits{
+			MemoryMB: s.Int("limits", "memory_mb"), Descriptors: s.Int("limits", "descriptors"),
 			HeaderBytes: s.Int("limits", "header_bytes"), BodyBytes: int64(s.Int("limits", "body_bytes")),
 			PromptBytes: s.Int("limits", "prompt_bytes"), ResponseBytes: int64(s.Int("limits", "answer_bytes")),
 			ReadTimeout: s.Duration("limits", "read_timeout"), WriteTimeout: s.Duration("limits", "write_timeout"),
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuscart/hibiscuscart/drain"
 	"github.com/hibiscuscart/hibiscuscart/engine"
 	"github.com/hibiscuscart/hibiscuscart/fleet"
+	"github.com/hibiscuscart/hibiscuscart/guard"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 	"github.com/hibiscuscart/hibiscuscart/naive"
@@ -42,8 +43,11 @@
 	unlimitedStop = 24 * time.Hour
 )
 
+// notRun ends the response to a request that was not read.
+const notRun = hibiscuscart.OutcomeHeader + ": not_run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // closeResponse is the answer to a request that crosses the close of its unused connection.
-const closeResponse = "HTTP/1.1 408 Request Timeout\r\n" + hibiscuscart.OutcomeHeader + ": not_run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+const closeResponse = "HTTP/1.1 408 Request Timeout\r\n" + notRun
 
 // Daemon is the process of one entry VM.
 type Daemon struct {
@@ -81,6 +85,8 @@
 	peerServer     *http.Server
 	listenAddr     string
 	peerAddr       string
+	// guard bounds what the clients of both ports hold together.
+	guard *guard.Guard
 }
 
 // New returns a Daemon that is not started.
@@ -220,8 +226,7 @@
 	d.callerServer.ConnState = func(c net.Conn, s http.ConnState) { d.callerConns.Record(d.now(), c, s) }
 	d.peerServer = d.newServer(d.peerHandler())
 	d.peerServer.TLSConfig = d.config.TLS
-	d.serve("callers", d.callerServer, d.callerListener, false)
-	d.serve("peers", d.peerServer, peerListener, d.config.TLS != nil)
+	d.serveGuarded(peerListener)
 	d.startJobs(ctx)
 	d.log.Info().Str("listen", d.listenAddr).Str("peer_listen", d.peerAddr).Msg("started")
 	return nil
@@ -250,7 +255,7 @@
 
 func (d *Daemon) startJobs(ctx context.Context) {
 	for _, job := range []func(context.Context){
-		d.watchProfiles, d.watchServers, d.pollServers, d.peers.run, d.runController, d.admission.runExpiry,
+		d.watchProfiles, d.watchServers, d.pollServers, d.peers.run, d.runController, d.admission.runExpiry, d.runGuard,
 	} {
 		d.jobs.Go(func() { job(ctx) })
 	}
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -31,8 +31,11 @@
 	maxMessages            = 1024
 )
 
-// Limits bounds the size and the transfer time of requests and responses.
+// Limits bounds the size and the transfer time of requests and responses, and the memory and the descriptors of the
+// process; 0 for those of the machine.
 type Limits struct {
+	MemoryMB      int
+	Descriptors   int
 	HeaderBytes   int
 	BodyBytes     int64
 	PromptBytes   int
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -24,8 +24,8 @@
 	// the table of the header fields, whose names all differ in the worst case.
 	bytesPerHeadByte = 2
 	lineBytes        = 160
-	// maxBodyBytes is up to which length bodies count. The gateway has a bound of its own for longer ones.
-	maxBodyBytes = 64 << 10
+	// bytesPerBodyByte is for the bytes of a body in a buffer that grows.
+	bytesPerBodyByte = 2
 	// chargeStep is in what steps the estimate grows, so that few reads take the lock.
 	chargeStep = 4 << 10
 )
@@ -139,11 +139,15 @@
 		c.headBytes += len(read)
 		c.lines += bytes.Count(read, []byte{'\n'})
 	case phase(c.phase.Load()) == phaseBody:
-		c.bodyBytes = min(c.bodyBytes+len(read), maxBodyBytes)
+		c.bodyBytes += len(read)
 	default:
 		return
 	}
-	bytes := connBytes + int64(bytesPerHeadByte*c.headBytes+lineBytes*c.lines+c.bodyBytes)
+	body := bytesPerBodyByte * c.bodyBytes
+	if longest := c.port.CountedBodyBytes; longest > 0 {
+		body = min(body, longest)
+	}
+	bytes := connBytes + int64(bytesPerHeadByte*c.headBytes+lineBytes*c.lines+body)
 	if bytes <= c.wanted {
 		return
 	}
--- a/guard/port.go
+++ b/guard/port.go
@@ -19,6 +19,8 @@
 	MaxConns int
 	// HeadLimit returns how long the head of a request may be in bytes, 0 for no bound. Optional.
 	HeadLimit func() int
+	// CountedBodyBytes is up to what length bodies count, where longer ones have a bound of their own; 0 if all count.
+	CountedBodyBytes int
 	// GivesWay is the response on a connection that gives way to others before its request has arrived, and Refusal that on
 	// a connection that there is no room for. Neither request has run. Empty for none, as on encrypted connections.
 	GivesWay, Refusal string
--- a/pass/body.go
+++ b/pass/body.go
@@ -14,8 +14,8 @@
 // A request is read whole before it is sent, and kept until it ends. Some 80 long uploads at the same time took more than
 // the memory of a small VM, whose process was ended with all its requests. So those beyond a bound are refused.
 
-// smallBodyBytes is the size below which bodies do not count.
-const smallBodyBytes = 64 << 10
+// SmallBodyBytes is the size below which bodies do not count toward Gateway.RequestBytes.
+const SmallBodyBytes = 64 << 10
 
 // errNoBodyRoom is returned for a request that is too long beside those that this VM holds.
 var errNoBodyRoom = errors.New("no memory left for a body this long beside other requests")
@@ -59,8 +59,8 @@
 	if r.ContentLength > int64(limit) {
 		return nil, none, conns.ErrBodyTooLarge
 	}
-	start, err := conns.ReadAll(io.LimitReader(r.Body, smallBodyBytes), limit)
-	if err != nil || len(start) < smallBodyBytes {
+	start, err := conns.ReadAll(io.LimitReader(r.Body, SmallBodyBytes), limit)
+	if err != nil || len(start) < SmallBodyBytes {
 		return start, none, err
 	}
 	n := r.ContentLength
