guard: A caller's connection leaves room for two of the process's own

What was seen: TestClientsOfServeHoldDescriptors, with requests that reach the service: 205 of 256 descriptors were open, 192 are the bound. Cause: 3/8 for callers' connections is 96; as many to the service and the platform beside them come to over three quarters. The same holds for node. Change: 5/16.

--- a/guard/machine.go
+++ b/guard/machine.go
@@ -9,7 +9,7 @@
 // Shares of a process's descriptors that connections to its ports may take. A request of a caller may need a connection of
 // the process's own to a server, besides files and what else the process opens.
 const (
-	CallerShare = 3.0 / 8
+	CallerShare = 5.0 / 16
 	PeerShare   = 1.0 / 8
 	// CheckShare is for a port of readiness checks or metrics, each.
 	CheckShare = 1.0 / 32
