cmd: Stand-ins keep to the bounds of their machine

What was seen: heads over the limit took up to 962 MB of a stand-in for the platform or a service (machine of 64 MB, 64 clients), and silent connections all its descriptors. Cause: as at the VMs; the stand-ins had net/http's limit of 1 MB for a head and no other bound.

Change: the ports of a stand-in process go through a guard with the memory and descriptors of [limits], half of the descriptors for all ports together; heads of up to 64 KB.

The stand-ins that demo and the tests run within a process stay as they were.

--- a/cmd/hibiscuscart/standin.go
+++ b/cmd/hibiscuscart/standin.go
@@ -6,14 +6,17 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/demo"
 	"github.com/hibiscuscart/hibiscuscart/entry"
+	"github.com/hibiscuscart/hibiscuscart/guard"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -93,7 +96,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", p.Handler())
 	mux.Handle("POST /weights", demo.NewWeightStore(s).Handler())
-	return listenAndServe(ctx, map[string]http.Handler{s.Text("platform", "address"): mux})
+	return listenAndServe(ctx, s, map[string]http.Handler{s.Text("platform", "address"): mux})
 }
 
 // serveBackendServers serves the stand-ins for the engines or services in the settings.
@@ -115,7 +118,7 @@
 	if len(handlers) == 0 {
 		return usageErrorf("no matching server %q in the settings", serverName)
 	}
-	return listenAndServe(ctx, handlers)
+	return listenAndServe(ctx, s, handlers)
 }
 
 func newStandin(pool conf.Pool, doc wire.Server, fetch func(context.Context, wire.Order) error, runs *stand.RunCounter, random func() float64) http.Handler {
@@ -128,20 +131,41 @@
 	return e.Handler()
 }
 
-// listenAndServe serves each address until ctx ends.
-func listenAndServe(ctx context.Context, handlers map[string]http.Handler) error {
+const (
+	// standinShare is the share of the descriptors that connections to all stand-ins of a process may take.
+	standinShare = 0.5
+	// standinHeadBytes bounds the heads of requests to stand-ins.
+	standinHeadBytes = 64 << 10
+)
+
+// listenAndServe serves each address until ctx ends, within the bounds of the machine.
+func listenAndServe(ctx context.Context, settings *conf.Settings, handlers map[string]http.Handler) error {
+	limitMemory(settings)
+	memory := int64(guard.MemoryShare * float64(guard.MachineMemory(settings.Int("limits", "memory_mb"))))
+	g := &guard.Guard{Memory: func() int64 { return memory }, MaxUnread: settings.Duration("limits", "write_timeout"), Log: newLogger(settings)}
+	go g.Run(ctx, clock.Now)
+	maxConns := guard.MaxConns(guard.Descriptors(settings.Int("limits", "descriptors")), standinShare/float64(len(handlers)))
 	errs := make(chan error, len(handlers))
 	var servers []*http.Server
+	var err error
 	for address, h := range handlers {
-		s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: 10 * time.Second}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: standinHeadBytes}
+		port := g.Port(guard.Port{Name: address, MaxConns: maxConns})
+		port.Attach(s)
+		l, listenErr := net.Listen("tcp", address)
+		if listenErr != nil {
+			err = listenErr
+			break
+		}
 		servers = append(servers, s)
-		go func() { errs <- s.ListenAndServe() }()
+		go func() { errs <- s.Serve(port.Listener(l)) }()
 		fmt.Fprintln(os.Stderr, "listening on", address)
 	}
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-errs:
+	if err == nil {
+		select {
+		case <-ctx.Done():
+		case err = <-errs:
+		}
 	}
 	for _, s := range servers {
 		_ = s.Close()
