crowd: Tests of a stop beside crowds at all ports

A crowd of 512 at each of the four ports, then an ordinary request, then SIGTERM: the process has to end by itself.

--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -96,3 +98,23 @@
 		t.Run(port, func(t *testing.T) { requireVMSurvives(t, fewDescriptors, manyClients, port, unfinished) })
 	}
 }
+
+// Guards against a VM that crowds at all its ports keep from stopping.
+func TestClientsBesideStop(t *testing.T) {
+	for name, k := range unfinished {
+		t.Run(name, func(t *testing.T) {
+			v := startVM(t, fewDescriptors)
+			for _, port := range portKeys {
+				sendFrom(t, manyClients, v.ports[port], k)
+			}
+			requireOrdinary(t, "beside the crowds", v.process, v.request)
+			v.requireInBounds(t)
+			require.NoError(t, syscall.Kill(v.pid, syscall.SIGTERM))
+			select {
+			case <-v.exited:
+			case <-time.After(stopTimeout):
+				require.Fail(t, "the process does not stop", v.tail())
+			}
+		})
+	}
+}
