guard, node, entry, cmd: What the kernel keeps of connections that are not read is bounded

What callers see: nothing; on the users' machines, bytes that have been received and not yet read count toward a VM's memory, and a VM over it is ended. Cause: the kernel grows the buffer of a connection that is read fast, to megabytes, and a client that sends on while its request is in progress fills it: 2.3 MB for one connection (TestUnreadBytesOfConnection before), on 960 connections of a VM of 144 MB.

Change: the listeners set the size of the receive buffers, which accepted connections inherit: an eighth of the machine's memory divided by the connections of the port, 16 KB to 64 KB each. 64 KB is what kernels begin with; a long upload over a path of 100 ms is slower for it, at 640 KB/s. The crowds' bound of memory counts what was not read beside the resident memory (stricter).

Measured: TestUnreadBytesOfConnection holds (32 KB at most with 16 KB set).

--- a/cmd/hibiscuscart/standin.go
+++ b/cmd/hibiscuscart/standin.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -141,7 +140,8 @@
 // listenAndServe serves each address until ctx ends, within the bounds of the machine.
 func listenAndServe(ctx context.Context, settings *conf.Settings, handlers map[string]http.Handler) error {
 	limitMemory(settings)
-	memory := int64(guard.MemoryShare * float64(guard.MachineMemory(settings.Int("limits", "memory_mb"))))
+	machine := guard.MachineMemory(settings.Int("limits", "memory_mb"))
+	memory := int64(guard.MemoryShare * float64(machine))
 	g := &guard.Guard{Memory: func() int64 { return memory }, MaxUnread: settings.Duration("limits", "write_timeout"), Log: newLogger(settings)}
 	go g.Run(ctx, clock.Now)
 	maxConns := guard.MaxConns(guard.Descriptors(settings.Int("limits", "descriptors")), standinShare/float64(len(handlers)))
@@ -150,9 +150,9 @@
 	var err error
 	for address, h := range handlers {
 		s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: standinHeadBytes}
-		port := g.Port(guard.Port{Name: address, MaxConns: maxConns})
+		port := g.Port(guard.Port{Name: address, MaxConns: maxConns, UnreadBytes: guard.UnreadBytes(machine, maxConns*len(handlers))})
 		port.Attach(s)
-		l, listenErr := net.Listen("tcp", address)
+		l, listenErr := port.Listen(ctx, address)
 		if listenErr != nil {
 			err = listenErr
 			break
--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -185,8 +185,8 @@
 	t.Helper()
 	c := sendFrom(t, clients, address, k)
 	requireOrdinary(t, "beside the crowd", p, request)
-	p.requireInBounds(t)
+	p.requireInBounds(t, address)
 	c.leave()
 	requireOrdinary(t, "after the crowd", p, request)
-	p.requireInBounds(t)
+	p.requireInBounds(t, address)
 }
--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -108,7 +108,9 @@
 				sendFrom(t, manyClients, v.ports[port], k)
 			}
 			requireOrdinary(t, "beside the crowds", v.process, v.request)
-			v.requireInBounds(t)
+			for _, port := range portKeys {
+				v.requireInBounds(t, v.ports[port])
+			}
 			require.NoError(t, syscall.Kill(v.pid, syscall.SIGTERM))
 			select {
 			case <-v.exited:
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -102,17 +104,18 @@
 	}
 }
 
-// requireInBounds fails the test unless the process runs within its machine's memory, with descriptors left for itself.
-func (p *process) requireInBounds(t *testing.T) {
+// requireInBounds fails the test unless the process runs within its machine's memory, with descriptors left for itself. What
+// the kernel keeps of connections to an address that has not been read counts as memory.
+func (p *process) requireInBounds(t *testing.T, address string) {
 	t.Helper()
 	select {
 	case <-p.exited:
 		require.Fail(t, p.name+" has ended", p.tail())
 	default:
 	}
-	peak, descriptors := p.peakMB(t), p.descriptors(t)
-	t.Logf("%s: peak %d MB, %d descriptors", p.name, peak, descriptors)
-	require.LessOrEqual(t, peak, machineMemoryMB, "peak of the resident memory in MB")
+	peak, unread, descriptors := p.peakMB(t), unreadMB(t, address), p.descriptors(t)
+	t.Logf("%s: peak %d MB, %d MB not read, %d descriptors", p.name, peak, unread, descriptors)
+	require.LessOrEqual(t, peak+unread, machineMemoryMB, "peak of the resident memory, and what was not read, in MB")
 	require.LessOrEqual(t, float64(descriptors), (1-ownShare)*float64(p.maxDescriptors), "open descriptors")
 }
 
@@ -132,6 +135,32 @@
 	return 0
 }
 
+// unreadMB returns how much the kernel keeps of connections to an IPv4 address that has not been read.
+func unreadMB(t *testing.T, address string) int {
+	t.Helper()
+	at := netip.MustParseAddrPort(address)
+	ip := at.Addr().As4()
+	// The kernel prints the address as a number in the byte order of the machine.
+	local := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), at.Port())
+	table, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	unread := uint64(0)
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[1] != local || fields[3] == listening {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseUint(queue, 16, 64)
+		require.NoError(t, err)
+		unread += n
+	}
+	return int(unread >> 20)
+}
+
+// listening is the state of a listener in the table of the kernel, whose queue is one of connections.
+const listening = "0A"
+
 func (p *process) descriptors(t *testing.T) int {
 	t.Helper()
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid))
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -86,7 +86,8 @@
 	listenAddr     string
 	peerAddr       string
 	// guard bounds what the clients of both ports hold together.
-	guard *guard.Guard
+	guard                *guard.Guard
+	callerPort, peerPort *guard.Port
 }
 
 // New returns a Daemon that is not started.
@@ -208,12 +209,13 @@
 
 // Start opens the listeners and starts the background jobs. Stop ends both.
 func (d *Daemon) Start(ctx context.Context) error {
-	l, err := net.Listen("tcp", d.config.Listen)
+	d.openPorts()
+	l, err := d.callerPort.Listen(ctx, d.config.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	d.callerListener = &drain.Listener{Listener: l}
-	peerListener, err := net.Listen("tcp", d.config.PeerListen)
+	peerListener, err := d.peerPort.Listen(ctx, d.config.PeerListen)
 	if err != nil {
 		_ = l.Close()
 		return fmt.Errorf("listen for peers: %w", err)
@@ -226,7 +228,7 @@
 	d.callerServer.ConnState = func(c net.Conn, s http.ConnState) { d.callerConns.Record(d.now(), c, s) }
 	d.peerServer = d.newServer(d.peerHandler())
 	d.peerServer.TLSConfig = d.config.TLS
-	d.serveGuarded(peerListener)
+	d.servePorts(peerListener)
 	d.startJobs(ctx)
 	d.log.Info().Str("listen", d.listenAddr).Str("peer_listen", d.peerAddr).Msg("started")
 	return nil
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/meter"
@@ -37,6 +40,8 @@
 	g.Meter = meter.New()
 	p.Name, p.GivesWay, p.Refusal = "test", testGivesWay, testRefusal
 	port := g.Port(p)
+	l, err := port.Listen(context.Background(), "127.0.0.1:0")
+	require.NoError(t, err)
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -52,7 +57,8 @@
 		_, _ = w.Write(body)
 	}))
 	port.Attach(s.Config)
-	s.Listener = port.Listener(s.Listener)
+	_ = s.Listener.Close()
+	s.Listener = port.Listener(l)
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
@@ -343,6 +349,41 @@
 	}
 }
 
+// A client has sent a long body, which the process read at once, and sends on while its next request is in progress. Guards against
+// a kernel that keeps megabytes for each such connection.
+func TestUnreadBytesOfConnection(t *testing.T) {
+	const unread = 16 << 10
+	s := newTestServer(t, &Guard{}, Port{UnreadBytes: unread})
+	defer close(s.hold)
+	const long = 32 << 20
+	c := s.open(t, fmt.Sprintf("POST /long-body HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", long))
+	go func() { _, _ = c.Write(make([]byte, long)) }()
+	require.Equal(t, http.StatusOK, status(t, c))
+	require.Equal(t, "/long-body", <-s.ran)
+	s.send(t, c, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, "/held", <-s.ran)
+	require.NoError(t, c.SetWriteDeadline(time.Now().Add(time.Second)))
+	_, err := c.Write(make([]byte, long))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.LessOrEqual(t, s.unread(t), 2*unread)
+}
+
+// unread returns how much the kernel keeps of the only connection that has not been read.
+func (s *testServer) unread(t *testing.T) int {
+	t.Helper()
+	s.guard.mu.Lock()
+	defer s.guard.mu.Unlock()
+	for c := range s.guard.ports[0].conns {
+		raw, err := c.SyscallConn()
+		require.NoError(t, err)
+		var n int
+		require.NoError(t, raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }))
+		require.NoError(t, err)
+		return n
+	}
+	return 0
+}
+
 // Guards against bounds that no deployment could live with.
 func TestBoundsOfMachine(t *testing.T) {
 	require.Equal(t, 80, MaxConns(256, CallerShare))
@@ -352,6 +393,9 @@
 	require.Positive(t, Descriptors(0))
 	require.Equal(t, int64(64<<20), MachineMemory(64))
 	require.Positive(t, MachineMemory(0))
+	require.Equal(t, minUnreadBytes, UnreadBytes(64<<20, MaxConns(4100, CallerShare)))
+	require.Equal(t, 28751, UnreadBytes(281<<20, 1281))
+	require.Equal(t, defaultUnreadBytes, UnreadBytes(24<<30, 96))
 }
 
 // Guards against TLS handshakes that are never ended, and against text without encryption on such a connection.
--- a/guard/machine.go
+++ b/guard/machine.go
@@ -18,6 +18,14 @@
 // MemoryShare is the share of a machine's memory that connections may take, with the requests on them.
 const MemoryShare = 0.25
 
+// unreadShare is the share of a machine's memory that the kernel may hold for the connections of a port that have not been
+// read. minUnreadBytes is the least for a connection, and defaultUnreadBytes what kernels begin with.
+const (
+	unreadShare        = 1.0 / 8
+	minUnreadBytes     = 16 << 10
+	defaultUnreadBytes = 64 << 10
+)
+
 // minConns is how many connections a port may have with the fewest descriptors.
 const minConns = 4
 
@@ -50,5 +58,12 @@
 	if err := unix.Sysinfo(&info); err != nil {
 		return 0
 	}
-	return int64(uint64(info.Totalram) * uint64(info.Unit))
+	return int64(info.Totalram * uint64(info.Unit))
+}
+
+// UnreadBytes returns how much the kernel may hold for each connection of a port that has not been read. With fewer
+// connections each may have more, but not more than the kernel's default, which would grow without a bound.
+func UnreadBytes(memory int64, maxConns int) int {
+	bytes := int64(unreadShare * float64(memory) / float64(maxConns))
+	return int(min(max(bytes, minUnreadBytes), defaultUnreadBytes))
 }
--- a/guard/port.go
+++ b/guard/port.go
@@ -4,9 +4,13 @@
 	"container/list"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuscart/hibiscuscart/conns"
 )
@@ -21,6 +25,8 @@
 	HeadLimit func() int
 	// CountedBodyBytes is up to what length bodies count, where longer ones have a bound of their own; 0 if all count.
 	CountedBodyBytes int
+	// UnreadBytes is how much the kernel may keep of a connection that has not been read, 0 for its default.
+	UnreadBytes int
 	// GivesWay is the response on a connection that gives way to others before its request has arrived, and Refusal that on
 	// a connection that there is no room for. Neither request has run. Empty for none, as on encrypted connections.
 	GivesWay, Refusal string
@@ -51,7 +57,23 @@
 	}
 }
 
-// Listener returns a listener that accepts connections within the bounds.
+// Listen returns a listener at an address whose connections keep to UnreadBytes.
+func (p *Port) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	if p.UnreadBytes > 0 {
+		config.Control = func(_, _ string, raw syscall.RawConn) error {
+			// Accepted connections inherit the size, and their peers learn it as they connect. An error leaves the default.
+			return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, p.UnreadBytes) })
+		}
+	}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// Listener returns a listener that accepts the connections of another one within the bounds.
 func (p *Port) Listener(l net.Listener) net.Listener { return &listener{Listener: l, port: p} }
 
 type listener struct {
--- a/node/node.go
+++ b/node/node.go
@@ -293,7 +293,7 @@
 		if address == "" {
 			continue
 		}
-		if err := n.listen(p, address); err != nil {
+		if err := n.listen(ctx, p, address); err != nil {
 			n.Kill()
 			return fmt.Errorf("listen on %s %s: %w", p.key, address, err)
 		}
@@ -316,8 +316,10 @@
 	debug.SetMemoryLimit(n.memoryBytes(heapMemoryShare))
 }
 
-func (n *Node) listen(p port, address string) error {
-	l, err := net.Listen("tcp", address)
+func (n *Node) listen(ctx context.Context, p port, address string) error {
+	guarded := n.guard.Port(p.limits)
+	guarded.Attach(p.server)
+	l, err := guarded.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -325,8 +327,6 @@
 		*p.drained = &drain.Listener{Listener: l}
 		l = *p.drained
 	}
-	guarded := n.guard.Port(p.limits)
-	guarded.Attach(p.server)
 	l = guarded.Listener(l)
 	n.httpServers = append(n.httpServers, p.server)
 	n.background.Go(func() {
--- a/node/port.go
+++ b/node/port.go
@@ -38,7 +38,11 @@
 func (n *Node) ports() []port {
 	descriptors := guard.Descriptors(n.settings().Int("limits", "descriptors"))
 	limits := func(name string, share float64, headLimit func() int, givesWay, refusal string) guard.Port {
-		return guard.Port{Name: name, MaxConns: guard.MaxConns(descriptors, share), HeadLimit: headLimit, CountedBodyBytes: pass.SmallBodyBytes, GivesWay: givesWay, Refusal: refusal}
+		maxConns := guard.MaxConns(descriptors, share)
+		return guard.Port{
+			Name: name, MaxConns: maxConns, UnreadBytes: guard.UnreadBytes(n.memoryBytes(1), maxConns),
+			HeadLimit: headLimit, CountedBodyBytes: pass.SmallBodyBytes, GivesWay: givesWay, Refusal: refusal,
+		}
 	}
 	checkLimit := func() int { return checkHeadBytes }
 	return []port{
