guard: A response that ends with its connection and fails is reset

What callers saw: since the guard, a response without a length that was cut ended like a whole one. Cause: httpx.BeginByClose asks the caller's connection for SetLinger, which the guard's did not have, and goes on without it. Change: the guard's connection passes SetLinger on. Looked for others of the kind: the uses of a caller's connection are SyscallConn, CloseWrite and SetLinger, and NetConn for the count of drain.

Measured: TestResponseByCloseThatFailsIsReset fails without the method and passes; TestBackendFaults passes.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -97,6 +97,15 @@
 	return nil
 }
 
+// SetLinger sets what a close does with what was not sent. Responses that end with their connections reset it until they are
+// complete (package httpx).
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.port.guard.release(c)
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/drain"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/meter"
 )
 
@@ -384,6 +387,29 @@
 	return 0
 }
 
+// A response ends with its connection, and its handler fails in the middle. Guards against a client that takes it for whole.
+func TestResponseByCloseThatFailsIsReset(t *testing.T) {
+	g := &Guard{}
+	port := g.Port(Port{Name: "test"})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		httpx.BeginByClose(r.Context(), w.Header())
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	s.Config.ConnContext = httpx.WithConn
+	port.Attach(s.Config)
+	s.Listener = port.Listener(&drain.Listener{Listener: s.Listener})
+	s.Start()
+	t.Cleanup(s.Close)
+	resp, err := s.Client().Get(s.URL)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, resp.Body.Close())
+	}
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // Guards against bounds that no deployment could live with.
 func TestBoundsOfMachine(t *testing.T) {
 	require.Equal(t, 80, MaxConns(256, CallerShare))
