demo: Each case of TestBackendFaults has its own time

Cause, suspected then and shown now: the 22 cases share one context that ends once the process has run for 60 s, from the start of the site on.

Change: each case gets a context of its own, as long as that of the site was.

--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -150,6 +150,8 @@
 	n := 0
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
+			ctx, cancel := withRunTime(t.Context(), testTimeout)
+			defer cancel()
 			n++
 			id := fmt.Sprintf("f%03d", n)
 			method, model, service := "GET", "", demo.SitePlainService
