guard, crowd: Names, and the kinds of clients by their fields

AddPort adds a port (Port was both the type and the method). The kinds of clients name their fields, two cases say what they do: "pipelined requests, no answer read", "short lines, then a body, held". The crowds and bounds are the same. Measured: go vet, and the tests of guard.

--- a/cmd/hibiscuscart/standin.go
+++ b/cmd/hibiscuscart/standin.go
@@ -150,7 +150,7 @@
 	var err error
 	for address, h := range handlers {
 		s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: standinHeadBytes}
-		port := g.Port(guard.Port{Name: address, MaxConns: maxConns, UnreadBytes: guard.UnreadBytes(machine, maxConns*len(handlers))})
+		port := g.AddPort(guard.Port{Name: address, MaxConns: maxConns, UnreadBytes: guard.UnreadBytes(machine, maxConns*len(handlers))})
 		port.Attach(s)
 		l, listenErr := port.Listen(ctx, address)
 		if listenErr != nil {
--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -62,45 +62,45 @@
 
 // headsOutsideLimits are heads over the limit, without an end, or not begun.
 var headsOutsideLimits = map[string]kind{
-	"header line without an end":                  {requestHead("GET") + "A: ", always(strings.Repeat("a", 1024)), endlessBytes, ""},
-	"header line of 900 KB, held":                 {requestHead("GET") + "A: ", always(strings.Repeat("a", 1024)), overLimitBytes, ""},
-	"lines of 4 KB, 900 KB, held":                 {requestHead("GET"), always("A: " + strings.Repeat("a", 4096) + "\r\n"), overLimitBytes, ""},
-	"short lines with one name, without an end":   {requestHead("GET"), always("a:\r\n"), endlessBytes, ""},
-	"short lines with one name, whole":            {requestHead("GET"), always("a:\r\n"), overLimitBytes, "\r\n"},
-	"short lines with different names, held":      {requestHead("GET"), shortLine, overLimitBytes, ""},
-	"short lines with different names, whole":     {requestHead("GET"), shortLine, overLimitBytes, "\r\n"},
-	"folded lines without an end":                 {requestHead("GET") + "A: a\r\n", always(" a\r\n"), endlessBytes, ""},
-	"request line without an end":                 {"GET /", always(strings.Repeat("a", 1024)), endlessBytes, ""},
-	"zero bytes without an end":                   {"", always(strings.Repeat("\x00", 1024)), endlessBytes, ""},
-	"empty lines CR LF without an end":            {"", always("\r\n"), endlessBytes, ""},
-	"empty lines LF without an end":               {"", always("\n"), endlessBytes, ""},
-	"empty lines after a request, without an end": {wholeGet, always("\r\n"), endlessBytes, ""},
-	"HTTP/1.0 header line without an end":         {"GET /look/x HTTP/1.0\r\nA: ", always(strings.Repeat("a", 1024)), endlessBytes, ""},
+	"header line without an end":                  {first: requestHead("GET") + "A: ", piece: always(strings.Repeat("a", 1024)), length: endlessBytes},
+	"header line of 900 KB, held":                 {first: requestHead("GET") + "A: ", piece: always(strings.Repeat("a", 1024)), length: overLimitBytes},
+	"lines of 4 KB, 900 KB, held":                 {first: requestHead("GET"), piece: always("A: " + strings.Repeat("a", 4096) + "\r\n"), length: overLimitBytes},
+	"short lines with one name, without an end":   {first: requestHead("GET"), piece: always("a:\r\n"), length: endlessBytes},
+	"short lines with one name, whole":            {first: requestHead("GET"), piece: always("a:\r\n"), length: overLimitBytes, last: "\r\n"},
+	"short lines with different names, held":      {first: requestHead("GET"), piece: shortLine, length: overLimitBytes},
+	"short lines with different names, whole":     {first: requestHead("GET"), piece: shortLine, length: overLimitBytes, last: "\r\n"},
+	"folded lines without an end":                 {first: requestHead("GET") + "A: a\r\n", piece: always(" a\r\n"), length: endlessBytes},
+	"request line without an end":                 {first: "GET /", piece: always(strings.Repeat("a", 1024)), length: endlessBytes},
+	"zero bytes without an end":                   {piece: always(strings.Repeat("\x00", 1024)), length: endlessBytes},
+	"empty lines CR LF without an end":            {piece: always("\r\n"), length: endlessBytes},
+	"empty lines LF without an end":               {piece: always("\n"), length: endlessBytes},
+	"empty lines after a request, without an end": {first: wholeGet, piece: always("\r\n"), length: endlessBytes},
+	"HTTP/1.0 header line without an end":         {first: "GET /look/x HTTP/1.0\r\nA: ", piece: always(strings.Repeat("a", 1024)), length: endlessBytes},
 }
 
 // bodiesOutsideLimits are requests whose bodies, or what frames them, have no end.
 var bodiesOutsideLimits = map[string]kind{
-	"body over the limit":             {requestHead("POST") + "Content-Length: 1000000000\r\n\r\n", always(strings.Repeat("a", 1024)), endlessBytes, ""},
-	"chunks without an end":           {chunked(), always("400\r\n" + strings.Repeat("a", 1024) + "\r\n"), endlessBytes, ""},
-	"chunk size without an end":       {chunked(), always(strings.Repeat("0", 1024)), endlessBytes, ""},
-	"chunk extension without an end":  {chunked() + "1;", always(strings.Repeat("a", 1024)), endlessBytes, ""},
-	"trailer line without an end":     {chunked() + "0\r\nA: ", always(strings.Repeat("a", 1024)), endlessBytes, ""},
-	"trailer lines without an end":    {chunked() + "0\r\n", shortLine, endlessBytes, ""},
-	"body after Expect, not awaited":  {requestHead("POST") + "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n", always(strings.Repeat("a", 1024)), overLimitBytes, ""},
-	"pipelined requests, answers not": {"", always(wholeGet), endlessBytes, ""},
+	"body over the limit":                {first: requestHead("POST") + "Content-Length: 1000000000\r\n\r\n", piece: always(strings.Repeat("a", 1024)), length: endlessBytes},
+	"chunks without an end":              {first: chunked(), piece: always("400\r\n" + strings.Repeat("a", 1024) + "\r\n"), length: endlessBytes},
+	"chunk size without an end":          {first: chunked(), piece: always(strings.Repeat("0", 1024)), length: endlessBytes},
+	"chunk extension without an end":     {first: chunked() + "1;", piece: always(strings.Repeat("a", 1024)), length: endlessBytes},
+	"trailer line without an end":        {first: chunked() + "0\r\nA: ", piece: always(strings.Repeat("a", 1024)), length: endlessBytes},
+	"trailer lines without an end":       {first: chunked() + "0\r\n", piece: shortLine, length: endlessBytes},
+	"body after Expect, not awaited":     {first: requestHead("POST") + "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n", piece: always(strings.Repeat("a", 1024)), length: overLimitBytes},
+	"pipelined requests, no answer read": {piece: always(wholeGet), length: endlessBytes},
 }
 
 // withinLimits are clients that each keep to the limits of the configuration.
 var withinLimits = map[string]kind{
-	"head of short lines, held":        {requestHead("GET"), shortLine, underLimitBytes, ""},
-	"head of short lines, kept":        {requestHead("GET"), shortLine, underLimitBytes, "\r\n"},
-	"head of one line, held":           {requestHead("GET") + "A: ", always(strings.Repeat("a", 1024)), underLimitBytes, ""},
-	"body of known length, held":       {requestHead("POST") + "Content-Length: 65535\r\n\r\n", always(strings.Repeat("a", 1024)), smallBodyBytes, ""},
-	"body in chunks, held":             {chunked(), always("400\r\n" + strings.Repeat("a", 1024) + "\r\n"), smallBodyBytes, ""},
-	"long body of known length, held":  {requestHead("POST") + "Content-Length: 1000000\r\n\r\n", always(strings.Repeat("a", 1024)), overLimitBytes, ""},
-	"body of the short-lined, held":    {requestHead("POST") + "Content-Length: 65535\r\n", shortLine, underLimitBytes, "\r\na"},
-	"body of one byte chunks, held":    {chunked(), always("1\r\na\r\n"), smallBodyBytes, ""},
-	"answered and kept, then the head": {wholeGet + requestHead("GET"), shortLine, underLimitBytes, ""},
+	"head of short lines, held":        {first: requestHead("GET"), piece: shortLine, length: underLimitBytes},
+	"head of short lines, kept":        {first: requestHead("GET"), piece: shortLine, length: underLimitBytes, last: "\r\n"},
+	"head of one line, held":           {first: requestHead("GET") + "A: ", piece: always(strings.Repeat("a", 1024)), length: underLimitBytes},
+	"body of known length, held":       {first: requestHead("POST") + "Content-Length: 65535\r\n\r\n", piece: always(strings.Repeat("a", 1024)), length: smallBodyBytes},
+	"body in chunks, held":             {first: chunked(), piece: always("400\r\n" + strings.Repeat("a", 1024) + "\r\n"), length: smallBodyBytes},
+	"long body of known length, held":  {first: requestHead("POST") + "Content-Length: 1000000\r\n\r\n", piece: always(strings.Repeat("a", 1024)), length: overLimitBytes},
+	"short lines, then a body, held":   {first: requestHead("POST") + "Content-Length: 65535\r\n", piece: shortLine, length: underLimitBytes, last: "\r\na"},
+	"body of one byte chunks, held":    {first: chunked(), piece: always("1\r\na\r\n"), length: smallBodyBytes},
+	"answered and kept, then the head": {first: wholeGet + requestHead("GET"), piece: shortLine, length: underLimitBytes},
 }
 
 // unfinished are clients that hold a connection each, and send little.
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -18,14 +18,14 @@
 	d.guard = &guard.Guard{Memory: func() int64 { return memory }, Meter: d.meter, Log: d.log}
 	descriptors := guard.Descriptors(limits.Descriptors)
 	maxCallers, maxPeers := guard.MaxConns(descriptors, guard.CallerShare), guard.MaxConns(descriptors, guard.PeerShare)
-	d.callerPort = d.guard.Port(guard.Port{
+	d.callerPort = d.guard.AddPort(guard.Port{
 		Name: "callers", MaxConns: maxCallers, UnreadBytes: guard.UnreadBytes(machine, maxCallers), GivesWay: closeResponse, Refusal: refusal,
 	})
 	peers := guard.Port{Name: "peers", MaxConns: maxPeers, UnreadBytes: guard.UnreadBytes(machine, maxPeers)}
 	if d.config.TLS == nil {
 		peers.GivesWay, peers.Refusal = closeResponse, refusal
 	}
-	d.peerPort = d.guard.Port(peers)
+	d.peerPort = d.guard.AddPort(peers)
 }
 
 // servePorts serves both ports within their bounds.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -76,8 +76,8 @@
 	return g.held
 }
 
-// Port adds a port with its bounds.
-func (g *Guard) Port(p Port) *Port {
+// AddPort adds a port with its bounds.
+func (g *Guard) AddPort(p Port) *Port {
 	p.guard = g
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -42,7 +42,7 @@
 	s := &testServer{guard: g, ran: make(chan string, 64), hold: make(chan struct{})}
 	g.Meter = meter.New()
 	p.Name, p.GivesWay, p.Refusal = "test", testGivesWay, testRefusal
-	port := g.Port(p)
+	port := g.AddPort(p)
 	l, err := port.Listen(context.Background(), "127.0.0.1:0")
 	require.NoError(t, err)
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -390,7 +390,7 @@
 // A response ends with its connection, and its handler fails in the middle. Guards against a client that takes it for whole.
 func TestResponseByCloseThatFailsIsReset(t *testing.T) {
 	g := &Guard{}
-	port := g.Port(Port{Name: "test"})
+	port := g.AddPort(Port{Name: "test"})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		httpx.BeginByClose(r.Context(), w.Header())
 		_, _ = io.WriteString(w, "half")
@@ -427,7 +427,7 @@
 // Guards against TLS handshakes that are never ended, and against text without encryption on such a connection.
 func TestHandshakesThatNeverEnd(t *testing.T) {
 	g := &Guard{Meter: meter.New()}
-	port := g.Port(Port{Name: "test", MaxConns: 3})
+	port := g.AddPort(Port{Name: "test", MaxConns: 3})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	port.Attach(s.Config)
 	s.Listener = port.Listener(s.Listener)
--- a/node/node.go
+++ b/node/node.go
@@ -317,7 +317,7 @@
 }
 
 func (n *Node) listen(ctx context.Context, p port, address string) error {
-	guarded := n.guard.Port(p.limits)
+	guarded := n.guard.AddPort(p.limits)
 	guarded.Attach(p.server)
 	l, err := guarded.Listen(ctx, address)
 	if err != nil {
