--- a/review/standin2/stop.go
+++ b/review/standin2/stop.go
@@ -75,10 +75,10 @@
 	}
 	const (
 		eventGap   = 30 * time.Millisecond
-		shortTime  = 24  // events of a usual answer
-		longTime   = 159 // events of a long one
+		shortTime  = 32  // events of a usual answer; the sheet has 47 on average
+		longTime   = 159 // events of a long one, the longest of the site
 		budget     = 12 * time.Second
-		usualUntil = 16 * time.Second
+		usualUntil = 20 * time.Second
 	)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
@@ -88,7 +88,7 @@
 		defer mu.Unlock()
 		all = append(all, o)
 	}
-	// Usual callers: eight at each VM, an answer of 24 events every other second or so.
+	// Usual callers: eight at each VM, an answer of 32 events every two seconds or so.
 	usualEnd := time.Now().Add(usualUntil)
 	for k, v := range vms {
 		for i := range 8 {
@@ -146,7 +146,7 @@
 		}()
 	}
 	for i, c := range kept {
-		time.Sleep(time.Until(stopped.Add(3200*time.Millisecond + time.Duration(i)*200*time.Millisecond)))
+		time.Sleep(time.Until(stopped.Add(3100*time.Millisecond + time.Duration(i)*100*time.Millisecond)))
 		wait.Go(func() {
 			id := fmt.Sprintf("cc%02x000000000001", i)
 			d.expect(id, answer{events: longTime, gap: eventGap})
