--- a/conns/conn.go
+++ b/conns/conn.go
@@ -31,8 +31,10 @@
 	// readErr is the first error of a read, which all later ones return: the readers of net/http take the part of a line
 	// before an error for a whole line, and would go on with what comes after it. Only the reader uses it.
 	readErr error
-	head    headLimit
-	carried carried
+	// bodyWrite writes the body of the last request, nil if that was written with its head. Only the reader uses it.
+	bodyWrite *bodyWrite
+	head      headLimit
+	carried   carried
 
 	stallMu sync.Mutex
 	// stallDue is set if a read is to call abortOnStall before its stall timeout ends.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -22,9 +22,26 @@
 type Exchange struct {
 	conn   *Conn
 	method string
-	// writeResult receives the result of an asynchronous body write; nil when
-	// the request was written synchronously.
-	writeResult chan error
+}
+
+// bodyWrite is the write of a body by a goroutine of its own. A nil one has succeeded.
+type bodyWrite struct {
+	// done is closed when the write has ended, with err.
+	done chan struct{}
+	err  error
+}
+
+// succeeded reports whether the body was written whole.
+func (w *bodyWrite) succeeded() bool {
+	if w == nil {
+		return true
+	}
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
 }
 
 // Send writes a request: its head, which ends with an empty line, and its body.
@@ -32,6 +49,7 @@
 // received a part of it.
 func (c *Conn) Send(method string, head, body []byte) (*Exchange, error) {
 	x := &Exchange{conn: c, method: method}
+	c.bodyWrite = nil
 	if len(body) < asyncWriteBytes {
 		if _, err := c.net.Write(append(head, body...)); err != nil {
 			return nil, fmt.Errorf("write request: %w", err)
@@ -41,10 +59,11 @@
 	if _, err := c.net.Write(head); err != nil {
 		return nil, fmt.Errorf("write request: %w", err)
 	}
-	x.writeResult = make(chan error, 1)
+	w := &bodyWrite{done: make(chan struct{})}
+	c.bodyWrite = w
 	go func() {
-		_, err := c.net.Write(body)
-		x.writeResult <- err
+		defer close(w.done)
+		_, w.err = c.net.Write(body)
 	}()
 	return x, nil
 }
@@ -87,26 +106,13 @@
 // Finish returns the connection to the pool when the request was written and
 // the response was read completely, and closes it otherwise.
 func (x *Exchange) Finish(now time.Time, pool *Pool, resp *http.Response, complete bool) {
-	if !complete || resp == nil || resp.Close || !x.requestWritten() {
+	if !complete || resp == nil || resp.Close || !x.conn.bodyWrite.succeeded() {
 		pool.Discard(x.conn)
 		return
 	}
 	pool.Put(now, x.conn, keepAliveTimeout(resp.Header))
 }
 
-// requestWritten reports whether the whole request was written without error.
-func (x *Exchange) requestWritten() bool {
-	if x.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-x.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveTimeout returns the timeout of a Keep-Alive header, 0 for none.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/conns/socket.go
+++ b/conns/socket.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 )
 
 // unansweredLimit is the age of the last acknowledgement from which an idle
@@ -95,7 +97,7 @@
 // unanswered reports whether the peer of an idle connection has acknowledged
 // nothing for unansweredLimit, although a keep-alive probe asked it to.
 func unanswered(c net.Conn) bool {
-	info := tcpInfo(c)
+	info := httpx.TCPInfo(c)
 	if info == nil {
 		return false
 	}
@@ -104,25 +106,9 @@
 
 // BytesAcked returns how many bytes the peer of a connection has acknowledged, 0 if that is not known.
 func BytesAcked(c net.Conn) uint64 {
-	info := tcpInfo(c)
+	info := httpx.TCPInfo(c)
 	if info == nil {
 		return 0
 	}
 	return info.Bytes_acked
 }
-
-// tcpInfo returns what the kernel knows of a TCP connection, nil if that is not to be had.
-func tcpInfo(c net.Conn) *unix.TCPInfo {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	var info *unix.TCPInfo
-	// An error means that the connection is closed.
-	_ = raw.Control(func(fd uintptr) { info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return info
-}
--- a/conns/stall.go
+++ b/conns/stall.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"time"
+
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 )
 
 // SetStallTimeout makes each read that waits for longer than timeout call abort with the time that it has waited, and
@@ -64,10 +67,19 @@
 	}
 	n, err := r.read(p[:limit])
 	r.head.add(n)
+	if err == io.EOF && r.failedWhileWriting() {
+		err = httpx.ErrReset
+	}
 	r.readErr = err
 	return n, err
 }
 
+// failedWhileWriting reports whether the connection, whose stream has ended, may have failed in a write of the request. The
+// read sees an end of the stream then, which would be the end of a response that is framed by it.
+func (r stallReader) failedWhileWriting() bool {
+	return !r.bodyWrite.succeeded() && httpx.FailedConn(r.net)
+}
+
 func (r stallReader) read(p []byte) (int, error) {
 	for w := (stallWait{}); ; {
 		began := time.Now()
--- /dev/null
+++ b/stand/earlyreset.go
@@ -0,0 +1,56 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+)
+
+// earlyResetBuffer is the size in bytes of the receive buffer of a server that does not read the body of its request.
+const earlyResetBuffer = 4 << 10
+
+// StartEarlyReset serves on a free loopback port until stop is called. To each request it sends the text that respond
+// returns as soon as it has read the head, and resets the connection in the same instant. Its receive buffer is small, so
+// that a long body is still being written then.
+func StartEarlyReset(respond func(*http.Request) string) (address string, stop func(), err error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var sockoptErr error
+		err := c.Control(func(fd uintptr) {
+			sockoptErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, earlyResetBuffer)
+		})
+		if err != nil {
+			return fmt.Errorf("set receive buffer: %w", err)
+		}
+		return sockoptErr
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerAndReset(conn, respond)
+		}
+	}()
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
+
+func answerAndReset(conn net.Conn, respond func(*http.Request) string) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, respond(r))
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
