--- a/cmd/hibiscuscart/node.go
+++ b/cmd/hibiscuscart/node.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/node"
 	"github.com/hibiscuscart/hibiscuscart/platform"
 )
@@ -135,12 +136,12 @@
 
 // newHTTPClient returns a client whose connections detect an unreachable peer, and which reads no head without an end.
 func newHTTPClient(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpx.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, clientDialTimeout)
 			defer cancel()
 			return dial(ctx, address)
 		},
 		DisableCompression: true, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: conns.MaxHeadBytes,
-	}}
+	})}
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuscart/hibiscuscart/clock"
 	"github.com/hibiscuscart/hibiscuscart/conf"
 	"github.com/hibiscuscart/hibiscuscart/conns"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/node"
 	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/routes"
@@ -269,8 +270,8 @@
 // StartNode starts the i-th VM. It also restarts a VM after StopNode or KillNode.
 func (s *Site) StartNode(ctx context.Context, i int) error {
 	vm := s.vms[i]
-	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return conns.Dial(ctx, address) }}}
-	serverClient := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: conns.MaxHeadBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return vm.path.Dial(ctx, address) }}}
+	client := &http.Client{Transport: httpx.NewTransport(&http.Transport{MaxResponseHeaderBytes: conns.MaxHeadBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return conns.Dial(ctx, address) }})}
+	serverClient := &http.Client{Transport: httpx.NewTransport(&http.Transport{MaxResponseHeaderBytes: conns.MaxHeadBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return vm.path.Dial(ctx, address) }})}
 	vm.closeIdleConnections = func() {
 		client.CloseIdleConnections()
 		serverClient.CloseIdleConnections()
--- a/httpx/httpx.go
+++ b/httpx/httpx.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +19,8 @@
 	maxIdleConnsPerHost = 256
 )
 
+var defaultDialer = &net.Dialer{Timeout: DialTimeout, KeepAlive: 15 * time.Second}
+
 // Client sends requests and tracks the bytes written to their connections. The
 // zero value dials with the defaults.
 type Client struct {
@@ -45,10 +46,9 @@
 func (c *Client) init() {
 	dial := c.Dial
 	if dial == nil {
-		d := &net.Dialer{Timeout: DialTimeout, KeepAlive: 15 * time.Second}
-		dial = d.DialContext
+		dial = defaultDialer.DialContext
 	}
-	transport := &http.Transport{
+	transport := NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -59,12 +59,12 @@
 				_ = conn.Close()
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return conn, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 	c.httpClient = &http.Client{
 		Transport: transport,
 		// Following a redirect would send the request a second time.
@@ -119,7 +119,7 @@
 // count from before the request.
 type writeTracker struct {
 	mu         sync.Mutex
-	conn       *countingConn
+	conn       *trackedConn
 	sentBefore int64
 	anyWritten bool
 }
@@ -128,7 +128,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checkConn()
-	conn, ok := info.Conn.(*countingConn)
+	conn, ok := info.Conn.(*trackedConn)
 	if !ok {
 		// Bytes on an uncounted connection (TLS) are unknown, so the request may have
 		// been written.
@@ -151,15 +151,3 @@
 	w.checkConn()
 	return w.anyWritten
 }
-
-// countingConn counts the bytes passed to Write. A write is counted before it
-// starts, because a write that fails may have sent part of its bytes.
-type countingConn struct {
-	net.Conn
-	sentBytes atomic.Int64
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.sentBytes.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
--- a/link/conn.go
+++ b/link/conn.go
@@ -12,6 +12,7 @@
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
 
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
 
@@ -130,7 +131,7 @@
 	if d.TLS != nil {
 		scheme = "wss"
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, TLSClientConfig: d.TLS}}
+	client := &http.Client{Transport: httpx.NewTransport(&http.Transport{DialContext: d.DialContext, TLSClientConfig: d.TLS})}
 	// A VM that refuses the link keeps the connection open for a next request, which never comes.
 	defer client.CloseIdleConnections()
 	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address+cmp.Or(d.Path, Path), &websocket.DialOptions{
