httpx, conns: A head or a trailer with a line that is no field makes no answer

What callers saw: a server in trouble sent a head in which a field name held a blank. The caller got a 200 without that line; where the line was Content-Length, Transfer-Encoding, Connection or the attempt, it was not applied, so that the body was not the server's: three bytes less, or the chunks with their sizes.

Cause: net/http keeps a name with a blank as it is, applies nothing of it, and drops it when it writes the head. A line that begins with a blank becomes a part of the value before. In HTTP/1.0 it ignores Transfer-Encoding and passes the chunks on as a body.

TestOddHead and its like: trailers, fields of all characters, empty and UTF-8 values, lines that end with LF pass before and after. TestHeadInPieces: the verdict does not depend on where the reads end.

Change: the checker of heads checks the field lines by RFC 9112, section 5, and refuses a transfer encoding of HTTP/1.0. A line that continues the one before, which RFC 9112 section 5.2 lets a proxy refuse and no server may send, is refused in a head. The names in a trailer are checked at its end; nothing of a trailer is passed on, so that continued lines stay there.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -90,6 +90,9 @@
 	case err != nil && c.readErr != nil:
 		return nil, fmt.Errorf("read response: %w", c.readErr)
 	}
+	if err == nil {
+		httpx.CheckTrailer(resp)
+	}
 	return resp, err
 }
 
--- a/httpx/head.go
+++ b/httpx/head.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -12,8 +15,8 @@
 // some hundred bytes.
 const MaxHeadBytes = 64 << 10
 
-// ErrMalformed is returned for a response whose head does not have the grammar of RFC 9112. To the readers of net/http a
-// status below 100 is an interim one.
+// ErrMalformed is returned for a response whose head, or trailer, does not have the grammar of RFC 9112. The readers of
+// net/http take a field name with a blank, and then apply and forward it or not; a status below 100 is an interim one to them.
 var ErrMalformed = errors.New("malformed response")
 
 // ErrNotUpgraded is returned for status 101 to a request that does not ask for another protocol.
@@ -24,9 +27,9 @@
 type HeadChecker struct {
 	// line is the beginning of a line whose end is still to come.
 	line []byte
-	// inFields is set after a status line, interim if that is one of an interim response.
-	inFields, interim bool
-	done              bool
+	// inFields is set after a status line, version10 if that says HTTP/1.0, interim if it is one of an interim response.
+	inFields, version10, interim bool
+	done                         bool
 }
 
 // Check checks the bytes that follow those of the calls before. It returns how many of them may be passed on, without the
@@ -58,7 +61,7 @@
 		return h.checkStatusLine(line)
 	}
 	if len(line) > 0 {
-		return nil
+		return h.checkField(line)
 	}
 	h.inFields = false
 	h.done = !h.interim
@@ -85,8 +88,50 @@
 	if len(reason) > 0 && (reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason))) {
 		return fmt.Errorf("%w: status line %.40q", ErrMalformed, line)
 	}
+	h.version10 = line[versionEnd-1] == '0'
 	h.interim = status[0] == '1' && string(status) != "101"
 	return nil
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// checkField checks a field line. One that begins with a blank would continue the line before, which senders must not do any
+// more (RFC 9112, section 5.2), or has a blank in its name.
+func (h *HeadChecker) checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return fmt.Errorf("%w: field line %.40q", ErrMalformed, line)
+	}
+	if h.version10 && strings.EqualFold(string(name), headerTransferEncoding) {
+		// HTTP/1.0 has none, so that net/http ignores it and takes the encoded body for the body itself.
+		return fmt.Errorf("%w: transfer encoding of HTTP/1.0", ErrMalformed)
+	}
+	return nil
+}
+
+// CheckTrailer makes the body of a response end with ErrMalformed if a field name of its trailer is invalid.
+func CheckTrailer(resp *http.Response) {
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailerBody{ReadCloser: resp.Body, resp: resp}
+	}
+}
+
+// trailerBody is the body of a response whose trailer is checked.
+type trailerBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.resp.Trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return n, fmt.Errorf("%w: field %.40q in its trailer", ErrMalformed, name)
+		}
+	}
+	return n, err
+}
--- a/httpx/head_test.go
+++ b/httpx/head_test.go
@@ -33,8 +33,12 @@
 	return string(data), written, err
 }
 
+// rawBody is the body of the responses.
+const rawBody = "whole"
+
 func brokenHeads() map[string]string {
-	all := stand.BrokenStatusLines("X-Sound: x\r\n")
+	all := stand.BrokenStatusLines("X-Sound: x\r\n", rawBody)
+	maps.Copy(all, stand.BrokenFields("X-Sound: x\r\n", rawBody))
 	return all
 }
 
@@ -52,11 +56,11 @@
 
 // Guards against refusing the unusual heads of sound servers.
 func TestOddHead(t *testing.T) {
-	for name, text := range stand.OddHeads("X-Sound: x\r\n") {
+	for name, text := range stand.OddHeads("X-Sound: x\r\n", rawBody) {
 		t.Run(name, func(t *testing.T) {
 			body, _, err := callRaw(t, &httpx.Client{}, text)
 			require.NoError(t, err)
-			require.Equal(t, stand.BrokenHeadBody, body)
+			require.Equal(t, rawBody, body)
 		})
 	}
 }
@@ -74,7 +78,7 @@
 		return passed, err
 	}
 	all := brokenHeads()
-	maps.Copy(all, stand.OddHeads("X-Sound: x\r\n"))
+	maps.Copy(all, stand.OddHeads("X-Sound: x\r\n", rawBody))
 	for name, text := range all {
 		t.Run(name, func(t *testing.T) {
 			wholePassed, wholeErr := verdict(text, len(text))
@@ -85,19 +89,19 @@
 			}
 			if wholeErr != nil {
 				require.ErrorIs(t, wholeErr, httpx.ErrMalformed)
-				require.False(t, strings.HasSuffix(text[:wholePassed], "\r\n\r\n"+stand.BrokenHeadBody), "the end of a malformed head was passed on")
+				require.False(t, strings.HasSuffix(text[:wholePassed], "\r\n\r\n"+rawBody), "the end of a malformed head was passed on")
 			}
 		})
 	}
 }
 
-// FuzzHead guards against a head that the checker lets through and net/http reads otherwise, with a status out of
-// range.
+// FuzzHead guards against a head that the checker lets through and net/http reads otherwise: with a name that is none, or a
+// status out of range.
 func FuzzHead(f *testing.F) {
 	for _, text := range brokenHeads() {
 		f.Add(text)
 	}
-	for _, text := range stand.OddHeads("X-Sound: x\r\n") {
+	for _, text := range stand.OddHeads("X-Sound: x\r\n", rawBody) {
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
@@ -112,5 +116,8 @@
 		defer resp.Body.Close()
 		require.True(t, resp.StatusCode >= 100 && resp.StatusCode < 600, resp.StatusCode)
 		require.Equal(t, 1, resp.ProtoMajor)
+		for name := range resp.Header {
+			require.NotContains(t, name, " ")
+		}
 	})
 }
--- a/httpx/transport.go
+++ b/httpx/transport.go
@@ -43,6 +43,7 @@
 		_ = resp.Body.Close()
 		return nil, ErrNotUpgraded
 	}
+	CheckTrailer(resp)
 	return resp, nil
 }
 
--- a/pass/brokenhead_test.go
+++ b/pass/brokenhead_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,8 +21,11 @@
 	return address
 }
 
-// rawHeader is what a server sends with each response to the attempt of callGateway.
-const rawHeader = "Attempt: a1\r\nStamp: server\r\n"
+// rawHeader is what a server sends with each response to the attempt of callGateway, and rawBody its body.
+const (
+	rawHeader = "Attempt: a1\r\nStamp: server\r\n"
+	rawBody   = "whole"
+)
 
 // forEachHead runs a test for each kind of route and each head, directly and through a proxy.
 func forEachHead(t *testing.T, heads map[string]string, test func(t *testing.T, g *Gateway)) {
@@ -47,7 +51,7 @@
 	resp := openResponse(t, serveGateway(t, g), "HTTP/1.1", longDeadline)
 	got := readCallerView(resp)
 	require.Equal(t, http.StatusBadGateway, got.status, got.body)
-	require.NotContains(t, got.body, stand.BrokenHeadBody)
+	require.NotContains(t, got.body, rawBody)
 	require.False(t, got.broken)
 	require.Empty(t, resp.Header.Get(testHeaderNames.NotExecuted))
 	require.Empty(t, resp.Header.Get(testHeaderNames.ServerStamp))
@@ -56,7 +60,13 @@
 // A server in trouble sends a status that is none, or a status line that is none. Guards against a caller who gets it as an
 // answer, or gets the head after it, which no server meant to be one.
 func TestBrokenStatusLine(t *testing.T) {
-	forEachHead(t, stand.BrokenStatusLines(rawHeader), requireOwnError)
+	forEachHead(t, stand.BrokenStatusLines(rawHeader, rawBody), requireOwnError)
+}
+
+// A server in trouble sends a line in its head that is no field. Guards against a caller who gets it, or an answer without it,
+// whose framing it may have been.
+func TestBrokenField(t *testing.T) {
+	forEachHead(t, stand.BrokenFields(rawHeader, rawBody), requireOwnError)
 }
 
 // A refusal with a broken head. Guards against taking it for the proof that the request was not run. A broken trailer comes
@@ -64,7 +74,9 @@
 func TestBrokenHeadIsNoRefusal(t *testing.T) {
 	heads := make(map[string]string)
 	header := rawHeader + "Not-Run: full\r\n"
-	maps.Copy(heads, stand.BrokenStatusLines(header))
+	maps.Copy(heads, stand.BrokenStatusLines(header, rawBody))
+	maps.Copy(heads, stand.BrokenFields(header, rawBody))
+	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, " trailer") })
 	for name, head := range heads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -75,10 +87,10 @@
 
 // Guards against refusing the unusual heads of sound servers.
 func TestOddHead(t *testing.T) {
-	forEachHead(t, stand.OddHeads(rawHeader), func(t *testing.T, g *Gateway) {
+	forEachHead(t, stand.OddHeads(rawHeader, rawBody), func(t *testing.T, g *Gateway) {
 		got := callGateway(t, g, longDeadline)
 		require.Equal(t, http.StatusOK, got.status, got.body)
-		require.Equal(t, stand.BrokenHeadBody, got.body)
+		require.Equal(t, rawBody, got.body)
 		require.False(t, got.broken)
 	})
 }
