engine, plain: A JSON answer is read whole, within a bound, before it is decoded

What callers saw: nothing yet, as both are calls of serve's own. A faulty engine or service that answers a load report, an order or the question for cache events with JSON text without end is kept in memory until there is none, and the requests of all callers of that VM end with it (processes that end by themselves, LOST). And: such an answer that its server has broken off after the value, with more to come by its length or its chunks, was taken for whole.

Cause: json.Decoder reads a stream up to the end of its first value. It keeps all of one that does not end, and never sees how the body ends.

Held already: not HTTP, bodies, heads of engines within 10 MB, calls of services, streams.

Change: conns.DecodeJSON reads the body to its end, within 16 MB (engines) or 1 MB (load reports of services), and decodes it then. What is longer than that, or not whole, is an error.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -169,6 +170,19 @@
 	return data, nil
 }
 
+// DecodeJSON decodes a body of at most limit bytes. A body that is not whole is an error even if the value in it is: a
+// decoder of the stream would stop at the end of the value, and keep one without an end.
+func DecodeJSON(r io.Reader, limit int, value any) error {
+	data, err := ReadAll(r, limit)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, value); err != nil {
+		return fmt.Errorf("decode body: %w", err)
+	}
+	return nil
+}
+
 // Drain reads a body of at most limit bytes that is not needed, so that its connection can be used again. A longer body
 // is an ErrBodyTooLarge. The body must not be closed after an error, as that would read the rest of it.
 func Drain(r io.Reader, limit int) error {
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hibiscuscart/hibiscuscart"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -28,7 +29,11 @@
 	HeaderLastEventID   = "Last-Event-ID"
 )
 
-const maxErrorBody = 4 << 10
+const (
+	maxErrorBody = 4 << 10
+	// maxResponseBytes bounds the response to a control call. The longest are the cache events since the last call.
+	maxResponseBytes = 16 << 20
+)
 
 // Error codes of an engine that rejects a request without starting it.
 const (
@@ -162,8 +167,8 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 		return fmt.Errorf("engine responded with status %d: %s", resp.StatusCode, text)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
-		return fmt.Errorf("decode engine response: %w", err)
+	if err := conns.DecodeJSON(resp.Body, maxResponseBytes, v); err != nil {
+		return fmt.Errorf("read engine response: %w", err)
 	}
 	return nil
 }
--- a/engine/truncation_test.go
+++ b/engine/truncation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart"
 	"github.com/hibiscuscart/hibiscuscart/engine"
+	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -20,8 +21,9 @@
 	call func(ctx context.Context, address string) error
 }
 
-func engineCalls() map[string]engineCall {
-	c := engine.New()
+func engineCalls() map[string]engineCall { return engineCallsOf(engine.New()) }
+
+func engineCallsOf(c *engine.Client) map[string]engineCall {
 	discard := func(hibiscuscart.Frame) error { return nil }
 	const stream = "id: 1\ndata: {\"id\":\"a\",\"choices\":[{\"text\":\"x\"}]}\n\nid: 2\ndata: [DONE]"
 	return map[string]engineCall{
@@ -80,3 +82,21 @@
 		}
 	}
 }
+
+// The value in the response of an engine is whole, and its framing says that more was to come. Guards against taking an answer
+// for whole that its server has broken off.
+func TestEngineResponseCutAfterItsValue(t *testing.T) {
+	for name, c := range engineCalls() {
+		if name == "run" || name == "resumed run" {
+			continue // A stream has a mark of its own at its end.
+		}
+		for _, framing := range []httpx.Framing{httpx.FramedByLength, httpx.FramedByChunks} {
+			for end, connEnd := range map[string]stand.ConnEnd{"closed": stand.EndClosed, "reset": stand.EndReset} {
+				t.Run(name+", "+framing.String()+", "+end, func(t *testing.T) {
+					t.Parallel()
+					require.Error(t, c.call(t.Context(), startScripted(t, stand.ScriptedResponse{Framing: framing, Body: c.body + "\n", Sent: len(c.body), End: connEnd})))
+				})
+			}
+		}
+	}
+}
--- a/plain/client.go
+++ b/plain/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hibiscuscart/hibiscuscart"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/wire"
 )
@@ -56,7 +56,10 @@
 // New returns a Client with its own connection pool.
 func New() *Client { return &Client{HTTP: &httpx.Client{}} }
 
-const defaultMaxResponseBytes = 1 << 20
+const (
+	defaultMaxResponseBytes = 1 << 20
+	maxLoadReportBytes      = 1 << 20
+)
 
 func (c *Client) httpClient() *httpx.Client {
 	if c.HTTP == nil {
@@ -120,8 +123,8 @@
 		return wire.LoadReport{}, fmt.Errorf("get load report: service responded with status %d", resp.StatusCode)
 	}
 	var report wire.LoadReport
-	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
-		return wire.LoadReport{}, fmt.Errorf("decode load report: %w", err)
+	if err := conns.DecodeJSON(resp.Body, maxLoadReportBytes, &report); err != nil {
+		return wire.LoadReport{}, fmt.Errorf("read load report: %w", err)
 	}
 	return report, nil
 }
--- a/stand/endless.go
+++ b/stand/endless.go
@@ -27,6 +27,7 @@
 	EndlessEvent       = "event"
 	EndlessEventLines  = "event lines"
 	EndlessBody        = "body"
+	EndlessJSON        = "JSON text"
 )
 
 // EndlessHeads, EndlessEvents and EndlessBodies list the names of the responses without an end to their head, to an event
@@ -35,6 +36,8 @@
 	EndlessHeads  = []string{EndlessStatusLine, EndlessHeaderLine, EndlessHeaderLines, EndlessInterim, EndlessNotHTTP}
 	EndlessEvents = []string{EndlessEvent, EndlessEventLines}
 	EndlessBodies = []string{EndlessBody}
+	// EndlessCalls lists those that a call with a JSON response may get.
+	EndlessCalls = slices.Concat(EndlessHeads, EndlessBodies, []string{EndlessJSON})
 )
 
 // endlessPieceBytes is the size of a repeated piece without a structure of its own.
@@ -62,7 +65,11 @@
 	case EndlessEventLines:
 		return EndlessResponse{stream + endlessChunk(events+"data: line\n"), endlessChunk("data: line\n")}
 	}
-	return EndlessResponse{status + "\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n", endlessChunk(piece)}
+	begin := status + "\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n"
+	if name == EndlessJSON {
+		begin += endlessChunk(`"`)
+	}
+	return EndlessResponse{begin, endlessChunk(piece)}
 }
 
 func endlessChunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
@@ -104,7 +111,11 @@
 
 // ReadCounter counts the bytes that a client reads from its connections. What a server has written says less, since the
 // kernel buffers some megabytes of it. The zero value is ready to use.
-type ReadCounter struct{ bytes atomic.Int64 }
+type ReadCounter struct {
+	bytes atomic.Int64
+	// onRead is called with the number of bytes after each read. Optional.
+	onRead func(total int64)
+}
 
 // Bytes returns how many bytes have been read.
 func (c *ReadCounter) Bytes() int64 { return c.bytes.Load() }
@@ -120,6 +131,20 @@
 	}
 }
 
+// LimitedCall makes a call with a counter, ends it by its context once it has read limit bytes, and returns how many it has
+// read. So a call without a bound of its own does not use up the memory of the machine.
+func LimitedCall(ctx context.Context, limit int64, call func(ctx context.Context, counter *ReadCounter) error) (read int64, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	counter := &ReadCounter{onRead: func(total int64) {
+		if total >= limit {
+			cancel()
+		}
+	}}
+	err = call(ctx, counter)
+	return counter.Bytes(), err
+}
+
 type countedReads struct {
 	*net.TCPConn
 	counter *ReadCounter
@@ -128,7 +153,10 @@
 // Read implements net.Conn.
 func (c *countedReads) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	c.counter.bytes.Add(int64(n))
+	total := c.counter.bytes.Add(int64(n))
+	if c.counter.onRead != nil {
+		c.counter.onRead(total)
+	}
 	return n, err
 }
 
