relay: The text of a run has a bound

What callers saw: nothing yet. A faulty engine of `serve` that writes text without end, event after event, is kept whole until the deadline of the request, as fast as it writes: the memory of the VM, and with it the requests of other callers.

Cause: each event is bounded, their sum was not.

TestEndlessText (relay).

Change: more than 4 MB of text is no answer of a run; the longest sound ones have less than one.

--- a/entry/generation.go
+++ b/entry/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -44,7 +45,10 @@
 // handleFrame processes one frame of a stream.
 func (s *relayStage) handleFrame(x *Exchange, assembly *relay.Assembly, f hibiscuscart.Frame) error {
 	verdict, text, err := assembly.Accept(f)
-	if err != nil {
+	switch {
+	case errors.Is(err, relay.ErrTooLong):
+		return hibiscuscart.Fail(hibiscuscart.CauseBackendError, "the engine writes without an end").WithError(err)
+	case err != nil:
 		return fmt.Errorf("assemble stream: %w", err)
 	}
 	switch verdict {
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -184,7 +184,7 @@
 }
 
 // newSilentStage returns a stage that relays a request to a server. Each of the others refuses it.
-func newSilentStage(t *testing.T, server *silentServer) *relayStage {
+func newSilentStage(t *testing.T, server http.Handler) *relayStage {
 	t.Helper()
 	first := httptest.NewServer(server)
 	t.Cleanup(first.Close)
--- a/relay/assembly.go
+++ b/relay/assembly.go
@@ -33,8 +33,14 @@
 	// ErrDiverged is returned when a restarted run generates text that differs from the
 	// text already sent to the caller. The two can't be joined.
 	ErrDiverged = errors.New("text of the restarted run differs from the delivered text")
+	// ErrTooLong is returned when the text is longer than maxTextBytes.
+	ErrTooLong = errors.New("text is longer than any run writes")
 )
 
+// maxTextBytes bounds the text of a response. It is kept until the response ends, and a faulty engine may write without end;
+// the longest sound ones have less than a million bytes.
+const maxTextBytes = 4 << 20
+
 // Assembly joins the frames of successive attempts into one response. Restart must be called
 // before the first frame.
 type Assembly struct {
@@ -117,6 +123,9 @@
 		return DropReplayed, "", ErrDiverged
 	}
 	newText := text[len(unreplayed):]
+	if a.delivered.Len()+len(newText) > maxTextBytes {
+		return DropForeign, "", ErrTooLong
+	}
 	a.delivered.WriteString(newText)
 	a.replayed = a.delivered.Len()
 	a.deliveredFrames++
--- a/relay/assembly_test.go
+++ b/relay/assembly_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+// An engine writes text without an end. Guards against a VM that keeps it until its memory is used up.
+func TestEndlessText(t *testing.T) {
+	const most = 8 << 20
+	var a relay.Assembly
+	a.Restart("a")
+	piece := strings.Repeat("x", 1<<10)
+	for i := 1; ; i++ {
+		_, _, err := a.Accept(text("a", i, piece))
+		require.Less(t, len(a.Text()), most)
+		if err != nil {
+			require.ErrorIs(t, err, relay.ErrTooLong)
+			return
+		}
+	}
+}
+
 func TestDivergedRestart(t *testing.T) {
 	var a relay.Assembly
 	a.Restart("a.1")
