engine, store: An error response that was broken off proves nothing

What callers saw: an engine that broke off its refusal of a run: the caller was told that the request has not run. The platform of `serve` broke off an error: an object counted as missing by a 404, a write as one without effect by a 409 or 503, none of which was whole by its own length.

Cause: the error of the read of the body was dropped.

The store of node and the gateway held already: a response is read whole before its status counts (platform); a refusal is proven by a header in a head that is whole (pass, plain).

Change: a body that cannot be read is an error of the connection, after which a run is unknown and a write may have had an effect.

--- a/engine/client.go
+++ b/engine/client.go
@@ -115,15 +115,18 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		return nil, responseError(resp)
+		return nil, responseError(ctx, resp)
 	}
 	return resp, nil
 }
 
 // responseError returns the Failure for the error object of an engine. The cause is
-// CauseRefused only for the codes of requests that the engine did not start.
-func responseError(resp *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+// CauseRefused only for the codes of requests that the engine did not start, in a response that is whole.
+func responseError(ctx context.Context, resp *http.Response) error {
+	text, err := conns.ReadAll(resp.Body, maxErrorBody)
+	if err != nil && !errors.Is(err, conns.ErrBodyTooLarge) {
+		return httpx.SendFailure(ctx, true, err)
+	}
 	var body struct {
 		Error struct {
 			Code    string `json:"code"`
--- a/store/client.go
+++ b/store/client.go
@@ -255,8 +255,12 @@
 	return &ResponseLostError{Err: err}
 }
 
+// statusError returns the error of a response with the status of one, if it is whole.
 func statusError(method string, resp *http.Response) error {
-	respBody, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	if err != nil {
+		return classifyCallError(method, true, fmt.Errorf("read response with status %d: %w", resp.StatusCode, err))
+	}
 	statusErr := fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(respBody))
 	switch resp.StatusCode {
 	case http.StatusNotFound:
