--- a/node/node.go
+++ b/node/node.go
@@ -123,8 +123,8 @@
 	// failedCalls is the number of consecutive store calls that failed, by kind.
 	failedCalls map[string]int
 
-	// exitsAt is when this VM exits, nil before it has been told to stop.
-	exitsAt atomic.Pointer[time.Time]
+	// exitsAt is when this VM exits, nil before it has been told to stop, and stoppingSince when it was told.
+	exitsAt, stoppingSince atomic.Pointer[time.Time]
 	// retryAllotmentVMs is among how many VMs this one divided the extra retries when it last looked, for the log.
 	retryAllotmentVMs int
 	// readiness is the last answer to a readiness check, for the log.
@@ -243,6 +243,7 @@
 		AwaitConfig:       n.awaitConfig,
 		ShutdownContext:   n.waitContext,
 		StopsAt:           n.exitTime,
+		StoppingSince:     n.toldToStopAt,
 		OnRefusedStopping: n.callerConns.CloseEarly,
 		ResponseBudget:    n.responses,
 		RequestMemory:     n.bodyMemory,
--- a/node/stop.go
+++ b/node/stop.go
@@ -25,6 +25,14 @@
 	return time.Time{}, false
 }
 
+// toldToStopAt returns when this VM was told to stop, the zero time if it was not.
+func (n *Node) toldToStopAt() time.Time {
+	if at := n.stoppingSince.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (n *Node) stopping() bool { return n.exitsAt.Load() != nil }
 
 // callerCloseResponse is what a caller gets whose request crosses the close of its unused connection: the request has not run.
@@ -43,6 +51,7 @@
 func (n *Node) Stop() error {
 	startedAt := n.now()
 	exit := startedAt.Add(n.settings().Duration("drain", "grace") - exitReserve)
+	n.stoppingSince.Store(&startedAt)
 	n.exitsAt.Store(&exit)
 	n.log.Info().Dur("exits_in", exit.Sub(startedAt)).Int("in_progress", n.callerConns.Active()).Msg("stopping")
 	background := context.Background()
--- a/pass/gateway.go
+++ b/pass/gateway.go
@@ -102,6 +102,8 @@
 	ShutdownContext context.Context
 	// StopsAt returns when this VM exits, once it has been told to stop. Optional; if nil, it never is.
 	StopsAt func() (exit time.Time, stopping bool)
+	// StoppingSince returns when this VM was told to stop, once it has been. Optional; if nil, that was long ago.
+	StoppingSince func() time.Time
 	// OnRefusedStopping is called when this VM refuses a request because it would be under way as the VM exits. Optional.
 	OnRefusedStopping func()
 	// AwaitConfig waits for a change of the configuration for at most limit. Optional; if nil, requests
--- a/pass/stop.go
+++ b/pass/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"time"
 
@@ -22,6 +23,11 @@
 // silenceRoom is the time left for one silence of a sound server when it is decided whether an answer will be whole.
 const silenceRoom = 1500 * time.Millisecond
 
+// unawareTime is for how long after a VM was told to stop requests come whose senders can not know of that: the load balancer
+// sends some for up to two seconds. Later ones come from callers who can go to another VM at once, so that only those are taken
+// that end before the exit whatever their answer is like.
+const unawareTime = 2 * time.Second
+
 // endsBefore reports whether a request that is sent now has ended before the VM exits: its answer, which takes at most the
 // expected time if no server is silent, or its deadline.
 func endsBefore(now, exit, deadline time.Time, expected time.Duration) bool {
@@ -81,12 +87,30 @@
 	if !stopping || c.mayHaveRun || c.headSent || len(c.inUse) > 0 {
 		return false
 	}
+	c.expected = wait + g.longestAnswer(now, c, choice)
+	return !endsBefore(now, exit, c.deadline, c.expected)
+}
+
+// longestAnswer returns how long the answer to a call takes at most, counted from the send.
+func (g *Gateway) longestAnswer(now time.Time, c *call, choice pick.Choice) time.Duration {
 	longest, bounded := g.Balancer.LongestDuration(now, choice, c.work)
+	if g.stopsSince(now) > unawareTime {
+		var certain time.Duration
+		certain, bounded = g.Balancer.CertainDuration(now, choice, c.work)
+		longest = max(longest, certain)
+	}
 	if !bounded {
-		longest = c.remaining(now)
+		return c.remaining(now)
 	}
-	c.expected = wait + longest
-	return !endsBefore(now, exit, c.deadline, c.expected)
+	return longest
+}
+
+// stopsSince returns how long ago this VM, which stops, was told to.
+func (g *Gateway) stopsSince(now time.Time) time.Duration {
+	if g.StoppingSince == nil {
+		return math.MaxInt64
+	}
+	return now.Sub(g.StoppingSince())
 }
 
 // refuseLate does the same for a call that has just arrived, before it waits for anything: a server that could be chosen
--- a/pass/stoprefused_test.go
+++ b/pass/stoprefused_test.go
@@ -58,8 +58,8 @@
 	require.Empty(t, got.requests)
 }
 
-// A stopping VM has seen that requests of a route without a model take long. Guards against taking one more of them as its
-// exit is near, and against refusing one of another route of the same service.
+// A VM that has just been told to stop has seen that requests of a route without a model take long. Guards against taking one
+// more of them, and against refusing one of another route of the same service.
 func TestLongRequestWithoutModelAfterSIGTERM(t *testing.T) {
 	for name, tc := range map[string]struct{ sent, status int }{
 		"long route": {0, http.StatusServiceUnavailable}, "other route": {1, http.StatusOK},
@@ -77,7 +77,7 @@
 			for range 40 {
 				g.Balancer.Begin(now, choice, pick.Work{Route: "short"}, 0).End(now.Add(time.Millisecond), pick.Succeeded)
 			}
-			g.StopsAt = func() (time.Time, bool) { return clock.Now().Add(testExit), true }
+			g.StopsAt, g.StoppingSince = func() (time.Time, bool) { return clock.Now().Add(testExit), true }, clock.Now
 			require.Equal(t, tc.status, callGateway(t, g, longDeadline).status)
 			require.Len(t, got.requests, tc.sent)
 		})
--- a/pass/stopreplay_test.go
+++ b/pass/stopreplay_test.go
@@ -26,6 +26,8 @@
 	// eventTime is the time between two events. Servers take up to the share jitter more or less.
 	eventTime time.Duration
 	jitter    float64
+	// lateLong is set if the streams that arrive later than stopLoadLate after SIGTERM are as long as they may be.
+	lateLong bool
 	// silenceEvery is the mean time between two silences of a server, 0 for none, the longest of which take silence.
 	silenceEvery, silence time.Duration
 }
@@ -34,6 +36,7 @@
 	stopLoadRate      = 9.0
 	stopLoadWarmup    = 60 * time.Second
 	stopLoadExit      = 7600 * time.Millisecond
+	stopLoadLate      = 3 * time.Second
 	stopLoadDeadline  = 12 * time.Second
 	stopLoadPredicted = 40 * time.Millisecond
 	stopLoadTokens    = 6
@@ -41,10 +44,18 @@
 
 // stopLoadResult counts the streams that arrived after SIGTERM: all, those that were accepted and would be cut off at the
 // exit, and those that were refused although they would have ended before.
-type stopLoadResult struct{ arrived, cut, refused, refusedShort int }
+type stopLoadResult struct {
+	arrived, cut, refused, refusedShort int
+	// unaware are those that arrived before their senders could know of the stop, unawareRefused those of them that were
+	// refused.
+	unaware, unawareRefused int
+}
 
 func (r stopLoadResult) add(o stopLoadResult) stopLoadResult {
-	return stopLoadResult{r.arrived + o.arrived, r.cut + o.cut, r.refused + o.refused, r.refusedShort + o.refusedShort}
+	return stopLoadResult{
+		r.arrived + o.arrived, r.cut + o.cut, r.refused + o.refused, r.refusedShort + o.refusedShort,
+		r.unaware + o.unaware, r.unawareRefused + o.unawareRefused,
+	}
 }
 
 // simulatedStream is a stream of a load pattern and the times of its events.
@@ -55,9 +66,13 @@
 	longestPause time.Duration
 }
 
-func (l stopLoad) stream(rng *rand.Rand) simulatedStream {
+// stream returns a stream that arrives now or late.
+func (l stopLoad) stream(rng *rand.Rand, late bool) simulatedStream {
 	events := math.Exp(math.Log(l.meanEvents) - l.spread*l.spread/2 + l.spread*rng.NormFloat64())
 	s := simulatedStream{events: int(min(max(math.Round(events), 1), float64(l.maxEvents)))}
+	if late && l.lateLong {
+		s.events = l.maxEvents
+	}
 	s.firstEvent = time.Duration((0.5 + 2*rng.Float64()) * float64(stopLoadPredicted))
 	eventTime := time.Duration((1 - l.jitter + 2*l.jitter*rng.Float64()) * float64(l.eventTime))
 	s.longestPause = eventTime
@@ -107,7 +122,10 @@
 	term := now.Add(stopLoadWarmup)
 	exit := term.Add(stopLoadExit)
 	stopping := false
-	g := &Gateway{Balancer: &pick.Balancer{}, Meter: &meter.Registry{}, StopsAt: func() (time.Time, bool) { return exit, stopping }}
+	g := &Gateway{
+		Balancer: &pick.Balancer{}, Meter: &meter.Registry{},
+		StopsAt: func() (time.Time, bool) { return exit, stopping }, StoppingSince: func() time.Time { return term },
+	}
 	choice := pick.Choice{Server: backs.Entry{ID: "a", Service: "s", Slots: 48}, PredictedTime: stopLoadPredicted, PrefillTime: stopLoadPredicted, Pace: 1}
 	work := pick.Work{Route: "r", Model: "m", Slots: 48, TokensPerEvent: stopLoadTokens, PromptTokens: 500, MaxEventGap: 150 * time.Millisecond}
 	if l.plain {
@@ -131,14 +149,21 @@
 		})
 	}
 	for at := now; at.Before(exit); at = at.Add(time.Duration(rng.ExpFloat64() / stopLoadRate * float64(time.Second))) {
-		s := l.stream(rng)
+		s := l.stream(rng, at.Sub(term) > stopLoadLate)
 		steps.add(at, func() {
 			c := &call{work: work, deadline: at.Add(stopLoadDeadline)}
 			whole := !at.Add(s.firstEvent + s.took).After(exit)
 			err := g.refuseUnfinished(at, c, choice, 0)
+			unaware := stopping && at.Sub(term) <= unawareTime
 			if stopping {
 				result.arrived++
 			}
+			if unaware {
+				result.unaware++
+			}
+			if unaware && err != nil {
+				result.unawareRefused++
+			}
 			switch {
 			case err == nil && stopping && !whole:
 				result.cut++
@@ -165,27 +190,33 @@
 	letters := stopLoad{meanEvents: 46.6, spread: 0.7, maxEvents: 160, eventTime: 29 * time.Millisecond, jitter: 0.2}
 	for name, tc := range map[string]struct {
 		change func(*stopLoad)
-		// maxRefused is the share of the streams that are refused at most, of those that arrive at an even rate until the exit.
-		maxRefused float64
+		// maxRefused is the share of the streams that are refused at most, of those that arrive at an even rate until the exit,
+		// maxUnaware the same of those whose senders can not know of the stop.
+		maxRefused, maxUnaware float64
 	}{
-		"maximum stated":                  {func(l *stopLoad) { l.states = true }, 0.96},
-		"maximum stated, wide":            {func(l *stopLoad) { l.states, l.spread = true, 1 }, 0.96},
-		"maximum stated, wider":           {func(l *stopLoad) { l.states, l.spread = true, 1.4 }, 0.96},
-		"maximum stated, even pace":       {func(l *stopLoad) { l.states, l.jitter = true, 0.05 }, 0.86},
-		"maximum stated, silences":        {func(l *stopLoad) { l.states, l.silenceEvery, l.silence = true, 6*time.Second, 1500*time.Millisecond }, 1},
-		"maximum stated, many silences":   {func(l *stopLoad) { l.states, l.silenceEvery, l.silence = true, 2*time.Second, 1500*time.Millisecond }, 1},
-		"maximum far above, none so long": {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 0.4, 20 }, 0.74},
-		"maximum far above, wide":         {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 1, 20 }, 1},
-		"maximum far above, wider":        {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 1.4, 8 }, 1},
-		"no maximum, wide":                {func(l *stopLoad) { l.maxEvents, l.spread, l.meanEvents = 2000, 1, 8 }, 1},
-		"no maximum, wider":               {func(l *stopLoad) { l.maxEvents, l.spread, l.meanEvents = 2000, 1.4, 8 }, 1},
-		"none stated":                     {func(*stopLoad) {}, 1},
-		"none stated, wide":               {func(l *stopLoad) { l.spread = 1 }, 1},
-		"none stated, wider":              {func(l *stopLoad) { l.spread = 1.4 }, 1},
-		"none stated, silences":           {func(l *stopLoad) { l.silenceEvery, l.silence = 6*time.Second, 1500*time.Millisecond }, 1},
-		"short":                           {func(l *stopLoad) { l.meanEvents, l.maxEvents = 8, 24 }, 0.55},
-		"short, maximum stated":           {func(l *stopLoad) { l.states, l.meanEvents, l.maxEvents = true, 8, 24 }, 0.35},
-		"plain":                           {func(l *stopLoad) { l.plain, l.meanEvents, l.maxEvents = true, 1, 4 }, 0.27},
+		"maximum stated":                  {func(l *stopLoad) { l.states = true }, 0.96, 0.8},
+		"maximum stated, wide":            {func(l *stopLoad) { l.states, l.spread = true, 1 }, 0.96, 0.8},
+		"maximum stated, wider":           {func(l *stopLoad) { l.states, l.spread = true, 1.4 }, 0.96, 0.8},
+		"maximum stated, even pace":       {func(l *stopLoad) { l.states, l.jitter = true, 0.05 }, 0.86, 0.46},
+		"maximum stated, silences":        {func(l *stopLoad) { l.states, l.silenceEvery, l.silence = true, 6*time.Second, 1500*time.Millisecond }, 1, 1},
+		"maximum stated, many silences":   {func(l *stopLoad) { l.states, l.silenceEvery, l.silence = true, 2*time.Second, 1500*time.Millisecond }, 1, 1},
+		"maximum far above, none so long": {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 0.4, 20 }, 0.79, 0.18},
+		"maximum far above, wide":         {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 1, 20 }, 1, 1},
+		"maximum far above, wider":        {func(l *stopLoad) { l.states, l.maxEvents, l.spread, l.meanEvents = true, 2000, 1.4, 8 }, 1, 1},
+		"no maximum, wide":                {func(l *stopLoad) { l.maxEvents, l.spread, l.meanEvents = 2000, 1, 8 }, 1, 0.8},
+		"no maximum, wider":               {func(l *stopLoad) { l.maxEvents, l.spread, l.meanEvents = 2000, 1.4, 8 }, 1, 1},
+		"none stated":                     {func(*stopLoad) {}, 1, 1},
+		"none stated, wide":               {func(l *stopLoad) { l.spread = 1 }, 1, 1},
+		"none stated, wider":              {func(l *stopLoad) { l.spread = 1.4 }, 1, 1},
+		"none stated, silences":           {func(l *stopLoad) { l.silenceEvery, l.silence = 6*time.Second, 1500*time.Millisecond }, 1, 1},
+		"short":                           {func(l *stopLoad) { l.meanEvents, l.maxEvents = 8, 24 }, 0.74, 0},
+		"short, maximum stated":           {func(l *stopLoad) { l.states, l.meanEvents, l.maxEvents = true, 8, 24 }, 0.35, 0},
+		"plain":                           {func(l *stopLoad) { l.plain, l.meanEvents, l.maxEvents = true, 1, 4 }, 0.74, 0},
+		"maximum far above, late ones use it": {func(l *stopLoad) {
+			l.states, l.lateLong, l.maxEvents, l.spread, l.meanEvents = true, true, 300, 0.4, 20
+		}, 1, 0.18},
+		"none stated, late ones long": {func(l *stopLoad) { l.lateLong, l.maxEvents, l.spread, l.meanEvents = true, 300, 0.4, 8 }, 1, 0.18},
+		"plain, late ones long":       {func(l *stopLoad) { l.lateLong, l.plain, l.maxEvents, l.spread, l.meanEvents = true, true, 300, 0.4, 8 }, 0.74, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -198,6 +229,7 @@
 			t.Logf("%+v", sum)
 			require.Zero(t, sum.cut)
 			require.LessOrEqual(t, float64(sum.refused), tc.maxRefused*float64(sum.arrived))
+			require.LessOrEqual(t, float64(sum.unawareRefused), tc.maxUnaware*float64(sum.unaware))
 		})
 	}
 }
--- a/pick/longest.go
+++ b/pick/longest.go
@@ -13,7 +13,7 @@
 //
 // It therefore takes only what is as good as certain to end: the most tokens that the caller wants at the slowest rate of
 // recent streams, or a response that is as far above the longest of enough recent ones as that is above their mean,
-// whichever is shorter.
+// whichever is shorter. Late in the time that it has left, only the former counts: see CertainDuration.
 
 const (
 	// recentResponses is the number of recent responses of which the longest counts, enoughResponses the number from which
@@ -87,6 +87,20 @@
 	return min(max(expected, longest), foreverTime), bounded
 }
 
+// CertainDuration returns the time within which a response of the most tokens that the caller wants has ended, at the slowest
+// rate of recent streams of its model, counted from the send. Unlike LongestDuration it does not go by how long responses were,
+// which says nothing about the next one. It reports false if the caller states no maximum.
+func (b *Balancer) CertainDuration(now time.Time, c Choice, w Work) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w.Model == "" || w.MaxOutputTokens <= 0 {
+		return foreverTime, false
+	}
+	recent := b.recentWorkOf(w)
+	byRunning := c.PredictedTime + bound(cmp.Or(c.Pace, 1)*b.oldestRunning(now, w)*float64(w.MaxOutputTokens))
+	return max(b.longestByTokens(c, w, recent), byRunning), true
+}
+
 // foreverTime is longer than any response. Times can be added to it.
 const foreverTime = time.Duration(math.MaxInt64 / 4)
 
@@ -97,16 +111,21 @@
 
 // longestResponse returns the bound of LongestDuration by recent responses. b.mu is held.
 func (b *Balancer) longestResponse(now time.Time, c Choice, w Work) (time.Duration, bool) {
-	recent := b.recentWork[classOf(w)]
-	if recent == nil {
-		recent = &recentWork{}
-	}
+	recent := b.recentWorkOf(w)
 	if w.Model == "" {
 		return b.longestWithoutModel(now, c, w, recent), true
 	}
 	return b.longestWithModel(now, c, w, recent)
 }
 
+// recentWorkOf returns what recent responses to work of a class took. b.mu is held.
+func (b *Balancer) recentWorkOf(w Work) *recentWork {
+	if recent := b.recentWork[classOf(w)]; recent != nil {
+		return recent
+	}
+	return &recentWork{}
+}
+
 // longestWithoutModel does that for work without a model. Responses of a route are of similar length, and one that is much
 // longer has met a silence of its server. Without any, those of the server are all that is known. b.mu is held.
 func (b *Balancer) longestWithoutModel(now time.Time, c Choice, w Work, recent *recentWork) time.Duration {
@@ -133,19 +152,30 @@
 		return byResponses, recent.took.enough()
 	case times == nil && recent.took.enough():
 		return byResponses, true
+	}
+	byTokens := b.longestByTokens(c, w, recent)
+	switch {
 	case times == nil:
-		byTokens := c.PredictedTime + bound(pace*float64(w.MaxOutputTokens)*float64(unmeasuredTokenTime))
 		return max(byTokens, byResponses), true
+	case recent.took.enough():
+		return min(byTokens, byResponses), true
+	}
+	return byTokens, true
+}
+
+// longestByTokens does that by the most tokens that the caller wants, at the slowest rate of recent streams of the work's model.
+// b.mu is held.
+func (b *Balancer) longestByTokens(c Choice, w Work, recent *recentWork) time.Duration {
+	pace := cmp.Or(c.Pace, 1)
+	times := b.recentTokenTimes[w.Model]
+	if times == nil {
+		return c.PredictedTime + bound(pace*float64(w.MaxOutputTokens)*float64(unmeasuredTokenTime))
 	}
 	slowest := times.highest()
 	if !times.enough() {
 		slowest *= longestMargin
 	}
-	byTokens := c.PredictedTime + bound(pace*(slowest*float64(w.MaxOutputTokens)+recent.delays.highest()+pauses))
-	if recent.took.enough() {
-		return min(byTokens, byResponses), true
-	}
-	return byTokens, true
+	return c.PredictedTime + bound(pace*(slowest*float64(w.MaxOutputTokens)+recent.delays.highest()+recent.pauses.highest()))
 }
 
 // oldestRunning returns how long the oldest response in progress to work of a class has taken at a pace of 1, normalized, 0
--- a/pick/longest_test.go
+++ b/pick/longest_test.go
@@ -109,3 +109,52 @@
 	require.GreaterOrEqual(t, got, predicted+delay+40*tokenTime)
 	require.LessOrEqual(t, got, predicted+delay+44*tokenTime)
 }
+
+// Many responses were much shorter than their callers allow. Guards against a VM that goes by them late in the time that it has
+// left, and cuts off one that is as long as it may be, and against one that takes a request without a bound.
+func TestCertainDuration(t *testing.T) {
+	const predicted, tokenTime, events = 40 * time.Millisecond, 5 * time.Millisecond, 32
+	choice := pick.Choice{Server: backs.Entry{ID: "a", Service: "s", Slots: 8}, PredictedTime: predicted}
+	stated := pick.Work{Route: "r", Model: "m", Slots: 8, TokensPerEvent: 6, PromptTokens: 100, MaxOutputTokens: 954}
+	now := time.Unix(1000, 0)
+	measured := func(streams bool) *pick.Balancer {
+		b := &pick.Balancer{}
+		for range 64 {
+			took := (events - 1) * 6 * tokenTime
+			a := b.Begin(now, choice, stated, 0)
+			if streams {
+				a.FirstEvent(now.Add(predicted))
+				a.StreamCompleted(events, took)
+				a.LongestPause(6 * tokenTime)
+			}
+			a.End(now.Add(predicted+took), pick.Succeeded)
+		}
+		return b
+	}
+	for name, tc := range map[string]struct {
+		b         *pick.Balancer
+		change    func(*pick.Work)
+		min       time.Duration
+		unbounded bool
+	}{
+		"streams":                      {b: measured(true), min: 954 * tokenTime},
+		"no streams, nothing of rates": {b: measured(false), min: 954 * 100 * time.Millisecond},
+		"nothing measured":             {b: &pick.Balancer{}, min: 954 * 100 * time.Millisecond},
+		"another route of the model":   {b: measured(true), change: func(w *pick.Work) { w.Route = "other" }, min: 954 * tokenTime},
+		"no maximum stated":            {b: measured(true), change: func(w *pick.Work) { w.MaxOutputTokens = 0 }, unbounded: true},
+		"no model":                     {b: measured(true), change: func(w *pick.Work) { w.Model = "" }, unbounded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := stated
+			if tc.change != nil {
+				tc.change(&w)
+			}
+			got, bounded := tc.b.CertainDuration(now, choice, w)
+			require.Equal(t, !tc.unbounded, bounded)
+			require.GreaterOrEqual(t, got, tc.min)
+			if bounded {
+				require.Less(t, got, 2*tc.min)
+			}
+		})
+	}
+}
