--- a/load/answer.go
+++ b/load/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscuscart/hibiscuscart"
 	"github.com/hibiscuscart/hibiscuscart/clock"
+	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 )
 
@@ -111,6 +112,9 @@
 
 func expectedText(class Class, a Arrival) string { return strings.Join(ExpectedTokens(class, a), "") }
 
+// maxResponseBytes bounds a response of a VM.
+const maxResponseBytes = 16 << 20
+
 func readResponse(resp *http.Response, class Class, res *Result) {
 	if isErrorStatus(resp) {
 		readProblem(resp, res)
@@ -134,7 +138,7 @@
 
 func readProblem(resp *http.Response, res *Result) {
 	var body problemBody
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+	if err := conns.DecodeJSON(resp.Body, maxResponseBytes, &body); err != nil {
 		res.Verdict, res.Detail = VerdictIncomplete, "error response without a problem document"
 		return
 	}
@@ -163,7 +167,7 @@
 			Text string `json:"text"`
 		} `json:"choices"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || len(body.Choices) != 1 {
+	if err := conns.DecodeJSON(resp.Body, maxResponseBytes, &body); err != nil || len(body.Choices) != 1 {
 		res.Verdict, res.Detail = VerdictIncomplete, fmt.Sprintf("incomplete response: %v", err)
 		return
 	}
@@ -172,7 +176,7 @@
 
 func readService(resp *http.Response, res *Result) {
 	var body stand.ServiceResponse
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+	if err := conns.DecodeJSON(resp.Body, maxResponseBytes, &body); err != nil {
 		res.Verdict, res.Detail = VerdictIncomplete, fmt.Sprintf("incomplete response: %v", err)
 		return
 	}
