--- a/cmd/hibiscuscart/endless_test.go
+++ b/cmd/hibiscuscart/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuscart/hibiscuscart/platform"
 	"github.com/hibiscuscart/hibiscuscart/stand"
 	"github.com/hibiscuscart/hibiscuscart/steer"
+	"github.com/hibiscuscart/hibiscuscart/store"
 )
 
 // A server answers the controller's orders and requests for its report without an end. Guards against a controller that
@@ -57,3 +58,44 @@
 		}
 	}
 }
+
+// The store answers without an end. Guards against a VM that keeps what it reads until its memory is used up.
+func TestEndlessResponsesOfStore(t *testing.T) {
+	const bodyBound, beyond, limit = 8 << 20, 1 << 20, 64 << 20
+	calls := map[string]func(ctx context.Context, objects store.Objects) error{
+		"get": func(ctx context.Context, objects store.Objects) error {
+			_, err := objects.Get(ctx, "k", "n")
+			return err
+		},
+		"list": func(ctx context.Context, objects store.Objects) error {
+			_, err := objects.List(ctx, "k")
+			return err
+		},
+		"watch": func(ctx context.Context, objects store.Objects) error {
+			_, _, err := objects.Watch(ctx, "k", 1, time.Second)
+			return err
+		},
+		"put": func(ctx context.Context, objects store.Objects) error {
+			_, err := objects.Put(ctx, "k", "n", 3, 1)
+			return err
+		},
+	}
+	for _, name := range stand.EndlessCalls {
+		bound := int64(conns.MaxHeadBytes)
+		if !slices.Contains(stand.EndlessHeads, name) {
+			bound = bodyBound * 17 / 16
+		}
+		for call, run := range calls {
+			t.Run(call+", "+name, func(t *testing.T) {
+				address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "", "") })
+				require.NoError(t, err)
+				defer stop()
+				read, err := stand.LimitedCall(t.Context(), limit, func(ctx context.Context, counter *stand.ReadCounter) error {
+					return run(ctx, platform.NewStoreClient(newHTTPClient(counter.Dial(conns.Dial)), address))
+				})
+				require.Error(t, err)
+				require.LessOrEqual(t, read, bound+beyond)
+			})
+		}
+	}
+}
--- a/httpx/head.go
+++ b/httpx/head.go
@@ -47,7 +47,7 @@
 			line = append(h.line, line...)
 			h.line = line[:0]
 		}
-		if err := h.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+		if err := h.checkLine(strings.TrimSuffix(string(line), "\r")); err != nil {
 			return checked + end, err
 		}
 		checked += end + 1
@@ -55,7 +55,7 @@
 	return len(data), nil
 }
 
-func (h *HeadChecker) checkLine(line []byte) error {
+func (h *HeadChecker) checkLine(line string) error {
 	if !h.inFields {
 		h.inFields = true
 		return h.checkStatusLine(line)
@@ -77,19 +77,19 @@
 
 // checkStatusLine checks a status line. Its status lies within the range of RFC 9110, section 15. The blank before an empty
 // reason may be missing (RFC 9112, section 4).
-func (h *HeadChecker) checkStatusLine(line []byte) error {
-	if len(line) < statusLineMin || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[versionEnd-1]) || line[versionEnd] != ' ' {
+func (h *HeadChecker) checkStatusLine(line string) error {
+	if len(line) < statusLineMin || !strings.HasPrefix(line, "HTTP/1.") || !isDigit(line[versionEnd-1]) || line[versionEnd] != ' ' {
 		return fmt.Errorf("%w: status line %.40q", ErrMalformed, line)
 	}
 	status, reason := line[statusStart:statusLineMin], line[statusLineMin:]
 	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
 		return fmt.Errorf("%w: status %.40q", ErrMalformed, line[statusStart:])
 	}
-	if len(reason) > 0 && (reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason))) {
+	if len(reason) > 0 && (reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(reason)) {
 		return fmt.Errorf("%w: status line %.40q", ErrMalformed, line)
 	}
 	h.version10 = line[versionEnd-1] == '0'
-	h.interim = status[0] == '1' && string(status) != "101"
+	h.interim = status[0] == '1' && status != "101"
 	return nil
 }
 
@@ -97,12 +97,12 @@
 
 // checkField checks a field line. One that begins with a blank would continue the line before, which senders must not do any
 // more (RFC 9112, section 5.2), or has a blank in its name.
-func (h *HeadChecker) checkField(line []byte) error {
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+func (h *HeadChecker) checkField(line string) error {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 		return fmt.Errorf("%w: field line %.40q", ErrMalformed, line)
 	}
-	if h.version10 && strings.EqualFold(string(name), headerTransferEncoding) {
+	if h.version10 && strings.EqualFold(name, headerTransferEncoding) {
 		// HTTP/1.0 has none, so that net/http ignores it and takes the encoded body for the body itself.
 		return fmt.Errorf("%w: transfer encoding of HTTP/1.0", ErrMalformed)
 	}
--- a/pass/brokenhead_test.go
+++ b/pass/brokenhead_test.go
@@ -94,3 +94,21 @@
 		require.False(t, got.broken)
 	})
 }
+
+// A proxy sends a broken head that says that it has not sent the request. Guards against taking it for a refusal, so that a
+// request which may have run is sent again or counts as not run.
+func TestBrokenHeadOfProxy(t *testing.T) {
+	heads := make(map[string]string)
+	header := rawHeader + headerProxyRefusal + ": " + refusalKey + "\r\n"
+	maps.Copy(heads, stand.BrokenStatusLines(header, rawBody))
+	maps.Copy(heads, stand.BrokenFields(header, rawBody))
+	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, " trailer") })
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, startRaw(t, rawBody))
+			useProxies(g, startRaw(t, head))
+			requireOwnError(t, g)
+		})
+	}
+}
--- a/stand/earlyreset.go
+++ b/stand/earlyreset.go
@@ -40,6 +40,32 @@
 	return l.Addr().String(), func() { _ = l.Close() }, nil
 }
 
+// StartEarlyClose serves on a free loopback port until stop is called. To each request it sends the text that respond returns as
+// soon as it has read the head, and closes its side of the connection in order. It then reads the rest of the request, or nothing
+// more.
+func StartEarlyClose(reads bool, respond func(*http.Request) string) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("listen: %w", err)
+	}
+	ended := make(chan struct{})
+	go acceptAll(l, func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, respond(r))
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		if reads {
+			_, _ = io.Copy(io.Discard, conn)
+			return
+		}
+		<-ended
+	})
+	return l.Addr().String(), func() {
+		_ = l.Close()
+		close(ended)
+	}, nil
+}
+
 // acceptAll calls serve with each connection to l and the head of its first request, and closes the connection after it. It
 // returns when l is closed.
 func acceptAll(l net.Listener, serve func(conn net.Conn, r *http.Request)) {
