stand, soak: Servers that send broken heads, each of those of the tests in turn

TestBackendFaults (demo) plays them on each kind of route: a repeatable request goes to another server, others get 502.

--- a/demo/site_test.go
+++ b/demo/site_test.go
@@ -141,6 +141,10 @@
 		"without an end, idempotent":            {stand.BackendFaults{EndlessResponses: 1}, "/look/", 200, 2},
 		"without an end, at most once":          {stand.BackendFaults{EndlessResponses: 1}, "/book/", 502, 1},
 		"without an end, resumable stream":      {stand.BackendFaults{EndlessResponses: 1}, "/draft/", 200, 2},
+		"broken head, idempotent":               {stand.BackendFaults{BrokenHeads: 1}, "/look/", 200, 2},
+		"broken head, at most once":             {stand.BackendFaults{BrokenHeads: 1}, "/book/", 502, 1},
+		"broken head, resumable stream":         {stand.BackendFaults{BrokenHeads: 1}, "/draft/", 200, 2},
+		"broken head, stream":                   {stand.BackendFaults{BrokenHeads: 1}, "/batch/", 502, 1},
 		"stream without chunks":                 {stand.BackendFaults{ByCloseResponses: 1}, "/draft/", 200, 1},
 		"stream without chunks, cut, resumable": {stand.BackendFaults{CutShortResponses: 1}, "/draft/", 200, 2},
 		"stream without chunks, cut":            {stand.BackendFaults{CutShortResponses: 1}, "/batch/", 200, 1},
@@ -167,9 +171,9 @@
 			require.Equal(t, tc.status, got.status, got.body)
 			require.Len(t, s.Runs.Servers(id), tc.runs)
 			switch {
-			case tc.path == "/batch/":
+			case tc.path == "/batch/" && got.status == 200:
 				require.Error(t, got.err, "an interrupted stream must not appear complete")
-			case model != "":
+			case model != "" && got.status == 200:
 				require.NoError(t, got.err)
 				require.Equal(t, completeStream(id), got.body)
 			case got.status == 200:
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -89,9 +89,9 @@
 	case 10:
 		return func(context.Context, time.Duration) { r.site.Objects.Compact() }, "store_compacted"
 	case 11:
-		return r.injectServerFaults(demo.SitePlainService, stand.BackendFaults{ErrorResponses: failureCount, LostResponses: failureCount, DuplicateResponses: failureCount, Rejections: failureCount, ForgedResponses: failureCount, ByCloseResponses: failureCount, CutShortResponses: failureCount, EndlessResponses: failureCount}), "plain_servers"
+		return r.injectServerFaults(demo.SitePlainService, stand.BackendFaults{ErrorResponses: failureCount, LostResponses: failureCount, DuplicateResponses: failureCount, Rejections: failureCount, ForgedResponses: failureCount, ByCloseResponses: failureCount, CutShortResponses: failureCount, EndlessResponses: failureCount, BrokenHeads: failureCount}), "plain_servers"
 	case 12:
-		return r.injectServerFaults(demo.SiteModelService, stand.BackendFaults{LostResponses: failureCount, BrokenStreams: failureCount, Rejections: failureCount, LostOrderResponses: failureCount, ByCloseResponses: failureCount, CutShortResponses: failureCount, EndlessResponses: failureCount}), "model_servers"
+		return r.injectServerFaults(demo.SiteModelService, stand.BackendFaults{LostResponses: failureCount, BrokenStreams: failureCount, Rejections: failureCount, LostOrderResponses: failureCount, ByCloseResponses: failureCount, CutShortResponses: failureCount, EndlessResponses: failureCount, BrokenHeads: failureCount}), "model_servers"
 	}
 	return func(context.Context, time.Duration) {
 		if err := r.site.Configure(version, demo.SiteRoutes(), teams(1, true)...); err != nil {
--- a/stand/backend.go
+++ b/stand/backend.go
@@ -69,6 +69,8 @@
 	// notices holds the log of each instance.
 	notices []*NoticeLog
 	endless endlessFaults
+	// brokenHeads is how many broken heads the server has sent.
+	brokenHeads int
 }
 
 // Restart simulates a restart of the process with the same ID. All models and the
@@ -311,6 +313,8 @@
 	ActionCutShort
 	// ActionEndless responds without an end.
 	ActionEndless
+	// ActionBrokenHead responds with a head that is none.
+	ActionBrokenHead
 	// ActionCrash crashes the process.
 	ActionCrash
 )
@@ -356,6 +360,8 @@
 		return ActionCutShort
 	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.EndlessResponses }):
 		return ActionEndless
+	case b.pendingFaults.consume(func(f *BackendFaults) *int { return &f.BrokenHeads }):
+		return ActionBrokenHead
 	}
 	return ActionRespond
 }
--- a/stand/backendfaults.go
+++ b/stand/backendfaults.go
@@ -27,6 +27,9 @@
 	// EndlessResponses is how many requests get a response without an end, in turn each of those that the service can
 	// send.
 	EndlessResponses int
+	// BrokenHeads is how many requests get a response with a head that is none, in turn each of BrokenStatusLines and
+	// BrokenFields.
+	BrokenHeads int
 }
 
 // PendingFaults holds faults that are still to be injected. Several backends may share
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -98,3 +100,30 @@
 		"same length twice":  status + lengthOf(body) + end,
 	}
 }
+
+// SendFaulty sends a response without an end or with a broken head to w. header is the part of its head that the server sends
+// with each response, each line ended by CR LF, and events are those of its stream that are whole.
+func (b *Backend) SendFaulty(action Action, w io.Writer, header, events string) {
+	if action == ActionEndless {
+		b.SendEndless(w, header, events)
+		return
+	}
+	const body = "broken"
+	heads := BrokenStatusLines(header, body)
+	maps.Copy(heads, BrokenFields(header, body))
+	// A trailer comes after the whole response.
+	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, " trailer") })
+	names := slices.Sorted(maps.Keys(heads))
+	b.mu.Lock()
+	name := names[b.brokenHeads%len(names)]
+	b.brokenHeads++
+	b.mu.Unlock()
+	_, _ = io.WriteString(w, heads[name])
+}
+
+// BrokenHeads returns how many broken heads the server has sent.
+func (b *Backend) BrokenHeads() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.brokenHeads
+}
