--- a/cmd/hibiscuscart/endless_test.go
+++ b/cmd/hibiscuscart/endless_test.go
@@ -87,11 +87,8 @@
 		}
 		for call, run := range calls {
 			t.Run(call+", "+name, func(t *testing.T) {
-				address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "", "") })
-				require.NoError(t, err)
-				defer stop()
-				read, err := stand.LimitedCall(t.Context(), limit, func(ctx context.Context, counter *stand.ReadCounter) error {
-					return run(ctx, platform.NewStoreClient(newHTTPClient(counter.Dial(conns.Dial)), address))
+				read, err := stand.ReadEndless(t.Context(), name, limit, func(ctx context.Context, dial stand.Dial, address string) error {
+					return run(ctx, platform.NewStoreClient(newHTTPClient(dial), address))
 				})
 				require.Error(t, err)
 				require.LessOrEqual(t, read, bound+beyond)
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/engine"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/stand"
@@ -26,11 +24,7 @@
 	for call := range engineCalls() {
 		for _, name := range stand.EndlessCalls {
 			t.Run(call+", "+name, func(t *testing.T) {
-				address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "", "") })
-				require.NoError(t, err)
-				defer stop()
-				read, err := stand.LimitedCall(t.Context(), endlessReadLimit, func(ctx context.Context, counter *stand.ReadCounter) error {
-					dial := counter.Dial(conns.Dial)
+				read, err := stand.ReadEndless(t.Context(), name, endlessReadLimit, func(ctx context.Context, dial stand.Dial, address string) error {
 					client := &engine.Client{HTTP: &httpx.Client{Dial: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}}
 					return engineCallsOf(client)[call].call(ctx, address)
 				})
--- a/httpx/transport.go
+++ b/httpx/transport.go
@@ -12,8 +12,7 @@
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport with the settings of base, which it takes over. Its DialContext opens the connections;
-// nil uses TCP with DialTimeout. A head is
-// bounded by MaxHeadBytes where base sets no bound. Heads are not checked over TLS.
+// nil uses TCP with DialTimeout. A head is bounded by MaxHeadBytes where base sets no bound. Over TLS, heads are not checked.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
--- a/pass/brokenhead_test.go
+++ b/pass/brokenhead_test.go
@@ -1,9 +1,7 @@
 package pass
 
 import (
-	"maps"
 	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,12 +70,7 @@
 // A refusal with a broken head. Guards against taking it for the proof that the request was not run. A broken trailer comes
 // after the proof.
 func TestBrokenHeadIsNoRefusal(t *testing.T) {
-	heads := make(map[string]string)
-	header := rawHeader + "Not-Run: full\r\n"
-	maps.Copy(heads, stand.BrokenStatusLines(header, rawBody))
-	maps.Copy(heads, stand.BrokenFields(header, rawBody))
-	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, " trailer") })
-	for name, head := range heads {
+	for name, head := range stand.BrokenHeads(rawHeader+"Not-Run: full\r\n", rawBody) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			requireOwnError(t, truncationGateway(routes.Route{Kind: routes.AtMostOnce}, startRaw(t, head)))
@@ -98,12 +91,7 @@
 // A proxy sends a broken head that says that it has not sent the request. Guards against taking it for a refusal, so that a
 // request which may have run is sent again or counts as not run.
 func TestBrokenHeadOfProxy(t *testing.T) {
-	heads := make(map[string]string)
-	header := rawHeader + headerProxyRefusal + ": " + refusalKey + "\r\n"
-	maps.Copy(heads, stand.BrokenStatusLines(header, rawBody))
-	maps.Copy(heads, stand.BrokenFields(header, rawBody))
-	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, " trailer") })
-	for name, head := range heads {
+	for name, head := range stand.BrokenHeads(rawHeader+headerProxyRefusal+": "+refusalKey+"\r\n", rawBody) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := truncationGateway(routes.Route{Kind: routes.AtMostOnce}, startRaw(t, rawBody))
--- a/plain/endless_test.go
+++ b/plain/endless_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hibiscuscart/hibiscuscart/conns"
 	"github.com/hibiscuscart/hibiscuscart/httpx"
 	"github.com/hibiscuscart/hibiscuscart/plain"
 	"github.com/hibiscuscart/hibiscuscart/stand"
@@ -36,13 +35,8 @@
 	for call, do := range calls {
 		for _, name := range stand.EndlessCalls {
 			t.Run(call+", "+name, func(t *testing.T) {
-				address, stop, err := stand.StartEndless(func(*http.Request) stand.EndlessResponse { return stand.NewEndlessResponse(name, "", "") })
-				require.NoError(t, err)
-				defer stop()
-				read, err := stand.LimitedCall(t.Context(), endlessReadLimit, func(ctx context.Context, counter *stand.ReadCounter) error {
-					dial := counter.Dial(conns.Dial)
-					client := &plain.Client{HTTP: &httpx.Client{Dial: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}}
-					return do(ctx, client, address)
+				read, err := stand.ReadEndless(t.Context(), name, endlessReadLimit, func(ctx context.Context, dial stand.Dial, address string) error {
+					return do(ctx, &plain.Client{HTTP: &httpx.Client{Dial: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}}, address)
 				})
 				require.Error(t, err)
 				require.LessOrEqual(t, read, int64(maxEndlessRead))
--- a/stand/endless.go
+++ b/stand/endless.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+
+	"github.com/hibiscuscart/hibiscuscart/conns"
 )
 
 // EndlessResponse is a response of a faulty server that sends bytes until its connection is closed.
@@ -131,9 +133,15 @@
 	}
 }
 
-// LimitedCall makes a call with a counter, ends it by its context once it has read limit bytes, and returns how many it has
-// read. So a call without a bound of its own does not use up the memory of the machine.
-func LimitedCall(ctx context.Context, limit int64, call func(ctx context.Context, counter *ReadCounter) error) (read int64, err error) {
+// ReadEndless makes a call to a server whose responses are the endless one with a name, and returns how many bytes the call has
+// read, and its error. A call without a bound of its own is ended by its context after limit bytes, so that it does not use up the
+// memory of the machine.
+func ReadEndless(ctx context.Context, name string, limit int64, call func(ctx context.Context, dial Dial, address string) error) (read int64, err error) {
+	address, stop, err := StartEndless(func(*http.Request) EndlessResponse { return NewEndlessResponse(name, "", "") })
+	if err != nil {
+		return 0, err
+	}
+	defer stop()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	counter := &ReadCounter{onRead: func(total int64) {
@@ -141,10 +149,13 @@
 			cancel()
 		}
 	}}
-	err = call(ctx, counter)
+	err = call(ctx, counter.Dial(conns.Dial), address)
 	return counter.Bytes(), err
 }
 
+// Dial opens a TCP connection to an address.
+type Dial = func(ctx context.Context, address string) (net.Conn, error)
+
 type countedReads struct {
 	*net.TCPConn
 	counter *ReadCounter
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -74,11 +74,22 @@
 		if strings.TrimLeft(line, " \t") != line {
 			continue // The line before it goes on, and nothing is passed on of a trailer.
 		}
-		all[name+" trailer"] = status + header + inChunks(body, "X-B: c\r\n"+line+"\r\n")
+		all[name+trailerSuffix] = status + header + inChunks(body, "X-B: c\r\n"+line+"\r\n")
 	}
 	return all
 }
 
+// BrokenHeads returns those of BrokenStatusLines and BrokenFields that are broken before their body, and not in a trailer.
+func BrokenHeads(header, body string) map[string]string {
+	heads := BrokenStatusLines(header, body)
+	maps.Copy(heads, BrokenFields(header, body))
+	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, trailerSuffix) })
+	return heads
+}
+
+// trailerSuffix ends the names of responses that are broken in their trailer.
+const trailerSuffix = " trailer"
+
 // OddHeads returns responses whose heads are unusual, and valid or to be taken by RFC 9112.
 func OddHeads(header, body string) map[string]string {
 	end := header + lengthOf(body) + "\r\n" + body
@@ -108,11 +119,7 @@
 		b.SendEndless(w, header, events)
 		return
 	}
-	const body = "broken"
-	heads := BrokenStatusLines(header, body)
-	maps.Copy(heads, BrokenFields(header, body))
-	// A trailer comes after the whole response.
-	maps.DeleteFunc(heads, func(name, _ string) bool { return strings.HasSuffix(name, " trailer") })
+	heads := BrokenHeads(header, "broken")
 	names := slices.Sorted(maps.Keys(heads))
 	b.mu.Lock()
 	name := names[b.brokenHeads%len(names)]
--- a/stand/scripted.go
+++ b/stand/scripted.go
@@ -88,20 +88,7 @@
 func serveScripted(l net.Listener, respond func(*http.Request) ScriptedResponse) {
 	ended := make(chan struct{})
 	defer close(ended)
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			r, err := http.ReadRequest(bufio.NewReader(conn))
-			if err != nil {
-				return
-			}
-			respond(r).send(conn, ended)
-		}()
-	}
+	acceptAll(l, func(conn net.Conn, r *http.Request) { respond(r).send(conn, ended) })
 }
 
 func (s ScriptedResponse) send(conn net.Conn, ended <-chan struct{}) {
