--- a/conns/stall.go
+++ b/conns/stall.go
@@ -66,7 +66,7 @@
 		return 0, errHeadTooLong
 	}
 	n, err := r.read(p[:limit])
-	if err == io.EOF && r.failedWhileWriting() {
+	if errors.Is(err, io.EOF) && r.failedWhileWriting() {
 		err = httpx.ErrReset
 	}
 	n, malformed := r.head.add(p[:n])
--- a/httpx/conn.go
+++ b/httpx/conn.go
@@ -1,6 +1,7 @@
 package httpx
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -49,7 +50,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if err == io.EOF && c.failedWhileWriting() {
+	if errors.Is(err, io.EOF) && c.failedWhileWriting() {
 		err = ErrReset
 	}
 	return c.checkRead(p[:n], err)
--- a/httpx/head.go
+++ b/httpx/head.go
@@ -125,7 +125,7 @@
 // Read implements io.Reader.
 func (b *trailerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	for name := range b.resp.Trailer {
